--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+VENV ?= .venv
+PYTHON := $(VENV)/bin/python
+
+.PHONY: env quickstart test check measure bench format
+
+env: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt pyproject.toml
+	test -x $(PYTHON) || python3.11 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $@
+
+quickstart: env
+	$(PYTHON) -m egretsill.quickstart
+
+test: env
+	$(PYTHON) -m pytest
+
+check: env
+	$(PYTHON) -m black --check --quiet egretsill
+	$(PYTHON) -m ruff check egretsill
+	$(PYTHON) -m mypy
+
+format: env
+	$(PYTHON) -m black --quiet egretsill
+	$(PYTHON) -m ruff check --fix egretsill
+
+measure: env
+	$(PYTHON) -m egretsill.measurements
+
+bench: env
+	$(PYTHON) -m egretsill.benchmarks
--- /dev/null
+++ b/egretsill/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Speed and memory, as ratios and slopes in one run."""
--- /dev/null
+++ b/egretsill/caller/__init__.py
@@ -0,0 +1,1 @@
+"""A library for callers."""
--- /dev/null
+++ b/egretsill/configuration/_model.py
@@ -0,0 +1,150 @@
+"""The declared fleet as values: what every slice reads and none changes."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+
+class Address(NamedTuple):
+    """A UDP or TCP endpoint by IP number."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
+
+
+class RequestShape(enum.Enum):
+    """What a request holds while it runs."""
+
+    SHORT = "short"
+    SUBSCRIPTION = "subscription"
+    UPLOAD = "upload"
+
+
+class TargetState(enum.Enum):
+    """What the operators declare about a target."""
+
+    ACTIVE = "active"
+    DRAINING = "draining"
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    """One kind of request to a service, matched by method and path.
+
+    Attributes:
+        name: unique within the service.
+        methods: HTTP methods in upper case.
+        path_prefix: a request belongs here if its path starts so; the longest prefix wins.
+        idempotent: whether running it twice is the same as running it once.
+        weight: cost of one request in units of the lightest class.
+        shape: SHORT and UPLOAD hold a slot; a SUBSCRIPTION holds a connection and no slot.
+        priority: 0 is refused last.
+        deadline_seconds: how long a request may take when the caller names no deadline; None for
+            no limit.
+    """
+
+    name: str
+    methods: tuple[str, ...]
+    path_prefix: str
+    idempotent: bool
+    weight: float = 1.0
+    shape: RequestShape = RequestShape.SHORT
+    priority: int = 1
+    deadline_seconds: float | None = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds on what a service may take.
+
+    Attributes:
+        tries: most targets that one request is offered to.
+        retry_share: retries allowed for each first try.
+        queue_length: requests that may wait at one gate for each slot.
+        queue_seconds: longest wait in a gate's queue.
+        answer_tail_bytes: unacknowledged answer bytes that a gate keeps for a relayed request.
+    """
+
+    tries: int = 4
+    retry_share: float = 0.1
+    queue_length: int = 2
+    queue_seconds: float = 0.5
+    answer_tail_bytes: int = 262_144
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """A backend server of one service, with the agent beside it.
+
+    Attributes:
+        number: unique in the fleet and never reused, 1 to 2**32 - 1; it is in connection IDs.
+        tunnel: UDP endpoint of the agent for balancers.
+        relay: TCP endpoint of the agent for other agents and for configuration exchange.
+        gossip: UDP endpoint of the agent for membership and load reports.
+        backend: HTTP/1.1 endpoint of the backend server.
+        slots: requests that the backend server runs at once.
+        connections: open subscriptions that it holds at once.
+    """
+
+    name: str
+    number: int
+    service: str
+    failure_domain: str
+    tunnel: Address
+    relay: Address
+    gossip: Address
+    backend: Address
+    slots: int
+    connections: int = 2000
+    state: TargetState = TargetState.ACTIVE
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """What callers reach at a set of service addresses.
+
+    Attributes:
+        number: unique in the fleet and never reused, 1 to 2**16 - 1.
+        addresses: UDP endpoints on every balancer.
+        authority: host name that callers use and the certificate carries.
+        targets: in order of number.
+    """
+
+    name: str
+    number: int
+    tenant: str
+    authority: str
+    addresses: tuple[Address, ...]
+    classes: tuple[RequestClass, ...]
+    targets: tuple[Target, ...]
+    limits: Limits = Limits()
+
+    def classify(self, method: str, path: str) -> RequestClass | None:
+        """Return the class of a request, or None if none is declared for it."""
+        matching = [
+            each
+            for each in self.classes
+            if method in each.methods and path.startswith(each.path_prefix)
+        ]
+        return max(matching, key=lambda each: len(each.path_prefix), default=None)
+
+
+@dataclass(frozen=True, slots=True)
+class Bundle:
+    """One accepted configuration of the whole fleet.
+
+    Attributes:
+        revision: strictly increasing number given by the operators.
+        digest: hexadecimal digest of the content.
+        services: by name.
+    """
+
+    revision: int
+    digest: str
+    services: Mapping[str, Service] = field(default_factory=dict)
--- /dev/null
+++ b/egretsill/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line tool."""
--- /dev/null
+++ b/egretsill/draining/__init__.py
@@ -0,0 +1,1 @@
+"""When an agent takes no new work, and when it may leave."""
--- /dev/null
+++ b/egretsill/flows/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' flows at the agent that owns them."""
--- /dev/null
+++ b/egretsill/measurements/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded measures of the decisions against baselines."""
--- /dev/null
+++ b/egretsill/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which processes of the fleet answer."""
--- /dev/null
+++ b/egretsill/observation/__init__.py
@@ -0,0 +1,1 @@
+"""Counters, histograms, state pages and log lines."""
--- /dev/null
+++ b/egretsill/outcomes/__init__.py
@@ -0,0 +1,21 @@
+"""How a request can end, as told to callers, relayed between agents, counted and logged."""
+
+from ._outcome import (
+    Answered,
+    Cancelled,
+    Outcome,
+    RefusalReason,
+    Refused,
+    Unknown,
+    UnknownReason,
+)
+
+__all__ = [
+    "Answered",
+    "Cancelled",
+    "Outcome",
+    "RefusalReason",
+    "Refused",
+    "Unknown",
+    "UnknownReason",
+]
--- /dev/null
+++ b/egretsill/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which target a request is offered to."""
--- /dev/null
+++ b/egretsill/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Validated INI settings of the daemons and of the fleet."""
--- /dev/null
+++ b/egretsill/stand_ins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the fabric, the platform and backend servers."""
--- /dev/null
+++ b/egretsill/steering/__init__.py
@@ -0,0 +1,1 @@
+"""Which agent a packet goes to, and the balancer that sends it there."""
--- /dev/null
+++ b/egretsill/timing/_timer_service.py
@@ -0,0 +1,197 @@
+"""Subscriptions to points in time, for one process on one loop.
+
+Parts never read a clock. They ask the timer service for `now`, subscribe to a repeated tick or to
+one point in time, and may subscribe to jumps: a gap between two readings that is longer than a
+running process can explain, as when it was paused.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import time
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import trio
+
+HEARTBEAT_SECONDS = 0.25
+JUMP_SECONDS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class ClockJump:
+    """A gap in which this process did not run.
+
+    Attributes:
+        before: the last reading before the gap, in seconds.
+        after: the first reading after it, in seconds.
+    """
+
+    before: float
+    after: float
+
+    @property
+    def seconds(self) -> float:
+        """Return the length of the gap in seconds."""
+        return self.after - self.before
+
+
+@dataclass(slots=True, eq=False)
+class Subscription:
+    """One subscriber's hold on the timer service; cancel it to stop the calls."""
+
+    callback: Callable[[float], None]
+    interval: float | None = None
+    cancelled: bool = False
+
+    def cancel(self) -> None:
+        """Stop all further calls."""
+        self.cancelled = True
+
+
+class TimerService(ABC):
+    """Tells the time in seconds and calls subscribers when their time has come."""
+
+    def __init__(self) -> None:
+        self._queue: list[tuple[float, int, Subscription]] = []
+        self._order = itertools.count()
+        self._jump_subscribers: list[Callable[[ClockJump], None]] = []
+        self._last_reading: float | None = None
+
+    @property
+    def now(self) -> float:
+        """Return the time in seconds since an arbitrary start.
+
+        A reading that finds a jump tells the jump subscribers before it returns, so no part acts
+        on the new time with its old view.
+        """
+        reading = self._read_clock()
+        before = self._last_reading
+        self._last_reading = reading
+        if before is not None and reading - before > JUMP_SECONDS:
+            jump = ClockJump(before, reading)
+            for subscriber in self._jump_subscribers:
+                subscriber(jump)
+        return reading
+
+    @property
+    def next_deadline(self) -> float | None:
+        """Return the earliest time that a subscriber waits for, or None."""
+        while self._queue and self._queue[0][2].cancelled:
+            heapq.heappop(self._queue)
+        return self._queue[0][0] if self._queue else None
+
+    def subscribe(self, interval: float, callback: Callable[[float], None]) -> Subscription:
+        """Call `callback(now)` every `interval` seconds, first after one interval."""
+        subscription = Subscription(callback, interval)
+        self._push(self.now + interval, subscription)
+        return subscription
+
+    def call_at(self, when: float, callback: Callable[[float], None]) -> Subscription:
+        """Call `callback(now)` once, at `when` or as soon after it as the process runs."""
+        subscription = Subscription(callback)
+        self._push(when, subscription)
+        return subscription
+
+    def call_later(self, delay: float, callback: Callable[[float], None]) -> Subscription:
+        """Call `callback(now)` once, `delay` seconds from now."""
+        return self.call_at(self.now + delay, callback)
+
+    def subscribe_jumps(self, callback: Callable[[ClockJump], None]) -> None:
+        """Call `callback(jump)` whenever a reading finds that the process did not run."""
+        self._jump_subscribers.append(callback)
+
+    def fire_due(self) -> int:
+        """Call every subscriber whose time has come and return how many were called."""
+        now = self.now
+        fired = 0
+        due: list[tuple[float, Subscription]] = []
+        while self._queue and self._queue[0][0] <= now:
+            when, _, subscription = heapq.heappop(self._queue)
+            if not subscription.cancelled:
+                due.append((when, subscription))
+        for when, subscription in due:
+            if subscription.cancelled:
+                continue
+            if subscription.interval is not None:
+                self._push(max(when + subscription.interval, now), subscription)
+            subscription.callback(now)
+            fired += 1
+        return fired
+
+    @abstractmethod
+    def _read_clock(self) -> float:
+        """Return the current reading in seconds."""
+
+    def _push(self, when: float, subscription: Subscription) -> None:
+        heapq.heappush(self._queue, (when, next(self._order), subscription))
+
+
+class TrioTimerService(TimerService):
+    """The timer service of a running process."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._wake = trio.Event()
+
+    async def run(self) -> None:
+        """Fire subscriptions until cancelled; run it once for each process."""
+        while True:
+            self._wake = trio.Event()
+            deadline = self.next_deadline
+            delay = HEARTBEAT_SECONDS
+            if deadline is not None:
+                delay = min(max(deadline - self.now, 0.0), HEARTBEAT_SECONDS)
+            with trio.move_on_after(delay):
+                await self._wake.wait()
+            self.fire_due()
+            await trio.lowlevel.checkpoint()
+
+    async def sleep(self, seconds: float) -> None:
+        """Suspend the calling task for `seconds`."""
+        done = trio.Event()
+        subscription = self.call_later(seconds, lambda _: done.set())
+        try:
+            await done.wait()
+        finally:
+            subscription.cancel()
+
+    def _read_clock(self) -> float:
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def _push(self, when: float, subscription: Subscription) -> None:
+        super()._push(when, subscription)
+        if self._queue[0][2] is subscription:
+            self._wake.set()
+
+
+class VirtualTimerService(TimerService):
+    """A timer service whose time moves only when a test or a measure says so."""
+
+    def __init__(self, start: float = 0.0) -> None:
+        super().__init__()
+        self._time = start
+
+    def advance(self, seconds: float) -> None:
+        """Move the time on, firing each subscription at its own moment."""
+        end = self._time + seconds
+        while (deadline := self.next_deadline) is not None and deadline <= end:
+            while deadline - self._time > HEARTBEAT_SECONDS:
+                self._time += HEARTBEAT_SECONDS
+                self.fire_due()
+            self._time = max(self._time, deadline)
+            self.fire_due()
+        while end - self._time > HEARTBEAT_SECONDS:
+            self._time += HEARTBEAT_SECONDS
+            self.fire_due()
+        self._time = end
+        self.fire_due()
+
+    def pause(self, seconds: float) -> None:
+        """Let time pass without firing anything, as for a process that does not run."""
+        self._time += seconds
+
+    def _read_clock(self) -> float:
+        return self._time
