--- a/egretsill/measurements/__init__.py
+++ b/egretsill/measurements/__init__.py
@@ -1,1 +1,5 @@
 """Seeded measures of the decisions against baselines."""
+
+from ._measurement import Measurement
+
+__all__ = ["Measurement"]
