--- /dev/null
+++ b/egretsill/steering/_tunnel.py
@@ -0,0 +1,113 @@
+"""Datagrams between balancers and agents, and between agents that pass a first packet on."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TypeAlias
+
+from ..wire import Codec, MalformedMessage
+
+TUNNEL_PROTOCOL = "tunnel"
+MAXIMUM_PORT = 65_535
+MAXIMUM_HOST_CHARACTERS = 45
+
+
+def _check_endpoint(host: str, port: int) -> None:
+    if not 0 < port <= MAXIMUM_PORT:
+        raise MalformedMessage(TUNNEL_PROTOCOL, "port out of range")
+    if not 0 < len(host) <= MAXIMUM_HOST_CHARACTERS:
+        raise MalformedMessage(TUNNEL_PROTOCOL, "host of the wrong length")
+
+
+@dataclass(frozen=True, slots=True)
+class CallerPacket:
+    """A caller's datagram on its way to an agent.
+
+    Attributes:
+        caller_host: IP number that the caller sent from.
+        service_host: IP number of the service address that the caller sent to.
+        service_number: service of that address.
+        hops: how many agents have passed the packet on.
+        balancer_host: tunnel IP number of the balancer that took the packet in, set by an agent
+            that passes it on; None from the balancer itself, whose address the datagram shows.
+        balancer_port: tunnel port of that balancer, or 0.
+        payload: the datagram as it came.
+
+    Raises:
+        MalformedMessage: if a host, port or number is out of range.
+    """
+
+    caller_host: str
+    caller_port: int
+    service_host: str
+    service_port: int
+    service_number: int
+    hops: int
+    balancer_host: str | None
+    balancer_port: int
+    payload: bytes
+
+    def __post_init__(self) -> None:
+        _check_endpoint(self.caller_host, self.caller_port)
+        _check_endpoint(self.service_host, self.service_port)
+        if self.balancer_host is not None:
+            _check_endpoint(self.balancer_host, self.balancer_port)
+        if self.hops < 0:
+            raise MalformedMessage(TUNNEL_PROTOCOL, "hops out of range")
+
+
+@dataclass(frozen=True, slots=True)
+class ReplyPacket:
+    """An agent's datagram on its way to a caller, sent from the agent's tunnel endpoint.
+
+    Attributes:
+        caller_host: IP number to send to.
+        service_host: IP number of the service address to send from.
+        payload: the datagram to send.
+
+    Raises:
+        MalformedMessage: if a host or port is out of range.
+    """
+
+    caller_host: str
+    caller_port: int
+    service_host: str
+    service_port: int
+    payload: bytes
+
+    def __post_init__(self) -> None:
+        _check_endpoint(self.caller_host, self.caller_port)
+        _check_endpoint(self.service_host, self.service_port)
+
+
+@dataclass(frozen=True, slots=True)
+class AgentProbe:
+    """A balancer asks an agent for any sign of life; the agent answers at once."""
+
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True)
+class AgentProbeAnswer:
+    """An agent's answer to an `AgentProbe`, sent from its tunnel endpoint.
+
+    Attributes:
+        sequence: as in the probe.
+        target_number: the agent's target.
+        draining: whether the agent takes no new flows.
+    """
+
+    sequence: int
+    target_number: int
+    draining: bool
+
+
+TunnelMessage: TypeAlias = CallerPacket | ReplyPacket | AgentProbe | AgentProbeAnswer
+
+
+def make_tunnel_codec() -> Codec[TunnelMessage]:
+    """Return the codec of the tunnel."""
+    return Codec(
+        TUNNEL_PROTOCOL,
+        {1: CallerPacket, 2: ReplyPacket, 3: AgentProbe, 4: AgentProbeAnswer},
+    )
