--- a/egretsill/steering/__init__.py
+++ b/egretsill/steering/__init__.py
@@ -1,14 +1,19 @@
 """Which agent a packet goes to, and the balancer that sends it there."""
 
+from ._balancer import Balancer
 from ._connection_id import (
     CONNECTION_ID_BYTES,
     ConnectionIdCodec,
     ConnectionIdKey,
     Owner,
 )
+from ._counters import BalancerCounters
 from ._exceptions import InvalidConnectionIdKey, InvalidOwner
 from ._packet import MalformedPacket, MalformedReason, PacketHeader, parse_packet
 from ._ranking import rank
+from ._routes import AgentIdentity, Forward
+from ._source_limit import SourceLimit
+from ._steering import Decision, Drop, DropReason, Steering
 from ._tunnel import (
     AgentProbe,
     AgentProbeAnswer,
@@ -17,14 +22,22 @@
     TunnelMessage,
     make_tunnel_codec,
 )
+from ._view import RetainedTarget, SteeringView
 
 __all__ = [
     "CONNECTION_ID_BYTES",
+    "AgentIdentity",
     "AgentProbe",
     "AgentProbeAnswer",
+    "Balancer",
+    "BalancerCounters",
     "CallerPacket",
     "ConnectionIdCodec",
     "ConnectionIdKey",
+    "Decision",
+    "Drop",
+    "DropReason",
+    "Forward",
     "InvalidConnectionIdKey",
     "InvalidOwner",
     "MalformedPacket",
@@ -32,6 +45,10 @@
     "Owner",
     "PacketHeader",
     "ReplyPacket",
+    "RetainedTarget",
+    "SourceLimit",
+    "Steering",
+    "SteeringView",
     "TunnelMessage",
     "make_tunnel_codec",
     "parse_packet",
--- /dev/null
+++ b/egretsill/steering/_balancer.py
@@ -0,0 +1,298 @@
+"""The balancer: takes callers' datagrams, steers them to agents and sends the replies back."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+
+import trio
+
+from ..configuration import Address, Bundle
+from ..timing import ClockJump, TimerService
+from ..wire import MalformedMessage
+from ._connection_id import ConnectionIdCodec
+from ._counters import BalancerCounters
+from ._datagram_socket import (
+    BATCH_DATAGRAMS,
+    MAXIMUM_DATAGRAM_BYTES,
+    close_datagram_socket,
+    open_datagram_socket,
+    read_batches,
+)
+from ._first_packets import (
+    WATCH_TICK_SECONDS,
+    BecameResponsive,
+    BecameSilent,
+    FirstPacketWatch,
+    SendProbe,
+    WatchEffect,
+)
+from ._routes import AgentIdentity, Forward
+from ._source_limit import SourceLimit
+from ._steering import Drop, DropReason, Steering
+from ._tunnel import (
+    AgentProbe,
+    AgentProbeAnswer,
+    CallerPacket,
+    ReplyPacket,
+    make_tunnel_codec,
+)
+from ._view import RetainedTarget, SteeringView
+
+_TUNNEL_OVERHEAD_BYTES = 256
+
+
+@dataclass(frozen=True, slots=True)
+class _Listener:
+    """One service address that this balancer takes packets on."""
+
+    service_address: Address
+    socket: socket.socket
+
+
+class Balancer:
+    """One balancer of a fleet, on one trio loop.
+
+    Args:
+        timer: the process's timer service.
+        tunnel_address: where to send to and hear from agents; port 0 picks a free port.
+        codec: reads owner IDs.
+        listen: local address to bind for a service address, where the fabric hands packets over
+            at another address than the published one.
+        source_limit: bound on first packets by source.
+    """
+
+    def __init__(
+        self,
+        timer: TimerService,
+        tunnel_address: Address,
+        codec: ConnectionIdCodec,
+        listen: Callable[[Address], Address] | None = None,
+        source_limit: SourceLimit | None = None,
+    ) -> None:
+        self._timer = timer
+        self._listen = listen or (lambda service_address: service_address)
+        self._steering = Steering(codec, source_limit)
+        self._watch = FirstPacketWatch()
+        self._tunnel_codec = make_tunnel_codec()
+        self._tunnel = open_datagram_socket(tunnel_address)
+        self._listeners: dict[Address, _Listener] = {}
+        self._nursery: trio.Nursery | None = None
+        self._counters = BalancerCounters()
+
+    @property
+    def counters(self) -> BalancerCounters:
+        """Return the totals since the start."""
+        return self._counters
+
+    @property
+    def tunnel_address(self) -> Address:
+        """Return the bound tunnel endpoint."""
+        return Address(*self._tunnel.getsockname()[:2])
+
+    @property
+    def silent_targets(self) -> frozenset[int]:
+        """Return the numbers of targets whose agents this balancer finds silent."""
+        return self._watch.silent
+
+    @property
+    def retained_targets(self) -> Sequence[RetainedTarget]:
+        """Return the targets that have left the configuration but still get their packets."""
+        return self._steering.retained_targets
+
+    def local_address(self, service_address: Address) -> Address | None:
+        """Return the bound address for a service address, or None if there is none."""
+        listener = self._listeners.get(service_address)
+        return Address(*listener.socket.getsockname()[:2]) if listener else None
+
+    def apply_bundle(self, bundle: Bundle) -> None:
+        """Steer by this configuration from now on, opening and closing service sockets."""
+        self._steering.apply_bundle(bundle, self._timer.now)
+        self._watch.keep_only(self._steering.target_numbers)
+        self._steering.update_silent(self._watch.silent)
+        self._update_listeners()
+
+    def update_view(self, view: SteeringView) -> None:
+        """Place first packets by this view from now on."""
+        self._steering.update_view(view)
+
+    def retain(self, targets: Iterable[RetainedTarget]) -> None:
+        """Learn from a peer which targets left the configuration before this process knew it."""
+        self._steering.retain(targets, self._timer.now)
+        self._update_listeners()
+
+    def replace_codec(self, codec: ConnectionIdCodec) -> None:
+        """Use other connection ID keys from now on."""
+        self._steering.replace_codec(codec)
+
+    async def run(self) -> None:
+        """Forward packets until cancelled; closes all sockets at the end. Run it once."""
+        self._timer.subscribe_jumps(self._restart_watch)
+        tick = self._timer.subscribe(WATCH_TICK_SECONDS, self._tick)
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                nursery.start_soon(read_batches, self._tunnel, self._take_tunnel_batch)
+                for listener in self._listeners.values():
+                    self._start_reading(listener)
+        finally:
+            self._nursery = None
+            tick.cancel()
+            self.close()
+
+    def close(self) -> None:
+        """Close all sockets."""
+        for listener in self._listeners.values():
+            close_datagram_socket(listener.socket)
+        self._listeners.clear()
+        close_datagram_socket(self._tunnel)
+
+    def _update_listeners(self) -> None:
+        wanted = set(self._steering.listening_addresses)
+        for service_address in self._listeners.keys() - wanted:
+            close_datagram_socket(self._listeners.pop(service_address).socket)
+        for service_address in sorted(wanted - self._listeners.keys()):
+            self._open_listener(service_address)
+
+    def _open_listener(self, service_address: Address) -> None:
+        try:
+            opened = open_datagram_socket(self._listen(service_address))
+        except OSError:
+            self._counters.bind_failures += 1
+            return
+        listener = _Listener(service_address, opened)
+        self._listeners[service_address] = listener
+        if self._nursery is not None:
+            self._start_reading(listener)
+
+    def _start_reading(self, listener: _Listener) -> None:
+        if self._nursery is not None:
+            self._nursery.start_soon(
+                read_batches, listener.socket, lambda: self._take_service_batch(listener)
+            )
+
+    def _take_service_batch(self, listener: _Listener) -> bool:
+        """Forward a batch of callers' datagrams; return whether there may be more."""
+        now = self._timer.now
+        receive = listener.socket.recvfrom
+        for _ in range(BATCH_DATAGRAMS):
+            try:
+                datagram, caller = receive(MAXIMUM_DATAGRAM_BYTES + 1)
+            except BlockingIOError:
+                return False
+            self._take_caller_datagram(listener.service_address, caller, datagram, now)
+        return True
+
+    def _take_caller_datagram(
+        self, service_address: Address, caller: tuple[str, int], datagram: bytes, now: float
+    ) -> None:
+        if len(datagram) > MAXIMUM_DATAGRAM_BYTES:
+            self._counters.drops[DropReason.OVERSIZED] += 1
+            return
+        decision = self._steering.steer(service_address, caller[0], datagram, now)
+        if isinstance(decision, Drop):
+            self._counters.drops[decision.reason] += 1
+            return
+        self._forward(decision, service_address, caller, datagram, now)
+
+    def _forward(
+        self,
+        forward: Forward,
+        service_address: Address,
+        caller: tuple[str, int],
+        datagram: bytes,
+        now: float,
+    ) -> None:
+        packet = CallerPacket(
+            caller[0], caller[1], *service_address, forward.service_number, 0, None, 0, datagram
+        )
+        if not self._send(self._tunnel, self._tunnel_codec.encode(packet), forward.tunnel):
+            return
+        self._counters.forwarded += 1
+        if forward.opens_flow:
+            self._counters.first_packets += 1
+            self._watch.first_packet_sent(forward.target_number, now)
+
+    def _take_tunnel_batch(self) -> bool:
+        """Handle a batch of agents' datagrams; return whether there may be more."""
+        receive = self._tunnel.recvfrom
+        for _ in range(BATCH_DATAGRAMS):
+            try:
+                data, source = receive(MAXIMUM_DATAGRAM_BYTES + _TUNNEL_OVERHEAD_BYTES + 1)
+            except BlockingIOError:
+                return False
+            self._take_agent_datagram(data, source[:2])
+        return True
+
+    def _take_agent_datagram(self, data: bytes, source: tuple[str, int]) -> None:
+        agent = self._steering.agent_at(source)
+        if agent is None:
+            self._counters.drops[DropReason.UNKNOWN_AGENT] += 1
+            return
+        try:
+            message = self._tunnel_codec.decode(data)
+        except MalformedMessage:
+            self._counters.drops[DropReason.MALFORMED_MESSAGE] += 1
+            return
+        self._hear_from(agent)
+        match message:
+            case ReplyPacket():
+                self._reply(agent, message)
+            case AgentProbeAnswer():
+                pass
+            case _:
+                self._counters.drops[DropReason.UNEXPECTED_MESSAGE] += 1
+
+    def _reply(self, agent: AgentIdentity, reply: ReplyPacket) -> None:
+        """Send an agent's datagram to a caller, from an address of the agent's own service."""
+        service_address = Address(reply.service_host, reply.service_port)
+        listener = self._listeners.get(service_address)
+        if listener is None or not self._steering.serves(agent, service_address):
+            self._counters.drops[DropReason.FOREIGN_REPLY] += 1
+            return
+        caller = (reply.caller_host, reply.caller_port)
+        if self._send(listener.socket, reply.payload, caller):
+            self._counters.replied += 1
+
+    def _send(self, sender: socket.socket, data: bytes, address: tuple[str, int]) -> bool:
+        """Send a datagram, or count why it could not be sent and return False."""
+        try:
+            sender.sendto(data, address)
+        except BlockingIOError:
+            self._counters.drops[DropReason.SEND_BLOCKED] += 1
+            return False
+        except OSError:
+            self._counters.drops[DropReason.SEND_FAILED] += 1
+            return False
+        return True
+
+    def _hear_from(self, agent: AgentIdentity) -> None:
+        effect = self._watch.heard_from(agent.target_number)
+        if effect is not None:
+            self._apply_watch_effect(effect)
+
+    def _tick(self, now: float) -> None:
+        for effect in self._watch.tick(now):
+            self._apply_watch_effect(effect)
+
+    def _apply_watch_effect(self, effect: WatchEffect) -> None:
+        match effect:
+            case SendProbe(target_number, sequence):
+                self._send_probe(target_number, sequence)
+            case BecameSilent():
+                self._counters.became_silent += 1
+                self._steering.update_silent(self._watch.silent)
+            case BecameResponsive():
+                self._counters.became_responsive += 1
+                self._steering.update_silent(self._watch.silent)
+
+    def _send_probe(self, target_number: int, sequence: int) -> None:
+        tunnel = self._steering.tunnel_of(target_number)
+        if tunnel is None:
+            return
+        if self._send(self._tunnel, self._tunnel_codec.encode(AgentProbe(sequence)), tunnel):
+            self._counters.probes += 1
+
+    def _restart_watch(self, jump: ClockJump) -> None:
+        self._watch.restart(jump.after)
--- a/egretsill/steering/_ranking.py
+++ b/egretsill/steering/_ranking.py
@@ -36,7 +36,7 @@
 
     def __init__(self, target_numbers: Iterable[int]) -> None:
         self._target_numbers = tuple(target_numbers)
-        self._winners = array("I", (_UNKNOWN,)) * BUCKETS
+        self._winners = array("I", (_UNKNOWN,)) * (BUCKETS if self._target_numbers else 0)
 
     @property
     def target_numbers(self) -> tuple[int, ...]:
@@ -45,17 +45,18 @@
 
     def winner(self, key: bytes) -> int | None:
         """Return the first of the rank for a steering key, or None if there are no targets."""
+        if not self._target_numbers:
+            return None
         bucket = xxh3_64_intdigest(key) % BUCKETS
         number = self._winners[bucket]
         if number != _UNKNOWN:
             return number
         return self._fill(bucket)
 
-    def _fill(self, bucket: int) -> int | None:
+    def _fill(self, bucket: int) -> int:
         encoded = bucket.to_bytes(_BUCKET_BYTES, "big")
-        number = max(self._target_numbers, key=lambda each: _score(encoded, each), default=None)
-        if number is not None:
-            self._winners[bucket] = number
+        number = max(self._target_numbers, key=lambda each: _score(encoded, each))
+        self._winners[bucket] = number
         return number
 
 
--- /dev/null
+++ b/egretsill/steering/_steering.py
@@ -0,0 +1,209 @@
+"""The decision where a packet goes, from the packet, the configuration and a view of agents.
+
+An owner ID always wins: its packet goes to the owner whatever the view says of it, and for
+`RETENTION_SECONDS` after the owner or the service address has left the configuration. Only first
+packets are placed by rank and by view.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from typing import TypeAlias
+
+from ..configuration import Address, Bundle
+from ._connection_id import ConnectionIdCodec
+from ._packet import MalformedPacket, MalformedReason, PacketHeader, parse_packet
+from ._ranking import rank
+from ._routes import AgentIdentity, Forward, RoutingTable, ServiceRoutes
+from ._source_limit import SourceLimit
+from ._view import RetainedTarget, SteeringView
+
+_SHORT_HEADER_END = 18
+_LONG_HEADER_BIT = 0x80
+
+
+class DropReason(enum.Enum):
+    """Why a balancer sends a packet nowhere."""
+
+    UNKNOWN_ADDRESS = "unknown-address"
+    RETIRED_ADDRESS = "retired-address"
+    UNDECODABLE_ID = "undecodable-id"
+    FOREIGN_OWNER = "foreign-owner"
+    UNKNOWN_OWNER = "unknown-owner"
+    NO_TARGET = "no-target"
+    SOURCE_LIMIT = "source-limit"
+    TRUNCATED = "truncated"
+    UNSUPPORTED_VERSION = "unsupported-version"
+    CONNECTION_ID_TOO_LONG = "connection-id-too-long"
+    INITIAL_TOO_SMALL = "initial-too-small"
+    OVERSIZED = "oversized"
+    SEND_BLOCKED = "send-blocked"
+    SEND_FAILED = "send-failed"
+    UNKNOWN_AGENT = "unknown-agent"
+    MALFORMED_MESSAGE = "malformed-message"
+    UNEXPECTED_MESSAGE = "unexpected-message"
+    FOREIGN_REPLY = "foreign-reply"
+
+
+@dataclass(frozen=True, slots=True)
+class Drop:
+    """The packet goes nowhere."""
+
+    reason: DropReason
+
+
+Decision: TypeAlias = Forward | Drop
+
+_DROPS: Mapping[DropReason, Drop] = {reason: Drop(reason) for reason in DropReason}
+_MALFORMED: Mapping[MalformedReason, Drop] = {
+    reason: _DROPS[DropReason(reason.value)] for reason in MalformedReason
+}
+_UNKNOWN_ADDRESS = _DROPS[DropReason.UNKNOWN_ADDRESS]
+
+
+class Steering:
+    """Steers packets by one balancer's configuration and view; all times are in seconds.
+
+    Args:
+        codec: reads owner IDs; it may be replaced while keys rotate.
+        source_limit: bound on first packets by source.
+    """
+
+    def __init__(self, codec: ConnectionIdCodec, source_limit: SourceLimit | None = None) -> None:
+        self._codec = codec
+        self._source_limit = source_limit or SourceLimit()
+        self._table = RoutingTable()
+        self._view = SteeringView()
+        self._silent: frozenset[int] = frozenset()
+        self._avoided: frozenset[int] = frozenset()
+
+    @property
+    def listening_addresses(self) -> Sequence[Address]:
+        """Return the service addresses to take packets on, those lately removed included."""
+        return self._table.addresses
+
+    @property
+    def target_numbers(self) -> frozenset[int]:
+        """Return the numbers of the targets in the configuration."""
+        return self._table.target_numbers
+
+    @property
+    def retained_targets(self) -> Sequence[RetainedTarget]:
+        """Return the targets that have left the configuration but still get their packets."""
+        return self._table.retained_targets
+
+    def replace_codec(self, codec: ConnectionIdCodec) -> None:
+        """Use other connection ID keys from now on."""
+        self._codec = codec
+
+    def apply_bundle(self, bundle: Bundle, now: float) -> None:
+        """Steer by this configuration from now on."""
+        self._table.apply_bundle(bundle, now)
+        self._combine_views()
+
+    def retain(self, targets: Iterable[RetainedTarget], now: float) -> None:
+        """Learn from a peer which targets left the configuration before this process knew it."""
+        self._table.retain(targets, now)
+
+    def update_view(self, view: SteeringView) -> None:
+        """Place first packets by this view from now on."""
+        self._view = view
+        self._combine_views()
+
+    def update_silent(self, target_numbers: frozenset[int]) -> None:
+        """Keep first packets away from agents that this balancer finds silent."""
+        self._silent = target_numbers
+        self._combine_views()
+
+    def agent_at(self, tunnel: tuple[str, int]) -> AgentIdentity | None:
+        """Return whose tunnel endpoint this is, or None."""
+        return self._table.agents.get(tunnel)
+
+    def serves(self, agent: AgentIdentity, service_address: tuple[str, int]) -> bool:
+        """Return whether a service address belongs to an agent's service."""
+        routes = self._table.routes.get(service_address)
+        return routes is not None and routes.service_number == agent.service_number
+
+    def tunnel_of(self, target_number: int) -> Address | None:
+        """Return the tunnel endpoint of a target's agent, or None if it is not known."""
+        return self._table.tunnel_of(target_number)
+
+    def steer(
+        self, service_address: tuple[str, int], caller_host: str, datagram: bytes, now: float
+    ) -> Decision:
+        """Return where a datagram that came in on a service address goes.
+
+        Never raises, whatever the datagram holds. The decisions returned are shared values.
+        """
+        routes = self._table.routes.get(service_address)
+        if routes is None:
+            return _UNKNOWN_ADDRESS
+        if len(datagram) > _SHORT_HEADER_END and datagram[0] < _LONG_HEADER_BIT:
+            owner = self._codec.decode_owner_bytes(datagram[1:_SHORT_HEADER_END])
+            if owner is None:
+                return _DROPS[DropReason.UNDECODABLE_ID]
+            return routes.owners.get(owner) or self._refuse_owner(routes, owner)
+        header = parse_packet(datagram)
+        if isinstance(header, MalformedPacket):
+            return _MALFORMED[header.reason]
+        return self._steer_header(routes, service_address, caller_host, header, now)
+
+    def _steer_header(
+        self,
+        routes: ServiceRoutes,
+        service_address: tuple[str, int],
+        caller_host: str,
+        header: PacketHeader,
+        now: float,
+    ) -> Decision:
+        owner = self._codec.decode_owner_bytes(header.connection_id)
+        if owner is not None:
+            forward = routes.owners.get(owner)
+            if forward is not None:
+                return forward
+            refusal = self._refuse_owner(routes, owner)
+            if refusal.reason is not DropReason.UNDECODABLE_ID:
+                return refusal
+        if not header.may_open:
+            return _DROPS[DropReason.UNDECODABLE_ID]
+        if self._table.is_retired(service_address):
+            return _DROPS[DropReason.RETIRED_ADDRESS]
+        if not self._source_limit.admits(caller_host, now):
+            return _DROPS[DropReason.SOURCE_LIMIT]
+        return self._place(routes, header.connection_id)
+
+    def _place(self, routes: ServiceRoutes, key: bytes) -> Decision:
+        """Return the agent that a new flow goes to."""
+        winner = routes.winners.winner(key)
+        if winner is None:
+            return _DROPS[DropReason.NO_TARGET]
+        if winner not in self._avoided:
+            return routes.first_packets[winner]
+        return self._place_by_rank(routes, key)
+
+    def _place_by_rank(self, routes: ServiceRoutes, key: bytes) -> Decision:
+        """Return the first agent in rank that is not avoided, or the least bad one.
+
+        An agent that only seems silent may be well, so it is tried before a draining one.
+        """
+        ranked = rank(key, routes.winners.target_numbers)
+        draining = self._view.draining | self._table.draining
+        for avoided in (self._avoided, draining | self._view.gone, self._view.gone):
+            for target_number in ranked:
+                if target_number not in avoided:
+                    return routes.first_packets[target_number]
+        return _DROPS[DropReason.NO_TARGET]
+
+    def _refuse_owner(self, routes: ServiceRoutes, owner: bytes) -> Drop:
+        """Return why an owner that the service does not have gets no packet."""
+        service_number, check = int.from_bytes(owner[:2], "big"), owner[6:]
+        if any(check):
+            return _DROPS[DropReason.UNDECODABLE_ID]
+        if service_number != routes.service_number:
+            return _DROPS[DropReason.FOREIGN_OWNER]
+        return _DROPS[DropReason.UNKNOWN_OWNER]
+
+    def _combine_views(self) -> None:
+        self._avoided = self._view.avoided | self._silent | self._table.draining
