--- /dev/null
+++ b/egretsill/steering/tests/test_balancer.py
@@ -0,0 +1,218 @@
+import random
+import socket
+from collections.abc import Awaitable, Callable, Sequence
+
+import pytest
+import trio
+import trio.testing
+
+from egretsill.configuration import Address, Bundle
+from egretsill.steering import (
+    AgentProbe,
+    AgentProbeAnswer,
+    Balancer,
+    CallerPacket,
+    DropReason,
+    ReplyPacket,
+    TunnelMessage,
+    make_tunnel_codec,
+)
+from egretsill.timing import VirtualTimerService
+
+from .builders import CODEC, LOOKUP, SUBMISSION, initial_packet, service, short_packet, target
+
+TUNNEL = make_tunnel_codec()
+LOCALHOST = Address("127.0.0.1", 0)
+
+
+class Fleet:
+    """One balancer, the agent of each of two services, and a caller, on loopback."""
+
+    def __init__(self) -> None:
+        self.timer = VirtualTimerService()
+        self.agents = {number: self._socket() for number in (1, 11)}
+        self.caller = self._socket()
+        self.balancer = Balancer(self.timer, LOCALHOST, CODEC, listen=lambda _: LOCALHOST)
+        self.balancer.apply_bundle(self.bundle())
+
+    def bundle(self, revision: int = 1, extra_addresses: Sequence[Address] = ()) -> Bundle:
+        lookup = target(1, "lookup", tunnel=self._address(self.agents[1]))
+        submission = target(11, "submission", tunnel=self._address(self.agents[11]))
+        return Bundle(
+            revision,
+            "",
+            {
+                "lookup": service("lookup", 1, [LOOKUP, *extra_addresses], [lookup]),
+                "submission": service("submission", 2, [SUBMISSION], [submission]),
+            },
+        )
+
+    async def send(self, datagram: bytes, service_address: Address = LOOKUP) -> None:
+        local_address = self.balancer.local_address(service_address)
+        assert local_address is not None
+        await self.caller.sendto(datagram, local_address)
+
+    async def send_from_agent(self, number: int, data: bytes) -> None:
+        await self.agents[number].sendto(data, self.balancer.tunnel_address)
+
+    async def receive(self, agent: int) -> TunnelMessage:
+        with trio.fail_after(5):
+            return TUNNEL.decode(await self.agents[agent].recv(4096))
+
+    async def receive_packet(self, agent: int) -> CallerPacket:
+        packet = await self.receive(agent)
+        assert isinstance(packet, CallerPacket)
+        return packet
+
+    async def drops(self, reason: DropReason, count: int = 1) -> None:
+        """Wait until the balancer has counted so many drops."""
+        with trio.fail_after(5):
+            while self.balancer.counters.drops[reason] < count:
+                await trio.sleep(0.001)
+
+    def close(self) -> None:
+        for each in (*self.agents.values(), self.caller):
+            each.close()
+
+    def _socket(self) -> trio.socket.SocketType:
+        opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        opened.bind(LOCALHOST)
+        return trio.socket.from_stdlib_socket(opened)
+
+    def _address(self, bound: trio.socket.SocketType) -> Address:
+        return Address(*bound.getsockname())
+
+
+def with_fleet(scenario: Callable[[Fleet], Awaitable[None]]) -> None:
+    async def run() -> None:
+        fleet = Fleet()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.balancer.run)
+            await trio.testing.wait_all_tasks_blocked()
+            await scenario(fleet)
+            nursery.cancel_scope.cancel()
+        fleet.close()
+
+    trio.run(run)
+
+
+def test_packet_and_reply_travel_the_whole_path() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.send(initial_packet(b"clientid"))
+        packet = await fleet.receive_packet(1)
+        assert (packet.service_host, packet.service_port) == LOOKUP
+        assert (packet.caller_host, packet.caller_port) == fleet.caller.getsockname()
+        assert packet.payload == initial_packet(b"clientid")
+        reply = ReplyPacket(packet.caller_host, packet.caller_port, *LOOKUP, b"reply")
+        await fleet.send_from_agent(1, TUNNEL.encode(reply))
+        with trio.fail_after(5):
+            data, source = await fleet.caller.recvfrom(4096)
+        assert (data, source) == (b"reply", fleet.balancer.local_address(LOOKUP))
+        assert fleet.balancer.counters.replied == 1
+
+    with_fleet(scenario)
+
+
+@pytest.mark.parametrize(
+    ("datagram", "reason"),
+    [
+        pytest.param(b"", DropReason.TRUNCATED, id="empty"),
+        pytest.param(b"\xc0\0\0\0\1\x08abc", DropReason.TRUNCATED, id="truncated"),
+        pytest.param(bytes(2049), DropReason.OVERSIZED, id="oversized"),
+        pytest.param(bytes(60_000), DropReason.OVERSIZED, id="largest datagram"),
+        pytest.param(
+            initial_packet(b"id", 0x1A2A3A4A), DropReason.UNSUPPORTED_VERSION, id="wrong version"
+        ),
+        pytest.param(
+            short_packet(random.Random(5).randbytes(17)), DropReason.UNDECODABLE_ID, id="random"
+        ),
+        pytest.param(
+            short_packet(CODEC.encode(2, 11, bytes(8))), DropReason.FOREIGN_OWNER, id="foreign"
+        ),
+    ],
+)
+def test_bad_datagrams_of_callers_are_counted(datagram: bytes, reason: DropReason) -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.send(datagram)
+        await fleet.drops(reason)
+        await fleet.send(short_packet(CODEC.encode(1, 1, bytes(8))))
+        assert (await fleet.receive_packet(1)).payload[:1] == b"\x40"
+
+    with_fleet(scenario)
+
+
+@pytest.mark.parametrize(
+    ("data", "reason"),
+    [
+        pytest.param(b"", DropReason.MALFORMED_MESSAGE, id="empty"),
+        pytest.param(random.Random(6).randbytes(500), DropReason.MALFORMED_MESSAGE, id="random"),
+        pytest.param(bytes(60_000), DropReason.MALFORMED_MESSAGE, id="largest datagram"),
+        pytest.param(
+            TUNNEL.encode(ReplyPacket("127.0.0.1", 9, *LOOKUP, bytes(99)))[:-1],
+            DropReason.MALFORMED_MESSAGE,
+            id="truncated",
+        ),
+        pytest.param(
+            TUNNEL.encode(AgentProbe(1)), DropReason.UNEXPECTED_MESSAGE, id="probe to a balancer"
+        ),
+        pytest.param(
+            TUNNEL.encode(ReplyPacket("127.0.0.1", 9, *SUBMISSION, b"x")),
+            DropReason.FOREIGN_REPLY,
+            id="reply from another service's address",
+        ),
+        pytest.param(
+            TUNNEL.encode(ReplyPacket("not-an-ip..", 9, *LOOKUP, b"x")),
+            DropReason.SEND_FAILED,
+            id="reply to no IP number",
+        ),
+    ],
+)
+def test_bad_datagrams_of_agents_are_counted(data: bytes, reason: DropReason) -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.send_from_agent(1, data)
+        await fleet.drops(reason)
+        assert sum(fleet.balancer.counters.drops.values()) == 1
+
+    with_fleet(scenario)
+
+
+def test_stranger_at_the_tunnel_port_is_not_heard() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        reply = TUNNEL.encode(ReplyPacket("127.0.0.1", 9, *LOOKUP, b"x"))
+        await fleet.caller.sendto(reply, fleet.balancer.tunnel_address)
+        await fleet.drops(DropReason.UNKNOWN_AGENT)
+        assert fleet.balancer.counters.replied == 0
+
+    with_fleet(scenario)
+
+
+def test_silent_agent_is_probed_and_found_again() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.send(initial_packet(b"clientid"))
+        await fleet.receive_packet(1)
+        fleet.timer.advance(0.9)
+        assert fleet.balancer.silent_targets == {1}
+        probe = await fleet.receive(1)
+        assert isinstance(probe, AgentProbe)
+        await fleet.send_from_agent(1, TUNNEL.encode(AgentProbeAnswer(probe.sequence, 1, False)))
+        with trio.fail_after(5):
+            while fleet.balancer.silent_targets:
+                await trio.sleep(0.001)
+        assert fleet.balancer.counters.became_responsive == 1
+
+    with_fleet(scenario)
+
+
+def test_addresses_open_and_close_with_the_configuration() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        added = Address("10.0.0.5", 443)
+        fleet.balancer.apply_bundle(fleet.bundle(2, [added]))
+        await fleet.send(initial_packet(b"clientid"), added)
+        assert (await fleet.receive_packet(1)).service_host == added.host
+        fleet.balancer.apply_bundle(fleet.bundle(3))
+        assert fleet.balancer.local_address(added) is not None
+        fleet.timer.pause(25 * 3600.0)
+        fleet.balancer.apply_bundle(fleet.bundle(4))
+        assert fleet.balancer.local_address(added) is None
+
+    with_fleet(scenario)
--- /dev/null
+++ b/egretsill/steering/tests/test_steering.py
@@ -0,0 +1,215 @@
+import random
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from egretsill.configuration import Address
+from egretsill.steering import (
+    ConnectionIdCodec,
+    ConnectionIdKey,
+    Drop,
+    DropReason,
+    Forward,
+    RetainedTarget,
+    SourceLimit,
+    Steering,
+    SteeringView,
+    rank,
+)
+from egretsill.steering._routes import RETENTION_SECONDS
+
+from .builders import (
+    CALLER_HOST,
+    CODEC,
+    LOOKUP,
+    SUBMISSION,
+    bundle,
+    initial_packet,
+    short_packet,
+)
+
+CLIENT_ID = b"clientid"
+RANKED = rank(CLIENT_ID, [1, 2, 3])
+OTHER_KEYS = ConnectionIdCodec([ConnectionIdKey(0, b"f" * 16)])
+
+
+def owned(
+    service_number: int = 1, target_number: int = 1, codec: ConnectionIdCodec = CODEC
+) -> bytes:
+    return codec.encode(service_number, target_number, b"nonce678")
+
+
+def make(**changes: Any) -> Steering:
+    steering = Steering(CODEC)
+    steering.apply_bundle(bundle(**changes), 0.0)
+    return steering
+
+
+def goes_to(
+    steering: Steering, datagram: bytes, address: Address = LOOKUP, now: float = 0.0
+) -> int | DropReason:
+    decision = steering.steer(address, CALLER_HOST, datagram, now)
+    return decision.target_number if isinstance(decision, Forward) else decision.reason
+
+
+@pytest.mark.parametrize(
+    "view",
+    [
+        pytest.param(SteeringView(), id="active"),
+        pytest.param(SteeringView(draining=frozenset({1})), id="draining"),
+        pytest.param(SteeringView(unresponsive=frozenset({1})), id="unresponsive"),
+        pytest.param(SteeringView(gone=frozenset({1})), id="gone"),
+    ],
+)
+@pytest.mark.parametrize(
+    "packet",
+    [
+        pytest.param(short_packet(owned()), id="short header"),
+        pytest.param(initial_packet(owned()), id="second Initial"),
+    ],
+)
+def test_owner_always_wins(view: SteeringView, packet: bytes) -> None:
+    steering = make()
+    steering.update_view(view)
+    steering.update_silent(frozenset({1}))
+    decision = steering.steer(LOOKUP, CALLER_HOST, packet, 0.0)
+    assert decision == Forward(1, Address("10.1.0.1", 4000), 1, opens_flow=False)
+
+
+@pytest.mark.parametrize(
+    ("avoided", "expected"),
+    [
+        pytest.param(SteeringView(), RANKED[0], id="nothing avoided"),
+        pytest.param(SteeringView(draining=frozenset(RANKED[:1])), RANKED[1], id="draining"),
+        pytest.param(SteeringView(gone=frozenset(RANKED[:2])), RANKED[2], id="two gone"),
+        pytest.param(
+            SteeringView(unresponsive=frozenset(RANKED)), RANKED[0], id="all unresponsive"
+        ),
+        pytest.param(
+            SteeringView(frozenset(RANKED[:1]), frozenset(RANKED[1:])),
+            RANKED[1],
+            id="silence before draining",
+        ),
+        pytest.param(
+            SteeringView(draining=frozenset(RANKED[1:]), gone=frozenset(RANKED[:1])),
+            RANKED[1],
+            id="draining before gone",
+        ),
+        pytest.param(SteeringView(gone=frozenset(RANKED)), DropReason.NO_TARGET, id="all gone"),
+    ],
+)
+def test_first_packets_keep_away(avoided: SteeringView, expected: int | DropReason) -> None:
+    steering = make()
+    steering.update_view(avoided)
+    assert goes_to(steering, initial_packet(CLIENT_ID)) == expected
+
+
+def test_declared_draining_and_silence_found_here_are_avoided() -> None:
+    steering = make(draining=RANKED[:1])
+    steering.update_silent(frozenset(RANKED[1:2]))
+    assert goes_to(steering, initial_packet(CLIENT_ID)) == RANKED[2]
+
+
+@pytest.mark.parametrize(
+    ("packet", "reason"),
+    [
+        pytest.param(short_packet(owned(2, 11)), DropReason.FOREIGN_OWNER, id="other service"),
+        pytest.param(initial_packet(owned(2, 11)), DropReason.FOREIGN_OWNER, id="long, other"),
+        pytest.param(short_packet(owned(1, 11)), DropReason.UNKNOWN_OWNER, id="crossed numbers"),
+        pytest.param(initial_packet(owned(1, 99)), DropReason.UNKNOWN_OWNER, id="no such target"),
+        pytest.param(
+            short_packet(owned(codec=OTHER_KEYS)), DropReason.UNDECODABLE_ID, id="wrong key"
+        ),
+        pytest.param(short_packet(bytes(17)), DropReason.UNDECODABLE_ID, id="no key fits"),
+        pytest.param(
+            b"\xe0" + initial_packet(CLIENT_ID)[1:], DropReason.UNDECODABLE_ID, id="Handshake"
+        ),
+        pytest.param(b"", DropReason.TRUNCATED, id="empty"),
+        pytest.param(
+            initial_packet(CLIENT_ID, 9), DropReason.UNSUPPORTED_VERSION, id="wrong version"
+        ),
+    ],
+)
+def test_drops(packet: bytes, reason: DropReason) -> None:
+    assert goes_to(make(), packet) is reason
+
+
+def test_unknown_address() -> None:
+    assert goes_to(make(), short_packet(owned()), Address("10.9.9.9", 1)) is (
+        DropReason.UNKNOWN_ADDRESS
+    )
+
+
+def test_removed_target_keeps_its_flows_until_retention_ends() -> None:
+    steering = make()
+    steering.apply_bundle(bundle(2, lookup=(2, 3)), 10.0)
+    assert goes_to(steering, short_packet(owned())) == 1
+    steering.apply_bundle(bundle(3, lookup=(2, 3, 4)), 10.0 + RETENTION_SECONDS)
+    assert goes_to(steering, short_packet(owned())) is DropReason.UNKNOWN_OWNER
+
+
+def test_removed_targets_endpoint_taken_by_another_service() -> None:
+    steering = make()
+    steering.apply_bundle(bundle(2, lookup=(2, 3), submission=(1, 12)), 10.0)
+    assert goes_to(steering, short_packet(owned())) is DropReason.UNKNOWN_OWNER
+
+
+def test_new_balancer_learns_retained_targets_from_a_peer() -> None:
+    old, new = make(), make(lookup=(2, 3))
+    old.apply_bundle(bundle(2, lookup=(2, 3)), 10.0)
+    new.retain(old.retained_targets, 20.0)
+    assert goes_to(new, short_packet(owned())) == 1
+    assert goes_to(new, initial_packet(CLIENT_ID)) != 1
+
+
+def test_retained_target_never_overrides_the_configuration() -> None:
+    steering = make()
+    steering.retain([RetainedTarget(1, 2, Address("10.6.6.6", 1), 100.0)], 0.0)
+    assert goes_to(steering, short_packet(owned())) == 1
+    assert goes_to(steering, short_packet(owned(2, 1)), SUBMISSION) is DropReason.UNKNOWN_OWNER
+
+
+def test_removed_address_serves_established_flows_only() -> None:
+    steering = make(lookup_at=(LOOKUP, Address("10.0.0.3", 443)))
+    steering.apply_bundle(bundle(2), 10.0)
+    old = Address("10.0.0.3", 443)
+    assert old in steering.listening_addresses
+    assert goes_to(steering, short_packet(owned()), old) == 1
+    assert goes_to(steering, initial_packet(CLIENT_ID), old) is DropReason.RETIRED_ADDRESS
+
+
+def test_flood_from_one_source() -> None:
+    steering = Steering(CODEC, SourceLimit(5))
+    steering.apply_bundle(bundle(), 0.0)
+    seen = [goes_to(steering, initial_packet(bytes([each] * 8))) for each in range(8)]
+    assert seen.count(DropReason.SOURCE_LIMIT) == 3
+    assert goes_to(steering, short_packet(owned())) == 1
+
+
+@settings(derandomize=True, max_examples=500)
+@given(st.binary(max_size=1300), st.sampled_from([b"", b"@", b"\xc0\0\0\0\1\x11", b"@\x10"]))
+def test_any_bytes_get_a_decision(tail: bytes, head: bytes) -> None:
+    decision = STEERING.steer(LOOKUP, CALLER_HOST, head + tail, 0.0)
+    if isinstance(decision, Forward):
+        assert decision.opens_flow
+        assert decision.target_number in (1, 2, 3)
+    else:
+        assert isinstance(decision, Drop)
+
+
+STEERING = make()
+
+
+def test_views_that_differ_agree_on_established_flows() -> None:
+    chooser = random.Random(3)
+    views = [
+        SteeringView(*(frozenset(chooser.sample(range(1, 4), 1)) for _ in range(3)))
+        for _ in range(20)
+    ]
+    balancers = [make() for _ in views]
+    for balancer, view in zip(balancers, views, strict=True):
+        balancer.update_view(view)
+    packets = [short_packet(owned(target_number=each)) for each in (1, 2, 3)]
+    assert {tuple(goes_to(each, packet) for packet in packets) for each in balancers} == {(1, 2, 3)}
--- /dev/null
+++ b/egretsill/steering/tests/test_tunnel.py
@@ -0,0 +1,68 @@
+import msgpack
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from egretsill.steering import (
+    AgentProbe,
+    AgentProbeAnswer,
+    CallerPacket,
+    ReplyPacket,
+    TunnelMessage,
+    make_tunnel_codec,
+)
+from egretsill.wire import MalformedMessage
+
+CODEC = make_tunnel_codec()
+CALLER = CallerPacket("192.0.2.1", 5000, "10.0.0.1", 443, 1, 0, None, 0, b"payload")
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        pytest.param(CALLER, id="caller packet"),
+        pytest.param(
+            CallerPacket("::1", 5000, "::2", 443, 1, 2, "10.0.0.9", 4000, b""), id="passed on"
+        ),
+        pytest.param(ReplyPacket("192.0.2.1", 5000, "10.0.0.1", 443, b"reply"), id="reply"),
+        pytest.param(AgentProbe(7), id="probe"),
+        pytest.param(AgentProbeAnswer(7, 11, draining=True), id="probe answer"),
+    ],
+)
+def test_messages_survive_the_wire(message: TunnelMessage) -> None:
+    assert CODEC.decode(CODEC.encode(message)) == message
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        pytest.param([2, "192.0.2.1", 0, "10.0.0.1", 443, b""], id="port 0"),
+        pytest.param([2, "192.0.2.1", 65536, "10.0.0.1", 443, b""], id="port too large"),
+        pytest.param([2, "x" * 46, 1, "10.0.0.1", 443, b""], id="host too long"),
+        pytest.param([2, "", 1, "10.0.0.1", 443, b""], id="no host"),
+        pytest.param([2, "192.0.2.1", 1, "10.0.0.1", 443, "text"], id="payload is text"),
+        pytest.param([2, "192.0.2.1", 1, "10.0.0.1", 443], id="field missing"),
+        pytest.param([1, "::1", 1, "::2", 1, 1, -1, None, 0, b""], id="negative hops"),
+        pytest.param([1, "::1", 1, "::2", 1, 1, 1, "::3", 0, b""], id="return port 0"),
+        pytest.param([9, 1], id="unknown tag"),
+        pytest.param([], id="empty"),
+    ],
+)
+def test_malformed_messages(fields: list[object]) -> None:
+    with pytest.raises(MalformedMessage):
+        CODEC.decode(msgpack.packb(fields))
+
+
+@settings(derandomize=True, max_examples=300)
+@given(st.binary(max_size=200))
+def test_random_bytes(data: bytes) -> None:
+    with pytest.raises(MalformedMessage):
+        CODEC.decode(data)
+
+
+@settings(derandomize=True, max_examples=200)
+@given(st.data())
+def test_truncated_messages(data: st.DataObject) -> None:
+    encoded = CODEC.encode(CALLER)
+    with pytest.raises(MalformedMessage):
+        CODEC.decode(encoded[: data.draw(st.integers(0, len(encoded) - 1))])
