--- a/egretsill/flows/__init__.py
+++ b/egretsill/flows/__init__.py
@@ -1,1 +1,18 @@
 """Callers' flows at the agent that owns them."""
+
+from ._connection import Http3Connection, OwnedConnection, WindowedConnection
+from ._datagram import IncomingDatagram, OutgoingDatagram
+from ._flow_server import FlowCounts, FlowServer, server_configuration
+from ._return_path import ReturnPath
+
+__all__ = [
+    "FlowCounts",
+    "FlowServer",
+    "Http3Connection",
+    "IncomingDatagram",
+    "OutgoingDatagram",
+    "OwnedConnection",
+    "ReturnPath",
+    "WindowedConnection",
+    "server_configuration",
+]
--- /dev/null
+++ b/egretsill/flows/_connection.py
@@ -0,0 +1,151 @@
+"""The one place that reaches into `aioquic` for what its public surface does not offer.
+
+Three things are added to its connection: the connection IDs that the peer is given are made by
+this system, receive windows follow what the application took instead of doubling, and the bytes
+that a stream still holds can be read. A contract test checks each against the installed version.
+"""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable
+
+from aioquic.buffer import encode_uint_var
+from aioquic.h3.connection import FrameType, H3Connection, encode_frame
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.connection import (
+    MAX_STREAM_DATA_FRAME_CAPACITY,
+    QuicConnection,
+    QuicConnectionId,
+)
+from aioquic.quic.packet import QuicFrameType
+from aioquic.quic.packet_builder import QuicPacketBuilder
+from aioquic.quic.recovery import QuicPacketSpace
+from aioquic.quic.stream import QuicStream
+
+STATELESS_RESET_TOKEN_BYTES = 16
+HOST_CONNECTION_IDS = 3
+GOAWAY_EVERY_STREAM = 2**62 - 4
+
+
+class WindowedConnection(QuicConnection):
+    """A connection whose stream windows move with what the application took."""
+
+    def unacknowledged_bytes(self, stream_id: int) -> int:
+        """Return how many bytes written to a stream the peer has not acknowledged yet."""
+        stream = self._streams.get(stream_id)
+        if stream is None:
+            return 0
+        return stream.sender._buffer_stop - stream.sender._buffer_start
+
+    def hold(self, stream_id: int, size: int) -> None:
+        """Tell that `size` received bytes of a stream wait for the application."""
+        self._held[stream_id] = self._held.get(stream_id, 0) + size
+
+    def release(self, stream_id: int, size: int) -> None:
+        """Tell that the application took `size` of the bytes that waited for it."""
+        remaining = self._held.get(stream_id, 0) - size
+        if remaining > 0:
+            self._held[stream_id] = remaining
+        else:
+            self._held.pop(stream_id, None)
+
+    @property
+    def _held(self) -> dict[int, int]:
+        held: dict[int, int] | None = self.__dict__.get("_held_by_stream")
+        if held is None:
+            held = self.__dict__["_held_by_stream"] = {}
+        return held
+
+    def _write_stream_limits(
+        self, builder: QuicPacketBuilder, space: QuicPacketSpace, stream: QuicStream
+    ) -> None:
+        window = self._configuration.max_stream_data
+        if not stream.max_stream_data_local or stream.stream_id is None:
+            return
+        if stream.stream_id % 4 in (2, 3):
+            super()._write_stream_limits(builder, space, stream)
+            return
+        taken = stream.receiver.starting_offset() - self._held.get(stream.stream_id, 0)
+        wanted = taken + window
+        if wanted - stream.max_stream_data_local >= window // 2:
+            stream.max_stream_data_local = wanted
+        if stream.max_stream_data_local_sent == stream.max_stream_data_local:
+            return
+        buffer = builder.start_frame(
+            QuicFrameType.MAX_STREAM_DATA,
+            capacity=MAX_STREAM_DATA_FRAME_CAPACITY,
+            handler=self._on_max_stream_data_delivery,
+            handler_args=(stream,),
+        )
+        buffer.push_uint_var(stream.stream_id)
+        buffer.push_uint_var(stream.max_stream_data_local)
+        stream.max_stream_data_local_sent = stream.max_stream_data_local
+
+
+class OwnedConnection(WindowedConnection):
+    """A server's connection whose connection IDs name the agent that owns it.
+
+    Args:
+        configuration: of a server, with `connection_id_length` as long as the issued IDs.
+        original_destination_connection_id: the ID that the caller chose.
+        issue_connection_id: returns a new ID for each call.
+    """
+
+    def __init__(
+        self,
+        configuration: QuicConfiguration,
+        original_destination_connection_id: bytes,
+        issue_connection_id: Callable[[], bytes],
+    ) -> None:
+        super().__init__(
+            configuration=configuration,
+            original_destination_connection_id=original_destination_connection_id,
+        )
+        self._issue_connection_id = issue_connection_id
+        first = issue_connection_id()
+        self._host_cids[0].cid = first
+        self.host_cid = first
+        self._local_initial_source_connection_id = first
+
+    @property
+    def connection_ids(self) -> tuple[bytes, ...]:
+        """Return every ID by which the peer may address this connection now."""
+        return tuple(each.cid for each in self._host_cids)
+
+    def _replenish_connection_ids(self) -> None:
+        wanted = min(HOST_CONNECTION_IDS, self._remote_active_connection_id_limit)
+        while len(self._host_cids) < wanted:
+            self._host_cids.append(
+                QuicConnectionId(
+                    cid=self._issue_connection_id(),
+                    sequence_number=self._host_cid_seq,
+                    stateless_reset_token=os.urandom(STATELESS_RESET_TOKEN_BYTES),
+                )
+            )
+            self._host_cid_seq += 1
+
+
+class Http3Connection(H3Connection):
+    """HTTP/3 with GOAWAY in both directions, which the library leaves out."""
+
+    def __init__(self, quic: QuicConnection) -> None:
+        self._goaway_received = False
+        super().__init__(quic)
+
+    @property
+    def goaway_received(self) -> bool:
+        """Return whether the peer asked for new requests to go elsewhere."""
+        return self._goaway_received
+
+    def send_goaway(self, first_rejected_stream: int = GOAWAY_EVERY_STREAM) -> None:
+        """Ask the peer to open no request stream from this ID on (RFC 9114, section 5.2)."""
+        if self._local_control_stream_id is None:
+            return
+        frame = encode_frame(FrameType.GOAWAY, encode_uint_var(first_rejected_stream))
+        self._quic.send_stream_data(self._local_control_stream_id, frame)
+
+    def _check_control_frame_type(self, frame_type: int) -> None:
+        super()._check_control_frame_type(frame_type)
+        if frame_type == FrameType.GOAWAY:
+            self._goaway_received = True
--- /dev/null
+++ b/egretsill/flows/_flow.py
@@ -0,0 +1,270 @@
+"""One caller's flow: a QUIC connection, its HTTP/3 streams, and the way its replies go."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable, Sequence
+
+from aioquic.h3.events import DataReceived, H3Event, HeadersReceived
+from aioquic.quic.events import (
+    ConnectionIdIssued,
+    ConnectionIdRetired,
+    ConnectionTerminated,
+    HandshakeCompleted,
+    ProtocolNegotiated,
+    QuicEvent,
+    StopSendingReceived,
+    StreamReset,
+)
+
+from ..configuration import Address
+from ..timing import Subscription, TimerService
+from ._connection import Http3Connection, OwnedConnection
+from ._datagram import IncomingDatagram, OutgoingDatagram
+from ._flow_exchange import FlowExchange
+from ._request_head import MalformedRequest, read_request_head
+from ._return_path import ReturnPath
+from .headers import HTTP3_REQUEST_CANCELLED, HTTP3_REQUEST_REJECTED
+
+KEEP_ALIVE_SECONDS = 15.0
+
+
+class Flow:
+    """A flow that this agent owns.
+
+    Args:
+        connection: the QUIC connection, before its first datagram.
+        service: name of the service that the flow was opened to.
+        first: the caller's first datagram; it names caller, service address and balancer.
+        serve: starts serving a request.
+        send: sends a datagram through a balancer.
+        other_balancer: returns a live balancer other than the given one, or None.
+        on_identifiers: called with the IDs issued and retired.
+    """
+
+    def __init__(
+        self,
+        connection: OwnedConnection,
+        first: IncomingDatagram,
+        timer: TimerService,
+        serve: Callable[[FlowExchange], None],
+        send: Callable[[OutgoingDatagram], None],
+        return_path: ReturnPath,
+        on_identifiers: Callable[[Flow, Sequence[bytes], Sequence[bytes]], None],
+        on_closed: Callable[[Flow], None],
+    ) -> None:
+        self._connection = connection
+        self._http3: Http3Connection | None = None
+        self._service = first.service
+        self._service_address = first.service_address
+        self._timer = timer
+        self._serve = serve
+        self._send = send
+        self._return_path = return_path
+        self._on_identifiers = on_identifiers
+        self._on_closed = on_closed
+        self._exchanges: dict[int, FlowExchange] = {}
+        self._wake: Subscription | None = None
+        self._wake_at = 0.0
+        self._established = False
+        self._closed = False
+        self._keep_alive_at = timer.now + KEEP_ALIVE_SECONDS
+
+    @property
+    def service(self) -> str:
+        """Return the name of the service that the flow was opened to."""
+        return self._service
+
+    @property
+    def established(self) -> bool:
+        """Return whether the handshake is complete."""
+        return self._established
+
+    @property
+    def open_requests(self) -> int:
+        """Return how many requests are in progress."""
+        return len(self._exchanges)
+
+    @property
+    def connection_ids(self) -> tuple[bytes, ...]:
+        """Return every ID by which the caller may address the flow."""
+        return self._connection.connection_ids
+
+    def receive(self, datagram: IncomingDatagram) -> None:
+        """Take one datagram of the caller and send what follows from it."""
+        now = self._timer.now
+        self._return_path.on_received(datagram.balancer, now)
+        self._keep_alive_at = now + KEEP_ALIVE_SECONDS
+        self._connection.receive_datagram(datagram.payload, tuple(datagram.caller), now)
+        self._handle_events()
+        self.transmit()
+
+    def transmit(self) -> None:
+        """Send what the connection has to send and arrange to be woken when it next must act."""
+        now = self._timer.now
+        for payload, caller in self._connection.datagrams_to_send(now):
+            self._send_one(payload, Address(caller[0], caller[1]), now)
+        self._arrange_wake()
+
+    def send_goaway(self) -> None:
+        """Ask the caller to open its next requests on another flow."""
+        if self._http3 is not None and not self._closed:
+            self._http3.send_goaway()
+            self.transmit()
+
+    def close(self) -> None:
+        """Close the flow with no error."""
+        if not self._closed:
+            self._connection.close(error_code=0x100, reason_phrase="")
+            self.transmit()
+            self._end()
+
+    def write_head(self, stream_id: int, headers: Sequence[tuple[bytes, bytes]], end: bool) -> None:
+        """Send an answer's head on a request stream."""
+        if self._http3 is not None and not self._closed:
+            self._http3.send_headers(stream_id, list(headers), end)
+            self._after_write(stream_id, end)
+
+    def write_data(self, stream_id: int, data: bytes, end: bool) -> None:
+        """Send a piece of an answer on a request stream."""
+        if self._http3 is not None and not self._closed:
+            self._http3.send_data(stream_id, data, end)
+            self._after_write(stream_id, end)
+
+    def stop_reading(self, stream_id: int, error_code: int) -> None:
+        """Ask the caller to send no more of a request's body."""
+        if not self._closed:
+            self._connection.stop_stream(stream_id, error_code)
+            self.transmit()
+
+    def reset(self, stream_id: int, error_code: int) -> None:
+        """Cut an answer so that the caller sees that it is not whole."""
+        if not self._closed:
+            self._connection.reset_stream(stream_id, error_code)
+            self._forget(stream_id)
+            self.transmit()
+
+    def release(self, stream_id: int, size: int) -> None:
+        """Open the caller's window by what was taken of a request's body."""
+        self._connection.release(stream_id, size)
+        if not self._closed:
+            self.transmit()
+
+    def unacknowledged_bytes(self, stream_id: int) -> int:
+        """Return what the caller has not acknowledged of an answer."""
+        return 0 if self._closed else self._connection.unacknowledged_bytes(stream_id)
+
+    def _handle_events(self) -> None:
+        event = self._connection.next_event()
+        while event is not None:
+            self._handle_event(event)
+            event = self._connection.next_event()
+        for exchange in list(self._exchanges.values()):
+            exchange.on_progress()
+
+    def _handle_event(self, event: QuicEvent) -> None:
+        match event:
+            case ProtocolNegotiated():
+                self._http3 = Http3Connection(self._connection)
+            case HandshakeCompleted():
+                self._established = True
+            case ConnectionIdIssued(connection_id=issued):
+                self._on_identifiers(self, (issued,), ())
+            case ConnectionIdRetired(connection_id=retired):
+                self._on_identifiers(self, (), (retired,))
+            case ConnectionTerminated():
+                self._end()
+                return
+            case StreamReset(stream_id=stream_id) | StopSendingReceived(stream_id=stream_id):
+                self._withdraw(stream_id)
+            case _:
+                pass
+        if self._http3 is not None:
+            for http_event in self._http3.handle_event(event):
+                self._handle_http_event(http_event)
+
+    def _handle_http_event(self, event: H3Event) -> None:
+        match event:
+            case HeadersReceived(headers=headers, stream_id=stream_id, stream_ended=ended):
+                self._begin_request(stream_id, headers, ended)
+            case DataReceived(data=data, stream_id=stream_id, stream_ended=ended):
+                exchange = self._exchanges.get(stream_id)
+                if exchange is not None:
+                    self._connection.hold(stream_id, len(data))
+                    exchange.on_body(data, ended)
+            case _:
+                pass
+
+    def _begin_request(
+        self, stream_id: int, headers: Sequence[tuple[bytes, bytes]], ended: bool
+    ) -> None:
+        if stream_id in self._exchanges:
+            self._exchanges[stream_id].on_body(b"", ended)
+            return
+        try:
+            head = read_request_head(self._service, headers, self._timer.now)
+        except MalformedRequest:
+            self._connection.reset_stream(stream_id, HTTP3_REQUEST_REJECTED)
+            return
+        exchange = FlowExchange(stream_id, head, self)
+        exchange.on_body(b"", ended)
+        self._exchanges[stream_id] = exchange
+        self._serve(exchange)
+
+    def _withdraw(self, stream_id: int) -> None:
+        exchange = self._exchanges.get(stream_id)
+        if exchange is None or exchange.concluded:
+            return
+        exchange.on_gone()
+        self._connection.reset_stream(stream_id, HTTP3_REQUEST_CANCELLED)
+        self._forget(stream_id)
+
+    def _after_write(self, stream_id: int, end: bool) -> None:
+        if end:
+            self._forget(stream_id)
+        self.transmit()
+
+    def _forget(self, stream_id: int) -> None:
+        self._exchanges.pop(stream_id, None)
+        self._connection.release(stream_id, sys.maxsize)
+
+    def _send_one(self, payload: bytes, caller: Address, now: float) -> None:
+        balancer = self._return_path.choose(now)
+        if balancer is not None:
+            self._send(OutgoingDatagram(caller, self._service_address, balancer, payload))
+
+    def _arrange_wake(self) -> None:
+        wanted = self._connection.get_timer()
+        if self._closed or wanted is None:
+            return
+        wanted = min(wanted, self._keep_alive_at)
+        if self._wake is not None and self._wake_at <= wanted:
+            return
+        if self._wake is not None:
+            self._wake.cancel()
+        self._wake_at = wanted
+        self._wake = self._timer.call_at(wanted, self._on_wake)
+
+    def _on_wake(self, now: float) -> None:
+        self._wake = None
+        if self._closed:
+            return
+        if now >= self._keep_alive_at:
+            self._keep_alive_at = now + KEEP_ALIVE_SECONDS
+            self._connection.send_ping(0)
+        wanted = self._connection.get_timer()
+        if wanted is not None and now >= wanted:
+            self._connection.handle_timer(now)
+            self._handle_events()
+        self.transmit()
+
+    def _end(self) -> None:
+        if self._closed:
+            return
+        self._closed = True
+        if self._wake is not None:
+            self._wake.cancel()
+        for exchange in list(self._exchanges.values()):
+            exchange.on_gone()
+        self._exchanges.clear()
+        self._on_closed(self)
--- /dev/null
+++ b/egretsill/flows/_flow_server.py
@@ -0,0 +1,201 @@
+"""All flows that one agent owns."""
+
+from __future__ import annotations
+
+import ssl
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+import trio
+from aioquic._buffer import Buffer
+from aioquic.h3.connection import H3_ALPN
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.packet import QuicPacketType, QuicProtocolVersion, pull_quic_header
+
+from ..configuration import Address
+from ..requests import Exchange
+from ..timing import TimerService
+from ._connection import OwnedConnection
+from ._datagram import IncomingDatagram, OutgoingDatagram
+from ._flow import Flow
+from ._flow_exchange import FlowExchange
+from ._return_path import ReturnPath
+
+CONNECTION_ID_BYTES = 17
+IDLE_TIMEOUT_SECONDS = 60.0
+STREAM_WINDOW_BYTES = 131_072
+CONNECTION_WINDOW_BYTES = 1_048_576
+SMALLEST_INITIAL_BYTES = 1200
+
+
+@dataclass(slots=True)
+class FlowCounts:
+    """What happened to datagrams and flows since the start."""
+
+    opened: int = 0
+    closed: int = 0
+    datagrams: int = 0
+    unknown_flow: int = 0
+    malformed: int = 0
+    wrong_service: int = 0
+    refused_full: int = 0
+
+
+def server_configuration(certificate: Path, private_key: Path) -> QuicConfiguration:
+    """Return the QUIC settings of an agent; session tickets and so 0-RTT are off."""
+    configuration = QuicConfiguration(
+        is_client=False,
+        alpn_protocols=list(H3_ALPN),
+        connection_id_length=CONNECTION_ID_BYTES,
+        idle_timeout=IDLE_TIMEOUT_SECONDS,
+        max_stream_data=STREAM_WINDOW_BYTES,
+        max_data=CONNECTION_WINDOW_BYTES,
+        verify_mode=ssl.CERT_NONE,
+    )
+    configuration.load_cert_chain(certificate, private_key)
+    return configuration
+
+
+class FlowServer:
+    """Owns flows: opens them, gives them their datagrams, and serves their requests.
+
+    Args:
+        configuration: from `server_configuration`; replaced by `replace_configuration`.
+        issue_connection_id: returns a new ID that names this agent, for a service name.
+        serve: serves one request; it runs in `nursery` and is cancelled when the caller goes.
+        send: sends one datagram through a balancer.
+        balancers: returns the tunnel endpoints of the balancers that answer.
+        maximum_flows: first packets beyond it are dropped.
+    """
+
+    def __init__(
+        self,
+        configuration: QuicConfiguration,
+        timer: TimerService,
+        issue_connection_id: Callable[[str], bytes],
+        serve: Callable[[Exchange], Awaitable[None]],
+        send: Callable[[OutgoingDatagram], None],
+        balancers: Callable[[], Sequence[Address]],
+        nursery: trio.Nursery,
+        maximum_flows: int = 20_000,
+    ) -> None:
+        self._configuration = configuration
+        self._timer = timer
+        self._issue_connection_id = issue_connection_id
+        self._serve = serve
+        self._send = send
+        self._balancers = balancers
+        self._nursery = nursery
+        self._maximum_flows = maximum_flows
+        self._flows: dict[bytes, Flow] = {}
+        self._identifiers: dict[Flow, set[bytes]] = {}
+        self._counts = FlowCounts()
+        self._going_away = False
+
+    @property
+    def counts(self) -> FlowCounts:
+        """Return the running counts."""
+        return self._counts
+
+    @property
+    def open_flows(self) -> int:
+        """Return how many flows are open."""
+        return len(self._identifiers)
+
+    @property
+    def open_requests(self) -> int:
+        """Return how many requests are in progress on all flows."""
+        return sum(flow.open_requests for flow in self._identifiers)
+
+    def replace_configuration(self, configuration: QuicConfiguration) -> None:
+        """Use another certificate or other settings for flows opened from now on."""
+        self._configuration = configuration
+
+    def knows(self, connection_id: bytes) -> bool:
+        """Return whether a datagram with this ID belongs to a flow that is open here."""
+        return connection_id in self._flows
+
+    def receive(self, datagram: IncomingDatagram) -> None:
+        """Give a datagram to its flow, or open a flow for it."""
+        self._counts.datagrams += 1
+        payload = datagram.payload
+        try:
+            header = pull_quic_header(Buffer(data=payload), host_cid_length=CONNECTION_ID_BYTES)
+        except ValueError:
+            self._counts.malformed += 1
+            return
+        flow = self._flows.get(header.destination_cid)
+        if flow is None:
+            opens = header.packet_type == QuicPacketType.INITIAL
+            known_version = header.version in list(QuicProtocolVersion)
+            if not opens or not known_version or len(payload) < SMALLEST_INITIAL_BYTES:
+                self._counts.unknown_flow += 1
+                return
+            flow = self._open(datagram, header.destination_cid)
+            if flow is None:
+                return
+        elif flow.service != datagram.service:
+            self._counts.wrong_service += 1
+            return
+        flow.receive(datagram)
+
+    def send_goaway(self) -> None:
+        """Ask every caller to open further requests on other flows."""
+        self._going_away = True
+        for flow in list(self._identifiers):
+            flow.send_goaway()
+
+    def close(self) -> None:
+        """Close every flow."""
+        for flow in list(self._identifiers):
+            flow.close()
+
+    def _open(self, datagram: IncomingDatagram, chosen_by_caller: bytes) -> Flow | None:
+        if len(self._identifiers) >= self._maximum_flows:
+            self._counts.refused_full += 1
+            return None
+        service = datagram.service
+        connection = OwnedConnection(
+            self._configuration, chosen_by_caller, lambda: self._issue_connection_id(service)
+        )
+        flow = Flow(
+            connection=connection,
+            first=datagram,
+            timer=self._timer,
+            serve=self._start_serving,
+            send=self._send,
+            return_path=ReturnPath(self._balancers),
+            on_identifiers=self._change_identifiers,
+            on_closed=self._on_closed,
+        )
+        self._identifiers[flow] = set()
+        self._change_identifiers(flow, [chosen_by_caller, *connection.connection_ids], ())
+        self._counts.opened += 1
+        return flow
+
+    def _change_identifiers(
+        self, flow: Flow, issued: Sequence[bytes], retired: Sequence[bytes]
+    ) -> None:
+        known = self._identifiers.get(flow)
+        if known is None:
+            return
+        for identifier in issued:
+            known.add(identifier)
+            self._flows[identifier] = flow
+        for identifier in retired:
+            known.discard(identifier)
+            self._flows.pop(identifier, None)
+
+    def _on_closed(self, flow: Flow) -> None:
+        self._counts.closed += 1
+        for identifier in self._identifiers.pop(flow, set()):
+            self._flows.pop(identifier, None)
+
+    def _start_serving(self, exchange: FlowExchange) -> None:
+        self._nursery.start_soon(self._serve_one, exchange)
+
+    async def _serve_one(self, exchange: FlowExchange) -> None:
+        with trio.CancelScope() as scope:
+            exchange.cancel_with(scope.cancel)
+            await self._serve(exchange)
--- /dev/null
+++ b/egretsill/flows/_request_head.py
@@ -0,0 +1,62 @@
+"""Reading a request's head from HTTP/3 headers."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from ..requests import RequestHead
+from .headers import DEADLINE_HEADER, HOP_BY_HOP_HEADERS, MAXIMUM_DEADLINE_MILLISECONDS
+
+
+class MalformedRequest(Exception):
+    """Headers that make no request.
+
+    Attributes:
+        field: the header that is missing or wrong.
+    """
+
+    def __init__(self, field: bytes) -> None:
+        super().__init__(f"malformed request: {field.decode('latin-1')}")
+        self.field = field
+
+
+def read_request_head(
+    service: str, headers: Sequence[tuple[bytes, bytes]], now: float
+) -> RequestHead:
+    """Return what the caller asked for.
+
+    Args:
+        service: name of the service whose address the flow came in on.
+        headers: as received, pseudo-headers first.
+        now: seconds on the timer service; a deadline counts from it.
+
+    Raises:
+        MalformedRequest: if a pseudo-header is missing or the deadline is no positive number.
+    """
+    pseudo = {name: value for name, value in headers if name.startswith(b":")}
+    method = _text(pseudo, b":method")
+    path = _text(pseudo, b":path")
+    kept = tuple(
+        (name, value)
+        for name, value in headers
+        if not name.startswith(b":") and name not in HOP_BY_HOP_HEADERS
+    )
+    return RequestHead(service, method, path, kept, _deadline(headers, now))
+
+
+def _text(pseudo: dict[bytes, bytes], name: bytes) -> str:
+    value = pseudo.get(name, b"")
+    if not value or not value.isascii() or not value.decode("ascii").isprintable():
+        raise MalformedRequest(name)
+    if b" " in value:
+        raise MalformedRequest(name)
+    return value.decode("ascii")
+
+
+def _deadline(headers: Sequence[tuple[bytes, bytes]], now: float) -> float | None:
+    for name, value in headers:
+        if name == DEADLINE_HEADER:
+            if not value.isdigit() or not 0 < int(value) <= MAXIMUM_DEADLINE_MILLISECONDS:
+                raise MalformedRequest(name)
+            return now + int(value) / 1000
+    return None
--- a/egretsill/outcomes/_outcome.py
+++ b/egretsill/outcomes/_outcome.py
@@ -22,6 +22,8 @@
     BACKEND_UNREACHABLE = "backend-unreachable"
     WRONG_SERVICE = "wrong-service"
     FENCED = "fenced"
+    FLOW_NOT_OPENED = "flow-not-opened"
+    CALLER_MALFORMED = "caller-malformed"
 
 
 class UnknownReason(enum.Enum):
@@ -32,6 +34,7 @@
     RELAY_LOST = "relay-lost"
     DEADLINE = "deadline"
     ANSWER_CUT = "answer-cut"
+    FLOW_LOST = "flow-lost"
 
 
 @dataclass(frozen=True, slots=True)
