Observe a process: metrics, admin port, state log

Change: one table defines each metric with its meaning and the operator's action; the registry is built from it. Counters are plain additions until the page is rendered. The admin port serves /metrics, /status and /health with bounds on connections, request size and time. StateLog writes a line only when a subject's state differs from its last one.

--- a/egretsill/observation/__init__.py
+++ b/egretsill/observation/__init__.py
@@ -1,1 +1,31 @@
 """Counters, histograms, state pages and log lines."""
+
+from ._admin_server import JSON, AdminRefusal, AdminServer
+from ._definitions import METRIC_DEFINITIONS, MetricDefinition, MetricKind
+from ._exceptions import LabelMismatch, LogFileUnavailable
+from ._health import HealthProblem, HealthState
+from ._logging import LogValue, StateChange, StateKind, StateLog, open_log
+from ._metrics import Counter, Gauge, Histogram, LabelValue, Metrics
+
+__all__ = [
+    "AdminRefusal",
+    "AdminServer",
+    "Counter",
+    "Gauge",
+    "HealthProblem",
+    "HealthState",
+    "Histogram",
+    "JSON",
+    "LabelMismatch",
+    "LabelValue",
+    "LogFileUnavailable",
+    "LogValue",
+    "METRIC_DEFINITIONS",
+    "MetricDefinition",
+    "MetricKind",
+    "Metrics",
+    "StateChange",
+    "StateKind",
+    "StateLog",
+    "open_log",
+]
--- /dev/null
+++ b/egretsill/observation/_definitions.py
@@ -0,0 +1,239 @@
+"""Every metric of the system: its name, its labels, what it means and what to do about it.
+
+The registry is built from this table and the operators' guide lists it, so the two can't differ.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+
+class MetricKind(enum.Enum):
+    """How the values of a metric move."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+    HISTOGRAM = "histogram"
+
+
+@dataclass(frozen=True, slots=True)
+class MetricDefinition:
+    """One metric.
+
+    Attributes:
+        attribute: name of the metric's attribute of `Metrics`.
+        kind: how its values move.
+        labels: label names, in the order in which callers give the values.
+        meaning: what is counted or measured, with its unit.
+        action: what an operator does about it.
+        buckets: upper bounds of a histogram, in the unit of the metric.
+    """
+
+    attribute: str
+    kind: MetricKind
+    labels: tuple[str, ...]
+    meaning: str
+    action: str
+    buckets: tuple[float, ...] = ()
+
+    @property
+    def name(self) -> str:
+        """Return the name under which the metric is exposed."""
+        suffix = "_total" if self.kind is MetricKind.COUNTER else ""
+        return f"egretsill_{self.attribute}{suffix}"
+
+
+SECONDS_BUCKETS = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 120)
+TRIES_BUCKETS = (1.0, 2.0, 3.0, 4.0, 6.0, 8.0)
+
+_NORMAL = "Nothing: it shows the load."
+
+
+def _counter(
+    attribute: str, labels: tuple[str, ...], meaning: str, action: str
+) -> MetricDefinition:
+    return MetricDefinition(attribute, MetricKind.COUNTER, labels, meaning, action)
+
+
+def _gauge(
+    attribute: str, labels: tuple[str, ...], meaning: str, action: str = _NORMAL
+) -> MetricDefinition:
+    return MetricDefinition(attribute, MetricKind.GAUGE, labels, meaning, action)
+
+
+def _histogram(
+    attribute: str, meaning: str, action: str, buckets: tuple[float, ...] = SECONDS_BUCKETS
+) -> MetricDefinition:
+    labels = ("tenant", "class")
+    return MetricDefinition(attribute, MetricKind.HISTOGRAM, labels, meaning, action, buckets)
+
+
+METRIC_DEFINITIONS: Sequence[MetricDefinition] = (
+    _counter(
+        "datagrams_forwarded",
+        ("direction",),
+        "Datagrams passed on: to an agent, or back to a caller.",
+        _NORMAL,
+    ),
+    _counter(
+        "datagrams_dropped",
+        ("port", "reason"),
+        "Datagrams thrown away, by the port that they arrived at.",
+        "A few are noise from the network. A steady rate of one reason points at its sender: a "
+        "wrong version, a lost connection-ID key, or a scan.",
+    ),
+    _counter(
+        "messages_malformed",
+        ("protocol", "reason"),
+        "Messages between processes that are none of the protocol.",
+        "Look for a process of another version, or for strangers who can reach the port.",
+    ),
+    _counter(
+        "first_packets_rerouted",
+        ("reason",),
+        "First packets of a flow sent to another agent than the first in rank.",
+        "Expected while a target drains or is gone; otherwise look at the agent passed over.",
+    ),
+    _counter("flows_opened", (), "Flows that callers opened.", _NORMAL),
+    _counter(
+        "flows_closed",
+        ("reason",),
+        "Flows that ended, by reason.",
+        "Ends for silence or error in numbers point at the network between callers and agents.",
+    ),
+    _counter(
+        "requests_ended",
+        ("tenant", "class", "outcome"),
+        "Requests by their tagged outcome.",
+        "Look at requests_refused and requests_unknown for the reasons.",
+    ),
+    _counter(
+        "requests_refused",
+        ("tenant", "class", "reason"),
+        "Requests that were not run and never will be.",
+        "full, overload: add targets or slots. draining, no-target: too many targets leave at "
+        "once. undeclared: the service has no class for the request.",
+    ),
+    _counter(
+        "requests_unknown",
+        ("tenant", "class", "reason"),
+        "Requests that started and whose end could not be learnt.",
+        "Reconcile with the backend server's own records before anything is sent again.",
+    ),
+    _counter(
+        "requests_rerouted",
+        ("reason",),
+        "Requests placed on another target after a refusal.",
+        "Expected under load; a rise at low load means that load reports mislead.",
+    ),
+    _counter(
+        "requests_retried",
+        ("tenant", "class"),
+        "Further tries after a first one.",
+        "Above a tenth of first tries the retry budget holds them back: look for failing targets.",
+    ),
+    _counter(
+        "relay_links_lost",
+        ("reason",),
+        "Relay links to other agents that broke or went silent.",
+        "Check the network between the two failure domains.",
+    ),
+    _counter("answers_resumed", (), "Answers taken up again on a new relay link.", _NORMAL),
+    _counter(
+        "backend_failures",
+        ("reason",),
+        "Connections to the backend server that failed, by reason.",
+        "Check the backend server beside this agent.",
+    ),
+    _counter(
+        "configuration_conflicts",
+        (),
+        "Times that two contents were seen under one revision number.",
+        "Publish a new revision now; find who published twice under one number.",
+    ),
+    _counter(
+        "configuration_ignored",
+        ("reason",),
+        "Configurations that were offered and not taken.",
+        "older: the platform or a peer is stale. invalid: publish only what check accepts.",
+    ),
+    _counter(
+        "platform_reads",
+        ("outcome",),
+        "Reads and watches of the platform's services.",
+        "Failures in every failure domain: the platform is down; flows go on without it.",
+    ),
+    _counter(
+        "membership_changes",
+        ("state",),
+        "Changes of another process's state in this process's view.",
+        "Many suspicions and few deaths: this VM or its network is slow.",
+    ),
+    _counter(
+        "gossip_messages",
+        ("direction",),
+        "Messages of membership and load reports sent and received.",
+        _NORMAL,
+    ),
+    _counter(
+        "clock_jumps",
+        (),
+        "Times that this process did not run for over a second.",
+        "Ask the platform why the VM was paused.",
+    ),
+    _counter(
+        "admin_requests",
+        ("path", "status"),
+        "Requests to the admin port.",
+        _NORMAL,
+    ),
+    _counter(
+        "admin_connections_refused",
+        ("reason",),
+        "Connections to the admin port closed without an answer to their request.",
+        "Look for a scan, or for a scraper that is slow or opens too many connections.",
+    ),
+    _gauge("flows_open", (), "Flows that this process owns."),
+    _gauge("subscriptions_open", (), "Subscriptions open at the backend server."),
+    _gauge("uploads_open", (), "Uploads running at the backend server."),
+    _gauge("slots", (), "Requests that the backend server runs at once."),
+    _gauge("slots_in_use", (), "Slots taken now.", "At the number of slots for long: add targets."),
+    _gauge("requests_queued", (), "Requests that wait for a slot."),
+    _gauge("relay_links_open", (), "Relay links to other agents."),
+    _gauge(
+        "revision_in_force",
+        (),
+        "Revision number of the configuration in force.",
+        "It must be the same at every process within seconds; one that lags is cut off.",
+    ),
+    _gauge("draining", (), "1 while this process takes no new work, else 0."),
+    _gauge(
+        "members",
+        ("role", "state"),
+        "Other processes in this process's view.",
+        "Many dead of one failure domain: it is cut off, or down.",
+    ),
+    _histogram(
+        "time_to_first_byte_seconds",
+        "Seconds from a request's arrival to the first byte of its answer.",
+        "Compare with queue_wait_seconds: if that is small, the backend server is slow.",
+    ),
+    _histogram(
+        "answer_seconds",
+        "Seconds from a request's arrival to the end of its whole answer.",
+        "Long for subscriptions and uploads by nature; for other classes look at the backend.",
+    ),
+    _histogram(
+        "queue_wait_seconds",
+        "Seconds that a request waited for a slot.",
+        "Add slots or targets before it nears the service's queue_seconds.",
+    ),
+    _histogram(
+        "tries",
+        "Targets that a request was offered to.",
+        "More than one for most requests: load reports mislead, or the service is full.",
+        TRIES_BUCKETS,
+    ),
+)
--- /dev/null
+++ b/egretsill/observation/_metrics.py
@@ -0,0 +1,215 @@
+"""Typed metrics over an aioprometheus registry.
+
+Counters are plain additions until somebody asks for the page, so that a hot path may count. Each
+metric keeps a bounded number of label combinations; what comes after them is counted together.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Sequence
+from typing import TypeAlias, cast
+
+from aioprometheus import collectors, renderer
+
+from ._definitions import METRIC_DEFINITIONS, MetricDefinition, MetricKind
+from ._exceptions import LabelMismatch
+
+MAXIMUM_SERIES = 200
+MAXIMUM_HISTOGRAM_SERIES = 64
+MAXIMUM_LABEL_CHARACTERS = 64
+OTHER_LABEL = "other"
+
+LabelValue: TypeAlias = str | enum.Enum
+
+_ESCAPES = str.maketrans({"\\": "\\\\", '"': '\\"', "\n": "\\n"})
+
+
+class _Series:
+    """The label combinations of one metric, bounded in number and length."""
+
+    def __init__(self, definition: MetricDefinition, maximum: int) -> None:
+        self._definition = definition
+        self._maximum = maximum
+        self._known: dict[tuple[LabelValue, ...], tuple[str, ...]] = {}
+
+    def key(self, values: tuple[LabelValue, ...]) -> tuple[str, ...]:
+        """Return the combination that counts for these values.
+
+        Raises:
+            LabelMismatch: if there are more or fewer values than labels.
+        """
+        known = self._known.get(values)
+        if known is not None:
+            return known
+        expected = len(self._definition.labels)
+        if len(values) != expected:
+            raise LabelMismatch(self._definition.name, expected, len(values))
+        if len(self._known) >= self._maximum:
+            return (OTHER_LABEL,) * expected
+        key = tuple(_text(each) for each in values)
+        self._known[values] = key
+        return key
+
+    def labels(self, key: tuple[str, ...]) -> dict[str, str]:
+        """Return a combination as aioprometheus takes it."""
+        return dict(zip(self._definition.labels, key, strict=True))
+
+
+class Counter:
+    """Counts events; it only goes up."""
+
+    def __init__(self, definition: MetricDefinition, registry: collectors.Registry) -> None:
+        self._collector = collectors.Counter(definition.name, definition.meaning, registry=registry)
+        self._series = _Series(definition, MAXIMUM_SERIES)
+        self._totals: dict[tuple[str, ...], float] = {}
+
+    def increment(self, *labels: LabelValue, amount: float = 1) -> None:
+        """Add `amount` to the count of these label values.
+
+        Raises:
+            LabelMismatch: if there are more or fewer values than labels.
+        """
+        key = self._series.key(labels)
+        self._totals[key] = self._totals.get(key, 0) + amount
+
+    def value(self, *labels: LabelValue) -> float:
+        """Return the count of these label values."""
+        return self._totals.get(self._series.key(labels), 0)
+
+    def total(self) -> float:
+        """Return the count over all label values."""
+        return sum(self._totals.values())
+
+    def flush(self) -> None:
+        """Bring the registry up to date."""
+        for key, total in self._totals.items():
+            self._collector.set(self._series.labels(key), total)
+
+
+class Gauge:
+    """A value that goes up and down."""
+
+    def __init__(self, definition: MetricDefinition, registry: collectors.Registry) -> None:
+        self._collector = collectors.Gauge(definition.name, definition.meaning, registry=registry)
+        self._series = _Series(definition, MAXIMUM_SERIES)
+        self._values: dict[tuple[str, ...], float] = {}
+
+    def set(self, value: float, *labels: LabelValue) -> None:
+        """Set the value of these label values.
+
+        Raises:
+            LabelMismatch: if there are more or fewer values than labels.
+        """
+        self._values[self._series.key(labels)] = value
+
+    def value(self, *labels: LabelValue) -> float:
+        """Return the value of these label values, 0 if it was never set."""
+        return self._values.get(self._series.key(labels), 0)
+
+    def flush(self) -> None:
+        """Bring the registry up to date."""
+        for key, value in self._values.items():
+            self._collector.set(self._series.labels(key), value)
+
+
+class Histogram:
+    """Distribution of a measured quantity by tenant and class."""
+
+    def __init__(self, definition: MetricDefinition, registry: collectors.Registry) -> None:
+        self._collector = collectors.Histogram(
+            definition.name, definition.meaning, registry=registry, buckets=definition.buckets
+        )
+        self._series = _Series(definition, MAXIMUM_HISTOGRAM_SERIES)
+
+    def observe(self, value: float, *labels: LabelValue) -> None:
+        """Add one measured value.
+
+        Raises:
+            LabelMismatch: if there are more or fewer values than labels.
+        """
+        self._collector.observe(self._series.labels(self._series.key(labels)), float(value))
+
+    def count(self, *labels: LabelValue) -> int:
+        """Return how many values were observed for these label values."""
+        try:
+            distribution = self._collector.get(self._series.labels(self._series.key(labels)))
+        except KeyError:
+            return 0
+        return cast(int, distribution[collectors.Histogram.COUNT_KEY])
+
+
+class Metrics:
+    """All metrics of one process; the attributes are described by `METRIC_DEFINITIONS`."""
+
+    datagrams_forwarded: Counter
+    datagrams_dropped: Counter
+    messages_malformed: Counter
+    first_packets_rerouted: Counter
+    flows_opened: Counter
+    flows_closed: Counter
+    requests_ended: Counter
+    requests_refused: Counter
+    requests_unknown: Counter
+    requests_rerouted: Counter
+    requests_retried: Counter
+    relay_links_lost: Counter
+    answers_resumed: Counter
+    backend_failures: Counter
+    configuration_conflicts: Counter
+    configuration_ignored: Counter
+    platform_reads: Counter
+    membership_changes: Counter
+    gossip_messages: Counter
+    clock_jumps: Counter
+    admin_requests: Counter
+    admin_connections_refused: Counter
+    flows_open: Gauge
+    subscriptions_open: Gauge
+    uploads_open: Gauge
+    slots: Gauge
+    slots_in_use: Gauge
+    requests_queued: Gauge
+    relay_links_open: Gauge
+    revision_in_force: Gauge
+    draining: Gauge
+    members: Gauge
+    time_to_first_byte_seconds: Histogram
+    answer_seconds: Histogram
+    queue_wait_seconds: Histogram
+    tries: Histogram
+
+    def __init__(self) -> None:
+        self._registry = collectors.Registry()
+        self._flushed: list[Counter | Gauge] = []
+        for definition in METRIC_DEFINITIONS:
+            setattr(self, definition.attribute, self._create(definition))
+
+    def render(self, accept: Sequence[str] = ()) -> tuple[bytes, dict[str, str]]:
+        """Return the page of all metrics and its HTTP headers.
+
+        Args:
+            accept: values of the request's Accept headers.
+        """
+        for metric in self._flushed:
+            metric.flush()
+        return renderer.render(self._registry, list(accept))
+
+    def _create(self, definition: MetricDefinition) -> Counter | Gauge | Histogram:
+        match definition.kind:
+            case MetricKind.COUNTER:
+                counter = Counter(definition, self._registry)
+                self._flushed.append(counter)
+                return counter
+            case MetricKind.GAUGE:
+                gauge = Gauge(definition, self._registry)
+                self._flushed.append(gauge)
+                return gauge
+            case MetricKind.HISTOGRAM:
+                return Histogram(definition, self._registry)
+
+
+def _text(value: LabelValue) -> str:
+    """Return a label value that can't break the text format."""
+    plain = str(value.value) if isinstance(value, enum.Enum) else value
+    return plain[:MAXIMUM_LABEL_CHARACTERS].translate(_ESCAPES)
--- /dev/null
+++ b/egretsill/observation/tests/test_admin_server.py
@@ -0,0 +1,150 @@
+"""The admin port, by requests over real sockets on loopback."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+
+import pytest
+import trio
+import trio.testing
+
+from egretsill.configuration import Address
+from egretsill.observation import JSON, AdminServer, HealthProblem, HealthState, Metrics
+from egretsill.observation._admin_server import MAXIMUM_CONNECTIONS
+
+
+class _Admin:
+    """An admin server on any free port of loopback."""
+
+    def __init__(self) -> None:
+        self.metrics = Metrics()
+        self.health = HealthState()
+        self.address = Address("127.0.0.1", 0)
+        self.server = AdminServer(self.address, self.metrics, self._status, lambda: self.health)
+
+    def refused(self, reason: str) -> float:
+        page = self.metrics.admin_connections_refused
+        return page.value(reason)
+
+    async def connect(self) -> trio.SocketStream:
+        return await trio.open_tcp_stream(self.address.host, self.address.port)
+
+    async def ask(self, data: bytes) -> tuple[int, bytes]:
+        """Return status and body, with status 0 if the connection was closed without answer."""
+        stream = await self.connect()
+        async with stream:
+            received = b""
+            try:
+                await stream.send_all(data)
+                while chunk := await stream.receive_some(65_536):
+                    received += chunk
+            except trio.BrokenResourceError:
+                pass
+        head, _, body = received.partition(b"\r\n\r\n")
+        return (int(head.split()[1]) if head else 0), body
+
+    def _status(self) -> Mapping[str, JSON]:
+        return {"revision": 7, "flows": {"open": 2}}
+
+
+def _request(path: str, method: str = "GET") -> bytes:
+    return f"{method} {path} HTTP/1.1\r\nHost: admin\r\n\r\n".encode()
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        pytest.param(_request("/metrics"), 200, id="metrics"),
+        pytest.param(_request("/status"), 200, id="status"),
+        pytest.param(_request("/health?verbose=1"), 200, id="query is ignored"),
+        pytest.param(_request("/metrics", "HEAD"), 200, id="head"),
+        pytest.param(_request("/nothing"), 404, id="unknown page"),
+        pytest.param(_request("/status", "POST"), 405, id="wrong method"),
+        pytest.param(b"\x00\xff garbage\r\n\r\n", 400, id="garbage"),
+        pytest.param(b"GET / HTTP/9.9\r\n\r\n", 505, id="no such version"),
+        pytest.param(_request("/" + "x" * 20_000), 431, id="oversized target"),
+        pytest.param(b"GET / HTTP/1.1\r\nA: " + b"x" * 20_000, 431, id="endless header"),
+    ],
+)
+def test_answers(data: bytes, status: int) -> None:
+    async def main() -> tuple[int, bytes]:
+        admin = _Admin()
+        async with trio.open_nursery() as nursery:
+            admin.address = await nursery.start(admin.server.run)
+            answer = await admin.ask(data)
+            after = await admin.ask(_request("/health"))
+            nursery.cancel_scope.cancel()
+        assert after[0] == 200
+        assert admin.refused("malformed") == (status in (400, 431))
+        return answer
+
+    seen = trio.run(main)[0]
+    # Closing while the client still sends may reset the connection before it reads the answer.
+    assert seen == status or (status == 431 and seen == 0)
+
+
+def test_pages() -> None:
+    async def main() -> None:
+        admin = _Admin()
+        admin.metrics.flows_open.set(12)
+        async with trio.open_nursery() as nursery:
+            admin.address = await nursery.start(admin.server.run)
+            _, metrics = await admin.ask(_request("/metrics"))
+            _, status = await admin.ask(_request("/status"))
+            admin.health = HealthState((HealthProblem.DRAINING,))
+            code, health = await admin.ask(_request("/health"))
+            nursery.cancel_scope.cancel()
+        assert b"egretsill_flows_open 12" in metrics
+        assert json.loads(status) == {"revision": 7, "flows": {"open": 2}}
+        assert code == 503
+        assert json.loads(health) == {"healthy": False, "problems": ["draining"]}
+
+    trio.run(main)
+
+
+def test_failing_page_is_an_error_to_its_reader_alone() -> None:
+    def fail() -> HealthState:
+        raise KeyError
+
+    async def main() -> None:
+        admin = _Admin()
+        admin.server = AdminServer(admin.address, admin.metrics, admin._status, fail)
+        async with trio.open_nursery() as nursery:
+            admin.address = await nursery.start(admin.server.run)
+            assert await admin.ask(_request("/health")) == (500, b'{"error": "KeyError"}\n')
+            assert (await admin.ask(_request("/status")))[0] == 200
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def test_connections_are_bounded_and_silent_ones_closed() -> None:
+    async def main() -> None:
+        admin = _Admin()
+        async with trio.open_nursery() as nursery:
+            admin.address = await nursery.start(admin.server.run)
+            silent = [await admin.connect() for _ in range(MAXIMUM_CONNECTIONS)]
+            await trio.testing.wait_all_tasks_blocked(0.01)
+            refused = await admin.ask(_request("/health"))
+            assert refused[0] == 0
+            assert admin.refused("too-many-connections") == 1
+            assert [await each.receive_some(10) for each in silent] == [b""] * len(silent)
+            assert admin.refused("slow") == MAXIMUM_CONNECTIONS
+            assert (await admin.ask(_request("/health")))[0] == 200
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(rate=20))
+
+
+def test_client_that_leaves_is_counted() -> None:
+    async def main() -> None:
+        admin = _Admin()
+        async with trio.open_nursery() as nursery:
+            admin.address = await nursery.start(admin.server.run)
+            await (await admin.connect()).aclose()
+            while not admin.refused("gone"):
+                await trio.sleep(0.001)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
--- /dev/null
+++ b/egretsill/observation/tests/test_logging.py
@@ -0,0 +1,44 @@
+"""Log lines: one for each change of state."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import eliot
+import pytest
+
+from egretsill.observation import LogFileUnavailable, StateChange, StateKind, StateLog, open_log
+
+
+def test_only_a_change_is_written(tmp_path: Path) -> None:
+    path = tmp_path / "log"
+    stream = open_log(path)
+    destination = eliot.Logger._destinations._destinations[-1]
+    try:
+        log = StateLog("agent-1")
+        written = [
+            log.record(StateChange(StateKind.MEMBER, "agent-2", "alive")),
+            log.record(StateChange(StateKind.MEMBER, "agent-2", "alive")),
+            log.record(StateChange(StateKind.MEMBER, "agent-3", "alive")),
+            log.record(StateChange(StateKind.MEMBER, "agent-2", "dead", {"after_seconds": 4.5})),
+        ]
+    finally:
+        eliot.remove_destination(destination)
+        stream.close()
+    assert written == [True, False, True, True]
+    lines = [json.loads(each) for each in path.read_text().splitlines()]
+    last = lines[-1]
+    assert len(lines) == 3
+    assert (last["message_type"], last["process"]) == ("egretsill:member", "agent-1")
+    assert (last["before"], last["state"], last["details"]) == (
+        "alive",
+        "dead",
+        {"after_seconds": 4.5},
+    )
+
+
+def test_unusable_file_is_a_typed_error(tmp_path: Path) -> None:
+    with pytest.raises(LogFileUnavailable) as caught:
+        open_log(tmp_path / "missing" / "log")
+    assert caught.value.path.endswith("log")
