--- a/egretsill/flows/__init__.py
+++ b/egretsill/flows/__init__.py
@@ -1,11 +1,13 @@
 """Callers' flows at the agent that owns them."""
 
+from ._agent_tunnel import AgentTunnel
 from ._connection import Http3Connection, OwnedConnection, WindowedConnection
 from ._datagram import IncomingDatagram, OutgoingDatagram
 from ._flow_server import FlowCounts, FlowServer, server_configuration
 from ._return_path import ReturnPath
 
 __all__ = [
+    "AgentTunnel",
     "FlowCounts",
     "FlowServer",
     "Http3Connection",
--- /dev/null
+++ b/egretsill/flows/_agent_tunnel.py
@@ -0,0 +1,141 @@
+"""An agent's end of the tunnel to the balancers."""
+
+from __future__ import annotations
+
+import socket
+from collections import Counter
+from collections.abc import Callable, Mapping
+from typing import Protocol
+
+import trio
+
+from ..configuration import Address
+from ..steering import AgentProbe, AgentProbeAnswer, CallerPacket, ReplyPacket, make_tunnel_codec
+from ..wire import MalformedMessage
+from ._datagram import IncomingDatagram, OutgoingDatagram
+
+LARGEST_DATAGRAM_BYTES = 65_536
+BATCH_DATAGRAMS = 64
+RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
+
+
+class DatagramReceiver(Protocol):
+    """Whoever takes callers' datagrams off the tunnel."""
+
+    def __call__(self, datagram: IncomingDatagram, packet: CallerPacket) -> None:
+        """Take one datagram; `packet` is the form in which it may be passed on."""
+
+
+class AgentTunnel:
+    """Carries callers' datagrams between this agent and the balancers.
+
+    Args:
+        listen: this agent's tunnel endpoint.
+        target_number: told to balancers that probe.
+        services: returns the names of the services that this agent serves, by number; datagrams
+            for any other are dropped and counted.
+        draining: returns whether this agent takes no new flows.
+    """
+
+    def __init__(
+        self,
+        listen: Address,
+        target_number: int,
+        services: Callable[[], Mapping[int, str]],
+        draining: Callable[[], bool],
+    ) -> None:
+        self._target_number = target_number
+        self._services = services
+        self._draining = draining
+        self._codec = make_tunnel_codec()
+        self._drops: Counter[str] = Counter()
+        self._receive: DatagramReceiver | None = None
+        family = socket.AF_INET6 if ":" in listen.host else socket.AF_INET
+        self._socket = socket.socket(family, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self._socket.bind(tuple(listen))
+
+    @property
+    def drops(self) -> Mapping[str, int]:
+        """Return how many datagrams were dropped, by reason."""
+        return self._drops
+
+    def receive_with(self, receive: DatagramReceiver) -> None:
+        """Give callers' datagrams to `receive` from now on."""
+        self._receive = receive
+
+    def send(self, datagram: OutgoingDatagram) -> None:
+        """Send a reply to a caller through a balancer."""
+        reply = ReplyPacket(
+            caller_host=datagram.caller.host,
+            caller_port=datagram.caller.port,
+            service_host=datagram.service_address.host,
+            service_port=datagram.service_address.port,
+            payload=datagram.payload,
+        )
+        self._send(self._codec.encode(reply), datagram.balancer)
+
+    def pass_on(self, packet: CallerPacket, agent: Address) -> None:
+        """Hand a caller's datagram to another agent."""
+        self._send(self._codec.encode(packet), agent)
+
+    async def run(self) -> None:
+        """Take datagrams until cancelled; the socket is closed then."""
+        try:
+            while True:
+                await trio.lowlevel.wait_readable(self._socket)
+                self._read_batch()
+        finally:
+            trio.lowlevel.notify_closing(self._socket)
+            self._socket.close()
+
+    def _read_batch(self) -> None:
+        for _ in range(BATCH_DATAGRAMS):
+            try:
+                data, sender = self._socket.recvfrom(LARGEST_DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
+            except OSError:
+                continue
+            self._take(data, Address(*sender[:2]))
+
+    def _take(self, data: bytes, sender: Address) -> None:
+        try:
+            message = self._codec.decode(data)
+        except MalformedMessage:
+            self._drops["malformed"] += 1
+            return
+        match message:
+            case CallerPacket():
+                self._take_packet(message, sender)
+            case AgentProbe(sequence=sequence):
+                answer = AgentProbeAnswer(sequence, self._target_number, self._draining())
+                self._send(self._codec.encode(answer), sender)
+            case _:
+                self._drops["unexpected"] += 1
+
+    def _take_packet(self, packet: CallerPacket, sender: Address) -> None:
+        service = self._services().get(packet.service_number)
+        if service is None:
+            self._drops["wrong-service"] += 1
+            return
+        balancer = sender
+        if packet.balancer_host is not None:
+            balancer = Address(packet.balancer_host, packet.balancer_port)
+        datagram = IncomingDatagram(
+            caller=Address(packet.caller_host, packet.caller_port),
+            service=service,
+            service_address=Address(packet.service_host, packet.service_port),
+            balancer=balancer,
+            payload=packet.payload,
+        )
+        if self._receive is not None:
+            self._receive(datagram, packet)
+
+    def _send(self, data: bytes, address: Address) -> None:
+        # A datagram that the socket cannot take now is lost; QUIC sends it again.
+        try:
+            self._socket.sendto(data, tuple(address))
+        except OSError:
+            self._drops["not-sent"] += 1
--- /dev/null
+++ b/egretsill/flows/tests/test_connection.py
@@ -0,0 +1,85 @@
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from aioquic.quic.events import HandshakeCompleted, QuicEvent, StreamDataReceived
+
+from .._connection import HOST_CONNECTION_IDS, Http3Connection
+from .._flow_server import STREAM_WINDOW_BYTES
+from .pair import make_pair
+
+UPLOAD_BYTES = 1_000_000
+
+
+def test_every_connection_id_given_to_the_caller_was_issued_here(tmp_path: Path) -> None:
+    pair = make_pair(tmp_path)
+    caller_events, _ = pair.exchange()
+    assert any(isinstance(event, HandshakeCompleted) for event in caller_events)
+    given = [pair.caller._peer_cid.cid, *(each.cid for each in pair.caller._peer_cid_available)]
+    assert len(given) == HOST_CONNECTION_IDS
+    assert set(given) <= set(pair.issuer.issued)
+    assert set(pair.agent.connection_ids) <= set(pair.issuer.issued)
+
+
+def test_ids_that_replace_retired_ones_were_issued_here(tmp_path: Path) -> None:
+    pair = make_pair(tmp_path)
+    pair.exchange()
+    before = set(pair.agent.connection_ids)
+    pair.caller.change_connection_id()
+    pair.exchange()
+    after = set(pair.agent.connection_ids)
+    assert len(after - before) == 1
+    assert after <= set(pair.issuer.issued)
+
+
+@pytest.mark.parametrize(
+    ("taken", "expected"),
+    [
+        pytest.param(False, STREAM_WINDOW_BYTES, id="nobody takes what came"),
+        pytest.param(True, UPLOAD_BYTES, id="what came is taken"),
+    ],
+)
+def test_an_upload_gets_no_further_than_a_window_past_what_was_taken(
+    tmp_path: Path, taken: bool, expected: int
+) -> None:
+    pair = make_pair(tmp_path)
+    pair.exchange()
+    received = 0
+
+    def take(event: QuicEvent) -> None:
+        nonlocal received
+        if isinstance(event, StreamDataReceived):
+            received += len(event.data)
+            pair.agent.hold(event.stream_id, len(event.data))
+            if taken:
+                pair.agent.release(event.stream_id, len(event.data))
+
+    pair.on_agent_event = take
+    stream_id = pair.caller.get_next_available_stream_id()
+    pair.caller.send_stream_data(stream_id, bytes(UPLOAD_BYTES), end_stream=True)
+    pair.exchange(2000)
+    assert received == expected
+
+
+def test_a_stream_tells_what_the_peer_has_not_acknowledged(tmp_path: Path) -> None:
+    pair = make_pair(tmp_path)
+    pair.exchange()
+    stream_id = pair.caller.get_next_available_stream_id()
+    pair.caller.send_stream_data(stream_id, bytes(500))
+    assert pair.caller.unacknowledged_bytes(stream_id) == 500
+    pair.exchange(60)
+    assert pair.caller.unacknowledged_bytes(stream_id) == 0
+
+
+def test_goaway_reaches_the_caller(tmp_path: Path) -> None:
+    pair = make_pair(tmp_path)
+    pair.exchange()
+    at_caller, at_agent = Http3Connection(pair.caller), Http3Connection(pair.agent)
+    settings, _ = pair.exchange()
+    at_agent.send_goaway()
+    events, _ = pair.exchange()
+    for event in [*settings, *events]:
+        at_caller.handle_event(event)
+    assert at_caller.goaway_received
+    assert not at_agent.goaway_received
--- a/egretsill/stand_ins/fabric.py
+++ b/egretsill/stand_ins/fabric.py
@@ -59,9 +59,7 @@
         """Make a new balancer known; it gets packets once it is fed."""
         self._balancers[name] = listeners
 
-    async def run(
-        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
-    ) -> None:
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Carry packets until cancelled."""
         async with trio.open_nursery() as nursery:
             sockets = [_bind(address) for address in self._service_addresses]
