Read declarations, settings and published bundles

Cause: nothing could read what operators write or publish. Conclusion: the rest of the process can be wired to bundles and settings.

--- /dev/null
+++ b/egretsill/configuration/_bundle_codec.py
@@ -0,0 +1,282 @@
+"""The published form of a bundle: a head, an index in parts, and one value for each service.
+
+Every value is checked against its digest when it is read, so values of different revisions are
+never put together.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import dataclass
+
+from ._exceptions import MalformedValue, TornPublication, ValueTooLarge
+from ._model import Bundle, Service
+from ._published import (
+    FORMAT,
+    PublishedHead,
+    PublishedIndexPart,
+    canonical_json,
+    decode_model,
+    decode_service,
+    digest_of,
+    digest_of_index,
+    encode_service,
+)
+
+HEAD_KEY = "head"
+MAXIMUM_VALUE_BYTES = 1_000_000
+INDEX_PART_BYTES = 256_000
+INDEX_ENTRY_BYTES = 40
+RECENT_CHANGES = 32
+RECENT_CHANGED_SERVICES = 256
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """What one revision changed.
+
+    Attributes:
+        digest: of the whole bundle after the change.
+        services: name and digest of each changed service's value; None if it was removed.
+    """
+
+    revision: int
+    digest: str
+    services: tuple[tuple[str, str | None], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """Which bundle is published, and how it came about lately.
+
+    Attributes:
+        index_parts: number of values that hold the index.
+        changes: the latest changes, oldest first.
+    """
+
+    revision: int
+    digest: str
+    index_parts: int
+    changes: tuple[Change, ...]
+
+    @property
+    def rank(self) -> tuple[int, str]:
+        """Return what orders publications; every process prefers the same one."""
+        return (self.revision, self.digest)
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class Publication:
+    """One whole published bundle with the values that it was read from.
+
+    Attributes:
+        index: digest of each service's value, by service name.
+        values: each service's value, by service name.
+    """
+
+    head: Head
+    index: Mapping[str, str]
+    values: Mapping[str, bytes]
+    bundle: Bundle
+
+
+def service_key(name: str) -> str:
+    """Return the key of a service's value."""
+    return f"service/{name}"
+
+
+def index_key(part: int) -> str:
+    """Return the key of a part of the index."""
+    return f"index/{part}"
+
+
+def compile_publication(
+    services: Mapping[str, Service], revision: int, previous: Publication | None = None
+) -> Publication:
+    """Return the publication of `services` under a revision number.
+
+    The recent changes of what was published before are carried on.
+
+    Raises:
+        ValueTooLarge: if a service doesn't fit into one value.
+    """
+    values = {name: encode_service(service) for name, service in services.items()}
+    for name, value in values.items():
+        _check_size(service_key(name), value)
+    index = {name: digest_of(value) for name, value in values.items()}
+    before = previous.index if previous else {}
+    digest = digest_of_index(index)
+    changed = _changed_services(before, index)
+    changes = (*(previous.head.changes if previous else ()), Change(revision, digest, changed))
+    parts = len(_index_parts(index))
+    head = Head(revision, digest, parts, _recent(changes))
+    return Publication(head, index, values, Bundle(revision, digest, dict(services)))
+
+
+def encode_publication(publication: Publication) -> Mapping[str, bytes]:
+    """Return all values to publish by key; publish `head` last."""
+    values = {service_key(name): value for name, value in publication.values.items()}
+    for number, part in enumerate(_index_parts(publication.index)):
+        values[index_key(number)] = canonical_json({"services": part})
+    values[HEAD_KEY] = encode_head(publication.head)
+    for key, value in values.items():
+        _check_size(key, value)
+    return values
+
+
+def encode_head(head: Head) -> bytes:
+    """Return the value `head`."""
+    return canonical_json(
+        {
+            "format": FORMAT,
+            "revision": head.revision,
+            "digest": head.digest,
+            "index_parts": head.index_parts,
+            "changes": [
+                {"revision": each.revision, "digest": each.digest, "services": dict(each.services)}
+                for each in head.changes
+            ],
+        }
+    )
+
+
+def decode_head(content: bytes) -> Head:
+    """Return the head that a value stands for.
+
+    Raises:
+        MalformedValue: if it doesn't have the published form.
+    """
+    model = decode_model(PublishedHead, HEAD_KEY, content)
+    changes = tuple(
+        Change(each.revision, each.digest, tuple(sorted(each.services.items())))
+        for each in model.changes
+    )
+    return Head(model.revision, model.digest, model.index_parts, changes)
+
+
+def decode_index(head: Head, parts: Sequence[bytes]) -> Mapping[str, str]:
+    """Return the index from its parts.
+
+    Raises:
+        MalformedValue: if a part doesn't have the published form.
+        TornPublication: if the parts aren't those of `head`.
+    """
+    index: dict[str, str] = {}
+    for number, part in enumerate(parts):
+        index.update(decode_model(PublishedIndexPart, index_key(number), part).services)
+    if digest_of_index(index) != head.digest:
+        raise TornPublication(index_key(0), head.revision)
+    return index
+
+
+def index_after_changes(head: Head, known: Publication) -> Mapping[str, str] | None:
+    """Return the index of `head` worked out from an older publication and the changes since.
+
+    Returns None if the changes don't reach back that far or start from another content.
+    """
+    since = [change for change in head.changes if change.revision > known.head.revision]
+    index = dict(known.index)
+    for change in since:
+        for name, digest in change.services:
+            index.pop(name, None)
+            if digest is not None:
+                index[name] = digest
+    return index if digest_of_index(index) == head.digest else None
+
+
+def missing_services(index: Mapping[str, str], known: Publication | None) -> Sequence[str]:
+    """Return the names of the services whose values must be read."""
+    have = known.index if known else {}
+    return [name for name, digest in sorted(index.items()) if have.get(name) != digest]
+
+
+def assemble_publication(
+    head: Head,
+    index: Mapping[str, str],
+    fetched: Mapping[str, bytes],
+    known: Publication | None = None,
+) -> Publication:
+    """Return the publication from an index, fetched values and those known before.
+
+    Raises:
+        TornPublication: if a value isn't the one that the index names, or the index isn't
+            the one that the head names.
+        MalformedValue: if a value doesn't have the published form.
+    """
+    if digest_of_index(index) != head.digest:
+        raise TornPublication(HEAD_KEY, head.revision)
+    values: dict[str, bytes] = {}
+    services: dict[str, Service] = {}
+    for name, digest in index.items():
+        if known is not None and known.index.get(name) == digest:
+            values[name] = known.values[name]
+            services[name] = known.bundle.services[name]
+            continue
+        values[name] = fetched.get(name, b"")
+        services[name] = _checked_service(name, digest, values[name], head)
+    return Publication(head, index, values, Bundle(head.revision, head.digest, services))
+
+
+def decode_publication(values: Mapping[str, bytes]) -> Publication:
+    """Return the publication from all its values by key, as files or a test hold them.
+
+    Raises:
+        MalformedValue: if a value is missing or doesn't have the published form.
+        TornPublication: if values of different revisions are mixed.
+    """
+    head = decode_head(values.get(HEAD_KEY, b""))
+    parts = [values.get(index_key(number), b"") for number in range(head.index_parts)]
+    index = decode_index(head, parts)
+    fetched = {name: values.get(service_key(name), b"") for name in index}
+    return assemble_publication(head, index, fetched)
+
+
+def _checked_service(name: str, digest: str, value: bytes, head: Head) -> Service:
+    key = service_key(name)
+    if digest_of(value) != digest:
+        raise TornPublication(key, head.revision)
+    service = decode_service(key, value)
+    if service.name != name:
+        raise MalformedValue(key, "it holds another service")
+    return service
+
+
+def _changed_services(
+    before: Mapping[str, str], after: Mapping[str, str]
+) -> tuple[tuple[str, str | None], ...]:
+    names = sorted(before.keys() | after.keys())
+    return tuple((name, after.get(name)) for name in names if before.get(name) != after.get(name))
+
+
+def _recent(changes: Sequence[Change]) -> tuple[Change, ...]:
+    """Return the latest changes that a head has room for; none if the last is too large."""
+    kept: list[Change] = []
+    room = RECENT_CHANGED_SERVICES
+    for change in reversed(changes[-RECENT_CHANGES:]):
+        room -= len(change.services)
+        if room < 0:
+            break
+        kept.append(change)
+    return tuple(reversed(kept))
+
+
+def _index_parts(index: Mapping[str, str]) -> Sequence[Mapping[str, str]]:
+    return list(_split(sorted(index.items())))
+
+
+def _split(entries: Sequence[tuple[str, str]]) -> Iterator[Mapping[str, str]]:
+    part: dict[str, str] = {}
+    size = 0
+    for name, digest in entries:
+        size += len(name) + INDEX_ENTRY_BYTES
+        if size > INDEX_PART_BYTES:
+            yield part
+            part, size = {}, len(name) + INDEX_ENTRY_BYTES
+        part[name] = digest
+    if part:
+        yield part
+
+
+def _check_size(key: str, value: bytes) -> None:
+    if len(value) > MAXIMUM_VALUE_BYTES:
+        raise ValueTooLarge(key, len(value), MAXIMUM_VALUE_BYTES)
--- a/egretsill/settings/__init__.py
+++ b/egretsill/settings/__init__.py
@@ -1,1 +1,38 @@
-"""Validated INI settings of the daemons and of the fleet."""
+"""Settings of a daemon: read from INI files, checked, and frozen."""
+
+from ._exceptions import EXIT_CODE, SettingsRejected
+from ._loader import load_daemon_settings
+from ._model import (
+    BackendSettings,
+    ConnectionIdKey,
+    DaemonSettings,
+    ExchangeSettings,
+    FlowSettings,
+    LogLevel,
+    LogSettings,
+    MembershipSettings,
+    PlatformSettings,
+    RelaySettings,
+    Role,
+    ShutdownSettings,
+    TlsSettings,
+)
+
+__all__ = [
+    "EXIT_CODE",
+    "BackendSettings",
+    "ConnectionIdKey",
+    "DaemonSettings",
+    "ExchangeSettings",
+    "FlowSettings",
+    "LogLevel",
+    "LogSettings",
+    "MembershipSettings",
+    "PlatformSettings",
+    "RelaySettings",
+    "Role",
+    "SettingsRejected",
+    "ShutdownSettings",
+    "TlsSettings",
+    "load_daemon_settings",
+]
--- /dev/null
+++ b/egretsill/settings/_model.py
@@ -0,0 +1,216 @@
+"""Settings of one daemon as values; durations are in seconds, sizes in bytes."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from ..configuration import Address
+
+
+class Role(enum.Enum):
+    """What a daemon does."""
+
+    BALANCER = "balancer"
+    AGENT = "agent"
+
+
+class LogLevel(enum.Enum):
+    """Which log lines are written."""
+
+    ERROR = "error"
+    WARNING = "warning"
+    INFO = "info"
+    DEBUG = "debug"
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """How the platform's configuration service and VM list are read.
+
+    Attributes:
+        addresses: endpoints to try in turn.
+        read_seconds: longest wait for an answer to a plain read.
+        watch_seconds: how long a watch is held before the platform answers "no change".
+    """
+
+    addresses: tuple[Address, ...]
+    read_seconds: float = 2.0
+    watch_seconds: float = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class TlsSettings:
+    """Certificate chain and private key, as PEM files."""
+
+    certificate: Path
+    key: Path
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionIdKey:
+    """Key of the connection IDs that carry one number in their rotation bits.
+
+    Attributes:
+        rotation: 0 to 6.
+        key: 16 bytes.
+    """
+
+    rotation: int
+    key: bytes = field(repr=False)
+
+
+@dataclass(frozen=True, slots=True)
+class LogSettings:
+    """Where log lines go and which are written.
+
+    Attributes:
+        file: None for standard error.
+    """
+
+    file: Path | None = None
+    level: LogLevel = LogLevel.INFO
+
+
+@dataclass(frozen=True, slots=True)
+class FlowSettings:
+    """Callers' QUIC connections at an agent.
+
+    Attributes:
+        keep_alive_seconds: time without a packet after which one is sent.
+        idle_seconds: time without a packet after which the connection is given up.
+        maximum_flows: connections held at once; new ones are refused above it.
+        handshakes_per_second: new connections accepted a second.
+    """
+
+    keep_alive_seconds: float = 15.0
+    idle_seconds: float = 60.0
+    maximum_flows: int = 4000
+    handshakes_per_second: int = 500
+
+
+@dataclass(frozen=True, slots=True)
+class RelaySettings:
+    """Links between agents.
+
+    Attributes:
+        connect_seconds: longest wait for a new link.
+        keep_alive_seconds: time without a message after which one is sent.
+        silence_seconds: time without a message after which a link is replaced.
+        resume_seconds: how long a gate keeps a request whose link was lost.
+    """
+
+    connect_seconds: float = 1.0
+    keep_alive_seconds: float = 1.0
+    silence_seconds: float = 3.0
+    resume_seconds: float = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class BackendSettings:
+    """An agent's dealings with its own backend server.
+
+    Attributes:
+        connect_seconds: longest wait for a new connection.
+        silence_seconds: longest wait for a first or next byte of a short request's answer.
+        health_seconds: time between reads of the health and load pages.
+        health_path: path of the health page.
+        load_path: path of the load page.
+    """
+
+    connect_seconds: float = 1.0
+    silence_seconds: float = 30.0
+    health_seconds: float = 1.0
+    health_path: str = "/health"
+    load_path: str = "/load"
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipSettings:
+    """Probes between processes.
+
+    Attributes:
+        probe_seconds: time between two probes by this process.
+        timeout_seconds: longest wait for a direct answer before others are asked to probe.
+        suspicion_seconds: time a suspect has to refute before it counts as dead.
+        vm_list_seconds: time between reads of the VM list.
+    """
+
+    probe_seconds: float = 1.0
+    timeout_seconds: float = 0.3
+    suspicion_seconds: float = 2.0
+    vm_list_seconds: float = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class ExchangeSettings:
+    """How configuration travels between processes.
+
+    Attributes:
+        period_seconds: time between two comparisons with a random peer.
+        fetch_seconds: longest wait for changes from a peer.
+        start_seconds: longest time that a new process asks around before it puts anything in
+            force.
+        silence_seconds: time without a reader's heartbeat after which a process reads the
+            platform itself.
+    """
+
+    period_seconds: float = 2.0
+    fetch_seconds: float = 2.0
+    start_seconds: float = 2.0
+    silence_seconds: float = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class ShutdownSettings:
+    """A graceful shutdown.
+
+    Attributes:
+        drain_seconds: longest wait for requests in progress; None for no limit.
+        linger_seconds: how long a balancer forwards on after the signal to stop.
+    """
+
+    drain_seconds: float | None = None
+    linger_seconds: float = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class DaemonSettings:
+    """Everything that one daemon learns from its settings file.
+
+    Attributes:
+        name: the VM's name in the platform's list.
+        number: number of the target beside which an agent runs; None for a balancer.
+        listen: local endpoint for each service address; a service address that isn't named
+            is bound itself.
+        tunnel: UDP endpoint for datagrams between balancers and agents.
+        relay: TCP endpoint for other processes.
+        gossip: UDP endpoint for membership, load reports and configuration news.
+        admin: TCP endpoint of the pages for operators.
+        seeds: gossip endpoints of processes to ask at the start.
+        tls: None for a balancer.
+        connection_id_keys: the first is used for new connection IDs.
+    """
+
+    role: Role
+    name: str
+    number: int | None
+    failure_domain: str
+    listen: Mapping[Address, Address]
+    tunnel: Address
+    relay: Address
+    gossip: Address
+    admin: Address
+    platform: PlatformSettings
+    seeds: tuple[Address, ...]
+    tls: TlsSettings | None
+    connection_id_keys: tuple[ConnectionIdKey, ...]
+    log: LogSettings = LogSettings()
+    flows: FlowSettings = FlowSettings()
+    relay_links: RelaySettings = RelaySettings()
+    backend: BackendSettings = BackendSettings()
+    membership: MembershipSettings = MembershipSettings()
+    exchange: ExchangeSettings = ExchangeSettings()
+    shutdown: ShutdownSettings = ShutdownSettings()
