Serve requests from an agent's own backend server

Cause: nothing spoke to a backend server yet. Change: an HTTP/1.1 client over h11 that streams both ways and whose failures tell a request that was not run from one that started; a first RequestService that serves from its own gate; a stand-in backend server that counts starts by marker and fails as told.

--- a/egretsill/requests/__init__.py
+++ b/egretsill/requests/__init__.py
@@ -1,5 +1,27 @@
 """Requests from their caller to a backend server's answer: gate, relay and retry."""
 
+from ._backend_call import Bounds
+from ._backend_client import BackendClient
+from ._collaborators import (
+    GateAdmission,
+    RequestObserver,
+    ServiceLookup,
+    SilentObserver,
+    TargetPlacement,
+)
 from ._exchange import CallerGone, Exchange, RequestHead
+from ._request_service import RequestService
 
-__all__ = ["CallerGone", "Exchange", "RequestHead"]
+__all__ = [
+    "BackendClient",
+    "Bounds",
+    "CallerGone",
+    "Exchange",
+    "GateAdmission",
+    "RequestHead",
+    "RequestObserver",
+    "RequestService",
+    "ServiceLookup",
+    "SilentObserver",
+    "TargetPlacement",
+]
--- /dev/null
+++ b/egretsill/requests/_backend_connection.py
@@ -0,0 +1,108 @@
+"""One HTTP/1.1 connection to a backend server."""
+
+from __future__ import annotations
+
+import socket
+
+import h11
+import trio
+
+from ..configuration import Address
+from ..outcomes import UnknownReason
+from ._exceptions import BackendFailed, BackendUnreachable
+
+RECEIVE_BYTES = 65_536
+MAXIMUM_HEAD_BYTES = 65_536
+KEEPALIVE_IDLE_SECONDS = 5
+KEEPALIVE_INTERVAL_SECONDS = 5
+KEEPALIVE_PROBES = 3
+UNACKNOWLEDGED_MILLISECONDS = 20_000
+
+
+async def connect(address: Address) -> BackendConnection:
+    """Return a fresh connection.
+
+    Raises:
+        BackendUnreachable: if none could be opened.
+    """
+    try:
+        stream = await trio.open_tcp_stream(address.host, address.port)
+    except OSError as error:
+        raise BackendUnreachable(address, type(error).__name__) from error
+    _watch_silence(stream)
+    return BackendConnection(stream)
+
+
+def _watch_silence(stream: trio.SocketStream) -> None:
+    """Let the kernel notice a path that swallows everything, for both directions."""
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLISECONDS)
+
+
+class BackendConnection:
+    """Sends one request after the other and reads their answers.
+
+    Attributes:
+        idle_since: when it was last given back to the pool, in seconds.
+    """
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self.idle_since = 0.0
+        self._stream = stream
+        self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAXIMUM_HEAD_BYTES)
+
+    @property
+    def reusable(self) -> bool:
+        """Return whether both sides have ended their message and keep the connection."""
+        return self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+
+    def encode(self, event: h11.Request | h11.Data | h11.EndOfMessage) -> bytes:
+        """Return the bytes of an event.
+
+        Raises:
+            h11.LocalProtocolError: if the event may not be sent now.
+        """
+        return self._http.send(event) or b""
+
+    async def send(self, data: bytes) -> None:
+        """Send bytes made by `encode`.
+
+        Raises:
+            trio.BrokenResourceError: if the backend server has closed its side.
+        """
+        await self._stream.send_all(data)
+
+    async def receive(self) -> h11.Event | type[h11.PAUSED]:
+        """Return the next event of the answer.
+
+        Raises:
+            BackendFailed: if the connection ended early or carried garbage.
+        """
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                raise BackendFailed(UnknownReason.BACKEND_MALFORMED) from error
+            if not isinstance(event, type) or event is h11.PAUSED:
+                return event
+            await self._feed()
+
+    def start_next_cycle(self) -> None:
+        """Make ready for another request on the same connection."""
+        self._http.start_next_cycle()
+
+    def close(self) -> None:
+        """Close at once; a request that runs is cancelled by it."""
+        self._stream.socket.close()
+
+    async def _feed(self) -> None:
+        try:
+            data = await self._stream.receive_some(RECEIVE_BYTES)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise BackendFailed(UnknownReason.BACKEND_LOST) from error
+        if not data and self._http.their_state is not h11.DONE:
+            raise BackendFailed(UnknownReason.BACKEND_LOST)
+        self._http.receive_data(data)
--- /dev/null
+++ b/egretsill/requests/_collaborators.py
@@ -0,0 +1,103 @@
+"""What requests need from other slices, and what they tell observers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection, Sequence
+from typing import Protocol, TypeAlias
+
+from ..admission import AdmissionDecision, Ticket
+from ..configuration import RequestClass, Service
+from ..outcomes import Outcome, RefusalReason
+
+ServiceLookup: TypeAlias = Callable[[str], Service | None]
+
+
+class GateAdmission(Protocol):
+    """Slots, connections and queue of one backend server; each call returns what changed."""
+
+    def ask(self, ticket: Ticket, now: float) -> AdmissionDecision:
+        """Decide on a request at once."""
+
+    def release(self, identifier: str, now: float) -> Sequence[AdmissionDecision]:
+        """Free what an admitted request held."""
+
+    def cancel(self, identifier: str, now: float) -> Sequence[AdmissionDecision]:
+        """Forget a request that waits or was admitted."""
+
+    def expire(self, now: float) -> Sequence[AdmissionDecision]:
+        """Drop what has waited too long."""
+
+    def stop(self, now: float) -> Sequence[AdmissionDecision]:
+        """Admit nothing from now on."""
+
+
+class TargetPlacement(Protocol):
+    """Chooses targets and learns from what became of requests."""
+
+    def choose(
+        self, request_class: RequestClass, exclude: Collection[int], now: float
+    ) -> int | None:
+        """Return the number of the target to try next, or None if there is none."""
+
+    def on_sent(self, target_number: int, weight: float, now: float) -> None:
+        """Note that a request was offered to a target."""
+
+    def on_finished(self, target_number: int, weight: float, now: float) -> None:
+        """Note that an offered request has ended there, however it ended."""
+
+    def on_refused(self, target_number: int, reason: RefusalReason, now: float) -> None:
+        """Note that a target refused."""
+
+
+class RequestObserver(Protocol):
+    """Is told of every start at the own gate and of every request's end."""
+
+    def on_start(self, request_class: RequestClass, tenant: str, queue_seconds: float) -> None:
+        """Note that a request went to the backend server of this agent."""
+
+    def on_outcome(
+        self,
+        request_class: RequestClass | None,
+        tenant: str,
+        outcome: Outcome,
+        first_byte_seconds: float | None,
+        total_seconds: float,
+        queue_seconds: float,
+        tries: int,
+    ) -> None:
+        """Note how a caller's request ended.
+
+        Args:
+            request_class: None for a request of no declared class.
+            tenant: whose service it was for.
+            outcome: what the caller was told.
+            first_byte_seconds: from its arrival to the answer's head, or None without an answer.
+            total_seconds: from its arrival to its end.
+            queue_seconds: time in the queue of the own gate.
+            tries: targets that it was offered to.
+        """
+
+    def on_malformed(self, protocol: str) -> None:
+        """Note a relay link or backend connection that carried garbage."""
+
+
+class SilentObserver:
+    """Observes nothing."""
+
+    def on_start(self, request_class: RequestClass, tenant: str, queue_seconds: float) -> None:
+        """Do nothing."""
+
+    def on_outcome(
+        self,
+        request_class: RequestClass | None,
+        tenant: str,
+        outcome: Outcome,
+        first_byte_seconds: float | None,
+        total_seconds: float,
+        queue_seconds: float,
+        tries: int,
+    ) -> None:
+        """Do nothing."""
+
+    def on_malformed(self, protocol: str) -> None:
+        """Do nothing."""
--- /dev/null
+++ b/egretsill/requests/_silence.py
@@ -0,0 +1,83 @@
+"""Bounds on how long a task waits, kept by the timer service."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import trio
+
+from ..timing import Subscription, TimerService
+
+
+@contextmanager
+def bounded(timer: TimerService, seconds: float | None) -> Iterator[trio.CancelScope]:
+    """Cancel the block after `seconds`; the scope tells whether that happened."""
+    with trio.CancelScope() as scope:
+        subscription: Subscription | None = None
+        if seconds is not None:
+            subscription = timer.call_later(max(seconds, 0.0), lambda _: scope.cancel())
+        try:
+            yield scope
+        finally:
+            if subscription is not None:
+                subscription.cancel()
+
+
+class SilenceWatch:
+    """Cancels a scope when a peer that owes the next byte has been silent for too long.
+
+    Waiting for somebody else than the peer is no silence of the peer: `hold` stops the watch and
+    `release` starts it anew.
+
+    Attributes:
+        expired: whether the watch cancelled its scope.
+    """
+
+    def __init__(self, timer: TimerService, seconds: float | None, scope: trio.CancelScope) -> None:
+        self.expired = False
+        self._timer = timer
+        self._seconds = seconds
+        self._scope = scope
+        self._holds = 0
+        self._last = timer.now
+        self._subscription: Subscription | None = None
+        if seconds is not None:
+            self._subscription = timer.call_at(self._last + seconds, self._check)
+
+    def touch(self) -> None:
+        """Note that the peer gave a sign of life."""
+        self._last = self._timer.now
+
+    def hold(self) -> None:
+        """Stop watching while the peer owes nothing."""
+        self._holds += 1
+
+    def release(self) -> None:
+        """Watch again, from now on."""
+        self._holds -= 1
+        self.touch()
+
+    def change(self, seconds: float | None) -> None:
+        """Watch with another bound, from now on."""
+        self.close()
+        self.touch()
+        self._seconds = seconds
+        if seconds is not None:
+            self._subscription = self._timer.call_at(self._last + seconds, self._check)
+
+    def close(self) -> None:
+        """End the watch."""
+        if self._subscription is not None:
+            self._subscription.cancel()
+
+    def _check(self, now: float) -> None:
+        if self._seconds is None:
+            return
+        if self._holds:
+            self._last = now
+        if now - self._last >= self._seconds:
+            self.expired = True
+            self._scope.cancel()
+            return
+        self._subscription = self._timer.call_at(self._last + self._seconds, self._check)
--- /dev/null
+++ b/egretsill/stand_ins/backend_server.py
@@ -0,0 +1,324 @@
+"""A small backend server that keeps to the contract, or breaks it as told.
+
+Pages:
+
+- `GET /health`: 200 `{"status": "ok"}` or 503 `{"status": "draining"}`.
+- `GET /load`: `{"running": N, "slots": N, "subscriptions": N}`, as late or wrong as set.
+- `GET /counts`: what it counted. `POST /control`: changes its behaviour by a JSON object.
+- `GET /subscribe…?from=R&count=N`: one JSON line for each revision above R, N at most.
+- `POST` and `PUT`: takes the whole body and answers with its length and SHA-256 digest.
+- any other `GET`: one JSON object that repeats path and marker.
+
+Headers of a request: `x-request-marker` names it for the counts, `x-intended-service` says where it
+was meant to go, `x-weight` scales its service time.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+from collections.abc import Sequence
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import h11
+import trio
+from absl import app, flags
+
+from ._backend_behaviour import BackendBehaviour, BackendCounts, Fault
+from ._backend_server_connection import ServerConnection
+
+__all__ = ["BackendBehaviour", "BackendCounts", "BackendServer", "Fault"]
+
+GARBAGE = b"\x00\x01 garbage \xff\xfe\r\n\r\n"
+SHED_HEADERS = ((b"egretsill-not-run", b"1"), (b"retry-after", b"1"))
+
+FLAGS = flags.FLAGS
+FLAG_LISTEN = flags.DEFINE_string("listen", "127.0.0.1:8080", "IP:PORT to listen on.")
+FLAG_SERVICE = flags.DEFINE_string("service", None, "Name of the service that it belongs to.")
+FLAG_SLOTS = flags.DEFINE_integer("slots", 4, "Requests that run at once.")
+FLAG_SECONDS_PER_WEIGHT = flags.DEFINE_float(
+    "seconds_per_weight", 0.005, "Service time of a request of weight 1, in seconds."
+)
+FLAG_REVISION_SECONDS = flags.DEFINE_float(
+    "revision_seconds", 1.0, "Time between a subscription's revisions, in seconds; 0 for none."
+)
+
+
+class BackendServer:
+    """One backend server of one service, inside the caller's trio loop."""
+
+    def __init__(self, service: str, behaviour: BackendBehaviour | None = None) -> None:
+        self.behaviour = behaviour or BackendBehaviour()
+        self.counts = BackendCounts()
+        self._service = service
+        self._revision = 0
+        self._news = trio.Event()
+        self._freed = trio.Event()
+        self._waiting = 0
+        self._started_at = trio.current_time()
+        self._drained_at: float | None = None
+        self._load_page: tuple[float, dict[str, int]] = (-math.inf, {})
+
+    @property
+    def service(self) -> str:
+        """Return the name of its service."""
+        return self._service
+
+    @property
+    def revision(self) -> int:
+        """Return the highest revision published."""
+        return self._revision
+
+    def publish(self) -> int:
+        """Send a new revision to all subscribers and return its number."""
+        self._revision += 1
+        self._news.set()
+        self._news = trio.Event()
+        return self._revision
+
+    def drain(self) -> None:
+        """Say on the health page that the server is leaving, and time the starts that follow."""
+        self.behaviour.draining = True
+        if self._drained_at is None:
+            self._drained_at = trio.current_time()
+
+    async def serve(
+        self,
+        host: str,
+        port: int,
+        *,
+        task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until cancelled; reports the port, of use if `port` is 0."""
+        listeners = await trio.open_tcp_listeners(port, host=host)
+        bound: int = listeners[0].socket.getsockname()[1]
+        task_status.started(bound)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._publish_regularly)
+            await trio.serve_listeners(self.serve_connection, listeners, handler_nursery=nursery)
+
+    async def serve_connection(self, stream: trio.abc.Stream) -> None:
+        """Serve the requests of one connection."""
+        connection = ServerConnection(stream)
+        try:
+            while await self._serve_request(connection):
+                connection.http.start_next_cycle()
+        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError):
+            return
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    async def _publish_regularly(self) -> None:
+        while True:
+            await trio.sleep(self.behaviour.revision_seconds or 1.0)
+            if self.behaviour.revision_seconds:
+                self.publish()
+
+    async def _serve_request(self, connection: ServerConnection) -> bool:
+        event = await connection.next_event()
+        if not isinstance(event, h11.Request):
+            return False
+        path = event.target.decode()
+        match urlsplit(path).path:
+            case "/health":
+                await self._answer_health(connection)
+            case "/load":
+                await connection.answer_json(200, self._load())
+            case "/counts":
+                await connection.answer_json(200, self.counts.to_json())
+            case "/control":
+                await self._control(connection)
+            case _:
+                await self._work(connection, event, path)
+        return connection.http.our_state is h11.DONE and connection.http.their_state is h11.DONE
+
+    async def _answer_health(self, connection: ServerConnection) -> None:
+        draining = self.behaviour.draining
+        lag = self.behaviour.health_lag_seconds
+        if (
+            draining
+            and self._drained_at is not None
+            and trio.current_time() < self._drained_at + lag
+        ):
+            draining = False
+        if draining:
+            await connection.answer_json(503, {"status": "draining"})
+        else:
+            await connection.answer_json(200, {"status": "ok"})
+
+    def _load(self) -> dict[str, int]:
+        sampled_at, page = self._load_page
+        if trio.current_time() - sampled_at >= self.behaviour.load_lag_seconds:
+            page = {
+                "running": round(self.counts.running * self.behaviour.load_factor),
+                "slots": self.behaviour.slots,
+                "subscriptions": self.counts.subscriptions,
+            }
+            self._load_page = (trio.current_time(), page)
+        return page
+
+    async def _control(self, connection: ServerConnection) -> None:
+        body = await connection.receive_body()
+        try:
+            values = json.loads(body)
+            self.behaviour.change(values)
+        except (ValueError, AttributeError) as error:
+            await connection.answer_json(400, {"error": str(error)})
+            return
+        if self.behaviour.draining:
+            self.drain()
+        await connection.answer_json(200, {"status": "changed"})
+
+    async def _work(self, connection: ServerConnection, request: h11.Request, path: str) -> None:
+        headers = {name.decode(): value.decode() for name, value in request.headers}
+        subscription = path.startswith("/subscribe")
+        full = not subscription and self._waiting >= self.behaviour.waiting
+        if self.behaviour.shedding or full:
+            self.counts.shed += 1
+            drained = ((b"egretsill-draining", b"1"),) if self.behaviour.draining else ()
+            await connection.answer_json(503, {"status": "not run"}, (*SHED_HEADERS, *drained))
+            return
+        self._count_start(request.method.decode(), headers)
+        finished = False
+        try:
+            if subscription:
+                finished = await self._subscription(connection, path)
+            else:
+                finished = await self._short(connection, request, path, headers)
+        finally:
+            self.counts.finished += finished
+            self.counts.cancelled += not finished
+
+    def _count_start(self, method: str, headers: dict[str, str]) -> None:
+        self.counts.starts_by_method[method] += 1
+        if "x-request-marker" in headers:
+            self.counts.starts[headers["x-request-marker"]] += 1
+        if headers.get("x-intended-service", self._service) != self._service:
+            self.counts.misdirected += 1
+        if self._drained_at is not None:
+            since = trio.current_time() - self._drained_at
+            self.counts.last_start_after_drain_seconds = since
+
+    async def _short(
+        self,
+        connection: ServerConnection,
+        request: h11.Request,
+        path: str,
+        headers: dict[str, str],
+    ) -> bool:
+        weight = float(headers.get("x-weight", "1"))
+        answer: dict[str, Any] = {"service": self._service, "path": path}
+        answer["marker"] = headers.get("x-request-marker", "")
+        await self._take_slot()
+        try:
+            if request.method in (b"POST", b"PUT"):
+                answer |= await connection.digest_body()
+            if not await connection.stays_open(self._service_seconds(weight)):
+                return False
+            if not await self._answer(connection, answer):
+                return False
+            self.counts.weight_done += weight
+            return True
+        finally:
+            self._free_slot()
+
+    def _service_seconds(self, weight: float) -> float:
+        behaviour = self.behaviour
+        seconds = behaviour.seconds_per_weight * weight
+        if behaviour.fault is Fault.SLOW:
+            seconds *= behaviour.slow_factor
+        if trio.current_time() - self._started_at < behaviour.cold_seconds:
+            seconds *= behaviour.cold_factor
+        return seconds
+
+    async def _take_slot(self) -> None:
+        self._waiting += 1
+        try:
+            while self.counts.running >= self.behaviour.slots:
+                await self._freed.wait()
+        finally:
+            self._waiting -= 1
+        self.counts.running += 1
+        self.counts.most_running = max(self.counts.most_running, self.counts.running)
+
+    def _free_slot(self) -> None:
+        self.counts.running -= 1
+        self._freed.set()
+        self._freed = trio.Event()
+
+    async def _answer(self, connection: ServerConnection, answer: dict[str, Any]) -> bool:
+        """Send the answer or fail it as told; return whether it went out whole."""
+        match self.behaviour.fault:
+            case Fault.SWALLOW:
+                await connection.stays_open(math.inf)
+                return False
+            case Fault.GARBAGE:
+                await connection.stream.send_all(GARBAGE)
+                return False
+            case Fault.CUT:
+                await connection.answer_cut(answer)
+                return False
+            case _:
+                await connection.answer_json(200, answer)
+                return True
+
+    async def _subscription(self, connection: ServerConnection, path: str) -> bool:
+        query = parse_qs(urlsplit(path).query)
+        sent = int(query.get("from", [str(self._revision)])[0])
+        last = sent + int(query["count"][0]) if "count" in query else None
+        await connection.begin(200, ((b"transfer-encoding", b"chunked"),))
+        self.counts.subscriptions += 1
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(connection.cancel_when_closed, nursery.cancel_scope)
+                while last is None or sent < last:
+                    sent = await self._send_news(connection, sent, last)
+                await connection.end()
+                nursery.cancel_scope.cancel()
+        finally:
+            self.counts.subscriptions -= 1
+        return connection.http.our_state is h11.DONE
+
+    async def _send_news(self, connection: ServerConnection, sent: int, last: int | None) -> int:
+        match self.behaviour.fault:
+            case Fault.SWALLOW:
+                await trio.sleep_forever()
+            case Fault.CUT:
+                await trio.aclose_forcefully(connection.stream)
+        if sent >= self._revision:
+            with trio.move_on_after(self.behaviour.heartbeat_seconds):
+                await self._news.wait()
+        if sent >= self._revision:
+            await connection.send_data(b"\n")
+            return sent
+        end = self._revision if last is None else min(self._revision, last)
+        for revision in range(sent + 1, end + 1):
+            line = json.dumps({"service": self._service, "revision": revision})
+            await connection.send_data(line.encode() + b"\n")
+        return end
+
+
+async def _serve_until_cancelled() -> None:
+    host, _, port = FLAG_LISTEN.value.rpartition(":")
+    behaviour = BackendBehaviour(
+        slots=FLAG_SLOTS.value,
+        seconds_per_weight=FLAG_SECONDS_PER_WEIGHT.value,
+        revision_seconds=FLAG_REVISION_SECONDS.value,
+    )
+    await BackendServer(FLAG_SERVICE.value or "", behaviour).serve(host.strip("[]"), int(port))
+
+
+def _main(arguments: Sequence[str]) -> int:
+    if len(arguments) > 1:
+        raise app.UsageError("no arguments are taken beyond the flags")
+    try:
+        trio.run(_serve_until_cancelled)
+    except KeyboardInterrupt:
+        return 0
+    return 0
+
+
+if __name__ == "__main__":
+    flags.mark_flag_as_required("service")  # type: ignore[no-untyped-call]
+    app.run(_main)
