--- /dev/null
+++ b/egretsill/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: one composition root for both roles."""
--- /dev/null
+++ b/egretsill/quickstart/_site_plan.py
@@ -0,0 +1,138 @@
+"""Which processes one site of a user has, and where each of them listens on loopback."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+from ..configuration import Address, Service, Target, load_declaration
+from ..settings import (
+    ConnectionIdKey,
+    DaemonSettings,
+    LogSettings,
+    PlatformSettings,
+    Role,
+    ShutdownSettings,
+    TlsSettings,
+)
+
+HOST = "127.0.0.1"
+PLATFORM_PORT = 10
+BALANCER_TUNNEL_PORT = 500
+BALANCER_RELAY_PORT = 520
+BALANCER_GOSSIP_PORT = 540
+BALANCER_ADMIN_PORT = 560
+BALANCER_LISTEN_PORT = 600
+BALANCER_LISTEN_STRIDE = 10
+AGENT_ADMIN_PORT = 700
+LINGER_SECONDS = 1.0
+CONNECTION_ID_KEYS = (ConnectionIdKey(1, bytes(range(16))),)
+
+
+@dataclass(frozen=True, slots=True)
+class SitePlan:
+    """One user's site.
+
+    Attributes:
+        name: of the user.
+        first_port: ports of the site's own processes count from here.
+        services: as declared, by name.
+        balancers: names of the balancers.
+        tls: certificate of all its services.
+        log_directory: where daemons write their logs.
+    """
+
+    name: str
+    first_port: int
+    services: Mapping[str, Service]
+    balancers: Sequence[str]
+    tls: TlsSettings
+    log_directory: Path
+
+    @property
+    def targets(self) -> Sequence[Target]:
+        """Return the targets of all services."""
+        return [target for service in self.services.values() for target in service.targets]
+
+    @property
+    def service_addresses(self) -> Sequence[Address]:
+        """Return where callers send to."""
+        return [address for service in self.services.values() for address in service.addresses]
+
+    @property
+    def platform(self) -> Address:
+        """Return the endpoint of the platform stand-in."""
+        return Address(HOST, self.first_port + PLATFORM_PORT)
+
+    @property
+    def seeds(self) -> Sequence[Address]:
+        """Return the gossip endpoints that new processes ask first."""
+        return [self._balancer_port(index, BALANCER_GOSSIP_PORT) for index in range(3)]
+
+    def listeners(self, balancer: str) -> Mapping[Address, Address]:
+        """Return a balancer's own listener for each service address."""
+        index = self.balancers.index(balancer)
+        first = self.first_port + BALANCER_LISTEN_PORT + BALANCER_LISTEN_STRIDE * index
+        return {
+            address: Address(HOST, first + offset)
+            for offset, address in enumerate(self.service_addresses)
+        }
+
+    def balancer_settings(self, balancer: str) -> DaemonSettings:
+        """Return the settings of a balancer."""
+        index = self.balancers.index(balancer)
+        domains = sorted({target.failure_domain for target in self.targets})
+        return DaemonSettings(
+            role=Role.BALANCER,
+            name=balancer,
+            number=None,
+            failure_domain=domains[index % len(domains)],
+            listen=self.listeners(balancer),
+            tunnel=self._balancer_port(index, BALANCER_TUNNEL_PORT),
+            relay=self._balancer_port(index, BALANCER_RELAY_PORT),
+            gossip=self._balancer_port(index, BALANCER_GOSSIP_PORT),
+            admin=self._balancer_port(index, BALANCER_ADMIN_PORT),
+            platform=PlatformSettings((self.platform,)),
+            seeds=tuple(self.seeds),
+            tls=None,
+            connection_id_keys=CONNECTION_ID_KEYS,
+            log=LogSettings(self.log_directory / f"{balancer}.log"),
+            shutdown=ShutdownSettings(linger_seconds=LINGER_SECONDS),
+        )
+
+    def agent_settings(self, target: Target) -> DaemonSettings:
+        """Return the settings of the agent beside a target."""
+        return DaemonSettings(
+            role=Role.AGENT,
+            name=f"agent-{target.name}",
+            number=target.number,
+            failure_domain=target.failure_domain,
+            listen={},
+            tunnel=target.tunnel,
+            relay=target.relay,
+            gossip=target.gossip,
+            admin=Address(HOST, self.first_port + AGENT_ADMIN_PORT + target.number % 100),
+            platform=PlatformSettings((self.platform,)),
+            seeds=tuple(self.seeds),
+            tls=self.tls,
+            connection_id_keys=CONNECTION_ID_KEYS,
+            log=LogSettings(self.log_directory / f"agent-{target.name}.log"),
+            shutdown=ShutdownSettings(linger_seconds=LINGER_SECONDS),
+        )
+
+    def _balancer_port(self, index: int, offset: int) -> Address:
+        return Address(HOST, self.first_port + offset + index)
+
+
+def load_site_plan(
+    name: str, examples: Path, first_port: int, tls: TlsSettings, log_directory: Path
+) -> SitePlan:
+    """Return the plan of one of the shipped example sites.
+
+    Raises:
+        DeclarationRejected: if its files hold mistakes.
+    """
+    services = load_declaration(examples / f"{name}.ini", examples / f"{name}-site.ini")
+    balancers = [f"{name}-balancer-{number}" for number in (1, 2, 3)]
+    return SitePlan(name, first_port, services, balancers, tls, log_directory)
