Find owners that a lagging balancer does not know

A balancer whose configuration lags, or which started after a target had left it, dropped the packets of flows on such a target. It now sends a packet of an unknown owner to another agent of the same service, which passes it on to the owner and tells the balancer where that is. Targets that a process has just learnt of get no first packets for 35 s, the stated lag of views and 5 s, so that flows rarely need this way. An agent passes first packets on while its target drains or is new, over two hops at most.

--- a/egretsill/steering/__init__.py
+++ b/egretsill/steering/__init__.py
@@ -1,5 +1,6 @@
 """Which agent a packet goes to, and the balancer that sends it there."""
 
+from ._agent_steering import AgentDecision, AgentSteering, Keep, PassOn
 from ._balancer import Balancer
 from ._connection_id import (
     CONNECTION_ID_BYTES,
@@ -11,13 +12,14 @@
 from ._exceptions import InvalidConnectionIdKey, InvalidOwner
 from ._packet import MalformedPacket, MalformedReason, PacketHeader, parse_packet
 from ._ranking import rank
-from ._routes import AgentIdentity, Forward
+from ._routes import AgentIdentity, Forward, ForwardKind
 from ._source_limit import SourceLimit
 from ._steering import Decision, Drop, DropReason, Steering
 from ._tunnel import (
     AgentProbe,
     AgentProbeAnswer,
     CallerPacket,
+    OwnerNotice,
     ReplyPacket,
     TunnelMessage,
     make_tunnel_codec,
@@ -26,9 +28,11 @@
 
 __all__ = [
     "CONNECTION_ID_BYTES",
+    "AgentDecision",
     "AgentIdentity",
     "AgentProbe",
     "AgentProbeAnswer",
+    "AgentSteering",
     "Balancer",
     "BalancerCounters",
     "CallerPacket",
@@ -38,12 +42,16 @@
     "Drop",
     "DropReason",
     "Forward",
+    "ForwardKind",
     "InvalidConnectionIdKey",
     "InvalidOwner",
+    "Keep",
     "MalformedPacket",
     "MalformedReason",
     "Owner",
+    "OwnerNotice",
     "PacketHeader",
+    "PassOn",
     "ReplyPacket",
     "RetainedTarget",
     "SourceLimit",
--- /dev/null
+++ b/egretsill/steering/_agent_steering.py
@@ -0,0 +1,168 @@
+"""An agent's decision whether a caller's packet is its own, and where it goes if not.
+
+An agent keeps the packets of its flows and of new flows. It passes a first packet on to the next
+agent in rank while its target drains or is new, and a packet of another owner of its service to
+that owner. At most `MAXIMUM_HOPS` agents pass a packet on.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import TypeAlias
+
+from ..configuration import Address, Bundle
+from ._connection_id import ConnectionIdCodec, is_owner, owner_bytes, service_number_of
+from ._packet import MalformedPacket, parse_packet
+from ._ranking import first_unavoided, rank
+from ._routes import PLACEMENT_DELAY_SECONDS, Forward, RoutingTable, ServiceRoutes
+from ._steering import Drop, DropReason
+from ._tunnel import CallerPacket, OwnerNotice
+from ._view import SteeringView, avoidance
+
+MAXIMUM_HOPS = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Keep:
+    """The packet belongs to this agent."""
+
+
+@dataclass(frozen=True, slots=True)
+class PassOn:
+    """The packet goes on to another agent of the same service.
+
+    Attributes:
+        tunnel: where to send `packet`.
+        packet: the packet with one more hop and the balancer that took it in.
+        balancer: where to send `notice`, so that the balancer knows the other agent.
+    """
+
+    tunnel: Address
+    packet: CallerPacket
+    balancer: Address
+    notice: OwnerNotice
+
+
+AgentDecision: TypeAlias = Keep | PassOn | Drop
+
+
+class AgentSteering:
+    """Decides on the packets that reach one agent; all times are in seconds.
+
+    Args:
+        target_number: the agent's target.
+        service_number: the target's service.
+        codec: reads owner IDs.
+        owns_flow: whether a connection ID belongs to a flow that is open here.
+        is_draining: whether the target takes no new flows.
+        started_at: when this agent began to serve the target; the target is new for a while.
+        placement_delay_seconds: for how long a target is new.
+    """
+
+    def __init__(
+        self,
+        target_number: int,
+        service_number: int,
+        codec: ConnectionIdCodec,
+        owns_flow: Callable[[bytes], bool],
+        is_draining: Callable[[], bool],
+        started_at: float,
+        placement_delay_seconds: float = PLACEMENT_DELAY_SECONDS,
+    ) -> None:
+        self._target_number = target_number
+        self._service_number = service_number
+        self._own_bytes = owner_bytes(service_number, target_number)
+        self._codec = codec
+        self._owns_flow = owns_flow
+        self._is_draining = is_draining
+        self._mature_at = started_at + placement_delay_seconds
+        self._table = RoutingTable(placement_delay_seconds)
+        self._routes: ServiceRoutes | None = None
+        self._view = SteeringView()
+
+    def replace_codec(self, codec: ConnectionIdCodec) -> None:
+        """Use other connection ID keys from now on."""
+        self._codec = codec
+
+    def apply_bundle(self, bundle: Bundle, now: float) -> None:
+        """Know the other agents by this configuration from now on."""
+        self._table.apply_bundle(bundle, now)
+        self._routes = self._table.routes_of(self._service_number)
+
+    def update_view(self, view: SteeringView) -> None:
+        """Pass first packets on by this view from now on."""
+        self._view = view
+
+    def decide(self, packet: CallerPacket, sender: Address, now: float) -> AgentDecision:
+        """Return what becomes of a packet that came from `sender`'s tunnel endpoint."""
+        if packet.service_number != self._service_number:
+            return Drop(DropReason.FOREIGN_OWNER)
+        header = parse_packet(packet.payload)
+        if isinstance(header, MalformedPacket):
+            return Drop(DropReason(header.reason.value))
+        if self._owns_flow(header.connection_id):
+            return Keep()
+        owner = self._codec.decode_owner_bytes(header.connection_id)
+        if owner is not None and is_owner(owner):
+            return self._decide_owned(packet, sender, owner, now)
+        if not header.may_open:
+            return Drop(DropReason.UNDECODABLE_ID)
+        return self._decide_first(packet, sender, header.connection_id, now)
+
+    def _decide_owned(
+        self, packet: CallerPacket, sender: Address, owner: bytes, now: float
+    ) -> AgentDecision:
+        if owner == self._own_bytes:
+            return Keep()
+        if service_number_of(owner) != self._service_number:
+            return Drop(DropReason.FOREIGN_OWNER)
+        if self._routes is None or packet.hops >= MAXIMUM_HOPS:
+            return Drop(DropReason.UNKNOWN_OWNER)
+        forward = self._routes.owners.get(owner) or self._next_in_rank(owner, now)
+        if forward is None:
+            return Drop(DropReason.UNKNOWN_OWNER)
+        return _pass_on(packet, sender, forward)
+
+    def _decide_first(
+        self, packet: CallerPacket, sender: Address, key: bytes, now: float
+    ) -> AgentDecision:
+        is_draining = self._is_draining()
+        if not is_draining and now >= self._mature_at:
+            return Keep()
+        forward = None
+        if packet.hops < MAXIMUM_HOPS:
+            forward = self._next_in_rank(key, now)
+        if forward is not None:
+            return _pass_on(packet, sender, forward)
+        return Drop(DropReason.NO_TARGET) if is_draining else Keep()
+
+    def _next_in_rank(self, key: bytes, now: float) -> Forward | None:
+        """Return the next usable agent after this one in rank, or None.
+
+        Those before this one have been tried or were left out on purpose, so they come last.
+        """
+        if self._routes is None:
+            return None
+        ranked = rank(key, {*self._routes.first_packets, self._target_number})
+        own_place = ranked.index(self._target_number)
+        others = ranked[own_place + 1 :] + ranked[:own_place]
+        strictest, *_ = avoidance(
+            self._view, frozenset(), self._table.draining, self._table.new_targets(now)
+        )
+        target_number = first_unavoided(others, [strictest])
+        return None if target_number is None else self._routes.first_packets[target_number]
+
+
+def _pass_on(packet: CallerPacket, sender: Address, forward: Forward) -> PassOn:
+    balancer = sender
+    if packet.balancer_host is not None:
+        balancer = Address(packet.balancer_host, packet.balancer_port)
+    passed = replace(
+        packet,
+        hops=packet.hops + 1,
+        balancer_host=balancer.host,
+        balancer_port=balancer.port,
+    )
+    notice = OwnerNotice(forward.target_number, forward.service_number, *forward.tunnel)
+    return PassOn(forward.tunnel, passed, balancer, notice)
--- a/egretsill/steering/_balancer.py
+++ b/egretsill/steering/_balancer.py
@@ -28,13 +28,20 @@
     SendProbe,
     WatchEffect,
 )
-from ._routes import AgentIdentity, Forward
+from ._routes import (
+    PLACEMENT_DELAY_SECONDS,
+    RETENTION_SECONDS,
+    AgentIdentity,
+    Forward,
+    ForwardKind,
+)
 from ._source_limit import SourceLimit
 from ._steering import Drop, DropReason, Steering
 from ._tunnel import (
     AgentProbe,
     AgentProbeAnswer,
     CallerPacket,
+    OwnerNotice,
     ReplyPacket,
     make_tunnel_codec,
 )
@@ -61,6 +68,7 @@
         listen: local address to bind for a service address, where the fabric hands packets over
             at another address than the published one.
         source_limit: bound on first packets by source.
+        placement_delay_seconds: for how long first packets keep away from a new target.
     """
 
     def __init__(
@@ -70,10 +78,11 @@
         codec: ConnectionIdCodec,
         listen: Callable[[Address], Address] | None = None,
         source_limit: SourceLimit | None = None,
+        placement_delay_seconds: float = PLACEMENT_DELAY_SECONDS,
     ) -> None:
         self._timer = timer
         self._listen = listen or (lambda service_address: service_address)
-        self._steering = Steering(codec, source_limit)
+        self._steering = Steering(codec, source_limit, placement_delay_seconds)
         self._watch = FirstPacketWatch()
         self._tunnel_codec = make_tunnel_codec()
         self._tunnel = open_datagram_socket(tunnel_address)
@@ -210,9 +219,12 @@
         if not self._send(self._tunnel, self._tunnel_codec.encode(packet), forward.tunnel):
             return
         self._counters.forwarded += 1
-        if forward.opens_flow:
-            self._counters.first_packets += 1
-            self._watch.first_packet_sent(forward.target_number, now)
+        match forward.kind:
+            case ForwardKind.FIRST_PACKET:
+                self._counters.first_packets += 1
+                self._watch.first_packet_sent(forward.target_number, now)
+            case ForwardKind.UNKNOWN_OWNER:
+                self._counters.inquiries += 1
 
     def _take_tunnel_batch(self) -> bool:
         """Handle a batch of agents' datagrams; return whether there may be more."""
@@ -241,6 +253,8 @@
                 self._reply(agent, message)
             case AgentProbeAnswer():
                 pass
+            case OwnerNotice():
+                self._learn_owner(agent, message)
             case _:
                 self._counters.drops[DropReason.UNEXPECTED_MESSAGE] += 1
 
@@ -255,6 +269,18 @@
         if self._send(listener.socket, reply.payload, caller):
             self._counters.replied += 1
 
+    def _learn_owner(self, agent: AgentIdentity, notice: OwnerNotice) -> None:
+        """Send an unknown target's packets to where an agent of the same service says."""
+        if notice.service_number != agent.service_number:
+            self._counters.drops[DropReason.FOREIGN_OWNER] += 1
+            return
+        self._counters.owners_learnt += 1
+        tunnel = Address(notice.tunnel_host, notice.tunnel_port)
+        expires_at = self._timer.now + RETENTION_SECONDS
+        self.retain(
+            [RetainedTarget(notice.target_number, notice.service_number, tunnel, expires_at)]
+        )
+
     def _send(self, sender: socket.socket, data: bytes, address: tuple[str, int]) -> bool:
         """Send a datagram, or count why it could not be sent and return False."""
         try:
--- a/egretsill/steering/_connection_id.py
+++ b/egretsill/steering/_connection_id.py
@@ -26,6 +26,8 @@
 _ROTATION_SHIFT_BITS = 5
 _UNROUTABLE_ROTATION = 0b111
 _OWNER_LAYOUT = struct.Struct("!HIH")
+_SERVICE_NUMBER_BYTES = 2
+_CHECK_AT = 6
 _SCRATCH_BYTES = 2 * BLOCK_BYTES - 1
 
 
@@ -133,5 +135,15 @@
         raise InvalidOwner(service_number, target_number, NONCE_BYTES) from error
 
 
+def is_owner(prefix: bytes) -> bool:
+    """Return whether the check bytes of a decrypted block's first 8 bytes are right."""
+    return not any(prefix[_CHECK_AT:])
+
+
+def service_number_of(prefix: bytes) -> int:
+    """Return the service number in a decrypted block's first 8 bytes."""
+    return int.from_bytes(prefix[:_SERVICE_NUMBER_BYTES], "big")
+
+
 def _cipher(key: ConnectionIdKey) -> Cipher[ECB]:
     return Cipher(AES(key.secret), ECB())
--- a/egretsill/steering/_counters.py
+++ b/egretsill/steering/_counters.py
@@ -15,6 +15,8 @@
     Attributes:
         forwarded: datagrams sent to agents.
         first_packets: those of them that were placed as the first of a flow.
+        inquiries: those of them that went to an agent that may know their owner.
+        owners_learnt: notices of agents about such an owner.
         replied: datagrams sent to callers.
         probes: probes sent to agents.
         became_silent: times that an agent was found silent.
@@ -25,6 +27,8 @@
 
     forwarded: int = 0
     first_packets: int = 0
+    inquiries: int = 0
+    owners_learnt: int = 0
     replied: int = 0
     probes: int = 0
     became_silent: int = 0
--- a/egretsill/steering/_ranking.py
+++ b/egretsill/steering/_ranking.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from array import array
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Sequence
 
 from xxhash import xxh3_64_intdigest
 
@@ -31,6 +31,24 @@
     return tuple(sorted(target_numbers, key=lambda number: _score(bucket, number), reverse=True))
 
 
+def first_unavoided(ranked: Iterable[int], avoidance: Sequence[Collection[int]]) -> int | None:
+    """Return the first in rank that the strictest possible of several sets does not hold.
+
+    Args:
+        ranked: targets in the order in which they are to be asked.
+        avoidance: targets to keep away from, the strictest set first.
+
+    Returns:
+        None if every target is in every set.
+    """
+    order = tuple(ranked)
+    for avoided in avoidance:
+        for target_number in order:
+            if target_number not in avoided:
+                return target_number
+    return None
+
+
 class WinnerTable:
     """The first of the rank for every bucket, worked out when it is first asked for."""
 
--- a/egretsill/steering/_routes.py
+++ b/egretsill/steering/_routes.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import enum
+import math
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..configuration import Address, Bundle, Service, TargetState
 from ._connection_id import owner_bytes
@@ -11,9 +13,24 @@
 from ._view import RetainedTarget
 
 RETENTION_SECONDS = 24 * 3600.0
+VIEW_LAG_SECONDS = 30.0
+PLACEMENT_DELAY_SECONDS = VIEW_LAG_SECONDS + 5.0
 MAXIMUM_RETAINED_TARGETS = 16_384
 
 
+class ForwardKind(enum.Enum):
+    """Why a packet goes to an agent.
+
+    OWNER: its connection ID names the agent's target. FIRST_PACKET: it may open a flow and was
+    placed there. UNKNOWN_OWNER: its connection ID names a target that is not known here, and the
+    agent, one of the same service, may know it.
+    """
+
+    OWNER = "owner"
+    FIRST_PACKET = "first-packet"
+    UNKNOWN_OWNER = "unknown-owner"
+
+
 @dataclass(frozen=True, slots=True)
 class Forward:
     """The packet goes through the tunnel to the agent of a target.
@@ -22,13 +39,13 @@
         target_number: the target.
         tunnel: UDP endpoint of its agent.
         service_number: service of the target.
-        opens_flow: whether the packet was placed as the first of a flow.
+        kind: why it goes there.
     """
 
     target_number: int
     tunnel: Address
     service_number: int
-    opens_flow: bool
+    kind: ForwardKind
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,19 +69,29 @@
         service_number: number of the service.
         owners: where packets with an owner ID go, by the bytes that stand for the owner.
         first_packets: where first packets go, by target number.
+        inquiries: where packets of unknown owners go, by number of the target asked.
         winners: rank of the targets in the configuration.
     """
 
     service_number: int
     owners: dict[bytes, Forward]
     first_packets: dict[int, Forward]
+    inquiries: dict[int, Forward]
     winners: WinnerTable
 
 
 class RoutingTable:
-    """The routes of one balancer; all times are in seconds."""
+    """The routes of one process; all times are in seconds.
+
+    Args:
+        placement_delay_seconds: for how long a target is new after this process learnt of it.
+            New flows keep away from it for that time, so that every balancer knows the target
+            before any flow belongs to it. Targets of the first configuration are not new.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, placement_delay_seconds: float = PLACEMENT_DELAY_SECONDS) -> None:
+        self._placement_delay_seconds = placement_delay_seconds
+        self._new_until: dict[int, float] = {}
         self.routes: dict[tuple[str, int], ServiceRoutes] = {}
         self.agents: dict[tuple[str, int], AgentIdentity] = {}
         self._services: dict[str, Service] = {}
@@ -108,19 +135,44 @@
         self._retain_dropped(bundle, now)
         self._services = dict(bundle.services)
         targets = [each for service in self._services.values() for each in service.targets]
+        self._mark_new({each.number for each in targets}, now)
         self._tunnels = {each.number: each.tunnel for each in targets}
         self._draining = frozenset(
             each.number for each in targets if each.state is TargetState.DRAINING
         )
         self._rebuild(now)
 
+    def routes_of(self, service_number: int) -> ServiceRoutes | None:
+        """Return the routes of a service, or None if there is no such service."""
+        return self._built.get(service_number)
+
+    def new_targets(self, now: float) -> frozenset[int]:
+        """Return the numbers of the targets that this process has known for a short time only."""
+        return frozenset(number for number, until in self._new_until.items() if until > now)
+
+    def next_maturity(self, now: float) -> float:
+        """Return when the next target stops being new, or infinity."""
+        return min((until for until in self._new_until.values() if until > now), default=math.inf)
+
     def retain(self, targets: Iterable[RetainedTarget], now: float) -> None:
         """Go on sending these targets their packets, unless the configuration has them."""
         latest = now + RETENTION_SECONDS
-        for each in targets:
-            if each.number not in self._tunnels and each.expires_at <= latest:
-                self._retained.setdefault(each.number, each)
-        self._rebuild(now)
+        added = {
+            each.number: each
+            for each in targets
+            if each.number not in self._tunnels
+            and each.number not in self._retained
+            and each.expires_at <= latest
+        }
+        if added:
+            self._retained.update(added)
+            self._rebuild(now)
+
+    def _mark_new(self, numbers: set[int], now: float) -> None:
+        kept = {each: until for each, until in self._new_until.items() if each in numbers}
+        added = numbers - self._tunnels.keys() if self._tunnels else ()
+        kept.update((each, now + self._placement_delay_seconds) for each in added)
+        self._new_until = {each: until for each, until in kept.items() if until > now}
 
     def _retain_dropped(self, bundle: Bundle, now: float) -> None:
         kept_numbers = {each.number for new in bundle.services.values() for each in new.targets}
@@ -175,14 +227,14 @@
         is_same = before is not None and before.winners.target_numbers == numbers
         owners = _owners(service.number, retained)
         first_packets = {}
+        inquiries = {}
         for each in service.targets:
-            forward = Forward(each.number, each.tunnel, service.number, opens_flow=False)
+            forward = Forward(each.number, each.tunnel, service.number, ForwardKind.OWNER)
             owners[owner_bytes(service.number, each.number)] = forward
-            first_packets[each.number] = Forward(
-                each.number, each.tunnel, service.number, opens_flow=True
-            )
+            first_packets[each.number] = replace(forward, kind=ForwardKind.FIRST_PACKET)
+            inquiries[each.number] = replace(forward, kind=ForwardKind.UNKNOWN_OWNER)
         winners = before.winners if before is not None and is_same else WinnerTable(numbers)
-        return ServiceRoutes(service.number, owners, first_packets, winners)
+        return ServiceRoutes(service.number, owners, first_packets, inquiries, winners)
 
     def _index(self, built: dict[int, ServiceRoutes]) -> None:
         self.routes = {}
@@ -202,11 +254,11 @@
 def _owners(service_number: int, retained: Iterable[RetainedTarget]) -> dict[bytes, Forward]:
     return {
         owner_bytes(service_number, each.number): Forward(
-            each.number, each.tunnel, service_number, opens_flow=False
+            each.number, each.tunnel, service_number, ForwardKind.OWNER
         )
         for each in retained
     }
 
 
 def _build_retired(service_number: int, retained: Iterable[RetainedTarget]) -> ServiceRoutes:
-    return ServiceRoutes(service_number, _owners(service_number, retained), {}, WinnerTable(()))
+    return ServiceRoutes(service_number, _owners(service_number, retained), {}, {}, WinnerTable(()))
--- a/egretsill/steering/_steering.py
+++ b/egretsill/steering/_steering.py
@@ -1,24 +1,33 @@
 """The decision where a packet goes, from the packet, the configuration and a view of agents.
 
 An owner ID always wins: its packet goes to the owner whatever the view says of it, and for
-`RETENTION_SECONDS` after the owner or the service address has left the configuration. Only first
-packets are placed by rank and by view.
+`RETENTION_SECONDS` after the owner or the service address has left the configuration. A packet
+of an owner that is not known here goes to another agent of the service, which may know it. Only
+first packets are placed by rank and by view, and new targets get none for
+`PLACEMENT_DELAY_SECONDS`.
 """
 
 from __future__ import annotations
 
 import enum
+import math
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import TypeAlias
 
 from ..configuration import Address, Bundle
-from ._connection_id import ConnectionIdCodec
+from ._connection_id import ConnectionIdCodec, is_owner, service_number_of
 from ._packet import MalformedPacket, MalformedReason, PacketHeader, parse_packet
-from ._ranking import rank
-from ._routes import AgentIdentity, Forward, RoutingTable, ServiceRoutes
+from ._ranking import first_unavoided, rank
+from ._routes import (
+    PLACEMENT_DELAY_SECONDS,
+    AgentIdentity,
+    Forward,
+    RoutingTable,
+    ServiceRoutes,
+)
 from ._source_limit import SourceLimit
-from ._view import RetainedTarget, SteeringView
+from ._view import RetainedTarget, SteeringView, avoidance
 
 _SHORT_HEADER_END = 18
 _LONG_HEADER_BIT = 0x80
@@ -69,15 +78,23 @@
     Args:
         codec: reads owner IDs; it may be replaced while keys rotate.
         source_limit: bound on first packets by source.
+        placement_delay_seconds: for how long first packets keep away from a new target.
     """
 
-    def __init__(self, codec: ConnectionIdCodec, source_limit: SourceLimit | None = None) -> None:
+    def __init__(
+        self,
+        codec: ConnectionIdCodec,
+        source_limit: SourceLimit | None = None,
+        placement_delay_seconds: float = PLACEMENT_DELAY_SECONDS,
+    ) -> None:
         self._codec = codec
         self._source_limit = source_limit or SourceLimit()
-        self._table = RoutingTable()
+        self._table = RoutingTable(placement_delay_seconds)
+        self._next_maturity = math.inf
         self._view = SteeringView()
         self._silent: frozenset[int] = frozenset()
         self._avoided: frozenset[int] = frozenset()
+        self._avoidance: Sequence[frozenset[int]] = (self._avoided,)
 
     @property
     def listening_addresses(self) -> Sequence[Address]:
@@ -101,7 +118,7 @@
     def apply_bundle(self, bundle: Bundle, now: float) -> None:
         """Steer by this configuration from now on."""
         self._table.apply_bundle(bundle, now)
-        self._combine_views()
+        self._combine_views(now)
 
     def retain(self, targets: Iterable[RetainedTarget], now: float) -> None:
         """Learn from a peer which targets left the configuration before this process knew it."""
@@ -110,12 +127,12 @@
     def update_view(self, view: SteeringView) -> None:
         """Place first packets by this view from now on."""
         self._view = view
-        self._combine_views()
+        self._next_maturity = -math.inf
 
     def update_silent(self, target_numbers: frozenset[int]) -> None:
         """Keep first packets away from agents that this balancer finds silent."""
         self._silent = target_numbers
-        self._combine_views()
+        self._next_maturity = -math.inf
 
     def agent_at(self, tunnel: tuple[str, int]) -> AgentIdentity | None:
         """Return whose tunnel endpoint this is, or None."""
@@ -144,7 +161,7 @@
             owner = self._codec.decode_owner_bytes(datagram[1:_SHORT_HEADER_END])
             if owner is None:
                 return _DROPS[DropReason.UNDECODABLE_ID]
-            return routes.owners.get(owner) or self._refuse_owner(routes, owner)
+            return routes.owners.get(owner) or self._steer_unknown_owner(routes, owner, now)
         header = parse_packet(datagram)
         if isinstance(header, MalformedPacket):
             return _MALFORMED[header.reason]
@@ -163,19 +180,20 @@
             forward = routes.owners.get(owner)
             if forward is not None:
                 return forward
-            refusal = self._refuse_owner(routes, owner)
-            if refusal.reason is not DropReason.UNDECODABLE_ID:
-                return refusal
+            if is_owner(owner):
+                return self._steer_unknown_owner(routes, owner, now)
         if not header.may_open:
             return _DROPS[DropReason.UNDECODABLE_ID]
         if self._table.is_retired(service_address):
             return _DROPS[DropReason.RETIRED_ADDRESS]
         if not self._source_limit.admits(caller_host, now):
             return _DROPS[DropReason.SOURCE_LIMIT]
-        return self._place(routes, header.connection_id)
+        return self._place(routes, header.connection_id, now)
 
-    def _place(self, routes: ServiceRoutes, key: bytes) -> Decision:
+    def _place(self, routes: ServiceRoutes, key: bytes, now: float) -> Decision:
         """Return the agent that a new flow goes to."""
+        if now >= self._next_maturity:
+            self._combine_views(now)
         winner = routes.winners.winner(key)
         if winner is None:
             return _DROPS[DropReason.NO_TARGET]
@@ -189,21 +207,28 @@
         An agent that only seems silent may be well, so it is tried before a draining one.
         """
         ranked = rank(key, routes.winners.target_numbers)
-        draining = self._view.draining | self._table.draining
-        for avoided in (self._avoided, draining | self._view.gone, self._view.gone):
-            for target_number in ranked:
-                if target_number not in avoided:
-                    return routes.first_packets[target_number]
-        return _DROPS[DropReason.NO_TARGET]
-
-    def _refuse_owner(self, routes: ServiceRoutes, owner: bytes) -> Drop:
-        """Return why an owner that the service does not have gets no packet."""
-        service_number, check = int.from_bytes(owner[:2], "big"), owner[6:]
-        if any(check):
+        target_number = first_unavoided(ranked, self._avoidance)
+        if target_number is None:
+            return _DROPS[DropReason.NO_TARGET]
+        return routes.first_packets[target_number]
+
+    def _steer_unknown_owner(self, routes: ServiceRoutes, owner: bytes, now: float) -> Decision:
+        """Return an agent of the service that may know the owner, or why there is none."""
+        if now >= self._next_maturity:
+            self._combine_views(now)
+        if not is_owner(owner):
             return _DROPS[DropReason.UNDECODABLE_ID]
-        if service_number != routes.service_number:
+        if service_number_of(owner) != routes.service_number:
             return _DROPS[DropReason.FOREIGN_OWNER]
-        return _DROPS[DropReason.UNKNOWN_OWNER]
-
-    def _combine_views(self) -> None:
-        self._avoided = self._view.avoided | self._silent | self._table.draining
+        ranked = rank(owner, routes.winners.target_numbers)
+        target_number = first_unavoided(ranked, self._avoidance)
+        if target_number is None:
+            return _DROPS[DropReason.UNKNOWN_OWNER]
+        return routes.inquiries[target_number]
+
+    def _combine_views(self, now: float) -> None:
+        self._next_maturity = self._table.next_maturity(now)
+        self._avoidance = avoidance(
+            self._view, self._silent, self._table.draining, self._table.new_targets(now)
+        )
+        self._avoided = self._avoidance[0]
--- a/egretsill/steering/_tunnel.py
+++ b/egretsill/steering/_tunnel.py
@@ -9,6 +9,7 @@
 
 TUNNEL_PROTOCOL = "tunnel"
 MAXIMUM_PORT = 65_535
+MAXIMUM_TARGET_NUMBER = 2**32 - 1
 MAXIMUM_HOST_CHARACTERS = 45
 
 
@@ -102,12 +103,34 @@
     draining: bool
 
 
-TunnelMessage: TypeAlias = CallerPacket | ReplyPacket | AgentProbe | AgentProbeAnswer
+@dataclass(frozen=True, slots=True)
+class OwnerNotice:
+    """An agent tells a balancer where the agent of a target is that the balancer may not know.
+
+    Attributes:
+        tunnel_host: IP number of the tunnel endpoint of the target's agent.
+
+    Raises:
+        MalformedMessage: if the host or a number is out of range.
+    """
+
+    target_number: int
+    service_number: int
+    tunnel_host: str
+    tunnel_port: int
+
+    def __post_init__(self) -> None:
+        _check_endpoint(self.tunnel_host, self.tunnel_port)
+        if not 0 < self.target_number <= MAXIMUM_TARGET_NUMBER:
+            raise MalformedMessage(TUNNEL_PROTOCOL, "target number out of range")
+
+
+TunnelMessage: TypeAlias = CallerPacket | ReplyPacket | AgentProbe | AgentProbeAnswer | OwnerNotice
 
 
 def make_tunnel_codec() -> Codec[TunnelMessage]:
     """Return the codec of the tunnel."""
     return Codec(
         TUNNEL_PROTOCOL,
-        {1: CallerPacket, 2: ReplyPacket, 3: AgentProbe, 4: AgentProbeAnswer},
+        {1: CallerPacket, 2: ReplyPacket, 3: AgentProbe, 4: AgentProbeAnswer, 5: OwnerNotice},
     )
--- a/egretsill/steering/_view.py
+++ b/egretsill/steering/_view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from ..configuration import Address
@@ -38,7 +39,19 @@
     unresponsive: frozenset[int] = frozenset()
     gone: frozenset[int] = frozenset()
 
-    @property
-    def avoided(self) -> frozenset[int]:
-        """Return the numbers of all targets that new flows keep away from."""
-        return self.draining | self.unresponsive | self.gone
+
+def avoidance(
+    view: SteeringView,
+    silent: frozenset[int],
+    declared_draining: frozenset[int],
+    new: frozenset[int],
+) -> Sequence[frozenset[int]]:
+    """Return which targets new flows keep away from, the strictest set first.
+
+    If all targets of a service are in a set, the next one counts: a new target is taken before
+    one that seems dead, that one before a draining one, and one that is gone never.
+    """
+    never = view.gone
+    leaving = never | view.draining | declared_draining
+    dubious = leaving | view.unresponsive | silent
+    return dubious | new, dubious, leaving, never
--- a/egretsill/steering/tests/test_balancer.py
+++ b/egretsill/steering/tests/test_balancer.py
@@ -13,6 +13,7 @@
     Balancer,
     CallerPacket,
     DropReason,
+    OwnerNotice,
     ReplyPacket,
     TunnelMessage,
     make_tunnel_codec,
@@ -55,6 +56,10 @@
     async def send_from_agent(self, number: int, data: bytes) -> None:
         await self.agents[number].sendto(data, self.balancer.tunnel_address)
 
+    def open_agent(self, number: int) -> Address:
+        self.agents[number] = self._socket()
+        return self._address(self.agents[number])
+
     async def receive(self, agent: int) -> TunnelMessage:
         with trio.fail_after(5):
             return TUNNEL.decode(await self.agents[agent].recv(4096))
@@ -203,6 +208,32 @@
     with_fleet(scenario)
 
 
+def test_unknown_owner_is_learnt_from_an_agent() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.send(short_packet(CODEC.encode(1, 7, bytes(8))))
+        await fleet.receive_packet(1)
+        newcomer = fleet.open_agent(7)
+        notice = OwnerNotice(7, 1, *newcomer)
+        await fleet.send_from_agent(1, TUNNEL.encode(notice))
+        with trio.fail_after(5):
+            while not fleet.balancer.counters.owners_learnt:
+                await trio.sleep(0.001)
+        await fleet.send(short_packet(CODEC.encode(1, 7, bytes(8))))
+        await fleet.receive_packet(7)
+
+    with_fleet(scenario)
+
+
+def test_agent_of_another_service_teaches_nothing() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        notice = OwnerNotice(7, 1, "127.0.0.1", 9)
+        await fleet.send_from_agent(11, TUNNEL.encode(notice))
+        await fleet.drops(DropReason.FOREIGN_OWNER)
+        assert not fleet.balancer.retained_targets
+
+    with_fleet(scenario)
+
+
 def test_addresses_open_and_close_with_the_configuration() -> None:
     async def scenario(fleet: Fleet) -> None:
         added = Address("10.0.0.5", 443)
--- a/egretsill/steering/tests/test_tunnel.py
+++ b/egretsill/steering/tests/test_tunnel.py
@@ -7,6 +7,7 @@
     AgentProbe,
     AgentProbeAnswer,
     CallerPacket,
+    OwnerNotice,
     ReplyPacket,
     TunnelMessage,
     make_tunnel_codec,
@@ -27,6 +28,7 @@
         pytest.param(ReplyPacket("192.0.2.1", 5000, "10.0.0.1", 443, b"reply"), id="reply"),
         pytest.param(AgentProbe(7), id="probe"),
         pytest.param(AgentProbeAnswer(7, 11, draining=True), id="probe answer"),
+        pytest.param(OwnerNotice(7, 1, "10.0.0.1", 4000), id="owner notice"),
     ],
 )
 def test_messages_survive_the_wire(message: TunnelMessage) -> None:
@@ -44,6 +46,8 @@
         pytest.param([2, "192.0.2.1", 1, "10.0.0.1", 443], id="field missing"),
         pytest.param([1, "::1", 1, "::2", 1, 1, -1, None, 0, b""], id="negative hops"),
         pytest.param([1, "::1", 1, "::2", 1, 1, 1, "::3", 0, b""], id="return port 0"),
+        pytest.param([5, 0, 1, "10.0.0.1", 4000], id="notice of target 0"),
+        pytest.param([5, 2**32, 1, "10.0.0.1", 4000], id="target number too large"),
         pytest.param([9, 1], id="unknown tag"),
         pytest.param([], id="empty"),
     ],
