Test settings and the published form, and guard the head by a checksum

Cause: the head is what the other values are checked against, but a damaged revision number in it went unnoticed and would have outranked every later publish.

--- a/egretsill/configuration/_bundle_codec.py
+++ b/egretsill/configuration/_bundle_codec.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass
+from typing import Any
 
 from ._exceptions import MalformedValue, TornPublication, ValueTooLarge
 from ._model import Bundle, Service
@@ -126,18 +127,8 @@
 
 def encode_head(head: Head) -> bytes:
     """Return the value `head`."""
-    return canonical_json(
-        {
-            "format": FORMAT,
-            "revision": head.revision,
-            "digest": head.digest,
-            "index_parts": head.index_parts,
-            "changes": [
-                {"revision": each.revision, "digest": each.digest, "services": dict(each.services)}
-                for each in head.changes
-            ],
-        }
-    )
+    fields = _head_fields(head)
+    return canonical_json({**fields, "checksum": digest_of(canonical_json(fields))})
 
 
 def decode_head(content: bytes) -> Head:
@@ -151,7 +142,10 @@
         Change(each.revision, each.digest, tuple(sorted(each.services.items())))
         for each in model.changes
     )
-    return Head(model.revision, model.digest, model.index_parts, changes)
+    head = Head(model.revision, model.digest, model.index_parts, changes)
+    if digest_of(canonical_json(_head_fields(head))) != model.checksum:
+        raise MalformedValue(HEAD_KEY, "checksum")
+    return head
 
 
 def decode_index(head: Head, parts: Sequence[bytes]) -> Mapping[str, str]:
@@ -231,6 +225,19 @@
     return assemble_publication(head, index, fetched)
 
 
+def _head_fields(head: Head) -> Mapping[str, Any]:
+    return {
+        "format": FORMAT,
+        "revision": head.revision,
+        "digest": head.digest,
+        "index_parts": head.index_parts,
+        "changes": [
+            {"revision": each.revision, "digest": each.digest, "services": dict(each.services)}
+            for each in head.changes
+        ],
+    }
+
+
 def _checked_service(name: str, digest: str, value: bytes, head: Head) -> Service:
     key = service_key(name)
     if digest_of(value) != digest:
--- a/egretsill/configuration/_published.py
+++ b/egretsill/configuration/_published.py
@@ -58,6 +58,7 @@
         index_parts: number of `index/N` values.
         changes: the latest ones, oldest first, ending with this revision; they go back as far as
             fits.
+        checksum: digest of the canonical JSON of the other fields.
     """
 
     format: Annotated[int, Field(ge=FORMAT, le=FORMAT)]
@@ -65,6 +66,7 @@
     digest: DigestText
     index_parts: Annotated[int, Field(ge=0, le=10_000)]
     changes: list[PublishedChange]
+    checksum: DigestText
 
 
 class PublishedIndexPart(PublishedModel):
--- /dev/null
+++ b/egretsill/settings/tests/test_loader.py
@@ -0,0 +1,170 @@
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from ...configuration import Address, Problem
+from ...configuration.ini import (
+    DuplicateAddress,
+    InvalidValue,
+    MissingKey,
+    MissingSection,
+    UnknownKey,
+    UnknownSection,
+    UnreadableFile,
+    WrongUnit,
+)
+from .. import (
+    ConnectionIdKey,
+    DaemonSettings,
+    FlowSettings,
+    LogLevel,
+    Role,
+    SettingsRejected,
+    load_daemon_settings,
+)
+
+AGENT = """
+[daemon]
+role = agent
+name = catalog-1
+failure_domain = turnisor
+number = 1001
+
+[addresses]
+tunnel = 127.0.0.1:1
+relay = 127.0.0.1:2
+gossip = 127.0.0.1:3
+admin = 127.0.0.1:4
+
+[platform]
+addresses = 127.0.0.1:8000, 127.0.0.1:8001
+read_time = 500 ms
+
+[peers]
+seeds = 127.0.0.1:30, 127.0.0.1:31
+
+[tls]
+certificate = chain.pem
+key = key.pem
+
+[connection_ids]
+keys = 1:00112233445566778899aabbccddeeff, 0:ffeeddccbbaa99887766554433221100
+
+[log]
+level = debug
+"""
+BALANCER = AGENT.replace("role = agent", "role = balancer").replace("number = 1001\n", "")
+
+
+def load(tmp_path: Path, text: str) -> DaemonSettings:
+    path = tmp_path / "daemon.ini"
+    path.write_text(text)
+    return load_daemon_settings(path)
+
+
+def test_an_agent_is_read(tmp_path: Path) -> None:
+    settings = load(tmp_path, AGENT)
+    assert settings.role is Role.AGENT
+    assert settings.number == 1001
+    assert settings.gossip == Address("127.0.0.1", 3)
+    assert settings.platform.addresses == (
+        Address("127.0.0.1", 8000),
+        Address("127.0.0.1", 8001),
+    )
+    assert settings.platform.read_seconds == 0.5
+    assert settings.seeds == (Address("127.0.0.1", 30), Address("127.0.0.1", 31))
+    assert settings.connection_id_keys[0] == ConnectionIdKey(
+        1, bytes.fromhex("00112233445566778899aabbccddeeff")
+    )
+    assert settings.tls is not None
+    assert settings.tls.certificate == Path("chain.pem")
+    assert settings.log.level is LogLevel.DEBUG
+    assert settings.flows == FlowSettings()
+
+
+def test_a_balancer_is_read(tmp_path: Path) -> None:
+    settings = load(tmp_path, BALANCER + "\n[listen]\n127.0.0.1:443 = 127.0.0.2:443\n")
+    assert settings.role is Role.BALANCER
+    assert settings.number is None
+    assert settings.listen == {Address("127.0.0.1", 443): Address("127.0.0.2", 443)}
+
+
+def test_keys_are_kept_out_of_texts(tmp_path: Path) -> None:
+    key = load(tmp_path, AGENT).connection_id_keys[0].key
+    assert repr(key) not in repr(load(tmp_path, AGENT))
+
+
+def test_an_overlay_replaces_values(tmp_path: Path) -> None:
+    (tmp_path / "base.ini").write_text(AGENT)
+    (tmp_path / "overlay.ini").write_text("[log]\nfile = /tmp/x.log\n[flows]\nidle_time = 2 min\n")
+    settings = load_daemon_settings(tmp_path / "base.ini", tmp_path / "overlay.ini")
+    assert settings.log.file == Path("/tmp/x.log")
+    assert settings.log.level is LogLevel.DEBUG
+    assert settings.flows.idle_seconds == 120.0
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "kind", "section", "key"),
+    [
+        pytest.param("role = agent", "role = king", InvalidValue, "daemon", "role", id="role"),
+        pytest.param("number = 1001", "", MissingKey, "daemon", "number", id="agent, no number"),
+        pytest.param(
+            "role = agent", "role = balancer", UnknownKey, "daemon", "number", id="balancer, number"
+        ),
+        pytest.param("[tls]", "[ssl]", MissingSection, "tls", "", id="agent without certificate"),
+        pytest.param("[log]", "[logs]", UnknownSection, "logs", "", id="unknown section"),
+        pytest.param("level", "levels", UnknownKey, "log", "levels", id="unknown key"),
+        pytest.param("500 ms", "500", WrongUnit, "platform", "read_time", id="no unit"),
+        pytest.param("500 ms", "0 ms", InvalidValue, "platform", "read_time", id="no time at all"),
+        pytest.param(
+            "127.0.0.1:3\n", "127.0.0.1:1\n", DuplicateAddress, "addresses", "gossip", id="address"
+        ),
+        pytest.param(
+            "1:00112233445566778899aabbccddeeff",
+            "7:00112233445566778899aabbccddeeff",
+            InvalidValue,
+            "connection_ids",
+            "keys",
+            id="rotation out of range",
+        ),
+        pytest.param(
+            "0:ffee", "1:ffee", InvalidValue, "connection_ids", "keys", id="rotation twice"
+        ),
+        pytest.param("0:ffee", "0:", InvalidValue, "connection_ids", "keys", id="short key"),
+        pytest.param(
+            "[log]",
+            "[listen]\nx = 127.0.0.1:1\n[log]",
+            InvalidValue,
+            "listen",
+            "x",
+            id="listen for no address",
+        ),
+    ],
+)
+def test_a_mistake_is_named_by_file_section_and_key(
+    tmp_path: Path, old: str, new: str, kind: type[Problem], section: str, key: str
+) -> None:
+    with pytest.raises(SettingsRejected) as caught:
+        load(tmp_path, AGENT.replace(old, new))
+    places = [(type(each), each.file, each.section, each.key) for each in caught.value.problems]
+    assert (kind, str(tmp_path / "daemon.ini"), section, key) in places
+
+
+def test_all_mistakes_are_told_at_once(tmp_path: Path) -> None:
+    text = AGENT.replace("500 ms", "5").replace("debug", "loud").replace("tunnel", "tunel")
+    with pytest.raises(SettingsRejected) as caught:
+        load(tmp_path, text)
+    assert {(each.section, each.key) for each in caught.value.problems} == {
+        ("platform", "read_time"),
+        ("log", "level"),
+        ("addresses", "tunel"),
+        ("addresses", "tunnel"),
+    }
+
+
+def test_a_missing_file_is_told(tmp_path: Path) -> None:
+    with pytest.raises(SettingsRejected) as caught:
+        load_daemon_settings(tmp_path / "none.ini")
+    assert isinstance(caught.value.problems[0], UnreadableFile)
