Run the whole path as one quickstart

Cause: nothing showed a request from caller to backend server and back. Change: quickstart with two sites, three balancers each, callers of four services; one balancer of each site is stopped without warning. Draining and configuration are not in it yet.

--- /dev/null
+++ b/egretsill/quickstart/_run.py
@@ -0,0 +1,114 @@
+"""Runs both users' sites, disturbs them, and tells what callers got."""
+
+from __future__ import annotations
+
+import tempfile
+from collections.abc import Sequence
+from pathlib import Path
+
+import trio
+
+from ..settings import TlsSettings
+from ..stand_ins.certificates import write_certificate
+from ._score import Score, Verdict, judge
+from ._site import Site
+from ._site_plan import SitePlan, load_site_plan
+from ._traffic import RequestKind, Traffic
+
+EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
+AUTHORITIES = ("hakusana.example", "vastaanotto.example", "catalog.example", "upload.example")
+FIRST_PORTS = {"kallioniemi": 20_000, "sibiu": 21_000}
+TRAFFIC_SECONDS = 14.0
+BALANCER_STOPS_AFTER_SECONDS = 4.0
+FABRIC_NOTICES_AFTER_SECONDS = 1.0
+SUBSCRIPTIONS = 6
+CALLERS_OF_A_KIND = 3
+UPLOADS = 2
+UPLOAD_PIECES = 40
+UPLOAD_PAUSE_SECONDS = 0.25
+ASK_PAUSE_SECONDS = 0.15
+
+LOOKUP = RequestKind("GET", "/terms/{}", 1, once=False)
+LISTING = RequestKind("GET", "/listings/{}", 1, once=False)
+ORDER = RequestKind("POST", "/orders", 4, once=True, body=b'{"hulls": "buckwheat"}')
+
+
+async def run_quickstart() -> Verdict:
+    """Run the whole scene and return the verdict."""
+    score = Score()
+    with tempfile.TemporaryDirectory(prefix="egretsill-") as name:
+        directory = Path(name)
+        files = write_certificate(directory, AUTHORITIES)
+        tls = TlsSettings(files.certificate, files.private_key)
+        plans = [
+            load_site_plan(user, EXAMPLES, port, tls, directory)
+            for user, port in FIRST_PORTS.items()
+        ]
+        async with trio.open_nursery() as nursery:
+            sites = [Site(plan, nursery, seed) for seed, plan in enumerate(plans)]
+            for site in sites:
+                await site.start()
+            await _run_traffic(sites, files.certificate, score)
+            nursery.cancel_scope.cancel()
+    counts = [backend.counts for site in sites for backend in site.backends.values()]
+    verdict = judge(score, counts, revision_in_force=1)
+    print(_summary(score, verdict))
+    return verdict
+
+
+async def _run_traffic(sites: Sequence[Site], authorities_file: Path, score: Score) -> None:
+    ends_at = trio.current_time() + TRAFFIC_SECONDS
+    traffic = Traffic(authorities_file, score, lambda: trio.current_time() < ends_at)
+    async with trio.open_nursery() as nursery:
+        for site in sites:
+            _start_callers(site.plan, traffic, nursery)
+            nursery.start_soon(_disturb, site)
+
+
+def _start_callers(plan: SitePlan, traffic: Traffic, nursery: trio.Nursery) -> None:
+    services = plan.services
+    if "hakusana" in services:
+        for _ in range(SUBSCRIPTIONS):
+            nursery.start_soon(traffic.subscribe, services["hakusana"], "/subscriptions")
+        for _ in range(CALLERS_OF_A_KIND):
+            nursery.start_soon(
+                traffic.ask_repeatedly, services["hakusana"], LOOKUP, ASK_PAUSE_SECONDS
+            )
+    if "catalog" in services:
+        for kind in (LISTING, ORDER):
+            for _ in range(CALLERS_OF_A_KIND):
+                nursery.start_soon(
+                    traffic.ask_repeatedly, services["catalog"], kind, ASK_PAUSE_SECONDS
+                )
+    for name, path in (("vastaanotto", "/glossaries/draft"), ("upload", "/sheets/design")):
+        if name in services:
+            for _ in range(UPLOADS):
+                nursery.start_soon(
+                    traffic.upload_slowly,
+                    services[name],
+                    path,
+                    UPLOAD_PIECES,
+                    UPLOAD_PAUSE_SECONDS,
+                )
+
+
+async def _disturb(site: Site) -> None:
+    await trio.sleep(BALANCER_STOPS_AFTER_SECONDS)
+    await site.stop_balancer(site.plan.balancers[0], FABRIC_NOTICES_AFTER_SECONDS)
+
+
+def _summary(score: Score, verdict: Verdict) -> str:
+    lines = [
+        "egretsill quickstart: two sites, three balancers each, one balancer stopped in each",
+        f"  requests           {verdict.requests}",
+        f"  whole answers      {verdict.whole_answers}",
+        f"  wrong answers      {verdict.wrong_answers}",
+        f"  broken flows       {verdict.broken_flows}",
+        f"  asked again        {score.repeats} (after a refusal that did not run)",
+        f"  ran though refused {verdict.ran_though_refused}",
+        f"  run twice          {verdict.run_twice}",
+        f"  misdirected        {verdict.misdirected}",
+        f"  flows opened       {score.flows_opened}",
+    ]
+    lines += [f"  {count:6d} x {name}" for name, count in sorted(score.outcomes.items())]
+    return "\n".join(lines)
--- a/egretsill/requests/tests/_fakes.py
+++ b/egretsill/requests/tests/_fakes.py
@@ -21,7 +21,7 @@
 FEED = RequestClass(
     "feed",
     ("GET",),
-    "/subscribe",
+    "/subscriptions",
     idempotent=True,
     shape=RequestShape.SUBSCRIPTION,
     deadline_seconds=None,
--- a/egretsill/requests/tests/test_backend_client.py
+++ b/egretsill/requests/tests/test_backend_client.py
@@ -67,12 +67,12 @@
 
 def test_subscription_gives_partial_answers_and_cancellation_reaches_the_server() -> None:
     async def scenario() -> None:
-        caller = FakeExchange("GET", "/subscribe")
+        caller = FakeExchange("GET", "/subscriptions")
         async with running_backend() as (server, address), trio.open_nursery() as nursery:
             nursery.start_soon(
                 call,
                 address,
-                make_request(FEED, "/subscribe?from=0"),
+                make_request(FEED, "/subscriptions?from=0"),
                 caller,
                 VirtualTimerService(),
             )
--- a/egretsill/stand_ins/backend_server.py
+++ b/egretsill/stand_ins/backend_server.py
@@ -5,7 +5,7 @@
 - `GET /health`: 200 `{"status": "ok"}` or 503 `{"status": "draining"}`.
 - `GET /load`: `{"running": N, "slots": N, "subscriptions": N}`, as late or wrong as set.
 - `GET /counts`: what it counted. `POST /control`: changes its behaviour by a JSON object.
-- `GET /subscribe…?from=R&count=N`: one JSON line for each revision above R, N at most.
+- `GET /subscriptions…?from=R&count=N`: one JSON line for each revision above R, N at most.
 - `POST` and `PUT`: takes the whole body and answers with its length and SHA-256 digest.
 - any other `GET`: one JSON object that repeats path and marker.
 
@@ -172,7 +172,7 @@
 
     async def _work(self, connection: ServerConnection, request: h11.Request, path: str) -> None:
         headers = {name.decode(): value.decode() for name, value in request.headers}
-        subscription = path.startswith("/subscribe")
+        subscription = path.startswith("/subscriptions")
         full = not subscription and self._waiting >= self.behaviour.waiting
         if self.behaviour.shedding or full:
             self.counts.shed += 1
