--- a/egretsill/configuration/ini.py
+++ b/egretsill/configuration/ini.py
@@ -22,6 +22,7 @@
     parse_address,
     parse_duration,
     parse_list,
+    parse_optional_duration,
     parse_size,
 )
 
@@ -47,6 +48,7 @@
     "parse_address",
     "parse_duration",
     "parse_list",
+    "parse_optional_duration",
     "parse_size",
     "read_layers",
 ]
--- /dev/null
+++ b/egretsill/ctl/_explain.py
@@ -0,0 +1,179 @@
+"""`egretsillctl explain`: where a packet or a request goes by a compiled bundle, and why."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Mapping, Sequence
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+from absl import flags
+from absl.flags import FlagValues
+
+from ..configuration import (
+    Bundle,
+    ConfigurationError,
+    RequestClass,
+    Service,
+    Target,
+    TargetState,
+    decode_publication,
+)
+from ..settings import parse_keys
+from ..steering import CONNECTION_ID_BYTES, ConnectionIdCodec, ConnectionIdKey, rank
+from ._command import EXIT_FAILED, EXIT_OK, EXIT_USAGE, Command, new_flags
+
+
+@dataclass(frozen=True, slots=True)
+class Explanation:
+    """Where something goes.
+
+    Attributes:
+        decision: in a few words.
+        target: name of the target whose agent gets it, or None.
+        reasons: one step each, in the order in which they decide.
+    """
+
+    decision: str
+    target: str | None
+    reasons: tuple[str, ...]
+
+
+def make_command() -> Command:
+    """Return the command."""
+    values = new_flags()
+    flags.DEFINE_string("bundle", None, "Directory of a compiled bundle.", flag_values=values)
+    flags.DEFINE_string("service", None, "Name of the service.", flag_values=values)
+    flags.DEFINE_string(
+        "connection_id", None, "Connection ID of a packet, hexadecimal.", flag_values=values
+    )
+    flags.DEFINE_string(
+        "keys",
+        None,
+        "Connection-ID keys as in the settings, ROTATION:HEX,...",
+        flag_values=values,
+    )
+    flags.DEFINE_string("method", "GET", "Method of a request.", flag_values=values)
+    return Command(
+        "explain",
+        "[PATH]",
+        "Tell which agent a packet (--connection_id) or which class a request (PATH) gets.",
+        values,
+        _run,
+    )
+
+
+def _run(values: FlagValues, arguments: Sequence[str]) -> int:
+    if not values.bundle or not values.service or len(arguments) + bool(values.connection_id) != 1:
+        print("explain takes --bundle, --service and --connection_id or PATH", file=sys.stderr)
+        return EXIT_USAGE
+    try:
+        bundle = _read_bundle(Path(values.bundle))
+    except (ConfigurationError, OSError) as error:
+        print(f"explain: {error}", file=sys.stderr)
+        return EXIT_FAILED
+    service = bundle.services.get(values.service)
+    if service is None:
+        print(
+            f"explain: no service {values.service} in revision {bundle.revision}", file=sys.stderr
+        )
+        return EXIT_FAILED
+    try:
+        explanation = _explain(values, arguments, bundle, service)
+    except ValueError as error:
+        print(f"explain: {error}", file=sys.stderr)
+        return EXIT_USAGE
+    if values.output == "json":
+        print(json.dumps({"revision": bundle.revision, **asdict(explanation)}))
+    else:
+        print("\n".join([explanation.decision, *(f"  {each}" for each in explanation.reasons)]))
+    return EXIT_OK
+
+
+def _explain(
+    values: FlagValues, arguments: Sequence[str], bundle: Bundle, service: Service
+) -> Explanation:
+    if arguments:
+        return explain_request(service, values.method.upper(), arguments[0])
+    keys = parse_keys(values.keys) if values.keys else ()
+    codec = ConnectionIdCodec([ConnectionIdKey(each.rotation, each.key) for each in keys])
+    return explain_packet(bundle, service, codec, bytes.fromhex(values.connection_id))
+
+
+def explain_packet(
+    bundle: Bundle, service: Service, codec: ConnectionIdCodec, connection_id: bytes
+) -> Explanation:
+    """Return where a packet with this connection ID goes that came in for `service`."""
+    owner = codec.decode(connection_id)
+    if owner is None:
+        return _explain_first_packet(service, connection_id)
+    read = f"the ID names service number {owner.service_number}, target {owner.target_number}"
+    if owner.service_number != service.number:
+        return Explanation("dropped: the owner belongs to another service", None, (read,))
+    target = _targets(bundle).get(owner.target_number)
+    if target is None:
+        gone = "the target is not in this revision; balancers keep such owners for hours"
+        return Explanation("to its owner", None, (read, gone))
+    return Explanation(f"to {target.name}, its owner", target.name, (read, _endpoint(target)))
+
+
+def explain_request(service: Service, method: str, path: str) -> Explanation:
+    """Return the class of a request and what follows from it."""
+    request_class = service.classify(method, path)
+    if request_class is None:
+        return Explanation("refused and not run: no class is declared for it", None, ())
+    active = [each.name for each in service.targets if each.state is TargetState.ACTIVE]
+    return Explanation(
+        f"class {request_class.name}, placed on one of {len(active)} targets",
+        None,
+        (*_class_reasons(request_class), "targets: " + ", ".join(active)),
+    )
+
+
+def _explain_first_packet(service: Service, connection_id: bytes) -> Explanation:
+    by_number = {each.number: each for each in service.targets}
+    ranked = [by_number[number] for number in rank(connection_id, by_number)]
+    usable = [each for each in ranked if each.state is TargetState.ACTIVE] or ranked
+    read = (
+        f"the ID is no owner ID of {CONNECTION_ID_BYTES} bytes under the given keys, "
+        "so only a first packet may carry it"
+    )
+    if not usable:
+        return Explanation("dropped: the service has no target", None, (read,))
+    order = "rank: " + ", ".join(_ranked_name(each) for each in ranked)
+    skipped = "agents that do not answer are skipped for first packets"
+    first = usable[0]
+    return Explanation(f"to {first.name} by rank", first.name, (read, order, skipped))
+
+
+def _ranked_name(target: Target) -> str:
+    return target.name if target.state is TargetState.ACTIVE else f"{target.name} (draining)"
+
+
+def _class_reasons(request_class: RequestClass) -> tuple[str, ...]:
+    kind = "idempotent" if request_class.idempotent else "non-idempotent: started at most once"
+    deadline = request_class.deadline_seconds
+    limit = "no deadline" if deadline is None else f"deadline {deadline:g} s unless sooner"
+    return (
+        kind,
+        f"weight {request_class.weight:g}, {request_class.shape.value}, "
+        f"priority {request_class.priority}",
+        limit,
+    )
+
+
+def _read_bundle(directory: Path) -> Bundle:
+    files = [path for path in directory.rglob("*") if path.is_file()]
+    values = {path.relative_to(directory).as_posix(): path.read_bytes() for path in files}
+    return decode_publication(values).bundle
+
+
+def _targets(bundle: Bundle) -> Mapping[int, Target]:
+    return {
+        target.number: target for service in bundle.services.values() for target in service.targets
+    }
+
+
+def _endpoint(target: Target) -> str:
+    return f"its agent takes packets at {target.tunnel}"
--- /dev/null
+++ b/egretsill/daemon/_exceptions.py
@@ -0,0 +1,35 @@
+"""Why a daemon could not start."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from ..configuration import Address
+
+
+class AddressUnavailable(Exception):
+    """A local endpoint could not be bound.
+
+    Attributes:
+        address: the endpoint.
+        purpose: what it was for.
+    """
+
+    def __init__(self, purpose: str, address: Address, reason: str) -> None:
+        super().__init__(f"{purpose} {address}: {reason}")
+        self.purpose = purpose
+        self.address = address
+        self.reason = reason
+
+
+class TlsUnusable(Exception):
+    """A certificate or private key could not be read.
+
+    Attributes:
+        certificate: the file.
+    """
+
+    def __init__(self, certificate: Path, reason: str) -> None:
+        super().__init__(f"certificate {certificate}: {reason}")
+        self.certificate = certificate
+        self.reason = reason
--- a/egretsill/flows/_connection.py
+++ b/egretsill/flows/_connection.py
@@ -8,24 +8,41 @@
 from __future__ import annotations
 
 import os
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Mapping
+from typing import Any, ClassVar
 
+import pylsqpack
+from aioquic._buffer import Buffer
 from aioquic.buffer import encode_uint_var
 from aioquic.h3.connection import FrameType, H3Connection, encode_frame
 from aioquic.quic.configuration import QuicConfiguration
 from aioquic.quic.connection import (
     MAX_STREAM_DATA_FRAME_CAPACITY,
     QuicConnection,
+    QuicConnectionError,
     QuicConnectionId,
+    QuicReceiveContext,
 )
-from aioquic.quic.packet import QuicFrameType
+from aioquic.quic.crypto import CryptoPair
+from aioquic.quic.packet import QuicErrorCode, QuicFrameType, QuicProtocolVersion
 from aioquic.quic.packet_builder import QuicPacketBuilder
 from aioquic.quic.recovery import QuicPacketSpace
 from aioquic.quic.stream import QuicStream
+from aioquic.tls import Epoch
 
 STATELESS_RESET_TOKEN_BYTES = 16
-HOST_CONNECTION_IDS = 3
+HOST_CONNECTION_IDS = 2
+PEER_CONNECTION_IDS = 2
 GOAWAY_EVERY_STREAM = 2**62 - 4
+NO_CRYPTO_STREAM = QuicStream()
+NO_DATAGRAMS: deque[bytes] = deque(maxlen=0)
+NO_KEYS = CryptoPair()
+NO_INITIAL_KEYS: dict[int, CryptoPair] = dict.fromkeys(QuicProtocolVersion, NO_KEYS)
+DISCARDED_SPACE = QuicPacketSpace()
+DISCARDED_SPACE.discarded = True
+
+FrameHandler = tuple[Callable[..., Any], frozenset[Epoch]]
 
 
 class WindowedConnection(QuicConnection):
@@ -103,16 +120,55 @@
             original_destination_connection_id=original_destination_connection_id,
         )
         self._issue_connection_id = issue_connection_id
+        self._share_frame_handlers()
+        self._local_active_connection_id_limit = PEER_CONNECTION_IDS
         first = issue_connection_id()
         self._host_cids[0].cid = first
         self.host_cid = first
         self._local_initial_source_connection_id = first
 
+    @property
+    def handshake_confirmed(self) -> bool:
+        """Return whether the handshake is over at both ends."""
+        return self._handshake_confirmed
+
     @property
     def connection_ids(self) -> tuple[bytes, ...]:
         """Return every ID by which the peer may address this connection now."""
         return tuple(each.cid for each in self._host_cids)
 
+    def release_handshake_state(self) -> None:
+        """Drop what only the handshake needed; it is most of a quiet connection's memory.
+
+        Call it once `handshake_confirmed`, outside the handling of a datagram.
+        """
+        self.tls = None  # type: ignore[assignment]
+        self._crypto_buffers = {}
+        self._cryptos_initial = NO_INITIAL_KEYS
+        self._datagrams_pending = NO_DATAGRAMS
+        for epoch in (Epoch.INITIAL, Epoch.HANDSHAKE):
+            self._crypto_streams[epoch] = NO_CRYPTO_STREAM
+            if self._spaces[epoch].discarded:
+                self._spaces[epoch] = DISCARDED_SPACE
+        for epoch in (Epoch.INITIAL, Epoch.ZERO_RTT, Epoch.HANDSHAKE):
+            self._cryptos[epoch].teardown()
+            self._cryptos[epoch] = NO_KEYS
+        self._loss.spaces = [space for space in self._loss.spaces if not space.discarded]
+
+    def _handle_crypto_frame(
+        self, context: QuicReceiveContext, frame_type: int, buf: Buffer
+    ) -> None:
+        if self.tls is None:
+            # After its handshake a caller has nothing to send in CRYPTO frames (RFC 9001, 4.1.3).
+            raise QuicConnectionError(
+                QuicErrorCode.PROTOCOL_VIOLATION, frame_type, "CRYPTO after the handshake"
+            )
+        super()._handle_crypto_frame(context, frame_type, buf)
+
+    def _share_frame_handlers(self) -> None:
+        name = "_QuicConnection__frame_handlers"
+        setattr(self, name, _FrameHandlers(self, getattr(self, name)))
+
     def _replenish_connection_ids(self) -> None:
         wanted = min(HOST_CONNECTION_IDS, self._remote_active_connection_id_limit)
         while len(self._host_cids) < wanted:
@@ -126,8 +182,33 @@
             self._host_cid_seq += 1
 
 
+class _FrameHandlers:
+    """The library's table of frame handlers, held once for all connections.
+
+    Each connection of the library has a table of methods bound to it, some 11 KB. This stands in
+    for that table and binds the one method that is asked for.
+    """
+
+    __slots__ = ("_connection",)
+
+    _names: ClassVar[dict[int, tuple[str, frozenset[Epoch]]]] = {}
+
+    def __init__(self, connection: QuicConnection, table: Mapping[int, FrameHandler]) -> None:
+        self._connection = connection
+        if not self._names:
+            for frame_type, (handler, epochs) in table.items():
+                self._names[frame_type] = (handler.__name__, epochs)
+
+    def __getitem__(self, frame_type: int) -> FrameHandler:
+        name, epochs = self._names[frame_type]
+        return getattr(self._connection, name), epochs
+
+
 class Http3Connection(H3Connection):
-    """HTTP/3 with GOAWAY in both directions, which the library leaves out."""
+    """HTTP/3 with GOAWAY in both directions, which the library leaves out.
+
+    QPACK's dynamic table is off: it would cost memory on each of many quiet flows.
+    """
 
     def __init__(self, quic: QuicConnection) -> None:
         self._goaway_received = False
@@ -145,6 +226,12 @@
         frame = encode_frame(FrameType.GOAWAY, encode_uint_var(first_rejected_stream))
         self._quic.send_stream_data(self._local_control_stream_id, frame)
 
+    def _init_connection(self) -> None:
+        self._max_table_capacity = 0
+        self._blocked_streams = 0
+        self._decoder = pylsqpack.Decoder(0, 0)
+        super()._init_connection()
+
     def _check_control_frame_type(self, frame_type: int) -> None:
         super()._check_control_frame_type(frame_type)
         if frame_type == FrameType.GOAWAY:
--- a/egretsill/flows/_flow.py
+++ b/egretsill/flows/_flow.py
@@ -42,6 +42,26 @@
         on_identifiers: called with the IDs issued and retired.
     """
 
+    __slots__ = (
+        "_closed",
+        "_connection",
+        "_established",
+        "_exchanges",
+        "_http3",
+        "_keep_alive_at",
+        "_on_closed",
+        "_on_identifiers",
+        "_return_path",
+        "_send",
+        "_serve",
+        "_service",
+        "_service_address",
+        "_timer",
+        "_trimmed",
+        "_wake",
+        "_wake_at",
+    )
+
     def __init__(
         self,
         connection: OwnedConnection,
@@ -67,6 +87,7 @@
         self._wake: Subscription | None = None
         self._wake_at = 0.0
         self._established = False
+        self._trimmed = False
         self._closed = False
         self._keep_alive_at = timer.now + KEEP_ALIVE_SECONDS
 
@@ -88,7 +109,10 @@
     @property
     def connection_ids(self) -> tuple[bytes, ...]:
         """Return every ID by which the caller may address the flow."""
-        return self._connection.connection_ids
+        return (
+            self._connection.original_destination_connection_id,
+            *self._connection.connection_ids,
+        )
 
     def receive(self, datagram: IncomingDatagram) -> None:
         """Take one datagram of the caller and send what follows from it."""
@@ -98,6 +122,9 @@
         self._connection.receive_datagram(datagram.payload, tuple(datagram.caller), now)
         self._handle_events()
         self.transmit()
+        if not self._trimmed and self._connection.handshake_confirmed:
+            self._trimmed = True
+            self._connection.release_handshake_state()
 
     def transmit(self) -> None:
         """Send what the connection has to send and arrange to be woken when it next must act."""
--- a/egretsill/flows/_flow_server.py
+++ b/egretsill/flows/_flow_server.py
@@ -89,7 +89,7 @@
         self._nursery = nursery
         self._maximum_flows = maximum_flows
         self._flows: dict[bytes, Flow] = {}
-        self._identifiers: dict[Flow, set[bytes]] = {}
+        self._open_flows: set[Flow] = set()
         self._counts = FlowCounts()
         self._going_away = False
 
@@ -101,12 +101,12 @@
     @property
     def open_flows(self) -> int:
         """Return how many flows are open."""
-        return len(self._identifiers)
+        return len(self._open_flows)
 
     @property
     def open_requests(self) -> int:
         """Return how many requests are in progress on all flows."""
-        return sum(flow.open_requests for flow in self._identifiers)
+        return sum(flow.open_requests for flow in self._open_flows)
 
     def replace_configuration(self, configuration: QuicConfiguration) -> None:
         """Use another certificate or other settings for flows opened from now on."""
@@ -143,16 +143,16 @@
     def send_goaway(self) -> None:
         """Ask every caller to open further requests on other flows."""
         self._going_away = True
-        for flow in list(self._identifiers):
+        for flow in list(self._open_flows):
             flow.send_goaway()
 
     def close(self) -> None:
         """Close every flow."""
-        for flow in list(self._identifiers):
+        for flow in list(self._open_flows):
             flow.close()
 
     def _open(self, datagram: IncomingDatagram, chosen_by_caller: bytes) -> Flow | None:
-        if len(self._identifiers) >= self._maximum_flows:
+        if len(self._open_flows) >= self._maximum_flows:
             self._counts.refused_full += 1
             return None
         service = datagram.service
@@ -169,27 +169,25 @@
             on_identifiers=self._change_identifiers,
             on_closed=self._on_closed,
         )
-        self._identifiers[flow] = set()
-        self._change_identifiers(flow, [chosen_by_caller, *connection.connection_ids], ())
+        self._open_flows.add(flow)
+        self._change_identifiers(flow, flow.connection_ids, ())
         self._counts.opened += 1
         return flow
 
     def _change_identifiers(
         self, flow: Flow, issued: Sequence[bytes], retired: Sequence[bytes]
     ) -> None:
-        known = self._identifiers.get(flow)
-        if known is None:
+        if flow not in self._open_flows:
             return
         for identifier in issued:
-            known.add(identifier)
             self._flows[identifier] = flow
         for identifier in retired:
-            known.discard(identifier)
             self._flows.pop(identifier, None)
 
     def _on_closed(self, flow: Flow) -> None:
         self._counts.closed += 1
-        for identifier in self._identifiers.pop(flow, set()):
+        self._open_flows.discard(flow)
+        for identifier in flow.connection_ids:
             self._flows.pop(identifier, None)
 
     def _start_serving(self, exchange: FlowExchange) -> None:
--- a/egretsill/flows/_return_path.py
+++ b/egretsill/flows/_return_path.py
@@ -20,6 +20,8 @@
         balancers: returns the tunnel endpoints of the balancers that answer, in a fixed order.
     """
 
+    __slots__ = ("_balancers", "_last", "_turn", "_waiting_since")
+
     def __init__(self, balancers: Callable[[], Sequence[Address]]) -> None:
         self._balancers = balancers
         self._last: Address | None = None
--- a/egretsill/flows/tests/test_connection.py
+++ b/egretsill/flows/tests/test_connection.py
@@ -3,11 +3,18 @@
 from pathlib import Path
 
 import pytest
-from aioquic.quic.events import HandshakeCompleted, QuicEvent, StreamDataReceived
+from aioquic.quic.events import (
+    ConnectionTerminated,
+    HandshakeCompleted,
+    QuicEvent,
+    StreamDataReceived,
+)
+from aioquic.quic.packet import QuicErrorCode
+from aioquic.tls import Epoch
 
 from .._connection import HOST_CONNECTION_IDS, Http3Connection
 from .._flow_server import STREAM_WINDOW_BYTES
-from .pair import make_pair
+from .pair import CALLER, make_pair
 
 UPLOAD_BYTES = 1_000_000
 
@@ -72,6 +79,36 @@
     assert pair.caller.unacknowledged_bytes(stream_id) == 0
 
 
+def test_a_connection_without_its_handshake_state_works_on(tmp_path: Path) -> None:
+    pair = make_pair(tmp_path)
+    first_flight = [data for data, _ in pair.caller.datagrams_to_send(pair.now)]
+    pair.agent.receive_datagram(first_flight[0], CALLER, pair.now)
+    pair.exchange()
+    assert pair.agent.handshake_confirmed
+    pair.agent.release_handshake_state()
+    pair.agent.receive_datagram(first_flight[0], CALLER, pair.now)
+    stream_id = pair.caller.get_next_available_stream_id()
+    pair.caller.send_stream_data(stream_id, b"question", end_stream=True)
+    _, events = pair.exchange()
+    assert [event.data for event in events if isinstance(event, StreamDataReceived)] == [
+        b"question"
+    ]
+    pair.caller.request_key_update()
+    pair.agent.send_stream_data(stream_id, b"answer", end_stream=True)
+    events, _ = pair.exchange()
+    assert [event.data for event in events if isinstance(event, StreamDataReceived)] == [b"answer"]
+
+
+def test_crypto_data_after_the_handshake_ends_the_flow(tmp_path: Path) -> None:
+    pair = make_pair(tmp_path)
+    pair.exchange()
+    pair.agent.release_handshake_state()
+    pair.caller._crypto_streams[Epoch.ONE_RTT].sender.write(b"late")
+    _, events = pair.exchange(1500)
+    ends = [event for event in events if isinstance(event, ConnectionTerminated)]
+    assert [event.error_code for event in ends] == [QuicErrorCode.PROTOCOL_VIOLATION]
+
+
 def test_goaway_reaches_the_caller(tmp_path: Path) -> None:
     pair = make_pair(tmp_path)
     pair.exchange()
--- a/egretsill/settings/__init__.py
+++ b/egretsill/settings/__init__.py
@@ -17,6 +17,7 @@
     ShutdownSettings,
     TlsSettings,
 )
+from ._sections import parse_keys
 
 __all__ = [
     "EXIT_CODE",
@@ -35,4 +36,5 @@
     "ShutdownSettings",
     "TlsSettings",
     "load_daemon_settings",
+    "parse_keys",
 ]
