--- a/egretsill/steering/__init__.py
+++ b/egretsill/steering/__init__.py
@@ -1,6 +1,13 @@
 """Which agent a packet goes to, and the balancer that sends it there."""
 
-from ._agent_steering import AgentDecision, AgentSteering, Keep, PassOn
+from ._agent_steering import (
+    ANNOUNCEMENT_SECONDS,
+    AgentDecision,
+    AgentSteering,
+    Announcement,
+    Keep,
+    PassOn,
+)
 from ._balancer import Balancer
 from ._connection_id import (
     CONNECTION_ID_BYTES,
@@ -10,9 +17,24 @@
 )
 from ._counters import BalancerCounters
 from ._exceptions import InvalidConnectionIdKey, InvalidOwner
+from ._first_packets import (
+    WATCH_TICK_SECONDS,
+    BecameResponsive,
+    BecameSilent,
+    FirstPacketWatch,
+    SendProbe,
+    WatchEffect,
+)
 from ._packet import MalformedPacket, MalformedReason, PacketHeader, parse_packet
 from ._ranking import rank
-from ._routes import AgentIdentity, Forward, ForwardKind
+from ._routes import (
+    PLACEMENT_DELAY_SECONDS,
+    RETENTION_SECONDS,
+    VIEW_LAG_SECONDS,
+    AgentIdentity,
+    Forward,
+    ForwardKind,
+)
 from ._source_limit import SourceLimit
 from ._steering import Decision, Drop, DropReason, Steering
 from ._tunnel import (
@@ -27,20 +49,29 @@
 from ._view import RetainedTarget, SteeringView
 
 __all__ = [
+    "ANNOUNCEMENT_SECONDS",
     "CONNECTION_ID_BYTES",
+    "PLACEMENT_DELAY_SECONDS",
+    "RETENTION_SECONDS",
+    "VIEW_LAG_SECONDS",
+    "WATCH_TICK_SECONDS",
     "AgentDecision",
     "AgentIdentity",
     "AgentProbe",
     "AgentProbeAnswer",
     "AgentSteering",
+    "Announcement",
     "Balancer",
     "BalancerCounters",
+    "BecameResponsive",
+    "BecameSilent",
     "CallerPacket",
     "ConnectionIdCodec",
     "ConnectionIdKey",
     "Decision",
     "Drop",
     "DropReason",
+    "FirstPacketWatch",
     "Forward",
     "ForwardKind",
     "InvalidConnectionIdKey",
@@ -54,10 +85,12 @@
     "PassOn",
     "ReplyPacket",
     "RetainedTarget",
+    "SendProbe",
     "SourceLimit",
     "Steering",
     "SteeringView",
     "TunnelMessage",
+    "WatchEffect",
     "make_tunnel_codec",
     "parse_packet",
     "rank",
--- a/egretsill/steering/_agent_steering.py
+++ b/egretsill/steering/_agent_steering.py
@@ -3,11 +3,14 @@
 An agent keeps the packets of its flows and of new flows. It passes a first packet on to the next
 agent in rank while its target drains or is new, and a packet of another owner of its service to
 that owner. At most `MAXIMUM_HOPS` agents pass a packet on.
+
+An agent whose target has left the configuration may own flows for hours more. Until these end it
+announces itself to the agents of its service, so that those that came later know it as well.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 from typing import TypeAlias
 
@@ -15,11 +18,18 @@
 from ._connection_id import ConnectionIdCodec, is_owner, owner_bytes, service_number_of
 from ._packet import MalformedPacket, parse_packet
 from ._ranking import first_unavoided, rank
-from ._routes import PLACEMENT_DELAY_SECONDS, Forward, RoutingTable, ServiceRoutes
+from ._routes import (
+    PLACEMENT_DELAY_SECONDS,
+    RETENTION_SECONDS,
+    Forward,
+    RoutingTable,
+    ServiceRoutes,
+)
 from ._steering import Drop, DropReason
 from ._tunnel import CallerPacket, OwnerNotice
-from ._view import SteeringView, avoidance
+from ._view import RetainedTarget, SteeringView, avoidance
 
+ANNOUNCEMENT_SECONDS = 10.0
 MAXIMUM_HOPS = 2
 
 
@@ -44,6 +54,14 @@
     notice: OwnerNotice
 
 
+@dataclass(frozen=True, slots=True)
+class Announcement:
+    """A notice of this agent's own target for another agent of its service."""
+
+    tunnel: Address
+    notice: OwnerNotice
+
+
 AgentDecision: TypeAlias = Keep | PassOn | Drop
 
 
@@ -79,6 +97,7 @@
         self._mature_at = started_at + placement_delay_seconds
         self._table = RoutingTable(placement_delay_seconds)
         self._routes: ServiceRoutes | None = None
+        self._own_notice: OwnerNotice | None = None
         self._view = SteeringView()
 
     def replace_codec(self, codec: ConnectionIdCodec) -> None:
@@ -89,11 +108,42 @@
         """Know the other agents by this configuration from now on."""
         self._table.apply_bundle(bundle, now)
         self._routes = self._table.routes_of(self._service_number)
+        own = self._routes.first_packets.get(self._target_number) if self._routes else None
+        if own is not None:
+            self._own_notice = _notice_of(own)
 
     def update_view(self, view: SteeringView) -> None:
         """Pass first packets on by this view from now on."""
         self._view = view
 
+    def learn(self, notice: OwnerNotice, now: float) -> bool:
+        """Know the agent of a target of the own service that has left the configuration.
+
+        Returns:
+            False if the notice is about a target of another service.
+        """
+        if notice.service_number != self._service_number:
+            return False
+        tunnel = Address(notice.tunnel_host, notice.tunnel_port)
+        expires_at = now + RETENTION_SECONDS
+        self._table.retain(
+            [RetainedTarget(notice.target_number, notice.service_number, tunnel, expires_at)], now
+        )
+        self._routes = self._table.routes_of(self._service_number)
+        return True
+
+    def announcements(self) -> Sequence[Announcement]:
+        """Return what to send every `ANNOUNCEMENT_SECONDS` while this agent owns flows.
+
+        There is nothing to send while its target is in the configuration.
+        """
+        if self._routes is None or self._own_notice is None:
+            return ()
+        if self._target_number in self._routes.first_packets:
+            return ()
+        others = self._routes.first_packets.values()
+        return [Announcement(each.tunnel, self._own_notice) for each in others]
+
     def decide(self, packet: CallerPacket, sender: Address, now: float) -> AgentDecision:
         """Return what becomes of a packet that came from `sender`'s tunnel endpoint."""
         if packet.service_number != self._service_number:
@@ -164,5 +214,8 @@
         balancer_host=balancer.host,
         balancer_port=balancer.port,
     )
-    notice = OwnerNotice(forward.target_number, forward.service_number, *forward.tunnel)
-    return PassOn(forward.tunnel, passed, balancer, notice)
+    return PassOn(forward.tunnel, passed, balancer, _notice_of(forward))
+
+
+def _notice_of(forward: Forward) -> OwnerNotice:
+    return OwnerNotice(forward.target_number, forward.service_number, *forward.tunnel)
--- a/egretsill/steering/_routes.py
+++ b/egretsill/steering/_routes.py
@@ -157,15 +157,14 @@
     def retain(self, targets: Iterable[RetainedTarget], now: float) -> None:
         """Go on sending these targets their packets, unless the configuration has them."""
         latest = now + RETENTION_SECONDS
-        added = {
-            each.number: each
-            for each in targets
-            if each.number not in self._tunnels
-            and each.number not in self._retained
-            and each.expires_at <= latest
-        }
-        if added:
-            self._retained.update(added)
+        is_changed = False
+        for each in targets:
+            if each.number in self._tunnels or each.expires_at > latest:
+                continue
+            known = self._retained.get(each.number)
+            is_changed |= known is None or known.tunnel != each.tunnel
+            self._retained[each.number] = each
+        if is_changed:
             self._rebuild(now)
 
     def _mark_new(self, numbers: set[int], now: float) -> None:
--- a/egretsill/steering/tests/test_agent_steering.py
+++ b/egretsill/steering/tests/test_agent_steering.py
@@ -139,6 +139,23 @@
     assert goes_to(agent.decide(packet(owned(2)), BALANCER, MATURE)) == "pass to 2"
 
 
+def test_agent_announces_itself_once_its_target_has_left() -> None:
+    leaving = make(2)
+    assert not leaving.announcements()
+    leaving.apply_bundle(bundle(2, lookup=(3, 4)), 10.0)
+    announced = {each.tunnel: each.notice for each in leaving.announcements()}
+    assert announced.keys() == {Address("10.1.0.3", 4000), Address("10.1.0.4", 4000)}
+    later = AgentSteering(3, 1, CODEC, lambda _: False, lambda: False, started_at=0.0)
+    later.apply_bundle(bundle(2, lookup=(3, 4)), 10.0)
+    assert goes_to(later.decide(packet(owned(2)), BALANCER, MATURE)) == "pass to 4"
+    assert later.learn(announced[Address("10.1.0.3", 4000)], 20.0)
+    assert goes_to(later.decide(packet(owned(2)), BALANCER, MATURE)) == "pass to 2"
+
+
+def test_notice_of_another_service_is_refused() -> None:
+    assert not make(3).learn(OwnerNotice(7, 2, "10.1.0.7", 4000), 0.0)
+
+
 @settings(derandomize=True, max_examples=300)
 @given(st.binary(max_size=1300), st.sampled_from([b"", b"@", b"\xc0\0\0\0\1\x11", b"@\x10"]))
 def test_any_bytes_get_a_decision(tail: bytes, head: bytes) -> None:
