--- a/egretsill/measurements/_steering_fleet.py
+++ b/egretsill/measurements/_steering_fleet.py
@@ -35,10 +35,14 @@
 
 
 def make_target(
-    number: int, service: str = SERVICE_NAME, state: TargetState = TargetState.ACTIVE
+    number: int,
+    service: str = SERVICE_NAME,
+    state: TargetState = TargetState.ACTIVE,
+    endpoints_of: int | None = None,
 ) -> Target:
-    """Return a target whose endpoints follow from its number."""
-    host = f"10.1.{number // 250}.{number % 250 + 1}"
+    """Return a target whose endpoints follow from its number, or from another one."""
+    machine = number if endpoints_of is None else endpoints_of
+    host = f"10.1.{machine // 250}.{machine % 250 + 1}"
     return Target(
         name=str(number),
         number=number,
