Know which processes answer by SWIM with the full member list

Cause: balancers and agents need a view of each other that costs the same at every size and claims nothing about established flows. Each process holds the full list; the messages carry 64-bit identifiers and ask for unknown records.

--- /dev/null
+++ b/egretsill/membership/_dissemination.py
@@ -0,0 +1,90 @@
+"""Which claims still have to be passed on, and how many bytes may be spent on it."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+from ._messages import MemberUpdate
+
+TRANSMISSIONS_FACTOR = 2.0
+TRANSMISSIONS_MINIMUM = 4
+MAXIMUM_TRANSMISSIONS = 40
+BUDGET_BYTES_PER_SECOND = 8_000.0
+BUDGET_BURST_BYTES = 8_000.0
+UPDATE_BYTES = 21
+HEADER_BYTES = 40
+
+
+class Dissemination:
+    """Claims in the order of how often they were passed on, least often first."""
+
+    def __init__(self) -> None:
+        self._levels: list[dict[int, MemberUpdate]] = [{} for _ in range(MAXIMUM_TRANSMISSIONS)]
+        self._level_of: dict[int, int] = {}
+        self._limit = TRANSMISSIONS_MINIMUM
+
+    def __len__(self) -> int:
+        return len(self._level_of)
+
+    def resize(self, members: int) -> None:
+        """Set the size of the fleet; each claim is passed on so often that all hear it."""
+        wanted = math.ceil(TRANSMISSIONS_FACTOR * math.log2(members + 2))
+        self._limit = min(max(wanted, TRANSMISSIONS_MINIMUM), MAXIMUM_TRANSMISSIONS)
+
+    def add(self, update: MemberUpdate) -> None:
+        """Pass on a new claim in place of any older one about the same member."""
+        self._take_out(update.identifier)
+        self._put(update, 0)
+
+    def heard(self, update: MemberUpdate) -> None:
+        """Note that another member knows a claim already, so it needs less passing on."""
+        level = self._level_of.get(update.identifier)
+        if level is not None and self._levels[level][update.identifier] == update:
+            self._advance(update, level)
+
+    def take(self, count: int) -> list[MemberUpdate]:
+        """Return up to `count` claims to pass on now."""
+        taken: list[tuple[MemberUpdate, int]] = []
+        for level, updates in enumerate(self._levels[: self._limit]):
+            for update in updates.values():
+                if len(taken) == count:
+                    break
+                taken.append((update, level))
+        for update, level in taken:
+            self._advance(update, level)
+        return [update for update, _ in taken]
+
+    def _advance(self, update: MemberUpdate, level: int) -> None:
+        self._take_out(update.identifier)
+        if level + 1 < self._limit:
+            self._put(update, level + 1)
+
+    def _put(self, update: MemberUpdate, level: int) -> None:
+        self._levels[level][update.identifier] = update
+        self._level_of[update.identifier] = level
+
+    def _take_out(self, identifier: int) -> None:
+        level = self._level_of.pop(identifier, None)
+        if level is not None:
+            del self._levels[level][identifier]
+
+
+class ByteBudget:
+    """A token bucket for the bytes of gossip and synchronization."""
+
+    def __init__(self, now: float) -> None:
+        self._bytes = BUDGET_BURST_BYTES
+        self._refilled = now
+
+    def spend(self, updates: Iterable[MemberUpdate] | int, now: float) -> bool:
+        """Pay for a datagram with these claims, and return whether it may be sent."""
+        count = updates if isinstance(updates, int) else sum(1 for _ in updates)
+        cost = HEADER_BYTES + UPDATE_BYTES * count
+        gained = (now - self._refilled) * BUDGET_BYTES_PER_SECOND
+        self._bytes = min(self._bytes + gained, BUDGET_BURST_BYTES)
+        self._refilled = now
+        if self._bytes < cost:
+            return False
+        self._bytes -= cost
+        return True
--- /dev/null
+++ b/egretsill/membership/_gossip_socket.py
@@ -0,0 +1,131 @@
+"""The UDP socket that the small messages of several slices share."""
+
+from __future__ import annotations
+
+import enum
+import socket
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+import trio
+
+from ..configuration import Address
+from ..observation import Metrics
+from ..wire import Codec, MalformedMessage
+from ._messages import MAXIMUM_DATAGRAM_BYTES
+
+BATCH_DATAGRAMS = 64
+RECEIVE_BUFFER_BYTES = 1_048_576
+
+_PORT = "gossip"
+
+
+class GossipDrop(enum.Enum):
+    """Why a datagram was thrown away."""
+
+    OVERSIZED = "oversized"
+    MALFORMED = "malformed"
+    NO_HANDLER = "no-handler"
+    BUFFER_FULL = "buffer-full"
+    UNREACHABLE = "unreachable"
+    RECEIVE_FAILED = "receive-failed"
+
+
+class GossipSocket:
+    """Sends and receives messages of at most `MAXIMUM_DATAGRAM_BYTES`, one in each datagram.
+
+    Args:
+        listen: UDP endpoint; port 0 takes any free one.
+        types: message data class for each tag, of all slices that use the socket.
+
+    Raises:
+        OSError: if the endpoint can't be bound.
+    """
+
+    def __init__(self, listen: Address, types: Mapping[int, type], metrics: Metrics) -> None:
+        self._codec: Codec[Any] = Codec("gossip", types)
+        self._metrics = metrics
+        self._handlers: dict[type, Callable[[Any, Address], None]] = {}
+        self._socket = _bound_socket(listen)
+
+    @property
+    def address(self) -> Address:
+        """Return the endpoint that the socket is bound to."""
+        name = self._socket.getsockname()
+        return Address(name[0], name[1])
+
+    def register(
+        self, message_types: Iterable[type], handler: Callable[[Any, Address], None]
+    ) -> None:
+        """Call `handler(message, sender)` for each message of these types."""
+        for message_type in message_types:
+            self._handlers[message_type] = handler
+
+    def send(self, address: Address, message: object) -> bool:
+        """Send a message and return whether the operating system took it."""
+        data = self._codec.encode(message)
+        if len(data) > MAXIMUM_DATAGRAM_BYTES:
+            self._drop(GossipDrop.OVERSIZED)
+            return False
+        try:
+            self._socket.sendto(data, address)
+        except BlockingIOError:
+            self._drop(GossipDrop.BUFFER_FULL)
+            return False
+        except OSError:
+            self._drop(GossipDrop.UNREACHABLE)
+            return False
+        self._metrics.gossip_messages.increment("sent")
+        return True
+
+    async def run(self, task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED) -> None:
+        """Receive until cancelled, then close; starts with the endpoint."""
+        with self._socket:
+            task_status.started(self.address)
+            while True:
+                await trio.lowlevel.wait_readable(self._socket)
+                self._receive_batch()
+
+    def _receive_batch(self) -> None:
+        for _ in range(BATCH_DATAGRAMS):
+            try:
+                data, name = self._socket.recvfrom(MAXIMUM_DATAGRAM_BYTES + 1)
+            except BlockingIOError:
+                return
+            except OSError:
+                self._drop(GossipDrop.RECEIVE_FAILED)
+                return
+            self._receive(data, Address(name[0], name[1]))
+
+    def _receive(self, data: bytes, sender: Address) -> None:
+        if len(data) > MAXIMUM_DATAGRAM_BYTES:
+            self._drop(GossipDrop.OVERSIZED)
+            return
+        try:
+            message = self._codec.decode(data)
+        except MalformedMessage as error:
+            self._metrics.messages_malformed.increment(error.protocol, error.reason)
+            self._drop(GossipDrop.MALFORMED)
+            return
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            self._drop(GossipDrop.NO_HANDLER)
+            return
+        self._metrics.gossip_messages.increment("received")
+        handler(message, sender)
+
+    def _drop(self, reason: GossipDrop) -> None:
+        self._metrics.datagrams_dropped.increment(_PORT, reason)
+
+
+def _bound_socket(listen: Address) -> socket.socket:
+    family = socket.AF_INET6 if ":" in listen.host else socket.AF_INET
+    bound = socket.socket(family, socket.SOCK_DGRAM)
+    try:
+        bound.setblocking(False)
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        bound.bind(listen)
+    except BaseException:
+        bound.close()
+        raise
+    return bound
--- /dev/null
+++ b/egretsill/membership/_membership_service.py
@@ -0,0 +1,139 @@
+"""Drives the membership protocol with the timer service and the gossip socket."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+from typing import Protocol
+
+from ..configuration import Address
+from ..observation import Metrics, StateChange, StateKind, StateLog
+from ..timing import ClockJump, Subscription, TimerService
+from ._effects import Effect, MemberChanged, Send
+from ._member import Member, MembershipView, MemberState
+from ._membership import TICK_SECONDS, Membership
+from ._messages import MEMBERSHIP_TYPES, MembershipMessage
+
+
+class GossipPort(Protocol):
+    """What the service needs of a gossip socket."""
+
+    def register(
+        self, message_types: Iterable[type], handler: Callable[[MembershipMessage, Address], None]
+    ) -> None:
+        """Call `handler(message, sender)` for each message of these types."""
+
+    def send(self, address: Address, message: object) -> bool:
+        """Send a message and return whether it was taken."""
+
+
+class MembershipService:
+    """The view of one running process, kept up to date.
+
+    Subscribers are called at most once in each tick, however many members changed.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        gossip: GossipPort,
+        timers: TimerService,
+        metrics: Metrics,
+        state_log: StateLog,
+    ) -> None:
+        self._membership = membership
+        self._gossip = gossip
+        self._timers = timers
+        self._metrics = metrics
+        self._state_log = state_log
+        self._subscribers: list[Callable[[MembershipView], None]] = []
+        self._announced_version = membership.view.version
+        self._tick: Subscription | None = None
+
+    @property
+    def own(self) -> Member:
+        """Return this process."""
+        return self._membership.own
+
+    @property
+    def view(self) -> MembershipView:
+        """Return what is known of the other processes."""
+        return self._membership.view
+
+    @property
+    def is_fresh(self) -> bool:
+        """Return whether the view may choose where new work goes."""
+        return self._membership.is_fresh(self._timers.now)
+
+    def subscribe(self, callback: Callable[[MembershipView], None]) -> None:
+        """Call `callback(view)` after each change of the view."""
+        self._subscribers.append(callback)
+
+    def start(self) -> None:
+        """Take part in the protocol until `stop`."""
+        self._gossip.register(MEMBERSHIP_TYPES.values(), self._on_message)
+        self._timers.subscribe_jumps(self._on_jump)
+        self._tick = self._timers.subscribe(TICK_SECONDS, self._on_tick)
+
+    def on_vm_list(self, members: Sequence[Member]) -> None:
+        """Take the processes on the platform's list of VMs as candidates."""
+        self._perform(self._membership.on_vm_list(members, self._timers.now))
+
+    def on_targets(self, members: Sequence[Member]) -> None:
+        """Take the agents of the configured targets as candidates."""
+        self._perform(self._membership.on_targets(members, self._timers.now))
+
+    def leave(self) -> None:
+        """Tell the others that this process takes no new work."""
+        self._perform(self._membership.announce_leaving(self._timers.now))
+
+    def stop(self) -> None:
+        """Tell the others that this process ends, and take no further part."""
+        self._perform(self._membership.announce_gone(self._timers.now))
+        if self._tick is not None:
+            self._tick.cancel()
+            self._tick = None
+
+    def _on_tick(self, now: float) -> None:
+        if self._tick is None:
+            return
+        self._perform(self._membership.tick(now))
+        self._announce()
+        self._log_freshness(now)
+
+    def _on_message(self, message: MembershipMessage, sender: Address) -> None:
+        if self._tick is not None:
+            self._perform(self._membership.on_message(message, sender, self._timers.now))
+
+    def _on_jump(self, jump: ClockJump) -> None:
+        if self._tick is not None:
+            self._metrics.clock_jumps.increment()
+            self._perform(self._membership.on_jump(jump.after))
+            self._log_freshness(jump.after)
+
+    def _perform(self, effects: Iterable[Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case Send(address, message):
+                    self._gossip.send(address, message)
+                case MemberChanged(member, before, after):
+                    self._note_change(member, before, after)
+
+    def _note_change(self, member: Member, before: MemberState, after: MemberState) -> None:
+        state = after.name.lower()
+        self._metrics.membership_changes.increment(state)
+        details = {"role": member.role.value, "failure_domain": member.failure_domain}
+        self._state_log.record(StateChange(StateKind.MEMBER, member.name, state, details))
+
+    def _announce(self) -> None:
+        view = self._membership.view
+        if view.version == self._announced_version:
+            return
+        self._announced_version = view.version
+        for (role, state), count in self._membership.counts.items():
+            self._metrics.members.set(count, role, state.name.lower())
+        for subscriber in self._subscribers:
+            subscriber(view)
+
+    def _log_freshness(self, now: float) -> None:
+        state = "fresh" if self._membership.is_fresh(now) else "stale"
+        self._state_log.record(StateChange(StateKind.VIEW, self.own.name, state))
--- /dev/null
+++ b/egretsill/membership/_synchronization.py
@@ -0,0 +1,167 @@
+"""Comparing views with other members, and asking for the records of unknown ones."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+
+from ..configuration import Address
+from ._claims import Claims
+from ._dissemination import ByteBudget
+from ._effects import Effect, Send
+from ._messages import (
+    MAXIMUM_DIGESTS,
+    MAXIMUM_PARTS,
+    MAXIMUM_RECORDS,
+    MAXIMUM_REQUESTED,
+    MAXIMUM_UPDATES,
+    RECORD_BYTES,
+    MemberQuery,
+    MemberRecord,
+    MemberRecords,
+    MemberUpdate,
+    SyncDigests,
+    SyncEntries,
+)
+from ._probing import Prober
+from ._refresh import Refresh, blocks
+
+SYNC_SECONDS = 1.0
+QUERY_SECONDS = 0.2
+QUERY_TRIES = 5
+QUERY_ANSWERS = 3
+REFRESH_PEERS = 2
+
+
+class Synchronization:
+    """Keeps views alike when gossip was lost, and makes a stale view fresh."""
+
+    def __init__(
+        self,
+        claims: Claims,
+        prober: Prober,
+        budget: ByteBudget,
+        random_source: random.Random,
+        outbox: list[Effect],
+        now: float,
+    ) -> None:
+        self._claims = claims
+        self._prober = prober
+        self._budget = budget
+        self._random = random_source
+        self._outbox = outbox
+        self._next_sync = now + SYNC_SECONDS * random_source.random()
+        self._next_query = now
+        self._next_block = 0
+        self.refresh = Refresh(now)
+
+    def tick(self, now: float) -> None:
+        """Send the questions that are due."""
+        self._ask_for_refresh(now)
+        if now >= self._next_sync:
+            self._next_sync = now + SYNC_SECONDS
+            self._compare_one_block(now)
+        if now >= self._next_query and self._claims.wanted:
+            self._next_query = now + QUERY_SECONDS
+            self._ask_for_records()
+
+    def on_digests(self, message: SyncDigests, sender: Address, now: float) -> None:
+        """Answer with the claims in the ranges that differ, as far as the budget allows."""
+        own = self._claims.digests(message.depth)[message.first :]
+        differing = [
+            message.first + place
+            for place, (theirs, ours) in enumerate(zip(message.digests, own, strict=False))
+            if theirs != ours
+        ]
+        updates = self._claims.updates_in(message.depth, differing) if differing else []
+        self._random.shuffle(updates)
+        self._answer(message.sequence, updates, sender, now)
+
+    def on_entries(self, message: SyncEntries, sender: Address, now: float) -> None:
+        """Take in one part of an answer."""
+        self._claims.merge_all(message.updates, sender, now, pass_on=False)
+        self.refresh.answered(message.sequence, message.part, message.parts, message.complete)
+
+    def on_query(self, message: MemberQuery, sender: Address) -> None:
+        """Answer with the records asked for, in a bounded number of datagrams."""
+        found = [self._claims.record_of(each) for each in message.identifiers]
+        records = [each for each in found if each is not None]
+        for batch in _batches(records)[:QUERY_ANSWERS]:
+            self._outbox.append(Send(sender, MemberRecords(batch)))
+
+    def on_records(self, message: MemberRecords, sender: Address, now: float) -> None:
+        """Take in members that may be new."""
+        for record in message.records:
+            self._claims.merge_record(record, sender, now)
+
+    def _ask_for_refresh(self, now: float) -> None:
+        due = self.refresh.due_blocks(self._claims.roster.depth(), now)
+        if not due:
+            return
+        peers = self._prober.draw(REFRESH_PEERS) or self._draw_unreachable()
+        for block in due:
+            for peer in peers:
+                self.refresh.ask(self._ask(peer, block), block)
+
+    def _compare_one_block(self, now: float) -> None:
+        peers = self._prober.draw(1)
+        if not peers:
+            return
+        due = blocks(self._claims.roster.depth())
+        self._next_block = (self._next_block + 1) % len(due)
+        if self._budget.spend(MAXIMUM_UPDATES, now):
+            self._ask(peers[0], due[self._next_block])
+
+    def _ask(self, peer: int, block: tuple[int, int]) -> int:
+        depth, first = block
+        digests = tuple(self._claims.digests(depth)[first : first + MAXIMUM_DIGESTS])
+        sequence = self._prober.next_sequence()
+        question = SyncDigests(sequence, self._claims.identifier, depth, first, digests)
+        entry = self._claims.roster.get(peer)
+        if entry is not None:
+            self._outbox.append(Send(entry.member.gossip, question))
+        return sequence
+
+    def _draw_unreachable(self) -> list[int]:
+        ordered = self._claims.roster.unreachable.ordered
+        return self._random.sample(ordered, min(REFRESH_PEERS, len(ordered)))
+
+    def _answer(
+        self, sequence: int, updates: Sequence[MemberUpdate], sender: Address, now: float
+    ) -> None:
+        batches = [
+            tuple(updates[first : first + MAXIMUM_UPDATES])
+            for first in range(0, len(updates), MAXIMUM_UPDATES)
+        ] or [()]
+        sent = [each for each in batches[:MAXIMUM_PARTS] if self._budget.spend(each, now)]
+        complete = len(sent) == len(batches) and self.refresh.is_fresh(now)
+        for part, batch in enumerate(sent):
+            answer = SyncEntries(sequence, part, len(sent), complete, batch)
+            self._outbox.append(Send(sender, answer))
+
+    def _ask_for_records(self) -> None:
+        """Ask one of those who named unknown members for their records."""
+        source = next(iter(self._claims.wanted.values())).source
+        asked: list[int] = []
+        for identifier, wanted in list(self._claims.wanted.items()):
+            if wanted.source != source or len(asked) == MAXIMUM_REQUESTED:
+                continue
+            asked.append(identifier)
+            wanted.tries += 1
+            if wanted.tries >= QUERY_TRIES:
+                del self._claims.wanted[identifier]
+        self._outbox.append(Send(source, MemberQuery(tuple(asked))))
+
+
+def _batches(records: Sequence[MemberRecord]) -> list[tuple[MemberRecord, ...]]:
+    """Return the records in batches that fit one datagram each."""
+    batches: list[tuple[MemberRecord, ...]] = []
+    batch: list[MemberRecord] = []
+    size = 0
+    for record in records:
+        if batch and (size + record.encoded_bytes > RECORD_BYTES or len(batch) == MAXIMUM_RECORDS):
+            batches.append(tuple(batch))
+            batch, size = [], 0
+        batch.append(record)
+        size += record.encoded_bytes
+    return [*batches, tuple(batch)] if batch else batches
--- /dev/null
+++ b/egretsill/membership/tests/test_claims.py
@@ -0,0 +1,209 @@
+"""Which claim about a member wins, and what a process does about claims against itself."""
+
+from __future__ import annotations
+
+import itertools
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from egretsill.configuration import Address
+from egretsill.membership import Effect, Member, MemberChanged, Membership, MemberState, Role, Send
+from egretsill.membership._messages import (
+    MAXIMUM_INCARNATION,
+    Ack,
+    Gossip,
+    MemberRecord,
+    MemberRecords,
+    MemberUpdate,
+    Ping,
+)
+
+ALIVE, LEAVING, SUSPECT, DEAD = (
+    MemberState.ALIVE,
+    MemberState.LEAVING,
+    MemberState.SUSPECT,
+    MemberState.DEAD,
+)
+SENDER = Address("10.0.0.9", 7003)
+
+
+def member(number: int, name: str | None = None) -> Member:
+    host = f"10.0.0.{number}"
+    return Member(
+        name or f"agent-{number}",
+        Role.AGENT,
+        number,
+        Address(host, 7003),
+        Address(host, 7001),
+        Address(host, 7002),
+        "domain-a",
+    )
+
+
+def membership(*known: Member, incarnation: int = 50, number: int = 1) -> Membership:
+    own = Membership(member(number), 10, random.Random(1), 0.0)
+    records = tuple(MemberRecord.of(each, incarnation, ALIVE.value) for each in known)
+    own.on_message(MemberRecords(records), SENDER, 0.0)
+    return own
+
+
+def gossip(about: Member, incarnation: int, state: MemberState) -> Gossip:
+    return Gossip((MemberUpdate(about.identifier, incarnation, state.value),))
+
+
+def sent(effects: list[Effect]) -> list[Send]:
+    return [each for each in effects if isinstance(each, Send)]
+
+
+@pytest.mark.parametrize(
+    ("known", "claim", "result"),
+    [
+        pytest.param((50, ALIVE), (50, SUSPECT), SUSPECT, id="suspicion of the same life"),
+        pytest.param((50, ALIVE), (49, DEAD), ALIVE, id="old death"),
+        pytest.param((50, SUSPECT), (50, ALIVE), SUSPECT, id="alive without a refutation"),
+        pytest.param((50, SUSPECT), (51, ALIVE), ALIVE, id="refutation"),
+        pytest.param((50, DEAD), (50, SUSPECT), DEAD, id="suspicion after death"),
+        pytest.param((50, DEAD), (51, ALIVE), ALIVE, id="back from the dead"),
+        pytest.param((50, LEAVING), (50, ALIVE), LEAVING, id="leaving is not undone"),
+        pytest.param((50, LEAVING), (51, LEAVING), LEAVING, id="leaving and refuted"),
+        pytest.param((51, SUSPECT), (50, LEAVING), SUSPECT, id="old leaving"),
+        pytest.param((50, ALIVE), (60, DEAD), DEAD, id="death of a later life"),
+    ],
+)
+def test_newer_claim_wins(
+    known: tuple[int, MemberState], claim: tuple[int, MemberState], result: MemberState
+) -> None:
+    other = member(2)
+    own = membership(other)
+    own.on_message(gossip(other, *known), SENDER, 1.0)
+    own.on_message(gossip(other, *claim), SENDER, 2.0)
+    assert own.state_of(other.name) is result
+
+
+CLAIMS = st.tuples(st.integers(0, 4), st.sampled_from([ALIVE, LEAVING, SUSPECT, DEAD]))
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(claims=st.lists(CLAIMS, min_size=1, max_size=6), order=st.randoms(use_true_random=False))
+def test_order_of_arrival_does_not_matter(
+    claims: list[tuple[int, MemberState]], order: random.Random
+) -> None:
+    other = member(2)
+    shuffled = list(claims)
+    order.shuffle(shuffled)
+    results = []
+    for sequence in (claims, shuffled):
+        own = membership(other, incarnation=0)
+        for claim in sequence:
+            own.on_message(gossip(other, *claim), SENDER, 1.0)
+        results.append(own.state_of(other.name))
+    assert results[0] is results[1] is max([*claims, (0, ALIVE)])[1]
+
+
+@pytest.mark.parametrize(
+    ("claim", "incarnation"),
+    [
+        pytest.param((10, SUSPECT), 11, id="suspected"),
+        pytest.param((10, DEAD), 11, id="declared dead"),
+        pytest.param((40, DEAD), 41, id="declared dead in a later life"),
+        pytest.param((9, DEAD), 10, id="old claim"),
+        pytest.param((10, ALIVE), 10, id="known claim"),
+        pytest.param((MAXIMUM_INCARNATION, DEAD), 10, id="greatest incarnation can't be refuted"),
+    ],
+)
+def test_claims_about_oneself_are_refuted(claim: tuple[int, MemberState], incarnation: int) -> None:
+    own = membership(member(2))
+    effects = own.on_message(gossip(own.own, *claim), SENDER, 1.0)
+    assert own.incarnation == incarnation
+    refuted = incarnation != 10
+    expected = Gossip((MemberUpdate(own.own.identifier, incarnation, ALIVE.value),))
+    assert sent(effects) == ([Send(SENDER, expected)] if refuted else [])
+
+
+def test_ping_to_a_suspect_tells_it_and_its_answer_refutes() -> None:
+    suspect = membership(number=2)
+    own = membership(suspect.own)
+    own.on_message(gossip(suspect.own, 50, SUSPECT), SENDER, 1.0)
+    answer = own.on_message(Ping(1, suspect.own.identifier, 50, own.own.identifier), SENDER, 1.1)
+    ack = sent(answer)[0].message
+    assert isinstance(ack, Ack)
+    assert MemberUpdate(suspect.own.identifier, 50, SUSPECT) in ack.updates
+    for effect in sent(suspect.on_message(ack, own.own.gossip, 1.2)):
+        own.on_message(effect.message, suspect.own.gossip, 1.3)
+    assert own.state_of(suspect.own.name) is ALIVE
+
+
+def test_replaced_vm_at_the_same_address_is_dead_at_once() -> None:
+    former, successor = member(2), member(2, "agent-2-b")
+    own = membership(former)
+    record = MemberRecord.of(successor, 60, ALIVE.value)
+    effects = own.on_message(MemberRecords((record,)), SENDER, 1.0)
+    assert own.state_of(former.name) is DEAD
+    assert own.state_of(successor.name) is ALIVE
+    assert own.view.available == {2}
+    assert own.view.dead == frozenset()
+    assert MemberChanged(former, ALIVE, DEAD) in effects
+
+
+def test_answer_of_a_stranger_buries_the_member_probed() -> None:
+    former, successor = member(2), member(2, "agent-2-b")
+    own = membership(former)
+    pings: list[Ping] = []
+    now = 0.0
+    while not pings:
+        now += 0.1
+        messages = [each.message for each in sent(own.tick(now))]
+        pings = [each for each in messages if isinstance(each, Ping)]
+    ack = Ack(pings[0].sequence, successor.identifier, 60, True)
+    own.on_message(ack, former.gossip, now + 0.01)
+    assert own.state_of(former.name) is DEAD
+
+
+def test_candidates_are_not_used_before_they_answer_and_unlisted_members_are() -> None:
+    listed, unlisted = member(2), member(3)
+    own = membership(unlisted)
+    own.on_vm_list([listed], 1.0)
+    assert own.state_of(listed.name) is MemberState.CANDIDATE
+    assert own.view.available == {3}
+    ping = Ping(1, listed.identifier, 70, own.own.identifier)
+    own.on_message(ping, listed.gossip, 2.0)
+    assert own.view.available == {2, 3}
+    own.on_vm_list([], 3.0)
+    assert own.view.available == {2, 3}
+
+
+def test_unanswering_candidate_is_forgotten_with_the_list() -> None:
+    own = membership()
+    own.on_vm_list([member(2)], 1.0)
+    own.on_vm_list([], 2.0)
+    assert own.state_of("agent-2") is None
+
+
+def test_dead_members_are_forgotten_unless_listed() -> None:
+    own = membership(member(2), member(3))
+    own.on_vm_list([member(3)], 0.5)
+    for number in (2, 3):
+        own.on_message(gossip(member(number), 50, DEAD), SENDER, 1.0)
+    for now in itertools.chain(range(1, 30), range(7_190, 7_230)):
+        own.tick(float(now))
+    assert own.state_of("agent-2") is None
+    assert own.state_of("agent-3") is DEAD
+
+
+def test_unknown_members_are_asked_for_by_name() -> None:
+    knows, own = membership(member(2), member(3)), membership()
+    own.on_message(gossip(member(3), 50, ALIVE), SENDER, 1.0)
+    queries = sent(own.tick(1.1))
+    answers = [
+        answer
+        for query in queries
+        for answer in sent(knows.on_message(query.message, own.own.gossip, 1.2))
+        if isinstance(answer.message, MemberRecords)
+    ]
+    for answer in answers:
+        own.on_message(answer.message, SENDER, 1.3)
+    assert own.view.available == {3}
+    assert own.view.alive == (member(3),)
--- /dev/null
+++ b/egretsill/membership/tests/test_gossip_socket.py
@@ -0,0 +1,82 @@
+"""The gossip socket over real UDP on loopback."""
+
+from __future__ import annotations
+
+import socket
+from dataclasses import dataclass
+
+import pytest
+import trio
+
+from egretsill.configuration import Address
+from egretsill.membership import MAXIMUM_DATAGRAM_BYTES, MEMBERSHIP_TYPES, GossipSocket
+from egretsill.membership._messages import Gossip, MemberQuery, MemberUpdate
+from egretsill.observation import Metrics
+
+
+@dataclass(frozen=True, slots=True)
+class _Large:
+    text: str
+
+
+LOOPBACK = Address("127.0.0.1", 0)
+MESSAGE = Gossip((MemberUpdate(1, 2, 0),))
+
+
+async def _receive(datagrams: list[bytes], metrics: Metrics, expected: int) -> list[object]:
+    """Return what the handler was given of these datagrams and one good message after them."""
+    received: list[object] = []
+    gossip = GossipSocket(LOOPBACK, MEMBERSHIP_TYPES, metrics)
+    gossip.register([Gossip], lambda message, sender: received.append(message))
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(gossip.run)
+            for datagram in datagrams:
+                sender.sendto(datagram, address)
+            assert gossip.send(address, MESSAGE)
+            while len(received) < expected:
+                await trio.sleep(0.001)
+            nursery.cancel_scope.cancel()
+    return received
+
+
+@pytest.mark.parametrize(
+    ("datagram", "reason"),
+    [
+        pytest.param(b"", "malformed", id="empty"),
+        pytest.param(b"\xc1\xff", "malformed", id="no msgpack"),
+        pytest.param(b"\x92\x3f", "malformed", id="truncated"),
+        pytest.param(b"\x92\x01\x90", "malformed", id="unknown tag"),
+        pytest.param(b"\x92\x42\x90", "no-handler", id="message that nobody wants"),
+        pytest.param(b"x" * (MAXIMUM_DATAGRAM_BYTES + 1), "oversized", id="one byte too many"),
+        pytest.param(b"x" * 60_000, "oversized", id="far too many bytes"),
+    ],
+)
+def test_bad_datagrams_are_counted_and_dropped(datagram: bytes, reason: str) -> None:
+    metrics = Metrics()
+    assert trio.run(_receive, [datagram] * 3, metrics, 1) == [MESSAGE]
+    assert metrics.datagrams_dropped.value("gossip", reason) == 3
+    assert metrics.datagrams_dropped.total() == 3
+
+
+def test_messages_too_large_are_not_sent() -> None:
+    metrics = Metrics()
+    gossip = GossipSocket(LOOPBACK, {1: MemberQuery, 2: _Large}, metrics)
+    with gossip._socket:
+        assert not gossip.send(gossip.address, _Large("x" * MAXIMUM_DATAGRAM_BYTES))
+    assert metrics.datagrams_dropped.value("gossip", "oversized") == 1
+    assert metrics.gossip_messages.total() == 0
+
+
+def test_unreachable_network_is_counted() -> None:
+    metrics = Metrics()
+    gossip = GossipSocket(LOOPBACK, MEMBERSHIP_TYPES, metrics)
+    with gossip._socket:
+        assert not gossip.send(Address("240.0.0.1", 9), MESSAGE)
+    assert metrics.datagrams_dropped.value("gossip", "unreachable") == 1
+
+
+def test_more_than_one_batch_is_received() -> None:
+    metrics = Metrics()
+    good = b"\x92\x3f\x91\x93\x01\x02\x00"
+    assert trio.run(_receive, [good] * 150, metrics, 151) == [MESSAGE] * 151
--- /dev/null
+++ b/egretsill/membership/tests/test_membership_service.py
@@ -0,0 +1,134 @@
+"""The service: timers and gossip in, a view, metrics and log lines out, in virtual time."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+
+from egretsill.configuration import Address
+from egretsill.membership import (
+    Member,
+    Membership,
+    MembershipMessage,
+    MembershipService,
+    MembershipView,
+    Role,
+)
+from egretsill.observation import Metrics, StateLog
+from egretsill.timing import VirtualTimerService
+
+
+class _Network:
+    """Delivers at once among the ports that are open."""
+
+    def __init__(self) -> None:
+        self.ports: dict[Address, _Port] = {}
+
+
+class _Port:
+    def __init__(self, network: _Network, address: Address) -> None:
+        self._network = network
+        self._address = address
+        self.handler: Callable[[MembershipMessage, Address], None] | None = None
+        network.ports[address] = self
+
+    def register(
+        self, message_types: Iterable[type], handler: Callable[[MembershipMessage, Address], None]
+    ) -> None:
+        self.handler = handler
+
+    def send(self, address: Address, message: object) -> bool:
+        port = self._network.ports.get(address)
+        if port is not None and port.handler is not None:
+            port.handler(message, self._address)  # type: ignore[arg-type]
+        return True
+
+
+class _Pair:
+    """An agent and a balancer."""
+
+    def __init__(self) -> None:
+        self.timers = VirtualTimerService()
+        self.network = _Network()
+        self.members = [self._member(1, Role.AGENT), self._member(2, Role.BALANCER)]
+        self.metrics = [Metrics(), Metrics()]
+        self.services = [
+            MembershipService(
+                Membership(member, 1000 + place, random.Random(place), self.timers.now),
+                _Port(self.network, member.gossip),
+                self.timers,
+                self.metrics[place],
+                StateLog(member.name),
+            )
+            for place, member in enumerate(self.members)
+        ]
+        self.seen: list[MembershipView] = []
+        self.services[1].subscribe(self.seen.append)
+        for service in self.services:
+            service.start()
+        self.services[1].on_vm_list(self.members)
+
+    def _member(self, number: int, role: Role) -> Member:
+        host = f"10.0.0.{number}"
+        return Member(
+            f"vm-{number}",
+            role,
+            number if role is Role.AGENT else 0,
+            Address(host, 7003),
+            Address(host, 7001),
+            Address(host, 7002),
+            "domain-a",
+        )
+
+
+def test_members_find_each_other_from_one_list() -> None:
+    pair = _Pair()
+    assert not pair.services[0].is_fresh
+    pair.timers.advance(2.5)
+    agent, balancer = pair.services
+    assert balancer.view.available == {1}
+    assert agent.view.balancers == (pair.members[1],)
+    assert agent.is_fresh
+    assert balancer.is_fresh
+    assert pair.seen[-1] == balancer.view
+    assert pair.metrics[1].members.value("agent", "alive") == 1
+    assert pair.metrics[1].membership_changes.value("alive") == 1
+
+
+def test_leaving_and_end_are_announced_at_once() -> None:
+    pair = _Pair()
+    pair.timers.advance(2.5)
+    pair.services[0].leave()
+    assert pair.services[1].view.leaving == {1}
+    pair.services[0].stop()
+    assert pair.services[1].view.dead == {1}
+    pair.timers.advance(0.2)
+    assert pair.seen[-1].dead == {1}
+
+
+def test_silent_member_is_dead_and_counted() -> None:
+    pair = _Pair()
+    pair.timers.advance(2.5)
+    pair.network.ports[pair.members[0].gossip].handler = None
+    pair.timers.advance(5.0)
+    assert pair.services[1].view.dead == {1}
+    assert pair.metrics[1].membership_changes.value("suspect") == 1
+    assert pair.metrics[1].members.value("agent", "dead") == 1
+
+
+def test_view_is_stale_after_a_jump_until_a_member_answered() -> None:
+    pair = _Pair()
+    pair.timers.advance(2.5)
+    handlers = [port.handler for port in pair.network.ports.values()]
+    for port in pair.network.ports.values():
+        port.handler = None
+    pair.timers.pause(30.0)
+    assert not pair.services[1].is_fresh
+    assert pair.metrics[1].clock_jumps.value() == 1
+    pair.timers.advance(0.5)
+    assert not pair.services[1].is_fresh
+    for port, handler in zip(pair.network.ports.values(), handlers, strict=True):
+        port.handler = handler
+    pair.timers.advance(4.0)
+    assert pair.services[1].is_fresh
+    assert pair.services[1].view.available == {1}
