Compose the daemon from its parts

Cause: quickstart wired parts by hand. Change: one composition root for both roles with gossip, membership, admin port, state log and graceful shutdown.

--- a/egretsill/daemon/_agent_core.py
+++ b/egretsill/daemon/_agent_core.py
@@ -10,6 +10,7 @@
 from ..admission import Admission
 from ..configuration import Address, Bundle, Service, Target
 from ..flows import AgentTunnel, FlowServer, IncomingDatagram, server_configuration
+from ..observation import JSON
 from ..requests import BackendClient, Exchange, RequestService
 from ..settings import DaemonSettings, TlsSettings
 from ..steering import CallerPacket, ConnectionIdCodec
@@ -73,6 +74,16 @@
         )
         self._tunnel.receive_with(self._receive)
 
+    @property
+    def flows_open(self) -> int:
+        """Return how many flows are open."""
+        return self._flows.open_flows
+
+    @property
+    def requests_running(self) -> int:
+        """Return how many requests are in progress."""
+        return self._flows.open_requests
+
     async def run(self) -> None:
         """Take packets until cancelled."""
         await self._tunnel.run()
@@ -81,6 +92,29 @@
         """Work by this configuration from now on."""
         self._bundle = bundle
 
+    def replace_codec(self, codec: ConnectionIdCodec) -> None:
+        """Issue connection IDs under other keys from now on."""
+        self._codec = codec
+
+    def start_draining(self) -> None:
+        """Start no new work, and ask callers to open further requests elsewhere."""
+        if not self._draining:
+            self._draining = True
+            self._requests.stop_new_work()
+            self._flows.send_goaway()
+
+    def status(self) -> Mapping[str, JSON]:
+        """Return what the status page says of the agent."""
+        return {
+            "target": self._target.name,
+            "service": self._target.service,
+            "slots": self._admission.slots,
+            "slots_in_use": self._admission.running,
+            "queued": self._admission.queued,
+            "subscriptions": self._admission.open_connections,
+            "dropped": dict(self._tunnel.drops),
+        }
+
     def _service(self, name: str) -> Service | None:
         return self._bundle.services.get(name)
 
--- /dev/null
+++ b/egretsill/daemon/_balancer_role.py
@@ -0,0 +1,71 @@
+"""What a daemon does as a balancer."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from ..configuration import Address, Bundle
+from ..membership import MembershipView
+from ..observation import JSON, Metrics
+from ..settings import DaemonSettings
+from ..steering import Balancer, ConnectionIdCodec, SteeringView
+from ..timing import TimerService
+from ._codec import make_codec
+
+
+class BalancerRole:
+    """Steers callers' packets by the configuration and the view of this process.
+
+    Raises:
+        OSError: if the tunnel endpoint can't be bound.
+    """
+
+    def __init__(self, settings: DaemonSettings, timer: TimerService, metrics: Metrics) -> None:
+        self._settings = settings
+        self._metrics = metrics
+        self._balancer = Balancer(
+            timer, settings.tunnel, make_codec(settings.connection_id_keys), self._listener
+        )
+
+    @property
+    def target_number(self) -> int | None:
+        """Return None: a balancer has no target."""
+        return None
+
+    @property
+    def flows_open(self) -> int:
+        """Return 0: a balancer keeps no flows."""
+        return 0
+
+    @property
+    def requests_running(self) -> int:
+        """Return 0: a balancer serves no requests."""
+        return 0
+
+    async def run(self) -> None:
+        """Forward packets until cancelled."""
+        await self._balancer.run()
+
+    def apply_bundle(self, bundle: Bundle) -> None:
+        """Steer by this configuration from now on."""
+        self._balancer.apply_bundle(bundle)
+
+    def update_view(self, view: MembershipView) -> None:
+        """Place new flows by this view from now on."""
+        self._balancer.update_view(
+            SteeringView(draining=view.leaving, unresponsive=view.suspect | view.dead)
+        )
+
+    def replace_codec(self, codec: ConnectionIdCodec) -> None:
+        """Use other connection-ID keys from now on."""
+        self._balancer.replace_codec(codec)
+
+    def start_draining(self) -> None:
+        """Do nothing: a balancer forwards until the fabric feeds it no more."""
+
+    def status(self) -> Mapping[str, JSON]:
+        """Return what the status page says of this role."""
+        return {"silent_targets": sorted(self._balancer.silent_targets)}
+
+    def _listener(self, service_address: Address) -> Address:
+        return self._settings.listen.get(service_address, service_address)
--- a/egretsill/daemon/_exceptions.py
+++ b/egretsill/daemon/_exceptions.py
@@ -33,3 +33,15 @@
         super().__init__(f"certificate {certificate}: {reason}")
         self.certificate = certificate
         self.reason = reason
+
+
+class AgentSettingsIncomplete(Exception):
+    """An agent's settings lack its target's number or its certificate.
+
+    Attributes:
+        name: of the process.
+    """
+
+    def __init__(self, name: str) -> None:
+        super().__init__(f"{name}: an agent needs the number of its target and a certificate")
+        self.name = name
--- a/egretsill/quickstart/_site.py
+++ b/egretsill/quickstart/_site.py
@@ -8,12 +8,10 @@
 import trio
 
 from ..configuration import Bundle, Target
-from ..daemon._agent_core import AgentCore
-from ..settings import DaemonSettings, TlsSettings
+from ..daemon import Daemon, FixedConfiguration
+from ..settings import DaemonSettings
 from ..stand_ins.backend_server import BackendBehaviour, BackendServer
 from ..stand_ins.fabric import Fabric
-from ..steering import Balancer, ConnectionIdCodec, ConnectionIdKey
-from ..timing import TrioTimerService
 from ._site_plan import SitePlan
 
 REVISION_SECONDS = 0.5
@@ -27,8 +25,8 @@
         self._plan = plan
         self._nursery = nursery
         self._seed = seed
-        self._timer = TrioTimerService()
-        self._balancers: dict[str, trio.CancelScope] = {}
+        self._daemons: dict[str, Daemon] = {}
+        self._scopes: dict[str, trio.CancelScope] = {}
         self._backends: dict[str, BackendServer] = {}
         self._fabric: Fabric | None = None
 
@@ -44,20 +42,24 @@
 
     async def start(self) -> None:
         """Start all processes."""
-        self._nursery.start_soon(self._timer.run)
         bundle = Bundle(1, "", self._plan.services)
         for target in self._plan.targets:
             await self._start_backend(target)
-            self._start_agent(target, bundle)
+            await self._start_daemon(self._plan.agent_settings(target), bundle)
         for name in self._plan.balancers:
-            self._start_balancer(self._plan.balancer_settings(name), bundle)
+            await self._start_daemon(self._plan.balancer_settings(name), bundle)
         listeners = {name: self._plan.listeners(name) for name in self._plan.balancers}
         self._fabric = Fabric(self._plan.service_addresses, listeners, Random(self._seed))
         await self._nursery.start(self._fabric.run)
 
+    @property
+    def daemons(self) -> Mapping[str, Daemon]:
+        """Return every daemon that was started, by name."""
+        return self._daemons
+
     async def stop_balancer(self, name: str, noticed_after_seconds: float) -> None:
         """Stop a balancer without warning; the fabric feeds it on for a while."""
-        self._balancers[name].cancel()
+        self._scopes[name].cancel()
         await trio.sleep(noticed_after_seconds)
         if self._fabric is not None:
             self._fabric.feed([each for each in self._plan.balancers if each != name])
@@ -72,38 +74,16 @@
         self._backends[target.name] = backend
         await self._nursery.start(backend.serve, target.backend.host, target.backend.port)
 
-    def _start_agent(self, target: Target, bundle: Bundle) -> None:
-        settings = self._plan.agent_settings(target)
-        tls: TlsSettings = self._plan.tls
-        core = AgentCore(
-            settings,
-            tls,
-            bundle,
-            target,
-            self._timer,
-            SystemRandom(),
-            _codec(settings),
-            lambda: [],
-            self._nursery,
-        )
-        self._nursery.start_soon(core.run)
-
-    def _start_balancer(self, settings: DaemonSettings, bundle: Bundle) -> None:
-        balancer = Balancer(
-            self._timer, settings.tunnel, _codec(settings), lambda each: settings.listen[each]
-        )
-        balancer.apply_bundle(bundle)
+    async def _start_daemon(self, settings: DaemonSettings, bundle: Bundle) -> None:
+        daemon = Daemon(settings, SystemRandom(), FixedConfiguration(bundle))
         scope = trio.CancelScope()
-        self._balancers[settings.name] = scope
-        self._nursery.start_soon(_run_within, balancer, scope)
+        self._daemons[settings.name] = daemon
+        self._scopes[settings.name] = scope
+        await self._nursery.start(_run_within, daemon, scope)
 
 
-async def _run_within(balancer: Balancer, scope: trio.CancelScope) -> None:
+async def _run_within(
+    daemon: Daemon, scope: trio.CancelScope, task_status: trio.TaskStatus[None]
+) -> None:
     with scope:
-        await balancer.run()
-
-
-def _codec(settings: DaemonSettings) -> ConnectionIdCodec:
-    return ConnectionIdCodec(
-        [ConnectionIdKey(each.rotation, each.key) for each in settings.connection_id_keys]
-    )
+        await daemon.run(task_status)
--- a/egretsill/quickstart/_site_plan.py
+++ b/egretsill/quickstart/_site_plan.py
@@ -112,7 +112,7 @@
             tunnel=target.tunnel,
             relay=target.relay,
             gossip=target.gossip,
-            admin=Address(HOST, self.first_port + AGENT_ADMIN_PORT + target.number % 100),
+            admin=Address(HOST, self.first_port + AGENT_ADMIN_PORT + self.targets.index(target)),
             platform=PlatformSettings((self.platform,)),
             seeds=tuple(self.seeds),
             tls=self.tls,
--- a/egretsill/timing/_timer_service.py
+++ b/egretsill/timing/_timer_service.py
@@ -18,6 +18,8 @@
 
 HEARTBEAT_SECONDS = 0.25
 JUMP_SECONDS = 1.0
+NANOSECONDS_PER_MILLISECOND = 1_000_000
+MILLISECONDS_PER_SECOND = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +85,11 @@
             heapq.heappop(self._queue)
         return self._queue[0][0] if self._queue else None
 
+    @property
+    @abstractmethod
+    def epoch_milliseconds(self) -> int:
+        """Return the milliseconds since 1970, to order the runs of processes and nothing else."""
+
     def subscribe(self, interval: float, callback: Callable[[float], None]) -> Subscription:
         """Call `callback(now)` every `interval` seconds, first after one interval."""
         subscription = Subscription(callback, interval)
@@ -136,6 +143,11 @@
         super().__init__()
         self._wake = trio.Event()
 
+    @property
+    def epoch_milliseconds(self) -> int:
+        """Return the milliseconds since 1970 by the clock of the VM."""
+        return time.time_ns() // NANOSECONDS_PER_MILLISECOND
+
     async def run(self) -> None:
         """Fire subscriptions until cancelled; run it once for each process."""
         while True:
@@ -174,6 +186,11 @@
         super().__init__()
         self._time = start
 
+    @property
+    def epoch_milliseconds(self) -> int:
+        """Return the virtual time in milliseconds."""
+        return int(self._time * MILLISECONDS_PER_SECOND)
+
     def advance(self, seconds: float) -> None:
         """Move the time on, firing each subscription at its own moment."""
         end = self._time + seconds
