--- a/egretsill/requests/__init__.py
+++ b/egretsill/requests/__init__.py
@@ -10,6 +10,7 @@
     TargetPlacement,
 )
 from ._exchange import CallerGone, Exchange, RequestHead
+from ._messages import RELAY_TYPES, RelayMessage
 from ._request_service import RequestService
 
 __all__ = [
@@ -18,6 +19,8 @@
     "CallerGone",
     "Exchange",
     "GateAdmission",
+    "RELAY_TYPES",
+    "RelayMessage",
     "RequestHead",
     "RequestObserver",
     "RequestService",
--- /dev/null
+++ b/egretsill/requests/_asker.py
@@ -0,0 +1,228 @@
+"""Carries out what a request's attempts decide: the caller on one side, links on the other."""
+
+from __future__ import annotations
+
+from collections import deque
+
+import trio
+
+from ..outcomes import Answered, Cancelled, Outcome
+from ..timing import Subscription, TimerService
+from ._asker_link import AskerLink, LinkPool
+from ._attempt_events import (
+    AttemptEffect,
+    AttemptEvent,
+    AwaitVerdict,
+    Begun,
+    BodyTaken,
+    CallerLeft,
+    Conclude,
+    Connect,
+    DeadlinePassed,
+    DeliverData,
+    Delivered,
+    DeliverHead,
+    DropLink,
+    FreeLink,
+    LinkFailed,
+    LinkReady,
+    MessageReceived,
+    SendBody,
+    SendMessage,
+    VerdictDue,
+)
+from ._attempts import Attempts
+from ._exceptions import RelayClosed
+from ._exchange import CallerGone, Exchange
+from ._gate_request import BodyWriter
+from ._messages import RelayMessage
+from ._silence import bounded
+from ._wakeup import Wakeup
+
+
+class Asker:
+    """Takes one caller's request to its outcome.
+
+    Args:
+        exchange: the caller.
+        attempts: decides.
+        deadline: seconds on the timer service, or None.
+        timer: the timer service.
+        pool: opens links.
+    """
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        attempts: Attempts,
+        deadline: float | None,
+        timer: TimerService,
+        pool: LinkPool,
+    ) -> None:
+        self._exchange = exchange
+        self._attempts = attempts
+        self._deadline = deadline
+        self._timer = timer
+        self._pool = pool
+        self._links: dict[int, AskerLink] = {}
+        self._numbers: dict[AskerLink, int] = {}
+        self._body_writer = BodyWriter(attempts.body)
+        self._body_link: AskerLink | None = None
+        self._deliveries: deque[DeliverHead | DeliverData] = deque()
+        self._delivery_due = Wakeup()
+        self._body_wanted = Wakeup()
+        self._timers: list[Subscription] = []
+        self._outcome: Outcome | None = None
+        self._first_byte_at: float | None = None
+        self._nursery: trio.Nursery | None = None
+
+    @property
+    def first_byte_at(self) -> float | None:
+        """Return when the answer's head was there, in seconds, or None."""
+        return self._first_byte_at
+
+    async def run(self) -> Outcome:
+        """Return how the request ended; the caller has all of the answer but its end."""
+        if self._deadline is not None:
+            self._call_at(self._deadline, DeadlinePassed())
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                nursery.start_soon(self._read_body)
+                nursery.start_soon(self._deliver)
+                self._feed(Begun())
+        finally:
+            self._nursery = None
+            for subscription in self._timers:
+                subscription.cancel()
+            self._feed(CallerLeft())
+        return self._outcome or Cancelled()
+
+    def on_message(self, link: AskerLink, message: RelayMessage) -> None:
+        """Take a message from a link."""
+        if link in self._numbers:
+            self._feed(MessageReceived(self._numbers[link], message))
+
+    def on_lost(self, link: AskerLink) -> None:
+        """Take note that a link is gone."""
+        number = self._forget(link)
+        if number is not None:
+            self._feed(LinkFailed(number))
+
+    def _feed(self, event: AttemptEvent) -> None:
+        for effect in self._attempts.handle(event, self._timer.now):
+            self._apply(effect)
+        if self._attempts.wants_body:
+            self._body_wanted.set()
+
+    def _apply(self, effect: AttemptEffect) -> None:
+        match effect:
+            case Connect():
+                if self._nursery is not None:
+                    self._nursery.start_soon(self._connect, effect)
+            case SendMessage(number, message):
+                if number in self._links:
+                    self._links[number].send(message)
+            case SendBody(number, offset):
+                self._send_body(number, offset)
+            case BodyTaken(offset):
+                self._body_writer.acknowledge(offset)
+                self._wake_body()
+            case FreeLink(number) | DropLink(number):
+                self._leave(number, isinstance(effect, FreeLink))
+            case DeliverHead() | DeliverData():
+                self._deliveries.append(effect)
+                self._delivery_due.set()
+            case AwaitVerdict(seconds):
+                self._call_at(self._timer.now + seconds, VerdictDue())
+            case Conclude(outcome):
+                self._conclude(outcome)
+
+    def _send_body(self, number: int, offset: int) -> None:
+        self._body_writer.rewind(offset)
+        link = self._links.get(number)
+        if link is not None:
+            self._body_link = link
+            link.send_body(self._body_writer)
+
+    def _wake_body(self) -> None:
+        if self._body_link is not None:
+            self._body_link.wake()
+
+    def _leave(self, number: int, keep: bool) -> None:
+        link = self._links.get(number)
+        if link is None:
+            return
+        self._forget(link)
+        if keep:
+            self._pool.free(link)
+        else:
+            link.finish()
+
+    def _forget(self, link: AskerLink) -> int | None:
+        number = self._numbers.pop(link, None)
+        if number is not None:
+            del self._links[number]
+        if self._body_link is link:
+            self._body_link = None
+        return number
+
+    def _conclude(self, outcome: Outcome) -> None:
+        self._outcome = outcome
+        self._delivery_due.set()
+        if self._nursery is not None and not isinstance(outcome, Answered):
+            self._nursery.cancel_scope.cancel()
+
+    async def _connect(self, effect: Connect) -> None:
+        if effect.delay_seconds > 0:
+            with bounded(self._timer, effect.delay_seconds):
+                await trio.sleep_forever()
+        try:
+            link = await self._pool.open(effect.target_number, effect.fresh)
+        except RelayClosed:
+            self._feed(LinkFailed(effect.link))
+            return
+        link.user = self
+        self._links[effect.link] = link
+        self._numbers[link] = effect.link
+        self._feed(LinkReady(effect.link, link.mark, link.clock_offset))
+
+    async def _read_body(self) -> None:
+        try:
+            while not self._attempts.body.complete:
+                while not self._attempts.wants_body:
+                    await self._body_wanted.wait()
+                data = await self._exchange.receive_body()
+                if data is None:
+                    self._attempts.body.complete = True
+                else:
+                    self._attempts.body.append(data)
+                self._wake_body()
+        except CallerGone:
+            self._feed(CallerLeft())
+
+    async def _deliver(self) -> None:
+        try:
+            while self._deliveries or self._outcome is None:
+                if self._deliveries:
+                    await self._deliver_one(self._deliveries.popleft())
+                else:
+                    await self._delivery_due.wait()
+        except CallerGone:
+            self._feed(CallerLeft())
+            self._outcome = Cancelled()
+        if self._nursery is not None:
+            self._nursery.cancel_scope.cancel()
+
+    async def _deliver_one(self, delivery: DeliverHead | DeliverData) -> None:
+        match delivery:
+            case DeliverHead(status, headers):
+                if self._first_byte_at is None:
+                    self._first_byte_at = self._timer.now
+                await self._exchange.send_head(status, headers)
+            case DeliverData(data, end):
+                await self._exchange.send_data(data)
+                self._feed(Delivered(end))
+
+    def _call_at(self, when: float, event: AttemptEvent) -> None:
+        self._timers.append(self._timer.call_at(when, lambda _: self._feed(event)))
--- /dev/null
+++ b/egretsill/requests/_asker_link.py
@@ -0,0 +1,317 @@
+"""The asker's end of links: opened with a Ping, watched for silence, kept for reuse."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import trio
+
+from ..configuration import Address
+from ..timing import ClockJump, TimerService
+from ._byte_window import WindowGap
+from ._collaborators import RequestObserver
+from ._exceptions import RelayClosed
+from ._gate_request import BodyWriter
+from ._gate_runner import GateRunner
+from ._message_link import LinkBroken, MessageLink, StreamLink, local_link_pair
+from ._messages import GateMark, Ping, Pong, RelayMessage
+from ._silence import SilenceWatch, bounded
+from ._wakeup import Wakeup
+
+OPEN_SECONDS = 2.0
+PING_SECONDS = 2.0
+SILENCE_SECONDS = 6.0
+IDLE_SECONDS = 30.0
+IDLE_LINKS = 16
+FLUSH_SECONDS = 1.0
+CLOCK_SAMPLES = 5
+
+Connector = Callable[[Address], Awaitable[trio.abc.Stream]]
+AddressLookup = Callable[[int], Address | None]
+
+
+async def connect_tcp(address: Address) -> trio.abc.Stream:
+    """Return a TCP stream to an agent.
+
+    Raises:
+        OSError: if there is none.
+    """
+    return await trio.open_tcp_stream(address.host, address.port)
+
+
+class LinkUser(Protocol):
+    """The request that a link serves just now."""
+
+    def on_message(self, link: AskerLink, message: RelayMessage) -> None:
+        """Take a message."""
+
+    def on_lost(self, link: AskerLink) -> None:
+        """Take note that the link is gone."""
+
+
+class AskerLink:
+    """One link to a gate.
+
+    Attributes:
+        target_number: the gate's target.
+        user: the request that it serves, or None while it is idle.
+        idle_since: when it was last given back, in seconds.
+    """
+
+    def __init__(
+        self,
+        target_number: int,
+        link: MessageLink,
+        timer: TimerService,
+        observer: RequestObserver,
+        watched: bool,
+    ) -> None:
+        self.target_number = target_number
+        self.user: LinkUser | None = None
+        self.idle_since = 0.0
+        self._link = link
+        self._timer = timer
+        self._observer = observer
+        self._watched = watched
+        self._scope = trio.CancelScope()
+        self._control: deque[RelayMessage] = deque()
+        self._body: BodyWriter | None = None
+        self._wakeup = Wakeup()
+        self._greeted = trio.Event()
+        self._finishing = False
+        self._lost = False
+        self._mark = GateMark(0, 0.0)
+        self._offsets: deque[float] = deque(maxlen=CLOCK_SAMPLES)
+
+    @property
+    def usable(self) -> bool:
+        """Return whether the link is open and its gate has answered."""
+        return self._greeted.is_set() and not self._lost and not self._finishing
+
+    @property
+    def mark(self) -> GateMark:
+        """Return the gate's latest Pong."""
+        return self._mark
+
+    @property
+    def clock_offset(self) -> float:
+        """Return what to add to this process's clock to get the gate's, in seconds.
+
+        Each Pong is late by some delay, so the greatest of the last ones is nearest.
+        """
+        return max(self._offsets)
+
+    def send(self, message: RelayMessage) -> None:
+        """Send a message as soon as the link takes it."""
+        self._control.append(message)
+        self._wakeup.set()
+
+    def send_body(self, body: BodyWriter | None) -> None:
+        """Send a request's body as it comes, or none any more."""
+        self._body = body
+        self._wakeup.set()
+
+    def wake(self) -> None:
+        """See that there is more of the body."""
+        self._wakeup.set()
+
+    def finish(self) -> None:
+        """Send what waits, and close."""
+        self.user = None
+        self._body = None
+        self._finishing = True
+        self._wakeup.set()
+        self._timer.call_later(FLUSH_SECONDS, lambda _: self._scope.cancel())
+
+    def close(self) -> None:
+        """Close at once."""
+        self._scope.cancel()
+
+    async def wait_until_greeted(self) -> None:
+        """Wait for the gate's first Pong, or for the end of the link."""
+        await self._greeted.wait()
+
+    async def run(self) -> None:
+        """Serve the link to its end."""
+        watch = SilenceWatch(self._timer, SILENCE_SECONDS if self._watched else None, self._scope)
+        ping = self._timer.subscribe(PING_SECONDS, lambda _: self.send(Ping()))
+        if not self._watched:
+            ping.cancel()
+        self.send(Ping())
+        try:
+            with self._scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._write)
+                    await self._read(watch)
+                    nursery.cancel_scope.cancel()
+        finally:
+            watch.close()
+            ping.cancel()
+            self._end()
+            with trio.CancelScope(shield=True):
+                await self._link.close()
+
+    def _end(self) -> None:
+        self._lost = True
+        self._greeted.set()
+        user, self.user = self.user, None
+        if user is not None:
+            user.on_lost(self)
+
+    async def _read(self, watch: SilenceWatch) -> None:
+        try:
+            while True:
+                message = await self._link.receive()
+                watch.touch()
+                self._take(message)
+        except LinkBroken as error:
+            if error.malformed:
+                self._observer.on_malformed("relay")
+
+    def _take(self, message: RelayMessage) -> None:
+        if isinstance(message, Pong):
+            self._mark = message.mark
+            self._offsets.append(message.mark.time - self._timer.now)
+            self._greeted.set()
+        elif self.user is not None:
+            self.user.on_message(self, message)
+
+    async def _write(self) -> None:
+        try:
+            while True:
+                message = self._next_message()
+                if message is not None:
+                    await self._link.send(message)
+                elif self._finishing:
+                    break
+                else:
+                    await self._wakeup.wait()
+        except (LinkBroken, WindowGap):
+            pass
+        self._scope.cancel()
+
+    def _next_message(self) -> RelayMessage | None:
+        if self._control:
+            return self._control.popleft()
+        return None if self._body is None else self._body.next_message()
+
+
+class LinkPool:
+    """Opens links to gates and keeps idle ones.
+
+    Args:
+        own_target_number: whose gate is in this process.
+        timer: the timer service.
+        gate_runner: the own gate.
+        addresses: relay endpoint of each target.
+        observer: is told of garbage.
+        connect: opens a stream to an agent; may raise OSError.
+    """
+
+    def __init__(
+        self,
+        own_target_number: int,
+        timer: TimerService,
+        gate_runner: GateRunner,
+        addresses: AddressLookup,
+        observer: RequestObserver,
+        connect: Connector = connect_tcp,
+    ) -> None:
+        self._own_target_number = own_target_number
+        self._timer = timer
+        self._gate_runner = gate_runner
+        self._addresses = addresses
+        self._observer = observer
+        self._connect = connect
+        self._idle: dict[int, list[AskerLink]] = {}
+        self._nursery: trio.Nursery | None = None
+        timer.subscribe_jumps(self._on_jump)
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Run until cancelled; nothing may be opened before it has started."""
+        reap = self._timer.subscribe(PING_SECONDS, self._reap)
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                task_status.started()
+                await trio.sleep_forever()
+        finally:
+            reap.cancel()
+            self._nursery = None
+
+    async def open(self, target_number: int, fresh: bool) -> AskerLink:
+        """Return a link to a target's gate that has answered a Ping.
+
+        Args:
+            target_number: the target.
+            fresh: whether an idle link will not do.
+
+        Raises:
+            RelayClosed: if there is none.
+        """
+        idle = self._idle.get(target_number, [])
+        while idle and not fresh:
+            link = idle.pop()
+            if link.usable:
+                return link
+        with bounded(self._timer, OPEN_SECONDS):
+            link = await self._open_fresh(target_number)
+            try:
+                await link.wait_until_greeted()
+            except trio.Cancelled:
+                link.close()
+                raise
+            if link.usable:
+                return link
+        raise RelayClosed(target_number, "no answer to the first ping")
+
+    def free(self, link: AskerLink) -> None:
+        """Keep a link for another request."""
+        link.user = None
+        link.send_body(None)
+        idle = self._idle.setdefault(link.target_number, [])
+        if not link.usable or len(idle) >= IDLE_LINKS:
+            link.finish()
+            return
+        link.idle_since = self._timer.now
+        idle.append(link)
+
+    async def _open_fresh(self, target_number: int) -> AskerLink:
+        if self._nursery is None:
+            raise RelayClosed(target_number, "stopped")
+        local = target_number == self._own_target_number
+        if local:
+            carrier, gate_end = local_link_pair()
+            self._nursery.start_soon(self._gate_runner.serve_link, gate_end, False)
+            link = AskerLink(target_number, carrier, self._timer, self._observer, False)
+        else:
+            stream = StreamLink(await self._connect_to(target_number))
+            link = AskerLink(target_number, stream, self._timer, self._observer, True)
+        self._nursery.start_soon(link.run)
+        return link
+
+    async def _connect_to(self, target_number: int) -> trio.abc.Stream:
+        address = self._addresses(target_number)
+        if address is None:
+            raise RelayClosed(target_number, "not declared")
+        try:
+            return await self._connect(address)
+        except OSError as error:
+            raise RelayClosed(target_number, type(error).__name__) from error
+
+    def _reap(self, now: float) -> None:
+        for idle in self._idle.values():
+            old = [
+                each for each in idle if now - each.idle_since >= IDLE_SECONDS or not each.usable
+            ]
+            for link in old:
+                idle.remove(link)
+                link.finish()
+
+    def _on_jump(self, jump: ClockJump) -> None:
+        """Trust no idle link after a pause: its gate may have been replaced meanwhile."""
+        for idle in self._idle.values():
+            while idle:
+                idle.pop().finish()
--- /dev/null
+++ b/egretsill/requests/_attempts.py
@@ -0,0 +1,393 @@
+"""One caller's request: which target it is offered to, and what may be said of its end.
+
+Pure: events and a time in, effects out. What is known of the current offer decides everything:
+
+- Not sent, refused, or "not started" by a gate: it was not run there, and may be offered elsewhere.
+- Sent: it may have started. It is asked about over new links until its gate answers. If its end
+  can't be learnt it is offered elsewhere only if idempotent and no answer byte reached the caller.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from ..configuration import RequestClass, Service
+from ..outcomes import Answered, Cancelled, Outcome, RefusalReason, Refused, Unknown, UnknownReason
+from ._answer_receiver import AnswerReceiver, AnswerViolation
+from ._attempt_events import (
+    AttemptEffect,
+    AttemptEvent,
+    AwaitVerdict,
+    Begun,
+    BodyTaken,
+    CallerLeft,
+    Conclude,
+    Connect,
+    DeadlinePassed,
+    DeliverData,
+    Delivered,
+    DeliverHead,
+    DropLink,
+    FreeLink,
+    LinkFailed,
+    LinkReady,
+    MessageReceived,
+    SendBody,
+    SendMessage,
+    VerdictDue,
+)
+from ._byte_window import ByteWindow
+from ._collaborators import TargetPlacement
+from ._exchange import RequestHead
+from ._gate_request import BODY_WINDOW_BYTES
+from ._messages import (
+    FINISHED,
+    NOT_STARTED,
+    RUNNING,
+    Accepted,
+    Acknowledge,
+    BodyAcknowledge,
+    Cancel,
+    Data,
+    End,
+    Failed,
+    Head,
+    Open,
+    Pong,
+    Refusal,
+    RelayMessage,
+    RequestId,
+    Resume,
+    ResumeAnswer,
+    Started,
+)
+from ._offer import Offer, Stage
+from ._retry_budget import RetryBudget
+
+KEPT_BODY_BYTES = 65_536
+VERDICT_SECONDS = 0.1
+
+
+class Attempts:
+    """Takes one request through its offers.
+
+    Args:
+        head: what the caller asked for.
+        service: where it belongs.
+        request_class: how it may be treated.
+        deadline: seconds on this process's clock, or None.
+        placement: chooses the targets.
+        budget: the retries of the service.
+        next_identifier: names each offer.
+
+    Attributes:
+        body: the part of the request's body that may still be needed; whoever reads the caller
+            appends to it while `wants_body`.
+    """
+
+    def __init__(
+        self,
+        head: RequestHead,
+        service: Service,
+        request_class: RequestClass,
+        deadline: float | None,
+        placement: TargetPlacement,
+        budget: RetryBudget,
+        next_identifier: Callable[[], RequestId],
+    ) -> None:
+        self.body = ByteWindow()
+        self._head = head
+        self._service = service
+        self._class = request_class
+        self._deadline = deadline
+        self._placement = placement
+        self._budget = budget
+        self._next_identifier = next_identifier
+        self._offer: Offer | None = None
+        self._excluded: set[int] = set()
+        self._tries = 0
+        self._links = 0
+        self._queue_seconds = 0.0
+        self._answer = AnswerReceiver(service.limits.answer_tail_bytes)
+        self._may_have_run: UnknownReason | None = None
+        self._last_refusal: Refused | None = None
+        self._out_of_time = False
+        self._concluded = False
+        self._effects: list[AttemptEffect] = []
+
+    @property
+    def tries(self) -> int:
+        """Return how many targets the request was offered to."""
+        return self._tries
+
+    @property
+    def queue_seconds(self) -> float:
+        """Return how long it waited at the gate where it started."""
+        return self._queue_seconds
+
+    @property
+    def concluded(self) -> bool:
+        """Return whether the caller's outcome is decided."""
+        return self._concluded
+
+    @property
+    def wants_body(self) -> bool:
+        """Return whether more of the request's body may be read from the caller."""
+        started = self._offer is not None and self._offer.started
+        bound = BODY_WINDOW_BYTES if started else KEPT_BODY_BYTES
+        return not self.body.complete and self.body.size < bound
+
+    def handle(self, event: AttemptEvent, now: float) -> Sequence[AttemptEffect]:
+        """Take an event and return what is to be done, in order."""
+        if not self._concluded:
+            self._dispatch(event, now)
+        effects, self._effects = self._effects, []
+        return effects
+
+    def _dispatch(self, event: AttemptEvent, now: float) -> None:
+        match event:
+            case Begun():
+                self._budget.on_first_try(now)
+                self._offer_next(now)
+            case LinkReady():
+                self._on_link_ready(event, now)
+            case LinkFailed(link):
+                self._on_link_failed(link, now)
+            case MessageReceived(link, message):
+                if self._offer is not None and self._offer.link == link:
+                    self._on_message(self._offer, message, now)
+            case Delivered(offset):
+                self._on_delivered(offset)
+            case DeadlinePassed():
+                self._on_deadline(now)
+            case VerdictDue():
+                self._give_up(Unknown(UnknownReason.DEADLINE), now)
+            case CallerLeft():
+                self._give_up(Cancelled(), now)
+
+    def _offer_next(self, now: float) -> None:
+        if self._deadline is not None and now >= self._deadline:
+            self._conclude(Refused(RefusalReason.DEADLINE), now)
+            return
+        target_number = self._placement.choose(self._class, self._excluded, now)
+        if target_number is None:
+            self._conclude(self._last_refusal or Refused(RefusalReason.NO_TARGET), now)
+            return
+        self._tries += 1
+        self._placement.on_sent(target_number, self._class.weight, now)
+        self._offer = Offer(target_number, self._next_identifier(), self._new_link())
+        self._emit(Connect(self._offer.link, target_number, False, 0.0))
+
+    def _on_link_ready(self, event: LinkReady, now: float) -> None:
+        offer = self._offer
+        if offer is None or offer.link != event.link:
+            self._emit(FreeLink(event.link))
+            return
+        if offer.sent:
+            offer.stage = Stage.ASKING
+            self._emit(SendMessage(offer.link, self._resume_message(offer)))
+            return
+        if self._deadline is not None and now >= self._deadline:
+            self._emit(FreeLink(offer.link))
+            self._conclude(Refused(RefusalReason.DEADLINE), now)
+            return
+        self._send_open(offer, event)
+
+    def _send_open(self, offer: Offer, event: LinkReady) -> None:
+        offer.mark = event.mark
+        offer.sent = True
+        offer.stage = Stage.SENT
+        deadline = None if self._deadline is None else self._deadline + event.clock_offset
+        message = Open(
+            offer.identifier,
+            offer.epoch,
+            offer.mark,
+            self._service.name,
+            self._class.name,
+            self._head.method,
+            self._head.path,
+            self._head.headers,
+            deadline,
+            self._class.idempotent,
+        )
+        self._emit(SendMessage(offer.link, message))
+        self._emit(SendBody(offer.link, 0))
+
+    def _resume_message(self, offer: Offer) -> Resume:
+        return Resume(
+            offer.identifier,
+            offer.epoch,
+            offer.mark,
+            self._answer.status is not None,
+            self._answer.received,
+        )
+
+    def _on_link_failed(self, link: int, now: float) -> None:
+        offer = self._offer
+        if offer is None or offer.link != link:
+            return
+        if self._out_of_time:
+            self._give_up(Unknown(UnknownReason.DEADLINE), now)
+        elif not offer.sent:
+            self._on_refused(offer, Refused(RefusalReason.BACKEND_UNREACHABLE), now)
+        else:
+            self._resume(offer, now)
+
+    def _resume(self, offer: Offer, now: float) -> None:
+        """Ask about a request that may have started, over a new link."""
+        delay = offer.lose_link(self._new_link(), now)
+        if delay is None:
+            self._excluded.add(offer.target_number)
+            self._on_unknown_end(offer, UnknownReason.RELAY_LOST, now)
+            return
+        self._emit(Connect(offer.link, offer.target_number, True, delay))
+
+    def _on_message(self, offer: Offer, message: RelayMessage, now: float) -> None:
+        match message:
+            case Accepted() | Pong():
+                return
+            case Started(queue_milliseconds):
+                offer.started = True
+                self._queue_seconds = queue_milliseconds / 1000
+            case Refusal(reason, retry_after_seconds):
+                self._emit(FreeLink(offer.link))
+                self._on_refused(offer, Refused(RefusalReason(reason), retry_after_seconds), now)
+            case BodyAcknowledge(offset):
+                self._on_body_acknowledged(offer, offset)
+            case Head() | Data() | End():
+                self._on_answer(offer, message, now)
+            case Failed(reason):
+                self._emit(FreeLink(offer.link))
+                self._on_unknown_end(offer, UnknownReason(reason), now)
+            case ResumeAnswer(state, body_offset):
+                self._on_resume_answer(offer, state, body_offset, now)
+            case _:
+                self._on_violation(offer, now)
+
+    def _on_violation(self, offer: Offer, now: float) -> None:
+        """Leave a link whose peer breaks the protocol, as if it had broken."""
+        offer.violations += 1
+        self._emit(DropLink(offer.link))
+        self._resume(offer, now)
+
+    def _on_body_acknowledged(self, offer: Offer, offset: int) -> None:
+        # A body that is still whole can be offered again.
+        if offer.started and (not self._class.idempotent or self.body.end > KEPT_BODY_BYTES):
+            self.body.release(offset)
+        self._emit(BodyTaken(offset))
+
+    def _on_answer(self, offer: Offer, message: Head | Data | End, now: float) -> None:
+        try:
+            match message:
+                case Head(status, headers):
+                    if self._answer.take_head(status):
+                        self._emit(DeliverHead(status, headers))
+                case Data(offset, data):
+                    if fresh := self._answer.take_data(offset, data):
+                        self._emit(DeliverData(fresh, self._answer.received))
+                case End(length):
+                    answered = Answered(self._answer.take_end(length))
+                    self._emit(SendMessage(offer.link, Acknowledge(length)))
+                    self._emit(FreeLink(offer.link))
+                    self._conclude(answered, now)
+        except AnswerViolation:
+            self._on_violation(offer, now)
+
+    def _on_delivered(self, offset: int) -> None:
+        offer = self._offer
+        if offer is not None and offer.stage is Stage.SENT and self._answer.acknowledge(offset):
+            self._emit(SendMessage(offer.link, Acknowledge(offset)))
+
+    def _on_resume_answer(self, offer: Offer, state: str, body_offset: int, now: float) -> None:
+        if offer.stage is not Stage.ASKING:
+            self._on_violation(offer, now)
+            return
+        if state in (RUNNING, FINISHED):
+            offer.resume()
+            self._emit(SendBody(offer.link, max(body_offset, self.body.base)))
+            return
+        self._emit(FreeLink(offer.link))
+        if state == NOT_STARTED and self._answer.status is None:
+            self._end_offer(now)
+            self._last_refusal = Refused(RefusalReason.FENCED)
+            self._retry(now)
+        else:
+            self._on_unknown_end(offer, UnknownReason.RELAY_LOST, now)
+
+    def _on_refused(self, offer: Offer, refused: Refused, now: float) -> None:
+        """Go on after an offer that was not run."""
+        if self._answer.status is not None:
+            self._on_unknown_end(offer, UnknownReason.RELAY_LOST, now)
+            return
+        self._placement.on_refused(offer.target_number, refused.reason, now)
+        self._excluded.add(offer.target_number)
+        self._last_refusal = refused
+        self._end_offer(now)
+        if self._out_of_time or refused.reason is RefusalReason.DEADLINE:
+            self._conclude(Refused(RefusalReason.DEADLINE), now)
+        else:
+            self._retry(now)
+
+    def _on_unknown_end(self, offer: Offer, reason: UnknownReason, now: float) -> None:
+        """Go on after an offer that may have run."""
+        self._end_offer(now)
+        begun = self._answer.status is not None
+        if begun and reason is UnknownReason.RELAY_LOST:
+            reason = UnknownReason.ANSWER_CUT
+        self._may_have_run = reason
+        if self._out_of_time or begun or not self._class.idempotent:
+            self._conclude(Unknown(reason), now)
+        else:
+            self._retry(now)
+
+    def _retry(self, now: float) -> None:
+        """Offer the request again if it may be, or conclude it."""
+        whole_body = self.body.base == 0
+        last = self._last_refusal or Refused(RefusalReason.NO_TARGET)
+        if self._tries >= self._service.limits.tries or not whole_body:
+            self._conclude(last, now)
+        elif not self._budget.take_retry(now):
+            self._conclude(Refused(RefusalReason.RETRY_BUDGET, last.retry_after_seconds), now)
+        else:
+            self._offer_next(now)
+
+    def _on_deadline(self, now: float) -> None:
+        offer = self._offer
+        self._out_of_time = True
+        if offer is not None and not offer.sent:
+            self._give_up(Refused(RefusalReason.DEADLINE), now)
+        elif offer is not None and offer.stage is Stage.SENT and not offer.started:
+            # Its gate may still say that it was not run.
+            self._emit(SendMessage(offer.link, Cancel(offer.identifier)))
+            self._emit(AwaitVerdict(VERDICT_SECONDS))
+        else:
+            self._give_up(Unknown(UnknownReason.DEADLINE), now)
+
+    def _give_up(self, outcome: Outcome, now: float) -> None:
+        """Conclude at once, whatever the current offer comes to."""
+        offer = self._offer
+        if offer is not None:
+            if offer.stage is Stage.SENT:
+                self._emit(SendMessage(offer.link, Cancel(offer.identifier)))
+            self._emit(DropLink(offer.link))
+        self._conclude(outcome, now)
+
+    def _conclude(self, outcome: Outcome, now: float) -> None:
+        # An earlier offer of an idempotent request may have run though the last was refused.
+        if isinstance(outcome, Refused) and self._may_have_run is not None:
+            outcome = Unknown(self._may_have_run)
+        self._end_offer(now)
+        self._concluded = True
+        self._emit(Conclude(outcome))
+
+    def _end_offer(self, now: float) -> None:
+        if self._offer is not None:
+            self._placement.on_finished(self._offer.target_number, self._class.weight, now)
+            self._offer = None
+
+    def _new_link(self) -> int:
+        self._links += 1
+        return self._links
+
+    def _emit(self, effect: AttemptEffect) -> None:
+        self._effects.append(effect)
--- a/egretsill/requests/_collaborators.py
+++ b/egretsill/requests/_collaborators.py
@@ -19,10 +19,10 @@
         """Decide on a request at once."""
 
     def release(self, identifier: str, now: float) -> Sequence[AdmissionDecision]:
-        """Free what an admitted request held."""
+        """Free what a request held that was answered."""
 
     def cancel(self, identifier: str, now: float) -> Sequence[AdmissionDecision]:
-        """Forget a request that waits or was admitted."""
+        """Forget a request that waits, or free what one held that was not answered."""
 
     def expire(self, now: float) -> Sequence[AdmissionDecision]:
         """Drop what has waited too long."""
--- /dev/null
+++ b/egretsill/requests/_message_link.py
@@ -0,0 +1,150 @@
+"""Carriers of relay messages: TCP streams between agents, and memory inside one."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from typing import Any, Protocol
+
+import trio
+
+from ..wire import Codec, MalformedMessage, StreamDecoder
+from ._messages import RELAY_TYPES, RelayMessage
+
+RECEIVE_BYTES = 65_536
+LOCAL_MESSAGES = 16
+
+RELAY_CODEC: Codec[RelayMessage] = Codec("relay", RELAY_TYPES)
+
+
+class LinkBroken(Exception):
+    """A link ended or carried something malformed.
+
+    Attributes:
+        malformed: whether it was the latter.
+    """
+
+    def __init__(self, malformed: bool) -> None:
+        super().__init__("malformed" if malformed else "closed")
+        self.malformed = malformed
+
+
+class MessageLink(Protocol):
+    """Sends and receives relay messages in order, or breaks."""
+
+    async def send(self, message: RelayMessage) -> None:
+        """Send a message.
+
+        Raises:
+            LinkBroken: if the other end is gone.
+        """
+
+    async def receive(self) -> RelayMessage:
+        """Return the next message.
+
+        Raises:
+            LinkBroken: if there will be none.
+        """
+
+    async def close(self) -> None:
+        """Close at once."""
+
+
+class StreamLink:
+    """A link over a byte stream.
+
+    Args:
+        stream: the stream, owned from now on.
+        decoder: what cut the messages so far, if any were received.
+        received: messages that were received already.
+    """
+
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        decoder: StreamDecoder[Any] | None = None,
+        received: Iterable[RelayMessage] = (),
+    ) -> None:
+        self._stream = stream
+        self._decoder = decoder or StreamDecoder(RELAY_CODEC)
+        self._received = deque(received)
+
+    async def send(self, message: RelayMessage) -> None:
+        """Send a message; one task at a time.
+
+        Raises:
+            LinkBroken: if the other end is gone.
+        """
+        try:
+            await self._stream.send_all(RELAY_CODEC.encode(message))
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise LinkBroken(False) from error
+
+    async def receive(self) -> RelayMessage:
+        """Return the next message.
+
+        Raises:
+            LinkBroken: if there will be none.
+        """
+        try:
+            self._received.extend(self._decoder.feed(b""))
+            while not self._received:
+                data = await self._stream.receive_some(RECEIVE_BYTES)
+                if not data:
+                    raise LinkBroken(False)
+                self._received.extend(self._decoder.feed(bytes(data)))
+        except MalformedMessage as error:
+            raise LinkBroken(True) from error
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise LinkBroken(False) from error
+        return self._received.popleft()
+
+    async def close(self) -> None:
+        """Close at once."""
+        await trio.aclose_forcefully(self._stream)
+
+
+class LocalLink:
+    """One end of a link inside this process."""
+
+    def __init__(
+        self,
+        sender: trio.MemorySendChannel[RelayMessage],
+        receiver: trio.MemoryReceiveChannel[RelayMessage],
+    ) -> None:
+        self._sender = sender
+        self._receiver = receiver
+
+    async def send(self, message: RelayMessage) -> None:
+        """Send a message.
+
+        Raises:
+            LinkBroken: if the other end is gone.
+        """
+        try:
+            await self._sender.send(message)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise LinkBroken(False) from error
+
+    async def receive(self) -> RelayMessage:
+        """Return the next message.
+
+        Raises:
+            LinkBroken: if there will be none.
+        """
+        try:
+            return await self._receiver.receive()
+        except (trio.EndOfChannel, trio.ClosedResourceError) as error:
+            raise LinkBroken(False) from error
+
+    async def close(self) -> None:
+        """Close at once."""
+        self._sender.close()
+        self._receiver.close()
+
+
+def local_link_pair() -> tuple[LocalLink, LocalLink]:
+    """Return the two ends of a link inside this process."""
+    one_sender, other_receiver = trio.open_memory_channel[RelayMessage](LOCAL_MESSAGES)
+    other_sender, one_receiver = trio.open_memory_channel[RelayMessage](LOCAL_MESSAGES)
+    return LocalLink(one_sender, one_receiver), LocalLink(other_sender, other_receiver)
--- /dev/null
+++ b/egretsill/requests/_offer.py
@@ -0,0 +1,71 @@
+"""What an asker knows of the current offer of a request to one target."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+from ._messages import GateMark, RequestId
+
+RESUME_SECONDS = 5.0
+FIRST_RESUME_DELAY_SECONDS = 0.05
+MAXIMUM_RESUME_DELAY_SECONDS = 1.0
+MAXIMUM_VIOLATIONS = 3
+NO_MARK = GateMark(0, 0.0)
+
+
+class Stage(enum.Enum):
+    """What the offer waits for."""
+
+    CONNECTING = "connecting"
+    SENT = "sent"
+    ASKING = "asking"
+
+
+@dataclass(slots=True, eq=False)
+class Offer:
+    """One offer of a request.
+
+    Attributes:
+        epoch: of its latest link.
+        sent: whether Open was handed to a link, so that the request may have started.
+        started: whether the gate said that it did.
+        mark: of the gate, from before Open was sent.
+        lost_since: when the last link that worked was lost, or None.
+        failures: links that could not be opened since then.
+        violations: times that the gate broke the protocol.
+    """
+
+    target_number: int
+    identifier: RequestId
+    link: int
+    stage: Stage = Stage.CONNECTING
+    epoch: int = 1
+    sent: bool = False
+    started: bool = False
+    mark: GateMark = NO_MARK
+    lost_since: float | None = None
+    failures: int = 0
+    violations: int = 0
+
+    def lose_link(self, link: int, now: float) -> float | None:
+        """Go over to a new link; return the delay before it, or None to give up."""
+        if self.lost_since is None:
+            self.lost_since = now
+        if now - self.lost_since >= RESUME_SECONDS or self.violations >= MAXIMUM_VIOLATIONS:
+            return None
+        delay = 0.0
+        if self.stage is Stage.CONNECTING:
+            delay = FIRST_RESUME_DELAY_SECONDS * 2.0 ** min(self.failures, 10)
+            self.failures += 1
+        self.stage = Stage.CONNECTING
+        self.epoch += 1
+        self.link = link
+        return min(delay, MAXIMUM_RESUME_DELAY_SECONDS)
+
+    def resume(self) -> None:
+        """Go on over the new link."""
+        self.stage = Stage.SENT
+        self.started = True
+        self.lost_since = None
+        self.failures = 0
--- a/egretsill/requests/_request_service.py
+++ b/egretsill/requests/_request_service.py
@@ -3,22 +3,17 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Callable
+from typing import Any
 
 import trio
 
-from ..admission import AdmissionDecision, Admitted, Queued, Rejected, Ticket
-from ..configuration import RequestClass, Service
-from ..outcomes import (
-    Answered,
-    Outcome,
-    RefusalReason,
-    Refused,
-    Unknown,
-    UnknownReason,
-)
+from ..configuration import Address, RequestClass, Service
+from ..outcomes import Outcome, RefusalReason, Refused
 from ..timing import TimerService
-from ._backend_call import BackendRequest
+from ..wire import StreamDecoder
+from ._asker import Asker
+from ._asker_link import Connector, LinkPool, connect_tcp
+from ._attempts import Attempts
 from ._backend_client import BackendClient
 from ._collaborators import (
     GateAdmission,
@@ -27,21 +22,16 @@
     SilentObserver,
     TargetPlacement,
 )
-from ._exceptions import (
-    BackendFailed,
-    BackendShed,
-    BackendUnreachable,
-    RequestInvalid,
-    StartVetoed,
-)
 from ._exchange import CallerGone, Exchange
-from ._silence import bounded
-
-EXPIRE_INTERVAL_SECONDS = 0.05
+from ._gate import Gate
+from ._gate_runner import GateRunner
+from ._message_link import StreamLink
+from ._messages import RelayMessage, RequestId
+from ._retry_budget import RetryBudget
 
 
 class RequestService:
-    """Serves the requests of the flows that this agent owns.
+    """Serves the requests of the flows that this agent owns, and its gate to other agents.
 
     Args:
         own_target_number: the target beside this agent.
@@ -50,9 +40,10 @@
         timer: the timer service.
         services: the configuration in force.
         admission: slots and queue of the own target.
-        placement: chooses other targets.
+        placement: chooses targets of the own service.
         backend: the way to the own backend server.
         observer: is told of starts and outcomes.
+        connect: opens a stream to another agent; may raise OSError.
     """
 
     def __init__(
@@ -66,159 +57,127 @@
         placement: TargetPlacement,
         backend: BackendClient,
         observer: RequestObserver | None = None,
+        connect: Connector = connect_tcp,
     ) -> None:
         self._own_target_number = own_target_number
         self._own_service = own_service
         self._incarnation = incarnation
         self._timer = timer
         self._services = services
-        self._admission = admission
         self._placement = placement
-        self._backend = backend
         self._observer = observer or SilentObserver()
+        gate = Gate(incarnation, own_service, services, admission)
+        self._gate_runner = GateRunner(gate, timer, backend, self._observer)
+        self._pool = LinkPool(
+            own_target_number, timer, self._gate_runner, self._address, self._observer, connect
+        )
         self._sequence = itertools.count(1)
-        self._waiting: dict[str, tuple[trio.Event, list[AdmissionDecision]]] = {}
-        self._running = 0
-        self._stopped = False
+        self._budget = RetryBudget(0.0)
+        self._serving = 0
+        self._ready = trio.Event()
 
     @property
     def running(self) -> int:
-        """Return how many requests are in progress here."""
-        return self._running
+        """Return 0 only if no caller's request and no relayed one is in progress here."""
+        return self._serving + self._gate_runner.running
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Run until cancelled; requests wait until it has started."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._gate_runner.run)
+            await nursery.start(self._pool.run)
+            self._ready.set()
+            task_status.started()
 
     def stop_new_work(self) -> None:
-        """Start nothing from now on; what runs goes on to its end."""
-        self._stopped = True
-        self._settle(*self._admission.stop(self._timer.now))
+        """Start nothing at the own gate from now on; what runs goes on to its end."""
+        self._gate_runner.stop_new_work()
 
     async def serve(self, exchange: Exchange) -> None:
-        """Take one request to its end and tell the caller how it ended."""
-        self._running += 1
+        """Take one request to its end and tell the caller how it ended.
+
+        Cancelling this call, or `CallerGone` from the exchange, cancels the request.
+        """
+        await self._ready.wait()
+        self._serving += 1
         try:
-            outcome = await self._outcome(exchange)
-            await exchange.conclude(outcome)
+            await exchange.conclude(await self._outcome(exchange))
         except CallerGone:
             return
         finally:
-            self._running -= 1
+            self._serving -= 1
+
+    async def serve_relay(
+        self,
+        stream: trio.abc.Stream,
+        first_message: RelayMessage,
+        decoder: StreamDecoder[Any],
+    ) -> None:
+        """Serve a relay link of another agent to its end.
+
+        Args:
+            stream: the link, closed at the end.
+            first_message: what came first.
+            decoder: what cut it from the stream, and holds whatever came after it.
+        """
+        await self._ready.wait()
+        await self._gate_runner.serve_link(StreamLink(stream, decoder, [first_message]))
 
     async def _outcome(self, exchange: Exchange) -> Outcome:
-        service = self._services(exchange.head.service)
+        head = exchange.head
+        service = self._services(head.service)
         if service is None:
             return Refused(RefusalReason.UNDECLARED)
-        request_class = service.classify(exchange.head.method, exchange.head.path)
-        if request_class is None:
-            return Refused(RefusalReason.UNDECLARED)
         if service.name != self._own_service:
             return Refused(RefusalReason.WRONG_SERVICE)
-        deadline = self._deadline(exchange, request_class)
-        identifier = f"{self._own_target_number}.{self._incarnation}.{next(self._sequence)}"
-        refusal = await self._admit(identifier, service, request_class, deadline)
-        if refusal is not None:
-            return refusal
-        try:
-            return await self._run(exchange, service, request_class, deadline)
-        finally:
-            self._settle(*self._admission.release(identifier, self._timer.now))
+        request_class = service.classify(head.method, head.path)
+        if request_class is None:
+            return self._refuse_undeclared(service)
+        return await self._ask(exchange, service, request_class)
 
-    def _deadline(self, exchange: Exchange, request_class: RequestClass) -> float | None:
-        named = exchange.head.deadline
-        if request_class.deadline_seconds is None:
-            return named
-        declared = self._timer.now + request_class.deadline_seconds
-        return declared if named is None else min(named, declared)
+    def _refuse_undeclared(self, service: Service) -> Outcome:
+        outcome = Refused(RefusalReason.UNDECLARED)
+        self._observer.on_outcome(None, service.tenant, outcome, None, 0.0, 0.0, 0)
+        return outcome
 
-    async def _admit(
-        self,
-        identifier: str,
-        service: Service,
-        request_class: RequestClass,
-        deadline: float | None,
-    ) -> Refused | None:
-        ticket = Ticket(
-            identifier,
-            service.tenant,
-            request_class.name,
-            request_class.weight,
-            request_class.shape,
-            request_class.priority,
-            deadline,
-        )
-        decision = self._admission.ask(ticket, self._timer.now)
-        if isinstance(decision, Queued):
-            decision = await self._wait_for_decision(identifier)
-        return decision.refusal if isinstance(decision, Rejected) else None
-
-    async def _wait_for_decision(self, identifier: str) -> AdmissionDecision:
-        event = trio.Event()
-        decisions: list[AdmissionDecision] = []
-        self._waiting[identifier] = (event, decisions)
-        expiry = self._timer.subscribe(EXPIRE_INTERVAL_SECONDS, self._expire)
-        try:
-            await event.wait()
-            return decisions[0]
-        finally:
-            expiry.cancel()
-            del self._waiting[identifier]
-            if not any(isinstance(each, Admitted | Rejected) for each in decisions):
-                self._settle(*self._admission.cancel(identifier, self._timer.now))
-
-    def _expire(self, now: float) -> None:
-        self._settle(*self._admission.expire(now))
-
-    def _settle(self, *decisions: AdmissionDecision) -> None:
-        for decision in decisions:
-            waiting = self._waiting.get(decision.identifier)
-            if waiting is not None:
-                waiting[1].append(decision)
-                waiting[0].set()
-
-    async def _run(
-        self,
-        exchange: Exchange,
-        service: Service,
-        request_class: RequestClass,
-        deadline: float | None,
+    async def _ask(
+        self, exchange: Exchange, service: Service, request_class: RequestClass
     ) -> Outcome:
-        started = False
-
-        def start() -> None:
-            nonlocal started
-            if deadline is not None and self._timer.now >= deadline:
-                raise StartVetoed(Refused(RefusalReason.DEADLINE))
-            started = True
-
-        request = BackendRequest(
-            exchange.head.method,
-            exchange.head.path,
-            service.authority,
-            exchange.head.headers,
-            request_class.idempotent,
-            request_class.shape,
+        began = self._timer.now
+        deadline = _earliest(exchange.head.deadline, began, request_class.deadline_seconds)
+        self._budget.set_share(service.limits.retry_share)
+        attempts = Attempts(
+            exchange.head,
+            service,
+            request_class,
             deadline,
+            self._placement,
+            self._budget,
+            self._next_identifier,
         )
-        left = None if deadline is None else deadline - self._timer.now
-        with bounded(self._timer, left):
-            return await self._call(exchange, request, start)
-        if started:
-            return Unknown(UnknownReason.DEADLINE)
-        return Refused(RefusalReason.DEADLINE)
-
-    async def _call(
-        self, exchange: Exchange, request: BackendRequest, start: Callable[[], None]
-    ) -> Outcome:
-        try:
-            status = await self._backend.call(request, exchange, exchange, start)
-        except StartVetoed as error:
-            return error.refusal
-        except BackendShed as error:
-            return Refused(RefusalReason.SHEDDING, error.retry_after_seconds)
-        except BackendUnreachable:
-            return Refused(RefusalReason.BACKEND_UNREACHABLE)
-        except RequestInvalid:
-            return Refused(RefusalReason.UNDECLARED)
-        except BackendFailed as error:
-            if error.reason is UnknownReason.BACKEND_MALFORMED:
-                self._observer.on_malformed("http")
-            return Unknown(error.reason)
-        return Answered(status)
+        asker = Asker(exchange, attempts, deadline, self._timer, self._pool)
+        outcome = await asker.run()
+        first_byte = None if asker.first_byte_at is None else asker.first_byte_at - began
+        self._observer.on_outcome(
+            request_class,
+            service.tenant,
+            outcome,
+            first_byte,
+            self._timer.now - began,
+            attempts.queue_seconds,
+            attempts.tries,
+        )
+        return outcome
+
+    def _next_identifier(self) -> RequestId:
+        return RequestId(self._own_target_number, self._incarnation, next(self._sequence))
+
+    def _address(self, target_number: int) -> Address | None:
+        service = self._services(self._own_service)
+        targets = () if service is None else service.targets
+        return next((each.relay for each in targets if each.number == target_number), None)
+
+
+def _earliest(named: float | None, now: float, allowed_seconds: float | None) -> float | None:
+    declared = None if allowed_seconds is None else now + allowed_seconds
+    return min((each for each in (named, declared) if each is not None), default=None)
--- /dev/null
+++ b/egretsill/requests/_wakeup.py
@@ -0,0 +1,21 @@
+"""A signal between tasks that may be given any number of times."""
+
+from __future__ import annotations
+
+import trio
+
+
+class Wakeup:
+    """Wakes whoever waits, or the next one to wait."""
+
+    def __init__(self) -> None:
+        self._event = trio.Event()
+
+    def set(self) -> None:
+        """Wake the waiting task, or let the next wait return at once."""
+        self._event.set()
+
+    async def wait(self) -> None:
+        """Wait for `set`; one task at a time."""
+        await self._event.wait()
+        self._event = trio.Event()
--- /dev/null
+++ b/egretsill/requests/tests/test_relay.py
@@ -0,0 +1,318 @@
+"""Two agents over loopback: the relay as a whole, with its links broken on the way."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from functools import partial
+
+import pytest
+import trio
+
+from ...configuration import Address, Service
+from ...outcomes import Answered, Outcome, RefusalReason, Refused, Unknown, UnknownReason
+from ...stand_ins.backend_server import BackendBehaviour, BackendServer, Fault
+from ...timing import TimerService, VirtualTimerService
+from ...wire import StreamDecoder
+from .. import BackendClient, RequestObserver, RequestService, SilentObserver
+from .._gate_runner import LINK_SILENCE_SECONDS
+from .._message_link import RELAY_CODEC
+from ._fakes import (
+    HOST,
+    NOWHERE,
+    FakeExchange,
+    SimpleAdmission,
+    SimplePlacement,
+    make_service,
+    make_target,
+    running_backend,
+)
+
+
+@dataclass
+class CountingObserver(SilentObserver):
+    malformed: list[str] = field(default_factory=list)
+
+    def on_malformed(self, protocol: str) -> None:
+        self.malformed.append(protocol)
+
+
+@dataclass
+class Fleet:
+    """One asker without a backend server of use, and one gate behind a relay that may break."""
+
+    timer: VirtualTimerService
+    asker: RequestService
+    gate: RequestService
+    server: BackendServer
+    observer: CountingObserver
+    relay: Address
+    streams: list[trio.SocketStream] = field(default_factory=list)
+    broken: int = 0
+
+    def break_links(self) -> None:
+        while self.streams:
+            self.broken += 1
+            self.streams.pop().socket.close()
+
+
+@asynccontextmanager
+async def running_fleet(
+    behaviour: BackendBehaviour | None = None, order: tuple[int, ...] = (2,)
+) -> AsyncIterator[Fleet]:
+    timer = VirtualTimerService()
+    observer = CountingObserver()
+    listeners = await trio.open_tcp_listeners(0, host=HOST)
+    relay = Address(HOST, listeners[0].socket.getsockname()[1])
+    service = make_service(make_target(1), make_target(2, relay=relay))
+    async with running_backend(behaviour) as (server, backend), trio.open_nursery() as nursery:
+        asker = _request_service(1, timer, service, NOWHERE, SimplePlacement(order), observer)
+        gate = _request_service(2, timer, service, backend, SimplePlacement(()), observer)
+        fleet = Fleet(timer, asker, gate, server, observer, relay)
+        await nursery.start(asker.run)
+        await nursery.start(gate.run)
+        nursery.start_soon(trio.serve_listeners, partial(_serve_relay, fleet), listeners)
+        yield fleet
+        nursery.cancel_scope.cancel()
+
+
+def _request_service(
+    number: int,
+    timer: TimerService,
+    service: Service,
+    backend: Address,
+    placement: SimplePlacement,
+    observer: RequestObserver,
+) -> RequestService:
+    services = {service.name: service}
+    client = BackendClient(backend, timer)
+    return RequestService(
+        number, service.name, 7, timer, services.get, SimpleAdmission(), placement, client, observer
+    )
+
+
+async def _serve_relay(fleet: Fleet, stream: trio.SocketStream) -> None:
+    fleet.streams.append(stream)
+    decoder = StreamDecoder(RELAY_CODEC)
+    messages = decoder.feed(bytes(await stream.receive_some(65_536)))
+    try:
+        first = next(messages)
+    except Exception:
+        await stream.aclose()
+        return
+    await fleet.gate.serve_relay(stream, first, decoder)
+
+
+def _has_lines(caller: FakeExchange, count: int) -> bool:
+    return caller.data.count(b"\n") >= count
+
+
+async def until(condition: Callable[[], object]) -> None:
+    while not condition():
+        await trio.sleep(0.001)
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body"),
+    [
+        pytest.param("GET", "/entry", [], id="lookup"),
+        pytest.param("POST", "/order", [b"12 bolts"], id="order"),
+        pytest.param("PUT", "/upload", [bytes(50_000)] * 40, id="upload larger than every window"),
+    ],
+)
+def test_relayed_request_is_answered_in_whole(method: str, path: str, body: list[bytes]) -> None:
+    async def scenario() -> None:
+        async with running_fleet() as fleet:
+            for _ in range(3):
+                caller = FakeExchange(method, path, body)
+                await fleet.asker.serve(caller)
+                assert caller.outcome == Answered(200)
+                answer = json.loads(caller.data)
+                if body:
+                    assert answer["digest"] == hashlib.sha256(b"".join(body)).hexdigest()
+            assert len(fleet.streams) == 1, "links are kept and used again"
+            await until(lambda: fleet.gate.running == 0)
+
+    trio.run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("behaviour", "order", "outcome", "starts"),
+    [
+        pytest.param(
+            BackendBehaviour(shedding=True),
+            (2,),
+            Refused(RefusalReason.SHEDDING),
+            0,
+            id="shed and no other target",
+        ),
+        pytest.param(
+            BackendBehaviour(fault=Fault.CUT),
+            (2,),
+            Unknown(UnknownReason.BACKEND_LOST),
+            1,
+            id="order cut short",
+        ),
+        pytest.param(
+            BackendBehaviour(), (1, 2), Answered(200), 1, id="unreachable target, then another"
+        ),
+        pytest.param(
+            BackendBehaviour(), (9, 2), Answered(200), 1, id="undeclared target, then another"
+        ),
+        pytest.param(BackendBehaviour(), (), Refused(RefusalReason.NO_TARGET), 0, id="no target"),
+    ],
+)
+def test_order_is_offered_on_only_while_not_run(
+    behaviour: BackendBehaviour, order: tuple[int, ...], outcome: Outcome, starts: int
+) -> None:
+    async def scenario() -> None:
+        headers = ((b"x-request-marker", b"m"),)
+        caller = FakeExchange("POST", "/order", [b"12 bolts"], headers)
+        async with running_fleet(behaviour, order) as fleet:
+            await fleet.asker.serve(caller)
+            assert caller.outcome == outcome
+            assert fleet.server.counts.starts["m"] == starts
+
+    trio.run(scenario)
+
+
+def test_answer_is_resumed_over_a_new_link() -> None:
+    async def scenario() -> None:
+        caller = FakeExchange("GET", "/subscribe?from=0&count=6")
+        async with running_fleet() as fleet, trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.asker.serve, caller)
+            for revision in range(1, 7):
+                await until(lambda: fleet.server.counts.subscriptions)
+                fleet.server.publish()
+                await until(partial(_has_lines, caller, revision))
+                fleet.break_links()
+            await until(lambda: caller.outcome is not None)
+        assert caller.outcome == Answered(200)
+        revisions = [json.loads(line)["revision"] for line in caller.data.splitlines()]
+        assert revisions == [1, 2, 3, 4, 5, 6]
+        assert fleet.server.counts.starts_by_method == {"GET": 1}
+
+    trio.run(scenario)
+
+
+def test_upload_is_resumed_over_a_new_link() -> None:
+    async def scenario() -> None:
+        pieces = [bytes([n]) * 30_000 for n in range(100)]
+        caller = FakeExchange("PUT", "/upload", pieces, ((b"x-request-marker", b"u"),))
+        async with running_fleet() as fleet, trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.asker.serve, caller)
+            while caller.outcome is None:
+                await until(lambda: fleet.streams or caller.outcome)
+                for _ in range(40):
+                    await trio.lowlevel.checkpoint()
+                if fleet.server.counts.starts["u"]:
+                    fleet.break_links()
+        assert caller.outcome == Answered(200)
+        assert json.loads(caller.data)["digest"] == hashlib.sha256(b"".join(pieces)).hexdigest()
+        assert fleet.server.counts.starts["u"] == 1
+        assert fleet.broken > 0
+
+    trio.run(scenario)
+
+
+def test_silent_link_is_noticed_and_the_answer_resumed() -> None:
+    async def scenario() -> None:
+        timer_step = 0.5
+        caller = FakeExchange("GET", "/subscribe?from=0&count=1")
+        async with running_fleet() as fleet, trio.open_nursery() as nursery:
+            relay = _Swallower(fleet.relay)
+            await _reroute(fleet, relay, nursery)
+            nursery.start_soon(fleet.asker.serve, caller)
+            await until(lambda: fleet.server.counts.subscriptions)
+            relay.swallowing = True
+            fleet.server.publish()
+            while caller.outcome is None:
+                fleet.timer.advance(timer_step)
+                await trio.sleep(0.002)
+                if fleet.timer.now > 8.0:
+                    relay.swallowing = False
+                assert fleet.timer.now < 20.0
+            nursery.cancel_scope.cancel()
+        assert caller.outcome == Answered(200)
+        assert relay.accepted >= 2
+
+    trio.run(scenario)
+
+
+@pytest.mark.parametrize(
+    "garbage",
+    [
+        pytest.param(b"\xc1" * 10, id="never used byte"),
+        pytest.param(b"\x92\x01\x02", id="wrong field count"),
+    ],
+)
+def test_garbage_on_a_relay_is_counted_and_closed(garbage: bytes) -> None:
+    async def scenario() -> None:
+        async with running_fleet() as fleet:
+            stream = await trio.open_tcp_stream(*fleet.relay)
+            await stream.send_all(b"\x91\x01" + garbage)
+            received = b""
+            while data := await stream.receive_some(100):
+                received += data
+            await stream.aclose()
+            await until(lambda: fleet.observer.malformed)
+            assert fleet.observer.malformed == ["relay"]
+
+    trio.run(scenario)
+
+
+def test_half_a_message_holds_a_link_no_longer_than_its_silence_bound() -> None:
+    async def scenario() -> None:
+        async with running_fleet() as fleet:
+            stream = await trio.open_tcp_stream(*fleet.relay)
+            await stream.send_all(b"\x91\x01" + b"\x93\x0a\x00\xdb\xff\xff\xff\xff")
+            assert await stream.receive_some(100)
+            fleet.timer.advance(LINK_SILENCE_SECONDS + 1.0)
+            assert not await stream.receive_some(100)
+            await stream.aclose()
+
+    trio.run(scenario)
+
+
+class _Swallower:
+    """Forwards a relay's bytes until told to swallow them."""
+
+    def __init__(self, to: Address) -> None:
+        self.swallowing = False
+        self.accepted = 0
+        self._to = to
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        self.accepted += 1
+        other = await trio.open_tcp_stream(*self._to)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._forward, stream, other)
+                await self._forward(other, stream)
+                nursery.cancel_scope.cancel()
+        finally:
+            await trio.aclose_forcefully(other)
+            await trio.aclose_forcefully(stream)
+
+    async def _forward(self, source: trio.SocketStream, sink: trio.SocketStream) -> None:
+        try:
+            while data := await source.receive_some(65_536):
+                if not self.swallowing:
+                    await sink.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+
+
+async def _reroute(fleet: Fleet, relay: _Swallower, nursery: trio.Nursery) -> None:
+    """Put the swallower between the asker and the gate."""
+    listeners = await trio.open_tcp_listeners(0, host=HOST)
+    address = Address(HOST, listeners[0].socket.getsockname()[1])
+    nursery.start_soon(trio.serve_listeners, relay.serve, listeners)
+
+    async def connect(_: Address) -> trio.abc.Stream:
+        return await trio.open_tcp_stream(*address)
+
+    fleet.asker._pool._connect = connect
--- a/egretsill/requests/tests/test_request_service.py
+++ b/egretsill/requests/tests/test_request_service.py
@@ -1,7 +1,8 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Sequence
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
 
 import pytest
 import trio
@@ -14,10 +15,11 @@
 from ._fakes import FakeExchange, SimpleAdmission, SimplePlacement, make_service, running_backend
 
 
-def make_request_service(
+@asynccontextmanager
+async def running_service(
     address: Address, timer: TimerService, admission: SimpleAdmission
-) -> RequestService:
-    return RequestService(
+) -> AsyncIterator[RequestService]:
+    service = RequestService(
         1,
         "catalog",
         1,
@@ -27,6 +29,10 @@
         SimplePlacement((1,)),
         BackendClient(address, timer),
     )
+    async with trio.open_nursery() as nursery:
+        await nursery.start(service.run)
+        yield service
+        nursery.cancel_scope.cancel()
 
 
 @pytest.mark.parametrize(
@@ -62,8 +68,8 @@
         admission = SimpleAdmission()
         async with running_backend() as (server, address):
             server.behaviour.change(behaviour)
-            service = make_request_service(address, VirtualTimerService(), admission)
-            await service.serve(caller)
+            async with running_service(address, VirtualTimerService(), admission) as service:
+                await service.serve(caller)
         assert caller.outcome == outcome
         assert not admission.held
         assert service.running == 0
@@ -82,8 +88,8 @@
         callers = [FakeExchange("GET", f"/entry/{n}") for n in range(5)]
         async with running_backend() as (server, address):
             timer = VirtualTimerService()
-            service = make_request_service(address, timer, SimpleAdmission(2, 2))
-            await _serve_all(service, callers)
+            async with running_service(address, timer, SimpleAdmission(2, 2)) as service:
+                await _serve_all(service, callers)
         answered = [each for each in callers if each.outcome == Answered(200)]
         refused = [each for each in callers if each.outcome == Refused(RefusalReason.FULL)]
         assert (len(answered), len(refused)) == (4, 1)
@@ -98,13 +104,15 @@
         timer = VirtualTimerService()
         caller = FakeExchange("POST", "/order", [b"x"], deadline=5.0)
         behaviour = BackendBehaviour(fault=Fault.SWALLOW)
-        async with running_backend(behaviour) as (server, address):
-            service = make_request_service(address, timer, SimpleAdmission())
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(service.serve, caller)
-                while not server.counts.starts_by_method:
-                    await trio.sleep(0.001)
-                timer.advance(5.0)
+        async with (
+            running_backend(behaviour) as (server, address),
+            running_service(address, timer, SimpleAdmission()) as service,
+            trio.open_nursery() as nursery,
+        ):
+            nursery.start_soon(service.serve, caller)
+            while not server.counts.starts_by_method:
+                await trio.sleep(0.001)
+            timer.advance(5.0)
         assert caller.outcome == Unknown(UnknownReason.DEADLINE)
 
     trio.run(scenario)
@@ -113,8 +121,10 @@
 def test_draining_gate_starts_nothing() -> None:
     async def scenario() -> None:
         caller = FakeExchange("GET", "/entry")
-        async with running_backend() as (server, address):
-            service = make_request_service(address, VirtualTimerService(), SimpleAdmission())
+        async with (
+            running_backend() as (server, address),
+            running_service(address, VirtualTimerService(), SimpleAdmission()) as service,
+        ):
             service.stop_new_work()
             await service.serve(caller)
         assert caller.outcome == Refused(RefusalReason.DRAINING)
