--- /dev/null
+++ b/egretsill/benchmarks/steering.py
@@ -0,0 +1,261 @@
+"""Cost of steering a packet, alone and in the whole balancer beside a bare datagram forwarder."""
+
+from __future__ import annotations
+
+import statistics
+import sys
+import time
+from collections.abc import Callable, Sequence
+from random import Random
+
+import trio
+
+from ..configuration import Address, Bundle, Service, Target
+from ..steering import (
+    Balancer,
+    ConnectionIdCodec,
+    ConnectionIdKey,
+    ReplyPacket,
+    SourceLimit,
+    Steering,
+    make_tunnel_codec,
+)
+from ..timing import TrioTimerService
+from ._result import BenchmarkResult
+from ._saturation import LOOPBACK, Forwarder, Throughput, address_of, open_socket, saturate
+
+BENCHMARK = "steering"
+GOAL_MICROSECONDS = 3.0
+GOAL_RATE_RATIO = 0.5
+FLOW_SIZES = (1_000, 10_000, 50_000, 100_000, 200_000)
+TARGET_SIZES = (7, 70, 700, 2_500, 7_700)
+SERVICE_SIZES = (1, 10, 100, 400, 770)
+DEFAULT_FLOWS = 10_000
+DEFAULT_TARGETS = 7
+ROUNDS = 5
+SATURATION_ROUNDS = 3
+NO_LIMIT = 1_000_000_000
+NONCE_BYTES = 8
+CALLER_HOST = "192.0.2.1"
+CODEC = ConnectionIdCodec([ConnectionIdKey(0, b"0123456789abcdef")])
+Packet = tuple[Address, bytes]
+
+
+def benchmark() -> Sequence[BenchmarkResult]:
+    """Return all figures of steering."""
+    return [*_steering_alone(), *_daemon_beside_forwarder()]
+
+
+def _steering_alone() -> Sequence[BenchmarkResult]:
+    results = []
+    for flows in FLOW_SIZES:
+        bundle = _bundle(1, DEFAULT_TARGETS)
+        results.append(_timed("flows", flows, bundle, _established(bundle, flows)))
+    for targets in TARGET_SIZES:
+        bundle = _bundle(1, targets)
+        results.append(_timed("targets", targets, bundle, _established(bundle, DEFAULT_FLOWS)))
+        first = _first_packets(bundle, DEFAULT_FLOWS)
+        results.append(_timed("targets, first packets", targets, bundle, first))
+    for services in SERVICE_SIZES:
+        bundle = _bundle(services, DEFAULT_TARGETS)
+        results.append(_timed("services", services, bundle, _established(bundle, DEFAULT_FLOWS)))
+    results.extend(_bundle_times())
+    return results
+
+
+def _timed(case: str, size: int, bundle: Bundle, packets: Sequence[Packet]) -> BenchmarkResult:
+    """Return processor time for each packet, the median of some rounds."""
+    steering = Steering(CODEC, SourceLimit(NO_LIMIT))
+    steering.apply_bundle(bundle, 0.0)
+    rounds = [_time_round(steering, packets) for _ in range(ROUNDS)]
+    value = statistics.median(rounds)
+    return BenchmarkResult(
+        BENCHMARK,
+        f"processor time a packet by {case}",
+        value,
+        "microseconds",
+        size,
+        GOAL_MICROSECONDS,
+        value < GOAL_MICROSECONDS,
+    )
+
+
+def _time_round(steering: Steering, packets: Sequence[Packet]) -> float:
+    steer = steering.steer
+    start = time.process_time()
+    for service_address, datagram in packets:
+        steer(service_address, CALLER_HOST, datagram, 1.0)
+    return 1e6 * (time.process_time() - start) / len(packets)
+
+
+def _bundle_times() -> Sequence[BenchmarkResult]:
+    """Return how long it takes to apply a configuration with one target changed."""
+    results = []
+    for services in SERVICE_SIZES:
+        steering = Steering(CODEC, SourceLimit(NO_LIMIT))
+        steering.apply_bundle(_bundle(services, DEFAULT_TARGETS + 3), 0.0)
+        changed = _bundle(services, DEFAULT_TARGETS + 3, changed=True)
+        start = time.process_time()
+        steering.apply_bundle(changed, 1.0)
+        milliseconds = 1e3 * (time.process_time() - start)
+        case = "processor time of a change by services of ten targets"
+        results.append(BenchmarkResult(BENCHMARK, case, milliseconds, "milliseconds", services))
+    return results
+
+
+def _daemon_beside_forwarder() -> Sequence[BenchmarkResult]:
+    """Return the rate of the whole balancer and of a forwarder, taken in turn in one run."""
+    sinks = [open_socket() for _ in range(DEFAULT_TARGETS)]
+    bundle = _bundle(1, DEFAULT_TARGETS, tunnels=[address_of(each) for each in sinks])
+    packets = [datagram for _, datagram in _established(bundle, DEFAULT_FLOWS)]
+    caller = open_socket()
+    replies = [_reply(address_of(caller), bundle)]
+    bare, inward, outward = [], [], []
+    for _ in range(SATURATION_ROUNDS):
+        bare.append(saturate(make_forwarder, [address_of(sinks[0])], packets, caller))
+        inward.append(saturate(make_balancer, [bundle, False], packets, caller))
+        outward.append(saturate(make_balancer, [bundle, True], replies, sinks[0]))
+    for each in (*sinks, caller):
+        each.close()
+    return [
+        *_rate("bare forwarder", bare),
+        *_rate("balancer, callers to agents", inward, bare),
+        *_rate("balancer, agents to callers", outward, bare),
+    ]
+
+
+def _rate(
+    case: str, runs: Sequence[Throughput], bare: Sequence[Throughput] = ()
+) -> Sequence[BenchmarkResult]:
+    rate = statistics.median(each.packets_per_second for each in runs)
+    processor = statistics.median(each.processor_microseconds for each in runs)
+    results = [
+        BenchmarkResult(BENCHMARK, f"rate of the {case}", rate, "packets a second"),
+        BenchmarkResult(BENCHMARK, f"processor time a packet, {case}", processor, "microseconds"),
+    ]
+    if bare:
+        ratio = rate / statistics.median(each.packets_per_second for each in bare)
+        results.append(
+            BenchmarkResult(
+                BENCHMARK,
+                f"rate of the {case} over the bare forwarder's",
+                ratio,
+                "ratio",
+                None,
+                GOAL_RATE_RATIO,
+                ratio >= GOAL_RATE_RATIO,
+            )
+        )
+    return results
+
+
+def make_forwarder(destination: Address) -> Forwarder:
+    """Return a forwarder that only receives and sends, as trio's own sockets do it."""
+    opened = open_socket()
+    opened.setblocking(False)
+    receiver = trio.socket.from_stdlib_socket(opened)
+    forwarded = 0
+
+    async def run() -> None:
+        nonlocal forwarded
+        while True:
+            datagram, _ = await receiver.recvfrom(2048)
+            await receiver.sendto(datagram, destination)
+            forwarded += 1
+
+    return Forwarder(address_of(opened), run, lambda: forwarded)
+
+
+def make_balancer(bundle: Bundle, for_replies: bool) -> Forwarder:
+    """Return a whole balancer, to be sent callers' packets or agents' replies."""
+    timer = TrioTimerService()
+    balancer = Balancer(
+        timer, LOOPBACK, CODEC, listen=lambda _: LOOPBACK, source_limit=SourceLimit(NO_LIMIT)
+    )
+    balancer.apply_bundle(bundle)
+
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(timer.run)
+            nursery.start_soon(balancer.run)
+
+    address = balancer.tunnel_address
+    if not for_replies:
+        local_address = balancer.local_address(bundle.services["service-1"].addresses[0])
+        address = local_address or address
+    return Forwarder(address, run, lambda: balancer.counters.forwarded + balancer.counters.replied)
+
+
+def _bundle(
+    services: int, targets: int, tunnels: Sequence[Address] = (), changed: bool = False
+) -> Bundle:
+    declared = {}
+    for number in range(1, services + 1):
+        first = number * targets + 1
+        numbers = range(first, first + targets - (changed and number == 1))
+        declared[f"service-{number}"] = Service(
+            name=f"service-{number}",
+            number=number,
+            tenant="tenant",
+            authority="service.example",
+            addresses=(Address(f"10.0.{number // 250}.{number % 250}", 443),),
+            classes=(),
+            targets=tuple(
+                _target(each, f"service-{number}", tunnels[place] if tunnels else None)
+                for place, each in enumerate(numbers)
+            ),
+        )
+    return Bundle(1, "", declared)
+
+
+def _target(number: int, service: str, tunnel: Address | None) -> Target:
+    host = f"10.{1 + number // 62_500}.{number // 250 % 250}.{number % 250}"
+    return Target(
+        name=str(number),
+        number=number,
+        service=service,
+        failure_domain="a",
+        tunnel=tunnel or Address(host, 4000),
+        relay=Address(host, 4001),
+        gossip=Address(host, 4002),
+        backend=Address(host, 80),
+        slots=4,
+    )
+
+
+def _established(bundle: Bundle, flows: int) -> Sequence[Packet]:
+    """Return one packet of each of so many flows, over all services and targets."""
+    random = Random(flows)
+    services = list(bundle.services.values())
+    packets = []
+    for _ in range(flows):
+        service = random.choice(services)
+        target = random.choice(service.targets)
+        nonce = random.randbytes(NONCE_BYTES)
+        connection_id = CODEC.encode(service.number, target.number, nonce)
+        packets.append((service.addresses[0], b"\x40" + connection_id + bytes(1182)))
+    return packets
+
+
+def _first_packets(bundle: Bundle, flows: int) -> Sequence[Packet]:
+    random = Random(flows)
+    address = bundle.services["service-1"].addresses[0]
+    head = b"\xc0\0\0\0\1\x08"
+    return [(address, (head + random.randbytes(8)).ljust(1200, b"\0")) for _ in range(flows)]
+
+
+def _reply(caller: Address, bundle: Bundle) -> bytes:
+    address = bundle.services["service-1"].addresses[0]
+    return make_tunnel_codec().encode(ReplyPacket(*caller, *address, bytes(1200)))
+
+
+def run(report: Callable[[str], object] = print) -> int:
+    """Report all figures as lines of JSON; return 1 if any goal is missed."""
+    results = benchmark()
+    for each in results:
+        report(each.to_json())
+    return 1 if any(each.holds is False for each in results) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(run())
