Read and place first packets faster

Making a frozen data class for each long header and a tuple for each ranked target took most of a first packet's time. The header is a named tuple now, versions are looked up as bytes, and a bucket's winner is found over encoded numbers.

--- a/egretsill/steering/_packet.py
+++ b/egretsill/steering/_packet.py
@@ -9,6 +9,7 @@
 
 import enum
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from ._connection_id import CONNECTION_ID_BYTES
 
@@ -19,8 +20,12 @@
 
 _LONG_HEADER_BIT = 0x80
 _PACKET_TYPE_MASK = 0x30
-_INITIAL_TYPE_BITS = {VERSION_1: 0x00, VERSION_2: 0x10}
-_VERSION_END = 5
+_VERSION_BYTES = 4
+_VERSION_END = 1 + _VERSION_BYTES
+_INITIAL_TYPE_BITS = {
+    VERSION_1.to_bytes(_VERSION_BYTES, "big"): 0x00,
+    VERSION_2.to_bytes(_VERSION_BYTES, "big"): 0x10,
+}
 _ID_LENGTH_AT = 5
 _ID_AT = 6
 _SHORT_HEADER_END = 1 + CONNECTION_ID_BYTES
@@ -42,10 +47,11 @@
     reason: MalformedReason
 
 
-@dataclass(frozen=True, slots=True)
-class PacketHeader:
+class PacketHeader(NamedTuple):
     """What steering needs to know of the first packet in a datagram.
 
+    A named tuple, since it costs less to make than a frozen data class, once for each packet.
+
     Attributes:
         connection_id: destination connection ID; the 17 bytes of our own length in a short header.
         may_open: whether the packet may open a flow.
@@ -75,18 +81,19 @@
 
 
 def _parse_long(datagram: bytes) -> PacketHeader | MalformedPacket:
-    if len(datagram) <= _ID_AT:
+    length = len(datagram)
+    if length <= _ID_AT:
         return _TRUNCATED
-    initial_type = _INITIAL_TYPE_BITS.get(int.from_bytes(datagram[1:_VERSION_END], "big"))
+    initial_type = _INITIAL_TYPE_BITS.get(datagram[1:_VERSION_END])
     if initial_type is None:
         return _UNSUPPORTED_VERSION
     id_bytes = datagram[_ID_LENGTH_AT]
     if id_bytes > MAXIMUM_CONNECTION_ID_BYTES:
         return _CONNECTION_ID_TOO_LONG
     id_end = _ID_AT + id_bytes
-    if len(datagram) <= id_end:
+    if length <= id_end:
         return _TRUNCATED
     is_initial = datagram[0] & _PACKET_TYPE_MASK == initial_type
-    if is_initial and len(datagram) < MINIMUM_INITIAL_DATAGRAM_BYTES:
+    if is_initial and length < MINIMUM_INITIAL_DATAGRAM_BYTES:
         return _INITIAL_TOO_SMALL
-    return PacketHeader(datagram[_ID_AT:id_end], may_open=is_initial, is_long=True)
+    return PacketHeader(datagram[_ID_AT:id_end], is_initial, True)
--- a/egretsill/steering/_ranking.py
+++ b/egretsill/steering/_ranking.py
@@ -28,7 +28,9 @@
 def rank(key: bytes, target_numbers: Iterable[int]) -> tuple[int, ...]:
     """Return the targets in the order in which they are to be asked to take a new flow."""
     bucket = bucket_of(key).to_bytes(_BUCKET_BYTES, "big")
-    return tuple(sorted(target_numbers, key=lambda number: _score(bucket, number), reverse=True))
+    in_order = sorted(target_numbers)
+    in_order.sort(key=lambda each: xxh3_64_intdigest(bucket + _encoded(each)), reverse=True)
+    return tuple(in_order)
 
 
 def first_unavoided(ranked: Iterable[int], avoidance: Sequence[Collection[int]]) -> int | None:
@@ -53,12 +55,13 @@
     """The first of the rank for every bucket, worked out when it is first asked for."""
 
     def __init__(self, target_numbers: Iterable[int]) -> None:
-        self._target_numbers = tuple(target_numbers)
+        self._target_numbers = tuple(sorted(target_numbers))
+        self._encoded = tuple(_encoded(each) for each in self._target_numbers)
         self._winners = array("I", (_UNKNOWN,)) * (BUCKETS if self._target_numbers else 0)
 
     @property
     def target_numbers(self) -> tuple[int, ...]:
-        """Return the targets that are ranked."""
+        """Return the targets that are ranked, in order of number."""
         return self._target_numbers
 
     def winner(self, key: bytes) -> int | None:
@@ -72,12 +75,13 @@
         return self._fill(bucket)
 
     def _fill(self, bucket: int) -> int:
-        encoded = bucket.to_bytes(_BUCKET_BYTES, "big")
-        number = max(self._target_numbers, key=lambda each: _score(encoded, each))
+        prefix = bucket.to_bytes(_BUCKET_BYTES, "big")
+        weights = [xxh3_64_intdigest(prefix + encoded) for encoded in self._encoded]
+        # Equal weights leave the lower number first, as the stable sort of `rank` does.
+        number = self._target_numbers[weights.index(max(weights))]
         self._winners[bucket] = number
         return number
 
 
-def _score(bucket: bytes, target_number: int) -> tuple[int, int]:
-    weight = xxh3_64_intdigest(bucket + target_number.to_bytes(_TARGET_NUMBER_BYTES, "big"))
-    return weight, target_number
+def _encoded(target_number: int) -> bytes:
+    return target_number.to_bytes(_TARGET_NUMBER_BYTES, "big")
--- a/egretsill/steering/_routes.py
+++ b/egretsill/steering/_routes.py
@@ -221,7 +221,7 @@
         }
 
     def _build(self, service: Service, retained: Sequence[RetainedTarget]) -> ServiceRoutes:
-        numbers = tuple(each.number for each in service.targets)
+        numbers = tuple(sorted(each.number for each in service.targets))
         before = self._built.get(service.number)
         is_same = before is not None and before.winners.target_numbers == numbers
         owners = _owners(service.number, retained)
