--- a/egretsill/measurements/_membership_fleet.py
+++ b/egretsill/measurements/_membership_fleet.py
@@ -29,6 +29,7 @@
 START_MILLISECONDS = 1_700_000_000_000
 SNAPSHOT_UPDATES = 50
 BYTES_SAMPLE = 8
+BUFFER_DATAGRAMS = 200
 
 
 @dataclass(slots=True)
@@ -38,6 +39,7 @@
     Attributes:
         running: False after a crash.
         paused: True while it is frozen; its datagrams wait in a bounded socket buffer.
+        alive: names of the others that are alive in its view.
         side: processes on different sides of a partition can't reach each other.
     """
 
@@ -45,8 +47,8 @@
     membership: Membership
     running: bool = True
     paused: bool = False
+    alive: set[str] = field(default_factory=set)
     side: int = 0
-    paused_at: float = 0.0
     buffer: list[tuple[MembershipMessage, Address]] = field(default_factory=list)
     sent: int = 0
     sampled: int = 0
@@ -65,9 +67,8 @@
 class Fleet:
     """Drives memberships with ticks, datagrams, crashes, pauses and partitions."""
 
-    BUFFER_DATAGRAMS = 200
-
     def __init__(self, size: int, seed: int, loss: float = 0.0, domains: int = 3) -> None:
+        self.buffer_datagrams = BUFFER_DATAGRAMS
         self.now = 100.0
         self.loss = loss
         self.changes: list[ObservedChange] = []
@@ -125,15 +126,19 @@
         self._perform(process, process.membership.announce_gone(self.now))
         process.running = False
 
+    def leave(self, process: Process) -> None:
+        """Let a process announce that it leaves."""
+        self._perform(process, process.membership.announce_leaving(self.now))
+
     def pause(self, process: Process) -> None:
         """Freeze a process."""
         process.paused = True
-        process.paused_at = self.now
 
-    def wake(self, process: Process) -> None:
-        """Let a frozen process run again; it notices the jump before it reads its socket."""
+    def wake(self, process: Process, jump: bool = True) -> None:
+        """Let a frozen process run again; it notices a jump before it reads its socket."""
         process.paused = False
-        self._perform(process, process.membership.on_jump(self.now))
+        if jump:
+            self._perform(process, process.membership.on_jump(self.now))
         buffered, process.buffer = process.buffer, []
         for message, sender in buffered:
             self._perform(process, process.membership.on_message(message, sender, self.now))
@@ -186,7 +191,8 @@
         for process in self.processes.values():
             process.membership.on_targets(members, self.now)
             for message in messages:
-                process.membership.on_message(message, process.member.gossip, self.now)
+                effects = process.membership.on_message(message, process.member.gossip, self.now)
+                self._perform(process, effects)
 
     def _at(self, time: float, action: Callable[[], None]) -> None:
         heapq.heappush(self._queue, (time, next(self._order), action))
@@ -203,7 +209,15 @@
                 case Send(address, message):
                     self._transmit(process, address, message)
                 case MemberChanged():
-                    self.changes.append(ObservedChange(self.now, process.member.name, effect))
+                    self._note_change(process, effect)
+
+    def _note_change(self, process: Process, change: MemberChanged) -> None:
+        if change.after is MemberState.ALIVE:
+            process.alive.add(change.member.name)
+        else:
+            process.alive.discard(change.member.name)
+        if change.before is not MemberState.CANDIDATE:
+            self.changes.append(ObservedChange(self.now, process.member.name, change))
 
     def _transmit(self, source: Process, address: Address, message: MembershipMessage) -> None:
         source.sent += 1
@@ -228,7 +242,7 @@
         if not target.running or target.side != source.side:
             return
         if target.paused:
-            if len(target.buffer) < self.BUFFER_DATAGRAMS:
+            if len(target.buffer) < self.buffer_datagrams:
                 target.buffer.append((message, sender))
             return
         self._perform(target, target.membership.on_message(message, sender, self.now))
--- a/egretsill/membership/_membership.py
+++ b/egretsill/membership/_membership.py
@@ -15,7 +15,7 @@
 from ._claims import Claims
 from ._dissemination import ByteBudget
 from ._effects import Effect, Send
-from ._member import Member, MembershipView, MemberState, Role
+from ._member import Member, MembershipView, MemberState, Role, identifier_of
 from ._messages import (
     ANYONE,
     MAXIMUM_UPDATES,
@@ -114,10 +114,8 @@
 
     def state_of(self, name: str) -> MemberState | None:
         """Return what is known of the member with this name, or None if nothing is."""
-        for entry in self._roster.entries:
-            if entry.member.name == name:
-                return entry.state
-        return None
+        entry = self._roster.get(identifier_of(name))
+        return None if entry is None else entry.state
 
     def tick(self, now: float) -> list[Effect]:
         """Do what has become due; call it every `TICK_SECONDS`."""
@@ -321,6 +319,8 @@
 
     def _gossip(self, now: float) -> None:
         """Pass claims on to a few members, as far as there are any and the budget allows."""
+        if len(self._claims.dissemination) == 0:
+            return
         for peer in self._prober.draw(GOSSIP_PEERS):
             count = min(len(self._claims.dissemination), MAXIMUM_UPDATES)
             entry = self._roster.get(peer)
--- a/egretsill/membership/_synchronization.py
+++ b/egretsill/membership/_synchronization.py
@@ -95,6 +95,8 @@
             self._claims.merge_record(record, sender, now)
 
     def _ask_for_refresh(self, now: float) -> None:
+        if self.refresh.is_fresh(now):
+            return
         due = self.refresh.due_blocks(self._claims.roster.depth(), now)
         if not due:
             return
