--- /dev/null
+++ b/egretsill/daemon/_stream_endpoint.py
@@ -0,0 +1,85 @@
+"""The TCP endpoint where other processes relay requests and fetch configuration."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Iterable, Mapping
+from typing import Any, TypeAlias
+
+import trio
+
+from ..configuration import Address
+from ..observation import Metrics
+from ..wire import Codec, MalformedMessage, StreamDecoder
+
+FIRST_MESSAGE_SECONDS = 5.0
+READ_BYTES = 65_536
+MAXIMUM_STREAMS = 8192
+
+StreamHandler: TypeAlias = Callable[[trio.abc.Stream, Any, StreamDecoder[Any]], Awaitable[None]]
+
+
+class StreamEndpoint:
+    """Gives each incoming stream to the slice that its first message belongs to.
+
+    Args:
+        listen: TCP endpoint.
+        types: message data class for each tag, of all slices that use streams.
+    """
+
+    def __init__(self, listen: Address, types: Mapping[int, type], metrics: Metrics) -> None:
+        self._listen = listen
+        self._codec: Codec[Any] = Codec("relay", types)
+        self._metrics = metrics
+        self._handlers: dict[type, StreamHandler] = {}
+        self._open = 0
+
+    def register(self, message_types: Iterable[type], handler: StreamHandler) -> None:
+        """Give streams that begin with one of these messages to `handler`."""
+        for message_type in message_types:
+            self._handlers[message_type] = handler
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until cancelled; started once the endpoint is bound.
+
+        Raises:
+            OSError: if it can't be.
+        """
+        listeners = await trio.open_tcp_listeners(self._listen.port, host=self._listen.host)
+        task_status.started()
+        await trio.serve_listeners(self._serve, listeners)
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        if self._open >= MAXIMUM_STREAMS:
+            await trio.aclose_forcefully(stream)
+            return
+        self._open += 1
+        try:
+            await self._dispatch(stream)
+        except MalformedMessage as error:
+            self._metrics.messages_malformed.increment(error.protocol, error.reason)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+        finally:
+            self._open -= 1
+            await trio.aclose_forcefully(stream)
+
+    async def _dispatch(self, stream: trio.SocketStream) -> None:
+        decoder: StreamDecoder[Any] = StreamDecoder(self._codec)
+        message = None
+        with trio.move_on_after(FIRST_MESSAGE_SECONDS):
+            message = await _first_message(stream, decoder)
+        if message is None:
+            return
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            raise MalformedMessage(self._codec.protocol, "nobody takes this message")
+        await handler(stream, message, decoder)
+
+
+async def _first_message(stream: trio.abc.Stream, decoder: StreamDecoder[Any]) -> Any:
+    while True:
+        data = bytes(await stream.receive_some(READ_BYTES))
+        if not data:
+            return None
+        for message in decoder.feed(data):
+            return message
--- a/egretsill/flows/__init__.py
+++ b/egretsill/flows/__init__.py
@@ -1,5 +1,6 @@
 """Callers' flows at the agent that owns them."""
 
+from . import headers
 from ._agent_tunnel import AgentTunnel
 from ._connection import Http3Connection, OwnedConnection, WindowedConnection
 from ._datagram import IncomingDatagram, OutgoingDatagram
@@ -16,5 +17,6 @@
     "OwnedConnection",
     "ReturnPath",
     "WindowedConnection",
+    "headers",
     "server_configuration",
 ]
