Run the agent's relay tasks beside its tunnel

Cause: a RequestService needs its tasks running before it serves. Change: the agent's core runs them; a test waits by virtual time until the silence bound has passed rather than assume that the body was taken.

--- a/egretsill/daemon/_agent_core.py
+++ b/egretsill/daemon/_agent_core.py
@@ -74,8 +74,10 @@
         self._tunnel.receive_with(self._receive)
 
     async def run(self) -> None:
-        """Take packets until cancelled."""
-        await self._tunnel.run()
+        """Take packets and requests until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._requests.run)
+            await self._tunnel.run()
 
     def apply_bundle(self, bundle: Bundle) -> None:
         """Work by this configuration from now on."""
--- a/egretsill/requests/tests/test_backend_client.py
+++ b/egretsill/requests/tests/test_backend_client.py
@@ -166,8 +166,11 @@
                     await trio.sleep(0.001)
                 timer.advance(6.0)
                 assert not failures
-                timer.advance(8.0)
+                while not failures:
+                    timer.advance(1.0)
+                    await trio.sleep(0.001)
         assert failures == [UnknownReason.BACKEND_LOST]
+        assert timer.now <= 2 * 7.0
 
     trio.run(scenario)
 
