Follow the stand-in's subscription path in the relay tests

Change: the new path; waits in these tests end after a bound of steps. Conclusion: a wait that never comes true fails instead of hanging.

--- a/egretsill/requests/tests/test_relay.py
+++ b/egretsill/requests/tests/test_relay.py
@@ -31,6 +31,8 @@
     running_backend,
 )
 
+MAXIMUM_WAITS = 5_000
+
 
 @dataclass
 class CountingObserver(SilentObserver):
@@ -111,8 +113,11 @@
 
 
 async def until(condition: Callable[[], object]) -> None:
-    while not condition():
+    for _ in range(MAXIMUM_WAITS):
+        if condition():
+            return
         await trio.sleep(0.001)
+    raise AssertionError("condition never came true")
 
 
 @pytest.mark.parametrize(
@@ -181,7 +186,7 @@
 
 def test_answer_is_resumed_over_a_new_link() -> None:
     async def scenario() -> None:
-        caller = FakeExchange("GET", "/subscribe?from=0&count=6")
+        caller = FakeExchange("GET", "/subscriptions?from=0&count=6")
         async with running_fleet() as fleet, trio.open_nursery() as nursery:
             nursery.start_soon(fleet.asker.serve, caller)
             for revision in range(1, 7):
@@ -221,7 +226,7 @@
 def test_silent_link_is_noticed_and_the_answer_resumed() -> None:
     async def scenario() -> None:
         timer_step = 0.5
-        caller = FakeExchange("GET", "/subscribe?from=0&count=1")
+        caller = FakeExchange("GET", "/subscriptions?from=0&count=1")
         async with running_fleet() as fleet, trio.open_nursery() as nursery:
             relay = _Swallower(fleet.relay)
             await _reroute(fleet, relay, nursery)
