Measure that nothing starts twice, and acknowledge again after a resume

Cause: whether fault schedules can break the promises of gate and asker was not measured. The first runs found requests that never ended: an acknowledgement lost with a link left the gate's window full. Change: a world of real gates and attempts in which every step and fault is an action of its own; a seeded measure over it with a naive asker as baseline; the asker acknowledges what its caller took whenever it has resumed.

--- /dev/null
+++ b/egretsill/measurements/_relay_faults.py
@@ -0,0 +1,131 @@
+"""Every point at which a link, an agent, a backend connection or a caller can fail."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from functools import partial
+
+from ..requests._attempt_events import CallerLeft, LinkFailed
+from ..requests._gate_events import Stopped
+from ..requests._messages import Failed, Open, Refusal, Verdict
+from ._relay_parties import BackendCallModel, Caller, CallStage, GateNode, LinkModel, PendingConnect
+from ._relay_world import Action, RelayWorld
+
+
+def break_at_asker(world: RelayWorld, link: LinkModel) -> None:
+    """Let the asker see the link as broken; what it sent may still arrive, however late."""
+    if not link.asker_open:
+        return
+    world.faults["link broken at asker"] += 1
+    world.close_at_asker(link)
+    world.tell_caller(link.caller, LinkFailed(link.asker_number))
+
+
+def break_at_gate(world: RelayWorld, link: LinkModel) -> None:
+    """Let the gate see the link as broken; what it sent may still arrive, however late."""
+    if link.gate_open and link.node is world.nodes[link.node.number]:
+        world.faults["link broken at gate"] += 1
+        world.close_at_gate(link)
+
+
+def lose_in_flight(world: RelayWorld, link: LinkModel) -> None:
+    """Break the link at both ends, losing what is on the way."""
+    link.to_gate.clear()
+    link.to_asker.clear()
+    break_at_gate(world, link)
+    break_at_asker(world, link)
+    link.to_gate.clear()
+    link.to_asker.clear()
+
+
+def fail_connect(world: RelayWorld, connect: PendingConnect) -> None:
+    """Let a link not come about."""
+    world.faults["link not opened"] += 1
+    world.connects.remove(connect)
+    world.tell_caller(connect.caller, LinkFailed(connect.asker_number))
+
+
+def duplicate_open(world: RelayWorld, link: LinkModel) -> None:
+    """Let an Open that is on its way arrive once more, over a link that nobody reads."""
+    opens = [each for each in link.to_gate if isinstance(each, Open)]
+    if opens:
+        world.faults["open duplicated"] += 1
+        stale = world.add_link(link.caller, -1, link.node)
+        stale.asker_open = False
+        stale.to_gate.extend([opens[0], None])
+
+
+def crash(world: RelayWorld, number: int) -> None:
+    """Replace a gate by a new incarnation that knows nothing."""
+    world.faults["agent lost"] += 1
+    old = world.nodes[number]
+    for link in world.links:
+        if link.node is old and link.gate_open:
+            link.gate_open = False
+            link.to_gate.clear()
+            link.to_asker.append(None)
+    world.nodes[number] = world.make_node(number, old.incarnation + 1)
+
+
+def stop_gate(world: RelayWorld, number: int) -> None:
+    """Let a gate start nothing any more."""
+    world.tell_gate(world.nodes[number], Stopped())
+
+
+def fail_backend(
+    world: RelayWorld, node: GateNode, call: BackendCallModel, verdict: Verdict
+) -> None:
+    """Let a call end badly: a Refusal before its start or as shed, else Failed."""
+    if call.stage is CallStage.OVER or node is not world.nodes[node.number]:
+        return
+    world.faults[f"backend {type(verdict).__name__.lower()}"] += 1
+    if isinstance(verdict, Refusal) and call.stage is CallStage.RUNNING:
+        if call.request.head is not None:
+            return
+        call.caller.starts -= 1
+    elif isinstance(verdict, Failed) and call.stage is CallStage.CONNECTING:
+        return
+    world.end_call(node, call, verdict)
+
+
+def leave(world: RelayWorld, caller: Caller) -> None:
+    """Let a caller withdraw its request."""
+    world.faults["caller left"] += 1
+    world.tell_caller(caller, CallerLeft())
+
+
+def possible_faults(world: RelayWorld) -> Sequence[Action]:
+    """Return every fault that can happen now, in a fixed order."""
+    faults: list[Action] = []
+    for connect in world.connects:
+        faults.append(("link not opened", partial(fail_connect, world, connect)))
+    for link in world.links:
+        if link.asker_open:
+            faults.append(("link broken at asker", partial(break_at_asker, world, link)))
+            faults.append(("link lost in flight", partial(lose_in_flight, world, link)))
+        if link.gate_open and link.node is world.nodes[link.node.number]:
+            faults.append(("link broken at gate", partial(break_at_gate, world, link)))
+        if any(isinstance(each, Open) for each in link.to_gate):
+            faults.append(("open duplicated", partial(duplicate_open, world, link)))
+    for node in world.nodes.values():
+        faults.append(("agent lost", partial(crash, world, node.number)))
+        for call in node.calls:
+            faults.extend(_backend_faults(world, node, call))
+    for caller in world.callers:
+        if caller.outcome is None:
+            faults.append(("caller left", partial(leave, world, caller)))
+    return faults
+
+
+def _backend_faults(world: RelayWorld, node: GateNode, call: BackendCallModel) -> Sequence[Action]:
+    if call.stage is CallStage.CONNECTING:
+        unreachable = Refusal("backend-unreachable", 1.0)
+        return [("backend unreachable", partial(fail_backend, world, node, call, unreachable))]
+    faults: list[Action] = [
+        ("backend lost", partial(fail_backend, world, node, call, Failed("backend-lost"))),
+        ("backend garbage", partial(fail_backend, world, node, call, Failed("backend-malformed"))),
+    ]
+    if call.request.head is None:
+        shed = Refusal("shedding", 1.0)
+        faults.append(("backend sheds", partial(fail_backend, world, node, call, shed)))
+    return faults
--- /dev/null
+++ b/egretsill/measurements/_relay_judge.py
@@ -0,0 +1,49 @@
+"""Holds a relay world to what must always hold."""
+
+from __future__ import annotations
+
+from ..outcomes import Refused
+from ._relay_world import RelayWorld
+
+SETTLING_ROUNDS = 40
+SETTLING_STEPS = 2_000
+SETTLING_SECONDS = 0.5
+
+
+def check(world: RelayWorld) -> None:
+    """Note each promise that is broken just now."""
+    for caller in world.callers:
+        if not caller.request_class.idempotent and caller.most_starts > 1:
+            world.violations["starts over one"] += 1
+            caller.most_starts = 1
+        if isinstance(caller.outcome, Refused) and caller.starts > 0:
+            world.violations["false refusals"] += 1
+            caller.starts = 0
+        if caller.conclusions > 1:
+            world.violations["concluded twice"] += 1
+            caller.conclusions = 1
+
+
+def settle(world: RelayWorld) -> None:
+    """Let everything that is under way come to its end without further faults."""
+    for _ in range(SETTLING_ROUNDS):
+        for _ in range(SETTLING_STEPS):
+            steps = world.steps()
+            if not steps:
+                break
+            steps[0][1]()
+            check(world)
+        world.advance(SETTLING_SECONDS)
+        check(world)
+    _check_settled(world)
+
+
+def _check_settled(world: RelayWorld) -> None:
+    for caller in world.callers:
+        if caller.outcome is None:
+            world.violations["never concluded"] += 1
+        if caller.placement.outstanding:
+            world.violations["placement not given back"] += 1
+    for node in world.nodes.values():
+        if node.calls or node.gate.running:
+            world.violations["slot not freed"] += 1
--- /dev/null
+++ b/egretsill/measurements/_relay_parties.py
@@ -0,0 +1,183 @@
+"""The small fakes around real gates and attempts: backend calls, callers, links."""
+
+from __future__ import annotations
+
+import enum
+from collections import deque
+from collections.abc import Collection
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from ..configuration import Address, Limits, RequestClass, RequestShape, Service, Target
+from ..outcomes import Outcome, RefusalReason
+from ..requests._attempt_events import AttemptEffect, AttemptEvent, DeliverData, DeliverHead
+from ..requests._byte_window import ByteWindow
+from ..requests._gate import Gate
+from ..requests._gate_request import AnswerWriter, BodyWriter, GateRequest
+from ..requests._messages import RelayMessage
+
+KEY_HEADER = b"key"
+PIECES = 4
+PIECE_BYTES = 48
+TAIL_BYTES = 96
+SLOTS = 2
+NOWHERE = Address("192.0.2.1", 9)
+
+ORDER = RequestClass("order", ("POST",), "/", idempotent=False, deadline_seconds=None)
+LISTING = RequestClass("listing", ("GET",), "/", idempotent=True, deadline_seconds=None)
+FEED = RequestClass(
+    "feed",
+    ("PATCH",),
+    "/",
+    idempotent=True,
+    shape=RequestShape.SUBSCRIPTION,
+    deadline_seconds=None,
+)
+CLASSES = (ORDER, LISTING, FEED)
+
+
+def make_world_service(targets: int) -> Service:
+    """Return a service with small windows, so that they fill."""
+    limits = Limits(tries=3, retry_share=0.5, answer_tail_bytes=TAIL_BYTES)
+    numbers = range(1, targets + 1)
+    declared = tuple(
+        Target(f"t{n}", n, "catalog", "zone", NOWHERE, NOWHERE, NOWHERE, NOWHERE, SLOTS)
+        for n in numbers
+    )
+    return Service("catalog", 1, "sibiu", "catalog.example", (), CLASSES, declared, limits)
+
+
+def expected_answer(run: str) -> bytes:
+    """Return the answer of one run of a request at a backend server."""
+    return b"".join(f"{run}/{n};".encode().ljust(PIECE_BYTES, b".") for n in range(PIECES))
+
+
+class RotatingPlacement:
+    """Offers targets in turn, beginning at another one for each request."""
+
+    def __init__(self, targets: int, first: int) -> None:
+        self.outstanding = 0.0
+        self._order = [(first + n) % targets + 1 for n in range(targets)]
+
+    def choose(
+        self, request_class: RequestClass, exclude: Collection[int], now: float
+    ) -> int | None:
+        """Return the next target in turn."""
+        return next((number for number in self._order if number not in exclude), None)
+
+    def on_sent(self, target_number: int, weight: float, now: float) -> None:
+        """Count an offer."""
+        self.outstanding += weight
+
+    def on_finished(self, target_number: int, weight: float, now: float) -> None:
+        """Count its end."""
+        self.outstanding -= weight
+
+    def on_refused(self, target_number: int, reason: RefusalReason, now: float) -> None:
+        """Do nothing."""
+
+
+class Decider(Protocol):
+    """Whatever takes a request through its offers."""
+
+    body: ByteWindow
+
+    def handle(self, event: AttemptEvent, now: float) -> Collection[AttemptEffect]:
+        """Take an event and return what is to be done."""
+
+    @property
+    def concluded(self) -> bool:
+        """Return whether the outcome is decided."""
+
+
+@dataclass(slots=True, eq=False)
+class Caller:
+    """One caller's request and everything that became of it.
+
+    Attributes:
+        starts: first bytes that went to any backend server, without shed ones.
+        runs: names of the runs, each with its own answer.
+    """
+
+    key: str
+    request_class: RequestClass
+    decider: Decider
+    placement: RotatingPlacement
+    body_writer: BodyWriter
+    deadline: float | None
+    starts: int = 0
+    most_starts: int = 0
+    runs: list[str] = field(default_factory=list)
+    status: int | None = None
+    data: bytes = b""
+    outcome: Outcome | None = None
+    conclusions: int = 0
+    deliveries: deque[DeliverHead | DeliverData] = field(default_factory=deque)
+
+    def start(self, run: str) -> None:
+        """Count a start."""
+        self.runs.append(run)
+        self.starts += 1
+        self.most_starts = max(self.most_starts, self.starts)
+
+
+class CallStage(enum.Enum):
+    """How far a call to a backend server has come."""
+
+    CONNECTING = "connecting"
+    RUNNING = "running"
+    OVER = "over"
+
+
+@dataclass(slots=True, eq=False)
+class BackendCallModel:
+    """One call to a backend server, moved on step by step."""
+
+    request: GateRequest
+    caller: Caller
+    run: str
+    stage: CallStage = CallStage.CONNECTING
+    aborted: bool = False
+    taken: int = 0
+    pieces: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class GateNode:
+    """A gate of one incarnation."""
+
+    number: int
+    gate: Gate
+    incarnation: int
+    skew: float
+    calls: list[BackendCallModel] = field(default_factory=list)
+
+
+@dataclass(slots=True, eq=False)
+class LinkModel:
+    """A link: in order in each direction, and cut at each end on its own.
+
+    Attributes:
+        to_gate: messages on the way; None stands for the end of the stream.
+    """
+
+    caller: Caller
+    asker_number: int
+    gate_number: int
+    node: GateNode
+    to_gate: deque[RelayMessage | None] = field(default_factory=deque)
+    to_asker: deque[RelayMessage | None] = field(default_factory=deque)
+    asker_open: bool = True
+    gate_open: bool = True
+    writer: AnswerWriter | None = None
+    sends_body: bool = False
+
+
+@dataclass(slots=True)
+class PendingConnect:
+    """A link that an asker wants."""
+
+    caller: Caller
+    asker_number: int
+    target_number: int
+    due: float
--- /dev/null
+++ b/egretsill/measurements/_relay_world.py
@@ -0,0 +1,382 @@
+"""Real gates and attempts, with every step between them left to whoever chooses.
+
+Each message on a link, each step of a backend call, each piece taken by a caller, each timer and
+each fault is an action of its own. A process that is paused or late is one whose actions are not
+chosen while time goes on.
+"""
+
+from __future__ import annotations
+
+import itertools
+from collections import Counter
+from collections.abc import Callable, Sequence
+from random import Random
+
+from ..admission import Admission
+from ..configuration import RequestClass
+from ..outcomes import Answered
+from ..requests import RequestHead
+from ..requests._attempt_events import (
+    AttemptEffect,
+    AttemptEvent,
+    AwaitVerdict,
+    Begun,
+    BodyTaken,
+    Conclude,
+    Connect,
+    DeadlinePassed,
+    DeliverData,
+    Delivered,
+    DeliverHead,
+    DropLink,
+    FreeLink,
+    LinkFailed,
+    LinkReady,
+    MessageReceived,
+    SendBody,
+    SendMessage,
+    VerdictDue,
+)
+from ..requests._attempts import Attempts
+from ..requests._gate import Gate
+from ..requests._gate_events import (
+    Abort,
+    BackendEnded,
+    CloseLink,
+    Follow,
+    GateEffect,
+    GateEvent,
+    Launch,
+    LinkLost,
+    MessageArrived,
+    Send,
+    Ticked,
+)
+from ..requests._gate_request import AnswerWriter, BodyWriter, Phase
+from ..requests._messages import (
+    End,
+    Failed,
+    GateMark,
+    Head,
+    Refusal,
+    RequestId,
+    Verdict,
+)
+from ..requests._retry_budget import RetryBudget
+from ._relay_parties import (
+    KEY_HEADER,
+    PIECES,
+    SLOTS,
+    BackendCallModel,
+    Caller,
+    CallStage,
+    Decider,
+    GateNode,
+    LinkModel,
+    PendingConnect,
+    RotatingPlacement,
+    expected_answer,
+    make_world_service,
+)
+
+Action = tuple[str, Callable[[], None]]
+DeciderFactory = Callable[..., Decider]
+ASKER = 99
+BODY = b"buckwheat hulls, 40 kg"
+SKEWS = (0.0, 1000.0, -500.0)
+
+
+class RelayWorld:
+    """Callers, one asking agent, and the gates of a few targets.
+
+    Args:
+        targets: how many.
+        random: seeds the admissions.
+        make_decider: what takes requests through their offers.
+
+    Attributes:
+        violations: what broke a promise, by name.
+    """
+
+    def __init__(
+        self, targets: int, random: Random, make_decider: DeciderFactory = Attempts
+    ) -> None:
+        self.now = 0.0
+        self.callers: list[Caller] = []
+        self.links: list[LinkModel] = []
+        self.connects: list[PendingConnect] = []
+        self.violations: Counter[str] = Counter()
+        self.faults: Counter[str] = Counter()
+        self._timers: list[tuple[float, Caller, AttemptEvent]] = []
+        self._random = random
+        self._make_decider = make_decider
+        self._service = make_world_service(targets)
+        self._budget = RetryBudget(self._service.limits.retry_share)
+        self._sequence = itertools.count(1)
+        self._link_numbers = itertools.count(1)
+        self._runs = itertools.count(1)
+        self._targets = targets
+        self.nodes = {number: self.make_node(number, 1) for number in range(1, targets + 1)}
+
+    def ask(self, request_class: RequestClass, deadline: float | None) -> Caller:
+        """Begin a caller's request."""
+        key = f"k{len(self.callers)}"
+        method = request_class.methods[0]
+        head = RequestHead("catalog", method, "/", ((KEY_HEADER, key.encode()),), deadline)
+        placement = RotatingPlacement(self._targets, len(self.callers))
+        decider = self._make_decider(
+            head, self._service, request_class, deadline, placement, self._budget, self._identifier
+        )
+        body_writer = BodyWriter(decider.body)
+        caller = Caller(key, request_class, decider, placement, body_writer, deadline)
+        self.callers.append(caller)
+        decider.body.append(BODY)
+        decider.body.complete = True
+        if deadline is not None:
+            self._timers.append((deadline, caller, DeadlinePassed()))
+        self.tell_caller(caller, Begun())
+        return caller
+
+    def steps(self) -> Sequence[Action]:
+        """Return what may happen next without any fault, in a fixed order."""
+        steps: list[Action] = []
+        for connect in self.connects:
+            if connect.due <= self.now:
+                steps.append(("connect", lambda c=connect: self._connect(c)))  # type: ignore[misc]
+        for link in self.links:
+            if link.to_gate:
+                steps.append(("to gate", lambda k=link: self._deliver_to_gate(k)))  # type: ignore[misc]
+            if link.to_asker:
+                steps.append(("to asker", lambda k=link: self._deliver_to_asker(k)))  # type: ignore[misc]
+        for node in self.nodes.values():
+            for call in node.calls:
+                if self._can_move(call):
+                    steps.append(("backend", lambda n=node, c=call: self._move(n, c)))  # type: ignore[misc]
+        for caller in self.callers:
+            if caller.deliveries:
+                steps.append(("caller", lambda c=caller: self._take(c)))  # type: ignore[misc]
+        return steps
+
+    def advance(self, seconds: float, ticking: bool = True) -> None:
+        """Let time pass; without `ticking` the gates do not run meanwhile."""
+        self.now += seconds
+        due = [each for each in self._timers if each[0] <= self.now]
+        self._timers = [each for each in self._timers if each[0] > self.now]
+        for _, caller, event in due:
+            self.tell_caller(caller, event)
+        if ticking:
+            for node in self.nodes.values():
+                self.tell_gate(node, Ticked())
+
+    def tell_gate(self, node: GateNode, event: GateEvent) -> None:
+        """Give a gate an event, by its own clock."""
+        for effect in node.gate.handle(event, self.now + node.skew):
+            self._apply_gate(node, effect)
+        self._pump(node)
+
+    def make_node(self, number: int, incarnation: int) -> GateNode:
+        """Return a gate that knows nothing."""
+        limits = self._service.limits
+        admission = Admission(SLOTS, SLOTS, limits, self._random)
+        services = {"catalog": self._service}
+        gate = Gate(incarnation, "catalog", services.get, admission)
+        return GateNode(number, gate, incarnation, SKEWS[number % len(SKEWS)])
+
+    def _identifier(self) -> RequestId:
+        return RequestId(ASKER, 1, next(self._sequence))
+
+    def add_link(self, caller: Caller, asker_number: int, node: GateNode) -> LinkModel:
+        """Return a new link of a caller's request to a gate."""
+        link = LinkModel(caller, asker_number, next(self._link_numbers), node)
+        self.links.append(link)
+        return link
+
+    def _connect(self, connect: PendingConnect) -> None:
+        self.connects.remove(connect)
+        node = self.nodes[connect.target_number]
+        self.add_link(connect.caller, connect.asker_number, node)
+        mark = GateMark(node.incarnation, self.now + node.skew)
+        self.tell_caller(connect.caller, LinkReady(connect.asker_number, mark, node.skew))
+
+    def _deliver_to_gate(self, link: LinkModel) -> None:
+        message = link.to_gate.popleft()
+        if not link.gate_open:
+            return
+        if message is None:
+            self.close_at_gate(link)
+        else:
+            self.tell_gate(link.node, MessageArrived(link.gate_number, message))
+
+    def _deliver_to_asker(self, link: LinkModel) -> None:
+        message = link.to_asker.popleft()
+        if not link.asker_open:
+            return
+        if message is None:
+            self.close_at_asker(link)
+            self.tell_caller(link.caller, LinkFailed(link.asker_number))
+        else:
+            self.tell_caller(link.caller, MessageReceived(link.asker_number, message))
+
+    def close_at_asker(self, link: LinkModel) -> None:
+        """Close the asker's end; what it sent still arrives."""
+        link.asker_open = False
+        link.sends_body = False
+        link.to_gate.append(None)
+
+    def close_at_gate(self, link: LinkModel) -> None:
+        """Close the gate's end; what it sent still arrives."""
+        link.gate_open = False
+        link.writer = None
+        link.to_asker.append(None)
+        self.tell_gate(link.node, LinkLost(link.gate_number))
+
+    def _can_move(self, call: BackendCallModel) -> bool:
+        request = call.request
+        if call.aborted or call.stage is CallStage.CONNECTING:
+            return True
+        if request.head is None:
+            return request.body.complete or call.taken < request.body.end
+        return call.pieces == PIECES or not request.answer_full
+
+    def _move(self, node: GateNode, call: BackendCallModel) -> None:
+        request = call.request
+        if call.aborted:
+            self.end_call(node, call, Failed("deadline"))
+        elif call.stage is CallStage.CONNECTING:
+            self._start(node, call)
+        elif call.taken < request.body.end or not request.body.complete:
+            call.taken = request.body.end
+            request.body.release(call.taken)
+        elif request.head is None:
+            request.head = Head(200, ())
+        elif call.pieces < PIECES:
+            pieces = expected_answer(call.run)
+            size = len(pieces) // PIECES
+            request.answer.append(pieces[call.pieces * size : (call.pieces + 1) * size])
+            call.pieces += 1
+        else:
+            self.end_call(node, call, End(request.answer.end))
+        self._pump(node)
+
+    def _start(self, node: GateNode, call: BackendCallModel) -> None:
+        identifier = call.request.open.identifier
+        refused = node.gate.start(identifier, self.now + node.skew)
+        if refused is None:
+            call.stage = CallStage.RUNNING
+            call.caller.start(call.run)
+        else:
+            refusal = Refusal(refused.reason.value, refused.retry_after_seconds)
+            self.end_call(node, call, refusal)
+
+    def end_call(self, node: GateNode, call: BackendCallModel, verdict: Verdict) -> None:
+        """End a call to a backend server."""
+        call.stage = CallStage.OVER
+        node.calls.remove(call)
+        self.tell_gate(node, BackendEnded(call.request.open.identifier, verdict))
+
+    def _take(self, caller: Caller) -> None:
+        match caller.deliveries.popleft():
+            case DeliverHead(status):
+                caller.status = status
+            case DeliverData(data, end):
+                caller.data += data
+                self.tell_caller(caller, Delivered(end))
+        if isinstance(caller.outcome, Answered) and not caller.deliveries:
+            self._check_answer(caller)
+
+    def _check_answer(self, caller: Caller) -> None:
+        if caller.data not in [expected_answer(run) for run in caller.runs]:
+            self.violations["wrong answers"] += 1
+
+    def tell_caller(self, caller: Caller, event: AttemptEvent) -> None:
+        """Give a caller's request an event."""
+        for effect in caller.decider.handle(event, self.now):
+            self._apply_asker(caller, effect)
+
+    def _apply_asker(self, caller: Caller, effect: AttemptEffect) -> None:
+        match effect:
+            case Connect(number, target_number, _, delay_seconds):
+                due = self.now + delay_seconds
+                self.connects.append(PendingConnect(caller, number, target_number, due))
+            case SendMessage(number, message):
+                for link in self._open_links(caller, number):
+                    link.to_gate.append(message)
+            case SendBody(number, offset):
+                caller.body_writer.rewind(offset)
+                for link in self._open_links(caller, number):
+                    link.sends_body = True
+                self._pump_body(caller)
+            case BodyTaken(offset):
+                caller.body_writer.acknowledge(offset)
+                self._pump_body(caller)
+            case FreeLink(number) | DropLink(number):
+                for link in self._open_links(caller, number):
+                    self.close_at_asker(link)
+            case DeliverHead() | DeliverData():
+                caller.deliveries.append(effect)
+            case AwaitVerdict(seconds):
+                self._timers.append((self.now + seconds, caller, VerdictDue()))
+            case Conclude(outcome):
+                self._conclude(caller, outcome)
+
+    def _conclude(self, caller: Caller, outcome: object) -> None:
+        caller.conclusions += 1
+        caller.outcome = outcome  # type: ignore[assignment]
+        self.connects = [each for each in self.connects if each.caller is not caller]
+        if not isinstance(outcome, Answered):
+            caller.deliveries.clear()
+        elif not caller.deliveries:
+            self._check_answer(caller)
+
+    def _open_links(self, caller: Caller, number: int) -> Sequence[LinkModel]:
+        return [
+            link
+            for link in self.links
+            if link.caller is caller and link.asker_number == number and link.asker_open
+        ]
+
+    def _apply_gate(self, node: GateNode, effect: GateEffect) -> None:
+        match effect:
+            case Send(number, message):
+                for link in self._gate_links(node, number):
+                    link.to_asker.append(message)
+            case Follow(number, identifier, resumed, has_head, offset):
+                request = node.gate.request(identifier)
+                for link in self._gate_links(node, number):
+                    if request is not None:
+                        link.writer = AnswerWriter(request, resumed, has_head, offset)
+            case CloseLink(number):
+                for link in self._gate_links(node, number):
+                    self.close_at_gate(link)
+            case Launch(identifier):
+                self._launch(node, identifier)
+            case Abort(identifier):
+                for call in node.calls:
+                    call.aborted = call.aborted or call.request.open.identifier == identifier
+            case _:
+                return
+
+    def _gate_links(self, node: GateNode, number: int) -> Sequence[LinkModel]:
+        return [each for each in self.links if each.gate_number == number and each.gate_open]
+
+    def _launch(self, node: GateNode, identifier: RequestId) -> None:
+        request = node.gate.request(identifier)
+        if request is None or request.phase is not Phase.ADMITTED:
+            self.violations["launched unadmitted"] += 1
+            return
+        key = dict(request.open.headers)[KEY_HEADER].decode()
+        caller = next(each for each in self.callers if each.key == key)
+        run = f"{key}@{node.number}#{next(self._runs)}"
+        node.calls.append(BackendCallModel(request, caller, run))
+
+    def _pump(self, node: GateNode) -> None:
+        for link in self.links:
+            if link.node is node and link.writer is not None and link.gate_open:
+                while (message := link.writer.next_message()) is not None:
+                    link.to_asker.append(message)
+
+    def _pump_body(self, caller: Caller) -> None:
+        for link in self.links:
+            if link.caller is caller and link.sends_body and link.asker_open:
+                while (message := caller.body_writer.next_message()) is not None:
+                    link.to_gate.append(message)
--- /dev/null
+++ b/egretsill/measurements/at_most_once.py
@@ -0,0 +1,80 @@
+"""Seeded fault schedules: does a request start twice, or is its end told wrongly?
+
+The baseline is an asker that offers a request to the next target whenever a link fails, and calls
+it refused when it runs out of targets.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Sequence
+from random import Random
+
+from ..requests._attempts import Attempts
+from ._measurement import Measurement
+from ._naive_attempts import NaiveAttempts
+from ._relay_faults import possible_faults
+from ._relay_judge import check, settle
+from ._relay_parties import CLASSES
+from ._relay_world import DeciderFactory, RelayWorld
+
+SEED = 20_261_204
+SCHEDULES = 4_000
+TARGETS = 2
+CALLERS = 3
+ACTIONS = 70
+FAULT_SHARE = 0.08
+PASSING_SHARE = 0.06
+PAUSES_SECONDS = (0.01, 0.01, 0.05, 0.05, 0.3, 0.3, 2.0, 7.0, 12.0, 70.0)
+DEADLINES_SECONDS = (None, None, 1.0, 6.0)
+PROMISES = ("starts over one", "false refusals", "wrong answers", "never concluded")
+
+
+def run_schedule(seed: int, make_decider: DeciderFactory = Attempts) -> RelayWorld:
+    """Return a world after one random schedule of steps and faults."""
+    random = Random(seed)
+    world = RelayWorld(TARGETS, random, make_decider)
+    for _ in range(CALLERS):
+        world.ask(random.choice(CLASSES), random.choice(DEADLINES_SECONDS))
+    for _ in range(ACTIONS):
+        _act(world, random)
+        check(world)
+    settle(world)
+    return world
+
+
+def measure() -> Sequence[Measurement]:
+    """Return how often each promise broke, with the baseline's count beside it."""
+    ours, callers = _count(Attempts)
+    naive, _ = _count(NaiveAttempts)
+    case = f"{SCHEDULES} fault schedules, {callers} requests, {TARGETS} targets"
+    return [
+        Measurement(
+            f"at-most-once: {promise}", case, ours[promise], 0, naive[promise], not ours[promise]
+        )
+        for promise in PROMISES
+    ]
+
+
+def _count(make_decider: DeciderFactory) -> tuple[Counter[str], int]:
+    violations: Counter[str] = Counter()
+    callers = 0
+    for number in range(SCHEDULES):
+        world = run_schedule(SEED + number, make_decider)
+        violations.update(world.violations)
+        callers += len(world.callers)
+    return violations, callers
+
+
+def _act(world: RelayWorld, random: Random) -> None:
+    drawn = random.random()
+    faults = possible_faults(world) if drawn < FAULT_SHARE else ()
+    steps = world.steps()
+    if faults:
+        # By kind first: there are always agents to lose, and seldom an Open to duplicate.
+        kind = random.choice(sorted({name for name, _ in faults}))
+        random.choice([act for name, act in faults if name == kind])()
+    elif steps and drawn >= FAULT_SHARE + PASSING_SHARE:
+        random.choice(steps)[1]()
+    else:
+        world.advance(random.choice(PAUSES_SECONDS), random.random() < 0.5)
--- a/egretsill/requests/_answer_receiver.py
+++ b/egretsill/requests/_answer_receiver.py
@@ -30,6 +30,7 @@
         self._window_bytes = window_bytes
         self._status: int | None = None
         self._received = 0
+        self._delivered = 0
         self._acknowledged = 0
 
     @property
@@ -74,9 +75,13 @@
             raise AnswerViolation(length)
         return self._status
 
-    def acknowledge(self, delivered: int) -> bool:
-        """Return whether it is time to acknowledge what the caller took, and note that it was."""
-        due = delivered - self._acknowledged >= max(self._window_bytes // ACKNOWLEDGE_PARTS, 1)
-        if due:
-            self._acknowledged = delivered
-        return due
+    def take_delivery(self, offset: int) -> bool:
+        """Note what the caller took, and return whether it is time to acknowledge it."""
+        self._delivered = max(self._delivered, offset)
+        unacknowledged = self._delivered - self._acknowledged
+        return unacknowledged >= max(self._window_bytes // ACKNOWLEDGE_PARTS, 1)
+
+    def acknowledge(self) -> int:
+        """Return the offset to acknowledge now."""
+        self._acknowledged = self._delivered
+        return self._delivered
--- a/egretsill/requests/_attempts.py
+++ b/egretsill/requests/_attempts.py
@@ -295,8 +295,9 @@
 
     def _on_delivered(self, offset: int) -> None:
         offer = self._offer
-        if offer is not None and offer.stage is Stage.SENT and self._answer.acknowledge(offset):
-            self._emit(SendMessage(offer.link, Acknowledge(offset)))
+        due = self._answer.take_delivery(offset)
+        if due and offer is not None and offer.stage is Stage.SENT:
+            self._emit(SendMessage(offer.link, Acknowledge(self._answer.acknowledge())))
 
     def _on_resume_answer(self, offer: Offer, state: str, body_offset: int, now: float) -> None:
         if offer.stage is not Stage.ASKING:
@@ -304,6 +305,8 @@
             return
         if state in (RUNNING, FINISHED):
             offer.resume()
+            # Acknowledgements may have been lost with the link before.
+            self._emit(SendMessage(offer.link, Acknowledge(self._answer.acknowledge())))
             self._emit(SendBody(offer.link, max(body_offset, self.body.base)))
             return
         self._emit(FreeLink(offer.link))
