--- a/egretsill/placement/__init__.py
+++ b/egretsill/placement/__init__.py
@@ -1,1 +1,7 @@
 """Which target a request is offered to."""
+
+from ._load_reporter import LoadReporter, SendReport
+from ._messages import LOAD_TYPES, LoadReport
+from ._placement import Placement
+
+__all__ = ["LOAD_TYPES", "LoadReport", "LoadReporter", "Placement", "SendReport"]
--- /dev/null
+++ b/egretsill/placement/_placement.py
@@ -0,0 +1,169 @@
+"""Chooses the target that a request is offered to."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Mapping, Sequence
+from random import Random
+
+from ..configuration import RequestClass, RequestShape, Service, TargetState
+from ..outcomes import RefusalReason
+from ._messages import LoadReport
+from ._subset import used_targets
+from ._target_view import TargetView
+
+CHOICES = 2
+FAR_LOAD = 0.1
+
+
+class Placement:
+    """One asker's choice among the targets of a service.
+
+    What it sees itself is fact: its own outstanding requests, grants and refusals. Reports of other
+    agents are hints. Each request sent is told by `on_sent` and ended by exactly one `on_finished`
+    or `on_refused`; `on_granted` tells in between that it was started.
+
+    Args:
+        own_target: number of the target beside this process, or None.
+        service: the service asked.
+        random: for the choices.
+        failure_domain: the asker's, if it has no target of its own.
+    """
+
+    def __init__(
+        self,
+        own_target: int | None,
+        service: Service,
+        random: Random,
+        failure_domain: str | None = None,
+    ) -> None:
+        self._own_target = own_target
+        self._random = random
+        self._failure_domain = failure_domain
+        self._unavailable: frozenset[int] = frozenset()
+        self._views: dict[int, TargetView] = {}
+        self._used: Sequence[int] = ()
+        self.update_service(service)
+
+    @property
+    def used_targets(self) -> Sequence[int]:
+        """Return the numbers of the targets that it chooses among."""
+        return self._used
+
+    @property
+    def outstanding(self) -> Mapping[int, float]:
+        """Return the weight of own requests outstanding at each target."""
+        return {number: view.own_weight for number, view in self._views.items()}
+
+    def update_service(self, service: Service) -> None:
+        """Take over a changed configuration; what is known of targets that stay is kept."""
+        views: dict[int, TargetView] = {}
+        for target in service.targets:
+            view = self._views.get(target.number) or TargetView(target)
+            view.target = target
+            views[target.number] = view
+            if target.number == self._own_target:
+                self._failure_domain = target.failure_domain
+        self._views = views
+        self._used = used_targets(service, self._own_target)
+
+    def set_unavailable(self, numbers: Collection[int]) -> None:
+        """Choose none of these targets until told otherwise."""
+        self._unavailable = frozenset(numbers)
+
+    def choose(
+        self, request_class: RequestClass, exclude: Collection[int], now: float
+    ) -> int | None:
+        """Return the number of the target to offer a request to, or None if there is none.
+
+        Args:
+            request_class: of the request.
+            exclude: numbers of targets that refused it already.
+            now: the time in seconds.
+        """
+        candidates = self._candidates(exclude, now)
+        if len(candidates) > CHOICES:
+            candidates = self._random.sample(candidates, CHOICES)
+        best = min(candidates, key=lambda view: self._cost(view, request_class, now), default=None)
+        return None if best is None else best.target.number
+
+    def on_sent(
+        self,
+        target_number: int,
+        weight: float,
+        now: float,
+        shape: RequestShape = RequestShape.SHORT,
+    ) -> None:
+        """Count a request that is offered to a target."""
+        view = self._views.get(target_number)
+        if view is not None:
+            view.add(shape, weight)
+
+    def on_finished(
+        self,
+        target_number: int,
+        weight: float,
+        now: float,
+        shape: RequestShape = RequestShape.SHORT,
+    ) -> None:
+        """Count that a request sent to a target has ended in any way but a refusal."""
+        view = self._views.get(target_number)
+        if view is not None:
+            view.add(shape, -weight)
+
+    def on_granted(self, target_number: int, now: float) -> None:
+        """Take in that a target started a request."""
+        view = self._views.get(target_number)
+        if view is not None:
+            view.succeeded()
+
+    def on_refused(
+        self,
+        target_number: int,
+        weight: float,
+        reason: RefusalReason,
+        now: float,
+        shape: RequestShape = RequestShape.SHORT,
+    ) -> None:
+        """Count that a target refused a request, which ends it there."""
+        view = self._views.get(target_number)
+        if view is None:
+            return
+        view.add(shape, -weight)
+        match reason:
+            case (
+                RefusalReason.SHEDDING
+                | RefusalReason.BACKEND_UNREACHABLE
+                | RefusalReason.DRAINING
+                | RefusalReason.WRONG_SERVICE
+            ):
+                view.back_off(now, self._random.uniform(0.5, 1.5))
+            case _:
+                pass
+
+    def on_report(self, report: LoadReport, now: float) -> None:
+        """Take in another agent's report."""
+        view = self._views.get(report.target)
+        if view is not None:
+            view.take_report(report, now)
+
+    def _candidates(self, exclude: Collection[int], now: float) -> list[TargetView]:
+        able = [
+            self._views[number]
+            for number in self._used
+            if number not in exclude and number not in self._unavailable
+        ]
+        able = [
+            view for view in able if view.target.state is TargetState.ACTIVE and not view.draining
+        ]
+        ready = [view for view in able if view.back_off_until <= now]
+        return ready or sorted(able, key=lambda view: view.back_off_until)[:1]
+
+    def _cost(
+        self, view: TargetView, request_class: RequestClass, now: float
+    ) -> tuple[float, float]:
+        near = view.target.failure_domain == self._failure_domain
+        if request_class.shape is RequestShape.SUBSCRIPTION:
+            load = view.connection_load(now)
+        else:
+            load = view.load(now) + (0.0 if near else FAR_LOAD)
+        return (load, self._random.random())
--- /dev/null
+++ b/egretsill/placement/_target_view.py
@@ -0,0 +1,98 @@
+"""What one asker knows of one target."""
+
+from __future__ import annotations
+
+import math
+
+from ..configuration import RequestShape, Target
+from ._messages import LoadReport
+
+REPORT_HALF_LIFE_SECONDS = 4.0
+SLOW_START_SECONDS = 20.0
+SLOW_START_SHARE = 0.25
+FIRST_BACK_OFF_SECONDS = 0.25
+LONGEST_BACK_OFF_SECONDS = 8.0
+
+
+class TargetView:
+    """Own requests at a target, counted exactly, and what others say of it, as hints."""
+
+    def __init__(self, target: Target) -> None:
+        self.target = target
+        self._own_weight = 0.0
+        self._own_connections = 0
+        self._report: LoadReport | None = None
+        self._reported_at = -math.inf
+        self._own_weight_then = 0.0
+        self._own_connections_then = 0
+        self._back_off_seconds = 0.0
+        self._back_off_until = -math.inf
+
+    @property
+    def own_weight(self) -> float:
+        """Return the weight of own requests that were sent there and have not ended."""
+        return self._own_weight
+
+    @property
+    def draining(self) -> bool:
+        """Return whether its last report said that it takes no new work."""
+        return self._report is not None and self._report.draining
+
+    @property
+    def back_off_until(self) -> float:
+        """Return until when it is left alone, in seconds."""
+        return self._back_off_until
+
+    def add(self, shape: RequestShape, weight: float) -> None:
+        """Count an own request that is sent, or with a negative weight one that ended."""
+        if shape is RequestShape.SUBSCRIPTION:
+            self._own_connections = max(0, self._own_connections + (1 if weight > 0 else -1))
+        else:
+            self._own_weight = max(0.0, self._own_weight + weight)
+
+    def take_report(self, report: LoadReport, now: float) -> None:
+        """Take in a report unless a later one is known."""
+        known = self._report
+        if known is not None:
+            rank = (known.incarnation, known.sequence)
+            if (report.incarnation, report.sequence) <= rank:
+                return
+        self._report = report
+        self._reported_at = now
+        self._own_weight_then = self._own_weight
+        self._own_connections_then = self._own_connections
+
+    def back_off(self, now: float, factor: float) -> None:
+        """Leave it alone for a while, twice as long each time that it goes on."""
+        longer = max(FIRST_BACK_OFF_SECONDS, 2.0 * self._back_off_seconds)
+        self._back_off_seconds = min(longer, LONGEST_BACK_OFF_SECONDS)
+        self._back_off_until = now + factor * self._back_off_seconds
+
+    def succeeded(self) -> None:
+        """End the growth of back-off, as a request was run there."""
+        self._back_off_seconds = 0.0
+
+    def load(self, now: float) -> float:
+        """Return the expected weight outstanding for each slot that can be used now."""
+        return (self._own_weight + self._others_weight(now)) / self._usable_slots(now)
+
+    def connection_load(self, now: float) -> float:
+        """Return the expected share of connections in use."""
+        others = 0.0
+        if self._report is not None:
+            others = max(0, self._report.connections - self._own_connections_then)
+        return (self._own_connections + others) / max(1, self.target.connections)
+
+    def _others_weight(self, now: float) -> float:
+        if self._report is None:
+            return 0.0
+        others = max(0.0, self._report.outstanding_weight - self._own_weight_then)
+        return float(others * 0.5 ** ((now - self._reported_at) / REPORT_HALF_LIFE_SECONDS))
+
+    def _usable_slots(self, now: float) -> float:
+        slots = float(max(1, self.target.slots))
+        if self._report is None:
+            return slots
+        age = self._report.server_age_seconds + now - self._reported_at
+        share = SLOW_START_SHARE + (1.0 - SLOW_START_SHARE) * age / SLOW_START_SECONDS
+        return slots * min(1.0, share)
--- /dev/null
+++ b/egretsill/placement/tests/test_placement.py
@@ -0,0 +1,121 @@
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+import pytest
+
+from ...configuration import RequestClass, RequestShape
+from ...outcomes import RefusalReason
+from .. import Placement
+from .fakes import LISTING, REVISIONS, make_report, make_service
+
+
+def make_placement(
+    count: int = 3, own: int | None = 1, draining: tuple[int, ...] = ()
+) -> Placement:
+    return Placement(own, make_service(count, draining), Random(7))
+
+
+def chosen(
+    placement: Placement,
+    now: float = 0.0,
+    request_class: RequestClass = LISTING,
+    exclude: tuple[int, ...] = (),
+) -> Counter[int | None]:
+    return Counter(placement.choose(request_class, exclude, now) for _ in range(100))
+
+
+def test_never_chooses_what_is_excluded_unavailable_or_draining() -> None:
+    placement = make_placement(6, draining=(2,))
+    placement.set_unavailable({3})
+    placement.on_report(make_report(4, draining=True), 0.0)
+    assert set(chosen(placement, exclude=(1,))) <= {5, 6}
+
+
+def test_nothing_left_is_none() -> None:
+    placement = make_placement()
+    placement.set_unavailable({1, 2})
+    assert placement.choose(LISTING, (3,), 0.0) is None
+
+
+@pytest.mark.parametrize(
+    "reason",
+    [
+        pytest.param(RefusalReason.SHEDDING, id="shedding"),
+        pytest.param(RefusalReason.BACKEND_UNREACHABLE, id="unreachable"),
+        pytest.param(RefusalReason.DRAINING, id="draining"),
+    ],
+)
+def test_refusing_target_is_left_alone_ever_longer_and_tried_again(reason: RefusalReason) -> None:
+    placement = make_placement(2)
+    placement.on_sent(1, 40.0, 0.0)
+    pauses = []
+    now = 0.0
+    for _ in range(4):
+        placement.on_sent(2, 1.0, now)
+        placement.on_refused(2, 1.0, reason, now)
+        began = now
+        while 2 not in chosen(placement, now) and now < 60.0:
+            now += 0.01
+        pauses.append(now - began)
+    assert pauses[0] > 0.0
+    assert pauses[3] > 2 * pauses[0]
+    assert placement.outstanding[2] == 0.0
+
+
+def test_lone_refusing_target_is_still_offered() -> None:
+    placement = make_placement(1)
+    placement.on_sent(1, 1.0, 0.0)
+    placement.on_refused(1, 1.0, RefusalReason.SHEDDING, 0.0)
+    assert placement.choose(LISTING, (), 0.0) == 1
+
+
+def test_own_outstanding_is_exact() -> None:
+    placement = make_placement(2)
+    placement.on_sent(1, 4.0, 0.0)
+    placement.on_sent(2, 1.0, 0.0)
+    placement.on_sent(1, 1.0, 0.0, RequestShape.SUBSCRIPTION)
+    placement.on_finished(2, 1.0, 0.1)
+    assert placement.outstanding == {1: 4.0, 2: 0.0}
+
+
+def test_subscriptions_go_where_connections_are_free_whatever_the_slots_hold() -> None:
+    placement = make_placement(2)
+    placement.on_report(make_report(1, connections=10), 0.0)
+    placement.on_report(make_report(2, weight=40.0, running=4, queued=8), 0.0)
+    assert set(chosen(placement, request_class=REVISIONS)) == {2}
+
+
+@pytest.mark.parametrize(
+    ("sequence", "incarnation"),
+    [
+        pytest.param(4, 2, id="older sequence"),
+        pytest.param(9, 1, id="older incarnation"),
+        pytest.param(5, 2, id="same again"),
+    ],
+)
+def test_older_reports_are_ignored(sequence: int, incarnation: int) -> None:
+    placement = make_placement(2)
+    placement.on_report(make_report(2, 5, draining=True, incarnation=2), 0.0)
+    placement.on_report(make_report(2, sequence, incarnation=incarnation), 0.0)
+    assert set(chosen(placement)) == {1}
+
+
+def test_unknown_targets_are_ignored() -> None:
+    placement = make_placement(2)
+    placement.on_report(make_report(77), 0.0)
+    placement.on_sent(77, 1.0, 0.0)
+    placement.on_granted(77, 0.0)
+    placement.on_finished(77, 1.0, 0.0)
+    placement.on_refused(77, 1.0, RefusalReason.FULL, 0.0)
+    assert set(placement.outstanding) == {1, 2}
+
+
+def test_changed_service_keeps_what_is_outstanding() -> None:
+    placement = make_placement(2)
+    placement.on_sent(2, 4.0, 0.0)
+    placement.update_service(make_service(3))
+    assert placement.outstanding == {1: 0.0, 2: 4.0, 3: 0.0}
+    placement.update_service(make_service(1))
+    assert set(chosen(placement)) == {1}
