Decide when a process takes no new work and when it leaves

Any of four signals starts it: the VM list, the configuration, the backend server's health page, SIGTERM. The first and the last are final, the others may be withdrawn. An agent leaves after its last request and flow and a linger for late packets; a balancer when the fabric has fed it nothing for a while. A health page proves nothing by one reading, and less than what requests show.

--- a/egretsill/draining/__init__.py
+++ b/egretsill/draining/__init__.py
@@ -1,1 +1,29 @@
 """When an agent takes no new work, and when it may leave."""
+
+from ._backend_health import BackendHealth, BackendState, HealthPage
+from ._draining import Draining
+from ._messages import (
+    DrainEffect,
+    DrainSignal,
+    DrainState,
+    Leave,
+    ResumeNewWork,
+    SendGoaway,
+    StopNewWork,
+    TellPeers,
+)
+
+__all__ = [
+    "BackendHealth",
+    "BackendState",
+    "DrainEffect",
+    "DrainSignal",
+    "DrainState",
+    "Draining",
+    "HealthPage",
+    "Leave",
+    "ResumeNewWork",
+    "SendGoaway",
+    "StopNewWork",
+    "TellPeers",
+]
