Split work evenly over targets, and use reports for no load

Reports two seconds old tell nothing of queues that live for a tenth of that, and wrong ones pull work. Now each asker gives each target an equal weight for each usable slot, leans away from its own outstanding weight, and doesn't make up for what a target lacked while it was left alone; reports still tell of draining and of a cold start.

--- a/egretsill/placement/_placement.py
+++ b/egretsill/placement/_placement.py
@@ -11,8 +11,10 @@
 from ._subset import used_targets
 from ._target_view import TargetView
 
-CHOICES = 2
 FAR_LOAD = 0.1
+LOAD_FACTOR = 3.0
+LARGEST_LAG = 1.0
+FULL_PAUSE_SECONDS = 0.05
 
 
 class Placement:
@@ -81,8 +83,6 @@
             now: the time in seconds.
         """
         candidates = self._candidates(exclude, now)
-        if len(candidates) > CHOICES:
-            candidates = self._random.sample(candidates, CHOICES)
         best = min(candidates, key=lambda view: self._cost(view, request_class, now), default=None)
         return None if best is None else best.target.number
 
@@ -95,8 +95,11 @@
     ) -> None:
         """Count a request that is offered to a target."""
         view = self._views.get(target_number)
-        if view is not None:
-            view.add(shape, weight)
+        if view is None:
+            return
+        view.add(shape, weight)
+        if shape is not RequestShape.SUBSCRIPTION:
+            view.give(weight, now)
 
     def on_finished(
         self,
@@ -129,6 +132,8 @@
         if view is None:
             return
         view.add(shape, -weight)
+        if shape is not RequestShape.SUBSCRIPTION:
+            view.give(-weight, now)
         match reason:
             case (
                 RefusalReason.SHEDDING
@@ -138,7 +143,7 @@
             ):
                 view.back_off(now, self._random.uniform(0.5, 1.5))
             case _:
-                pass
+                view.pause(now, FULL_PAUSE_SECONDS * self._random.uniform(0.5, 1.5))
 
     def on_report(self, report: LoadReport, now: float) -> None:
         """Take in another agent's report."""
@@ -156,8 +161,16 @@
             view for view in able if view.target.state is TargetState.ACTIVE and not view.draining
         ]
         ready = [view for view in able if view.back_off_until <= now]
+        self._lift(ready)
         return ready or sorted(able, key=lambda view: view.back_off_until)[:1]
 
+    def _lift(self, ready: Sequence[TargetView]) -> None:
+        if not ready:
+            return
+        mean = sum(view.given for view in ready) / len(ready)
+        for view in ready:
+            view.lift(mean - LARGEST_LAG)
+
     def _cost(
         self, view: TargetView, request_class: RequestClass, now: float
     ) -> tuple[float, float]:
@@ -165,5 +178,5 @@
         if request_class.shape is RequestShape.SUBSCRIPTION:
             load = view.connection_load(now)
         else:
-            load = view.load(now) + (0.0 if near else FAR_LOAD)
+            load = view.given + LOAD_FACTOR * view.load(now) + (0.0 if near else FAR_LOAD)
         return (load, self._random.random())
--- a/egretsill/placement/_target_view.py
+++ b/egretsill/placement/_target_view.py
@@ -7,7 +7,6 @@
 from ..configuration import RequestShape, Target
 from ._messages import LoadReport
 
-REPORT_HALF_LIFE_SECONDS = 4.0
 SLOW_START_SECONDS = 20.0
 SLOW_START_SHARE = 0.25
 FIRST_BACK_OFF_SECONDS = 0.25
@@ -23,10 +22,15 @@
         self._own_connections = 0
         self._report: LoadReport | None = None
         self._reported_at = -math.inf
-        self._own_weight_then = 0.0
         self._own_connections_then = 0
         self._back_off_seconds = 0.0
         self._back_off_until = -math.inf
+        self._given = 0.0
+
+    @property
+    def given(self) -> float:
+        """Return the weight given to it for each usable slot, since an arbitrary start."""
+        return self._given
 
     @property
     def own_weight(self) -> float:
@@ -50,6 +54,14 @@
         else:
             self._own_weight = max(0.0, self._own_weight + weight)
 
+    def give(self, weight: float, now: float) -> None:
+        """Count weight that is sent to it, or with a negative weight that it refused."""
+        self._given += weight / self._usable_slots(now)
+
+    def lift(self, given: float) -> None:
+        """Forget what it lacks below `given`, so that it isn't flooded to make up for it."""
+        self._given = max(self._given, given)
+
     def take_report(self, report: LoadReport, now: float) -> None:
         """Take in a report unless a later one is known."""
         known = self._report
@@ -59,7 +71,6 @@
                 return
         self._report = report
         self._reported_at = now
-        self._own_weight_then = self._own_weight
         self._own_connections_then = self._own_connections
 
     def back_off(self, now: float, factor: float) -> None:
@@ -68,13 +79,17 @@
         self._back_off_seconds = min(longer, LONGEST_BACK_OFF_SECONDS)
         self._back_off_until = now + factor * self._back_off_seconds
 
+    def pause(self, now: float, seconds: float) -> None:
+        """Leave it alone for `seconds`, as it is full."""
+        self._back_off_until = max(self._back_off_until, now + seconds)
+
     def succeeded(self) -> None:
         """End the growth of back-off, as a request was run there."""
         self._back_off_seconds = 0.0
 
     def load(self, now: float) -> float:
-        """Return the expected weight outstanding for each slot that can be used now."""
-        return (self._own_weight + self._others_weight(now)) / self._usable_slots(now)
+        """Return the own weight outstanding for each slot that can be used now."""
+        return self._own_weight / self._usable_slots(now)
 
     def connection_load(self, now: float) -> float:
         """Return the expected share of connections in use."""
@@ -83,12 +98,6 @@
             others = max(0, self._report.connections - self._own_connections_then)
         return (self._own_connections + others) / max(1, self.target.connections)
 
-    def _others_weight(self, now: float) -> float:
-        if self._report is None:
-            return 0.0
-        others = max(0.0, self._report.outstanding_weight - self._own_weight_then)
-        return float(others * 0.5 ** ((now - self._reported_at) / REPORT_HALF_LIFE_SECONDS))
-
     def _usable_slots(self, now: float) -> float:
         slots = float(max(1, self.target.slots))
         if self._report is None:
