Learn each target's speed from own requests

An even split overloads a slow target and starves no one of its queue. Each asker now compares the weight that targets served for it with the slot time that this took, and gives each work in proportion; reports have no part in it.

--- a/egretsill/placement/_placement.py
+++ b/egretsill/placement/_placement.py
@@ -8,11 +8,13 @@
 from ..configuration import RequestClass, RequestShape, Service, TargetState
 from ..outcomes import RefusalReason
 from ._messages import LoadReport
+from ._speed import compare_speeds
 from ._subset import used_targets
 from ._target_view import TargetView
 
 FAR_LOAD = 0.1
 LOAD_FACTOR = 3.0
+COMPARE_SECONDS = 0.2
 LARGEST_LAG = 1.0
 FULL_PAUSE_SECONDS = 0.05
 
@@ -44,6 +46,7 @@
         self._unavailable: frozenset[int] = frozenset()
         self._views: dict[int, TargetView] = {}
         self._used: Sequence[int] = ()
+        self._compared_at = 0.0
         self.update_service(service)
 
     @property
@@ -112,12 +115,16 @@
         view = self._views.get(target_number)
         if view is not None:
             view.add(shape, -weight)
+            if shape is not RequestShape.SUBSCRIPTION:
+                view.evidence.ended(weight, now)
+                self._compare_speeds(now)
 
     def on_granted(self, target_number: int, now: float) -> None:
         """Take in that a target started a request."""
         view = self._views.get(target_number)
         if view is not None:
             view.succeeded()
+            view.evidence.began(now)
 
     def on_refused(
         self,
@@ -164,6 +171,12 @@
         self._lift(ready)
         return ready or sorted(able, key=lambda view: view.back_off_until)[:1]
 
+    def _compare_speeds(self, now: float) -> None:
+        if now < self._compared_at + COMPARE_SECONDS:
+            return
+        self._compared_at = now
+        compare_speeds([self._views[number].evidence for number in self._used], now)
+
     def _lift(self, ready: Sequence[TargetView]) -> None:
         if not ready:
             return
--- a/egretsill/placement/_target_view.py
+++ b/egretsill/placement/_target_view.py
@@ -6,6 +6,7 @@
 
 from ..configuration import RequestShape, Target
 from ._messages import LoadReport
+from ._speed import SpeedEvidence
 
 SLOW_START_SECONDS = 20.0
 SLOW_START_SHARE = 0.25
@@ -26,12 +27,18 @@
         self._back_off_seconds = 0.0
         self._back_off_until = -math.inf
         self._given = 0.0
+        self._evidence = SpeedEvidence()
 
     @property
     def given(self) -> float:
         """Return the weight given to it for each usable slot, since an arbitrary start."""
         return self._given
 
+    @property
+    def evidence(self) -> SpeedEvidence:
+        """Return what own requests show of its speed."""
+        return self._evidence
+
     @property
     def own_weight(self) -> float:
         """Return the weight of own requests that were sent there and have not ended."""
@@ -101,7 +108,7 @@
     def _usable_slots(self, now: float) -> float:
         slots = float(max(1, self.target.slots))
         if self._report is None:
-            return slots
+            return slots * self._evidence.speed
         age = self._report.server_age_seconds + now - self._reported_at
         share = SLOW_START_SHARE + (1.0 - SLOW_START_SHARE) * age / SLOW_START_SECONDS
-        return slots * min(1.0, share)
+        return slots * min(1.0, share) * self._evidence.speed
