Come back to a shedding target sooner

Back-off grew to two seconds and more for targets that shed for three, so they idled after each spell while the others were over-full. For shedding the doubling now ends at half a second; for unreachable and draining targets it stays.

--- a/egretsill/placement/_placement.py
+++ b/egretsill/placement/_placement.py
@@ -10,7 +10,7 @@
 from ._messages import LoadReport
 from ._speed import compare_speeds
 from ._subset import used_targets
-from ._target_view import TargetView
+from ._target_view import LONGEST_BACK_OFF_SECONDS, LONGEST_SHEDDING_BACK_OFF_SECONDS, TargetView
 
 FAR_LOAD = 0.1
 LOAD_FACTOR = 3.0
@@ -142,15 +142,16 @@
         if shape is not RequestShape.SUBSCRIPTION:
             view.give(-weight, now)
         match reason:
+            case RefusalReason.SHEDDING:
+                view.back_off(now, self._spread(), LONGEST_SHEDDING_BACK_OFF_SECONDS)
             case (
-                RefusalReason.SHEDDING
-                | RefusalReason.BACKEND_UNREACHABLE
+                RefusalReason.BACKEND_UNREACHABLE
                 | RefusalReason.DRAINING
                 | RefusalReason.WRONG_SERVICE
             ):
-                view.back_off(now, self._random.uniform(0.5, 1.5))
+                view.back_off(now, self._spread(), LONGEST_BACK_OFF_SECONDS)
             case _:
-                view.pause(now, FULL_PAUSE_SECONDS * self._random.uniform(0.5, 1.5))
+                view.pause(now, FULL_PAUSE_SECONDS * self._spread())
 
     def on_report(self, report: LoadReport, now: float) -> None:
         """Take in another agent's report."""
@@ -171,6 +172,9 @@
         self._lift(ready)
         return ready or sorted(able, key=lambda view: view.back_off_until)[:1]
 
+    def _spread(self) -> float:
+        return self._random.uniform(0.5, 1.5)
+
     def _compare_speeds(self, now: float) -> None:
         if now < self._compared_at + COMPARE_SECONDS:
             return
--- a/egretsill/placement/_target_view.py
+++ b/egretsill/placement/_target_view.py
@@ -11,7 +11,9 @@
 SLOW_START_SECONDS = 20.0
 SLOW_START_SHARE = 0.25
 FIRST_BACK_OFF_SECONDS = 0.25
+
 LONGEST_BACK_OFF_SECONDS = 8.0
+LONGEST_SHEDDING_BACK_OFF_SECONDS = 0.5
 
 
 class TargetView:
@@ -80,10 +82,16 @@
         self._reported_at = now
         self._own_connections_then = self._own_connections
 
-    def back_off(self, now: float, factor: float) -> None:
-        """Leave it alone for a while, twice as long each time that it goes on."""
+    def back_off(self, now: float, factor: float, longest_seconds: float) -> None:
+        """Leave it alone for a while, twice as long each time that it goes on.
+
+        Args:
+            now: the time in seconds.
+            factor: spreads the end of it, around 1.
+            longest_seconds: bound on the doubling.
+        """
         longer = max(FIRST_BACK_OFF_SECONDS, 2.0 * self._back_off_seconds)
-        self._back_off_seconds = min(longer, LONGEST_BACK_OFF_SECONDS)
+        self._back_off_seconds = min(longer, longest_seconds)
         self._back_off_until = now + factor * self._back_off_seconds
 
     def pause(self, now: float, seconds: float) -> None:
