Read and watch the platform, with a stand-in for tests

Cause: bundles and the VM list come from the platform's read-only service. Change: the HTTP/1.1 contract with versions and long polls as a client with typed failures and one kept connection, and as a stand-in that can be down, silent, slow, stale, serve older versions or half of a publish; pages of services for readers that know nothing yet. Conclusion: a fault of the platform is a typed failure, and the client goes on after it.

--- a/egretsill/configuration/__init__.py
+++ b/egretsill/configuration/__init__.py
@@ -13,7 +13,13 @@
     ConfigurationError,
     DeclarationRejected,
     MalformedValue,
+    PlatformFailure,
+    PlatformMalformed,
+    PlatformRefused,
+    PlatformTimedOut,
+    PlatformUnreachable,
     TornPublication,
+    ValueMissing,
     ValueTooLarge,
 )
 from ._model import (
@@ -26,7 +32,9 @@
     Target,
     TargetState,
 )
+from ._platform_client import PlatformClient, Unchanged, Value
 from ._problems import Problem
+from ._vms import Vm, VmState, decode_vms, encode_vms
 
 __all__ = [
     "Address",
@@ -37,6 +45,12 @@
     "Head",
     "Limits",
     "MalformedValue",
+    "PlatformClient",
+    "PlatformFailure",
+    "PlatformMalformed",
+    "PlatformRefused",
+    "PlatformTimedOut",
+    "PlatformUnreachable",
     "Problem",
     "Publication",
     "RequestClass",
@@ -45,9 +59,16 @@
     "Target",
     "TargetState",
     "TornPublication",
+    "Unchanged",
+    "Value",
+    "ValueMissing",
     "ValueTooLarge",
+    "Vm",
+    "VmState",
     "compile_publication",
     "decode_publication",
+    "decode_vms",
     "encode_publication",
+    "encode_vms",
     "load_declaration",
 ]
--- a/egretsill/configuration/_bundle_codec.py
+++ b/egretsill/configuration/_bundle_codec.py
@@ -1,6 +1,8 @@
-"""The published form of a bundle: a head, an index in parts, and one value for each service.
+"""The published form of a bundle: a head, an index, one value for each service, and pages.
 
-Every value is checked against its digest when it is read, so values of different revisions are
+A reader that is a few changes behind reads the head and the changed services. One further behind
+reads the index too, and one that knows nothing reads pages, which hold many services each. Every
+value is checked against its digest when it is read, so values of different revisions are
 never put together.
 """
 
@@ -16,6 +18,7 @@
     FORMAT,
     PublishedHead,
     PublishedIndexPart,
+    PublishedPage,
     canonical_json,
     decode_model,
     decode_service,
@@ -28,6 +31,8 @@
 MAXIMUM_VALUE_BYTES = 1_000_000
 INDEX_PART_BYTES = 256_000
 INDEX_ENTRY_BYTES = 40
+PAGE_BYTES = 900_000
+PAGE_ENTRY_BYTES = 8
 RECENT_CHANGES = 32
 RECENT_CHANGED_SERVICES = 256
 
@@ -52,12 +57,14 @@
 
     Attributes:
         index_parts: number of values that hold the index.
+        pages: number of values that hold all services.
         changes: the latest changes, oldest first.
     """
 
     revision: int
     digest: str
     index_parts: int
+    pages: int
     changes: tuple[Change, ...]
 
     @property
@@ -91,6 +98,11 @@
     return f"index/{part}"
 
 
+def page_key(number: int) -> str:
+    """Return the key of a page of services."""
+    return f"page/{number}"
+
+
 def compile_publication(
     services: Mapping[str, Service], revision: int, previous: Publication | None = None
 ) -> Publication:
@@ -109,8 +121,8 @@
     digest = digest_of_index(index)
     changed = _changed_services(before, index)
     changes = (*(previous.head.changes if previous else ()), Change(revision, digest, changed))
-    parts = len(_index_parts(index))
-    head = Head(revision, digest, parts, _recent(changes))
+    parts, pages = len(_index_parts(index)), len(_pages(values))
+    head = Head(revision, digest, parts, pages, _recent(changes))
     return Publication(head, index, values, Bundle(revision, digest, dict(services)))
 
 
@@ -119,6 +131,8 @@
     values = {service_key(name): value for name, value in publication.values.items()}
     for number, part in enumerate(_index_parts(publication.index)):
         values[index_key(number)] = canonical_json({"services": part})
+    for number, names in enumerate(_pages(publication.values)):
+        values[page_key(number)] = _encode_page(names, publication.values)
     values[HEAD_KEY] = encode_head(publication.head)
     for key, value in values.items():
         _check_size(key, value)
@@ -142,7 +156,7 @@
         Change(each.revision, each.digest, tuple(sorted(each.services.items())))
         for each in model.changes
     )
-    head = Head(model.revision, model.digest, model.index_parts, changes)
+    head = Head(model.revision, model.digest, model.index_parts, model.pages, changes)
     if digest_of(canonical_json(_head_fields(head))) != model.checksum:
         raise MalformedValue(HEAD_KEY, "checksum")
     return head
@@ -163,6 +177,16 @@
     return index
 
 
+def decode_page(key: str, content: bytes) -> Mapping[str, bytes]:
+    """Return the values of the services in a page; their digests are still to be checked.
+
+    Raises:
+        MalformedValue: if it doesn't have the published form.
+    """
+    page = decode_model(PublishedPage, key, content)
+    return {name: canonical_json(value) for name, value in page.services.items()}
+
+
 def index_after_changes(head: Head, known: Publication) -> Mapping[str, str] | None:
     """Return the index of `head` worked out from an older publication and the changes since.
 
@@ -231,6 +255,7 @@
         "revision": head.revision,
         "digest": head.digest,
         "index_parts": head.index_parts,
+        "pages": head.pages,
         "changes": [
             {"revision": each.revision, "digest": each.digest, "services": dict(each.services)}
             for each in head.changes
@@ -268,20 +293,33 @@
 
 
 def _index_parts(index: Mapping[str, str]) -> Sequence[Mapping[str, str]]:
-    return list(_split(sorted(index.items())))
-
-
-def _split(entries: Sequence[tuple[str, str]]) -> Iterator[Mapping[str, str]]:
-    part: dict[str, str] = {}
-    size = 0
-    for name, digest in entries:
-        size += len(name) + INDEX_ENTRY_BYTES
-        if size > INDEX_PART_BYTES:
-            yield part
-            part, size = {}, len(name) + INDEX_ENTRY_BYTES
-        part[name] = digest
-    if part:
-        yield part
+    sizes = {name: len(name) + INDEX_ENTRY_BYTES for name in index}
+    groups = _split(sizes, INDEX_PART_BYTES)
+    return [{name: index[name] for name in names} for names in groups]
+
+
+def _pages(values: Mapping[str, bytes]) -> Sequence[Sequence[str]]:
+    sizes = {name: len(name) + len(value) + PAGE_ENTRY_BYTES for name, value in values.items()}
+    return list(_split(sizes, PAGE_BYTES))
+
+
+def _encode_page(names: Sequence[str], values: Mapping[str, bytes]) -> bytes:
+    entries = [canonical_json(name) + b":" + values[name] for name in names]
+    return b'{"services":{' + b",".join(entries) + b"}}"
+
+
+def _split(sizes: Mapping[str, int], limit: int) -> Iterator[Sequence[str]]:
+    """Yield the names in order, in groups whose sizes add up to at most `limit` if they can."""
+    group: list[str] = []
+    total = 0
+    for name in sorted(sizes):
+        total += sizes[name]
+        if group and total > limit:
+            yield group
+            group, total = [], sizes[name]
+        group.append(name)
+    if group:
+        yield group
 
 
 def _check_size(key: str, value: bytes) -> None:
--- a/egretsill/configuration/_exceptions.py
+++ b/egretsill/configuration/_exceptions.py
@@ -54,3 +54,56 @@
         super().__init__(f"{key} is not the content that revision {revision} names")
         self.key = key
         self.revision = revision
+
+
+class PlatformFailure(ConfigurationError):
+    """A read from the platform that brought nothing; it may be tried again later."""
+
+
+class PlatformUnreachable(PlatformFailure):
+    """No connection, or one that broke before the whole answer was there.
+
+    Attributes:
+        address: endpoint as text.
+        cause: name of the underlying error.
+    """
+
+    def __init__(self, address: str, cause: str) -> None:
+        super().__init__(f"platform at {address} can't be reached: {cause}")
+        self.address = address
+        self.cause = cause
+
+
+class PlatformTimedOut(PlatformFailure):
+    """No whole answer in time."""
+
+    def __init__(self, address: str, seconds: float) -> None:
+        super().__init__(f"platform at {address} did not answer in {seconds:g} s")
+        self.address = address
+        self.seconds = seconds
+
+
+class PlatformRefused(PlatformFailure):
+    """An answer with a status that is no success."""
+
+    def __init__(self, key: str, status: int) -> None:
+        super().__init__(f"platform answered {status} for {key}")
+        self.key = key
+        self.status = status
+
+
+class PlatformMalformed(PlatformFailure):
+    """An answer that breaks the contract."""
+
+    def __init__(self, key: str, reason: str) -> None:
+        super().__init__(f"platform's answer for {key} is malformed: {reason}")
+        self.key = key
+        self.reason = reason
+
+
+class ValueMissing(PlatformFailure):
+    """The platform holds no such value."""
+
+    def __init__(self, key: str) -> None:
+        super().__init__(f"platform has no value {key}")
+        self.key = key
--- /dev/null
+++ b/egretsill/configuration/_platform_client.py
@@ -0,0 +1,278 @@
+"""Reads and watches the platform's configuration service and VM list over HTTP/1.1.
+
+One client holds one connection and makes one read at a time; a second caller waits its turn.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from typing import TypeAlias, TypeVar
+from urllib.parse import quote
+
+import h11
+import trio
+
+from ._exceptions import (
+    PlatformFailure,
+    PlatformMalformed,
+    PlatformRefused,
+    PlatformTimedOut,
+    PlatformUnreachable,
+    ValueMissing,
+)
+from ._model import Address
+from ._vms import VMS_KEY
+
+MAXIMUM_BODY_BYTES = 1_048_576
+MAXIMUM_HEAD_BYTES = 16_384
+MAXIMUM_VERSION_DIGITS = 18
+READ_BYTES = 65_536
+VALUES_PATH = "/v1/values/"
+VMS_PATH = "/v1/vms"
+
+
+@dataclass(frozen=True, slots=True)
+class Value:
+    """A value as the platform holds it.
+
+    Attributes:
+        version: the platform's own number for this content, from the entity tag.
+    """
+
+    key: str
+    version: int
+    content: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Unchanged:
+    """A watch that ended without news.
+
+    Attributes:
+        version: what the platform holds; lower than the one asked after if it is stale.
+    """
+
+    key: str
+    version: int
+
+
+WatchAnswer: TypeAlias = Value | Unchanged
+AnswerT = TypeVar("AnswerT")
+
+
+@dataclass(frozen=True, slots=True)
+class _Response:
+    status: int
+    headers: Mapping[bytes, bytes]
+    body: bytes
+
+
+class _StaleConnection(Exception):
+    """The other end closed a kept connection before a byte of an answer."""
+
+
+class PlatformClient:
+    """Reads values and the VM list.
+
+    Args:
+        addresses: endpoints of the platform; after a failure the next one is tried.
+        read_seconds: longest wait for a whole answer, on top of the wait of a watch.
+    """
+
+    def __init__(self, addresses: Sequence[Address], read_seconds: float = 2.0) -> None:
+        self._addresses = tuple(addresses)
+        self._read_seconds = read_seconds
+        self._next_address = 0
+        self._turn = trio.Lock()
+        self._stream: trio.abc.Stream | None = None
+        self._connection = h11.Connection(h11.CLIENT)
+        self._reads = 0
+        self._failures = 0
+
+    @property
+    def reads(self) -> int:
+        """Return how many requests were made."""
+        return self._reads
+
+    @property
+    def failures(self) -> int:
+        """Return how many of them failed."""
+        return self._failures
+
+    async def read(self, key: str) -> Value:
+        """Return a value.
+
+        Raises:
+            PlatformFailure: if there is none or it can't be read.
+        """
+        return await self._get(key, "", 0.0, _to_value)
+
+    async def watch(self, key: str, after: int, wait_seconds: float) -> WatchAnswer:
+        """Return the value once its version is above `after`, or Unchanged after the wait.
+
+        Raises:
+            PlatformFailure: if there is none or it can't be read.
+        """
+        seconds = math.ceil(wait_seconds)
+        query = f"?after={after}&wait={seconds}"
+        return await self._get(key, query, float(seconds), _to_watch_answer)
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        stream, self._stream = self._stream, None
+        if stream is not None:
+            with trio.CancelScope(shield=True):
+                await trio.aclose_forcefully(stream)
+
+    async def _get(
+        self,
+        key: str,
+        query: str,
+        wait_seconds: float,
+        interpret: Callable[[str, _Response], AnswerT],
+    ) -> AnswerT:
+        path = VMS_PATH if key == VMS_KEY else VALUES_PATH + quote(key)
+        async with self._turn:
+            address = self._addresses[self._next_address % len(self._addresses)]
+            finished = False
+            try:
+                response = await self._request_in_time(key, address, path + query, wait_seconds)
+                answer = interpret(key, response)
+                finished = True
+                return answer
+            except (PlatformRefused, ValueMissing):
+                finished = True
+                self._failures += 1
+                raise
+            except PlatformFailure:
+                self._failures += 1
+                self._next_address += 1
+                raise
+            finally:
+                if not finished:
+                    await self.aclose()
+
+    async def _request_in_time(
+        self, key: str, address: Address, target: str, wait_seconds: float
+    ) -> _Response:
+        seconds = wait_seconds + self._read_seconds
+        try:
+            with trio.fail_after(seconds):
+                return await self._request(address, target)
+        except trio.TooSlowError as error:
+            raise PlatformTimedOut(str(address), seconds) from error
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise PlatformUnreachable(str(address), type(error).__name__) from error
+        except h11.ProtocolError as error:
+            raise PlatformMalformed(key, str(error)) from error
+
+    async def _request(self, address: Address, target: str) -> _Response:
+        reused = self._stream is not None
+        try:
+            return await self._request_once(address, target)
+        except _StaleConnection as error:
+            await self.aclose()
+            if not reused:
+                raise trio.BrokenResourceError("closed before an answer") from error
+        try:
+            return await self._request_once(address, target)
+        except _StaleConnection as error:
+            raise trio.BrokenResourceError("closed before an answer") from error
+
+    async def _request_once(self, address: Address, target: str) -> _Response:
+        stream = await self._open(address)
+        self._reads += 1
+        headers = [("Host", str(address)), ("Accept", "*/*")]
+        request = h11.Request(method="GET", target=target, headers=headers)
+        data = self._connection.send(request)
+        data = (data or b"") + (self._connection.send(h11.EndOfMessage()) or b"")
+        try:
+            await stream.send_all(data)
+        except trio.BrokenResourceError as error:
+            raise _StaleConnection from error
+        head = await self._next_response(stream)
+        body = await self._read_body(stream)
+        await self._finish()
+        return _Response(head.status_code, dict(head.headers), body)
+
+    async def _open(self, address: Address) -> trio.abc.Stream:
+        if self._stream is None:
+            self._stream = await trio.open_tcp_stream(address.host, address.port)
+            self._connection = h11.Connection(
+                h11.CLIENT, max_incomplete_event_size=MAXIMUM_HEAD_BYTES
+            )
+        return self._stream
+
+    async def _next_response(self, stream: trio.abc.Stream) -> h11.Response:
+        received = 0
+        while True:
+            event = self._connection.next_event()
+            if isinstance(event, h11.Response):
+                return event
+            if event is h11.NEED_DATA:
+                data = await self._receive(stream, received)
+                received += len(data)
+                self._connection.receive_data(data)
+            elif not isinstance(event, h11.InformationalResponse):
+                raise h11.RemoteProtocolError("no response")
+
+    async def _receive(self, stream: trio.abc.Stream, received: int) -> bytes:
+        try:
+            data = bytes(await stream.receive_some(READ_BYTES))
+        except trio.BrokenResourceError as error:
+            if received:
+                raise
+            raise _StaleConnection from error
+        if not data and not received:
+            raise _StaleConnection
+        return data
+
+    async def _read_body(self, stream: trio.abc.Stream) -> bytes:
+        body = bytearray()
+        while True:
+            event = self._connection.next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            if event is h11.NEED_DATA:
+                self._connection.receive_data(bytes(await stream.receive_some(READ_BYTES)))
+            elif isinstance(event, h11.Data):
+                body += event.data
+            else:
+                raise h11.RemoteProtocolError("connection closed in the middle of a body")
+            if len(body) > MAXIMUM_BODY_BYTES:
+                raise h11.RemoteProtocolError("body too large")
+
+    async def _finish(self) -> None:
+        """Keep the connection for the next request if the other end keeps it."""
+        done = self._connection.our_state is h11.DONE and self._connection.their_state is h11.DONE
+        if done:
+            self._connection.start_next_cycle()
+        else:
+            await self.aclose()
+
+
+def _to_watch_answer(key: str, response: _Response) -> WatchAnswer:
+    if response.status == 304:
+        return Unchanged(key, _version(key, response.headers))
+    return _to_value(key, response)
+
+
+def _to_value(key: str, response: _Response) -> Value:
+    match response.status:
+        case 200:
+            return Value(key, _version(key, response.headers), response.body)
+        case 304:
+            raise PlatformMalformed(key, "not modified, though nothing was compared")
+        case 404:
+            raise ValueMissing(key)
+        case status:
+            raise PlatformRefused(key, status)
+
+
+def _version(key: str, headers: Mapping[bytes, bytes]) -> int:
+    tag = headers.get(b"etag", b"").strip().removeprefix(b"W/").strip(b'"')
+    if not tag.isdigit() or len(tag) > MAXIMUM_VERSION_DIGITS:
+        raise PlatformMalformed(key, "no entity tag with a version number")
+    return int(tag)
--- a/egretsill/configuration/_published.py
+++ b/egretsill/configuration/_published.py
@@ -56,6 +56,7 @@
 
     Attributes:
         index_parts: number of `index/N` values.
+        pages: number of `page/N` values.
         changes: the latest ones, oldest first, ending with this revision; they go back as far as
             fits.
         checksum: digest of the canonical JSON of the other fields.
@@ -65,6 +66,7 @@
     revision: RevisionNumber
     digest: DigestText
     index_parts: Annotated[int, Field(ge=0, le=10_000)]
+    pages: Annotated[int, Field(ge=0, le=10_000)]
     changes: list[PublishedChange]
     checksum: DigestText
 
@@ -75,6 +77,12 @@
     services: dict[str, DigestText]
 
 
+class PublishedPage(PublishedModel):
+    """A value `page/N`: many services' values, by name."""
+
+    services: dict[str, Any]
+
+
 class PublishedClass(PublishedModel):
     """A request class in a service's value."""
 
--- a/egretsill/configuration/tests/test_bundle_codec.py
+++ b/egretsill/configuration/tests/test_bundle_codec.py
@@ -26,6 +26,7 @@
     RECENT_CHANGES,
     assemble_publication,
     decode_head,
+    decode_page,
     index_after_changes,
     missing_services,
 )
@@ -132,6 +133,16 @@
     assert all(len(part) <= INDEX_PART_BYTES for part in parts)
 
 
+def test_pages_hold_every_value() -> None:
+    publication = compile_publication(make_services(40, targets=200), 1)
+    values = encode_publication(publication)
+    pages = [value for key, value in values.items() if key.startswith("page/")]
+    assert len(pages) == publication.head.pages > 1
+    assert all(len(page) <= MAXIMUM_VALUE_BYTES for page in pages)
+    read = {name: value for page in pages for name, value in decode_page("page", page).items()}
+    assert read == publication.values
+
+
 def _good_values() -> dict[str, bytes]:
     return dict(encode_publication(compile_publication(make_services(2), 5)))
 
@@ -145,6 +156,7 @@
         pytest.param("revision", 2**63, id="revision too large"),
         pytest.param("digest", "xyz", id="no digest"),
         pytest.param("index_parts", 10**9, id="endless index"),
+        pytest.param("pages", -1, id="fewer than no pages"),
         pytest.param("changes", [{}], id="empty change"),
         pytest.param("extra", 1, id="unknown field"),
     ],
@@ -167,7 +179,7 @@
 
 @settings(derandomize=True, max_examples=200, deadline=None)
 @given(
-    key=st.sampled_from(sorted(_good_values())),
+    key=st.sampled_from(sorted(key for key in _good_values() if not key.startswith("page"))),
     position=st.integers(0, 400),
     garbage=st.binary(min_size=0, max_size=8),
 )
--- /dev/null
+++ b/egretsill/stand_ins/_platform_store.py
@@ -0,0 +1,141 @@
+"""What the platform's stand-in holds: values with their versions, old ones included."""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import TypeAlias
+
+VERSIONS_KEPT = 8
+SECONDS_COUNTED = 600
+
+
+@dataclass(frozen=True, slots=True)
+class Well:
+    """Every read gets the latest value at once."""
+
+
+@dataclass(frozen=True, slots=True)
+class Down:
+    """Connections are closed without an answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class Silent:
+    """Requests are read and never answered."""
+
+
+@dataclass(frozen=True, slots=True)
+class Slow:
+    """Each answer takes `seconds` longer."""
+
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Stale:
+    """Nothing that was published after this fault began is served."""
+
+
+@dataclass(frozen=True, slots=True)
+class OlderReads:
+    """Every `every`th read of a value gets the version before the latest."""
+
+    every: int = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Failing:
+    """Each request is answered with a status."""
+
+    status: int = 503
+
+
+@dataclass(frozen=True, slots=True)
+class Garbage:
+    """Each request is answered with these bytes, and the connection is closed."""
+
+    content: bytes
+
+
+PlatformFault: TypeAlias = Well | Down | Silent | Slow | Stale | OlderReads | Failing | Garbage
+
+
+@dataclass(frozen=True, slots=True)
+class StoredValue:
+    """One version of a value."""
+
+    version: int
+    content: bytes
+
+
+class PlatformStore:
+    """Keeps the latest versions of each value and counts the reads of each second."""
+
+    def __init__(self) -> None:
+        self._values: dict[str, deque[StoredValue]] = {}
+        self._version = 0
+        self._frozen_at: int | None = None
+        self._fault: PlatformFault = Well()
+        self._reads = 0
+        self._reads_by_second: Counter[int] = Counter()
+
+    @property
+    def fault(self) -> PlatformFault:
+        """Return how the platform misbehaves at present."""
+        return self._fault
+
+    @property
+    def reads(self) -> int:
+        """Return how many reads were made; a waiting watch is one."""
+        return self._reads
+
+    @property
+    def most_reads_in_a_second(self) -> int:
+        """Return the largest number of reads in one second of the clock."""
+        return max(self._reads_by_second.values(), default=0)
+
+    def set_fault(self, fault: PlatformFault) -> None:
+        """Misbehave from now on; `Well()` ends it."""
+        self._fault = fault
+        self._frozen_at = self._version if isinstance(fault, Stale) else None
+
+    def put(self, key: str, content: bytes) -> None:
+        """Store a value; the same content again is no new version."""
+        versions = self._values.setdefault(key, deque(maxlen=VERSIONS_KEPT))
+        if versions and versions[-1].content == content:
+            return
+        self._version += 1
+        versions.append(StoredValue(self._version, content))
+
+    def put_all(self, values: Mapping[str, bytes]) -> None:
+        """Store many values in their order, and leave the rest as they are."""
+        for key, content in values.items():
+            self.put(key, content)
+
+    def remove(self, key: str) -> None:
+        """Forget a value."""
+        self._values.pop(key, None)
+
+    def count_read(self, now: float) -> None:
+        """Count one read at a time in seconds."""
+        self._reads += 1
+        self._reads_by_second[int(now)] += 1
+        if len(self._reads_by_second) > SECONDS_COUNTED:
+            del self._reads_by_second[min(self._reads_by_second)]
+
+    def read(self, key: str) -> StoredValue | None:
+        """Return a value as a reader gets it under the present fault, or None."""
+        versions = self._values.get(key)
+        if not versions:
+            return None
+        match self._fault:
+            case Stale():
+                limit = self._frozen_at or 0
+                known = [each for each in versions if each.version <= limit]
+                return known[-1] if known else None
+            case OlderReads(every) if self._reads % every == 0 and len(versions) > 1:
+                return versions[-2]
+            case _:
+                return versions[-1]
