--- /dev/null
+++ b/egretsill/quickstart/_site.py
@@ -0,0 +1,89 @@
+"""One site running: fabric, balancers, agents and backend servers in this trio loop."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from random import Random, SystemRandom
+
+import trio
+
+from ..configuration import Bundle, Target
+from ..daemon import Daemon, FixedConfiguration
+from ..settings import DaemonSettings
+from ..stand_ins.backend_server import BackendBehaviour, BackendServer
+from ..stand_ins.fabric import Fabric
+from ._site_plan import SitePlan
+
+REVISION_SECONDS = 0.5
+SECONDS_PER_WEIGHT = 0.004
+
+
+class Site:
+    """Starts and disturbs the processes of one site."""
+
+    def __init__(self, plan: SitePlan, nursery: trio.Nursery, seed: int) -> None:
+        self._plan = plan
+        self._nursery = nursery
+        self._seed = seed
+        self._daemons: dict[str, Daemon] = {}
+        self._scopes: dict[str, trio.CancelScope] = {}
+        self._backends: dict[str, BackendServer] = {}
+        self._fabric: Fabric | None = None
+
+    @property
+    def plan(self) -> SitePlan:
+        """Return what the site consists of."""
+        return self._plan
+
+    @property
+    def backends(self) -> Mapping[str, BackendServer]:
+        """Return the backend servers by target name."""
+        return self._backends
+
+    async def start(self) -> None:
+        """Start all processes."""
+        bundle = Bundle(1, "", self._plan.services)
+        for target in self._plan.targets:
+            await self._start_backend(target)
+            await self._start_daemon(self._plan.agent_settings(target), bundle)
+        for name in self._plan.balancers:
+            await self._start_daemon(self._plan.balancer_settings(name), bundle)
+        listeners = {name: self._plan.listeners(name) for name in self._plan.balancers}
+        self._fabric = Fabric(self._plan.service_addresses, listeners, Random(self._seed))
+        await self._nursery.start(self._fabric.run)
+
+    @property
+    def daemons(self) -> Mapping[str, Daemon]:
+        """Return every daemon that was started, by name."""
+        return self._daemons
+
+    async def stop_balancer(self, name: str, noticed_after_seconds: float) -> None:
+        """Stop a balancer without warning; the fabric feeds it on for a while."""
+        self._scopes[name].cancel()
+        await trio.sleep(noticed_after_seconds)
+        if self._fabric is not None:
+            self._fabric.feed([each for each in self._plan.balancers if each != name])
+
+    async def _start_backend(self, target: Target) -> None:
+        behaviour = BackendBehaviour(
+            slots=target.slots,
+            seconds_per_weight=SECONDS_PER_WEIGHT,
+            revision_seconds=REVISION_SECONDS,
+        )
+        backend = BackendServer(target.service, behaviour)
+        self._backends[target.name] = backend
+        await self._nursery.start(backend.serve, target.backend.host, target.backend.port)
+
+    async def _start_daemon(self, settings: DaemonSettings, bundle: Bundle) -> None:
+        daemon = Daemon(settings, SystemRandom(), FixedConfiguration(bundle))
+        scope = trio.CancelScope()
+        self._daemons[settings.name] = daemon
+        self._scopes[settings.name] = scope
+        await self._nursery.start(_run_within, daemon, scope)
+
+
+async def _run_within(
+    daemon: Daemon, scope: trio.CancelScope, task_status: trio.TaskStatus[None]
+) -> None:
+    with scope:
+        await daemon.run(task_status)
