Decide which revision is in force, who reads the platform and how news travels

Cause: a process without a disk has to learn the highest revision from a platform that may be stale and from peers, within a bounded number of reads. Change: the ledger, the readers' duty, the exchange and the reading of publications as pure classes with their messages, wired to I/O by the configuration service; the announcement period is 1 s, the silence bound 20 s and a watch 5 s by default. Conclusion: the parts can be joined to the gossip socket and the relay.

--- a/egretsill/configuration/__init__.py
+++ b/egretsill/configuration/__init__.py
@@ -9,10 +9,18 @@
     encode_publication,
 )
 from ._declaration import load_declaration
+from ._distributor import (
+    ConfigurationService,
+    DistributionCounters,
+    DistributionTimes,
+    PlatformReader,
+)
 from ._exceptions import (
     ConfigurationError,
     DeclarationRejected,
     MalformedValue,
+    PeerFailure,
+    PeerUnreachable,
     PlatformFailure,
     PlatformMalformed,
     PlatformRefused,
@@ -22,6 +30,18 @@
     ValueMissing,
     ValueTooLarge,
 )
+from ._exchange import Peer
+from ._ledger import RevisionConflict
+from ._messages import (
+    CONFIGURATION_TYPES,
+    Announcement,
+    ConfigurationAnswer,
+    ConfigurationMessage,
+    ConfigurationQuestion,
+    HeadWanted,
+    IndexWanted,
+    ServicesWanted,
+)
 from ._model import (
     Address,
     Bundle,
@@ -38,16 +58,30 @@
 
 __all__ = [
     "Address",
+    "Announcement",
     "Bundle",
+    "CONFIGURATION_TYPES",
     "Change",
+    "ConfigurationAnswer",
     "ConfigurationError",
+    "ConfigurationMessage",
+    "ConfigurationQuestion",
+    "ConfigurationService",
     "DeclarationRejected",
+    "DistributionCounters",
+    "DistributionTimes",
     "Head",
+    "HeadWanted",
+    "IndexWanted",
     "Limits",
     "MalformedValue",
+    "Peer",
+    "PeerFailure",
+    "PeerUnreachable",
     "PlatformClient",
     "PlatformFailure",
     "PlatformMalformed",
+    "PlatformReader",
     "PlatformRefused",
     "PlatformTimedOut",
     "PlatformUnreachable",
@@ -55,7 +89,9 @@
     "Publication",
     "RequestClass",
     "RequestShape",
+    "RevisionConflict",
     "Service",
+    "ServicesWanted",
     "Target",
     "TargetState",
     "TornPublication",
--- /dev/null
+++ b/egretsill/configuration/_distributor.py
@@ -0,0 +1,389 @@
+"""Keeps one process's configuration current: the platform and the peers on one side, the parts of
+the process that work by the configuration on the other.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Collection, Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import Protocol, TypeAlias
+
+import trio
+
+from ..timing import ClockJump, TimerService
+from ._bundle_codec import HEAD_KEY, Publication, decode_head
+from ._exceptions import ConfigurationError, PeerFailure, PlatformFailure, TornPublication
+from ._exchange import Announce, Exchange, ExchangeEffect, FetchFrom, Peer, Standing
+from ._ledger import LedgerEffect, PutInForce, RevisionConflict, RevisionLedger
+from ._messages import (
+    Announcement,
+    ConfigurationAnswer,
+    ConfigurationQuestion,
+    Rank,
+)
+from ._model import Address, Bundle
+from ._platform_client import Value, WatchAnswer
+from ._readers import ReadDuty, ReadOnce, Wait, Watch
+from ._sources import PeerSource, PlatformSource, answer_question, read_publication
+from ._vms import VMS_KEY, Vm, decode_vms
+
+TICK_SECONDS = 0.25
+TORN_RETRY_SECONDS = 0.2
+WAKE_SECONDS = 1.0
+COMPARISONS_AFTER_JUMP = 3
+FIRST_VM_LIST_BACKOFF_SECONDS = 1.0
+LONGEST_VM_LIST_BACKOFF_SECONDS = 30.0
+
+SendAnnouncement: TypeAlias = Callable[[Address, Announcement], object]
+Fetch: TypeAlias = Callable[[Address, ConfigurationQuestion], Awaitable[ConfigurationAnswer]]
+
+
+class PlatformReader(Protocol):
+    """What is needed of a platform client."""
+
+    async def read(self, key: str) -> Value:
+        """Return a value."""
+
+    async def watch(self, key: str, after: int, wait_seconds: float) -> WatchAnswer:
+        """Return a value with a version above `after`, or Unchanged."""
+
+
+@dataclass(frozen=True, slots=True)
+class DistributionTimes:
+    """Durations in seconds.
+
+    Attributes:
+        period: between two comparisons with a random peer.
+        fetch: longest wait for all content from a peer.
+        start: length of the start-up in which nothing is put in force.
+        start_spread: window in which a new process first reads the VM list.
+        silence: age of the platform's latest known answer at which each process reads by itself.
+        watch: length of one watch.
+        vm_list: between two reads of the VM list, longer in a large fleet.
+    """
+
+    period: float = 1.0
+    fetch: float = 5.0
+    start: float = 2.0
+    start_spread: float = 1.5
+    silence: float = 20.0
+    watch: float = 5.0
+    vm_list: float = 10.0
+
+
+@dataclass(slots=True)
+class DistributionCounters:
+    """What happened so far, for metrics.
+
+    Attributes:
+        torn: publications whose values didn't belong together.
+        malformed: values that don't have the published form.
+    """
+
+    platform_reads: int = 0
+    platform_failures: int = 0
+    peer_fetches: int = 0
+    peer_failures: int = 0
+    announcements_sent: int = 0
+    announcements_received: int = 0
+    torn: int = 0
+    malformed: int = 0
+
+
+class ConfigurationService:
+    """The configuration in force at this process, and news of it.
+
+    Args:
+        name: of this process, as in the VM list.
+        relay: TCP endpoint at which this process answers questions of peers.
+        platform: for values; it serves one read at a time.
+        vm_platform: for the VM list, so that a waiting watch doesn't hold it up.
+        peers: returns the processes known at present.
+        seeds: gossip endpoints to ask at the start.
+        send: sends an announcement to a gossip endpoint.
+        fetch: puts a question to a relay endpoint; raises `PeerFailure`.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        failure_domain: str,
+        relay: Address,
+        platform: PlatformReader,
+        vm_platform: PlatformReader,
+        timer: TimerService,
+        random: Random,
+        peers: Callable[[], Sequence[Peer]],
+        send: SendAnnouncement,
+        fetch: Fetch,
+        seeds: Sequence[Address] = (),
+        times: DistributionTimes | None = None,
+    ) -> None:
+        self._times = times if times is not None else DistributionTimes()
+        self._platform = platform
+        self._vm_platform = vm_platform
+        self._timer = timer
+        self._random = random
+        self._peers = peers
+        self._send = send
+        self._fetch = fetch
+        self._seeds = tuple(seeds)
+        now = timer.now
+        self._ledger = RevisionLedger(now, self._times.start)
+        self._duty = ReadDuty(name, failure_domain, random, now, self._times.silence)
+        self._exchange = Exchange(name, failure_domain, relay, random)
+        self._subscribers: list[Callable[[Bundle], None]] = []
+        self._vm_subscribers: list[Callable[[Sequence[Vm]], None]] = []
+        self._conflict_subscribers: list[Callable[[RevisionConflict], None]] = []
+        self._vms: Sequence[Vm] = ()
+        self._counters = DistributionCounters()
+        self._fetches_out, self._fetches_in = trio.open_memory_channel[FetchFrom](8)
+        self._duty_changed = trio.Event()
+        self._version = 0
+        self._compare_at = now
+
+    @property
+    def bundle(self) -> Bundle | None:
+        """Return the configuration in force, or None before the first."""
+        publication = self._ledger.in_force
+        return publication.bundle if publication else None
+
+    @property
+    def revision(self) -> int | None:
+        """Return the revision in force, or None before the first."""
+        bundle = self.bundle
+        return bundle.revision if bundle else None
+
+    @property
+    def vms(self) -> Sequence[Vm]:
+        """Return the platform's latest VM list."""
+        return self._vms
+
+    @property
+    def is_reader(self) -> bool:
+        """Return whether this process watches the platform for its failure domain."""
+        return self._duty.is_reader
+
+    @property
+    def platform_age_seconds(self) -> float | None:
+        """Return the time since the platform is known to have answered anyone."""
+        at = self._duty.contact_at
+        return None if at is None else max(0.0, self._timer.now - at)
+
+    @property
+    def older_ignored(self) -> int:
+        """Return how many lower revisions were seen and not taken."""
+        return self._ledger.older_ignored
+
+    @property
+    def conflicts(self) -> int:
+        """Return how many pairs of contents under one number were seen."""
+        return self._ledger.conflicts
+
+    @property
+    def counters(self) -> DistributionCounters:
+        """Return what happened so far."""
+        return self._counters
+
+    def subscribe(self, callback: Callable[[Bundle], None]) -> None:
+        """Call `callback(bundle)` for the bundle in force, if any, and for each later one."""
+        self._subscribers.append(callback)
+        if self.bundle is not None:
+            callback(self.bundle)
+
+    def subscribe_vms(self, callback: Callable[[Sequence[Vm]], None]) -> None:
+        """Call `callback(vms)` for each VM list read from the platform."""
+        self._vm_subscribers.append(callback)
+
+    def subscribe_conflicts(self, callback: Callable[[RevisionConflict], None]) -> None:
+        """Call `callback(conflict)` when two contents have one revision number."""
+        self._conflict_subscribers.append(callback)
+
+    def set_unanswering(self, names: Collection[str]) -> None:
+        """Take the names of processes that don't answer, so that they are no readers."""
+        self._duty.set_excluded(names, self._timer.now)
+        self._wake_duty()
+
+    def receive(self, message: Announcement, sender: Address) -> None:
+        """Take an announcement that arrived from a gossip endpoint."""
+        now = self._timer.now
+        self._counters.announcements_received += 1
+        if message.contact_age_ms is not None:
+            self._duty.note_contact(now - message.contact_age_ms / 1000)
+        rank = message.rank
+        self._apply(self._ledger.note_announcement(message.sender, rank, message.settled, now))
+        self._carry_out(self._exchange.receive(message, sender, self._standing()))
+
+    def answer(self, question: ConfigurationQuestion) -> ConfigurationAnswer:
+        """Return the answer to a peer's question."""
+        return answer_question(question, self._ledger.held)
+
+    async def run(self) -> None:
+        """Keep the configuration current until cancelled."""
+        self._timer.subscribe_jumps(self._on_jump)
+        tick = self._timer.subscribe(TICK_SECONDS, self._on_tick)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._read_platform)
+                nursery.start_soon(self._read_vms)
+                nursery.start_soon(self._fetch_from_peers)
+        finally:
+            tick.cancel()
+
+    def _standing(self) -> Standing:
+        return Standing(self._ledger.rank, self._ledger.settled, self.platform_age_seconds)
+
+    def _on_tick(self, now: float) -> None:
+        self._apply(self._ledger.settle(now))
+        if now < self._compare_at:
+            return
+        self._compare_at = now + self._times.period * self._random.uniform(0.75, 1.25)
+        self._compare(1)
+
+    def _on_jump(self, jump: ClockJump) -> None:
+        self._compare(COMPARISONS_AFTER_JUMP)
+
+    def _compare(self, count: int) -> None:
+        peers = self._peers()
+        if not peers:
+            self._carry_out(self._exchange.ask(self._standing(), self._seeds))
+            return
+        self._carry_out(self._exchange.compare(self._standing(), peers, count))
+
+    def _offer(self, publication: Publication) -> None:
+        before = self._ledger.rank
+        self._apply(self._ledger.offer(publication, self._timer.now))
+        if self._ledger.rank != before:
+            self._carry_out(self._exchange.push(self._standing(), self._peers()))
+
+    def _apply(self, effects: Sequence[LedgerEffect]) -> None:
+        for effect in effects:
+            match effect:
+                case PutInForce(publication):
+                    for subscriber in self._subscribers:
+                        subscriber(publication.bundle)
+                case RevisionConflict():
+                    for alarm in self._conflict_subscribers:
+                        alarm(effect)
+
+    def _carry_out(self, effects: Sequence[ExchangeEffect]) -> None:
+        for effect in effects:
+            match effect:
+                case Announce(to, message):
+                    self._counters.announcements_sent += 1
+                    self._send(to, message)
+                case FetchFrom():
+                    self._fetches_out.send_nowait(effect)
+
+    async def _fetch_from_peers(self) -> None:
+        async for effect in self._fetches_in:
+            await self._fetch_from_peer(effect.relay)
+            self._carry_out(self._exchange.fetch_ended(effect.relay, self._standing()))
+
+    async def _fetch_from_peer(self, relay: Address) -> None:
+        self._counters.peer_fetches += 1
+        source = PeerSource(lambda question: self._fetch(relay, question))
+        try:
+            with trio.fail_after(self._times.fetch):
+                known = self._ledger.held
+                head = await source.head(known)
+                if self._ledger.is_news(head.rank):
+                    self._offer(await read_publication(source, head, known))
+        except (PeerFailure, trio.TooSlowError):
+            self._counters.peer_failures += 1
+        except ConfigurationError as error:
+            self._count_bad_content(error)
+
+    async def _read_platform(self) -> None:
+        while True:
+            match self._duty.decide(self._timer.now):
+                case Wait(seconds):
+                    await self._wait_for_duty(seconds)
+                case Watch():
+                    await self._read_head(self._times.watch)
+                case ReadOnce():
+                    await self._read_head(0.0)
+
+    async def _wait_for_duty(self, seconds: float) -> None:
+        with trio.move_on_after(min(seconds, WAKE_SECONDS)):
+            await self._duty_changed.wait()
+
+    def _wake_duty(self) -> None:
+        self._duty_changed.set()
+        self._duty_changed = trio.Event()
+
+    async def _read_head(self, wait_seconds: float) -> None:
+        try:
+            await self._spend_token()
+            answer = await self._platform.watch(HEAD_KEY, self._version, wait_seconds)
+            self._duty.note_success(self._timer.now)
+            if isinstance(answer, Value):
+                await self._read_content(answer)
+            self._version = answer.version
+        except PlatformFailure:
+            self._counters.platform_failures += 1
+            self._duty.note_failure(self._timer.now)
+        except ConfigurationError as error:
+            self._count_bad_content(error)
+            await trio.sleep(TORN_RETRY_SECONDS * self._random.uniform(1.0, 2.0))
+
+    async def _read_content(self, value: Value) -> None:
+        head = decode_head(value.content)
+        known = self._ledger.held
+        if not self._ledger.is_news(head.rank):
+            self._note_old(head.rank)
+            return
+        source = PlatformSource(self._read_value)
+        self._offer(await read_publication(source, head, known))
+
+    def _note_old(self, rank: Rank) -> None:
+        own = self._ledger.rank
+        if own is not None and rank < own:
+            self._ledger.note_older()
+            effects = self._ledger.note_announcement("", rank, False, self._timer.now)
+            self._apply(effects)
+
+    async def _read_value(self, key: str) -> Value:
+        await self._spend_token()
+        return await self._platform.read(key)
+
+    async def _spend_token(self) -> None:
+        self._counters.platform_reads += 1
+        await trio.sleep(self._duty.take_token(self._timer.now))
+
+    def _count_bad_content(self, error: ConfigurationError) -> None:
+        if isinstance(error, TornPublication):
+            self._counters.torn += 1
+        else:
+            self._counters.malformed += 1
+
+    async def _read_vms(self) -> None:
+        await trio.sleep(self._random.uniform(0.0, self._times.start_spread))
+        backoff = FIRST_VM_LIST_BACKOFF_SECONDS
+        while True:
+            if await self._read_vms_once():
+                backoff = FIRST_VM_LIST_BACKOFF_SECONDS
+                seconds = max(self._times.vm_list, self._duty.vm_list_seconds)
+                await trio.sleep(seconds * self._random.uniform(0.75, 1.25))
+            else:
+                await trio.sleep(backoff * self._random.uniform(1.0, 2.0))
+                backoff = min(2 * backoff, LONGEST_VM_LIST_BACKOFF_SECONDS)
+
+    async def _read_vms_once(self) -> bool:
+        self._counters.platform_reads += 1
+        try:
+            vms = decode_vms((await self._vm_platform.read(VMS_KEY)).content)
+        except PlatformFailure:
+            self._counters.platform_failures += 1
+            return False
+        except ConfigurationError as error:
+            self._count_bad_content(error)
+            return False
+        self._vms = vms
+        self._duty.set_vms(vms, self._timer.now)
+        self._wake_duty()
+        for subscriber in self._vm_subscribers:
+            subscriber(vms)
+        return True
--- a/egretsill/configuration/_exceptions.py
+++ b/egretsill/configuration/_exceptions.py
@@ -107,3 +107,40 @@
     def __init__(self, key: str) -> None:
         super().__init__(f"platform has no value {key}")
         self.key = key
+
+
+class PeerFailure(ConfigurationError):
+    """A fetch from another process that brought nothing."""
+
+
+class PeerUnreachable(PeerFailure):
+    """No answer from a process that was asked for content.
+
+    Attributes:
+        address: endpoint as text.
+        cause: name of the underlying error.
+    """
+
+    def __init__(self, address: str, cause: str) -> None:
+        super().__init__(f"peer at {address} can't be reached: {cause}")
+        self.address = address
+        self.cause = cause
+
+
+class PeerHoldsNothing(PeerFailure):
+    """The process that was asked holds no configuration."""
+
+    def __init__(self) -> None:
+        super().__init__("the peer holds no configuration")
+
+
+class PeerAnswerMalformed(PeerFailure):
+    """An answer that doesn't fit the question.
+
+    Attributes:
+        reason: what was wrong, in a few words.
+    """
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(f"the peer's answer doesn't fit: {reason}")
+        self.reason = reason
--- /dev/null
+++ b/egretsill/configuration/_ledger.py
@@ -0,0 +1,152 @@
+"""Which revision is in force at one process: the highest seen, and never a lower one again.
+
+A new process first holds back what it learns. It puts the best in force once `ENOUGH_PEERS` peers
+have said what is in force at them, or once its start-up time has passed. While a peer is known to
+have a higher one whose content is still under way, it waits up to `EXTENSION_FACTOR` times as long,
+so a stale platform doesn't make it start on an old revision.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from typing import TypeAlias
+
+from ._bundle_codec import Publication
+from ._messages import Rank
+
+ENOUGH_PEERS = 3
+EXTENSION_FACTOR = 3.0
+MAXIMUM_CONFLICTS_KEPT = 64
+
+
+@dataclass(frozen=True, slots=True)
+class PutInForce:
+    """Work by this publication from now on."""
+
+    publication: Publication
+
+
+@dataclass(frozen=True, slots=True)
+class RevisionConflict:
+    """Two contents under one revision number; the higher digest wins at every process.
+
+    Attributes:
+        kept: digest of the content that stays or comes into force.
+        dropped: digest of the other.
+    """
+
+    revision: int
+    kept: str
+    dropped: str
+
+
+LedgerEffect: TypeAlias = PutInForce | RevisionConflict
+
+
+class RevisionLedger:
+    """Judges publications and announcements by their rank: revision, then digest.
+
+    Args:
+        now: time in seconds at which the process started.
+        start_seconds: length of the start-up time.
+    """
+
+    def __init__(self, now: float, start_seconds: float) -> None:
+        self._start_until = now + start_seconds
+        self._extended_until = now + EXTENSION_FACTOR * start_seconds
+        self._held: Publication | None = None
+        self._settled = False
+        self._announced: Rank | None = None
+        self._settled_peers: set[str] = set()
+        self._conflicts: set[RevisionConflict] = set()
+        self._older_ignored = 0
+
+    @property
+    def held(self) -> Publication | None:
+        """Return the highest publication seen, in force or held back."""
+        return self._held
+
+    @property
+    def in_force(self) -> Publication | None:
+        """Return the publication in force."""
+        return self._held if self._settled else None
+
+    @property
+    def rank(self) -> Rank | None:
+        """Return the rank of the highest publication seen."""
+        return self._held.head.rank if self._held else None
+
+    @property
+    def settled(self) -> bool:
+        """Return whether the start-up is over."""
+        return self._settled
+
+    @property
+    def older_ignored(self) -> int:
+        """Return how many lower revisions were offered and not taken."""
+        return self._older_ignored
+
+    @property
+    def conflicts(self) -> int:
+        """Return how many pairs of contents under one number were seen."""
+        return len(self._conflicts)
+
+    def is_news(self, rank: Rank) -> bool:
+        """Return whether the content of a rank is wanted."""
+        return self.rank is None or rank > self.rank
+
+    def offer(self, publication: Publication, now: float) -> Sequence[LedgerEffect]:
+        """Take a publication whose content was checked, if it is the highest."""
+        rank = publication.head.rank
+        effects: list[LedgerEffect] = list(self._compare(rank))
+        if self.is_news(rank):
+            self._held = publication
+            if self._settled:
+                effects.append(PutInForce(publication))
+        elif rank != self.rank:
+            self._older_ignored += 1
+        return [*effects, *self.settle(now)]
+
+    def note_announcement(
+        self, sender: str, rank: Rank | None, settled: bool, now: float
+    ) -> Sequence[LedgerEffect]:
+        """Note what a peer has."""
+        effects: list[LedgerEffect] = []
+        if rank is not None:
+            effects.extend(self._compare(rank))
+        if not self._settled:
+            if rank is not None and (self._announced is None or rank > self._announced):
+                self._announced = rank
+            if settled:
+                self._settled_peers.add(sender)
+        return [*effects, *self.settle(now)]
+
+    def note_older(self) -> None:
+        """Count a lower revision that was seen without its content."""
+        self._older_ignored += 1
+
+    def settle(self, now: float) -> Sequence[LedgerEffect]:
+        """End the start-up if its time has come; to be called regularly."""
+        if self._settled or self._held is None:
+            return []
+        waiting = self._announced is not None and self._announced > self._held.head.rank
+        enough = len(self._settled_peers) >= ENOUGH_PEERS and not waiting
+        over = now >= (self._extended_until if waiting else self._start_until)
+        if not (enough or over):
+            return []
+        self._settled = True
+        self._settled_peers.clear()
+        return [PutInForce(self._held)]
+
+    def _compare(self, rank: Rank) -> Iterator[RevisionConflict]:
+        if self._held is None or self._held.head.revision != rank[0]:
+            return
+        own = self._held.head.digest
+        if own == rank[1]:
+            return
+        conflict = RevisionConflict(rank[0], max(own, rank[1]), min(own, rank[1]))
+        if conflict in self._conflicts or len(self._conflicts) >= MAXIMUM_CONFLICTS_KEPT:
+            return
+        self._conflicts.add(conflict)
+        yield conflict
--- /dev/null
+++ b/egretsill/configuration/_messages.py
@@ -0,0 +1,174 @@
+"""Messages between processes about the configuration; a tag is never reused."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, TypeAlias
+
+from ._model import Address
+
+MAXIMUM_NAME_CHARACTERS = 63
+DIGEST_CHARACTERS = 32
+MAXIMUM_REVISION = 2**63 - 1
+MAXIMUM_CONTACT_AGE_MS = 2**31
+MAXIMUM_NAMES = 4000
+MAXIMUM_HOST_CHARACTERS = 45
+NO_REVISION = 0
+
+Rank: TypeAlias = tuple[int, str]
+
+
+def _check(good: bool, field: str) -> None:
+    if not good:
+        raise ValueError(field)
+
+
+def _check_rank(revision: int, digest: str) -> None:
+    _check(NO_REVISION <= revision <= MAXIMUM_REVISION, "revision")
+    _check(len(digest) == (DIGEST_CHARACTERS if revision else 0), "digest")
+
+
+def _check_services(services: tuple[tuple[str, bytes], ...]) -> None:
+    for each in services:
+        _check(type(each) is tuple and len(each) == 2, "services")
+        _check(type(each[0]) is str and type(each[1]) is bytes, "services")
+
+
+def _check_names(names: tuple[str, ...]) -> None:
+    _check(len(names) <= MAXIMUM_NAMES, "names")
+    _check(all(type(name) is str for name in names), "names")
+
+
+@dataclass(frozen=True, slots=True)
+class Announcement:
+    """What one process has, sent as one datagram.
+
+    Attributes:
+        sender: name of the process.
+        revision: the highest it holds, `NO_REVISION` for none.
+        digest: of that revision's content, "" for none.
+        settled: whether it is in force there; a process that just started holds it back.
+        contact_age_ms: time since any process known to the sender had an answer from the
+            platform; None if that was never.
+        relay: TCP endpoint that serves the content.
+        answer_wanted: whether the receiver should announce what it has.
+    """
+
+    sender: str
+    revision: int
+    digest: str
+    settled: bool
+    contact_age_ms: int | None
+    relay: Address
+    answer_wanted: bool
+
+    def __post_init__(self) -> None:
+        _check(0 < len(self.sender) <= MAXIMUM_NAME_CHARACTERS, "sender")
+        _check_rank(self.revision, self.digest)
+        age = self.contact_age_ms
+        _check(age is None or 0 <= age <= MAXIMUM_CONTACT_AGE_MS, "contact_age_ms")
+        _check(len(self.relay) == 2, "relay")
+        host, port = self.relay
+        _check(type(host) is str and len(host) <= MAXIMUM_HOST_CHARACTERS, "relay")
+        _check(type(port) is int and 0 < port < 65_536, "relay")
+
+    @property
+    def rank(self) -> Rank | None:
+        """Return what orders publications, or None if the sender holds none."""
+        return (self.revision, self.digest) if self.revision else None
+
+
+@dataclass(frozen=True, slots=True)
+class HeadWanted:
+    """Asks for the head, and for the services changed since a revision if they are few.
+
+    Attributes:
+        revision: what the asker holds, `NO_REVISION` for none.
+    """
+
+    revision: int
+    digest: str
+
+    def __post_init__(self) -> None:
+        _check_rank(self.revision, self.digest)
+
+
+@dataclass(frozen=True, slots=True)
+class HeadFound:
+    """The head in its published form, and values of changed services by name."""
+
+    head: bytes
+    services: tuple[tuple[str, bytes], ...]
+
+    def __post_init__(self) -> None:
+        _check_services(self.services)
+
+
+@dataclass(frozen=True, slots=True)
+class IndexWanted:
+    """Asks for the entries of the index whose name comes after `after`."""
+
+    after: str
+
+
+@dataclass(frozen=True, slots=True)
+class IndexFound:
+    """Names and digests in order of name; an empty answer is the end."""
+
+    entries: tuple[tuple[str, str], ...]
+
+    def __post_init__(self) -> None:
+        for each in self.entries:
+            _check(type(each) is tuple and len(each) == 2, "entries")
+            _check(type(each[0]) is str and type(each[1]) is str, "entries")
+
+
+@dataclass(frozen=True, slots=True)
+class ServicesWanted:
+    """Asks for the values of services by name."""
+
+    names: tuple[str, ...]
+
+    def __post_init__(self) -> None:
+        _check_names(self.names)
+
+
+@dataclass(frozen=True, slots=True)
+class ServicesFound:
+    """The first values asked for, as many as fit; the rest is to be asked for again."""
+
+    services: tuple[tuple[str, bytes], ...]
+
+    def __post_init__(self) -> None:
+        _check_services(self.services)
+
+
+@dataclass(frozen=True, slots=True)
+class NothingHeld:
+    """The process that was asked holds no configuration yet."""
+
+
+ConfigurationMessage: TypeAlias = (
+    Announcement
+    | HeadWanted
+    | HeadFound
+    | IndexWanted
+    | IndexFound
+    | ServicesWanted
+    | ServicesFound
+    | NothingHeld
+)
+ConfigurationQuestion: TypeAlias = HeadWanted | IndexWanted | ServicesWanted
+ConfigurationAnswer: TypeAlias = HeadFound | IndexFound | ServicesFound | NothingHeld
+
+CONFIGURATION_TYPES: Mapping[int, type[Any]] = {
+    30: Announcement,
+    31: HeadWanted,
+    32: HeadFound,
+    33: IndexWanted,
+    34: IndexFound,
+    35: ServicesWanted,
+    36: ServicesFound,
+    37: NothingHeld,
+}
--- /dev/null
+++ b/egretsill/configuration/_readers.py
@@ -0,0 +1,223 @@
+"""Who reads the platform, and when.
+
+In each failure domain two processes, picked by rendezvous hash of the VM list, hold a watch. The
+rest hear from them through peers. Each announcement carries the age of the latest answer that the
+platform gave to anyone; when that age grows past a bound, a process reads by itself, at a random
+moment in a window that grows with the fleet, and with a share of the fleet's reads.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import TypeAlias
+
+import xxhash
+
+from ._vms import Vm, VmState
+
+READERS_IN_DOMAIN = 2
+READER_READS_PER_SECOND = 500.0
+DIRECT_READS_PER_SECOND = 500.0
+READ_BURST = 8.0
+READER_BURST = 64.0
+UNKNOWN_FLEET_PROCESSES = 2000
+START_PATIENCE_SECONDS = 3.0
+FIRST_BACKOFF_SECONDS = 0.5
+LONGEST_READER_BACKOFF_SECONDS = 4.0
+LONGEST_DIRECT_BACKOFF_SECONDS = 60.0
+VM_LIST_READS_PER_SECOND = 50.0
+
+
+@dataclass(frozen=True, slots=True)
+class Watch:
+    """Hold a watch now."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReadOnce:
+    """Make one plain read now."""
+
+
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """Leave the platform alone for `seconds`, then ask again."""
+
+    seconds: float
+
+
+ReadDecision: TypeAlias = Watch | ReadOnce | Wait
+
+
+class TokenBucket:
+    """Limits the rate of reads.
+
+    Args:
+        rate: tokens a second.
+        burst: tokens held at most.
+    """
+
+    def __init__(self, rate: float, burst: float, now: float) -> None:
+        self._rate = rate
+        self._burst = burst
+        self._tokens = burst
+        self._filled_at = now
+
+    def set_rate(self, rate: float, burst: float, now: float) -> None:
+        """Change the rate and the burst; tokens held stay, up to the new burst."""
+        self._fill(now)
+        self._rate = rate
+        self._burst = burst
+        self._tokens = min(self._tokens, burst)
+
+    def take(self, now: float) -> float:
+        """Take one token and return the seconds to wait before using it."""
+        self._fill(now)
+        self._tokens -= 1.0
+        return max(0.0, -self._tokens / self._rate)
+
+    def _fill(self, now: float) -> None:
+        elapsed = max(0.0, now - self._filled_at)
+        self._tokens = min(self._burst, self._tokens + elapsed * self._rate)
+        self._filled_at = now
+
+
+def readers_of(
+    vms: Sequence[Vm], failure_domain: str, excluded: Collection[str] = ()
+) -> tuple[str, ...]:
+    """Return the names of the processes that watch the platform for a failure domain."""
+    names = [
+        vm.name
+        for vm in vms
+        if vm.failure_domain == failure_domain
+        and vm.state is VmState.LIVE
+        and vm.name not in excluded
+    ]
+    ranked = sorted(names, key=lambda name: _score(failure_domain, name))
+    return tuple(ranked[:READERS_IN_DOMAIN])
+
+
+def _score(failure_domain: str, name: str) -> int:
+    return xxhash.xxh64_intdigest(f"{failure_domain}\0{name}".encode())
+
+
+class ReadDuty:
+    """Decides when one process reads the platform.
+
+    Args:
+        name: of this process.
+        now: time in seconds at which the process started.
+        silence_seconds: age of the platform's latest known answer at which it reads by itself.
+    """
+
+    def __init__(
+        self, name: str, failure_domain: str, random: Random, now: float, silence_seconds: float
+    ) -> None:
+        self._name = name
+        self._failure_domain = failure_domain
+        self._random = random
+        self._silence_seconds = silence_seconds
+        self._vms: Sequence[Vm] = ()
+        self._excluded: frozenset[str] = frozenset()
+        self._readers: tuple[str, ...] = ()
+        self._contact_at: float | None = None
+        self._quiet_until = now + min(START_PATIENCE_SECONDS, silence_seconds)
+        self._direct_at: float | None = None
+        self._failures = 0
+        self._retry_at = now
+        self._bucket = TokenBucket(*self._direct_rate(), now)
+
+    @property
+    def is_reader(self) -> bool:
+        """Return whether this process holds a watch for its failure domain."""
+        return self._name in self._readers
+
+    @property
+    def contact_at(self) -> float | None:
+        """Return when the platform is last known to have answered anyone."""
+        return self._contact_at
+
+    @property
+    def processes(self) -> int:
+        """Return the fleet's size, or a guess on the large side."""
+        return len(self._vms) or UNKNOWN_FLEET_PROCESSES
+
+    @property
+    def vm_list_seconds(self) -> float:
+        """Return the least time between two reads of the VM list for a steady total rate."""
+        return self.processes / VM_LIST_READS_PER_SECOND
+
+    def set_vms(self, vms: Sequence[Vm], now: float) -> None:
+        """Take a VM list."""
+        self._vms = vms
+        self._pick(now)
+
+    def set_excluded(self, names: Collection[str], now: float) -> None:
+        """Take the names of the processes that are known not to answer."""
+        excluded = frozenset(names) - {self._name}
+        if excluded != self._excluded:
+            self._excluded = excluded
+            self._pick(now)
+
+    def note_contact(self, at: float) -> None:
+        """Note that the platform answered someone at a time of this process's clock."""
+        if self._contact_at is None or at > self._contact_at:
+            self._contact_at = at
+        quiet_until = at + self._silence_seconds
+        if quiet_until > self._quiet_until:
+            self._quiet_until = quiet_until
+            self._direct_at = None
+
+    def note_success(self, now: float) -> None:
+        """Note that the platform answered this process."""
+        self._failures = 0
+        self._retry_at = now
+        self.note_contact(now)
+
+    def note_failure(self, now: float) -> None:
+        """Note that the platform failed this process."""
+        longest = LONGEST_READER_BACKOFF_SECONDS
+        if not self.is_reader:
+            longest = LONGEST_DIRECT_BACKOFF_SECONDS
+        backoff = min(longest, FIRST_BACKOFF_SECONDS * 2.0 ** min(self._failures, 10))
+        self._failures += 1
+        self._retry_at = now + backoff * self._random.uniform(0.5, 1.0)
+
+    def take_token(self, now: float) -> float:
+        """Account for one read and return the seconds to wait before it."""
+        return self._bucket.take(now)
+
+    def decide(self, now: float) -> ReadDecision:
+        """Return what to do now."""
+        if now < self._retry_at:
+            return Wait(self._retry_at - now)
+        if self.is_reader:
+            return Watch()
+        if now < self._quiet_until:
+            return Wait(self._quiet_until - now)
+        if self._direct_at is None:
+            self._direct_at = now + self._random.uniform(0.0, self._window_seconds())
+        if now < self._direct_at:
+            return Wait(self._direct_at - now)
+        self._direct_at = None
+        return ReadOnce()
+
+    def _window_seconds(self) -> float:
+        """Return how long the fleet needs for a full burst of each process."""
+        return self.processes * READ_BURST / DIRECT_READS_PER_SECOND
+
+    def _direct_rate(self) -> tuple[float, float]:
+        return DIRECT_READS_PER_SECOND / self.processes, READ_BURST
+
+    def _pick(self, now: float) -> None:
+        was_reader = self.is_reader
+        self._readers = readers_of(self._vms, self._failure_domain, self._excluded)
+        if self.is_reader:
+            domains = len({vm.failure_domain for vm in self._vms})
+            rate = READER_READS_PER_SECOND / (READERS_IN_DOMAIN * domains)
+            self._bucket.set_rate(rate, READER_BURST, now)
+        else:
+            self._bucket.set_rate(*self._direct_rate(), now)
+        if self.is_reader and not was_reader:
+            self._retry_at = now
--- /dev/null
+++ b/egretsill/configuration/_sources.py
@@ -0,0 +1,187 @@
+"""Reading a publication from the platform or a peer, and answering a peer that reads from us."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from typing import Protocol, TypeAlias
+
+from ._bundle_codec import (
+    Head,
+    Publication,
+    assemble_publication,
+    decode_head,
+    decode_index,
+    decode_page,
+    encode_head,
+    index_after_changes,
+    index_key,
+    missing_services,
+    page_key,
+    service_key,
+)
+from ._exceptions import MalformedValue, PeerAnswerMalformed, PeerHoldsNothing, TornPublication
+from ._messages import (
+    MAXIMUM_NAMES,
+    NO_REVISION,
+    ConfigurationAnswer,
+    ConfigurationQuestion,
+    HeadFound,
+    HeadWanted,
+    IndexFound,
+    IndexWanted,
+    NothingHeld,
+    ServicesFound,
+    ServicesWanted,
+)
+from ._platform_client import Value
+
+SINGLE_READS_FOR_EACH_PAGE = 4
+ANSWER_BYTES = 512_000
+MAXIMUM_INDEX_ENTRIES = 100_000
+
+Ask: TypeAlias = Callable[[ConfigurationQuestion], Awaitable[ConfigurationAnswer]]
+Read: TypeAlias = Callable[[str], Awaitable[Value]]
+
+
+class PublicationSource(Protocol):
+    """Where the values of one publication are read from."""
+
+    async def index(self, head: Head) -> Mapping[str, str]:
+        """Return the whole index."""
+
+    async def services(self, head: Head, names: Sequence[str]) -> Mapping[str, bytes]:
+        """Return the values of services; those that are missing are left out."""
+
+
+async def read_publication(
+    source: PublicationSource, head: Head, known: Publication | None
+) -> Publication:
+    """Return the publication of a head, reading only what is not known.
+
+    Raises:
+        ConfigurationError: if values can't be read or don't belong together.
+    """
+    index = index_after_changes(head, known) if known else None
+    if index is None:
+        index = await source.index(head)
+    missing = missing_services(index, known)
+    fetched = await source.services(head, missing) if missing else {}
+    return assemble_publication(head, index, fetched, known)
+
+
+class PlatformSource:
+    """Reads from the platform; pages when much is missing.
+
+    Args:
+        read: returns a value, within the process's share of the platform's reads.
+    """
+
+    def __init__(self, read: Read) -> None:
+        self._read = read
+
+    async def index(self, head: Head) -> Mapping[str, str]:
+        """Return the whole index."""
+        parts = [(await self._read(index_key(each))).content for each in range(head.index_parts)]
+        return decode_index(head, parts)
+
+    async def services(self, head: Head, names: Sequence[str]) -> Mapping[str, bytes]:
+        """Return the values of services; those that are missing are left out."""
+        if len(names) <= SINGLE_READS_FOR_EACH_PAGE * max(1, head.pages):
+            return {name: (await self._read(service_key(name))).content for name in names}
+        fetched: dict[str, bytes] = {}
+        for number in range(head.pages):
+            key = page_key(number)
+            fetched.update(decode_page(key, (await self._read(key)).content))
+        return fetched
+
+
+class PeerSource:
+    """Reads from another process.
+
+    Args:
+        ask: puts one question to it.
+    """
+
+    def __init__(self, ask: Ask) -> None:
+        self._ask = ask
+        self._prefetched: Mapping[str, bytes] = {}
+
+    async def head(self, known: Publication | None) -> Head:
+        """Return the head of what the peer holds, and keep the changed values that come along."""
+        revision, digest = known.head.rank if known else (NO_REVISION, "")
+        match await self._ask(HeadWanted(revision, digest)):
+            case HeadFound(head, services):
+                self._prefetched = dict(services)
+                return decode_head(head)
+            case NothingHeld():
+                raise PeerHoldsNothing()
+            case answer:
+                raise PeerAnswerMalformed(type(answer).__name__)
+
+    async def index(self, head: Head) -> Mapping[str, str]:
+        """Return the whole index."""
+        index: dict[str, str] = {}
+        after = ""
+        while len(index) < MAXIMUM_INDEX_ENTRIES:
+            answer = await self._ask(IndexWanted(after))
+            if not isinstance(answer, IndexFound):
+                raise PeerAnswerMalformed(type(answer).__name__)
+            if not answer.entries:
+                return index
+            index.update(answer.entries)
+            last = answer.entries[-1][0]
+            if last <= after:
+                raise PeerAnswerMalformed("index out of order")
+            after = last
+        raise MalformedValue(index_key(0), "too many entries")
+
+    async def services(self, head: Head, names: Sequence[str]) -> Mapping[str, bytes]:
+        """Return the values of services; those that are missing are left out."""
+        fetched = {name: self._prefetched[name] for name in names if name in self._prefetched}
+        missing = [name for name in names if name not in fetched]
+        while missing:
+            answer = await self._ask(ServicesWanted(tuple(missing[:MAXIMUM_NAMES])))
+            if not isinstance(answer, ServicesFound):
+                raise PeerAnswerMalformed(type(answer).__name__)
+            new = {name: value for name, value in answer.services if name not in fetched}
+            if not new.keys() & set(missing):
+                raise TornPublication(service_key(missing[0]), head.revision)
+            fetched.update(new)
+            missing = [name for name in missing if name not in fetched]
+        return fetched
+
+
+def answer_question(
+    question: ConfigurationQuestion, held: Publication | None
+) -> ConfigurationAnswer:
+    """Return the answer to a peer that reads from this process."""
+    if held is None:
+        return NothingHeld()
+    match question:
+        case HeadWanted(revision, _):
+            changed = _changed_since(held, revision)
+            return HeadFound(encode_head(held.head), _as_many_as_fit(changed, held))
+        case IndexWanted(after):
+            names = sorted(name for name in held.index if name > after)[:MAXIMUM_NAMES]
+            return IndexFound(tuple((name, held.index[name]) for name in names))
+        case ServicesWanted(names):
+            return ServicesFound(_as_many_as_fit(names, held))
+
+
+def _changed_since(held: Publication, revision: int) -> Sequence[str]:
+    since = [change for change in held.head.changes if change.revision > revision]
+    return sorted({name for change in since for name, _ in change.services})
+
+
+def _as_many_as_fit(names: Sequence[str], held: Publication) -> tuple[tuple[str, bytes], ...]:
+    chosen: list[tuple[str, bytes]] = []
+    room = ANSWER_BYTES
+    for name in names:
+        value = held.values.get(name)
+        if value is None:
+            continue
+        room -= len(value)
+        if room < 0 and chosen:
+            break
+        chosen.append((name, value))
+    return tuple(chosen)
--- a/egretsill/configuration/tests/fleets.py
+++ b/egretsill/configuration/tests/fleets.py
@@ -11,6 +11,8 @@
     RequestClass,
     Service,
     Target,
+    Vm,
+    VmState,
     compile_publication,
 )
 
@@ -59,3 +61,10 @@
         backend=Address(host, 4),
         slots=2,
     )
+
+
+def make_vms(count: int) -> list[Vm]:
+    return [
+        Vm(f"vm-{number}", "agent", DOMAINS[number % len(DOMAINS)], VmState.LIVE)
+        for number in range(count)
+    ]
--- /dev/null
+++ b/egretsill/configuration/tests/test_readers.py
@@ -0,0 +1,138 @@
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+import pytest
+
+from .. import Vm, VmState
+from .._readers import (
+    DIRECT_READS_PER_SECOND,
+    READ_BURST,
+    ReadDuty,
+    ReadOnce,
+    TokenBucket,
+    Wait,
+    Watch,
+    readers_of,
+)
+from .fleets import DOMAINS, make_vms
+
+SILENCE_SECONDS = 20.0
+
+
+def make_duty(name: str, seed: int = 1) -> ReadDuty:
+    domain = next(vm.failure_domain for vm in make_vms(30) if vm.name == name)
+    duty = ReadDuty(name, domain, Random(seed), 0.0, SILENCE_SECONDS)
+    duty.set_vms(make_vms(30), 0.0)
+    return duty
+
+
+def plain_name() -> str:
+    readers = {name for domain in DOMAINS for name in readers_of(make_vms(30), domain)}
+    return next(vm.name for vm in make_vms(30) if vm.name not in readers)
+
+
+def test_each_failure_domain_has_two_readers_of_its_own() -> None:
+    vms = make_vms(30)
+    domains = {vm.name: vm.failure_domain for vm in vms}
+    for domain in DOMAINS:
+        readers = readers_of(vms, domain)
+        assert len(set(readers)) == 2
+        assert {domains[name] for name in readers} == {domain}
+
+
+def test_a_list_in_another_order_names_the_same_readers() -> None:
+    vms = make_vms(30)
+    assert readers_of(vms[::-1], DOMAINS[0]) == readers_of(vms, DOMAINS[0])
+
+
+def test_a_leaving_or_unanswering_reader_is_replaced_and_the_other_stays() -> None:
+    vms = make_vms(30)
+    first, second = readers_of(vms, DOMAINS[0])
+    leaving = [Vm(first, "agent", DOMAINS[0], VmState.LEAVING)]
+    rest = [vm for vm in vms if vm.name != first]
+    assert readers_of([*rest, *leaving], DOMAINS[0])[0] == second
+    assert readers_of(vms, DOMAINS[0], {first}) == readers_of(rest, DOMAINS[0])
+
+
+def test_a_reader_watches_and_backs_off_after_failures() -> None:
+    duty = make_duty(readers_of(make_vms(30), DOMAINS[1])[0])
+    assert duty.decide(0.0) == Watch()
+    waits = []
+    for _ in range(8):
+        duty.note_failure(1.0)
+        decision = duty.decide(1.0)
+        assert isinstance(decision, Wait)
+        waits.append(decision.seconds)
+    assert max(waits) <= 4.0
+    assert waits[-1] > waits[0]
+    duty.note_success(10.0)
+    assert duty.decide(10.0) == Watch()
+
+
+def test_others_leave_the_platform_alone_while_it_is_known_to_answer() -> None:
+    duty = make_duty(plain_name())
+    now = 0.0
+    while now < 100.0:
+        duty.note_contact(now - 5.0)
+        assert isinstance(duty.decide(now), Wait)
+        now += 1.0
+
+
+def test_others_read_directly_after_silence() -> None:
+    duty = make_duty(plain_name())
+    duty.note_contact(10.0)
+    assert duty.decide(20.0) == Wait(10.0)
+    decision = duty.decide(30.0)
+    assert isinstance(decision, Wait)
+    assert duty.decide(30.0 + decision.seconds) == ReadOnce()
+
+
+def test_news_of_the_platform_calls_a_planned_read_off() -> None:
+    duty = make_duty(plain_name())
+    duty.note_contact(10.0)
+    assert isinstance(duty.decide(30.0), Wait)
+    duty.note_contact(29.0)
+    assert duty.decide(40.0) == Wait(9.0)
+
+
+def test_a_fleet_that_hears_nothing_spreads_its_reads() -> None:
+    duties = [
+        ReadDuty(vm.name, vm.failure_domain, Random(number), 0.0, SILENCE_SECONDS)
+        for number, vm in enumerate(make_vms(1300))
+    ]
+    vms = make_vms(1300)
+    reads: Counter[int] = Counter()
+    for duty in duties:
+        duty.set_vms(vms, 0.0)
+        now = 0.0
+        while now < 60.0:
+            match duty.decide(now):
+                case Wait(seconds):
+                    now += max(seconds, 0.001)
+                case _:
+                    reads[int(now)] += 1
+                    duty.note_failure(now)
+    assert sum(reads.values()) > 1300
+    assert max(reads.values()) < 2 * DIRECT_READS_PER_SECOND
+
+
+@pytest.mark.parametrize(
+    ("times", "waits"),
+    [
+        pytest.param([0.0, 0.0, 0.0], [0.0, 0.0, 0.5], id="after the burst"),
+        pytest.param([0.0, 0.0, 0.5], [0.0, 0.0, 0.0], id="refilled"),
+        pytest.param([0.0, 0.0, 9.0, 9.0, 9.0], [0.0, 0.0, 0.0, 0.0, 0.5], id="full again"),
+        pytest.param([5.0, 5.0, 1.0], [0.0, 0.0, 0.5], id="clock set back"),
+    ],
+)
+def test_a_bucket_spaces_reads(times: list[float], waits: list[float]) -> None:
+    bucket = TokenBucket(2.0, 2.0, 0.0)
+    assert [bucket.take(now) for now in times] == pytest.approx(waits)
+
+
+def test_the_bursts_of_a_fleet_take_their_time() -> None:
+    duty = make_duty(plain_name())
+    total = sum(duty.take_token(0.0) > 0 for _ in range(int(READ_BURST) + 2))
+    assert total == 2
--- a/egretsill/settings/_model.py
+++ b/egretsill/settings/_model.py
@@ -38,7 +38,7 @@
 
     addresses: tuple[Address, ...]
     read_seconds: float = 2.0
-    watch_seconds: float = 30.0
+    watch_seconds: float = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,14 +153,16 @@
         fetch_seconds: longest wait for changes from a peer.
         start_seconds: longest time that a new process asks around before it puts anything in
             force.
-        silence_seconds: time without a reader's heartbeat after which a process reads the
+        start_spread_seconds: window in which a new process first reads the VM list.
+        silence_seconds: age of the platform's latest known answer at which a process reads the
             platform itself.
     """
 
-    period_seconds: float = 2.0
-    fetch_seconds: float = 2.0
+    period_seconds: float = 1.0
+    fetch_seconds: float = 5.0
     start_seconds: float = 2.0
-    silence_seconds: float = 3.0
+    start_spread_seconds: float = 1.5
+    silence_seconds: float = 20.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/egretsill/settings/_sections.py
+++ b/egretsill/settings/_sections.py
@@ -91,7 +91,7 @@
 
     addresses: Annotated[Endpoints, Field(min_length=1)]
     read_time: Seconds = 2.0
-    watch_time: Seconds = 30.0
+    watch_time: Seconds = 5.0
 
     def to_settings(self) -> PlatformSettings:
         """Return the section as a value."""
@@ -197,11 +197,14 @@
     period: Seconds = _EXCHANGE.period_seconds
     fetch_time: Seconds = _EXCHANGE.fetch_seconds
     start_time: Seconds = _EXCHANGE.start_seconds
+    start_spread: Seconds = _EXCHANGE.start_spread_seconds
     silence: Seconds = _EXCHANGE.silence_seconds
 
     def to_settings(self) -> ExchangeSettings:
         """Return the section as a value."""
-        return ExchangeSettings(self.period, self.fetch_time, self.start_time, self.silence)
+        return ExchangeSettings(
+            self.period, self.fetch_time, self.start_time, self.start_spread, self.silence
+        )
 
 
 class ShutdownSection(SectionModel):
