Tell how news reaches a fleet, and gather one process's decisions in a core

Cause: ledger, reading duty and exchange were joined only inside the I/O edge, so nothing but a running service could drive them together. Change: a core without I/O that the service and measures drive alike; scenarios under virtual time for stale and dead platforms, torn publishes, cut failure domains, replaced processes, lost readers and two contents under one number.

--- a/egretsill/configuration/__init__.py
+++ b/egretsill/configuration/__init__.py
@@ -8,13 +8,9 @@
     decode_publication,
     encode_publication,
 )
+from ._core import DistributionTimes
 from ._declaration import load_declaration
-from ._distributor import (
-    ConfigurationService,
-    DistributionCounters,
-    DistributionTimes,
-    PlatformReader,
-)
+from ._distributor import ConfigurationService, DistributionCounters, PlatformReader
 from ._exceptions import (
     ConfigurationError,
     DeclarationRejected,
--- a/egretsill/configuration/_distributor.py
+++ b/egretsill/configuration/_distributor.py
@@ -13,25 +13,20 @@
 
 from ..timing import ClockJump, TimerService
 from ._bundle_codec import HEAD_KEY, Publication, decode_head
+from ._core import CoreEffect, DistributionCore, DistributionTimes
 from ._exceptions import ConfigurationError, PeerFailure, PlatformFailure, TornPublication
-from ._exchange import Announce, Exchange, ExchangeEffect, FetchFrom, Peer, Standing
-from ._ledger import LedgerEffect, PutInForce, RevisionConflict, RevisionLedger
-from ._messages import (
-    Announcement,
-    ConfigurationAnswer,
-    ConfigurationQuestion,
-    Rank,
-)
+from ._exchange import Announce, FetchFrom, Peer
+from ._ledger import PutInForce, RevisionConflict
+from ._messages import Announcement, ConfigurationAnswer, ConfigurationQuestion
 from ._model import Address, Bundle
 from ._platform_client import Value, WatchAnswer
-from ._readers import ReadDuty, ReadOnce, Wait, Watch
+from ._readers import ReadOnce, Wait, Watch
 from ._sources import PeerSource, PlatformSource, answer_question, read_publication
 from ._vms import VMS_KEY, Vm, decode_vms
 
 TICK_SECONDS = 0.25
 TORN_RETRY_SECONDS = 0.2
 WAKE_SECONDS = 1.0
-COMPARISONS_AFTER_JUMP = 3
 FIRST_VM_LIST_BACKOFF_SECONDS = 1.0
 LONGEST_VM_LIST_BACKOFF_SECONDS = 30.0
 
@@ -49,29 +44,6 @@
         """Return a value with a version above `after`, or Unchanged."""
 
 
-@dataclass(frozen=True, slots=True)
-class DistributionTimes:
-    """Durations in seconds.
-
-    Attributes:
-        period: between two comparisons with a random peer.
-        fetch: longest wait for all content from a peer.
-        start: length of the start-up in which nothing is put in force.
-        start_spread: window in which a new process first reads the VM list.
-        silence: age of the platform's latest known answer at which each process reads by itself.
-        watch: length of one watch.
-        vm_list: between two reads of the VM list, longer in a large fleet.
-    """
-
-    period: float = 1.0
-    fetch: float = 5.0
-    start: float = 2.0
-    start_spread: float = 1.5
-    silence: float = 20.0
-    watch: float = 5.0
-    vm_list: float = 10.0
-
-
 @dataclass(slots=True)
 class DistributionCounters:
     """What happened so far, for metrics.
@@ -129,11 +101,17 @@
         self._peers = peers
         self._send = send
         self._fetch = fetch
-        self._seeds = tuple(seeds)
-        now = timer.now
-        self._ledger = RevisionLedger(now, self._times.start)
-        self._duty = ReadDuty(name, failure_domain, random, now, self._times.silence)
-        self._exchange = Exchange(name, failure_domain, relay, random)
+        self._core = DistributionCore(
+            name=name,
+            failure_domain=failure_domain,
+            relay=relay,
+            seeds=seeds,
+            random=random,
+            now=timer.now,
+            times=self._times,
+        )
+        self._duty = self._core.duty
+        self._ledger = self._core.ledger
         self._subscribers: list[Callable[[Bundle], None]] = []
         self._vm_subscribers: list[Callable[[Sequence[Vm]], None]] = []
         self._conflict_subscribers: list[Callable[[RevisionConflict], None]] = []
@@ -142,7 +120,6 @@
         self._fetches_out, self._fetches_in = trio.open_memory_channel[FetchFrom](8)
         self._duty_changed = trio.Event()
         self._version = 0
-        self._compare_at = now
 
     @property
     def bundle(self) -> Bundle | None:
@@ -169,8 +146,7 @@
     @property
     def platform_age_seconds(self) -> float | None:
         """Return the time since the platform is known to have answered anyone."""
-        at = self._duty.contact_at
-        return None if at is None else max(0.0, self._timer.now - at)
+        return self._core.standing(self._timer.now).contact_age_seconds
 
     @property
     def older_ignored(self) -> int:
@@ -208,13 +184,8 @@
 
     def receive(self, message: Announcement, sender: Address) -> None:
         """Take an announcement that arrived from a gossip endpoint."""
-        now = self._timer.now
         self._counters.announcements_received += 1
-        if message.contact_age_ms is not None:
-            self._duty.note_contact(now - message.contact_age_ms / 1000)
-        rank = message.rank
-        self._apply(self._ledger.note_announcement(message.sender, rank, message.settled, now))
-        self._carry_out(self._exchange.receive(message, sender, self._standing()))
+        self._carry_out(self._core.receive(message, sender, self._timer.now))
 
     def answer(self, question: ConfigurationQuestion) -> ConfigurationAnswer:
         """Return the answer to a peer's question."""
@@ -232,33 +203,16 @@
         finally:
             tick.cancel()
 
-    def _standing(self) -> Standing:
-        return Standing(self._ledger.rank, self._ledger.settled, self.platform_age_seconds)
-
     def _on_tick(self, now: float) -> None:
-        self._apply(self._ledger.settle(now))
-        if now < self._compare_at:
-            return
-        self._compare_at = now + self._times.period * self._random.uniform(0.75, 1.25)
-        self._compare(1)
+        self._carry_out(self._core.tick(now, self._peers()))
 
     def _on_jump(self, jump: ClockJump) -> None:
-        self._compare(COMPARISONS_AFTER_JUMP)
-
-    def _compare(self, count: int) -> None:
-        peers = self._peers()
-        if not peers:
-            self._carry_out(self._exchange.ask(self._standing(), self._seeds))
-            return
-        self._carry_out(self._exchange.compare(self._standing(), peers, count))
+        self._carry_out(self._core.wake(jump.after, self._peers()))
 
     def _offer(self, publication: Publication) -> None:
-        before = self._ledger.rank
-        self._apply(self._ledger.offer(publication, self._timer.now))
-        if self._ledger.rank != before:
-            self._carry_out(self._exchange.push(self._standing(), self._peers()))
+        self._carry_out(self._core.offer(publication, self._timer.now, self._peers()))
 
-    def _apply(self, effects: Sequence[LedgerEffect]) -> None:
+    def _carry_out(self, effects: Sequence[CoreEffect]) -> None:
         for effect in effects:
             match effect:
                 case PutInForce(publication):
@@ -267,10 +221,6 @@
                 case RevisionConflict():
                     for alarm in self._conflict_subscribers:
                         alarm(effect)
-
-    def _carry_out(self, effects: Sequence[ExchangeEffect]) -> None:
-        for effect in effects:
-            match effect:
                 case Announce(to, message):
                     self._counters.announcements_sent += 1
                     self._send(to, message)
@@ -280,7 +230,7 @@
     async def _fetch_from_peers(self) -> None:
         async for effect in self._fetches_in:
             await self._fetch_from_peer(effect.relay)
-            self._carry_out(self._exchange.fetch_ended(effect.relay, self._standing()))
+            self._carry_out(self._core.fetch_ended(effect.relay, self._timer.now))
 
     async def _fetch_from_peer(self, relay: Address) -> None:
         self._counters.peer_fetches += 1
@@ -333,18 +283,11 @@
         head = decode_head(value.content)
         known = self._ledger.held
         if not self._ledger.is_news(head.rank):
-            self._note_old(head.rank)
+            self._carry_out(self._core.note_platform_rank(head.rank, self._timer.now))
             return
         source = PlatformSource(self._read_value)
         self._offer(await read_publication(source, head, known))
 
-    def _note_old(self, rank: Rank) -> None:
-        own = self._ledger.rank
-        if own is not None and rank < own:
-            self._ledger.note_older()
-            effects = self._ledger.note_announcement("", rank, False, self._timer.now)
-            self._apply(effects)
-
     async def _read_value(self, key: str) -> Value:
         await self._spend_token()
         return await self._platform.read(key)
--- a/egretsill/configuration/_ledger.py
+++ b/egretsill/configuration/_ledger.py
@@ -122,9 +122,10 @@
                 self._settled_peers.add(sender)
         return [*effects, *self.settle(now)]
 
-    def note_older(self) -> None:
-        """Count a lower revision that was seen without its content."""
+    def note_platform(self, rank: Rank, now: float) -> Sequence[LedgerEffect]:
+        """Note a lower rank that the platform has; its content is not read."""
         self._older_ignored += 1
+        return [*self._compare(rank), *self.settle(now)]
 
     def settle(self, now: float) -> Sequence[LedgerEffect]:
         """End the start-up if its time has come; to be called regularly."""
--- a/egretsill/configuration/tests/fleets.py
+++ b/egretsill/configuration/tests/fleets.py
@@ -29,7 +29,7 @@
     history = [compile_publication(current, 1)]
     for revision in range(2, length + 1):
         name = f"service-{revision % services}"
-        limits = dataclasses.replace(current[name].limits, queue_length=revision)
+        limits = dataclasses.replace(current[name].limits, queue_length=revision + 100)
         current = {**current, name: dataclasses.replace(current[name], limits=limits)}
         history.append(compile_publication(current, revision, history[-1]))
     return history
