Check, compile and compare declarations from the command line

Cause: operators could not see what a declaration would do before they publish it. Change: commands that check a base file with its overlay, write the values to publish with the head last and the recent changes carried on, and compare two bundles; text and JSON. Conclusion: a revision that is not higher is refused before anything is written.

--- a/egretsill/configuration/__init__.py
+++ b/egretsill/configuration/__init__.py
@@ -1,6 +1,7 @@
 """Services, targets and limits as the operators declared them, and how a process learns them."""
 
 from ._bundle_codec import (
+    HEAD_KEY,
     Change,
     Head,
     Publication,
@@ -66,6 +67,7 @@
     "DeclarationRejected",
     "DistributionCounters",
     "DistributionTimes",
+    "HEAD_KEY",
     "Head",
     "HeadWanted",
     "IndexWanted",
--- /dev/null
+++ b/egretsill/ctl/_bundle_files.py
@@ -0,0 +1,74 @@
+"""A published bundle as files below a directory, one file for each value."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Mapping
+from pathlib import Path
+
+from ..configuration import (
+    HEAD_KEY,
+    ConfigurationError,
+    Publication,
+    decode_publication,
+    encode_publication,
+)
+
+
+class RevisionNotHigher(ConfigurationError):
+    """A revision number that would go back or give two contents to one number.
+
+    Attributes:
+        revision: the number that was asked for.
+        published: the number in the directory.
+    """
+
+    def __init__(self, revision: int, published: int) -> None:
+        super().__init__(f"revision {revision} is not above {published}, which is published")
+        self.revision = revision
+        self.published = published
+
+
+def read_publication_files(directory: Path) -> Publication:
+    """Return the publication below a directory.
+
+    Raises:
+        ConfigurationError: if values are missing, malformed or of different revisions.
+        OSError: if a file can't be read.
+    """
+    return decode_publication(_read_values(directory))
+
+
+def write_publication_files(directory: Path, publication: Publication) -> int:
+    """Write a publication, its head last, then remove values it doesn't have.
+
+    Returns the number of files that changed.
+
+    Raises:
+        ConfigurationError: if a value is too large.
+        OSError: if a file can't be written.
+    """
+    values = encode_publication(publication)
+    before = _read_values(directory)
+    changed = [key for key, value in values.items() if before.get(key) != value]
+    for key in sorted(changed, key=lambda key: key == HEAD_KEY):
+        _replace(directory / key, values[key])
+    for key in before.keys() - values.keys():
+        if key.partition("/")[0] in ("index", "page", "service"):
+            (directory / key).unlink()
+    return len(changed)
+
+
+def _read_values(directory: Path) -> Mapping[str, bytes]:
+    return {
+        path.relative_to(directory).as_posix(): path.read_bytes()
+        for path in sorted(directory.rglob("*"))
+        if path.is_file() and not path.name.startswith(".")
+    }
+
+
+def _replace(path: Path, content: bytes) -> None:
+    path.parent.mkdir(parents=True, exist_ok=True)
+    part = path.with_name(f".{path.name}.part")
+    part.write_bytes(content)
+    os.replace(part, path)
--- /dev/null
+++ b/egretsill/ctl/_check.py
@@ -0,0 +1,97 @@
+"""`egretsillctl check`: whether a declaration would be accepted."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Mapping, Sequence
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+from absl.flags import FlagValues
+
+from ..configuration import DeclarationRejected, Problem, Service, load_declaration
+from ._command import EXIT_FAILED, EXIT_OK, EXIT_USAGE, Command, new_flags
+
+
+@dataclass(frozen=True, slots=True)
+class CheckedService:
+    """One accepted service in numbers."""
+
+    name: str
+    classes: int
+    targets: int
+    slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class CheckResult:
+    """What a check found; a declaration is accepted if there are no problems."""
+
+    problems: tuple[Problem, ...]
+    services: tuple[CheckedService, ...]
+
+    @property
+    def accepted(self) -> bool:
+        """Return whether the declaration can be compiled."""
+        return not self.problems
+
+    def to_text(self) -> str:
+        """Return the result for people."""
+        if self.problems:
+            return "\n".join(each.message for each in self.problems)
+        return "\n".join(
+            f"{each.name}: {each.classes} classes, {each.targets} targets, {each.slots} slots"
+            for each in self.services
+        )
+
+    def to_json(self) -> str:
+        """Return the result as JSON."""
+        problems = [problem_fields(each) for each in self.problems]
+        services = [asdict(each) for each in self.services]
+        return json.dumps({"accepted": self.accepted, "problems": problems, "services": services})
+
+
+def make_command() -> Command:
+    """Return the command."""
+    return Command(
+        "check",
+        "BASE [OVERLAY]",
+        "Check a base file, with a site's overlay on it, and name every mistake.",
+        new_flags(),
+        _run,
+    )
+
+
+def check(base: Path, overlay: Path | None = None) -> CheckResult:
+    """Return what is wrong with a declaration, or what it declares."""
+    try:
+        services = load_declaration(base, overlay)
+    except DeclarationRejected as error:
+        return CheckResult(error.problems, ())
+    return CheckResult((), tuple(_summary(each) for each in services.values()))
+
+
+def problem_fields(problem: Problem) -> Mapping[str, str]:
+    """Return a mistake as fields for JSON."""
+    return {
+        "type": type(problem).__name__,
+        "file": problem.file,
+        "section": problem.section,
+        "key": problem.key,
+        "reason": problem.reason,
+    }
+
+
+def _summary(service: Service) -> CheckedService:
+    slots = sum(target.slots for target in service.targets)
+    return CheckedService(service.name, len(service.classes), len(service.targets), slots)
+
+
+def _run(values: FlagValues, arguments: Sequence[str]) -> int:
+    if not 1 <= len(arguments) <= 2:
+        print("check takes BASE and perhaps OVERLAY", file=sys.stderr)
+        return EXIT_USAGE
+    result = check(*map(Path, arguments))
+    print(result.to_json() if values.output == "json" else result.to_text())
+    return EXIT_OK if result.accepted else EXIT_FAILED
--- /dev/null
+++ b/egretsill/ctl/_diff.py
@@ -0,0 +1,139 @@
+"""`egretsillctl diff`: what differs between two published bundles."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import json
+import sys
+from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Any
+
+from absl.flags import FlagValues
+
+from ..configuration import Bundle, ConfigurationError, Service
+from ._bundle_files import read_publication_files
+from ._command import EXIT_FAILED, EXIT_OK, EXIT_USAGE, Command, new_flags
+
+
+class DifferenceKind(enum.Enum):
+    """How a part differs."""
+
+    ADDED = "added"
+    REMOVED = "removed"
+    CHANGED = "changed"
+
+
+@dataclass(frozen=True, slots=True)
+class Difference:
+    """One part that differs.
+
+    Attributes:
+        part: such as "service catalog" or "target catalog-1".
+        field: which attribute changed; "" if the whole part was added or removed.
+        before: as text; "" if it was added.
+        after: as text; "" if it was removed.
+    """
+
+    kind: DifferenceKind
+    part: str
+    field: str = ""
+    before: str = ""
+    after: str = ""
+
+    def to_text(self) -> str:
+        """Return the difference in a line."""
+        if self.kind is DifferenceKind.CHANGED:
+            return f"{self.part}: {self.field} {self.before} -> {self.after}"
+        return f"{self.part}: {self.kind.value}"
+
+
+@dataclass(frozen=True, slots=True)
+class DiffResult:
+    """All that differs between two bundles."""
+
+    before: int
+    after: int
+    differences: tuple[Difference, ...]
+
+    def to_text(self) -> str:
+        """Return the result for people."""
+        lines = [f"revision {self.before} -> {self.after}: {len(self.differences)} differences"]
+        return "\n".join([*lines, *(f"  {each.to_text()}" for each in self.differences)])
+
+    def to_json(self) -> str:
+        """Return the result as JSON."""
+        differences = [{**asdict(each), "kind": each.kind.value} for each in self.differences]
+        return json.dumps({"before": self.before, "after": self.after, "differences": differences})
+
+
+def make_command() -> Command:
+    """Return the command."""
+    return Command(
+        "diff", "BEFORE AFTER", "Compare the bundles in two directories.", new_flags(), _run
+    )
+
+
+def diff(before: Bundle, after: Bundle) -> DiffResult:
+    """Return what differs between two bundles."""
+    differences: list[Difference] = []
+    for name, old, new in _pairs(before.services, after.services):
+        differences.extend(_compare_services(name, old, new))
+    return DiffResult(before.revision, after.revision, tuple(differences))
+
+
+def _compare_services(name: str, old: Service | None, new: Service | None) -> Iterator[Difference]:
+    yield from _compare(f"service {name}", old, new, skipped=("classes", "targets"))
+    if old is None or new is None:
+        return
+    classes = _pairs(_by_name(old.classes), _by_name(new.classes))
+    for each, old_class, new_class in classes:
+        yield from _compare(f"class {name}/{each}", old_class, new_class)
+    for each, old_target, new_target in _pairs(_by_name(old.targets), _by_name(new.targets)):
+        yield from _compare(f"target {each}", old_target, new_target)
+
+
+def _compare(part: str, old: Any, new: Any, skipped: Sequence[str] = ()) -> Iterator[Difference]:
+    if old is None or new is None:
+        yield Difference(DifferenceKind.ADDED if old is None else DifferenceKind.REMOVED, part)
+        return
+    for field in dataclasses.fields(old):
+        before, after = getattr(old, field.name), getattr(new, field.name)
+        if field.name not in skipped and before != after:
+            texts = (_to_text(before), _to_text(after))
+            yield Difference(DifferenceKind.CHANGED, part, field.name, *texts)
+
+
+def _by_name(parts: Sequence[Any]) -> Mapping[str, Any]:
+    return {each.name: each for each in parts}
+
+
+def _pairs(
+    before: Mapping[str, Any], after: Mapping[str, Any]
+) -> Iterator[tuple[str, Any | None, Any | None]]:
+    for name in sorted(before.keys() | after.keys()):
+        yield name, before.get(name), after.get(name)
+
+
+def _to_text(value: object) -> str:
+    if isinstance(value, enum.Enum):
+        return str(value.value)
+    if isinstance(value, tuple) and not hasattr(value, "_fields"):
+        return ", ".join(_to_text(each) for each in value)
+    return str(value)
+
+
+def _run(values: FlagValues, arguments: Sequence[str]) -> int:
+    if len(arguments) != 2:
+        print("diff takes BEFORE and AFTER", file=sys.stderr)
+        return EXIT_USAGE
+    try:
+        before, after = (read_publication_files(Path(each)).bundle for each in arguments)
+    except (ConfigurationError, OSError) as error:
+        print(f"diff: {error}", file=sys.stderr)
+        return EXIT_FAILED
+    result = diff(before, after)
+    print(result.to_json() if values.output == "json" else result.to_text())
+    return EXIT_OK
--- /dev/null
+++ b/egretsill/ctl/tests/test_declarations.py
@@ -0,0 +1,120 @@
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+
+from ... import ctl
+from .. import _check, _compile, _diff
+from .._bundle_files import RevisionNotHigher, read_publication_files
+from .._check import check
+from .._command import EXIT_FAILED, EXIT_OK, EXIT_USAGE, Command
+from .._compile import compile_declaration
+from .._diff import Difference, DifferenceKind, diff
+
+EXAMPLES = Path(ctl.__file__).parents[2] / "examples"
+BASE, OVERLAY = EXAMPLES / "sibiu.ini", EXAMPLES / "sibiu-site.ini"
+
+
+def run(command: Command, *arguments: str) -> int:
+    return command.run(command.flags, command.flags([command.name, *arguments])[1:])
+
+
+def test_a_good_declaration_is_accepted(capsys: pytest.CaptureFixture[str]) -> None:
+    assert run(_check.make_command(), "--output=json", str(BASE), str(OVERLAY)) == EXIT_OK
+    result = json.loads(capsys.readouterr().out)
+    assert result["accepted"] is True
+    assert {each["name"]: each["targets"] for each in result["services"]} == {
+        "catalog": 7,
+        "upload": 3,
+    }
+
+
+def test_every_mistake_is_named(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    bad = tmp_path / "bad.ini"
+    bad.write_text(BASE.read_text().replace("slots = 2", "slots = two"))
+    assert len(check(bad).problems) == 10
+    assert run(_check.make_command(), "--output=json", str(bad)) == EXIT_FAILED
+    problem = json.loads(capsys.readouterr().out)["problems"][0]
+    assert (problem["type"], problem["key"]) == ("InvalidValue", "slots")
+    assert run(_check.make_command(), str(bad)) == EXIT_FAILED
+    assert "[target catalog-1] slots" in capsys.readouterr().out
+
+
+def test_a_compiled_declaration_is_read_back(tmp_path: Path) -> None:
+    out = tmp_path / "out"
+    result = compile_declaration(BASE, OVERLAY, 5, out)
+    publication = read_publication_files(out)
+    assert (publication.head.revision, publication.head.digest) == (5, result.digest)
+    assert publication.bundle.services["catalog"].limits.queue_seconds == 0.25
+
+
+def test_the_next_revision_carries_on(tmp_path: Path) -> None:
+    compile_declaration(BASE, None, 5, tmp_path)
+    compile_declaration(BASE, OVERLAY, 6, tmp_path)
+    changes = read_publication_files(tmp_path).head.changes
+    assert [(each.revision, [name for name, _ in each.services]) for each in changes] == [
+        (5, ["catalog", "upload"]),
+        (6, ["catalog"]),
+    ]
+
+
+def test_values_of_removed_services_are_removed(tmp_path: Path) -> None:
+    compile_declaration(BASE, None, 5, tmp_path)
+    compile_declaration(EXAMPLES / "kallioniemi.ini", None, 6, tmp_path)
+    assert sorted(path.name for path in (tmp_path / "service").iterdir()) == [
+        "hakusana",
+        "vastaanotto",
+    ]
+
+
+@pytest.mark.parametrize("revision", [pytest.param(5, id="same"), pytest.param(4, id="lower")])
+def test_a_revision_that_is_not_higher_is_refused(tmp_path: Path, revision: int) -> None:
+    compile_declaration(BASE, None, 5, tmp_path)
+    with pytest.raises(RevisionNotHigher):
+        compile_declaration(BASE, OVERLAY, revision, tmp_path)
+    assert read_publication_files(tmp_path).head.revision == 5
+
+
+def test_differences_are_named(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    overlay = tmp_path / "overlay.ini"
+    overlay.write_text("[target catalog-1]\nstate = draining\n[class catalog/orders]\nweight = 5\n")
+    compile_declaration(BASE, None, 1, tmp_path / "one")
+    compile_declaration(BASE, overlay, 2, tmp_path / "two")
+    before, after = (read_publication_files(tmp_path / each).bundle for each in ("one", "two"))
+    assert diff(before, after).differences == (
+        Difference(DifferenceKind.CHANGED, "class catalog/orders", "weight", "4.0", "5.0"),
+        Difference(DifferenceKind.CHANGED, "target catalog-1", "state", "active", "draining"),
+    )
+    arguments = [str(tmp_path / "one"), str(tmp_path / "two")]
+    assert run(_diff.make_command(), *arguments) == EXIT_OK
+    assert "target catalog-1: state active -> draining" in capsys.readouterr().out
+    assert run(_diff.make_command(), "--output=json", *arguments) == EXIT_OK
+    assert len(json.loads(capsys.readouterr().out)["differences"]) == 2
+
+
+def test_added_and_removed_parts_are_named(tmp_path: Path) -> None:
+    compile_declaration(BASE, None, 1, tmp_path / "one")
+    compile_declaration(EXAMPLES / "kallioniemi.ini", None, 2, tmp_path / "two")
+    before, after = (read_publication_files(tmp_path / each).bundle for each in ("one", "two"))
+    assert {(each.kind, each.part) for each in diff(before, after).differences} == {
+        (DifferenceKind.REMOVED, "service catalog"),
+        (DifferenceKind.REMOVED, "service upload"),
+        (DifferenceKind.ADDED, "service hakusana"),
+        (DifferenceKind.ADDED, "service vastaanotto"),
+    }
+
+
+@pytest.mark.parametrize(
+    ("command", "arguments", "code"),
+    [
+        pytest.param(_check.make_command(), [], EXIT_USAGE, id="check nothing"),
+        pytest.param(_check.make_command(), ["/none.ini"], EXIT_FAILED, id="check no file"),
+        pytest.param(_compile.make_command(), [str(BASE)], EXIT_USAGE, id="compile, no revision"),
+        pytest.param(_diff.make_command(), ["/none", "/none"], EXIT_FAILED, id="diff of nothing"),
+        pytest.param(_diff.make_command(), ["/none"], EXIT_USAGE, id="diff of one"),
+    ],
+)
+def test_a_wrong_call_has_its_exit_code(command: Command, arguments: list[str], code: int) -> None:
+    assert run(command, *arguments) == code
