Rebuild only the routes of the services that a change touches

Every change built the routes of the whole fleet anew. Now services that are the same as before keep their routes, and the table of winners is made when a service sees its first packet, in half the memory (32 KB).

--- a/egretsill/benchmarks/steering.py
+++ b/egretsill/benchmarks/steering.py
@@ -6,6 +6,7 @@
 import sys
 import time
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from random import Random
 
 import trio
@@ -89,12 +90,13 @@
 
 
 def _bundle_times() -> Sequence[BenchmarkResult]:
-    """Return how long it takes to apply a configuration with one target changed."""
+    """Return how long it takes to apply a configuration with one target removed."""
     results = []
     for services in SERVICE_SIZES:
+        bundle = _bundle(services, DEFAULT_TARGETS + 3)
+        changed = _without_one_target(bundle)
         steering = Steering(CODEC, SourceLimit(NO_LIMIT))
-        steering.apply_bundle(_bundle(services, DEFAULT_TARGETS + 3), 0.0)
-        changed = _bundle(services, DEFAULT_TARGETS + 3, changed=True)
+        steering.apply_bundle(bundle, 0.0)
         start = time.process_time()
         steering.apply_bundle(changed, 1.0)
         milliseconds = 1e3 * (time.process_time() - start)
@@ -103,6 +105,12 @@
     return results
 
 
+def _without_one_target(bundle: Bundle) -> Bundle:
+    service = bundle.services["service-1"]
+    changed = replace(service, targets=service.targets[:-1])
+    return Bundle(2, "", {**bundle.services, service.name: changed})
+
+
 def _daemon_beside_forwarder() -> Sequence[BenchmarkResult]:
     """Return the rate of the whole balancer and of a forwarder, taken in turn in one run."""
     sinks = [open_socket() for _ in range(DEFAULT_TARGETS)]
@@ -186,13 +194,11 @@
     return Forwarder(address, run, lambda: balancer.counters.forwarded + balancer.counters.replied)
 
 
-def _bundle(
-    services: int, targets: int, tunnels: Sequence[Address] = (), changed: bool = False
-) -> Bundle:
+def _bundle(services: int, targets: int, tunnels: Sequence[Address] = ()) -> Bundle:
     declared = {}
     for number in range(1, services + 1):
         first = number * targets + 1
-        numbers = range(first, first + targets - (changed and number == 1))
+        numbers = range(first, first + targets)
         declared[f"service-{number}"] = Service(
             name=f"service-{number}",
             number=number,
--- a/egretsill/steering/_ranking.py
+++ b/egretsill/steering/_ranking.py
@@ -17,7 +17,7 @@
 
 _TARGET_NUMBER_BYTES = 4
 _BUCKET_BYTES = 2
-_UNKNOWN = 0xFFFF_FFFF
+_UNKNOWN = 0xFFFF
 
 
 def bucket_of(key: bytes) -> int:
@@ -57,7 +57,7 @@
     def __init__(self, target_numbers: Iterable[int]) -> None:
         self._target_numbers = tuple(sorted(target_numbers))
         self._encoded = tuple(_encoded(each) for each in self._target_numbers)
-        self._winners = array("I", (_UNKNOWN,)) * (BUCKETS if self._target_numbers else 0)
+        self._places = array("H")
 
     @property
     def target_numbers(self) -> tuple[int, ...]:
@@ -66,21 +66,28 @@
 
     def winner(self, key: bytes) -> int | None:
         """Return the first of the rank for a steering key, or None if there are no targets."""
+        if not self._places:
+            return self._begin(key)
+        bucket = xxh3_64_intdigest(key) % BUCKETS
+        place = self._places[bucket]
+        if place == _UNKNOWN:
+            place = self._fill(bucket)
+        return self._target_numbers[place]
+
+    def _begin(self, key: bytes) -> int | None:
+        """Make the table when it is first asked, since many services see few first packets."""
         if not self._target_numbers:
             return None
-        bucket = xxh3_64_intdigest(key) % BUCKETS
-        number = self._winners[bucket]
-        if number != _UNKNOWN:
-            return number
-        return self._fill(bucket)
+        self._places = array("H", (_UNKNOWN,)) * BUCKETS
+        return self.winner(key)
 
     def _fill(self, bucket: int) -> int:
         prefix = bucket.to_bytes(_BUCKET_BYTES, "big")
         weights = [xxh3_64_intdigest(prefix + encoded) for encoded in self._encoded]
         # Equal weights leave the lower number first, as the stable sort of `rank` does.
-        number = self._target_numbers[weights.index(max(weights))]
-        self._winners[bucket] = number
-        return number
+        place = weights.index(max(weights))
+        self._places[bucket] = place
+        return place
 
 
 def _encoded(target_number: int) -> bytes:
--- a/egretsill/steering/_routes.py
+++ b/egretsill/steering/_routes.py
@@ -4,7 +4,7 @@
 
 import enum
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
 
 from ..configuration import Address, Bundle, Service, TargetState
@@ -83,6 +83,8 @@
 class RoutingTable:
     """The routes of one process; all times are in seconds.
 
+    A change costs work for the services that it touches, and little for the others.
+
     Args:
         placement_delay_seconds: for how long a target is new after this process learnt of it.
             New flows keep away from it for that time, so that every balancer knows the target
@@ -90,14 +92,14 @@
     """
 
     def __init__(self, placement_delay_seconds: float = PLACEMENT_DELAY_SECONDS) -> None:
-        self._placement_delay_seconds = placement_delay_seconds
-        self._new_until: dict[int, float] = {}
         self.routes: dict[tuple[str, int], ServiceRoutes] = {}
         self.agents: dict[tuple[str, int], AgentIdentity] = {}
+        self._placement_delay_seconds = placement_delay_seconds
         self._services: dict[str, Service] = {}
         self._built: dict[int, ServiceRoutes] = {}
         self._tunnels: dict[int, Address] = {}
-        self._draining: frozenset[int] = frozenset()
+        self._draining: set[int] = set()
+        self._new_until: dict[int, float] = {}
         self._retained: dict[int, RetainedTarget] = {}
         self._retired: dict[Address, tuple[int, float]] = {}
 
@@ -114,7 +116,7 @@
     @property
     def draining(self) -> frozenset[int]:
         """Return the numbers of the targets that are declared to be draining."""
-        return self._draining
+        return frozenset(self._draining)
 
     @property
     def retained_targets(self) -> Sequence[RetainedTarget]:
@@ -130,18 +132,6 @@
         retained = self._retained.get(target_number)
         return self._tunnels.get(target_number) or (retained.tunnel if retained else None)
 
-    def apply_bundle(self, bundle: Bundle, now: float) -> None:
-        """Take over a configuration, retaining the targets and addresses that it drops."""
-        self._retain_dropped(bundle, now)
-        self._services = dict(bundle.services)
-        targets = [each for service in self._services.values() for each in service.targets]
-        self._mark_new({each.number for each in targets}, now)
-        self._tunnels = {each.number: each.tunnel for each in targets}
-        self._draining = frozenset(
-            each.number for each in targets if each.state is TargetState.DRAINING
-        )
-        self._rebuild(now)
-
     def routes_of(self, service_number: int) -> ServiceRoutes | None:
         """Return the routes of a service, or None if there is no such service."""
         return self._built.get(service_number)
@@ -154,100 +144,147 @@
         """Return when the next target stops being new, or infinity."""
         return min((until for until in self._new_until.values() if until > now), default=math.inf)
 
+    def apply_bundle(self, bundle: Bundle, now: float) -> None:
+        """Take over a configuration, retaining the targets and addresses that it drops."""
+        is_first = not self._services
+        withdrawn = _missing_from(self._services, bundle.services)
+        declared = _missing_from(bundle.services, self._services)
+        known_numbers = {each.number for service in withdrawn for each in service.targets}
+        for service in withdrawn:
+            self._withdraw(service, now + RETENTION_SECONDS)
+        for service in declared:
+            self._declare(service)
+            if not is_first:
+                self._mark_new(service, known_numbers, now)
+        self._services = dict(bundle.services)
+        self._new_until = {n: until for n, until in self._new_until.items() if until > now}
+        touched = {service.number for service in (*withdrawn, *declared)}
+        self._rebuild(touched | self._forget(now))
+
     def retain(self, targets: Iterable[RetainedTarget], now: float) -> None:
         """Go on sending these targets their packets, unless the configuration has them."""
         latest = now + RETENTION_SECONDS
-        is_changed = False
+        touched: set[int] = set()
         for each in targets:
             if each.number in self._tunnels or each.expires_at > latest:
                 continue
             known = self._retained.get(each.number)
-            is_changed |= known is None or known.tunnel != each.tunnel
             self._retained[each.number] = each
-        if is_changed:
-            self._rebuild(now)
-
-    def _mark_new(self, numbers: set[int], now: float) -> None:
-        kept = {each: until for each, until in self._new_until.items() if each in numbers}
-        added = numbers - self._tunnels.keys() if self._tunnels else ()
-        kept.update((each, now + self._placement_delay_seconds) for each in added)
-        self._new_until = {each: until for each, until in kept.items() if until > now}
-
-    def _retain_dropped(self, bundle: Bundle, now: float) -> None:
-        kept_numbers = {each.number for new in bundle.services.values() for each in new.targets}
-        kept_addresses = {each for new in bundle.services.values() for each in new.addresses}
-        expires_at = now + RETENTION_SECONDS
-        for service in self._services.values():
-            for target in service.targets:
-                if target.number not in kept_numbers:
-                    self._retained[target.number] = RetainedTarget(
-                        target.number, service.number, target.tunnel, expires_at
-                    )
-            for address in service.addresses:
-                if address not in kept_addresses:
-                    self._retired[address] = (service.number, expires_at)
-
-    def _rebuild(self, now: float) -> None:
-        self._forget(now)
-        by_service: dict[int, list[RetainedTarget]] = {}
-        for each in self._retained.values():
-            by_service.setdefault(each.service_number, []).append(each)
-        built: dict[int, ServiceRoutes] = {}
-        for service in self._services.values():
-            retained = by_service.pop(service.number, [])
-            built[service.number] = self._build(service, retained)
-        for service_number, retained in by_service.items():
-            built[service_number] = _build_retired(service_number, retained)
-        self._built = built
-        self._index(built)
-
-    def _forget(self, now: float) -> None:
-        """Forget what has expired, is declared again, or lost its endpoint to another target."""
-        declared_tunnels = set(self._tunnels.values())
+            if known is None or known.tunnel != each.tunnel:
+                touched.add(each.service_number)
+        if touched:
+            self._rebuild(touched | self._forget(now))
+
+    def _withdraw(self, service: Service, expires_at: float) -> None:
+        """Retain all that a service declared; `_declare` takes back what it still declares."""
+        for target in service.targets:
+            self._tunnels.pop(target.number, None)
+            self._draining.discard(target.number)
+            self._retained[target.number] = RetainedTarget(
+                target.number, service.number, target.tunnel, expires_at
+            )
+        for address in service.addresses:
+            self._retired[address] = (service.number, expires_at)
+
+    def _declare(self, service: Service) -> None:
+        for target in service.targets:
+            self._tunnels[target.number] = target.tunnel
+            self._retained.pop(target.number, None)
+            if target.state is TargetState.DRAINING:
+                self._draining.add(target.number)
+        for address in service.addresses:
+            self._retired.pop(address, None)
+
+    def _mark_new(self, service: Service, known_numbers: set[int], now: float) -> None:
+        for target in service.targets:
+            if target.number not in known_numbers:
+                self._new_until[target.number] = now + self._placement_delay_seconds
+
+    def _forget(self, now: float) -> set[int]:
+        """Forget what has expired or lost its endpoint, and return the services touched."""
+        declared_tunnels = set(self._tunnels.values()) if self._retained else set()
         by_tunnel = {
             each.tunnel: each
             for each in sorted(self._retained.values(), key=lambda each: each.expires_at)
-            if each.expires_at > now
-            and each.number not in self._tunnels
-            and each.tunnel not in declared_tunnels
+            if each.expires_at > now and each.tunnel not in declared_tunnels
         }
         kept = sorted(by_tunnel.values(), key=lambda each: each.expires_at)
+        before = self._retained
         self._retained = {each.number: each for each in kept[-MAXIMUM_RETAINED_TARGETS:]}
-        declared = {each for service in self._services.values() for each in service.addresses}
         self._retired = {
             address: (service_number, expires_at)
             for address, (service_number, expires_at) in self._retired.items()
-            if expires_at > now and address not in declared
+            if expires_at > now
         }
+        forgotten = before.keys() - self._retained.keys()
+        return {before[number].service_number for number in forgotten}
 
-    def _build(self, service: Service, retained: Sequence[RetainedTarget]) -> ServiceRoutes:
-        numbers = tuple(sorted(each.number for each in service.targets))
-        before = self._built.get(service.number)
-        is_same = before is not None and before.winners.target_numbers == numbers
-        owners = _owners(service.number, retained)
-        first_packets = {}
-        inquiries = {}
-        for each in service.targets:
-            forward = Forward(each.number, each.tunnel, service.number, ForwardKind.OWNER)
-            owners[owner_bytes(service.number, each.number)] = forward
-            first_packets[each.number] = replace(forward, kind=ForwardKind.FIRST_PACKET)
-            inquiries[each.number] = replace(forward, kind=ForwardKind.UNKNOWN_OWNER)
-        winners = before.winners if before is not None and is_same else WinnerTable(numbers)
-        return ServiceRoutes(service.number, owners, first_packets, inquiries, winners)
-
-    def _index(self, built: dict[int, ServiceRoutes]) -> None:
-        self.routes = {}
-        for address, (service_number, _) in self._retired.items():
-            if service_number in built:
-                self.routes[address] = built[service_number]
+    def _rebuild(self, service_numbers: set[int]) -> None:
+        """Build the routes of these services anew."""
+        retained: dict[int, list[RetainedTarget]] = {number: [] for number in service_numbers}
+        for each in self._retained.values():
+            if each.service_number in service_numbers:
+                retained[each.service_number].append(each)
+        services = {each.number: each for each in self._services.values()}
+        before = {number: self._built.pop(number, None) for number in service_numbers}
+        for routes in before.values():
+            self._unlist_agents(routes)
+        for number, targets in retained.items():
+            service = services.get(number)
+            if service is not None or targets:
+                self._built[number] = _build(number, service, targets, before[number])
+                self._list_agents(self._built[number])
+        self._list_addresses()
+
+    def _unlist_agents(self, routes: ServiceRoutes | None) -> None:
+        for forward in routes.owners.values() if routes else ():
+            self.agents.pop(forward.tunnel, None)
+
+    def _list_agents(self, routes: ServiceRoutes) -> None:
+        for forward in routes.owners.values():
+            self.agents[forward.tunnel] = AgentIdentity(
+                forward.target_number, forward.service_number
+            )
+
+    def _list_addresses(self) -> None:
+        self.routes = {
+            address: self._built[service_number]
+            for address, (service_number, _) in self._retired.items()
+            if service_number in self._built
+        }
         for service in self._services.values():
             for address in service.addresses:
-                self.routes[address] = built[service.number]
-        self.agents = {
-            forward.tunnel: AgentIdentity(forward.target_number, forward.service_number)
-            for routes in built.values()
-            for forward in routes.owners.values()
-        }
+                self.routes[address] = self._built[service.number]
+
+
+def _missing_from(services: Mapping[str, Service], others: Mapping[str, Service]) -> list[Service]:
+    """Return the services that the others do not hold with the same content."""
+    return [
+        service
+        for name, service in services.items()
+        if (other := others.get(name)) is not service and other != service
+    ]
+
+
+def _build(
+    service_number: int,
+    service: Service | None,
+    retained: Iterable[RetainedTarget],
+    before: ServiceRoutes | None,
+) -> ServiceRoutes:
+    """Return the routes of a service, or of one that has left the configuration."""
+    owners = _owners(service_number, retained)
+    first_packets = {}
+    inquiries = {}
+    for each in service.targets if service else ():
+        forward = Forward(each.number, each.tunnel, service_number, ForwardKind.OWNER)
+        owners[owner_bytes(service_number, each.number)] = forward
+        first_packets[each.number] = replace(forward, kind=ForwardKind.FIRST_PACKET)
+        inquiries[each.number] = replace(forward, kind=ForwardKind.UNKNOWN_OWNER)
+    winners = WinnerTable(first_packets)
+    if before is not None and before.winners.target_numbers == winners.target_numbers:
+        winners = before.winners
+    return ServiceRoutes(service_number, owners, first_packets, inquiries, winners)
 
 
 def _owners(service_number: int, retained: Iterable[RetainedTarget]) -> dict[bytes, Forward]:
@@ -257,7 +294,3 @@
         )
         for each in retained
     }
-
-
-def _build_retired(service_number: int, retained: Iterable[RetainedTarget]) -> ServiceRoutes:
-    return ServiceRoutes(service_number, _owners(service_number, retained), {}, {}, WinnerTable(()))
