Decode agents' replies without a message for each

The short way checks the same fields as the codec and leaves all else to it; a property test compares both on well-formed and damaged messages.

--- a/egretsill/steering/_balancer.py
+++ b/egretsill/steering/_balancer.py
@@ -42,7 +42,8 @@
     AgentProbeAnswer,
     CallerPacketEncoder,
     OwnerNotice,
-    ReplyPacket,
+    ReplyFields,
+    decode_reply,
     make_tunnel_codec,
 )
 from ._view import RetainedTarget, SteeringView
@@ -87,7 +88,7 @@
         self._tunnel_codec = make_tunnel_codec()
         self._encoder = CallerPacketEncoder()
         self._tunnel = open_datagram_socket(tunnel_address)
-        self._listeners: dict[Address, _Listener] = {}
+        self._listeners: dict[tuple[str, int], _Listener] = {}
         self._nursery: trio.Nursery | None = None
         self._counters = BalancerCounters()
 
@@ -241,6 +242,11 @@
         if agent is None:
             self._counters.drops[DropReason.UNKNOWN_AGENT] += 1
             return
+        reply = decode_reply(data)
+        if reply is not None:
+            self._hear_from(agent)
+            self._reply(agent, reply)
+            return
         try:
             message = self._tunnel_codec.decode(data)
         except MalformedMessage:
@@ -248,8 +254,6 @@
             return
         self._hear_from(agent)
         match message:
-            case ReplyPacket():
-                self._reply(agent, message)
             case AgentProbeAnswer():
                 pass
             case OwnerNotice():
@@ -257,15 +261,14 @@
             case _:
                 self._counters.drops[DropReason.UNEXPECTED_MESSAGE] += 1
 
-    def _reply(self, agent: AgentIdentity, reply: ReplyPacket) -> None:
+    def _reply(self, agent: AgentIdentity, reply: ReplyFields) -> None:
         """Send an agent's datagram to a caller, from an address of the agent's own service."""
-        service_address = Address(reply.service_host, reply.service_port)
+        caller, service_address, payload = reply
         listener = self._listeners.get(service_address)
         if listener is None or not self._steering.serves(agent, service_address):
             self._counters.drops[DropReason.FOREIGN_REPLY] += 1
             return
-        caller = (reply.caller_host, reply.caller_port)
-        if self._send(listener.socket, reply.payload, caller):
+        if self._send(listener.socket, payload, caller):
             self._counters.replied += 1
 
     def _learn_owner(self, agent: AgentIdentity, notice: OwnerNotice) -> None:
--- a/egretsill/steering/_tunnel.py
+++ b/egretsill/steering/_tunnel.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TypeAlias
+from typing import Any, NamedTuple, TypeAlias
 
 import msgpack
 
@@ -22,6 +22,13 @@
         raise MalformedMessage(TUNNEL_PROTOCOL, "host of the wrong length")
 
 
+def _is_endpoint(host: Any, port: Any) -> bool:
+    """Return whether values from the wire are of the right types and in range."""
+    if type(host) is not str or type(port) is not int:
+        return False
+    return 0 < port <= MAXIMUM_PORT and 0 < len(host) <= MAXIMUM_HOST_CHARACTERS
+
+
 @dataclass(frozen=True, slots=True)
 class CallerPacket:
     """A caller's datagram on its way to an agent.
@@ -132,6 +139,7 @@
 
 _CALLER_PACKET_TAG = 1
 _REPLY_PACKET_TAG = 2
+_REPLY_ARRAY_LENGTH = 6
 
 
 def make_tunnel_codec() -> Codec[TunnelMessage]:
@@ -148,6 +156,34 @@
     )
 
 
+class ReplyFields(NamedTuple):
+    """What a balancer needs of a `ReplyPacket`."""
+
+    caller: tuple[str, int]
+    service_address: tuple[str, int]
+    payload: bytes
+
+
+def decode_reply(data: bytes) -> ReplyFields | None:
+    """Return the fields of a `ReplyPacket` that the codec would take, or None for all else.
+
+    It is the balancer's short way for nearly all that agents send; what is None here is left to
+    the codec.
+    """
+    try:
+        array = msgpack.unpackb(data, use_list=False, raw=False)
+    except Exception:
+        return None
+    if type(array) is not tuple or len(array) != _REPLY_ARRAY_LENGTH:
+        return None
+    tag, caller_host, caller_port, service_host, service_port, payload = array
+    if tag != _REPLY_PACKET_TAG or type(tag) is not int or type(payload) is not bytes:
+        return None
+    if not (_is_endpoint(caller_host, caller_port) and _is_endpoint(service_host, service_port)):
+        return None
+    return ReplyFields((caller_host, caller_port), (service_host, service_port), payload)
+
+
 class CallerPacketEncoder:
     """Encodes callers' packets at the balancer as the codec does, but faster.
 
--- a/egretsill/steering/tests/test_tunnel.py
+++ b/egretsill/steering/tests/test_tunnel.py
@@ -12,7 +12,7 @@
     TunnelMessage,
     make_tunnel_codec,
 )
-from egretsill.steering._tunnel import CallerPacketEncoder
+from egretsill.steering._tunnel import CallerPacketEncoder, ReplyFields, decode_reply
 from egretsill.wire import MalformedMessage
 
 CODEC = make_tunnel_codec()
@@ -74,6 +74,31 @@
         CODEC.decode(msgpack.packb(fields))
 
 
+WIRE_VALUES = st.one_of(
+    st.sampled_from([0, 1, 2, 443, 65535, 65536, -1, True, None, 2.0, "", "10.0.0.1", "x" * 46]),
+    st.binary(max_size=3),
+)
+
+
+@settings(derandomize=True, max_examples=1000)
+@given(st.data())
+def test_short_way_takes_the_replies_that_the_codec_takes(data: st.DataObject) -> None:
+    fields: list[object] = [2, "192.0.2.1", 5000, "10.0.0.1", 443, b"reply"]
+    for place in data.draw(st.sets(st.integers(0, 5), max_size=2)):
+        fields[place] = data.draw(WIRE_VALUES)
+    encoded = msgpack.packb(fields[: data.draw(st.sampled_from([6, 6, 6, 5]))])
+    try:
+        message = CODEC.decode(encoded)
+    except MalformedMessage:
+        message = None
+    expected = None
+    if isinstance(message, ReplyPacket):
+        caller = (message.caller_host, message.caller_port)
+        service_address = (message.service_host, message.service_port)
+        expected = ReplyFields(caller, service_address, message.payload)
+    assert decode_reply(encoded) == expected
+
+
 @settings(derandomize=True, max_examples=300)
 @given(st.binary(max_size=200))
 def test_random_bytes(data: bytes) -> None:
