Keep a balancer up when an address is taken or leaves at once

A service socket that was closed before its reader first ran made the reader raise ValueError and ended the balancer. An address that could not be bound was tried again only with the next configuration; now it is every second, and unbound addresses can be read for the status page. Random datagrams on both ports are checked to leave nothing behind.

--- a/egretsill/steering/_balancer.py
+++ b/egretsill/steering/_balancer.py
@@ -48,6 +48,8 @@
 )
 from ._view import RetainedTarget, SteeringView
 
+BIND_RETRY_SECONDS = 1.0
+
 _TUNNEL_OVERHEAD_BYTES = 256
 
 
@@ -89,6 +91,7 @@
         self._encoder = CallerPacketEncoder()
         self._tunnel = open_datagram_socket(tunnel_address)
         self._listeners: dict[tuple[str, int], _Listener] = {}
+        self._unbound: set[Address] = set()
         self._nursery: trio.Nursery | None = None
         self._counters = BalancerCounters()
 
@@ -107,6 +110,11 @@
         """Return the numbers of targets whose agents this balancer finds silent."""
         return self._watch.silent
 
+    @property
+    def unbound_addresses(self) -> frozenset[Address]:
+        """Return the service addresses that could not be listened on; they are tried again."""
+        return frozenset(self._unbound)
+
     @property
     def retained_targets(self) -> Sequence[RetainedTarget]:
         """Return the targets that have left the configuration but still get their packets."""
@@ -141,6 +149,7 @@
         """Forward packets until cancelled; closes all sockets at the end. Run it once."""
         self._timer.subscribe_jumps(self._restart_watch)
         tick = self._timer.subscribe(WATCH_TICK_SECONDS, self._tick)
+        retry = self._timer.subscribe(BIND_RETRY_SECONDS, self._retry_listeners)
         try:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
@@ -150,6 +159,7 @@
         finally:
             self._nursery = None
             tick.cancel()
+            retry.cancel()
             self.close()
 
     def close(self) -> None:
@@ -159,7 +169,12 @@
         self._listeners.clear()
         close_datagram_socket(self._tunnel)
 
+    def _retry_listeners(self, _: float) -> None:
+        if self._unbound:
+            self._update_listeners()
+
     def _update_listeners(self) -> None:
+        self._unbound.clear()
         wanted = set(self._steering.listening_addresses)
         for service_address in self._listeners.keys() - wanted:
             close_datagram_socket(self._listeners.pop(service_address).socket)
@@ -171,6 +186,7 @@
             opened = open_datagram_socket(self._listen(service_address))
         except OSError:
             self._counters.bind_failures += 1
+            self._unbound.add(service_address)
             return
         listener = _Listener(service_address, opened)
         self._listeners[service_address] = listener
--- a/egretsill/steering/_datagram_socket.py
+++ b/egretsill/steering/_datagram_socket.py
@@ -48,7 +48,7 @@
         take_batch: reads at most `BATCH_DATAGRAMS`, and returns whether it stopped before the
             socket was empty; other tasks run before it is called again.
     """
-    while True:
+    while datagram_socket.fileno() >= 0:
         try:
             await trio.lowlevel.wait_readable(datagram_socket)
             while take_batch():
@@ -56,5 +56,5 @@
         except trio.ClosedResourceError:
             return
         except OSError:
-            if datagram_socket.fileno() < 0:
-                return
+            # An error of one datagram is no reason to stop; that of a closed socket ends the loop.
+            await trio.lowlevel.checkpoint()
--- a/egretsill/steering/tests/test_balancer.py
+++ b/egretsill/steering/tests/test_balancer.py
@@ -18,6 +18,7 @@
     TunnelMessage,
     make_tunnel_codec,
 )
+from egretsill.steering._balancer import BIND_RETRY_SECONDS
 from egretsill.timing import VirtualTimerService
 
 from .builders import CODEC, LOOKUP, SUBMISSION, initial_packet, service, short_packet, target
@@ -31,9 +32,10 @@
 
     def __init__(self) -> None:
         self.timer = VirtualTimerService()
+        self.listen_at: dict[Address, Address] = {}
         self.agents = {number: self._socket() for number in (1, 11)}
         self.caller = self._socket()
-        self.balancer = Balancer(self.timer, LOCALHOST, CODEC, listen=lambda _: LOCALHOST)
+        self.balancer = Balancer(self.timer, LOCALHOST, CODEC, listen=self._listen)
         self.balancer.apply_bundle(self.bundle())
 
     def bundle(self, revision: int = 1, extra_addresses: Sequence[Address] = ()) -> Bundle:
@@ -79,6 +81,9 @@
         for each in (*self.agents.values(), self.caller):
             each.close()
 
+    def _listen(self, service_address: Address) -> Address:
+        return self.listen_at.get(service_address, LOCALHOST)
+
     def _socket(self) -> trio.socket.SocketType:
         opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         opened.bind(LOCALHOST)
@@ -234,6 +239,54 @@
     with_fleet(scenario)
 
 
+def test_address_that_is_taken_is_tried_again() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        added = Address("10.0.0.5", 443)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other:
+            other.bind(LOCALHOST)
+            taken = Address(*other.getsockname())
+            fleet.listen_at[added] = taken
+            fleet.balancer.apply_bundle(fleet.bundle(2, [added]))
+            assert fleet.balancer.unbound_addresses == {added}
+        fleet.timer.advance(BIND_RETRY_SECONDS)
+        assert fleet.balancer.local_address(added) == taken
+        assert not fleet.balancer.unbound_addresses
+        assert fleet.balancer.counters.bind_failures == 1
+
+    with_fleet(scenario)
+
+
+def test_address_removed_before_it_was_read_does_no_harm() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        added = Address("10.0.0.5", 443)
+        fleet.balancer.apply_bundle(fleet.bundle(2, [added]))
+        fleet.balancer.apply_bundle(fleet.bundle(3))
+        fleet.timer.pause(25 * 3600.0)
+        fleet.balancer.apply_bundle(fleet.bundle(4))
+        await fleet.send(initial_packet(b"clientid"))
+        await fleet.receive_packet(1)
+
+    with_fleet(scenario)
+
+
+def test_random_datagrams_on_both_ports_are_counted_and_leave_nothing_behind() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        chooser = random.Random(9)
+        for sent in range(1, 301):
+            data = chooser.randbytes(chooser.randrange(2500))
+            await fleet.send(bytes([chooser.choice([0x40, 0xC0])]) + data)
+            await fleet.send_from_agent(chooser.choice([1, 11]), data)
+            with trio.fail_after(5):
+                while sum(fleet.balancer.counters.drops.values()) < 2 * sent:
+                    await trio.sleep(0)
+        assert fleet.balancer.counters.forwarded == fleet.balancer.counters.replied == 0
+        assert not fleet.balancer.retained_targets
+        fleet.timer.advance(2.0)
+        assert fleet.balancer.counters.probes == 0
+
+    with_fleet(scenario)
+
+
 def test_addresses_open_and_close_with_the_configuration() -> None:
     async def scenario(fleet: Fleet) -> None:
         added = Address("10.0.0.5", 443)
