--- a/egretsill/steering/_balancer.py
+++ b/egretsill/steering/_balancer.py
@@ -40,13 +40,16 @@
 from ._tunnel import (
     AgentProbe,
     AgentProbeAnswer,
-    CallerPacket,
+    CallerPacketEncoder,
     OwnerNotice,
-    ReplyPacket,
+    ReplyFields,
+    decode_reply,
     make_tunnel_codec,
 )
 from ._view import RetainedTarget, SteeringView
 
+BIND_RETRY_SECONDS = 1.0
+
 _TUNNEL_OVERHEAD_BYTES = 256
 
 
@@ -85,8 +88,10 @@
         self._steering = Steering(codec, source_limit, placement_delay_seconds)
         self._watch = FirstPacketWatch()
         self._tunnel_codec = make_tunnel_codec()
+        self._encoder = CallerPacketEncoder()
         self._tunnel = open_datagram_socket(tunnel_address)
-        self._listeners: dict[Address, _Listener] = {}
+        self._listeners: dict[tuple[str, int], _Listener] = {}
+        self._unbound: set[Address] = set()
         self._nursery: trio.Nursery | None = None
         self._counters = BalancerCounters()
 
@@ -105,6 +110,11 @@
         """Return the numbers of targets whose agents this balancer finds silent."""
         return self._watch.silent
 
+    @property
+    def unbound_addresses(self) -> frozenset[Address]:
+        """Return the service addresses that could not be listened on; they are tried again."""
+        return frozenset(self._unbound)
+
     @property
     def retained_targets(self) -> Sequence[RetainedTarget]:
         """Return the targets that have left the configuration but still get their packets."""
@@ -139,6 +149,7 @@
         """Forward packets until cancelled; closes all sockets at the end. Run it once."""
         self._timer.subscribe_jumps(self._restart_watch)
         tick = self._timer.subscribe(WATCH_TICK_SECONDS, self._tick)
+        retry = self._timer.subscribe(BIND_RETRY_SECONDS, self._retry_listeners)
         try:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
@@ -148,6 +159,7 @@
         finally:
             self._nursery = None
             tick.cancel()
+            retry.cancel()
             self.close()
 
     def close(self) -> None:
@@ -157,7 +169,12 @@
         self._listeners.clear()
         close_datagram_socket(self._tunnel)
 
+    def _retry_listeners(self, _: float) -> None:
+        if self._unbound:
+            self._update_listeners()
+
     def _update_listeners(self) -> None:
+        self._unbound.clear()
         wanted = set(self._steering.listening_addresses)
         for service_address in self._listeners.keys() - wanted:
             close_datagram_socket(self._listeners.pop(service_address).socket)
@@ -169,6 +186,7 @@
             opened = open_datagram_socket(self._listen(service_address))
         except OSError:
             self._counters.bind_failures += 1
+            self._unbound.add(service_address)
             return
         listener = _Listener(service_address, opened)
         self._listeners[service_address] = listener
@@ -213,10 +231,8 @@
         datagram: bytes,
         now: float,
     ) -> None:
-        packet = CallerPacket(
-            caller[0], caller[1], *service_address, forward.service_number, 0, None, 0, datagram
-        )
-        if not self._send(self._tunnel, self._tunnel_codec.encode(packet), forward.tunnel):
+        packet = self._encoder.encode(caller, service_address, forward.service_number, datagram)
+        if not self._send(self._tunnel, packet, forward.tunnel):
             return
         self._counters.forwarded += 1
         match forward.kind:
@@ -242,6 +258,11 @@
         if agent is None:
             self._counters.drops[DropReason.UNKNOWN_AGENT] += 1
             return
+        reply = decode_reply(data)
+        if reply is not None:
+            self._hear_from(agent)
+            self._reply(agent, reply)
+            return
         try:
             message = self._tunnel_codec.decode(data)
         except MalformedMessage:
@@ -249,8 +270,6 @@
             return
         self._hear_from(agent)
         match message:
-            case ReplyPacket():
-                self._reply(agent, message)
             case AgentProbeAnswer():
                 pass
             case OwnerNotice():
@@ -258,15 +277,14 @@
             case _:
                 self._counters.drops[DropReason.UNEXPECTED_MESSAGE] += 1
 
-    def _reply(self, agent: AgentIdentity, reply: ReplyPacket) -> None:
+    def _reply(self, agent: AgentIdentity, reply: ReplyFields) -> None:
         """Send an agent's datagram to a caller, from an address of the agent's own service."""
-        service_address = Address(reply.service_host, reply.service_port)
+        caller, service_address, payload = reply
         listener = self._listeners.get(service_address)
         if listener is None or not self._steering.serves(agent, service_address):
             self._counters.drops[DropReason.FOREIGN_REPLY] += 1
             return
-        caller = (reply.caller_host, reply.caller_port)
-        if self._send(listener.socket, reply.payload, caller):
+        if self._send(listener.socket, payload, caller):
             self._counters.replied += 1
 
     def _learn_owner(self, agent: AgentIdentity, notice: OwnerNotice) -> None:
