Find returned members by direct pings, and pay for all claims from one budget

Cause: after a partition of 600 processes views agreed only after 14.2 s (target 10 s); the tail of random gossip brings mostly what is known. Change: while dead members come back, two of the rest are pinged in each tick; claims on probes are paid from the byte budget that gossip has.

--- a/egretsill/membership/_claims.py
+++ b/egretsill/membership/_claims.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 from ..configuration import Address
-from ._dissemination import Dissemination
+from ._dissemination import ByteBudget, Dissemination
 from ._effects import Effect, Send
 from ._member import Member, MemberState
 from ._messages import (
@@ -49,18 +50,25 @@
     """
 
     def __init__(
-        self, own: Member, incarnation: int, health: SelfHealth, outbox: list[Effect]
+        self,
+        own: Member,
+        incarnation: int,
+        health: SelfHealth,
+        budget: ByteBudget,
+        outbox: list[Effect],
     ) -> None:
         self._own_state = MemberState.ALIVE
         self._incarnation = incarnation
         self._health = health
         self._outbox = outbox
         self._suspicions: dict[int, _Suspicion] = {}
+        self.budget = budget
         self.own = own
         self.identifier = own.identifier
         self.roster = Roster()
         self.dissemination = Dissemination()
         self.wanted: dict[int, Wanted] = {}
+        self.last_return = -math.inf
         self.dissemination.add(self.own_update)
 
     @property
@@ -153,6 +161,8 @@
         self._outbox.append(change)
         if change.after is MemberState.SUSPECT:
             self._await_refutation(entry, now, None)
+        if change.before is MemberState.DEAD:
+            self.last_return = now
         if change.after is MemberState.ALIVE and former is not None and former is not entry:
             self._replace(former, entry, now)
 
@@ -196,13 +206,14 @@
             if old or entry.state is MemberState.CANDIDATE:
                 self.roster.remove(entry.identifier)
 
-    def for_message_to(self, identifier: int) -> tuple[MemberUpdate, ...]:
+    def for_message_to(self, identifier: int, now: float) -> tuple[MemberUpdate, ...]:
         """Return the claims to send along with a message to this member.
 
         What is held against the receiver comes first, so that it can refute that at once.
         """
         entry = self.roster.get(identifier)
-        updates = self.dissemination.take(PIGGYBACK_UPDATES)
+        most = min(len(self.dissemination), PIGGYBACK_UPDATES)
+        updates = self.dissemination.take(self.budget.share(most, now) if most else 0)
         if entry is not None and entry.state > MemberState.LEAVING:
             updates.insert(0, entry.update)
         return tuple(updates)
--- a/egretsill/membership/_dissemination.py
+++ b/egretsill/membership/_dissemination.py
@@ -71,7 +71,7 @@
 
 
 class ByteBudget:
-    """A token bucket for the bytes of gossip and synchronization."""
+    """A token bucket for the bytes of claims, in gossip, on probes and in synchronization."""
 
     def __init__(self, now: float) -> None:
         self._bytes = BUDGET_BURST_BYTES
@@ -81,10 +81,20 @@
         """Pay for a datagram with these claims, and return whether it may be sent."""
         count = updates if isinstance(updates, int) else sum(1 for _ in updates)
         cost = HEADER_BYTES + UPDATE_BYTES * count
-        gained = (now - self._refilled) * BUDGET_BYTES_PER_SECOND
-        self._bytes = min(self._bytes + gained, BUDGET_BURST_BYTES)
-        self._refilled = now
+        self._refill(now)
         if self._bytes < cost:
             return False
         self._bytes -= cost
         return True
+
+    def share(self, most: int, now: float) -> int:
+        """Return how many claims, up to `most`, may go along with a message, and pay for them."""
+        self._refill(now)
+        count = min(most, int(self._bytes // UPDATE_BYTES))
+        self._bytes -= count * UPDATE_BYTES
+        return count
+
+    def _refill(self, now: float) -> None:
+        gained = (now - self._refilled) * BUDGET_BYTES_PER_SECOND
+        self._bytes = min(self._bytes + gained, BUDGET_BURST_BYTES)
+        self._refilled = now
--- a/egretsill/membership/_membership.py
+++ b/egretsill/membership/_membership.py
@@ -37,6 +37,8 @@
 LATE_TICK_SECONDS = 0.4
 GOSSIP_PEERS = 3
 REVIVAL_SECONDS = 0.5
+HEALING_SECONDS = 2.0
+HEALING_PINGS = 2
 SEED_SECONDS = 5.0
 SWEEP_SECONDS = 10.0
 FAREWELL_PEERS = 8
@@ -66,13 +68,12 @@
         self._random = random_source
         self._seeds = [each for each in seeds if each != own.gossip][:MAXIMUM_SEEDS]
         health = SelfHealth()
-        self._claims = Claims(own, incarnation, health, self._outbox)
+        self._claims = Claims(own, incarnation, health, ByteBudget(now), self._outbox)
         self._roster = self._claims.roster
         first_probe = now + PROBE_SECONDS * random_source.random()
         self._prober = Prober(own.identifier, self._roster, random_source, first_probe, health)
-        self._budget = ByteBudget(now)
         self._synchronization = Synchronization(
-            self._claims, self._prober, self._budget, random_source, self._outbox, now
+            self._claims, self._prober, random_source, self._outbox, now
         )
         self._candidates: dict[str, frozenset[int]] = {}
         self._last_tick = now
@@ -215,7 +216,7 @@
     def _on_ping(self, message: Ping, sender: Address, now: float) -> None:
         self._claims.merge_all(message.updates, sender, now)
         self._merge_sender(message.sender, message.incarnation, sender, now)
-        updates = self._claims.for_message_to(message.sender)
+        updates = self._claims.for_message_to(message.sender, now)
         own = self._claims
         answer = Ack(message.sequence, own.identifier, own.incarnation, True, updates)
         self._send(sender, answer)
@@ -250,11 +251,11 @@
             return
         sequence = self._prober.begin_relay(sender, message.sequence, message.target, now)
         if sequence is not None:
-            self._ping(entry.member.gossip, message.target, sequence)
+            self._ping(entry.member.gossip, message.target, sequence, now)
 
-    def _ping(self, address: Address, target: int, sequence: int) -> None:
+    def _ping(self, address: Address, target: int, sequence: int, now: float) -> None:
         own = self._claims
-        updates = own.for_message_to(target)
+        updates = own.for_message_to(target, now)
         self._send(address, Ping(sequence, own.identifier, own.incarnation, target, updates))
 
     def _allow_for_lateness(self, now: float) -> None:
@@ -270,7 +271,7 @@
             entry = self._roster.get(target)
             if entry is not None:
                 address = entry.member.gossip
-                self._ping(address, target, self._prober.begin(target, address, now))
+                self._ping(address, target, self._prober.begin(target, address, now), now)
 
     def _step_probes(self, now: float) -> None:
         for sequence, probe, step in self._prober.steps(now):
@@ -281,15 +282,15 @@
                 case ProbeStep.FAILED:
                     self._claims.suspect(entry, now)
                 case ProbeStep.RETRY:
-                    self._ping(probe.address, probe.target, sequence)
-                    self._ask_helpers(sequence, probe.target)
+                    self._ping(probe.address, probe.target, sequence, now)
+                    self._ask_helpers(sequence, probe.target, now)
 
-    def _ask_helpers(self, sequence: int, target: int) -> None:
+    def _ask_helpers(self, sequence: int, target: int, now: float) -> None:
         own = self._claims
         for helper in self._prober.choose_helpers(sequence, target):
             entry = self._roster.get(helper)
             if entry is not None:
-                updates = own.for_message_to(helper)
+                updates = own.for_message_to(helper, now)
                 message = PingRequest(sequence, own.identifier, own.incarnation, target, updates)
                 self._send(entry.member.gossip, message)
 
@@ -298,24 +299,25 @@
             self._send(relay.requester, Ack(relay.requester_sequence, relay.target, 0, False))
 
     def _try_unreachable(self, now: float) -> None:
-        """Ping one dead member or candidate, so that a healed partition is noticed."""
+        """Ping dead members and candidates, faster while some come back after a partition."""
         if now < self._next_revival:
             return
         alone = len(self._roster.reachable) == 0
-        self._next_revival = now + (TICK_SECONDS if alone else REVIVAL_SECONDS)
+        healing = now - self._claims.last_return < HEALING_SECONDS
+        self._next_revival = now + (TICK_SECONDS if alone or healing else REVIVAL_SECONDS)
         ordered = self._roster.unreachable.ordered
-        if ordered:
-            target = self._random.choice(ordered)
+        count = min(HEALING_PINGS if healing else 1, len(ordered))
+        for target in self._random.sample(ordered, count):
             entry = self._roster.get(target)
             if entry is not None:
-                self._ping(entry.member.gossip, target, self._prober.next_sequence())
+                self._ping(entry.member.gossip, target, self._prober.next_sequence(), now)
 
     def _try_seeds(self, now: float) -> None:
         if not self._seeds or now < self._next_seed:
             return
         alone = len(self._roster.reachable) == 0
         self._next_seed = now + (REVIVAL_SECONDS if alone else SEED_SECONDS)
-        self._ping(self._random.choice(self._seeds), ANYONE, self._prober.next_sequence())
+        self._ping(self._random.choice(self._seeds), ANYONE, self._prober.next_sequence(), now)
 
     def _gossip(self, now: float) -> None:
         """Pass claims on to a few members, as far as there are any and the budget allows."""
@@ -324,6 +326,6 @@
         for peer in self._prober.draw(GOSSIP_PEERS):
             count = min(len(self._claims.dissemination), MAXIMUM_UPDATES)
             entry = self._roster.get(peer)
-            if count == 0 or entry is None or not self._budget.spend(count, now):
+            if count == 0 or entry is None or not self._claims.budget.spend(count, now):
                 return
             self._send(entry.member.gossip, Gossip(tuple(self._claims.dissemination.take(count))))
--- a/egretsill/membership/_synchronization.py
+++ b/egretsill/membership/_synchronization.py
@@ -7,7 +7,6 @@
 
 from ..configuration import Address
 from ._claims import Claims
-from ._dissemination import ByteBudget
 from ._effects import Effect, Send
 from ._messages import (
     MAXIMUM_DIGESTS,
@@ -40,14 +39,12 @@
         self,
         claims: Claims,
         prober: Prober,
-        budget: ByteBudget,
         random_source: random.Random,
         outbox: list[Effect],
         now: float,
     ) -> None:
         self._claims = claims
         self._prober = prober
-        self._budget = budget
         self._random = random_source
         self._outbox = outbox
         self._next_sync = now + SYNC_SECONDS * random_source.random()
@@ -111,7 +108,7 @@
             return
         due = blocks(self._claims.roster.depth())
         self._next_block = (self._next_block + 1) % len(due)
-        if self._budget.spend(MAXIMUM_UPDATES, now):
+        if self._claims.budget.spend(MAXIMUM_UPDATES, now):
             self._ask(peers[0], due[self._next_block])
 
     def _ask(self, peer: int, block: tuple[int, int]) -> int:
@@ -135,7 +132,7 @@
             tuple(updates[first : first + MAXIMUM_UPDATES])
             for first in range(0, len(updates), MAXIMUM_UPDATES)
         ] or [()]
-        sent = [each for each in batches[:MAXIMUM_PARTS] if self._budget.spend(each, now)]
+        sent = [each for each in batches[:MAXIMUM_PARTS] if self._claims.budget.spend(each, now)]
         complete = len(sent) == len(batches) and self.refresh.is_fresh(now)
         for part, batch in enumerate(sent):
             answer = SyncEntries(sequence, part, len(sent), complete, batch)
