Take less processor time for claims, and drop what a smaller fleet need not hear

Change: own claims are not checked again, claims are taken without scanning all levels, levels beyond a fallen limit are dropped.

--- a/egretsill/membership/_claims.py
+++ b/egretsill/membership/_claims.py
@@ -124,7 +124,7 @@
             self._want(update, source)
         elif beats(update, entry):
             self.accept(entry, update, now, pass_on)
-        elif update == entry.update:
+        elif update.incarnation == entry.incarnation and update.state == entry.state:
             self.dissemination.heard(update)
 
     def merge_all(
--- a/egretsill/membership/_dissemination.py
+++ b/egretsill/membership/_dissemination.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from collections.abc import Iterable
 
@@ -31,6 +32,9 @@
         """Set the size of the fleet; each claim is passed on so often that all hear it."""
         wanted = math.ceil(TRANSMISSIONS_FACTOR * math.log2(members + 2))
         self._limit = min(max(wanted, TRANSMISSIONS_MINIMUM), MAXIMUM_TRANSMISSIONS)
+        for level in range(self._limit, MAXIMUM_TRANSMISSIONS):
+            for identifier in list(self._levels[level]):
+                self._take_out(identifier)
 
     def add(self, update: MemberUpdate) -> None:
         """Pass on a new claim in place of any older one about the same member."""
@@ -46,19 +50,22 @@
     def take(self, count: int) -> list[MemberUpdate]:
         """Return up to `count` claims to pass on now."""
         taken: list[tuple[MemberUpdate, int]] = []
-        for level, updates in enumerate(self._levels[: self._limit]):
-            for update in updates.values():
-                if len(taken) == count:
-                    break
-                taken.append((update, level))
+        for level in range(self._limit):
+            wanted = count - len(taken)
+            if wanted == 0:
+                break
+            updates = itertools.islice(self._levels[level].values(), wanted)
+            taken.extend((update, level) for update in updates)
         for update, level in taken:
             self._advance(update, level)
         return [update for update, _ in taken]
 
     def _advance(self, update: MemberUpdate, level: int) -> None:
-        self._take_out(update.identifier)
+        del self._levels[level][update.identifier]
         if level + 1 < self._limit:
             self._put(update, level + 1)
+        else:
+            del self._level_of[update.identifier]
 
     def _put(self, update: MemberUpdate, level: int) -> None:
         self._levels[level][update.identifier] = update
--- a/egretsill/membership/_messages.py
+++ b/egretsill/membership/_messages.py
@@ -281,10 +281,14 @@
 def _checked_updates(updates: Sequence[MemberUpdate]) -> tuple[MemberUpdate, ...]:
     if len(updates) > MAXIMUM_UPDATES:
         raise ValueError
-    checked = tuple(MemberUpdate(*each) for each in updates)
-    for update in checked:
-        _check_number(update.identifier)
-        _check_claim(update.incarnation, update.state)
+    return tuple(each if type(each) is MemberUpdate else _checked(each) for each in updates)
+
+
+def _checked(update: MemberUpdate) -> MemberUpdate:
+    """Return a claim that came over the wire, as a plain tuple, in its type."""
+    checked = MemberUpdate(*update)
+    _check_number(checked.identifier)
+    _check_claim(checked.incarnation, checked.state)
     return checked
 
 
--- /dev/null
+++ b/egretsill/membership/tests/test_dissemination.py
@@ -0,0 +1,70 @@
+"""Which claims are passed on, how often, and within which bytes."""
+
+from __future__ import annotations
+
+from egretsill.membership._dissemination import (
+    BUDGET_BURST_BYTES,
+    BUDGET_BYTES_PER_SECOND,
+    HEADER_BYTES,
+    TRANSMISSIONS_MINIMUM,
+    UPDATE_BYTES,
+    ByteBudget,
+    Dissemination,
+)
+from egretsill.membership._messages import MemberUpdate
+
+
+def _update(identifier: int, incarnation: int = 1) -> MemberUpdate:
+    return MemberUpdate(identifier, incarnation, 0)
+
+
+def test_least_often_passed_on_comes_first_and_each_ends() -> None:
+    queue = Dissemination()
+    queue.add(_update(1))
+    assert queue.take(5) == [_update(1)]
+    queue.add(_update(2))
+    assert queue.take(1) == [_update(2)]
+    taken = [each for _ in range(20) for each in queue.take(5)]
+    assert taken.count(_update(1)) == taken.count(_update(2)) == TRANSMISSIONS_MINIMUM - 1
+    assert len(queue) == 0
+
+
+def test_newer_claim_takes_the_place_of_an_older_one() -> None:
+    queue = Dissemination()
+    queue.add(_update(1))
+    queue.take(1)
+    queue.add(_update(1, 2))
+    assert queue.take(5) == [_update(1, 2)]
+
+
+def test_claims_that_others_know_need_less_passing_on() -> None:
+    queue = Dissemination()
+    queue.add(_update(1))
+    for _ in range(TRANSMISSIONS_MINIMUM):
+        queue.heard(_update(1))
+    queue.heard(_update(7))
+    assert len(queue) == 0
+
+
+def test_nothing_stays_behind_when_the_fleet_shrinks() -> None:
+    queue = Dissemination()
+    queue.resize(5_000)
+    queue.add(_update(1))
+    for _ in range(10):
+        queue.take(1)
+    assert len(queue) == 1
+    queue.resize(1)
+    assert len(queue) == 0
+
+
+def test_budget_bounds_bytes_over_time() -> None:
+    budget = ByteBudget(0.0)
+    seconds = 100
+    sent = 0.0
+    for tick in range(seconds * 10):
+        now = tick / 10
+        for _ in range(30):
+            sent += HEADER_BYTES + 50 * UPDATE_BYTES if budget.spend(50, now) else 0
+        sent += budget.share(12, now) * UPDATE_BYTES
+    assert sent <= BUDGET_BURST_BYTES + seconds * BUDGET_BYTES_PER_SECOND
+    assert sent >= 0.9 * seconds * BUDGET_BYTES_PER_SECOND
