--- a/egretsill/membership/_claims.py
+++ b/egretsill/membership/_claims.py
@@ -104,6 +104,15 @@
             updates.append(self.own_update)
         return updates
 
+    def newer_than(self, updates: Iterable[MemberUpdate]) -> tuple[MemberUpdate, ...]:
+        """Return what is known here and newer than these claims."""
+        newer = []
+        for update in updates:
+            entry = self.roster.get(update.identifier)
+            if entry is not None and (entry.incarnation, entry.state) > update[1:]:
+                newer.append(entry.update)
+        return tuple(newer)
+
     def declare(self, state: MemberState) -> None:
         """Change what this process claims about itself."""
         self._own_state = state
--- a/egretsill/membership/_synchronization.py
+++ b/egretsill/membership/_synchronization.py
@@ -15,6 +15,7 @@
     MAXIMUM_REQUESTED,
     MAXIMUM_UPDATES,
     RECORD_BYTES,
+    Gossip,
     MemberQuery,
     MemberRecord,
     MemberRecords,
@@ -75,8 +76,11 @@
         self._answer(message.sequence, updates, sender, now)
 
     def on_entries(self, message: SyncEntries, sender: Address, now: float) -> None:
-        """Take in one part of an answer."""
+        """Take in one part of an answer, and return what is older in it than here."""
         self._claims.merge_all(message.updates, sender, now, pass_on=False)
+        newer = self._claims.newer_than(message.updates)
+        if newer and self._claims.budget.spend(newer, now):
+            self._outbox.append(Send(sender, Gossip(newer)))
         self.refresh.answered(message.sequence, message.part, message.parts, message.complete)
 
     def on_query(self, message: MemberQuery, sender: Address) -> None:
