Give synchronization a budget of its own and pass each claim on half as often

Cause: claims cycled through gossip long after all but a few knew them, and left no bytes for the comparison that finds those few. Change: gossip 7,000 and synchronization 3,000 bytes a second in place of one budget of 8,000; each claim is passed on log2 of the fleet times, not twice that.

--- a/egretsill/membership/_dissemination.py
+++ b/egretsill/membership/_dissemination.py
@@ -8,11 +8,13 @@
 
 from ._messages import MemberUpdate
 
-TRANSMISSIONS_FACTOR = 2.0
+TRANSMISSIONS_FACTOR = 1.0
 TRANSMISSIONS_MINIMUM = 4
 MAXIMUM_TRANSMISSIONS = 40
-BUDGET_BYTES_PER_SECOND = 8_000.0
-BUDGET_BURST_BYTES = 8_000.0
+GOSSIP_BYTES_PER_SECOND = 7_000.0
+GOSSIP_BURST_BYTES = 7_000.0
+SYNC_BYTES_PER_SECOND = 3_000.0
+SYNC_BURST_BYTES = 6_000.0
 UPDATE_BYTES = 21
 HEADER_BYTES = 40
 
@@ -78,10 +80,12 @@
 
 
 class ByteBudget:
-    """A token bucket for the bytes of claims, in gossip, on probes and in synchronization."""
+    """A token bucket for the bytes of claims."""
 
-    def __init__(self, now: float) -> None:
-        self._bytes = BUDGET_BURST_BYTES
+    def __init__(self, bytes_per_second: float, burst_bytes: float, now: float) -> None:
+        self._bytes_per_second = bytes_per_second
+        self._burst_bytes = burst_bytes
+        self._bytes = burst_bytes
         self._refilled = now
 
     def spend(self, updates: Iterable[MemberUpdate] | int, now: float) -> bool:
@@ -102,6 +106,6 @@
         return count
 
     def _refill(self, now: float) -> None:
-        gained = (now - self._refilled) * BUDGET_BYTES_PER_SECOND
-        self._bytes = min(self._bytes + gained, BUDGET_BURST_BYTES)
+        gained = (now - self._refilled) * self._bytes_per_second
+        self._bytes = min(self._bytes + gained, self._burst_bytes)
         self._refilled = now
--- a/egretsill/membership/_membership.py
+++ b/egretsill/membership/_membership.py
@@ -13,7 +13,7 @@
 
 from ..configuration import Address
 from ._claims import Claims
-from ._dissemination import ByteBudget
+from ._dissemination import GOSSIP_BURST_BYTES, GOSSIP_BYTES_PER_SECOND, ByteBudget
 from ._effects import Effect, Send
 from ._member import Member, MembershipView, MemberState, Role, identifier_of
 from ._messages import (
@@ -68,7 +68,8 @@
         self._random = random_source
         self._seeds = [each for each in seeds if each != own.gossip][:MAXIMUM_SEEDS]
         health = SelfHealth()
-        self._claims = Claims(own, incarnation, health, ByteBudget(now), self._outbox)
+        gossip_budget = ByteBudget(GOSSIP_BYTES_PER_SECOND, GOSSIP_BURST_BYTES, now)
+        self._claims = Claims(own, incarnation, health, gossip_budget, self._outbox)
         self._roster = self._claims.roster
         first_probe = now + PROBE_SECONDS * random_source.random()
         self._prober = Prober(own.identifier, self._roster, random_source, first_probe, health)
--- a/egretsill/membership/_synchronization.py
+++ b/egretsill/membership/_synchronization.py
@@ -7,6 +7,7 @@
 
 from ..configuration import Address
 from ._claims import Claims
+from ._dissemination import SYNC_BURST_BYTES, SYNC_BYTES_PER_SECOND, ByteBudget
 from ._effects import Effect, Send
 from ._messages import (
     MAXIMUM_DIGESTS,
@@ -46,6 +47,7 @@
     ) -> None:
         self._claims = claims
         self._prober = prober
+        self._budget = ByteBudget(SYNC_BYTES_PER_SECOND, SYNC_BURST_BYTES, now)
         self._random = random_source
         self._outbox = outbox
         self._next_sync = now + SYNC_SECONDS * random_source.random()
@@ -79,7 +81,7 @@
         """Take in one part of an answer, and return what is older in it than here."""
         self._claims.merge_all(message.updates, sender, now, pass_on=False)
         newer = self._claims.newer_than(message.updates)
-        if newer and self._claims.budget.spend(newer, now):
+        if newer and self._budget.spend(newer, now):
             self._outbox.append(Send(sender, Gossip(newer)))
         self.refresh.answered(message.sequence, message.part, message.parts, message.complete)
 
@@ -112,7 +114,7 @@
             return
         due = blocks(self._claims.roster.depth())
         self._next_block = (self._next_block + 1) % len(due)
-        if self._claims.budget.spend(MAXIMUM_UPDATES, now):
+        if self._budget.spend(MAXIMUM_UPDATES, now):
             self._ask(peers[0], due[self._next_block])
 
     def _ask(self, peer: int, block: tuple[int, int]) -> int:
@@ -136,7 +138,7 @@
             tuple(updates[first : first + MAXIMUM_UPDATES])
             for first in range(0, len(updates), MAXIMUM_UPDATES)
         ] or [()]
-        sent = [each for each in batches[:MAXIMUM_PARTS] if self._claims.budget.spend(each, now)]
+        sent = [each for each in batches[:MAXIMUM_PARTS] if self._budget.spend(each, now)]
         complete = len(sent) == len(batches) and self.refresh.is_fresh(now)
         for part, batch in enumerate(sent):
             answer = SyncEntries(sequence, part, len(sent), complete, batch)
--- a/egretsill/membership/tests/test_dissemination.py
+++ b/egretsill/membership/tests/test_dissemination.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from egretsill.membership._dissemination import (
-    BUDGET_BURST_BYTES,
-    BUDGET_BYTES_PER_SECOND,
+    GOSSIP_BURST_BYTES,
+    GOSSIP_BYTES_PER_SECOND,
     HEADER_BYTES,
     TRANSMISSIONS_MINIMUM,
     UPDATE_BYTES,
@@ -58,7 +58,7 @@
 
 
 def test_budget_bounds_bytes_over_time() -> None:
-    budget = ByteBudget(0.0)
+    budget = ByteBudget(GOSSIP_BYTES_PER_SECOND, GOSSIP_BURST_BYTES, 0.0)
     seconds = 100
     sent = 0.0
     for tick in range(seconds * 10):
@@ -66,5 +66,5 @@
         for _ in range(30):
             sent += HEADER_BYTES + 50 * UPDATE_BYTES if budget.spend(50, now) else 0
         sent += budget.share(12, now) * UPDATE_BYTES
-    assert sent <= BUDGET_BURST_BYTES + seconds * BUDGET_BYTES_PER_SECOND
-    assert sent >= 0.9 * seconds * BUDGET_BYTES_PER_SECOND
+    assert sent <= GOSSIP_BURST_BYTES + seconds * GOSSIP_BYTES_PER_SECOND
+    assert sent >= 0.9 * seconds * GOSSIP_BYTES_PER_SECOND
