Run stand-ins as commands of one program

Cause: two stand-ins defined the same flag, so tests that import both could not be collected; and the state-log test counted lines that other tests had logged before a destination existed.

--- a/egretsill/ctl/_call.py
+++ b/egretsill/ctl/_call.py
@@ -14,10 +14,7 @@
 from absl.flags import FlagValues
 
 from ..caller import Call, FlowNotOpened, open_caller
-from ..configuration import Address
-from ..configuration.ini import parse_address, parse_optional_duration
-from ..outcomes import Answered, Cancelled, Outcome, RefusalReason, Refused, Unknown
-from ._command import (
+from ..commands import (
     EXIT_CANCELLED,
     EXIT_OK,
     EXIT_REFUSED,
@@ -26,6 +23,9 @@
     Command,
     new_flags,
 )
+from ..configuration import Address
+from ..configuration.ini import parse_address, parse_optional_duration
+from ..outcomes import Answered, Cancelled, Outcome, RefusalReason, Refused, Unknown
 
 PIECE_BYTES = 65_536
 
--- a/egretsill/ctl/_check.py
+++ b/egretsill/ctl/_check.py
@@ -10,8 +10,8 @@
 
 from absl.flags import FlagValues
 
+from ..commands import EXIT_FAILED, EXIT_OK, EXIT_USAGE, Command, new_flags
 from ..configuration import DeclarationRejected, Problem, Service, load_declaration
-from ._command import EXIT_FAILED, EXIT_OK, EXIT_USAGE, Command, new_flags
 
 
 @dataclass(frozen=True, slots=True)
--- a/egretsill/ctl/_compile.py
+++ b/egretsill/ctl/_compile.py
@@ -11,6 +11,7 @@
 from absl import flags
 from absl.flags import FlagValues
 
+from ..commands import EXIT_FAILED, EXIT_OK, EXIT_USAGE, Command, new_flags
 from ..configuration import (
     ConfigurationError,
     DeclarationRejected,
@@ -19,7 +20,6 @@
 )
 from ._bundle_files import RevisionNotHigher, read_publication_files, write_publication_files
 from ._check import problem_fields
-from ._command import EXIT_FAILED, EXIT_OK, EXIT_USAGE, Command, new_flags
 
 
 @dataclass(frozen=True, slots=True)
--- a/egretsill/ctl/_diff.py
+++ b/egretsill/ctl/_diff.py
@@ -13,9 +13,9 @@
 
 from absl.flags import FlagValues
 
+from ..commands import EXIT_FAILED, EXIT_OK, EXIT_USAGE, Command, new_flags
 from ..configuration import Bundle, ConfigurationError, Service
 from ._bundle_files import read_publication_files
-from ._command import EXIT_FAILED, EXIT_OK, EXIT_USAGE, Command, new_flags
 
 
 class DifferenceKind(enum.Enum):
--- a/egretsill/ctl/_explain.py
+++ b/egretsill/ctl/_explain.py
@@ -11,6 +11,7 @@
 from absl import flags
 from absl.flags import FlagValues
 
+from ..commands import EXIT_FAILED, EXIT_OK, EXIT_USAGE, Command, new_flags
 from ..configuration import (
     Bundle,
     ConfigurationError,
@@ -22,7 +23,6 @@
 )
 from ..settings import parse_keys
 from ..steering import CONNECTION_ID_BYTES, ConnectionIdCodec, ConnectionIdKey, rank
-from ._command import EXIT_FAILED, EXIT_OK, EXIT_USAGE, Command, new_flags
 
 
 @dataclass(frozen=True, slots=True)
--- a/egretsill/ctl/_status.py
+++ b/egretsill/ctl/_status.py
@@ -10,10 +10,10 @@
 import trio
 from absl.flags import FlagValues
 
+from ..commands import EXIT_FAILED, EXIT_OK, EXIT_USAGE, Command, new_flags
 from ..configuration import Address
 from ..configuration.ini import parse_address
 from ..wire import PageUnavailable, get_page
-from ._command import EXIT_FAILED, EXIT_OK, EXIT_USAGE, Command, new_flags
 
 TIMEOUT_SECONDS = 3.0
 COLUMNS = ("name", "role", "revision", "flows", "requests", "draining")
--- a/egretsill/ctl/tests/test_declarations.py
+++ b/egretsill/ctl/tests/test_declarations.py
@@ -6,10 +6,10 @@
 import pytest
 
 from ... import ctl
+from ...commands import EXIT_FAILED, EXIT_OK, EXIT_USAGE, Command
 from .. import _check, _compile, _diff
 from .._bundle_files import RevisionNotHigher, read_publication_files
 from .._check import check
-from .._command import EXIT_FAILED, EXIT_OK, EXIT_USAGE, Command
 from .._compile import compile_declaration
 from .._diff import Difference, DifferenceKind, diff
 
--- a/egretsill/observation/tests/test_logging.py
+++ b/egretsill/observation/tests/test_logging.py
@@ -27,7 +27,9 @@
         eliot.remove_destination(destination)
         stream.close()
     assert written == [True, False, True, True]
-    lines = [json.loads(each) for each in path.read_text().splitlines()]
+    # eliot gives a first destination also what others logged before it was there.
+    everything = [json.loads(each) for each in path.read_text().splitlines()]
+    lines = [each for each in everything if each["process"] == "agent-1"]
     last = lines[-1]
     assert len(lines) == 3
     assert (last["message_type"], last["process"]) == ("egretsill:member", "agent-1")
--- a/egretsill/stand_ins/backend_server.py
+++ b/egretsill/stand_ins/backend_server.py
@@ -17,13 +17,11 @@
 
 import json
 import math
-from collections.abc import Sequence
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
 import h11
 import trio
-from absl import app, flags
 
 from ._backend_behaviour import BackendBehaviour, BackendCounts, Fault
 from ._backend_server_connection import ServerConnection
@@ -33,17 +31,6 @@
 GARBAGE = b"\x00\x01 garbage \xff\xfe\r\n\r\n"
 SHED_HEADERS = ((b"egretsill-not-run", b"1"), (b"retry-after", b"1"))
 
-FLAGS = flags.FLAGS
-FLAG_LISTEN = flags.DEFINE_string("listen", "127.0.0.1:8080", "IP:PORT to listen on.")
-FLAG_SERVICE = flags.DEFINE_string("service", None, "Name of the service that it belongs to.")
-FLAG_SLOTS = flags.DEFINE_integer("slots", 4, "Requests that run at once.")
-FLAG_SECONDS_PER_WEIGHT = flags.DEFINE_float(
-    "seconds_per_weight", 0.005, "Service time of a request of weight 1, in seconds."
-)
-FLAG_REVISION_SECONDS = flags.DEFINE_float(
-    "revision_seconds", 1.0, "Time between a subscription's revisions, in seconds; 0 for none."
-)
-
 
 class BackendServer:
     """One backend server of one service, inside the caller's trio loop."""
@@ -297,28 +284,3 @@
             line = json.dumps({"service": self._service, "revision": revision})
             await connection.send_data(line.encode() + b"\n")
         return end
-
-
-async def _serve_until_cancelled() -> None:
-    host, _, port = FLAG_LISTEN.value.rpartition(":")
-    behaviour = BackendBehaviour(
-        slots=FLAG_SLOTS.value,
-        seconds_per_weight=FLAG_SECONDS_PER_WEIGHT.value,
-        revision_seconds=FLAG_REVISION_SECONDS.value,
-    )
-    await BackendServer(FLAG_SERVICE.value or "", behaviour).serve(host.strip("[]"), int(port))
-
-
-def _main(arguments: Sequence[str]) -> int:
-    if len(arguments) > 1:
-        raise app.UsageError("no arguments are taken beyond the flags")
-    try:
-        trio.run(_serve_until_cancelled)
-    except KeyboardInterrupt:
-        return 0
-    return 0
-
-
-if __name__ == "__main__":
-    flags.mark_flag_as_required("service")  # type: ignore[no-untyped-call]
-    app.run(_main)
--- a/egretsill/stand_ins/platform.py
+++ b/egretsill/stand_ins/platform.py
@@ -17,10 +17,8 @@
 
 import h11
 import trio
-from absl import app, flags
 
 from ..configuration import Address
-from ..configuration.ini import parse_address
 from ._platform_store import (
     Down,
     Failing,
@@ -58,9 +56,6 @@
 READ_BYTES = 16_384
 MAXIMUM_REQUEST_BYTES = 8_192
 
-_LISTEN = flags.DEFINE_string("listen", "127.0.0.1:8500", "TCP endpoint to serve on.")
-_DIRECTORY = flags.DEFINE_string("directory", None, "Directory that holds the values as files.")
-
 
 @dataclass(frozen=True, slots=True)
 class _Query:
@@ -257,25 +252,3 @@
         connection.send(h11.EndOfMessage()),
     ]
     await stream.send_all(b"".join(piece or b"" for piece in pieces))
-
-
-async def _run(address: Address, directory: Path | None) -> None:
-    stand_in = PlatformStandIn()
-    async with trio.open_nursery() as nursery:
-        if directory is not None:
-            nursery.start_soon(stand_in.follow_directory, directory)
-        nursery.start_soon(stand_in.serve, address)
-
-
-def main(arguments: list[str]) -> None:
-    """Serve the values of a directory until the process is stopped."""
-    del arguments
-    directory = Path(_DIRECTORY.value) if _DIRECTORY.value else None
-    try:
-        trio.run(_run, parse_address(_LISTEN.value), directory)
-    except* KeyboardInterrupt:
-        pass
-
-
-if __name__ == "__main__":
-    app.run(main)
