--- a/egretsill/measurements/_relay_faults.py
+++ b/egretsill/measurements/_relay_faults.py
@@ -11,6 +11,8 @@
 from ._relay_parties import BackendCallModel, Caller, CallStage, GateNode, LinkModel, PendingConnect
 from ._relay_world import Action, RelayWorld
 
+PAUSE_SECONDS = 12.0
+
 
 def break_at_asker(world: RelayWorld, link: LinkModel) -> None:
     """Let the asker see the link as broken; what it sent may still arrive, however late."""
@@ -55,6 +57,24 @@
         stale.to_gate.extend([opens[0], None])
 
 
+def pause_gate(world: RelayWorld, node: GateNode) -> None:
+    """Let a gate's process not run for a while; it wakes with all that came meanwhile."""
+    world.faults["agent paused"] += 1
+    node.paused_until = world.now + PAUSE_SECONDS
+
+
+def pause_asker(world: RelayWorld) -> None:
+    """Let the asker's process not run for a while."""
+    world.faults["asker paused"] += 1
+    world.asker_paused_until = world.now + PAUSE_SECONDS
+
+
+def delay_link(world: RelayWorld, link: LinkModel) -> None:
+    """Let what is on the way, and what follows, arrive late."""
+    world.faults["link late"] += 1
+    link.late_until = world.now + PAUSE_SECONDS
+
+
 def crash(world: RelayWorld, number: int) -> None:
     """Replace a gate by a new incarnation that knows nothing."""
     world.faults["agent lost"] += 1
@@ -67,6 +87,17 @@
     world.nodes[number] = world.make_node(number, old.incarnation + 1)
 
 
+def lose_asker(world: RelayWorld) -> None:
+    """Let the asking agent die; its links end at the gates sooner or later."""
+    world.faults["asking agent lost"] += 1
+    for caller in world.callers:
+        caller.lost = caller.lost or caller.outcome is None
+    for link in world.links:
+        if link.asker_open:
+            world.close_at_asker(link)
+    world.connects.clear()
+
+
 def stop_gate(world: RelayWorld, number: int) -> None:
     """Let a gate start nothing any more."""
     world.tell_gate(world.nodes[number], Stopped())
@@ -100,6 +131,8 @@
     for connect in world.connects:
         faults.append(("link not opened", partial(fail_connect, world, connect)))
     for link in world.links:
+        if (link.to_gate or link.to_asker) and world.now >= link.late_until:
+            faults.append(("link late", partial(delay_link, world, link)))
         if link.asker_open:
             faults.append(("link broken at asker", partial(break_at_asker, world, link)))
             faults.append(("link lost in flight", partial(lose_in_flight, world, link)))
@@ -109,10 +142,17 @@
             faults.append(("open duplicated", partial(duplicate_open, world, link)))
     for node in world.nodes.values():
         faults.append(("agent lost", partial(crash, world, node.number)))
+        faults.append(("agent drained", partial(stop_gate, world, node.number)))
+        if world.now >= node.paused_until:
+            faults.append(("agent paused", partial(pause_gate, world, node)))
         for call in node.calls:
             faults.extend(_backend_faults(world, node, call))
+    if world.now >= world.asker_paused_until:
+        faults.append(("asker paused", partial(pause_asker, world)))
+    if any(not caller.lost and caller.outcome is None for caller in world.callers):
+        faults.append(("asking agent lost", partial(lose_asker, world)))
     for caller in world.callers:
-        if caller.outcome is None:
+        if caller.outcome is None and not caller.lost:
             faults.append(("caller left", partial(leave, world, caller)))
     return faults
 
--- a/egretsill/measurements/_relay_parties.py
+++ b/egretsill/measurements/_relay_parties.py
@@ -97,6 +97,7 @@
     Attributes:
         starts: first bytes that went to any backend server, without shed ones.
         runs: names of the runs, each with its own answer.
+        lost: whether the agent that owned its flow is gone, and nobody is told anything.
     """
 
     key: str
@@ -112,6 +113,7 @@
     data: bytes = b""
     outcome: Outcome | None = None
     conclusions: int = 0
+    lost: bool = False
     deliveries: deque[DeliverHead | DeliverData] = field(default_factory=deque)
 
     def start(self, run: str) -> None:
@@ -144,12 +146,18 @@
 
 @dataclass(slots=True, eq=False)
 class GateNode:
-    """A gate of one incarnation."""
+    """A gate of one incarnation.
+
+    Attributes:
+        skew: what its clock is ahead of the world's, in seconds.
+        paused_until: when its process runs again, in seconds of the world.
+    """
 
     number: int
     gate: Gate
     incarnation: int
     skew: float
+    paused_until: float = 0.0
     calls: list[BackendCallModel] = field(default_factory=list)
 
 
@@ -159,6 +167,7 @@
 
     Attributes:
         to_gate: messages on the way; None stands for the end of the stream.
+        late_until: when the next message can arrive, in seconds of the world.
     """
 
     caller: Caller
@@ -171,6 +180,7 @@
     gate_open: bool = True
     writer: AnswerWriter | None = None
     sends_body: bool = False
+    late_until: float = 0.0
 
 
 @dataclass(slots=True)
