--- a/egretsill/configuration/_bundle_codec.py
+++ b/egretsill/configuration/_bundle_codec.py
@@ -113,7 +113,7 @@
     Raises:
         ValueTooLarge: if a service doesn't fit into one value.
     """
-    values = {name: encode_service(service) for name, service in services.items()}
+    values = {name: _encode_service(service, previous) for name, service in services.items()}
     for name, value in values.items():
         _check_size(service_key(name), value)
     index = {name: digest_of(value) for name, value in values.items()}
@@ -249,6 +249,12 @@
     return assemble_publication(head, index, fetched)
 
 
+def _encode_service(service: Service, previous: Publication | None) -> bytes:
+    if previous is not None and previous.bundle.services.get(service.name) == service:
+        return previous.values[service.name]
+    return encode_service(service)
+
+
 def _head_fields(head: Head) -> Mapping[str, Any]:
     return {
         "format": FORMAT,
--- a/egretsill/configuration/_distributor.py
+++ b/egretsill/configuration/_distributor.py
@@ -116,6 +116,8 @@
         self._vm_subscribers: list[Callable[[Sequence[Vm]], None]] = []
         self._conflict_subscribers: list[Callable[[RevisionConflict], None]] = []
         self._vms: Sequence[Vm] = ()
+        self._vms_bytes = 0
+        self._vms_version = 0
         self._counters = DistributionCounters()
         self._fetches_out, self._fetches_in = trio.open_memory_channel[FetchFrom](8)
         self._duty_changed = trio.Event()
@@ -308,7 +310,8 @@
         while True:
             if await self._read_vms_once():
                 backoff = FIRST_VM_LIST_BACKOFF_SECONDS
-                seconds = max(self._times.vm_list, self._duty.vm_list_seconds)
+                least = self._duty.vm_list_seconds(self._vms_bytes)
+                seconds = max(self._times.vm_list, least)
                 await trio.sleep(seconds * self._random.uniform(0.75, 1.25))
             else:
                 await trio.sleep(backoff * self._random.uniform(1.0, 2.0))
@@ -317,16 +320,22 @@
     async def _read_vms_once(self) -> bool:
         self._counters.platform_reads += 1
         try:
-            vms = decode_vms((await self._vm_platform.read(VMS_KEY)).content)
+            answer = await self._vm_platform.watch(VMS_KEY, self._vms_version, 0.0)
+            if isinstance(answer, Value):
+                self._take_vms(answer)
+            self._vms_version = answer.version
         except PlatformFailure:
             self._counters.platform_failures += 1
             return False
         except ConfigurationError as error:
             self._count_bad_content(error)
             return False
-        self._vms = vms
-        self._duty.set_vms(vms, self._timer.now)
+        return True
+
+    def _take_vms(self, value: Value) -> None:
+        self._vms = decode_vms(value.content)
+        self._vms_bytes = len(value.content)
+        self._duty.set_vms(self._vms, self._timer.now)
         self._wake_duty()
         for subscriber in self._vm_subscribers:
-            subscriber(vms)
-        return True
+            subscriber(self._vms)
--- a/egretsill/configuration/_exchange.py
+++ b/egretsill/configuration/_exchange.py
@@ -81,15 +81,14 @@
 
     def push(self, standing: Standing, peers: Sequence[Peer]) -> Sequence[ExchangeEffect]:
         """Tell a few random peers of news, one of them in another failure domain."""
-        chosen = self._choose(self._others(peers))
+        chosen = self._choose(peers)
         return [Announce(peer.gossip, self._announcement(standing, False)) for peer in chosen]
 
     def compare(
         self, standing: Standing, peers: Sequence[Peer], count: int = 1
     ) -> Sequence[ExchangeEffect]:
         """Ask random peers what they have; to be called every period."""
-        others = self._others(peers)
-        chosen = self._random.sample(others, min(count, len(others)))
+        chosen = self._sample(peers, count)
         return [Announce(peer.gossip, self._announcement(standing, True)) for peer in chosen]
 
     def ask(self, standing: Standing, endpoints: Sequence[Address]) -> Sequence[ExchangeEffect]:
@@ -134,14 +133,16 @@
         self._fetching = rank
         return [FetchFrom(relay, rank)]
 
-    def _others(self, peers: Sequence[Peer]) -> list[Peer]:
-        return [peer for peer in peers if peer.name != self._name]
+    def _sample(self, peers: Sequence[Peer], count: int) -> list[Peer]:
+        """Return up to `count` random peers; the list may hold this process itself."""
+        drawn = self._random.sample(peers, min(count + 1, len(peers)))
+        return [peer for peer in drawn if peer.name != self._name][:count]
 
-    def _choose(self, others: Sequence[Peer]) -> Sequence[Peer]:
-        chosen = self._random.sample(others, min(FAN_OUT, len(others)))
+    def _choose(self, peers: Sequence[Peer]) -> Sequence[Peer]:
+        chosen = self._sample(peers, FAN_OUT)
         if any(peer.failure_domain != self._failure_domain for peer in chosen):
             return chosen
-        distant = [peer for peer in others if peer.failure_domain != self._failure_domain]
+        distant = [peer for peer in peers if peer.failure_domain != self._failure_domain]
         if distant:
             chosen[-1] = self._random.choice(distant)
         return chosen
--- a/egretsill/configuration/_readers.py
+++ b/egretsill/configuration/_readers.py
@@ -28,6 +28,7 @@
 LONGEST_READER_BACKOFF_SECONDS = 4.0
 LONGEST_DIRECT_BACKOFF_SECONDS = 60.0
 VM_LIST_READS_PER_SECOND = 50.0
+VM_LIST_BYTES_PER_SECOND = 4000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,15 +144,19 @@
         """Return the fleet's size, or a guess on the large side."""
         return len(self._vms) or UNKNOWN_FLEET_PROCESSES
 
-    @property
-    def vm_list_seconds(self) -> float:
-        """Return the least time between two reads of the VM list for a steady total rate."""
-        return self.processes / VM_LIST_READS_PER_SECOND
+    def vm_list_seconds(self, size: int) -> float:
+        """Return the least time between two reads of a VM list of `size` bytes.
+
+        It bounds the reads of the whole fleet and the bytes that one process takes in.
+        """
+        by_reads = self.processes / VM_LIST_READS_PER_SECOND
+        return max(by_reads, size / VM_LIST_BYTES_PER_SECOND)
 
     def set_vms(self, vms: Sequence[Vm], now: float) -> None:
         """Take a VM list."""
-        self._vms = vms
-        self._pick(now)
+        if vms != self._vms:
+            self._vms = vms
+            self._pick(now)
 
     def set_excluded(self, names: Collection[str], now: float) -> None:
         """Take the names of the processes that are known not to answer."""
