Shorten the way of a first packet

A retired address has routes of its own that take no first packets, IDs of another length than ours are not decoded, and drops are constants.

--- a/egretsill/steering/_routes.py
+++ b/egretsill/steering/_routes.py
@@ -71,6 +71,7 @@
         first_packets: where first packets go, by target number.
         inquiries: where packets of unknown owners go, by number of the target asked.
         winners: rank of the targets in the configuration.
+        takes_first_packets: whether flows may open at the address that leads here.
     """
 
     service_number: int
@@ -78,6 +79,7 @@
     first_packets: dict[int, Forward]
     inquiries: dict[int, Forward]
     winners: WinnerTable
+    takes_first_packets: bool = True
 
 
 class RoutingTable:
@@ -248,7 +250,7 @@
 
     def _list_addresses(self) -> None:
         self.routes = {
-            address: self._built[service_number]
+            address: replace(self._built[service_number], takes_first_packets=False)
             for address, (service_number, _) in self._retired.items()
             if service_number in self._built
         }
--- a/egretsill/steering/_steering.py
+++ b/egretsill/steering/_steering.py
@@ -16,8 +16,8 @@
 from typing import TypeAlias
 
 from ..configuration import Address, Bundle
-from ._connection_id import ConnectionIdCodec, is_owner, service_number_of
-from ._packet import MalformedPacket, MalformedReason, PacketHeader, parse_packet
+from ._connection_id import CONNECTION_ID_BYTES, ConnectionIdCodec, is_owner, service_number_of
+from ._packet import MalformedPacket, MalformedReason, parse_packet
 from ._ranking import first_unavoided, rank
 from ._routes import (
     PLACEMENT_DELAY_SECONDS,
@@ -29,7 +29,7 @@
 from ._source_limit import SourceLimit
 from ._view import RetainedTarget, SteeringView, avoidance
 
-_SHORT_HEADER_END = 18
+_SHORT_HEADER_END = 1 + CONNECTION_ID_BYTES
 _LONG_HEADER_BIT = 0x80
 
 
@@ -70,6 +70,12 @@
     reason: _DROPS[DropReason(reason.value)] for reason in MalformedReason
 }
 _UNKNOWN_ADDRESS = _DROPS[DropReason.UNKNOWN_ADDRESS]
+_RETIRED_ADDRESS = _DROPS[DropReason.RETIRED_ADDRESS]
+_UNDECODABLE_ID = _DROPS[DropReason.UNDECODABLE_ID]
+_FOREIGN_OWNER = _DROPS[DropReason.FOREIGN_OWNER]
+_UNKNOWN_OWNER = _DROPS[DropReason.UNKNOWN_OWNER]
+_NO_TARGET = _DROPS[DropReason.NO_TARGET]
+_SOURCE_LIMIT = _DROPS[DropReason.SOURCE_LIMIT]
 
 
 class Steering:
@@ -160,43 +166,44 @@
         if len(datagram) > _SHORT_HEADER_END and datagram[0] < _LONG_HEADER_BIT:
             owner = self._codec.decode_owner_bytes(datagram[1:_SHORT_HEADER_END])
             if owner is None:
-                return _DROPS[DropReason.UNDECODABLE_ID]
+                return _UNDECODABLE_ID
             return routes.owners.get(owner) or self._steer_unknown_owner(routes, owner, now)
         header = parse_packet(datagram)
         if isinstance(header, MalformedPacket):
             return _MALFORMED[header.reason]
-        return self._steer_header(routes, service_address, caller_host, header, now)
-
-    def _steer_header(
-        self,
-        routes: ServiceRoutes,
-        service_address: tuple[str, int],
-        caller_host: str,
-        header: PacketHeader,
-        now: float,
-    ) -> Decision:
-        owner = self._codec.decode_owner_bytes(header.connection_id)
-        if owner is not None:
-            forward = routes.owners.get(owner)
-            if forward is not None:
-                return forward
-            if is_owner(owner):
-                return self._steer_unknown_owner(routes, owner, now)
+        if len(header.connection_id) == CONNECTION_ID_BYTES:
+            owned = self._steer_long_owned(routes, header.connection_id, now)
+            if owned is not None:
+                return owned
         if not header.may_open:
-            return _DROPS[DropReason.UNDECODABLE_ID]
-        if self._table.is_retired(service_address):
-            return _DROPS[DropReason.RETIRED_ADDRESS]
-        if not self._source_limit.admits(caller_host, now):
-            return _DROPS[DropReason.SOURCE_LIMIT]
-        return self._place(routes, header.connection_id, now)
-
-    def _place(self, routes: ServiceRoutes, key: bytes, now: float) -> Decision:
+            return _UNDECODABLE_ID
+        return self._steer_first(routes, caller_host, header.connection_id, now)
+
+    def _steer_long_owned(
+        self, routes: ServiceRoutes, connection_id: bytes, now: float
+    ) -> Decision | None:
+        """Return where a long header's owner ID leads, or None if the caller made up the ID."""
+        owner = self._codec.decode_owner_bytes(connection_id)
+        if owner is None:
+            return None
+        forward = routes.owners.get(owner)
+        if forward is not None:
+            return forward
+        return self._steer_unknown_owner(routes, owner, now) if is_owner(owner) else None
+
+    def _steer_first(
+        self, routes: ServiceRoutes, caller_host: str, key: bytes, now: float
+    ) -> Decision:
         """Return the agent that a new flow goes to."""
+        if not routes.takes_first_packets:
+            return _RETIRED_ADDRESS
+        if not self._source_limit.admits(caller_host, now):
+            return _SOURCE_LIMIT
         if now >= self._next_maturity:
             self._combine_views(now)
         winner = routes.winners.winner(key)
         if winner is None:
-            return _DROPS[DropReason.NO_TARGET]
+            return _NO_TARGET
         if winner not in self._avoided:
             return routes.first_packets[winner]
         return self._place_by_rank(routes, key)
@@ -209,7 +216,7 @@
         ranked = rank(key, routes.winners.target_numbers)
         target_number = first_unavoided(ranked, self._avoidance)
         if target_number is None:
-            return _DROPS[DropReason.NO_TARGET]
+            return _NO_TARGET
         return routes.first_packets[target_number]
 
     def _steer_unknown_owner(self, routes: ServiceRoutes, owner: bytes, now: float) -> Decision:
@@ -217,13 +224,13 @@
         if now >= self._next_maturity:
             self._combine_views(now)
         if not is_owner(owner):
-            return _DROPS[DropReason.UNDECODABLE_ID]
+            return _UNDECODABLE_ID
         if service_number_of(owner) != routes.service_number:
-            return _DROPS[DropReason.FOREIGN_OWNER]
+            return _FOREIGN_OWNER
         ranked = rank(owner, routes.winners.target_numbers)
         target_number = first_unavoided(ranked, self._avoidance)
         if target_number is None:
-            return _DROPS[DropReason.UNKNOWN_OWNER]
+            return _UNKNOWN_OWNER
         return routes.inquiries[target_number]
 
     def _combine_views(self, now: float) -> None:
