--- a/egretsill/configuration/__init__.py
+++ b/egretsill/configuration/__init__.py
@@ -1,6 +1,7 @@
 """Services, targets and limits as the operators declared them, and how a process learns them."""
 
 from ._bundle_codec import (
+    HEAD_KEY,
     Change,
     Head,
     Publication,
@@ -8,14 +9,36 @@
     decode_publication,
     encode_publication,
 )
+from ._core import DistributionTimes
 from ._declaration import load_declaration
+from ._distributor import ConfigurationService, DistributionCounters, PlatformReader
 from ._exceptions import (
     ConfigurationError,
     DeclarationRejected,
     MalformedValue,
+    PeerFailure,
+    PeerUnreachable,
+    PlatformFailure,
+    PlatformMalformed,
+    PlatformRefused,
+    PlatformTimedOut,
+    PlatformUnreachable,
     TornPublication,
+    ValueMissing,
     ValueTooLarge,
 )
+from ._exchange import Peer
+from ._ledger import RevisionConflict
+from ._messages import (
+    CONFIGURATION_TYPES,
+    Announcement,
+    ConfigurationAnswer,
+    ConfigurationMessage,
+    ConfigurationQuestion,
+    HeadWanted,
+    IndexWanted,
+    ServicesWanted,
+)
 from ._model import (
     Address,
     Bundle,
@@ -26,28 +49,60 @@
     Target,
     TargetState,
 )
+from ._platform_client import PlatformClient, Unchanged, Value
 from ._problems import Problem
+from ._vms import Vm, VmState, decode_vms, encode_vms
 
 __all__ = [
     "Address",
+    "Announcement",
     "Bundle",
+    "CONFIGURATION_TYPES",
     "Change",
+    "ConfigurationAnswer",
     "ConfigurationError",
+    "ConfigurationMessage",
+    "ConfigurationQuestion",
+    "ConfigurationService",
     "DeclarationRejected",
+    "DistributionCounters",
+    "DistributionTimes",
+    "HEAD_KEY",
     "Head",
+    "HeadWanted",
+    "IndexWanted",
     "Limits",
     "MalformedValue",
+    "Peer",
+    "PeerFailure",
+    "PeerUnreachable",
+    "PlatformClient",
+    "PlatformFailure",
+    "PlatformMalformed",
+    "PlatformReader",
+    "PlatformRefused",
+    "PlatformTimedOut",
+    "PlatformUnreachable",
     "Problem",
     "Publication",
     "RequestClass",
     "RequestShape",
+    "RevisionConflict",
     "Service",
+    "ServicesWanted",
     "Target",
     "TargetState",
     "TornPublication",
+    "Unchanged",
+    "Value",
+    "ValueMissing",
     "ValueTooLarge",
+    "Vm",
+    "VmState",
     "compile_publication",
     "decode_publication",
+    "decode_vms",
     "encode_publication",
+    "encode_vms",
     "load_declaration",
 ]
--- a/egretsill/configuration/tests/fleets.py
+++ b/egretsill/configuration/tests/fleets.py
@@ -11,6 +11,8 @@
     RequestClass,
     Service,
     Target,
+    Vm,
+    VmState,
     compile_publication,
 )
 
@@ -27,7 +29,7 @@
     history = [compile_publication(current, 1)]
     for revision in range(2, length + 1):
         name = f"service-{revision % services}"
-        limits = dataclasses.replace(current[name].limits, queue_length=revision)
+        limits = dataclasses.replace(current[name].limits, queue_length=revision + 100)
         current = {**current, name: dataclasses.replace(current[name], limits=limits)}
         history.append(compile_publication(current, revision, history[-1]))
     return history
@@ -59,3 +61,10 @@
         backend=Address(host, 4),
         slots=2,
     )
+
+
+def make_vms(count: int) -> list[Vm]:
+    return [
+        Vm(f"vm-{number}", "agent", DOMAINS[number % len(DOMAINS)], VmState.LIVE)
+        for number in range(count)
+    ]
--- a/egretsill/daemon/_agent_core.py
+++ b/egretsill/daemon/_agent_core.py
@@ -85,8 +85,10 @@
         return self._flows.open_requests
 
     async def run(self) -> None:
-        """Take packets until cancelled."""
-        await self._tunnel.run()
+        """Take packets and requests until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._requests.run)
+            await self._tunnel.run()
 
     def apply_bundle(self, bundle: Bundle) -> None:
         """Work by this configuration from now on."""
