--- a/egretsill/membership/_probing.py
+++ b/egretsill/membership/_probing.py
@@ -152,9 +152,11 @@
             self.probes[sequence].helpers_heard += 1
 
     def draw(self, count: int) -> list[int]:
-        """Return up to `count` different reachable members by lot."""
+        """Return up to `count` different reachable members by lot, suspects only if need be."""
         ordered = self.roster.reachable.ordered
-        return self.random.sample(ordered, min(count, len(ordered)))
+        drawn = self.random.sample(ordered, min(2 * count, len(ordered)))
+        drawn.sort(key=self._is_suspect)
+        return drawn[:count]
 
     def begin_relay(self, requester: Address, sequence: int, target: int, now: float) -> int | None:
         """Note a ping made for another; return its sequence number, or None if there are many."""
@@ -179,6 +181,10 @@
         self.probes.clear()
         self.relays.clear()
 
+    def _is_suspect(self, identifier: int) -> bool:
+        entry = self.roster.get(identifier)
+        return entry is not None and entry.state is MemberState.SUSPECT
+
     def _successor(self) -> int | None:
         probed = {each.target for each in self.probes.values()}
         for identifier in self.roster.reachable.after(self.own_identifier):
