Pass on deaths that follow a suspicion seldom and last

Cause: each death was spread twice, as a suspicion and as a death, though all who suspect a member bury it by their own timer. Change: such a death is passed on four times, after all other claims.

--- a/egretsill/membership/_claims.py
+++ b/egretsill/membership/_claims.py
@@ -159,9 +159,11 @@
     def accept(self, entry: Entry, update: MemberUpdate, now: float, pass_on: bool = True) -> None:
         """Believe a claim that beats what is known."""
         former = self.roster.at_address(entry.member.gossip)
+        # Whoever suspects a member buries it without being told.
+        expected = entry.state is MemberState.SUSPECT and update.state == MemberState.DEAD
         change = self.roster.apply(update, now)
         if pass_on:
-            self.dissemination.add(update)
+            self.dissemination.add(update, expected)
             self.dissemination.resize(len(self.roster.reachable))
         if entry.state is not MemberState.SUSPECT:
             self._suspicions.pop(entry.identifier, None)
--- a/egretsill/membership/_dissemination.py
+++ b/egretsill/membership/_dissemination.py
@@ -11,6 +11,7 @@
 TRANSMISSIONS_FACTOR = 1.0
 TRANSMISSIONS_MINIMUM = 4
 MAXIMUM_TRANSMISSIONS = 40
+EXPECTED_TRANSMISSIONS = 4
 GOSSIP_BYTES_PER_SECOND = 7_000.0
 GOSSIP_BURST_BYTES = 7_000.0
 SYNC_BYTES_PER_SECOND = 3_000.0
@@ -38,10 +39,13 @@
             for identifier in list(self._levels[level]):
                 self._take_out(identifier)
 
-    def add(self, update: MemberUpdate) -> None:
-        """Pass on a new claim in place of any older one about the same member."""
+    def add(self, update: MemberUpdate, expected: bool = False) -> None:
+        """Pass on a new claim in place of any older one about the same member.
+
+        A claim that the others come to by themselves is passed on after all else, and seldom.
+        """
         self._take_out(update.identifier)
-        self._put(update, 0)
+        self._put(update, max(self._limit - EXPECTED_TRANSMISSIONS, 0) if expected else 0)
 
     def heard(self, update: MemberUpdate) -> None:
         """Note that another member knows a claim already, so it needs less passing on."""
