--- a/egretsill/daemon/__init__.py
+++ b/egretsill/daemon/__init__.py
@@ -1,6 +1,6 @@
 """The daemon: one composition root for both roles."""
 
 from ._daemon import Daemon
-from ._sources import ConfigurationSource, FixedConfiguration
+from ._exceptions import AddressUnavailable, AgentSettingsIncomplete
 
-__all__ = ["ConfigurationSource", "Daemon", "FixedConfiguration"]
+__all__ = ["AddressUnavailable", "AgentSettingsIncomplete", "Daemon"]
--- a/egretsill/daemon/_agent_core.py
+++ b/egretsill/daemon/_agent_core.py
@@ -10,14 +10,30 @@
 from ..admission import Admission
 from ..configuration import Address, Bundle, Service, Target
 from ..flows import AgentTunnel, FlowServer, IncomingDatagram, server_configuration
-from ..observation import JSON
-from ..requests import BackendClient, Exchange, RequestService
+from ..membership import MembershipView
+from ..observation import JSON, Metrics
+from ..placement import LoadReport, LoadReporter, Placement
+from ..requests import BackendClient, Bounds, Exchange, RequestService
 from ..settings import DaemonSettings, TlsSettings
-from ..steering import CallerPacket, ConnectionIdCodec
+from ..steering import (
+    ANNOUNCEMENT_SECONDS,
+    AgentSteering,
+    CallerPacket,
+    ConnectionIdCodec,
+    Drop,
+    Keep,
+    OwnerNotice,
+    PassOn,
+    SteeringView,
+)
 from ..timing import TrioTimerService
-from ._placeholder import OwnTargetOnly
+from ._load_sampler import LoadSampler
+from ._request_metrics import RequestMetrics
 
 NONCE_BYTES = 8
+INCARNATION_BITS = 48
+REPORT_POLL_SECONDS = 0.1
+FRESHNESS_POLL_SECONDS = 0.02
 
 
 class AgentCore:
@@ -26,6 +42,8 @@
     Args:
         target: the agent's target as first configured; its numbers never change.
         balancers: returns the tunnel endpoints of the balancers that answer.
+        send_report: sends a load report to the gossip endpoint of another agent.
+        is_view_fresh: returns whether the view of the others may place new work.
     """
 
     def __init__(
@@ -35,32 +53,45 @@
         bundle: Bundle,
         target: Target,
         timer: TrioTimerService,
+        metrics: Metrics,
         random: Random,
         codec: ConnectionIdCodec,
         balancers: Callable[[], Sequence[Address]],
+        send_report: Callable[[Address, LoadReport], object],
+        is_view_fresh: Callable[[], bool],
         nursery: trio.Nursery,
     ) -> None:
         self._bundle = bundle
         self._target = target
         self._timer = timer
+        self._metrics = metrics
         self._random = random
         self._codec = codec
+        self._send_report = send_report
+        self._is_view_fresh = is_view_fresh
         self._draining = False
         service = bundle.services[target.service]
+        self._service_number = service.number
+        self._observer = RequestMetrics(metrics)
         self._admission = Admission(target.slots, target.connections, service.limits, random)
-        self._backend = BackendClient(target.backend, timer)
-        self._requests = RequestService(
-            own_target_number=target.number,
-            own_service=target.service,
-            incarnation=random.getrandbits(48),
-            timer=timer,
-            services=self._service,
-            admission=self._admission,
-            placement=OwnTargetOnly(target.number),
-            backend=self._backend,
+        self._placement = Placement(target.number, service, random)
+        self._reporter = LoadReporter(target.number, service, random)
+        self._requests = self._make_requests(settings)
+        self._sampler = LoadSampler(
+            target.number, timer.epoch_milliseconds, timer.now, self._admission
+        )
+        self._steering = AgentSteering(
+            target.number,
+            service.number,
+            codec,
+            owns_flow=self._owns_flow,
+            is_draining=lambda: self._draining,
+            started_at=timer.now,
+            placement_delay_seconds=settings.flows.placement_delay_seconds,
         )
+        self._steering.apply_bundle(bundle, timer.now)
         self._tunnel = AgentTunnel(
-            settings.tunnel, target.number, self._own_services, lambda: self._draining
+            settings.tunnel, target.number, self._services, lambda: self._draining
         )
         self._flows = FlowServer(
             configuration=server_configuration(tls.certificate, tls.key),
@@ -72,7 +103,22 @@
             nursery=nursery,
             maximum_flows=settings.flows.maximum_flows,
         )
-        self._tunnel.receive_with(self._receive)
+        self._tunnel.receive_with(self._receive, self._learn)
+
+    @property
+    def requests(self) -> RequestService:
+        """Return the requests of this agent, for relay links of others."""
+        return self._requests
+
+    @property
+    def backend(self) -> Address:
+        """Return the endpoint of the backend server."""
+        return self._target.backend
+
+    @property
+    def packets(self) -> int:
+        """Return how many packets of callers arrived so far."""
+        return self._flows.counts.datagrams
 
     @property
     def flows_open(self) -> int:
@@ -82,28 +128,80 @@
     @property
     def requests_running(self) -> int:
         """Return how many requests are in progress."""
-        return self._flows.open_requests
+        return self._requests.running
 
     async def run(self) -> None:
         """Take packets and requests until cancelled."""
+        self._timer.subscribe(REPORT_POLL_SECONDS, self._poll_report)
+        self._timer.subscribe(ANNOUNCEMENT_SECONDS, self._announce_target)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._requests.run)
-            await self._tunnel.run()
+            nursery.start_soon(self._tunnel.run)
 
     def apply_bundle(self, bundle: Bundle) -> None:
         """Work by this configuration from now on."""
         self._bundle = bundle
+        now = self._timer.now
+        self._steering.apply_bundle(bundle, now)
+        service = bundle.services.get(self._target.service)
+        if service is None:
+            return
+        self._placement.update_service(service)
+        self._reporter.update_service(service)
+        for target in service.targets:
+            if target.number == self._target.number:
+                self._target = target
+                self._requests.change_bounds(target.slots, target.connections, service.limits)
+
+    def update_view(self, view: MembershipView) -> None:
+        """Place new work by this view from now on."""
+        self._steering.update_view(
+            SteeringView(draining=view.leaving, unresponsive=view.suspect | view.dead)
+        )
+        self._placement.set_unavailable(view.leaving | view.dead)
+
+    def receive_report(self, report: LoadReport, sender: Address) -> None:
+        """Take another agent's load report."""
+        self._placement.on_report(report, self._timer.now)
 
     def replace_codec(self, codec: ConnectionIdCodec) -> None:
         """Issue connection IDs under other keys from now on."""
         self._codec = codec
+        self._steering.replace_codec(codec)
+
+    def replace_certificate(self, tls: TlsSettings) -> None:
+        """Use another certificate for flows opened from now on."""
+        self._flows.replace_configuration(server_configuration(tls.certificate, tls.key))
+
+    def stop_new_work(self) -> None:
+        """Start no new work from now on."""
+        self._draining = True
+        self._requests.stop_new_work()
+        self._poll_report(self._timer.now)
 
-    def start_draining(self) -> None:
-        """Start no new work, and ask callers to open further requests elsewhere."""
-        if not self._draining:
-            self._draining = True
-            self._requests.stop_new_work()
-            self._flows.send_goaway()
+    def resume_new_work(self) -> None:
+        """Start new work again."""
+        self._draining = False
+        self._requests.resume_new_work()
+        self._poll_report(self._timer.now)
+
+    def send_goaway(self) -> None:
+        """Ask callers to open further requests on other flows."""
+        self._flows.send_goaway()
+
+    def close_idle_flows(self) -> None:
+        """Close flows that were asked so and have no request in progress."""
+        self._flows.close_idle_flows()
+
+    def update_gauges(self) -> None:
+        """Set the gauges that are read when somebody looks."""
+        admission = self._admission
+        self._metrics.flows_open.set(self._flows.open_flows)
+        self._metrics.slots.set(admission.slots)
+        self._metrics.slots_in_use.set(admission.running)
+        self._metrics.requests_queued.set(admission.queued)
+        self._metrics.subscriptions_open.set(admission.open_connections)
+        self._metrics.draining.set(int(self._draining))
 
     def status(self) -> Mapping[str, JSON]:
         """Return what the status page says of the agent."""
@@ -114,23 +212,71 @@
             "slots_in_use": self._admission.running,
             "queued": self._admission.queued,
             "subscriptions": self._admission.open_connections,
+            "refusals": dict(self._observer.refusals),
             "dropped": dict(self._tunnel.drops),
         }
 
+    def _make_requests(self, settings: DaemonSettings) -> RequestService:
+        bounds = Bounds(
+            connect_seconds=settings.backend.connect_seconds,
+            silence_seconds=settings.backend.silence_seconds,
+        )
+        return RequestService(
+            own_target_number=self._target.number,
+            own_service=self._target.service,
+            incarnation=self._random.getrandbits(INCARNATION_BITS),
+            timer=self._timer,
+            services=self._service,
+            admission=self._admission,
+            placement=self._placement,
+            backend=BackendClient(self._target.backend, self._timer, bounds),
+            observer=self._observer,
+        )
+
     def _service(self, name: str) -> Service | None:
         return self._bundle.services.get(name)
 
-    def _own_services(self) -> Mapping[int, str]:
-        service = self._bundle.services.get(self._target.service)
-        return {} if service is None else {service.number: service.name}
+    def _services(self) -> Mapping[int, str]:
+        # The own service is served on even after the configuration has dropped the target.
+        return {self._service_number: self._target.service}
 
     def _issue_connection_id(self, service: str) -> bytes:
-        number = self._bundle.services[service].number
         nonce = self._random.randbytes(NONCE_BYTES)
-        return self._codec.encode(number, self._target.number, nonce)
+        return self._codec.encode(self._service_number, self._target.number, nonce)
+
+    def _owns_flow(self, connection_id: bytes) -> bool:
+        return self._flows.knows(connection_id)
 
     async def _serve(self, exchange: Exchange) -> None:
+        while not self._is_view_fresh():
+            await self._timer.sleep(FRESHNESS_POLL_SECONDS)
         await self._requests.serve(exchange)
 
-    def _receive(self, datagram: IncomingDatagram, packet: CallerPacket) -> None:
-        self._flows.receive(datagram)
+    def _receive(self, datagram: IncomingDatagram, packet: CallerPacket, sender: Address) -> None:
+        match self._steering.decide(packet, sender, self._timer.now):
+            case Keep():
+                self._flows.receive(datagram)
+            case PassOn(tunnel, passed, balancer, notice):
+                self._metrics.first_packets_rerouted.increment("passed-on")
+                self._tunnel.send_message(passed, tunnel)
+                self._tunnel.send_message(notice, balancer)
+            case Drop(reason):
+                self._metrics.datagrams_dropped.increment("tunnel", reason)
+
+    def _learn(self, notice: OwnerNotice) -> None:
+        self._steering.learn(notice, self._timer.now)
+
+    def _announce_target(self, now: float) -> None:
+        if self._flows.open_flows:
+            for announcement in self._steering.announcements():
+                self._tunnel.send_message(announcement.notice, announcement.tunnel)
+
+    def _poll_report(self, now: float) -> None:
+        sending = self._reporter.poll(self._sampler.sample(self._draining, now), now)
+        service = self._bundle.services.get(self._target.service)
+        if sending is None or service is None:
+            return
+        gossip = {each.number: each.gossip for each in service.targets}
+        for number in sending.targets:
+            if number in gossip:
+                self._send_report(gossip[number], sending.report)
--- a/egretsill/daemon/_agent_role.py
+++ b/egretsill/daemon/_agent_role.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from random import Random
+from typing import Any
 
 import trio
 
 from ..configuration import Address, Bundle, Target
 from ..membership import MembershipView
-from ..observation import JSON, Metrics, StateLog
+from ..observation import JSON, Metrics
+from ..placement import LoadReport
+from ..requests import RelayMessage
 from ..settings import DaemonSettings, TlsSettings
 from ..steering import ConnectionIdCodec
 from ..timing import TrioTimerService
+from ..wire import StreamDecoder
 from ._agent_core import AgentCore
 from ._codec import make_codec
 
@@ -27,7 +31,8 @@
         target_number: int,
         timer: TrioTimerService,
         metrics: Metrics,
-        state_log: StateLog,
+        send_report: Callable[[Address, LoadReport], object],
+        is_view_fresh: Callable[[], bool],
         random: Random,
     ) -> None:
         self._settings = settings
@@ -35,19 +40,37 @@
         self._target_number = target_number
         self._timer = timer
         self._metrics = metrics
-        self._state_log = state_log
+        self._send_report = send_report
+        self._is_view_fresh = is_view_fresh
         self._random = random
         self._codec = make_codec(settings.connection_id_keys)
         self._balancers: tuple[Address, ...] = ()
+        self._view = MembershipView()
+        self._started = trio.Event()
         self._bundle: Bundle | None = None
         self._known = trio.Event()
         self._core: AgentCore | None = None
 
+    @property
+    def core(self) -> AgentCore | None:
+        """Return what needs the target, or None before the target is known."""
+        return self._core
+
     @property
     def target_number(self) -> int | None:
         """Return the number of the agent's target."""
         return self._target_number
 
+    @property
+    def backend(self) -> Address | None:
+        """Return the endpoint of the backend server, or None before the target is known."""
+        return None if self._core is None else self._core.backend
+
+    @property
+    def packets(self) -> int:
+        """Return how many packets of callers arrived so far."""
+        return 0 if self._core is None else self._core.packets
+
     @property
     def flows_open(self) -> int:
         """Return how many flows this agent owns."""
@@ -72,13 +95,31 @@
                 bundle=bundle,
                 target=target,
                 timer=self._timer,
+                metrics=self._metrics,
                 random=self._random,
                 codec=self._codec,
                 balancers=lambda: self._balancers,
+                send_report=self._send_report,
+                is_view_fresh=self._is_view_fresh,
                 nursery=nursery,
             )
+            self._core.update_view(self._view)
+            self._started.set()
             await self._core.run()
 
+    async def serve_relay(
+        self, stream: trio.abc.Stream, first: RelayMessage, decoder: StreamDecoder[Any]
+    ) -> None:
+        """Serve a relay link of another agent to its end."""
+        await self._started.wait()
+        if self._core is not None:
+            await self._core.requests.serve_relay(stream, first, decoder)
+
+    def receive_report(self, report: LoadReport, sender: Address) -> None:
+        """Take another agent's load report."""
+        if self._core is not None:
+            self._core.receive_report(report, sender)
+
     def apply_bundle(self, bundle: Bundle) -> None:
         """Work by this configuration from now on."""
         if self._core is not None:
@@ -89,7 +130,10 @@
 
     def update_view(self, view: MembershipView) -> None:
         """Send replies through, and offer requests to, those that answer."""
+        self._view = view
         self._balancers = tuple(member.tunnel for member in view.balancers)
+        if self._core is not None:
+            self._core.update_view(view)
 
     def replace_codec(self, codec: ConnectionIdCodec) -> None:
         """Issue connection IDs under other keys from now on."""
@@ -97,10 +141,36 @@
         if self._core is not None:
             self._core.replace_codec(codec)
 
-    def start_draining(self) -> None:
+    def replace_certificate(self, tls: TlsSettings) -> None:
+        """Use another certificate for flows opened from now on."""
+        self._tls = tls
+        if self._core is not None:
+            self._core.replace_certificate(tls)
+
+    def stop_new_work(self) -> None:
         """Start no new work from now on."""
         if self._core is not None:
-            self._core.start_draining()
+            self._core.stop_new_work()
+
+    def resume_new_work(self) -> None:
+        """Start new work again."""
+        if self._core is not None:
+            self._core.resume_new_work()
+
+    def send_goaway(self) -> None:
+        """Ask callers to open further requests on other flows."""
+        if self._core is not None:
+            self._core.send_goaway()
+
+    def close_idle_flows(self) -> None:
+        """Close flows that were asked so and have no request in progress."""
+        if self._core is not None:
+            self._core.close_idle_flows()
+
+    def update_gauges(self) -> None:
+        """Set the gauges that are read when somebody looks."""
+        if self._core is not None:
+            self._core.update_gauges()
 
     def status(self) -> Mapping[str, JSON]:
         """Return what the status page says of this role."""
--- a/egretsill/daemon/_balancer_role.py
+++ b/egretsill/daemon/_balancer_role.py
@@ -6,7 +6,7 @@
 
 from ..configuration import Address, Bundle
 from ..membership import MembershipView
-from ..observation import JSON, Metrics
+from ..observation import JSON, Counter, LabelValue, Metrics
 from ..settings import DaemonSettings
 from ..steering import Balancer, ConnectionIdCodec, SteeringView
 from ..timing import TimerService
@@ -32,6 +32,16 @@
         """Return None: a balancer has no target."""
         return None
 
+    @property
+    def backend(self) -> Address | None:
+        """Return None: a balancer guards no backend server."""
+        return None
+
+    @property
+    def packets(self) -> int:
+        """Return how many packets of callers arrived so far."""
+        return self._balancer.counters.forwarded
+
     @property
     def flows_open(self) -> int:
         """Return 0: a balancer keeps no flows."""
@@ -60,12 +70,36 @@
         """Use other connection-ID keys from now on."""
         self._balancer.replace_codec(codec)
 
-    def start_draining(self) -> None:
+    def stop_new_work(self) -> None:
         """Do nothing: a balancer forwards until the fabric feeds it no more."""
 
+    def resume_new_work(self) -> None:
+        """Do nothing: a balancer never stopped."""
+
+    def send_goaway(self) -> None:
+        """Do nothing: flows belong to agents."""
+
+    def close_idle_flows(self) -> None:
+        """Do nothing: flows belong to agents."""
+
+    def update_gauges(self) -> None:
+        """Bring the metrics up to what the balancer has counted."""
+        counters = self._balancer.counters
+        metrics = self._metrics
+        _catch_up(metrics.datagrams_forwarded, counters.forwarded, "to-agent")
+        _catch_up(metrics.datagrams_forwarded, counters.replied, "to-caller")
+        for reason, count in counters.drops.items():
+            _catch_up(metrics.datagrams_dropped, count, "balancer", reason)
+
     def status(self) -> Mapping[str, JSON]:
         """Return what the status page says of this role."""
         return {"silent_targets": sorted(self._balancer.silent_targets)}
 
     def _listener(self, service_address: Address) -> Address:
         return self._settings.listen.get(service_address, service_address)
+
+
+def _catch_up(counter: Counter, total: int, *labels: LabelValue) -> None:
+    behind = total - counter.value(*labels)
+    if behind > 0:
+        counter.increment(*labels, amount=behind)
--- /dev/null
+++ b/egretsill/daemon/_configuration_link.py
@@ -0,0 +1,98 @@
+"""Configuration between processes: questions over TCP, and the answers to them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import trio
+
+from ..configuration import (
+    CONFIGURATION_TYPES,
+    Address,
+    Announcement,
+    ConfigurationAnswer,
+    ConfigurationMessage,
+    ConfigurationQuestion,
+    HeadFound,
+    HeadWanted,
+    IndexFound,
+    IndexWanted,
+    NothingHeld,
+    PeerUnreachable,
+    ServicesFound,
+    ServicesWanted,
+)
+from ..wire import Codec, MalformedMessage, StreamDecoder
+
+READ_BYTES = 65_536
+QUESTIONS_IN_A_STREAM = 64
+IDLE_SECONDS = 5.0
+
+CONFIGURATION_CODEC: Codec[Any] = Codec("configuration", CONFIGURATION_TYPES)
+
+
+async def fetch(relay: Address, question: ConfigurationQuestion) -> ConfigurationAnswer:
+    """Put one question to the process at a relay endpoint; the caller bounds the wait.
+
+    Raises:
+        PeerUnreachable: if there is no proper answer.
+    """
+    try:
+        stream = await trio.open_tcp_stream(relay.host, relay.port)
+        async with stream:
+            await stream.send_all(CONFIGURATION_CODEC.encode(question))
+            return await _receive_answer(relay, stream)
+    except (OSError, trio.BrokenResourceError, MalformedMessage) as error:
+        raise PeerUnreachable(str(relay), type(error).__name__) from error
+
+
+async def serve_questions(
+    answer: Callable[[ConfigurationQuestion], ConfigurationAnswer],
+    stream: trio.abc.Stream,
+    first: ConfigurationMessage,
+    decoder: StreamDecoder[Any],
+) -> None:
+    """Answer the questions of a stream, of which the first was read already.
+
+    Raises:
+        MalformedMessage: if something else arrives.
+    """
+    message: ConfigurationMessage | None = first
+    for _ in range(QUESTIONS_IN_A_STREAM):
+        match message:
+            case HeadWanted() | IndexWanted() | ServicesWanted():
+                await stream.send_all(CONFIGURATION_CODEC.encode(answer(message)))
+            case None:
+                return
+            case _:
+                raise MalformedMessage(CONFIGURATION_CODEC.protocol, "no question")
+        message = None
+        with trio.move_on_after(IDLE_SECONDS):
+            message = await next_message(stream, decoder)
+
+
+async def next_message(stream: trio.abc.Stream, decoder: StreamDecoder[Any]) -> Any:
+    """Return the next message of a stream, or None at its end.
+
+    Raises:
+        MalformedMessage: if something else arrives.
+    """
+    data = b""
+    while True:
+        for message in decoder.feed(data):
+            return message
+        data = bytes(await stream.receive_some(READ_BYTES))
+        if not data:
+            return None
+
+
+async def _receive_answer(relay: Address, stream: trio.abc.Stream) -> ConfigurationAnswer:
+    decoder: StreamDecoder[Any] = StreamDecoder(CONFIGURATION_CODEC)
+    match await next_message(stream, decoder):
+        case HeadFound() | IndexFound() | ServicesFound() | NothingHeld() as answer:
+            return answer
+        case Announcement() | HeadWanted() | IndexWanted() | ServicesWanted():
+            raise PeerUnreachable(str(relay), "no answer")
+        case _:
+            raise PeerUnreachable(str(relay), "closed")
--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -3,23 +3,35 @@
 from __future__ import annotations
 
 import errno
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from random import Random
-from typing import TypeAlias, TypeVar
+from typing import Any, TypeAlias, TypeVar
 
 import trio
 
-from ..configuration import Address, Bundle
+from ..configuration import (
+    CONFIGURATION_TYPES,
+    Address,
+    Announcement,
+    Bundle,
+    ConfigurationMessage,
+    ConfigurationService,
+    DistributionTimes,
+    HeadWanted,
+    IndexWanted,
+    PlatformClient,
+    RevisionConflict,
+    ServicesWanted,
+    Vm,
+)
+from ..draining import BackendState
 from ..membership import (
     MEMBERSHIP_TYPES,
-    NO_TARGET,
     GossipSocket,
-    Member,
     Membership,
     MembershipService,
     MembershipView,
 )
-from ..membership import Role as MemberRole
 from ..observation import (
     JSON,
     AdminServer,
@@ -30,15 +42,21 @@
     StateKind,
     StateLog,
 )
+from ..placement import LOAD_TYPES, LoadReport
+from ..requests import RELAY_TYPES
 from ..settings import DaemonSettings, Role, SettingsRejected
 from ..timing import TrioTimerService
+from ..wire import StreamDecoder
 from ._agent_role import AgentRole
 from ._balancer_role import BalancerRole
 from ._codec import make_codec
+from ._configuration_link import fetch, serve_questions
+from ._drain_control import DrainControl, HealthPoller
 from ._exceptions import AddressUnavailable, AgentSettingsIncomplete
-from ._sources import ConfigurationSource
+from ._members import agents_of, balancers_of, own_member, peers_of
+from ._stream_endpoint import StreamEndpoint
 
-LEAVE_CHECK_SECONDS = 0.25
+GAUGE_SECONDS = 1.0
 
 BoundT = TypeVar("BoundT")
 DaemonRole: TypeAlias = BalancerRole | AgentRole
@@ -47,34 +65,41 @@
 class Daemon:
     """One process of the system, as a balancer or as an agent.
 
-    Args:
-        configuration: where bundles come from.
+    Raises:
+        AddressUnavailable: if the tunnel or gossip endpoint can't be bound.
+        AgentSettingsIncomplete: if an agent has no target number or certificate.
     """
 
-    def __init__(
-        self, settings: DaemonSettings, random: Random, configuration: ConfigurationSource
-    ) -> None:
+    def __init__(self, settings: DaemonSettings, random: Random) -> None:
         self._settings = settings
         self._random = random
-        self._configuration = configuration
         self._timer = TrioTimerService()
         self._metrics = Metrics()
         self._state_log = StateLog(settings.name)
-        self._role = self._make_role()
-        self._membership: MembershipService | None = None
-        self._draining = False
         self._stopped = trio.Event()
+        self._role = self._make_role()
+        self._gossip = self._bind_gossip()
+        self._streams = StreamEndpoint(
+            settings.relay, {**RELAY_TYPES, **CONFIGURATION_TYPES}, self._metrics
+        )
+        self._membership = self._make_membership()
+        self._configuration = self._make_configuration()
+        self._drain = DrainControl(
+            self._role,
+            self._timer,
+            settings.shutdown.linger_seconds,
+            self._tell_peers,
+            self._stopped.set,
+        )
 
     @property
     def revision(self) -> int:
         """Return the revision in force, or 0 before the first."""
-        bundle = self._configuration.bundle
-        return 0 if bundle is None else bundle.revision
+        return self._configuration.revision or 0
 
     @property
     def status(self) -> Mapping[str, JSON]:
         """Return the content of the status page."""
-        view = None if self._membership is None else self._membership.view
         return {
             "name": self._settings.name,
             "role": self._settings.role.value,
@@ -82,8 +107,14 @@
             "revision": self.revision,
             "flows": self._role.flows_open,
             "requests": self._role.requests_running,
-            "draining": self._draining,
-            "members_alive": 0 if view is None else len(view.alive),
+            "draining": self._drain.draining,
+            "drain_signals": list(self._drain.signals),
+            "members_alive": len(self._membership.view.alive),
+            "view_fresh": self._membership.is_fresh,
+            "reads_platform": self._configuration.is_reader,
+            "platform_age_seconds": self._configuration.platform_age_seconds,
+            "older_revisions_ignored": self._configuration.older_ignored,
+            "revision_conflicts": self._configuration.conflicts,
             **self._role.status(),
         }
 
@@ -93,7 +124,7 @@
         problems: list[HealthProblem] = []
         if self._configuration.bundle is None:
             problems.append(HealthProblem.NO_CONFIGURATION)
-        if self._draining:
+        if self._drain.draining:
             problems.append(HealthProblem.DRAINING)
         return HealthState(tuple(problems))
 
@@ -103,15 +134,17 @@
         Raises:
             AddressUnavailable: if an endpoint can't be bound.
         """
-        gossip = self._bind_gossip()
+        self._connect_parts()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._timer.run)
-            await nursery.start(gossip.run)
-            self._membership = self._join(gossip)
-            self._configuration.subscribe(self._apply_bundle)
+            await nursery.start(self._gossip.run)
+            await self._start(nursery, "relay", self._settings.relay, self._streams.run)
+            await self._start(nursery, "admin", self._settings.admin, self._make_admin().run)
+            self._membership.start()
             nursery.start_soon(self._configuration.run)
             nursery.start_soon(self._role.run)
-            await self._start_admin(nursery)
+            nursery.start_soon(self._make_health_poller().run)
+            self._drain.start()
             self._record(StateKind.PROCESS, "ready")
             task_status.started()
             await self._stopped.wait()
@@ -121,19 +154,14 @@
 
     def shut_down(self) -> None:
         """Stop gracefully: take no new work, and end when what runs has ended."""
-        if self._draining:
-            return
-        self._draining = True
-        self._record(StateKind.PROCESS, "draining")
-        self._role.start_draining()
-        if self._membership is not None:
-            self._membership.leave()
-        self._timer.call_later(self._settings.shutdown.linger_seconds, self._leave_when_idle)
+        self._drain.terminate()
 
     def replace_settings(self, settings: DaemonSettings) -> None:
-        """Take over what may change while running: the connection-ID keys."""
+        """Take over what may change while running: connection-ID keys and the certificate."""
         self._settings = settings
         self._role.replace_codec(make_codec(settings.connection_id_keys))
+        if isinstance(self._role, AgentRole) and settings.tls is not None:
+            self._role.replace_certificate(settings.tls)
         rotations = ",".join(str(each.rotation) for each in settings.connection_id_keys)
         self._record(StateKind.KEYS, rotations)
 
@@ -145,7 +173,7 @@
         settings = self._settings
         match settings.role:
             case Role.BALANCER:
-                return self._bound("tunnel", settings.tunnel, self._make_balancer)
+                return _bound("tunnel", settings.tunnel, self._make_balancer)
             case Role.AGENT:
                 if settings.tls is None or settings.number is None:
                     raise AgentSettingsIncomplete(settings.name)
@@ -155,7 +183,8 @@
                     settings.number,
                     self._timer,
                     self._metrics,
-                    self._state_log,
+                    self._send_report,
+                    lambda: self._membership.is_fresh,
                     self._random,
                 )
 
@@ -163,90 +192,142 @@
         return BalancerRole(self._settings, self._timer, self._metrics)
 
     def _bind_gossip(self) -> GossipSocket:
-        return self._bound(
-            "gossip",
-            self._settings.gossip,
-            lambda: GossipSocket(self._settings.gossip, MEMBERSHIP_TYPES, self._metrics),
-        )
+        types = {**MEMBERSHIP_TYPES, **LOAD_TYPES, **CONFIGURATION_TYPES}
+        listen = self._settings.gossip
+        return _bound("gossip", listen, lambda: GossipSocket(listen, types, self._metrics))
 
-    def _join(self, gossip: GossipSocket) -> MembershipService:
+    def _make_membership(self) -> MembershipService:
         membership = Membership(
-            self._own_member(),
+            own_member(self._settings),
             self._timer.epoch_milliseconds,
             self._random,
             self._timer.now,
             self._settings.seeds,
         )
-        service = MembershipService(membership, gossip, self._timer, self._metrics, self._state_log)
-        service.subscribe(self._update_view)
-        service.start()
-        return service
+        return MembershipService(
+            membership, self._gossip, self._timer, self._metrics, self._state_log
+        )
 
-    def _own_member(self) -> Member:
+    def _make_configuration(self) -> ConfigurationService:
         settings = self._settings
-        is_balancer = settings.role is Role.BALANCER
-        return Member(
+        exchange = settings.exchange
+        return ConfigurationService(
             name=settings.name,
-            role=MemberRole.BALANCER if is_balancer else MemberRole.AGENT,
-            target_number=NO_TARGET if settings.number is None else settings.number,
-            gossip=settings.gossip,
-            tunnel=settings.tunnel,
-            relay=settings.relay,
             failure_domain=settings.failure_domain,
+            relay=settings.relay,
+            platform=self._make_platform_client(),
+            vm_platform=self._make_platform_client(),
+            timer=self._timer,
+            random=self._random,
+            peers=lambda: peers_of(self._membership.view),
+            send=self._gossip.send,
+            fetch=fetch,
+            seeds=settings.seeds,
+            times=DistributionTimes(
+                period=exchange.period_seconds,
+                fetch=exchange.fetch_seconds,
+                start=exchange.start_seconds,
+                silence=exchange.silence_seconds,
+                watch=settings.platform.watch_seconds,
+                vm_list=settings.membership.vm_list_seconds,
+            ),
         )
 
-    async def _start_admin(self, nursery: trio.Nursery) -> None:
-        admin = AdminServer(
+    def _make_platform_client(self) -> PlatformClient:
+        platform = self._settings.platform
+        return PlatformClient(platform.addresses, platform.read_seconds)
+
+    def _make_admin(self) -> AdminServer:
+        return AdminServer(
             self._settings.admin, self._metrics, lambda: self.status, lambda: self.health
         )
+
+    def _make_health_poller(self) -> HealthPoller:
+        return HealthPoller(
+            self._backend, self._settings.backend, self._timer, self._on_backend_state
+        )
+
+    def _connect_parts(self) -> None:
+        self._membership.subscribe(self._on_view)
+        self._configuration.subscribe(self._on_bundle)
+        self._configuration.subscribe_vms(self._on_vms)
+        self._configuration.subscribe_conflicts(self._on_conflict)
+        self._gossip.register([Announcement], self._configuration.receive)
+        self._streams.register([HeadWanted, IndexWanted, ServicesWanted], self._answer_questions)
+        self._timer.subscribe(GAUGE_SECONDS, self._update_gauges)
+        if isinstance(self._role, AgentRole):
+            self._gossip.register([LoadReport], self._role.receive_report)
+            self._streams.register(RELAY_TYPES.values(), self._role.serve_relay)
+
+    async def _answer_questions(
+        self, stream: trio.abc.Stream, first: ConfigurationMessage, decoder: StreamDecoder[Any]
+    ) -> None:
+        await serve_questions(self._configuration.answer, stream, first, decoder)
+
+    async def _start(
+        self,
+        nursery: trio.Nursery,
+        purpose: str,
+        address: Address,
+        run: Callable[..., Awaitable[object]],
+    ) -> None:
         try:
-            await nursery.start(admin.run)
+            await nursery.start(run)
         except OSError as error:
-            raise _unavailable("admin", self._settings.admin, error) from error
+            raise _unavailable(purpose, address, error) from error
 
-    def _apply_bundle(self, bundle: Bundle) -> None:
+    def _on_bundle(self, bundle: Bundle) -> None:
         self._role.apply_bundle(bundle)
-        if self._membership is not None:
-            self._membership.on_targets(agents_of(bundle))
+        self._membership.on_targets(agents_of(bundle))
+        number = self._role.target_number
+        if number is not None:
+            self._drain.on_bundle(bundle, number)
         self._metrics.revision_in_force.set(bundle.revision)
         self._record(StateKind.CONFIGURATION, bundle.revision)
 
-    def _update_view(self, view: MembershipView) -> None:
+    def _on_vms(self, vms: Sequence[Vm]) -> None:
+        self._membership.on_vm_list(balancers_of(vms))
+        own = [each for each in vms if each.name == self._settings.name]
+        self._drain.on_vm(own[0] if own else None)
+
+    def _on_view(self, view: MembershipView) -> None:
         self._role.update_view(view)
+        self._configuration.set_unanswering(view.unanswering)
 
-    def _leave_when_idle(self, now: float) -> None:
-        if self._role.requests_running == 0:
-            self._stopped.set()
-            return
-        self._timer.call_later(LEAVE_CHECK_SECONDS, self._leave_when_idle)
+    def _on_conflict(self, conflict: RevisionConflict) -> None:
+        self._metrics.configuration_conflicts.increment()
+        self._record(StateKind.CONFIGURATION_CONFLICT, conflict.revision)
+
+    def _on_backend_state(self, state: BackendState) -> None:
+        self._drain.on_health(state)
+        self._record(StateKind.BACKEND, state.value)
+
+    def _backend(self) -> Address | None:
+        return self._role.backend
+
+    def _tell_peers(self, draining: bool) -> None:
+        if draining:
+            self._membership.leave()
+        else:
+            self._membership.stay()
+
+    def _send_report(self, gossip: Address, report: LoadReport) -> None:
+        self._gossip.send(gossip, report)
+
+    def _update_gauges(self, now: float) -> None:
+        self._role.update_gauges()
 
     def _record(
         self, kind: StateKind, state: str | int, details: Mapping[str, str] | None = None
     ) -> None:
         self._state_log.record(StateChange(kind, self._settings.name, state, details or {}))
 
-    def _bound(self, purpose: str, address: Address, make: Callable[[], BoundT]) -> BoundT:
-        try:
-            return make()
-        except OSError as error:
-            raise _unavailable(purpose, address, error) from error
-
 
-def agents_of(bundle: Bundle) -> list[Member]:
-    """Return the agents of all targets of a bundle as candidates for membership."""
-    return [
-        Member(
-            name=f"agent-{target.name}",
-            role=MemberRole.AGENT,
-            target_number=target.number,
-            gossip=target.gossip,
-            tunnel=target.tunnel,
-            relay=target.relay,
-            failure_domain=target.failure_domain,
-        )
-        for service in bundle.services.values()
-        for target in service.targets
-    ]
+def _bound(purpose: str, address: Address, make: Callable[[], BoundT]) -> BoundT:
+    try:
+        return make()
+    except OSError as error:
+        raise _unavailable(purpose, address, error) from error
 
 
 def _unavailable(purpose: str, address: Address, error: OSError) -> AddressUnavailable:
--- /dev/null
+++ b/egretsill/daemon/_drain_control.py
@@ -0,0 +1,192 @@
+"""Turns the signals to leave into what a daemon does about them."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+from ..configuration import Address, Bundle, TargetState, Vm, VmState
+from ..draining import (
+    BackendHealth,
+    BackendState,
+    DrainEffect,
+    Draining,
+    DrainSignal,
+    HealthPage,
+    Leave,
+    ResumeNewWork,
+    SendGoaway,
+    StopNewWork,
+    TellPeers,
+)
+from ..settings import BackendSettings
+from ..timing import TrioTimerService
+from ..wire import PageUnavailable, get_page
+
+TICK_SECONDS = 0.25
+HEALTH_TIMEOUT_SECONDS = 1.0
+HEALTHY_STATUS = 200
+
+
+class DrainingRole(Protocol):
+    """What draining asks of a daemon's role."""
+
+    @property
+    def requests_running(self) -> int:
+        """Return how many requests are in progress."""
+
+    @property
+    def flows_open(self) -> int:
+        """Return how many flows are open."""
+
+    @property
+    def packets(self) -> int:
+        """Return how many packets arrived so far."""
+
+    def stop_new_work(self) -> None:
+        """Start no new work from now on."""
+
+    def resume_new_work(self) -> None:
+        """Start new work again."""
+
+    def send_goaway(self) -> None:
+        """Ask callers to open further requests on other flows."""
+
+    def close_idle_flows(self) -> None:
+        """Close flows that were asked so and have no request in progress."""
+
+
+class DrainControl:
+    """Watches for the signals to leave and carries out what follows.
+
+    Args:
+        quiet_seconds: how long nothing must arrive before the process leaves.
+        tell_peers: announces that new work is refused, or taken again.
+        leave: ends the process.
+    """
+
+    def __init__(
+        self,
+        role: DrainingRole,
+        timer: TrioTimerService,
+        quiet_seconds: float,
+        tell_peers: Callable[[bool], None],
+        leave: Callable[[], None],
+    ) -> None:
+        self._role = role
+        self._timer = timer
+        self._tell_peers = tell_peers
+        self._leave = leave
+        self._draining = Draining(quiet_seconds)
+        self._packets = 0
+
+    @property
+    def draining(self) -> bool:
+        """Return whether new work is refused."""
+        return not self._draining.takes_new_work
+
+    @property
+    def signals(self) -> tuple[str, ...]:
+        """Return the names of the signals that hold."""
+        return tuple(sorted(each.value for each in self._draining.signals))
+
+    def start(self) -> None:
+        """Follow the work in progress from now on."""
+        self._timer.subscribe(TICK_SECONDS, self._on_tick)
+
+    def terminate(self) -> None:
+        """Take in that the process was asked to stop."""
+        self._signal(DrainSignal.TERMINATION, True)
+
+    def on_vm(self, vm: Vm | None) -> None:
+        """Take in what the VM list says of this VM, None if it is not on it."""
+        if vm is not None:
+            self._signal(DrainSignal.VM_LIST, vm.state is VmState.LEAVING)
+
+    def on_bundle(self, bundle: Bundle, target_number: int) -> None:
+        """Take in what the configuration says of the target with this number."""
+        states = [
+            target.state
+            for service in bundle.services.values()
+            for target in service.targets
+            if target.number == target_number
+        ]
+        self._signal(DrainSignal.CONFIGURATION, states != [TargetState.ACTIVE])
+
+    def on_health(self, state: BackendState) -> None:
+        """Take in what the backend server is taken to be."""
+        self._signal(DrainSignal.HEALTH_PAGE, state is BackendState.DRAINING)
+
+    def _signal(self, signal: DrainSignal, holds: bool) -> None:
+        self._carry_out(self._draining.signal(signal, holds, self._timer.now))
+
+    def _on_tick(self, now: float) -> None:
+        if self._role.packets != self._packets:
+            self._packets = self._role.packets
+            self._draining.packet(now)
+        if self.draining:
+            self._role.close_idle_flows()
+        work = (self._role.requests_running, self._role.flows_open)
+        self._carry_out(self._draining.work(*work, now))
+        self._carry_out(self._draining.tick(now))
+
+    def _carry_out(self, effects: Sequence[DrainEffect]) -> None:
+        for effect in effects:
+            match effect:
+                case StopNewWork():
+                    self._role.stop_new_work()
+                case ResumeNewWork():
+                    self._role.resume_new_work()
+                case SendGoaway():
+                    self._role.send_goaway()
+                case TellPeers(draining):
+                    self._tell_peers(draining)
+                case Leave():
+                    self._leave()
+
+
+class HealthPoller:
+    """Reads a backend server's health page and judges it.
+
+    Args:
+        backend: returns its HTTP/1.1 endpoint, or None while it is not known.
+        on_state: called after each reading.
+    """
+
+    def __init__(
+        self,
+        backend: Callable[[], Address | None],
+        settings: BackendSettings,
+        timer: TrioTimerService,
+        on_state: Callable[[BackendState], None],
+    ) -> None:
+        self._backend = backend
+        self._settings = settings
+        self._timer = timer
+        self._on_state = on_state
+        self._health = BackendHealth()
+
+    async def run(self) -> None:
+        """Read the page until cancelled."""
+        while True:
+            await self._timer.sleep(self._settings.health_seconds)
+            backend = self._backend()
+            if backend is not None:
+                page = await read_health(backend, self._settings.health_path)
+                self._on_state(self._health.page(page, self._timer.now))
+
+
+async def read_health(backend: Address, path: str) -> HealthPage:
+    """Return what a backend server's health page says."""
+    try:
+        page = await get_page(backend.host, backend.port, path, HEALTH_TIMEOUT_SECONDS)
+    except PageUnavailable:
+        return HealthPage.UNREADABLE
+    try:
+        content = json.loads(page.body)
+    except ValueError:
+        content = None
+    if isinstance(content, dict) and content.get("status") == "draining":
+        return HealthPage.DRAINING
+    return HealthPage.HEALTHY if page.status == HEALTHY_STATUS else HealthPage.UNHEALTHY
--- /dev/null
+++ b/egretsill/daemon/_load_sampler.py
@@ -0,0 +1,43 @@
+"""Reads an agent's own load for its reports."""
+
+from __future__ import annotations
+
+import itertools
+
+from ..admission import Admission
+from ..placement import LoadReport
+
+
+class LoadSampler:
+    """Makes load reports from the admission of the own target.
+
+    Args:
+        incarnation: start of this process in milliseconds since 1970.
+        server_since: when the backend server is taken to have started, in seconds.
+    """
+
+    def __init__(
+        self, target_number: int, incarnation: int, server_since: float, admission: Admission
+    ) -> None:
+        self._target_number = target_number
+        self._incarnation = incarnation
+        self._server_since = server_since
+        self._admission = admission
+        self._sequence = itertools.count(1)
+
+    def sample(self, draining: bool, now: float) -> LoadReport:
+        """Return the load as it is now."""
+        admission = self._admission
+        return LoadReport(
+            target=self._target_number,
+            incarnation=self._incarnation,
+            sequence=next(self._sequence),
+            outstanding_weight=admission.outstanding_weight,
+            running=admission.running,
+            queued=admission.queued,
+            slots=admission.slots,
+            connections=admission.open_connections,
+            draining=draining,
+            shedding=False,
+            server_age_seconds=now - self._server_since,
+        )
--- a/egretsill/daemon/_stream_endpoint.py
+++ b/egretsill/daemon/_stream_endpoint.py
@@ -10,9 +10,9 @@
 from ..configuration import Address
 from ..observation import Metrics
 from ..wire import Codec, MalformedMessage, StreamDecoder
+from ._configuration_link import next_message
 
 FIRST_MESSAGE_SECONDS = 5.0
-READ_BYTES = 65_536
 MAXIMUM_STREAMS = 8192
 
 StreamHandler: TypeAlias = Callable[[trio.abc.Stream, Any, StreamDecoder[Any]], Awaitable[None]]
@@ -67,19 +67,10 @@
         decoder: StreamDecoder[Any] = StreamDecoder(self._codec)
         message = None
         with trio.move_on_after(FIRST_MESSAGE_SECONDS):
-            message = await _first_message(stream, decoder)
+            message = await next_message(stream, decoder)
         if message is None:
             return
         handler = self._handlers.get(type(message))
         if handler is None:
             raise MalformedMessage(self._codec.protocol, "nobody takes this message")
         await handler(stream, message, decoder)
-
-
-async def _first_message(stream: trio.abc.Stream, decoder: StreamDecoder[Any]) -> Any:
-    while True:
-        data = bytes(await stream.receive_some(READ_BYTES))
-        if not data:
-            return None
-        for message in decoder.feed(data):
-            return message
--- a/egretsill/flows/_agent_tunnel.py
+++ b/egretsill/flows/_agent_tunnel.py
@@ -10,7 +10,15 @@
 import trio
 
 from ..configuration import Address
-from ..steering import AgentProbe, AgentProbeAnswer, CallerPacket, ReplyPacket, make_tunnel_codec
+from ..steering import (
+    AgentProbe,
+    AgentProbeAnswer,
+    CallerPacket,
+    OwnerNotice,
+    ReplyPacket,
+    TunnelMessage,
+    make_tunnel_codec,
+)
 from ..wire import MalformedMessage
 from ._datagram import IncomingDatagram, OutgoingDatagram
 
@@ -22,7 +30,7 @@
 class DatagramReceiver(Protocol):
     """Whoever takes callers' datagrams off the tunnel."""
 
-    def __call__(self, datagram: IncomingDatagram, packet: CallerPacket) -> None:
+    def __call__(self, datagram: IncomingDatagram, packet: CallerPacket, sender: Address) -> None:
         """Take one datagram; `packet` is the form in which it may be passed on."""
 
 
@@ -50,6 +58,7 @@
         self._codec = make_tunnel_codec()
         self._drops: Counter[str] = Counter()
         self._receive: DatagramReceiver | None = None
+        self._learn: Callable[[OwnerNotice], None] | None = None
         family = socket.AF_INET6 if ":" in listen.host else socket.AF_INET
         self._socket = socket.socket(family, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
@@ -61,9 +70,10 @@
         """Return how many datagrams were dropped, by reason."""
         return self._drops
 
-    def receive_with(self, receive: DatagramReceiver) -> None:
-        """Give callers' datagrams to `receive` from now on."""
+    def receive_with(self, receive: DatagramReceiver, learn: Callable[[OwnerNotice], None]) -> None:
+        """Give callers' datagrams to `receive` and notices of owners to `learn` from now on."""
         self._receive = receive
+        self._learn = learn
 
     def send(self, datagram: OutgoingDatagram) -> None:
         """Send a reply to a caller through a balancer."""
@@ -76,9 +86,9 @@
         )
         self._send(self._codec.encode(reply), datagram.balancer)
 
-    def pass_on(self, packet: CallerPacket, agent: Address) -> None:
-        """Hand a caller's datagram to another agent."""
-        self._send(self._codec.encode(packet), agent)
+    def send_message(self, message: TunnelMessage, address: Address) -> None:
+        """Send a message to another agent or to a balancer."""
+        self._send(self._codec.encode(message), address)
 
     async def run(self) -> None:
         """Take datagrams until cancelled; the socket is closed then."""
@@ -112,6 +122,8 @@
             case AgentProbe(sequence=sequence):
                 answer = AgentProbeAnswer(sequence, self._target_number, self._draining())
                 self._send(self._codec.encode(answer), sender)
+            case OwnerNotice() if self._learn is not None:
+                self._learn(message)
             case _:
                 self._drops["unexpected"] += 1
 
@@ -131,7 +143,7 @@
             payload=packet.payload,
         )
         if self._receive is not None:
-            self._receive(datagram, packet)
+            self._receive(datagram, packet, sender)
 
     def _send(self, data: bytes, address: Address) -> None:
         # A datagram that the socket cannot take now is lost; QUIC sends it again.
--- a/egretsill/flows/_flow.py
+++ b/egretsill/flows/_flow.py
@@ -24,9 +24,10 @@
 from ._flow_exchange import FlowExchange
 from ._request_head import MalformedRequest, read_request_head
 from ._return_path import ReturnPath
-from .headers import HTTP3_REQUEST_CANCELLED, HTTP3_REQUEST_REJECTED
+from .headers import HTTP3_NO_ERROR, HTTP3_REQUEST_CANCELLED, HTTP3_REQUEST_REJECTED
 
 KEEP_ALIVE_SECONDS = 15.0
+RETIRE_SECONDS = 2.0
 
 
 class Flow:
@@ -47,10 +48,13 @@
         "_connection",
         "_established",
         "_exchanges",
+        "_first_rejected_stream",
         "_http3",
         "_keep_alive_at",
+        "_next_request_stream",
         "_on_closed",
         "_on_identifiers",
+        "_retire_at",
         "_return_path",
         "_send",
         "_serve",
@@ -88,6 +92,9 @@
         self._wake_at = 0.0
         self._established = False
         self._trimmed = False
+        self._retire_at: float | None = None
+        self._next_request_stream = 0
+        self._first_rejected_stream: int | None = None
         self._closed = False
         self._keep_alive_at = timer.now + KEEP_ALIVE_SECONDS
 
@@ -137,12 +144,31 @@
         """Ask the caller to open its next requests on another flow."""
         if self._http3 is not None and not self._closed:
             self._http3.send_goaway()
+            self._retire_at = self._timer.now + RETIRE_SECONDS
             self.transmit()
 
+    def retire(self, now: float) -> None:
+        """Close the flow in two steps once it has no request; call it every now and then.
+
+        First further requests are ruled out, so that one on its way is refused as not run; then,
+        when the caller must have heard of that, the flow is closed.
+        """
+        if self._retire_at is None or now < self._retire_at or self._exchanges:
+            return
+        if self._closed or self._http3 is None:
+            return
+        if self._first_rejected_stream is None:
+            self._first_rejected_stream = self._next_request_stream
+            self._http3.send_goaway(self._first_rejected_stream)
+            self._retire_at = now + RETIRE_SECONDS
+            self.transmit()
+        else:
+            self.close()
+
     def close(self) -> None:
         """Close the flow with no error."""
         if not self._closed:
-            self._connection.close(error_code=0x100, reason_phrase="")
+            self._connection.close(error_code=HTTP3_NO_ERROR, reason_phrase="")
             self.transmit()
             self._end()
 
@@ -228,6 +254,10 @@
         if stream_id in self._exchanges:
             self._exchanges[stream_id].on_body(b"", ended)
             return
+        self._next_request_stream = max(self._next_request_stream, stream_id + 4)
+        if self._first_rejected_stream is not None and stream_id >= self._first_rejected_stream:
+            self._connection.reset_stream(stream_id, HTTP3_REQUEST_REJECTED)
+            return
         try:
             head = read_request_head(self._service, headers, self._timer.now)
         except MalformedRequest:
--- a/egretsill/flows/_flow_server.py
+++ b/egretsill/flows/_flow_server.py
@@ -91,7 +91,6 @@
         self._flows: dict[bytes, Flow] = {}
         self._open_flows: set[Flow] = set()
         self._counts = FlowCounts()
-        self._going_away = False
 
     @property
     def counts(self) -> FlowCounts:
@@ -142,10 +141,15 @@
 
     def send_goaway(self) -> None:
         """Ask every caller to open further requests on other flows."""
-        self._going_away = True
         for flow in list(self._open_flows):
             flow.send_goaway()
 
+    def close_idle_flows(self) -> None:
+        """Close, in two steps, the flows that were sent GOAWAY and have no request."""
+        now = self._timer.now
+        for flow in list(self._open_flows):
+            flow.retire(now)
+
     def close(self) -> None:
         """Close every flow."""
         for flow in list(self._open_flows):
--- a/egretsill/measurements/_naive_attempts.py
+++ b/egretsill/measurements/_naive_attempts.py
@@ -82,13 +82,13 @@
 
     def _offer(self, now: float) -> Sequence[AttemptEffect]:
         if self._tried:
-            self._placement.on_finished(self._tried[-1], self._class.weight, now)
+            self._placement.on_finished(self._tried[-1], self._class.weight, now, self._class.shape)
         target_number = self._placement.choose(self._class, self._tried, now)
         if target_number is None:
             self._tried.clear()
             return self._conclude(Refused(RefusalReason.NO_TARGET))
         self._tried.append(target_number)
-        self._placement.on_sent(target_number, self._class.weight, now)
+        self._placement.on_sent(target_number, self._class.weight, now, self._class.shape)
         dropped, self._link = self._link, self._link + 1
         return [DropLink(dropped), Connect(self._link, target_number, False, 0.0)]
 
--- a/egretsill/measurements/_relay_parties.py
+++ b/egretsill/measurements/_relay_parties.py
@@ -65,16 +65,29 @@
         """Return the next target in turn."""
         return next((number for number in self._order if number not in exclude), None)
 
-    def on_sent(self, target_number: int, weight: float, now: float) -> None:
+    def on_sent(self, target_number: int, weight: float, now: float, shape: RequestShape) -> None:
         """Count an offer."""
         self.outstanding += weight
 
-    def on_finished(self, target_number: int, weight: float, now: float) -> None:
+    def on_granted(self, target_number: int, now: float) -> None:
+        """Do nothing."""
+
+    def on_finished(
+        self, target_number: int, weight: float, now: float, shape: RequestShape
+    ) -> None:
         """Count its end."""
         self.outstanding -= weight
 
-    def on_refused(self, target_number: int, reason: RefusalReason, now: float) -> None:
-        """Do nothing."""
+    def on_refused(
+        self,
+        target_number: int,
+        weight: float,
+        reason: RefusalReason,
+        now: float,
+        shape: RequestShape,
+    ) -> None:
+        """Count its end."""
+        self.outstanding -= weight
 
 
 class Decider(Protocol):
--- a/egretsill/membership/_claims.py
+++ b/egretsill/membership/_claims.py
@@ -114,7 +114,9 @@
         return tuple(newer)
 
     def declare(self, state: MemberState) -> None:
-        """Change what this process claims about itself."""
+        """Change what this process claims about itself; to take a claim back is a new life."""
+        if state < self._own_state:
+            self._incarnation += 1
         self._own_state = state
         self.dissemination.add(self.own_update)
 
--- a/egretsill/membership/_member.py
+++ b/egretsill/membership/_member.py
@@ -68,6 +68,7 @@
         suspect: numbers of the targets whose agent missed probes and may still answer.
         dead: numbers of the targets whose agent does not answer.
         alive: all processes that answer and stay, balancers and agents, in order of name.
+        unanswering: names of the processes that do not answer.
     """
 
     version: int = 0
@@ -76,6 +77,7 @@
     suspect: frozenset[int] = frozenset()
     dead: frozenset[int] = frozenset()
     alive: tuple[Member, ...] = ()
+    unanswering: frozenset[str] = frozenset()
 
     @property
     def balancers(self) -> tuple[Member, ...]:
--- a/egretsill/membership/_membership.py
+++ b/egretsill/membership/_membership.py
@@ -179,6 +179,10 @@
         """Tell the others that this process takes no new work."""
         return self._announce(MemberState.LEAVING)
 
+    def announce_staying(self, now: float) -> list[Effect]:
+        """Tell the others that this process takes new work after all."""
+        return self._announce(MemberState.ALIVE)
+
     def announce_gone(self, now: float) -> list[Effect]:
         """Tell the others that this process is about to end."""
         return self._announce(MemberState.DEAD)
--- a/egretsill/membership/_membership_service.py
+++ b/egretsill/membership/_membership_service.py
@@ -86,6 +86,10 @@
         """Tell the others that this process takes no new work."""
         self._perform(self._membership.announce_leaving(self._timers.now))
 
+    def stay(self) -> None:
+        """Tell the others that this process takes new work after all."""
+        self._perform(self._membership.announce_staying(self._timers.now))
+
     def stop(self) -> None:
         """Tell the others that this process ends, and take no further part."""
         self._perform(self._membership.announce_gone(self._timers.now))
--- a/egretsill/membership/_roster.py
+++ b/egretsill/membership/_roster.py
@@ -200,10 +200,13 @@
     def _build_view(self) -> MembershipView:
         numbers: dict[MemberState, set[int]] = {state: set() for state in MemberState}
         alive = []
+        unanswering = set()
         for entry in self._entries.values():
             numbers[entry.state].add(entry.member.target_number)
             if entry.state is MemberState.ALIVE:
                 alive.append(entry.member)
+            elif entry.state in (MemberState.SUSPECT, MemberState.DEAD):
+                unanswering.add(entry.member.name)
         for each in numbers.values():
             each.discard(NO_TARGET)
         # A target whose agent was replaced has a dead entry and a live one; the live one counts.
@@ -218,6 +221,7 @@
             frozenset(suspect),
             frozenset(dead),
             tuple(sorted(alive, key=lambda each: each.name)),
+            frozenset(unanswering),
         )
 
 
--- a/egretsill/quickstart/_run.py
+++ b/egretsill/quickstart/_run.py
@@ -21,6 +21,11 @@
 TRAFFIC_SECONDS = 14.0
 BALANCER_STOPS_AFTER_SECONDS = 4.0
 FABRIC_NOTICES_AFTER_SECONDS = 1.0
+DRAIN_AFTER_SECONDS = 1.0
+PUBLISH_AFTER_SECONDS = 1.0
+READY_SECONDS = 12.0
+DRAINED_TARGETS = {"kallioniemi": "hakusana-2", "sibiu": "catalog-3"}
+SECOND_REVISION = 2
 SUBSCRIPTIONS = 6
 CALLERS_OF_A_KIND = 3
 UPLOADS = 2
@@ -48,10 +53,14 @@
             sites = [Site(plan, nursery, seed) for seed, plan in enumerate(plans)]
             for site in sites:
                 await site.start()
+            for site in sites:
+                if not await site.wait_until_ready(READY_SECONDS):
+                    print(f"{site.plan.name}: not all daemons were ready in time")
             await _run_traffic(sites, files.certificate, score)
+            revision = min(site.revision_in_force for site in sites)
             nursery.cancel_scope.cancel()
     counts = [backend.counts for site in sites for backend in site.backends.values()]
-    verdict = judge(score, counts, revision_in_force=1)
+    verdict = judge(score, counts, revision)
     print(_summary(score, verdict))
     return verdict
 
@@ -95,11 +104,16 @@
 async def _disturb(site: Site) -> None:
     await trio.sleep(BALANCER_STOPS_AFTER_SECONDS)
     await site.stop_balancer(site.plan.balancers[0], FABRIC_NOTICES_AFTER_SECONDS)
+    await trio.sleep(DRAIN_AFTER_SECONDS)
+    site.drain_target(DRAINED_TARGETS[site.plan.name])
+    await trio.sleep(PUBLISH_AFTER_SECONDS)
+    site.publish(SECOND_REVISION)
 
 
 def _summary(score: Score, verdict: Verdict) -> str:
     lines = [
-        "egretsill quickstart: two sites, three balancers each, one balancer stopped in each",
+        "egretsill quickstart: two sites of three balancers and ten targets each;",
+        "in each a balancer was stopped without warning, a target drained, a revision published",
         f"  requests           {verdict.requests}",
         f"  whole answers      {verdict.whole_answers}",
         f"  wrong answers      {verdict.wrong_answers}",
--- a/egretsill/quickstart/_site.py
+++ b/egretsill/quickstart/_site.py
@@ -7,14 +7,22 @@
 
 import trio
 
-from ..configuration import Bundle, Target
-from ..daemon import Daemon, FixedConfiguration
+from ..configuration import (
+    Target,
+    compile_publication,
+    encode_publication,
+    encode_vms,
+)
+from ..daemon import Daemon
 from ..settings import DaemonSettings
 from ..stand_ins.backend_server import BackendBehaviour, BackendServer
 from ..stand_ins.fabric import Fabric
+from ..stand_ins.platform import PlatformStandIn
 from ._site_plan import SitePlan
 
 REVISION_SECONDS = 0.5
+FIRST_REVISION = 1
+READY_POLL_SECONDS = 0.1
 SECONDS_PER_WEIGHT = 0.004
 
 
@@ -29,6 +37,7 @@
         self._scopes: dict[str, trio.CancelScope] = {}
         self._backends: dict[str, BackendServer] = {}
         self._fabric: Fabric | None = None
+        self._platform = PlatformStandIn()
 
     @property
     def plan(self) -> SitePlan:
@@ -42,12 +51,13 @@
 
     async def start(self) -> None:
         """Start all processes."""
-        bundle = Bundle(1, "", self._plan.services)
+        self.publish(FIRST_REVISION)
+        await self._nursery.start(self._platform.serve, self._plan.platform)
         for target in self._plan.targets:
             await self._start_backend(target)
-            await self._start_daemon(self._plan.agent_settings(target), bundle)
+            await self._start_daemon(self._plan.agent_settings(target))
         for name in self._plan.balancers:
-            await self._start_daemon(self._plan.balancer_settings(name), bundle)
+            await self._start_daemon(self._plan.balancer_settings(name))
         listeners = {name: self._plan.listeners(name) for name in self._plan.balancers}
         self._fabric = Fabric(self._plan.service_addresses, listeners, Random(self._seed))
         await self._nursery.start(self._fabric.run)
@@ -57,13 +67,41 @@
         """Return every daemon that was started, by name."""
         return self._daemons
 
+    def publish(self, revision: int) -> None:
+        """Publish the site's declaration under a revision number."""
+        publication = compile_publication(self._plan.services, revision)
+        self._platform.publish(encode_publication(publication))
+        self._platform.publish_vms(encode_vms(self._plan.vms))
+
+    def drain_target(self, name: str) -> None:
+        """Let a backend server say on its health page that it is leaving."""
+        self._backends[name].drain()
+
+    async def wait_until_ready(self, timeout_seconds: float) -> bool:
+        """Wait until every daemon has a configuration and sees all others; return whether."""
+        with trio.move_on_after(timeout_seconds):
+            while not all(self._is_ready(each) for each in self._daemons.values()):
+                await trio.sleep(READY_POLL_SECONDS)
+            return True
+        return False
+
+    @property
+    def revision_in_force(self) -> int:
+        """Return the lowest revision in force at the daemons that run."""
+        return min(daemon.revision for daemon in self._daemons.values())
+
     async def stop_balancer(self, name: str, noticed_after_seconds: float) -> None:
         """Stop a balancer without warning; the fabric feeds it on for a while."""
         self._scopes[name].cancel()
+        del self._daemons[name]
         await trio.sleep(noticed_after_seconds)
         if self._fabric is not None:
             self._fabric.feed([each for each in self._plan.balancers if each != name])
 
+    def _is_ready(self, daemon: Daemon) -> bool:
+        others = len(self._daemons) - 1
+        return daemon.revision > 0 and daemon.status["members_alive"] == others
+
     async def _start_backend(self, target: Target) -> None:
         behaviour = BackendBehaviour(
             slots=target.slots,
@@ -74,8 +112,8 @@
         self._backends[target.name] = backend
         await self._nursery.start(backend.serve, target.backend.host, target.backend.port)
 
-    async def _start_daemon(self, settings: DaemonSettings, bundle: Bundle) -> None:
-        daemon = Daemon(settings, SystemRandom(), FixedConfiguration(bundle))
+    async def _start_daemon(self, settings: DaemonSettings) -> None:
+        daemon = Daemon(settings, SystemRandom())
         scope = trio.CancelScope()
         self._daemons[settings.name] = daemon
         self._scopes[settings.name] = scope
--- a/egretsill/quickstart/_site_plan.py
+++ b/egretsill/quickstart/_site_plan.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from ..configuration import Address, Service, Target, load_declaration
+from ..configuration import Address, Service, Target, Vm, load_declaration
 from ..settings import (
     ConnectionIdKey,
     DaemonSettings,
@@ -70,6 +70,21 @@
         """Return the gossip endpoints that new processes ask first."""
         return [self._balancer_port(index, BALANCER_GOSSIP_PORT) for index in range(3)]
 
+    @property
+    def vms(self) -> Sequence[Vm]:
+        """Return the platform's VM list."""
+        daemons = [self.balancer_settings(each) for each in self.balancers]
+        daemons += [self.agent_settings(each) for each in self.targets]
+        return [
+            Vm(
+                name=each.name,
+                role=each.role.value,
+                failure_domain=each.failure_domain,
+                addresses={"gossip": each.gossip, "relay": each.relay, "tunnel": each.tunnel},
+            )
+            for each in daemons
+        ]
+
     def listeners(self, balancer: str) -> Mapping[Address, Address]:
         """Return a balancer's own listener for each service address."""
         index = self.balancers.index(balancer)
--- a/egretsill/requests/_attempts.py
+++ b/egretsill/requests/_attempts.py
@@ -174,7 +174,7 @@
             self._conclude(self._last_refusal or Refused(RefusalReason.NO_TARGET), now)
             return
         self._tries += 1
-        self._placement.on_sent(target_number, self._class.weight, now)
+        self._placement.on_sent(target_number, self._class.weight, now, self._class.shape)
         self._offer = Offer(target_number, self._next_identifier(), self._new_link())
         self._emit(Connect(self._offer.link, target_number, False, 0.0))
 
@@ -248,6 +248,7 @@
                 return
             case Started(queue_milliseconds):
                 offer.started = True
+                self._placement.on_granted(offer.target_number, now)
                 self._queue_seconds = queue_milliseconds / 1000
             case Refusal(reason, retry_after_seconds):
                 self._emit(FreeLink(offer.link))
@@ -322,10 +323,12 @@
         if self._answer.status is not None:
             self._on_unknown_end(offer, UnknownReason.RELAY_LOST, now)
             return
-        self._placement.on_refused(offer.target_number, refused.reason, now)
+        self._placement.on_refused(
+            offer.target_number, self._class.weight, refused.reason, now, self._class.shape
+        )
         self._excluded.add(offer.target_number)
         self._last_refusal = refused
-        self._end_offer(now)
+        self._offer = None
         if self._out_of_time or refused.reason is RefusalReason.DEADLINE:
             self._conclude(Refused(RefusalReason.DEADLINE), now)
         else:
@@ -385,7 +388,9 @@
 
     def _end_offer(self, now: float) -> None:
         if self._offer is not None:
-            self._placement.on_finished(self._offer.target_number, self._class.weight, now)
+            self._placement.on_finished(
+                self._offer.target_number, self._class.weight, now, self._class.shape
+            )
             self._offer = None
 
     def _new_link(self) -> int:
--- a/egretsill/requests/_collaborators.py
+++ b/egretsill/requests/_collaborators.py
@@ -6,7 +6,7 @@
 from typing import Protocol, TypeAlias
 
 from ..admission import AdmissionDecision, Ticket
-from ..configuration import RequestClass, Service
+from ..configuration import Limits, RequestClass, RequestShape, Service
 from ..outcomes import Outcome, RefusalReason
 
 ServiceLookup: TypeAlias = Callable[[str], Service | None]
@@ -30,6 +30,14 @@
     def stop(self, now: float) -> Sequence[AdmissionDecision]:
         """Admit nothing from now on."""
 
+    def resume(self) -> None:
+        """Admit again."""
+
+    def update(
+        self, slots: int, connections: int, limits: Limits, now: float
+    ) -> Sequence[AdmissionDecision]:
+        """Take over changed bounds."""
+
 
 class TargetPlacement(Protocol):
     """Chooses targets and learns from what became of requests."""
@@ -39,14 +47,26 @@
     ) -> int | None:
         """Return the number of the target to try next, or None if there is none."""
 
-    def on_sent(self, target_number: int, weight: float, now: float) -> None:
+    def on_sent(self, target_number: int, weight: float, now: float, shape: RequestShape) -> None:
         """Note that a request was offered to a target."""
 
-    def on_finished(self, target_number: int, weight: float, now: float) -> None:
-        """Note that an offered request has ended there, however it ended."""
+    def on_granted(self, target_number: int, now: float) -> None:
+        """Note that a target started an offered request."""
+
+    def on_finished(
+        self, target_number: int, weight: float, now: float, shape: RequestShape
+    ) -> None:
+        """Note that an offered request has ended there in any way but a refusal."""
 
-    def on_refused(self, target_number: int, reason: RefusalReason, now: float) -> None:
-        """Note that a target refused."""
+    def on_refused(
+        self,
+        target_number: int,
+        weight: float,
+        reason: RefusalReason,
+        now: float,
+        shape: RequestShape,
+    ) -> None:
+        """Note that a target refused an offered request, which ends it there."""
 
 
 class RequestObserver(Protocol):
--- a/egretsill/requests/_gate.py
+++ b/egretsill/requests/_gate.py
@@ -21,6 +21,7 @@
 from ._gate_events import (
     Abort,
     BackendEnded,
+    BoundsChanged,
     CloseLink,
     Follow,
     GateEffect,
@@ -29,6 +30,7 @@
     LinkLost,
     MessageArrived,
     Progress,
+    Resumed,
     Send,
     Stopped,
     Ticked,
@@ -115,6 +117,11 @@
             case Stopped():
                 self._stopped = True
                 self._apply(self._admission.stop(now), now)
+            case Resumed():
+                self._stopped = False
+                self._admission.resume()
+            case BoundsChanged(slots, connections, limits):
+                self._apply(self._admission.update(slots, connections, limits, now), now)
         effects, self._effects = self._effects, []
         return effects
 
--- a/egretsill/requests/_gate_events.py
+++ b/egretsill/requests/_gate_events.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TypeAlias
 
+from ..configuration import Limits
 from ._messages import RelayMessage, RequestId, Verdict
 
 
@@ -41,7 +42,23 @@
     """Nothing may start from now on."""
 
 
-GateEvent: TypeAlias = MessageArrived | LinkLost | BackendEnded | Ticked | Stopped
+@dataclass(frozen=True, slots=True)
+class Resumed:
+    """New work may start again."""
+
+
+@dataclass(frozen=True, slots=True)
+class BoundsChanged:
+    """The configuration gives the backend server other bounds."""
+
+    slots: int
+    connections: int
+    limits: Limits
+
+
+GateEvent: TypeAlias = (
+    MessageArrived | LinkLost | BackendEnded | Ticked | Stopped | Resumed | BoundsChanged
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/egretsill/requests/_gate_runner.py
+++ b/egretsill/requests/_gate_runner.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from ..configuration import Limits
 from ..outcomes import RefusalReason, Refused, UnknownReason
 from ..timing import ClockJump, TimerService
 from ._backend_call import BackendRequest
@@ -25,6 +26,7 @@
 from ._gate_events import (
     Abort,
     BackendEnded,
+    BoundsChanged,
     CloseLink,
     Follow,
     GateEffect,
@@ -33,6 +35,7 @@
     LinkLost,
     MessageArrived,
     Progress,
+    Resumed,
     Send,
     Stopped,
     Ticked,
@@ -93,6 +96,14 @@
         """Start nothing from now on."""
         self._handle(Stopped())
 
+    def resume_new_work(self) -> None:
+        """Start new work again."""
+        self._handle(Resumed())
+
+    def change_bounds(self, slots: int, connections: int, limits: Limits) -> None:
+        """Take over the bounds of a changed configuration."""
+        self._handle(BoundsChanged(slots, connections, limits))
+
     async def serve_link(self, link: MessageLink, watched: bool = True) -> None:
         """Serve an asker's link to its end.
 
--- a/egretsill/requests/_request_service.py
+++ b/egretsill/requests/_request_service.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from ..configuration import Address, RequestClass, Service
+from ..configuration import Address, Limits, RequestClass, Service
 from ..outcomes import Outcome, RefusalReason, Refused
 from ..timing import TimerService
 from ..wire import StreamDecoder
@@ -93,6 +93,14 @@
         """Start nothing at the own gate from now on; what runs goes on to its end."""
         self._gate_runner.stop_new_work()
 
+    def resume_new_work(self) -> None:
+        """Start new work at the own gate again."""
+        self._gate_runner.resume_new_work()
+
+    def change_bounds(self, slots: int, connections: int, limits: Limits) -> None:
+        """Take over the bounds of a changed configuration."""
+        self._gate_runner.change_bounds(slots, connections, limits)
+
     async def serve(self, exchange: Exchange) -> None:
         """Take one request to its end and tell the caller how it ended.
 
--- a/egretsill/requests/tests/_fakes.py
+++ b/egretsill/requests/tests/_fakes.py
@@ -9,7 +9,7 @@
 import trio
 
 from ...admission import AdmissionDecision, Admitted, Queued, Rejected, Ticket
-from ...configuration import Address, RequestClass, RequestShape, Service, Target
+from ...configuration import Address, Limits, RequestClass, RequestShape, Service, Target
 from ...outcomes import Outcome, RefusalReason, Refused
 from ...stand_ins.backend_server import BackendBehaviour, BackendServer
 from .. import CallerGone, RequestHead
@@ -80,6 +80,15 @@
         waiting, self.queue = self.queue, []
         return [Rejected(each.identifier, Refused(RefusalReason.DRAINING)) for each in waiting]
 
+    def resume(self) -> None:
+        self.stopped = False
+
+    def update(
+        self, slots: int, connections: int, limits: Limits, now: float
+    ) -> Sequence[AdmissionDecision]:
+        self.slots = slots
+        return self._admit()
+
     def _admit(self) -> Sequence[AdmissionDecision]:
         admitted: list[AdmissionDecision] = []
         while self.queue and len(self.held) < self.slots:
@@ -96,20 +105,34 @@
     order: tuple[int, ...]
     outstanding: float = 0.0
     refused: list[tuple[int, RefusalReason]] = field(default_factory=list)
+    granted: list[int] = field(default_factory=list)
 
     def choose(
         self, request_class: RequestClass, exclude: Collection[int], now: float
     ) -> int | None:
         return next((number for number in self.order if number not in exclude), None)
 
-    def on_sent(self, target_number: int, weight: float, now: float) -> None:
+    def on_sent(self, target_number: int, weight: float, now: float, shape: RequestShape) -> None:
         self.outstanding += weight
 
-    def on_finished(self, target_number: int, weight: float, now: float) -> None:
+    def on_granted(self, target_number: int, now: float) -> None:
+        self.granted.append(target_number)
+
+    def on_finished(
+        self, target_number: int, weight: float, now: float, shape: RequestShape
+    ) -> None:
         self.outstanding -= weight
 
-    def on_refused(self, target_number: int, reason: RefusalReason, now: float) -> None:
+    def on_refused(
+        self,
+        target_number: int,
+        weight: float,
+        reason: RefusalReason,
+        now: float,
+        shape: RequestShape,
+    ) -> None:
         self.refused.append((target_number, reason))
+        self.outstanding -= weight
 
 
 class FakeExchange:
--- a/egretsill/settings/_model.py
+++ b/egretsill/settings/_model.py
@@ -83,12 +83,15 @@
         idle_seconds: time without a packet after which the connection is given up.
         maximum_flows: connections held at once; new ones are refused above it.
         handshakes_per_second: new connections accepted a second.
+        placement_delay_seconds: time for which a new target's agent passes first packets on,
+            until every balancer knows it.
     """
 
     keep_alive_seconds: float = 15.0
     idle_seconds: float = 60.0
     maximum_flows: int = 4000
     handshakes_per_second: int = 500
+    placement_delay_seconds: float = 35.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/egretsill/settings/_sections.py
+++ b/egretsill/settings/_sections.py
@@ -139,11 +139,16 @@
     idle_time: Seconds = _FLOWS.idle_seconds
     maximum_flows: Count = _FLOWS.maximum_flows
     handshakes_per_second: Count = _FLOWS.handshakes_per_second
+    placement_delay: Seconds = _FLOWS.placement_delay_seconds
 
     def to_settings(self) -> FlowSettings:
         """Return the section as a value."""
         return FlowSettings(
-            self.keep_alive, self.idle_time, self.maximum_flows, self.handshakes_per_second
+            self.keep_alive,
+            self.idle_time,
+            self.maximum_flows,
+            self.handshakes_per_second,
+            self.placement_delay,
         )
 
 
