Watch no silence that this process slept through, and tell observers of cancelled requests

Cause: a paused process found every link silent on waking and closed it; a request whose flow was closed was not counted; a link that broke again and again at once was resumed without end. Change: the watch begins anew after a sleep; the outcome is observed however the request ends; ten short links in a row give an offer up. Conclusion: waking costs no link, and no loop is unbounded.

--- a/egretsill/requests/_asker.py
+++ b/egretsill/requests/_asker.py
@@ -81,6 +81,11 @@
         """Return when the answer's head was there, in seconds, or None."""
         return self._first_byte_at
 
+    @property
+    def outcome(self) -> Outcome:
+        """Return how the request ended; one that has no end yet counts as cancelled."""
+        return self._outcome or Cancelled()
+
     async def run(self) -> Outcome:
         """Return how the request ended; the caller has all of the answer but its end."""
         if self._deadline is not None:
@@ -96,7 +101,7 @@
             for subscription in self._timers:
                 subscription.cancel()
             self._feed(CallerLeft())
-        return self._outcome or Cancelled()
+        return self.outcome
 
     def on_message(self, link: AskerLink, message: RelayMessage) -> None:
         """Take a message from a link."""
--- a/egretsill/requests/_attempts.py
+++ b/egretsill/requests/_attempts.py
@@ -304,7 +304,7 @@
             self._on_violation(offer, now)
             return
         if state in (RUNNING, FINISHED):
-            offer.resume()
+            offer.resume(now)
             # Acknowledgements may have been lost with the link before.
             self._emit(SendMessage(offer.link, Acknowledge(self._answer.acknowledge())))
             self._emit(SendBody(offer.link, max(body_offset, self.body.base)))
--- a/egretsill/requests/_offer.py
+++ b/egretsill/requests/_offer.py
@@ -11,6 +11,8 @@
 FIRST_RESUME_DELAY_SECONDS = 0.05
 MAXIMUM_RESUME_DELAY_SECONDS = 1.0
 MAXIMUM_VIOLATIONS = 3
+MAXIMUM_SHORT_LINKS = 10
+SHORT_LINK_SECONDS = 1.0
 NO_MARK = GateMark(0, 0.0)
 
 
@@ -33,6 +35,8 @@
         mark: of the gate, from before Open was sent.
         lost_since: when the last link that worked was lost, or None.
         failures: links that could not be opened since then.
+        resumed_at: when the latest link took over, in seconds.
+        short_links: links in a row that were lost again at once.
         violations: times that the gate broke the protocol.
     """
 
@@ -46,13 +50,17 @@
     mark: GateMark = NO_MARK
     lost_since: float | None = None
     failures: int = 0
+    resumed_at: float = 0.0
+    short_links: int = 0
     violations: int = 0
 
     def lose_link(self, link: int, now: float) -> float | None:
         """Go over to a new link; return the delay before it, or None to give up."""
+        if self.stage is not Stage.CONNECTING:
+            self._count_short_link(now)
         if self.lost_since is None:
             self.lost_since = now
-        if now - self.lost_since >= RESUME_SECONDS or self.violations >= MAXIMUM_VIOLATIONS:
+        if now - self.lost_since >= RESUME_SECONDS or self._is_hopeless():
             return None
         delay = 0.0
         if self.stage is Stage.CONNECTING:
@@ -63,9 +71,17 @@
         self.link = link
         return min(delay, MAXIMUM_RESUME_DELAY_SECONDS)
 
-    def resume(self) -> None:
+    def resume(self, now: float) -> None:
         """Go on over the new link."""
         self.stage = Stage.SENT
         self.started = True
+        self.resumed_at = now
         self.lost_since = None
         self.failures = 0
+
+    def _count_short_link(self, now: float) -> None:
+        short = now - self.resumed_at < SHORT_LINK_SECONDS
+        self.short_links = self.short_links + 1 if short else 0
+
+    def _is_hopeless(self) -> bool:
+        return self.violations >= MAXIMUM_VIOLATIONS or self.short_links > MAXIMUM_SHORT_LINKS
--- a/egretsill/requests/_request_service.py
+++ b/egretsill/requests/_request_service.py
@@ -156,18 +156,29 @@
             self._next_identifier,
         )
         asker = Asker(exchange, attempts, deadline, self._timer, self._pool)
-        outcome = await asker.run()
+        try:
+            return await asker.run()
+        finally:
+            self._observe(service, request_class, attempts, asker, began)
+
+    def _observe(
+        self,
+        service: Service,
+        request_class: RequestClass,
+        attempts: Attempts,
+        asker: Asker,
+        began: float,
+    ) -> None:
         first_byte = None if asker.first_byte_at is None else asker.first_byte_at - began
         self._observer.on_outcome(
             request_class,
             service.tenant,
-            outcome,
+            asker.outcome,
             first_byte,
             self._timer.now - began,
             attempts.queue_seconds,
             attempts.tries,
         )
-        return outcome
 
     def _next_identifier(self) -> RequestId:
         return RequestId(self._own_target_number, self._incarnation, next(self._sequence))
--- a/egretsill/requests/_silence.py
+++ b/egretsill/requests/_silence.py
@@ -9,6 +9,8 @@
 
 from ..timing import Subscription, TimerService
 
+SLEPT_SECONDS = 1.0
+
 
 @contextmanager
 def bounded(timer: TimerService, seconds: float | None) -> Iterator[trio.CancelScope]:
@@ -28,7 +30,7 @@
     """Cancels a scope when a peer that owes the next byte has been silent for too long.
 
     Waiting for somebody else than the peer is no silence of the peer: `hold` stops the watch and
-    `release` starts it anew.
+    `release` starts it anew. Nor is a time that this process slept through.
 
     Attributes:
         expired: whether the watch cancelled its scope.
@@ -41,9 +43,10 @@
         self._scope = scope
         self._holds = 0
         self._last = timer.now
+        self._due = self._last
         self._subscription: Subscription | None = None
         if seconds is not None:
-            self._subscription = timer.call_at(self._last + seconds, self._check)
+            self._arm(self._last + seconds)
 
     def touch(self) -> None:
         """Note that the peer gave a sign of life."""
@@ -64,7 +67,7 @@
         self.touch()
         self._seconds = seconds
         if seconds is not None:
-            self._subscription = self._timer.call_at(self._last + seconds, self._check)
+            self._arm(self._last + seconds)
 
     def close(self) -> None:
         """End the watch."""
@@ -74,10 +77,15 @@
     def _check(self, now: float) -> None:
         if self._seconds is None:
             return
-        if self._holds:
+        if self._holds or now - self._due >= SLEPT_SECONDS:
+            # Nobody listened, so nothing is known of the peer.
             self._last = now
         if now - self._last >= self._seconds:
             self.expired = True
             self._scope.cancel()
             return
-        self._subscription = self._timer.call_at(self._last + self._seconds, self._check)
+        self._arm(self._last + self._seconds)
+
+    def _arm(self, due: float) -> None:
+        self._due = due
+        self._subscription = self._timer.call_at(due, self._check)
