--- /dev/null
+++ b/egretsill/requests/tests/test_answer_receiver.py
@@ -0,0 +1,58 @@
+from __future__ import annotations
+
+import pytest
+
+from .._answer_receiver import AnswerReceiver, AnswerViolation
+from .._gate_request import PIECE_BYTES
+
+
+def make_receiver(window_bytes: int = 8) -> AnswerReceiver:
+    receiver = AnswerReceiver(window_bytes)
+    receiver.take_head(200)
+    receiver.take_data(0, b"abcd")
+    return receiver
+
+
+@pytest.mark.parametrize(
+    ("offset", "data", "fresh"),
+    [
+        pytest.param(4, b"ef", b"ef", id="in order"),
+        pytest.param(2, b"cdef", b"ef", id="overlapping after a resume"),
+        pytest.param(0, b"ab", b"", id="crossed and late"),
+    ],
+)
+def test_each_byte_is_taken_once(offset: int, data: bytes, fresh: bytes) -> None:
+    assert make_receiver().take_data(offset, data) == fresh
+
+
+@pytest.mark.parametrize(
+    ("offset", "data"),
+    [
+        pytest.param(5, b"f", id="gap"),
+        pytest.param(-1, b"f", id="negative"),
+        pytest.param(4, bytes(3 * PIECE_BYTES), id="beyond the window"),
+    ],
+)
+def test_a_broken_answer_is_a_violation(offset: int, data: bytes) -> None:
+    with pytest.raises(AnswerViolation):
+        make_receiver().take_data(offset, data)
+
+
+def test_data_before_the_head_is_a_violation() -> None:
+    with pytest.raises(AnswerViolation):
+        AnswerReceiver(8).take_data(0, b"a")
+
+
+@pytest.mark.parametrize("length", [pytest.param(3, id="too long"), pytest.param(5, id="cut")])
+def test_an_end_elsewhere_is_a_violation(length: int) -> None:
+    with pytest.raises(AnswerViolation):
+        make_receiver().take_end(length)
+    assert make_receiver().take_end(4) == 200
+
+
+def test_deliveries_are_acknowledged_by_parts_of_the_window() -> None:
+    receiver = make_receiver(window_bytes=8)
+    assert not receiver.take_delivery(1)
+    assert receiver.take_delivery(2)
+    assert receiver.acknowledge() == 2
+    assert not receiver.take_delivery(3)
