Measure how soon silent links and backend connections are noticed

Cause: the bounds on silence were not measured. Change: a measure in virtual time over the real links, gate and backend client.

--- /dev/null
+++ b/egretsill/measurements/link_silence.py
@@ -0,0 +1,194 @@
+"""Relay links and backend connections that swallow everything: when is it noticed?
+
+Time is virtual; the carriers are in memory but for the backend server, which is on loopback.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from random import Random
+
+import trio
+
+from ..admission import Admission
+from ..configuration import Address, Limits
+from ..outcomes import Outcome, Unknown
+from ..requests import BackendClient, Bounds, RequestHead, RequestService, SilentObserver
+from ..requests._asker_link import SILENCE_SECONDS, AskerLink
+from ..requests._gate import Gate
+from ..requests._gate_runner import LINK_SILENCE_SECONDS, GateRunner
+from ..requests._message_link import LocalLink, local_link_pair
+from ..requests._messages import RelayMessage
+from ..stand_ins.backend_server import BackendBehaviour, BackendServer, Fault
+from ..timing import VirtualTimerService
+from ._measurement import Measurement
+from ._relay_parties import ORDER, RotatingPlacement, make_world_service
+
+HOST = "127.0.0.1"
+STEP_SECONDS = 0.25
+CHECKPOINTS_A_STEP = 30
+LONGEST_SECONDS = 120.0
+BACKEND_SILENCE_SECONDS = 30.0
+QUIET_SECONDS = 60.0
+
+
+def measure() -> Sequence[Measurement]:
+    """Return the seconds from the last sign of life until silence was noticed, and its bound."""
+    asker, gate = trio.run(_silent_link)
+    slot, outcome = trio.run(_silent_backend)
+    told = float(isinstance(outcome, Unknown))
+    lively = trio.run(_quiet_link)
+    return [
+        _line("relay link, noticed by the asker", asker, SILENCE_SECONDS),
+        _line("relay link, noticed by the gate", gate, LINK_SILENCE_SECONDS),
+        _line("backend connection, slot freed", slot, BACKEND_SILENCE_SECONDS),
+        Measurement("silence", "backend connection, told as unknown", told, 1.0, None, told == 1.0),
+        Measurement(
+            "silence", "quiet link kept that answers pings", lively, 1.0, None, lively == 1.0
+        ),
+    ]
+
+
+def _line(case: str, seconds: float, bound: float) -> Measurement:
+    # A sign of life may be that much older than the moment at which swallowing begins.
+    target = bound + STEP_SECONDS
+    return Measurement("silence", case, seconds, target, None, seconds <= target)
+
+
+@dataclass(slots=True)
+class _SwallowingLink:
+    """A carrier that takes everything and passes on nothing once told so."""
+
+    inner: LocalLink
+    swallowing: bool = False
+
+    async def send(self, message: RelayMessage) -> None:
+        if not self.swallowing:
+            await self.inner.send(message)
+
+    async def receive(self) -> RelayMessage:
+        return await self.inner.receive()
+
+    async def close(self) -> None:
+        if not self.swallowing:
+            await self.inner.close()
+
+
+@dataclass(slots=True)
+class _Ends:
+    """The two ends of a link that may go silent."""
+
+    timer: VirtualTimerService
+    asker: AskerLink
+    carriers: tuple[_SwallowingLink, _SwallowingLink]
+    over: dict[str, float] = field(default_factory=dict)
+
+    async def run_asker(self) -> None:
+        await self.asker.run()
+        self.over["asker"] = self.timer.now
+
+    async def run_gate(self, runner: GateRunner) -> None:
+        await runner.serve_link(self.carriers[1])
+        self.over["gate"] = self.timer.now
+
+
+def _make_ends() -> tuple[_Ends, GateRunner]:
+    timer = VirtualTimerService()
+    service = make_world_service(1)
+    gate = Gate(1, "catalog", {"catalog": service}.get, Admission(2, 2, Limits(), Random(0)))
+    client = BackendClient(Address(HOST, 9), timer)
+    runner = GateRunner(gate, timer, client, SilentObserver())
+    one, other = local_link_pair()
+    carriers = (_SwallowingLink(one), _SwallowingLink(other))
+    return _Ends(timer, AskerLink(1, carriers[0], timer, SilentObserver(), True), carriers), runner
+
+
+async def _silent_link() -> tuple[float, float]:
+    ends, runner = _make_ends()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ends.run_asker)
+        nursery.start_soon(ends.run_gate, runner)
+        await _pass(ends.timer, lambda: ends.timer.now >= QUIET_SECONDS)
+        for carrier in ends.carriers:
+            carrier.swallowing = True
+        await _pass(ends.timer, lambda: len(ends.over) == 2)
+    return ends.over["asker"] - QUIET_SECONDS, ends.over["gate"] - QUIET_SECONDS
+
+
+async def _quiet_link() -> float:
+    ends, runner = _make_ends()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ends.run_asker)
+        nursery.start_soon(ends.run_gate, runner)
+        await _pass(ends.timer, lambda: ends.timer.now >= QUIET_SECONDS)
+        kept = ends.asker.usable and not ends.over
+        nursery.cancel_scope.cancel()
+    return float(kept)
+
+
+async def _silent_backend() -> tuple[float, Outcome | None]:
+    timer = VirtualTimerService()
+    admission = Admission(1, 1, Limits(), Random(0))
+    server = BackendServer("catalog", BackendBehaviour(fault=Fault.SWALLOW))
+    caller = _Caller()
+    async with trio.open_nursery() as nursery:
+        port = await nursery.start(server.serve, HOST, 0)
+        bounds = Bounds(silence_seconds=BACKEND_SILENCE_SECONDS)
+        service = RequestService(
+            1,
+            "catalog",
+            1,
+            timer,
+            {"catalog": make_world_service(1)}.get,
+            admission,
+            RotatingPlacement(1, 0),
+            BackendClient(Address(HOST, port), timer, bounds),
+        )
+        await nursery.start(service.run)
+        nursery.start_soon(service.serve, caller)
+        while not server.counts.starts_by_method:
+            await trio.sleep(0.001)
+        began = timer.now
+        await _pass(timer, lambda: not admission.running)
+        seconds = timer.now - began
+        await _pass(timer, lambda: caller.outcome is not None)
+        nursery.cancel_scope.cancel()
+    return seconds, caller.outcome
+
+
+async def _pass(timer: VirtualTimerService, done: Callable[[], bool]) -> None:
+    """Let virtual time pass in steps, with time for the tasks to act on each."""
+    end = timer.now + LONGEST_SECONDS
+    while not done() and timer.now < end:
+        timer.advance(STEP_SECONDS)
+        for _ in range(CHECKPOINTS_A_STEP):
+            await trio.sleep(0)
+
+
+class _Caller:
+    """A caller of one order without a body."""
+
+    def __init__(self) -> None:
+        self.outcome: Outcome | None = None
+
+    @property
+    def head(self) -> RequestHead:
+        return RequestHead("catalog", ORDER.methods[0], "/", (), None)
+
+    @property
+    def answer_begun(self) -> bool:
+        return False
+
+    async def receive_body(self) -> bytes | None:
+        await trio.sleep(0)
+        return None
+
+    async def send_head(self, status: int, headers: Sequence[tuple[bytes, bytes]]) -> None:
+        await trio.sleep(0)
+
+    async def send_data(self, data: bytes) -> None:
+        await trio.sleep(0)
+
+    async def conclude(self, outcome: Outcome) -> None:
+        self.outcome = outcome
