--- a/egretsill/steering/tests/test_first_packets.py
+++ b/egretsill/steering/tests/test_first_packets.py
@@ -1,3 +1,4 @@
+import random
 from collections.abc import Callable
 
 import pytest
@@ -94,6 +95,17 @@
     assert not kinds(run(watch, 0.95, 1.2), BecameSilent)
 
 
+def test_lost_packets_seldom_make_a_live_agent_look_silent() -> None:
+    chooser = random.Random(12)
+    silenced = 0
+    for _ in range(2000):
+        watch = FirstPacketWatch()
+        watch.first_packet_sent(TARGET, 0.0)
+        effects = run(watch, 0.0, 1.0, lambda _: chooser.random() < 0.9 * 0.9)
+        silenced += bool(kinds(effects, BecameSilent))
+    assert silenced < 0.01 * 2000
+
+
 def test_removed_target_is_forgotten() -> None:
     watch = FirstPacketWatch()
     watch.first_packet_sent(TARGET, 0.0)
