--- a/egretsill/requests/_asker.py
+++ b/egretsill/requests/_asker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections import deque
 
 import trio
@@ -120,11 +121,18 @@
         if self._attempts.wants_body:
             self._body_wanted.set()
 
+    def _start_connecting(self, effect: Connect) -> None:
+        if self._nursery is None:
+            return
+        # A nursery that was cancelled from outside takes nobody in once its tasks have ended, and
+        # a link lost at that moment may ask for a new one; the request's end follows at once.
+        with contextlib.suppress(RuntimeError):
+            self._nursery.start_soon(self._connect, effect)
+
     def _apply(self, effect: AttemptEffect) -> None:
         match effect:
             case Connect():
-                if self._nursery is not None:
-                    self._nursery.start_soon(self._connect, effect)
+                self._start_connecting(effect)
             case SendMessage(number, message):
                 if number in self._links:
                     self._links[number].send(message)
