--- a/egretsill/ctl/_explain.py
+++ b/egretsill/ctl/_explain.py
@@ -19,10 +19,10 @@
     Service,
     Target,
     TargetState,
-    decode_publication,
 )
 from ..settings import parse_keys
 from ..steering import CONNECTION_ID_BYTES, ConnectionIdCodec, ConnectionIdKey, rank
+from ._bundle_files import read_publication_files
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,7 +69,7 @@
         print("explain takes --bundle, --service and --connection_id or PATH", file=sys.stderr)
         return EXIT_USAGE
     try:
-        bundle = _read_bundle(Path(values.bundle))
+        bundle = read_publication_files(Path(values.bundle)).bundle
     except (ConfigurationError, OSError) as error:
         print(f"explain: {error}", file=sys.stderr)
         return EXIT_FAILED
@@ -163,12 +163,6 @@
     )
 
 
-def _read_bundle(directory: Path) -> Bundle:
-    files = [path for path in directory.rglob("*") if path.is_file()]
-    values = {path.relative_to(directory).as_posix(): path.read_bytes() for path in files}
-    return decode_publication(values).bundle
-
-
 def _targets(bundle: Bundle) -> Mapping[int, Target]:
     return {
         target.number: target for service in bundle.services.values() for target in service.targets
--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -52,9 +52,10 @@
 from ._codec import make_codec
 from ._configuration_link import fetch, serve_questions
 from ._drain_control import DrainControl, HealthPoller
-from ._exceptions import AddressUnavailable, AgentSettingsIncomplete
+from ._exceptions import AddressUnavailable, AgentSettingsIncomplete, TlsUnusable
 from ._members import agents_of, balancers_of, own_member, peers_of
 from ._stream_endpoint import StreamEndpoint
+from ._tls import check_tls
 
 GAUGE_SECONDS = 1.0
 
@@ -68,6 +69,7 @@
     Raises:
         AddressUnavailable: if the tunnel or gossip endpoint can't be bound.
         AgentSettingsIncomplete: if an agent has no target number or certificate.
+        TlsUnusable: if an agent's certificate or private key can't be read.
     """
 
     def __init__(self, settings: DaemonSettings, random: Random) -> None:
@@ -157,7 +159,13 @@
         self._drain.terminate()
 
     def replace_settings(self, settings: DaemonSettings) -> None:
-        """Take over what may change while running: connection-ID keys and the certificate."""
+        """Take over what may change while running: connection-ID keys and the certificate.
+
+        Raises:
+            TlsUnusable: if the certificate or key can't be read; nothing is taken over then.
+        """
+        if settings.tls is not None:
+            check_tls(settings.tls)
         self._settings = settings
         self._role.replace_codec(make_codec(settings.connection_id_keys))
         if isinstance(self._role, AgentRole) and settings.tls is not None:
@@ -165,7 +173,7 @@
         rotations = ",".join(str(each.rotation) for each in settings.connection_id_keys)
         self._record(StateKind.KEYS, rotations)
 
-    def reject_settings(self, error: SettingsRejected) -> None:
+    def reject_settings(self, error: SettingsRejected | TlsUnusable) -> None:
         """Note that settings were to be re-read and hold mistakes; the old ones stay."""
         self._record(StateKind.PROCESS, "settings-rejected", {"problem": str(error)})
 
@@ -177,6 +185,7 @@
             case Role.AGENT:
                 if settings.tls is None or settings.number is None:
                     raise AgentSettingsIncomplete(settings.name)
+                check_tls(settings.tls)
                 return AgentRole(
                     settings,
                     settings.tls,
--- a/egretsill/quickstart/_run.py
+++ b/egretsill/quickstart/_run.py
@@ -9,15 +9,14 @@
 import trio
 
 from ..settings import TlsSettings
-from ..stand_ins.certificates import write_certificate
+from ..stand_ins.certificates import CERTIFICATE_FILE, PRIVATE_KEY_FILE, write_certificate
 from ._score import Score, Verdict, judge
 from ._site import Site
-from ._site_plan import SitePlan, load_site_plan
+from ._site_plan import FIRST_PORTS, SitePlan, load_site_plan
 from ._traffic import RequestKind, Traffic
 
 EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
 AUTHORITIES = ("hakusana.example", "vastaanotto.example", "catalog.example", "upload.example")
-FIRST_PORTS = {"kallioniemi": 20_000, "sibiu": 21_000}
 TRAFFIC_SECONDS = 14.0
 BALANCER_STOPS_AFTER_SECONDS = 4.0
 FABRIC_NOTICES_AFTER_SECONDS = 1.0
@@ -42,13 +41,7 @@
     """Run the whole scene and return the verdict."""
     score = Score()
     with tempfile.TemporaryDirectory(prefix="egretsill-") as name:
-        directory = Path(name)
-        files = write_certificate(directory, AUTHORITIES)
-        tls = TlsSettings(files.certificate, files.private_key)
-        plans = [
-            load_site_plan(user, EXAMPLES, port, tls, directory)
-            for user, port in FIRST_PORTS.items()
-        ]
+        plans = [load_plan(user, Path(name)) for user in FIRST_PORTS]
         async with trio.open_nursery() as nursery:
             sites = [Site(plan, nursery, seed) for seed, plan in enumerate(plans)]
             for site in sites:
@@ -56,7 +49,7 @@
             for site in sites:
                 if not await site.wait_until_ready(READY_SECONDS):
                     print(f"{site.plan.name}: not all daemons were ready in time")
-            await _run_traffic(sites, files.certificate, score)
+            await _run_traffic(sites, plans[0].tls.certificate, score)
             revision = min(site.revision_in_force for site in sites)
             nursery.cancel_scope.cancel()
     counts = [backend.counts for site in sites for backend in site.backends.values()]
@@ -65,6 +58,19 @@
     return verdict
 
 
+def load_plan(user: str, directory: Path) -> SitePlan:
+    """Return the plan of a user's example site, whose files are kept in `directory`.
+
+    Raises:
+        DeclarationRejected: if the example holds mistakes.
+    """
+    certificate = directory / CERTIFICATE_FILE
+    if not certificate.exists():
+        write_certificate(directory, AUTHORITIES)
+    tls = TlsSettings(certificate, directory / PRIVATE_KEY_FILE)
+    return load_site_plan(user, EXAMPLES, FIRST_PORTS[user], tls, directory)
+
+
 async def _run_traffic(sites: Sequence[Site], authorities_file: Path, score: Score) -> None:
     ends_at = trio.current_time() + TRAFFIC_SECONDS
     traffic = Traffic(authorities_file, score, lambda: trio.current_time() < ends_at)
--- /dev/null
+++ b/egretsill/quickstart/_site_files.py
@@ -0,0 +1,82 @@
+"""Writes all files of a site, so that its processes can be started one by one."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from configparser import ConfigParser
+from pathlib import Path
+
+from ..configuration import Address, encode_vms
+from ..settings import DaemonSettings, load_daemon_settings
+from ._site_plan import SitePlan
+
+SETTINGS_DIRECTORY = "settings"
+VALUES_DIRECTORY = "published"
+VMS_FILE = "vms"
+BACKENDS_FILE = "backends"
+
+
+def write_site_files(plan: SitePlan, directory: Path) -> None:
+    """Write a settings file for each daemon, the platform's VM list and the backend servers.
+
+    Each line of `BACKENDS_FILE` is a target's name, service, backend endpoint and slots.
+
+    Raises:
+        SettingsRejected: if a file that was written is not accepted as it is.
+    """
+    settings_directory = directory / SETTINGS_DIRECTORY
+    settings_directory.mkdir(parents=True, exist_ok=True)
+    values_directory = directory / VALUES_DIRECTORY
+    values_directory.mkdir(parents=True, exist_ok=True)
+    (values_directory / VMS_FILE).write_bytes(encode_vms(plan.vms))
+    lines = [f"{each.name} {each.service} {each.backend} {each.slots}\n" for each in plan.targets]
+    (directory / BACKENDS_FILE).write_text("".join(lines), encoding="utf-8")
+    daemons = [plan.balancer_settings(each) for each in plan.balancers]
+    daemons += [plan.agent_settings(each) for each in plan.targets]
+    for each in daemons:
+        path = settings_directory / f"{each.name}.ini"
+        _write_settings(each, path)
+        load_daemon_settings(path)
+
+
+def _write_settings(settings: DaemonSettings, path: Path) -> None:
+    parser = ConfigParser(interpolation=None, delimiters=("=",))
+    for section, keys in _sections(settings).items():
+        if keys:
+            parser[section] = dict(keys)
+    with path.open("w", encoding="utf-8") as file:
+        parser.write(file)
+
+
+def _sections(settings: DaemonSettings) -> Mapping[str, Mapping[str, str]]:
+    daemon = {
+        "role": settings.role.value,
+        "name": settings.name,
+        "failure_domain": settings.failure_domain,
+    }
+    if settings.number is not None:
+        daemon["number"] = str(settings.number)
+    keys = [f"{each.rotation}:{each.key.hex()}" for each in settings.connection_id_keys]
+    tls = {}
+    if settings.tls is not None:
+        tls = {"certificate": str(settings.tls.certificate), "key": str(settings.tls.key)}
+    return {
+        "daemon": daemon,
+        "addresses": {
+            "tunnel": str(settings.tunnel),
+            "relay": str(settings.relay),
+            "gossip": str(settings.gossip),
+            "admin": str(settings.admin),
+        },
+        "listen": {str(service): str(local) for service, local in settings.listen.items()},
+        "platform": {"addresses": _list(settings.platform.addresses)},
+        "peers": {"seeds": _list(settings.seeds)},
+        "tls": tls,
+        "connection_ids": {"keys": ", ".join(keys)},
+        "log": {"file": str(settings.log.file)},
+        "shutdown": {"linger": f"{settings.shutdown.linger_seconds:g} s"},
+    }
+
+
+def _list(addresses: tuple[Address, ...]) -> str:
+    return ", ".join(map(str, addresses))
--- a/egretsill/quickstart/_site_plan.py
+++ b/egretsill/quickstart/_site_plan.py
@@ -18,6 +18,7 @@
 )
 
 HOST = "127.0.0.1"
+FIRST_PORTS = {"kallioniemi": 20_000, "sibiu": 21_000}
 PLATFORM_PORT = 10
 BALANCER_TUNNEL_PORT = 500
 BALANCER_RELAY_PORT = 520
--- a/egretsill/stand_ins/certificates.py
+++ b/egretsill/stand_ins/certificates.py
@@ -13,6 +13,8 @@
 from cryptography.x509.oid import NameOID
 
 VALID_DAYS = 2
+CERTIFICATE_FILE = "certificate.pem"
+PRIVATE_KEY_FILE = "private-key.pem"
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +46,7 @@
         .add_extension(x509.BasicConstraints(ca=True, path_length=0), critical=True)
         .sign(key, hashes.SHA256())
     )
-    files = CertificateFiles(directory / "certificate.pem", directory / "private-key.pem")
+    files = CertificateFiles(directory / CERTIFICATE_FILE, directory / PRIVATE_KEY_FILE)
     files.certificate.write_bytes(certificate.public_bytes(serialization.Encoding.PEM))
     files.private_key.write_bytes(
         key.private_bytes(
