--- a/egretsill/measurements/link_silence.py
+++ b/egretsill/measurements/link_silence.py
@@ -18,7 +18,7 @@
 from ..requests._asker_link import SILENCE_SECONDS, AskerLink
 from ..requests._gate import Gate
 from ..requests._gate_runner import LINK_SILENCE_SECONDS, GateRunner
-from ..requests._message_link import LocalLink, local_link_pair
+from ..requests._message_link import LinkBroken
 from ..requests._messages import RelayMessage
 from ..stand_ins.backend_server import BackendBehaviour, BackendServer, Fault
 from ..timing import VirtualTimerService
@@ -31,6 +31,7 @@
 LONGEST_SECONDS = 120.0
 BACKEND_SILENCE_SECONDS = 30.0
 QUIET_SECONDS = 60.0
+CHANNEL_MESSAGES = 16
 
 
 def measure() -> Sequence[Measurement]:
@@ -60,19 +61,23 @@
 class _SwallowingLink:
     """A carrier that takes everything and passes on nothing once told so."""
 
-    inner: LocalLink
+    sender: trio.MemorySendChannel[RelayMessage]
+    receiver: trio.MemoryReceiveChannel[RelayMessage]
     swallowing: bool = False
 
     async def send(self, message: RelayMessage) -> None:
         if not self.swallowing:
-            await self.inner.send(message)
+            await self.sender.send(message)
 
     async def receive(self) -> RelayMessage:
-        return await self.inner.receive()
+        try:
+            return await self.receiver.receive()
+        except trio.EndOfChannel as error:
+            raise LinkBroken(False) from error
 
     async def close(self) -> None:
         if not self.swallowing:
-            await self.inner.close()
+            self.sender.close()
 
 
 @dataclass(slots=True)
@@ -99,9 +104,10 @@
     gate = Gate(1, "catalog", {"catalog": service}.get, Admission(2, 2, Limits(), Random(0)))
     client = BackendClient(Address(HOST, 9), timer)
     runner = GateRunner(gate, timer, client, SilentObserver())
-    one, other = local_link_pair()
-    carriers = (_SwallowingLink(one), _SwallowingLink(other))
-    return _Ends(timer, AskerLink(1, carriers[0], timer, SilentObserver(), True), carriers), runner
+    to_gate, from_asker = trio.open_memory_channel[RelayMessage](CHANNEL_MESSAGES)
+    to_asker, from_gate = trio.open_memory_channel[RelayMessage](CHANNEL_MESSAGES)
+    carriers = (_SwallowingLink(to_gate, from_gate), _SwallowingLink(to_asker, from_asker))
+    return _Ends(timer, AskerLink(1, carriers[0], timer, SilentObserver()), carriers), runner
 
 
 async def _silent_link() -> tuple[float, float]:
--- a/egretsill/requests/_asker.py
+++ b/egretsill/requests/_asker.py
@@ -8,7 +8,7 @@
 
 from ..outcomes import Answered, Cancelled, Outcome
 from ..timing import Subscription, TimerService
-from ._asker_link import AskerLink, LinkPool
+from ._asker_link import LinkPool
 from ._attempt_events import (
     AttemptEffect,
     AttemptEvent,
@@ -36,6 +36,7 @@
 from ._exchange import CallerGone, Exchange
 from ._gate_request import BodyWriter
 from ._messages import RelayMessage
+from ._request_link import RequestLink
 from ._silence import bounded
 from ._wakeup import Wakeup
 
@@ -64,10 +65,10 @@
         self._deadline = deadline
         self._timer = timer
         self._pool = pool
-        self._links: dict[int, AskerLink] = {}
-        self._numbers: dict[AskerLink, int] = {}
+        self._links: dict[int, RequestLink] = {}
+        self._numbers: dict[RequestLink, int] = {}
         self._body_writer = BodyWriter(attempts.body)
-        self._body_link: AskerLink | None = None
+        self._body_link: RequestLink | None = None
         self._deliveries: deque[DeliverHead | DeliverData] = deque()
         self._delivery_due = Wakeup()
         self._body_wanted = Wakeup()
@@ -94,8 +95,9 @@
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
                 nursery.start_soon(self._read_body)
-                nursery.start_soon(self._deliver)
                 self._feed(Begun())
+                await self._deliver()
+                nursery.cancel_scope.cancel()
         finally:
             self._nursery = None
             for subscription in self._timers:
@@ -103,12 +105,12 @@
             self._feed(CallerLeft())
         return self.outcome
 
-    def on_message(self, link: AskerLink, message: RelayMessage) -> None:
+    def on_message(self, link: RequestLink, message: RelayMessage) -> None:
         """Take a message from a link."""
         if link in self._numbers:
             self._feed(MessageReceived(self._numbers[link], message))
 
-    def on_lost(self, link: AskerLink) -> None:
+    def on_lost(self, link: RequestLink) -> None:
         """Take note that a link is gone."""
         number = self._forget(link)
         if number is not None:
@@ -164,7 +166,7 @@
         else:
             link.finish()
 
-    def _forget(self, link: AskerLink) -> int | None:
+    def _forget(self, link: RequestLink) -> int | None:
         number = self._numbers.pop(link, None)
         if number is not None:
             del self._links[number]
@@ -216,8 +218,6 @@
         except CallerGone:
             self._feed(CallerLeft())
             self._outcome = Cancelled()
-        if self._nursery is not None:
-            self._nursery.cancel_scope.cancel()
 
     async def _deliver_one(self, delivery: DeliverHead | DeliverData) -> None:
         match delivery:
--- a/egretsill/requests/_asker_link.py
+++ b/egretsill/requests/_asker_link.py
@@ -4,7 +4,6 @@
 
 from collections import deque
 from collections.abc import Awaitable, Callable
-from typing import Protocol
 
 import trio
 
@@ -14,9 +13,10 @@
 from ._collaborators import RequestObserver
 from ._exceptions import RelayClosed
 from ._gate_request import BodyWriter
-from ._gate_runner import GateRunner
-from ._message_link import LinkBroken, MessageLink, StreamLink, local_link_pair
+from ._local_link import LocalLinks
+from ._message_link import LinkBroken, MessageLink, StreamLink
 from ._messages import GateMark, Ping, Pong, RelayMessage
+from ._request_link import LinkUser, RequestLink
 from ._silence import SilenceWatch, bounded
 from ._wakeup import Wakeup
 
@@ -41,16 +41,6 @@
     return await trio.open_tcp_stream(address.host, address.port)
 
 
-class LinkUser(Protocol):
-    """The request that a link serves just now."""
-
-    def on_message(self, link: AskerLink, message: RelayMessage) -> None:
-        """Take a message."""
-
-    def on_lost(self, link: AskerLink) -> None:
-        """Take note that the link is gone."""
-
-
 class AskerLink:
     """One link to a gate.
 
@@ -66,7 +56,6 @@
         link: MessageLink,
         timer: TimerService,
         observer: RequestObserver,
-        watched: bool,
     ) -> None:
         self.target_number = target_number
         self.user: LinkUser | None = None
@@ -74,7 +63,6 @@
         self._link = link
         self._timer = timer
         self._observer = observer
-        self._watched = watched
         self._scope = trio.CancelScope()
         self._control: deque[RelayMessage] = deque()
         self._body: BodyWriter | None = None
@@ -135,10 +123,8 @@
 
     async def run(self) -> None:
         """Serve the link to its end."""
-        watch = SilenceWatch(self._timer, SILENCE_SECONDS if self._watched else None, self._scope)
+        watch = SilenceWatch(self._timer, SILENCE_SECONDS, self._scope)
         ping = self._timer.subscribe(PING_SECONDS, lambda _: self.send(Ping()))
-        if not self._watched:
-            ping.cancel()
         self.send(Ping())
         try:
             with self._scope:
@@ -204,7 +190,7 @@
     Args:
         own_target_number: whose gate is in this process.
         timer: the timer service.
-        gate_runner: the own gate.
+        local_links: makes links to the own gate.
         addresses: relay endpoint of each target.
         observer: is told of garbage.
         connect: opens a stream to an agent; may raise OSError.
@@ -214,14 +200,14 @@
         self,
         own_target_number: int,
         timer: TimerService,
-        gate_runner: GateRunner,
+        local_links: LocalLinks,
         addresses: AddressLookup,
         observer: RequestObserver,
         connect: Connector = connect_tcp,
     ) -> None:
         self._own_target_number = own_target_number
         self._timer = timer
-        self._gate_runner = gate_runner
+        self._local_links = local_links
         self._addresses = addresses
         self._observer = observer
         self._connect = connect
@@ -241,7 +227,7 @@
             reap.cancel()
             self._nursery = None
 
-    async def open(self, target_number: int, fresh: bool) -> AskerLink:
+    async def open(self, target_number: int, fresh: bool) -> RequestLink:
         """Return a link to a target's gate that has answered a Ping.
 
         Args:
@@ -251,6 +237,8 @@
         Raises:
             RelayClosed: if there is none.
         """
+        if target_number == self._own_target_number:
+            return self._local_links.open()
         idle = self._idle.get(target_number, [])
         while idle and not fresh:
             link = idle.pop()
@@ -267,8 +255,11 @@
                 return link
         raise RelayClosed(target_number, "no answer to the first ping")
 
-    def free(self, link: AskerLink) -> None:
-        """Keep a link for another request."""
+    def free(self, link: RequestLink) -> None:
+        """Keep a link for another request, if it is worth it."""
+        if not isinstance(link, AskerLink):
+            link.finish()
+            return
         link.user = None
         link.send_body(None)
         idle = self._idle.setdefault(link.target_number, [])
@@ -281,14 +272,8 @@
     async def _open_fresh(self, target_number: int) -> AskerLink:
         if self._nursery is None:
             raise RelayClosed(target_number, "stopped")
-        local = target_number == self._own_target_number
-        if local:
-            carrier, gate_end = local_link_pair()
-            self._nursery.start_soon(self._gate_runner.serve_link, gate_end, False)
-            link = AskerLink(target_number, carrier, self._timer, self._observer, False)
-        else:
-            stream = StreamLink(await self._connect_to(target_number))
-            link = AskerLink(target_number, stream, self._timer, self._observer, True)
+        stream = StreamLink(await self._connect_to(target_number))
+        link = AskerLink(target_number, stream, self._timer, self._observer)
         self._nursery.start_soon(link.run)
         return link
 
--- a/egretsill/requests/_gate.py
+++ b/egretsill/requests/_gate.py
@@ -87,6 +87,11 @@
         self._stopped = False
         self._effects: list[GateEffect] = []
 
+    @property
+    def incarnation(self) -> int:
+        """Return what differs in each run of this agent."""
+        return self._incarnation
+
     @property
     def running(self) -> int:
         """Return how many requests wait, run, or have an asker that did not take all yet."""
--- a/egretsill/requests/_gate_runner.py
+++ b/egretsill/requests/_gate_runner.py
@@ -40,6 +40,7 @@
 from ._gate_request import PIECE_BYTES, AnswerWriter, GateRequest
 from ._message_link import LinkBroken, MessageLink
 from ._messages import End, Failed, Head, Refusal, RelayMessage, RequestId, Verdict
+from ._request_link import GateEnd
 from ._silence import SilenceWatch, bounded
 from ._wakeup import Wakeup
 
@@ -66,11 +67,16 @@
         self._timer = timer
         self._backend = backend
         self._observer = observer
-        self._links: dict[int, _GateLink] = {}
+        self._links: dict[int, GateEnd] = {}
         self._calls: dict[RequestId, _Call] = {}
         self._link_number = 0
         self._nursery: trio.Nursery | None = None
 
+    @property
+    def incarnation(self) -> int:
+        """Return what differs in each run of this agent."""
+        return self._gate.incarnation
+
     @property
     def running(self) -> int:
         """Return how many requests are in progress at the gate."""
@@ -93,19 +99,12 @@
         """Start nothing from now on."""
         self._handle(Stopped())
 
-    async def serve_link(self, link: MessageLink, watched: bool = True) -> None:
-        """Serve an asker's link to its end.
-
-        Args:
-            link: the link, closed at the end.
-            watched: whether its silence means that it is lost.
-        """
-        self._link_number += 1
-        number = self._link_number
+    async def serve_link(self, link: MessageLink) -> None:
+        """Serve another agent's link to its end, and close it."""
         scope = trio.CancelScope()
-        watch = SilenceWatch(self._timer, LINK_SILENCE_SECONDS if watched else None, scope)
+        watch = SilenceWatch(self._timer, LINK_SILENCE_SECONDS, scope)
         gate_link = _GateLink(link, scope)
-        self._links[number] = gate_link
+        number = self.attach(gate_link)
         try:
             with scope:
                 async with trio.open_nursery() as nursery:
@@ -114,11 +113,25 @@
                     nursery.cancel_scope.cancel()
         finally:
             watch.close()
-            del self._links[number]
-            self._handle(LinkLost(number))
+            self.detach(number)
             with trio.CancelScope(shield=True):
                 await link.close()
 
+    def attach(self, end: GateEnd) -> int:
+        """Take a link and return its number."""
+        self._link_number += 1
+        self._links[self._link_number] = end
+        return self._link_number
+
+    def take(self, number: int, message: RelayMessage) -> None:
+        """Take a message from a link."""
+        self._handle(MessageArrived(number, message))
+
+    def detach(self, number: int) -> None:
+        """Take note that a link is gone."""
+        del self._links[number]
+        self._handle(LinkLost(number))
+
     def start_call(self, request: GateRequest) -> None:
         """Ask the gate's leave just before a request's first byte.
 
@@ -142,15 +155,15 @@
             call.wakeup_body.set()
             call.wakeup_answer.set()
         request = self._gate.request(identifier)
-        if request is not None and request.link is not None:
-            self._link(request.link).wakeup.set()
+        if request is not None and request.link in self._links:
+            self._links[request.link].wake()
 
     async def _read(self, number: int, link: MessageLink, watch: SilenceWatch) -> None:
         try:
             while True:
                 message = await link.receive()
                 watch.touch()
-                self._handle(MessageArrived(number, message))
+                self.take(number, message)
         except LinkBroken as error:
             if error.malformed:
                 self._observer.on_malformed("relay")
@@ -165,15 +178,6 @@
     def _apply(self, effects: Sequence[GateEffect]) -> None:
         for effect in effects:
             match effect:
-                case Send(number, message):
-                    self._link(number).send(message)
-                case Follow(number, identifier, resumed, has_head, offset):
-                    request = self._gate.request(identifier)
-                    if request is not None:
-                        writer = AnswerWriter(request, resumed, has_head, offset)
-                        self._link(number).follow(writer)
-                case CloseLink(number):
-                    self._link(number).close()
                 case Launch(identifier):
                     self._launch(identifier)
                 case Abort(identifier):
@@ -181,9 +185,22 @@
                         self._calls[identifier].scope.cancel()
                 case Progress(identifier):
                     self.wake(identifier)
+                case _:
+                    self._apply_to_link(effect)
 
-    def _link(self, number: int) -> _GateLink:
-        return self._links.get(number) or _GateLink(None, trio.CancelScope())
+    def _apply_to_link(self, effect: Send | Follow | CloseLink) -> None:
+        link = self._links.get(effect.link)
+        if link is None:
+            return
+        match effect:
+            case Send(_, message):
+                link.send(message)
+            case Follow(_, identifier, resumed, has_head, offset):
+                request = self._gate.request(identifier)
+                if request is not None:
+                    link.follow(AnswerWriter(request, resumed, has_head, offset))
+            case CloseLink():
+                link.close()
 
     def _launch(self, identifier: RequestId) -> None:
         request = self._gate.request(identifier)
@@ -236,32 +253,35 @@
 
 
 class _GateLink:
-    """The gate's end of a link: what is to be sent, in order."""
+    """The gate's end of a link to another agent: what is to be sent, in order."""
 
-    def __init__(self, link: MessageLink | None, scope: trio.CancelScope) -> None:
-        self.wakeup = Wakeup()
+    def __init__(self, link: MessageLink, scope: trio.CancelScope) -> None:
         self._link = link
         self._scope = scope
+        self._wakeup = Wakeup()
         self._control: deque[RelayMessage] = deque()
         self._writer: AnswerWriter | None = None
 
     def send(self, message: RelayMessage) -> None:
         self._control.append(message)
-        self.wakeup.set()
+        self._wakeup.set()
 
     def follow(self, writer: AnswerWriter) -> None:
         self._writer = writer
-        self.wakeup.set()
+        self._wakeup.set()
+
+    def wake(self) -> None:
+        self._wakeup.set()
 
     def close(self) -> None:
         self._scope.cancel()
 
     async def write(self) -> None:
         try:
-            while self._link is not None:
+            while True:
                 message = self._next_message()
                 if message is None:
-                    await self.wakeup.wait()
+                    await self._wakeup.wait()
                 else:
                     await self._link.send(message)
         except (LinkBroken, WindowGap):
--- /dev/null
+++ b/egretsill/requests/_local_link.py
@@ -0,0 +1,199 @@
+"""Links between an agent's flows and its own gate, without a task or a buffer of their own."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Protocol
+
+import trio
+
+from ..timing import TimerService
+from ._byte_window import WindowGap
+from ._gate_request import AnswerWriter, BodyWriter
+from ._messages import GateMark, RelayMessage
+from ._request_link import GateEnd, LinkUser
+from ._wakeup import Wakeup
+
+MESSAGES_A_TURN = 64
+
+
+class LocalGate(Protocol):
+    """A gate in this process."""
+
+    @property
+    def incarnation(self) -> int:
+        """Return what its Pongs would say."""
+
+    def attach(self, end: GateEnd) -> int:
+        """Take a link and return its number."""
+
+    def take(self, number: int, message: RelayMessage) -> None:
+        """Take a message from a link."""
+
+    def detach(self, number: int) -> None:
+        """Take note that a link is gone."""
+
+
+class LocalLinks:
+    """Makes local links, and moves what is on them in one task.
+
+    Args:
+        gate: the own gate.
+        timer: the timer service.
+    """
+
+    def __init__(self, gate: LocalGate, timer: TimerService) -> None:
+        self._gate = gate
+        self._timer = timer
+        self._due: deque[LocalLink] = deque()
+        self._wakeup = Wakeup()
+
+    def open(self) -> LocalLink:
+        """Return a new link."""
+        return LocalLink(self, self._gate, GateMark(self._gate.incarnation, self._timer.now))
+
+    def schedule(self, link: LocalLink) -> None:
+        """Move what is on a link soon."""
+        if not link.scheduled:
+            link.scheduled = True
+            self._due.append(link)
+            self._wakeup.set()
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Move messages until cancelled."""
+        task_status.started()
+        while True:
+            await self._wakeup.wait()
+            for _ in range(len(self._due)):
+                link = self._due.popleft()
+                link.scheduled = False
+                link.move()
+            if self._due:
+                self._wakeup.set()
+            await trio.lowlevel.checkpoint()
+
+
+class LocalLink:
+    """Both ends of one local link.
+
+    Attributes:
+        user: the request that it serves, or None.
+        scheduled: whether its turn will come.
+    """
+
+    def __init__(self, links: LocalLinks, gate: LocalGate, mark: GateMark) -> None:
+        self.user: LinkUser | None = None
+        self.scheduled = False
+        self._links = links
+        self._gate = gate
+        self._mark = mark
+        self._to_gate: deque[RelayMessage] = deque()
+        self._to_asker: deque[RelayMessage] = deque()
+        self._body: BodyWriter | None = None
+        self._writer: AnswerWriter | None = None
+        self._finishing = False
+        self._closed = False
+        self._number = gate.attach(_LocalGateEnd(self))
+
+    @property
+    def mark(self) -> GateMark:
+        """Return when the link was made, by the gate's clock."""
+        return self._mark
+
+    @property
+    def clock_offset(self) -> float:
+        """Return 0, as both ends have the same clock."""
+        return 0.0
+
+    def send(self, message: RelayMessage) -> None:
+        """Send a message to the gate."""
+        self._to_gate.append(message)
+        self.wake()
+
+    def send_body(self, body: BodyWriter | None) -> None:
+        """Send a request's body as it comes, or none any more."""
+        self._body = body
+        self.wake()
+
+    def wake(self) -> None:
+        """See that there is more to move."""
+        self._links.schedule(self)
+
+    def finish(self) -> None:
+        """Send what waits, and close."""
+        self.user = None
+        self._body = None
+        self._finishing = True
+        self.wake()
+
+    def answer(self, message: RelayMessage) -> None:
+        """Send a message to the asker."""
+        self._to_asker.append(message)
+        self.wake()
+
+    def follow(self, writer: AnswerWriter) -> None:
+        """Send what a writer has to the asker, as it comes."""
+        self._writer = writer
+        self.wake()
+
+    def close(self) -> None:
+        """Close at once, both ends."""
+        if self._closed:
+            return
+        self._closed = True
+        user, self.user = self.user, None
+        self._gate.detach(self._number)
+        if user is not None:
+            user.on_lost(self)
+
+    def move(self) -> None:
+        """Move a turn's worth of messages both ways."""
+        try:
+            for _ in range(MESSAGES_A_TURN):
+                if self._closed or not (self._move_to_gate() | self._move_to_asker()):
+                    break
+            else:
+                self.wake()
+        except WindowGap:
+            self.close()
+        if self._finishing and not self._to_gate:
+            self.close()
+
+    def _move_to_gate(self) -> bool:
+        message = self._to_gate.popleft() if self._to_gate else None
+        if message is None and self._body is not None:
+            message = self._body.next_message()
+        if message is not None:
+            self._gate.take(self._number, message)
+        return message is not None
+
+    def _move_to_asker(self) -> bool:
+        if self.user is None:
+            return False
+        message = self._to_asker.popleft() if self._to_asker else None
+        if message is None and self._writer is not None:
+            message = self._writer.next_message()
+        if message is not None:
+            self.user.on_message(self, message)
+        return message is not None
+
+
+class _LocalGateEnd:
+    """The gate's view of a local link."""
+
+    __slots__ = ("_link",)
+
+    def __init__(self, link: LocalLink) -> None:
+        self._link = link
+
+    def send(self, message: RelayMessage) -> None:
+        self._link.answer(message)
+
+    def follow(self, writer: AnswerWriter) -> None:
+        self._link.follow(writer)
+
+    def wake(self) -> None:
+        self._link.wake()
+
+    def close(self) -> None:
+        self._link.close()
--- a/egretsill/requests/_message_link.py
+++ b/egretsill/requests/_message_link.py
@@ -12,7 +12,6 @@
 from ._messages import RELAY_TYPES, RelayMessage
 
 RECEIVE_BYTES = 65_536
-LOCAL_MESSAGES = 16
 
 RELAY_CODEC: Codec[RelayMessage] = Codec("relay", RELAY_TYPES)
 
@@ -102,49 +101,3 @@
     async def close(self) -> None:
         """Close at once."""
         await trio.aclose_forcefully(self._stream)
-
-
-class LocalLink:
-    """One end of a link inside this process."""
-
-    def __init__(
-        self,
-        sender: trio.MemorySendChannel[RelayMessage],
-        receiver: trio.MemoryReceiveChannel[RelayMessage],
-    ) -> None:
-        self._sender = sender
-        self._receiver = receiver
-
-    async def send(self, message: RelayMessage) -> None:
-        """Send a message.
-
-        Raises:
-            LinkBroken: if the other end is gone.
-        """
-        try:
-            await self._sender.send(message)
-        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            raise LinkBroken(False) from error
-
-    async def receive(self) -> RelayMessage:
-        """Return the next message.
-
-        Raises:
-            LinkBroken: if there will be none.
-        """
-        try:
-            return await self._receiver.receive()
-        except (trio.EndOfChannel, trio.ClosedResourceError) as error:
-            raise LinkBroken(False) from error
-
-    async def close(self) -> None:
-        """Close at once."""
-        self._sender.close()
-        self._receiver.close()
-
-
-def local_link_pair() -> tuple[LocalLink, LocalLink]:
-    """Return the two ends of a link inside this process."""
-    one_sender, other_receiver = trio.open_memory_channel[RelayMessage](LOCAL_MESSAGES)
-    other_sender, one_receiver = trio.open_memory_channel[RelayMessage](LOCAL_MESSAGES)
-    return LocalLink(one_sender, one_receiver), LocalLink(other_sender, other_receiver)
--- a/egretsill/requests/_request_service.py
+++ b/egretsill/requests/_request_service.py
@@ -25,6 +25,7 @@
 from ._exchange import CallerGone, Exchange
 from ._gate import Gate
 from ._gate_runner import GateRunner
+from ._local_link import LocalLinks
 from ._message_link import StreamLink
 from ._messages import RelayMessage, RequestId
 from ._retry_budget import RetryBudget
@@ -68,8 +69,9 @@
         self._observer = observer or SilentObserver()
         gate = Gate(incarnation, own_service, services, admission)
         self._gate_runner = GateRunner(gate, timer, backend, self._observer)
+        self._local_links = LocalLinks(self._gate_runner, timer)
         self._pool = LinkPool(
-            own_target_number, timer, self._gate_runner, self._address, self._observer, connect
+            own_target_number, timer, self._local_links, self._address, self._observer, connect
         )
         self._sequence = itertools.count(1)
         self._budget = RetryBudget(0.0)
@@ -85,6 +87,7 @@
         """Run until cancelled; requests wait until it has started."""
         async with trio.open_nursery() as nursery:
             await nursery.start(self._gate_runner.run)
+            await nursery.start(self._local_links.run)
             await nursery.start(self._pool.run)
             self._ready.set()
             task_status.started()
