--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -80,7 +80,11 @@
         self._state_log = StateLog(settings.name)
         self._stopped = trio.Event()
         self._role = self._make_role()
-        self._gossip = self._bind_gossip()
+        try:
+            self._gossip = self._bind_gossip()
+        except AddressUnavailable:
+            self._role.close()
+            raise
         self._streams = StreamEndpoint(
             settings.relay, {**RELAY_TYPES, **CONFIGURATION_TYPES}, self._metrics
         )
@@ -136,23 +140,11 @@
         Raises:
             AddressUnavailable: if an endpoint can't be bound.
         """
-        self._connect_parts()
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._timer.run)
-            await nursery.start(self._gossip.run)
-            await self._start(nursery, "relay", self._settings.relay, self._streams.run)
-            await self._start(nursery, "admin", self._settings.admin, self._make_admin().run)
-            self._membership.start()
-            nursery.start_soon(self._configuration.run)
-            nursery.start_soon(self._role.run)
-            nursery.start_soon(self._make_health_poller().run)
-            self._drain.start()
-            self._record(StateKind.PROCESS, "ready")
-            task_status.started()
-            await self._stopped.wait()
-            self._membership.stop()
-            nursery.cancel_scope.cancel()
-        self._record(StateKind.PROCESS, "stopped")
+        try:
+            await self._run(task_status)
+        finally:
+            self._role.close()
+            self._gossip.close()
 
     def shut_down(self) -> None:
         """Stop gracefully: take no new work, and end when what runs has ended."""
@@ -177,6 +169,25 @@
         """Note that settings were to be re-read and hold mistakes; the old ones stay."""
         self._record(StateKind.PROCESS, "settings-rejected", {"problem": str(error)})
 
+    async def _run(self, task_status: trio.TaskStatus[None]) -> None:
+        self._connect_parts()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._timer.run)
+            await nursery.start(self._gossip.run)
+            await self._start(nursery, "relay", self._settings.relay, self._streams.run)
+            await self._start(nursery, "admin", self._settings.admin, self._make_admin().run)
+            self._membership.start()
+            nursery.start_soon(self._configuration.run)
+            nursery.start_soon(self._role.run)
+            nursery.start_soon(self._make_health_poller().run)
+            self._drain.start()
+            self._record(StateKind.PROCESS, "ready")
+            task_status.started()
+            await self._stopped.wait()
+            self._membership.stop()
+            nursery.cancel_scope.cancel()
+        self._record(StateKind.PROCESS, "stopped")
+
     def _make_role(self) -> DaemonRole:
         settings = self._settings
         match settings.role:
--- a/egretsill/daemon/_stream_endpoint.py
+++ b/egretsill/daemon/_stream_endpoint.py
@@ -46,9 +46,10 @@
         """
         listeners = await trio.open_tcp_listeners(self._listen.port, host=self._listen.host)
         task_status.started()
-        await trio.serve_listeners(self._serve, listeners)
+        await trio.serve_listeners(self.serve, listeners)
 
-    async def _serve(self, stream: trio.SocketStream) -> None:
+    async def serve(self, stream: trio.abc.Stream) -> None:
+        """Serve one stream to its end."""
         if self._open >= MAXIMUM_STREAMS:
             await trio.aclose_forcefully(stream)
             return
@@ -63,7 +64,7 @@
             self._open -= 1
             await trio.aclose_forcefully(stream)
 
-    async def _dispatch(self, stream: trio.SocketStream) -> None:
+    async def _dispatch(self, stream: trio.abc.Stream) -> None:
         decoder: StreamDecoder[Any] = StreamDecoder(self._codec)
         message = None
         with trio.move_on_after(FIRST_MESSAGE_SECONDS):
