Answer HEAD for a missing page, and try the ports with garbage

Cause: a HEAD request for an unknown page or version gave a body that h11 refuses to send, and the error ended the admin server; a property test over damaged, truncated and oversized requests found it. Change: an answer to HEAD has no body whatever its status; a protocol error on one connection closes that connection.

--- a/egretsill/membership/tests/test_gossip_socket.py
+++ b/egretsill/membership/tests/test_gossip_socket.py
@@ -7,11 +7,19 @@
 
 import pytest
 import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from egretsill.configuration import Address
-from egretsill.membership import MAXIMUM_DATAGRAM_BYTES, MEMBERSHIP_TYPES, GossipSocket
-from egretsill.membership._messages import Gossip, MemberQuery, MemberUpdate
+from egretsill.membership import (
+    MAXIMUM_DATAGRAM_BYTES,
+    MEMBERSHIP_TYPES,
+    GossipSocket,
+    MembershipMessage,
+)
+from egretsill.membership._messages import Gossip, MemberQuery, MemberUpdate, Ping
 from egretsill.observation import Metrics
+from egretsill.wire import Codec
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +67,38 @@
     assert metrics.datagrams_dropped.total() == 3
 
 
+CODEC: Codec[MembershipMessage] = Codec("gossip", MEMBERSHIP_TYPES)
+VALID = [
+    CODEC.encode(each)
+    for each in (MESSAGE, MemberQuery((1, 2, 3)), Ping(1, 2, 3, 4, MESSAGE.updates))
+]
+TRUNCATED = st.builds(
+    lambda data, length: data[: length % len(data)], st.sampled_from(VALID), st.integers(0, 99)
+)
+DAMAGED = st.builds(
+    lambda data, place, value: data[: place % len(data)] + value + data[place % len(data) + 1 :],
+    st.sampled_from(VALID),
+    st.integers(0, 99),
+    st.binary(max_size=2),
+)
+OVERSIZED = st.builds(
+    lambda data, size: data + bytes(size), st.sampled_from(VALID), st.integers(1, 3_000)
+)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(data=st.binary(max_size=100) | TRUNCATED | DAMAGED | OVERSIZED)
+def test_any_datagram_is_handled_or_counted_once(data: bytes) -> None:
+    metrics = Metrics()
+    handled: list[object] = []
+    gossip = GossipSocket(LOOPBACK, MEMBERSHIP_TYPES, metrics)
+    gossip.register(MEMBERSHIP_TYPES.values(), lambda message, sender: handled.append(message))
+    with gossip._socket:
+        gossip._receive(data, LOOPBACK)
+    assert len(handled) + metrics.datagrams_dropped.total() == 1
+    assert metrics.gossip_messages.value("received") == len(handled)
+
+
 def test_messages_too_large_are_not_sent() -> None:
     metrics = Metrics()
     gossip = GossipSocket(LOOPBACK, {1: MemberQuery, 2: _Large}, metrics)
--- a/egretsill/observation/_admin_server.py
+++ b/egretsill/observation/_admin_server.py
@@ -81,7 +81,7 @@
         task_status.started(Address(bound[0], bound[1]))
         await trio.serve_listeners(self._serve, listeners)
 
-    async def _serve(self, stream: trio.SocketStream) -> None:
+    async def _serve(self, stream: trio.abc.HalfCloseableStream) -> None:
         if self._connections >= MAXIMUM_CONNECTIONS:
             self._refuse(AdminRefusal.TOO_MANY)
             await trio.aclose_forcefully(stream)
@@ -91,11 +91,13 @@
             await self._serve_one(stream)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             self._refuse(AdminRefusal.GONE)
+        except h11.ProtocolError:
+            self._refuse(AdminRefusal.MALFORMED)
         finally:
             self._connections -= 1
             await trio.aclose_forcefully(stream)
 
-    async def _serve_one(self, stream: trio.SocketStream) -> None:
+    async def _serve_one(self, stream: trio.abc.HalfCloseableStream) -> None:
         connection = h11.Connection(h11.SERVER, max_incomplete_event_size=MAXIMUM_REQUEST_BYTES)
         request: h11.Request | None = None
         with trio.move_on_after(REQUEST_SECONDS) as reading:
@@ -117,7 +119,7 @@
             self._refuse(AdminRefusal.SLOW)
 
     async def _send(
-        self, stream: trio.SocketStream, connection: h11.Connection, answer: _Answer
+        self, stream: trio.abc.HalfCloseableStream, connection: h11.Connection, answer: _Answer
     ) -> bool:
         """Send an answer and return whether it was taken in time."""
         if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
@@ -140,6 +142,8 @@
         answer = self._route(request, path)
         known = path if path in _PATHS else "other"
         self._metrics.admin_requests.increment(known, str(answer.status))
+        if request.method == b"HEAD":
+            return _Answer(answer.status, answer.headers, b"")
         return answer
 
     def _route(self, request: h11.Request, path: str) -> _Answer:
@@ -150,10 +154,9 @@
         if request.method not in (b"GET", b"HEAD"):
             return _json_answer(405, {"error": "only GET and HEAD"})
         try:
-            answer = self._page(request, path)
+            return self._page(request, path)
         except Exception as error:  # A page that fails must not end the process.
-            answer = _json_answer(500, {"error": type(error).__name__})
-        return _Answer(answer.status, answer.headers, b"") if request.method == b"HEAD" else answer
+            return _json_answer(500, {"error": type(error).__name__})
 
     def _page(self, request: h11.Request, path: str) -> _Answer:
         if path == "/metrics":
@@ -177,7 +180,7 @@
 
 
 async def _read_request(
-    stream: trio.SocketStream, connection: h11.Connection
+    stream: trio.abc.HalfCloseableStream, connection: h11.Connection
 ) -> h11.Request | None:
     """Return the request's head, or None if the client went away first.
 
@@ -190,7 +193,7 @@
             return event
         if event is not h11.NEED_DATA:
             return None
-        connection.receive_data(await stream.receive_some(READ_BYTES))
+        connection.receive_data(bytes(await stream.receive_some(READ_BYTES)))
 
 
 def _json_answer(status: int, content: Mapping[str, JSON]) -> _Answer:
--- a/egretsill/observation/tests/test_admin_server.py
+++ b/egretsill/observation/tests/test_admin_server.py
@@ -60,6 +60,7 @@
         pytest.param(_request("/health?verbose=1"), 200, id="query is ignored"),
         pytest.param(_request("/metrics", "HEAD"), 200, id="head"),
         pytest.param(_request("/nothing"), 404, id="unknown page"),
+        pytest.param(_request("/nothing", "HEAD"), 404, id="head of an unknown page"),
         pytest.param(_request("/status", "POST"), 405, id="wrong method"),
         pytest.param(b"\x00\xff garbage\r\n\r\n", 400, id="garbage"),
         pytest.param(b"GET / HTTP/9.9\r\n\r\n", 505, id="no such version"),
