Follow a member of the same name to its new addresses

Cause: a process restarted under its name at other addresses stayed known at the old ones. Change: a record of a later life, or a listed address of a member that does not answer, replaces the addresses.

--- a/egretsill/membership/_claims.py
+++ b/egretsill/membership/_claims.py
@@ -153,8 +153,12 @@
         member = record.member
         identifier = member.identifier
         self.wanted.pop(identifier, None)
-        if identifier != self.identifier and self.roster.add(member, now) is None:
-            return
+        if identifier != self.identifier:
+            entry = self.roster.add(member, now)
+            if entry is None:
+                return
+            if record.incarnation > entry.incarnation:
+                self.roster.readdress(entry, member)
         self.merge(MemberUpdate(identifier, record.incarnation, record.state), source, now)
 
     def accept(self, entry: Entry, update: MemberUpdate, now: float, pass_on: bool = True) -> None:
--- a/egretsill/membership/_roster.py
+++ b/egretsill/membership/_roster.py
@@ -111,10 +111,15 @@
         return self._entries.get(self._by_address.get(address, 0))
 
     def add(self, member: Member, now: float) -> Entry | None:
-        """Make a member known as a candidate; return None if the table is full."""
+        """Make a member known as a candidate; return None if the table is full.
+
+        A member that does not answer is taken with its new addresses, if they changed.
+        """
         identifier = member.identifier
         entry = self._entries.get(identifier)
         if entry is not None:
+            if entry.state not in _REACHABLE:
+                self.readdress(entry, member)
             return entry
         if len(self._entries) >= MAXIMUM_MEMBERS:
             return None
@@ -124,6 +129,16 @@
         self.unreachable.add(identifier)
         return entry
 
+    def readdress(self, entry: Entry, member: Member) -> None:
+        """Take the addresses that a member of the same name has now."""
+        if entry.member == member:
+            return
+        if self._by_address.get(entry.member.gossip) == entry.identifier:
+            del self._by_address[entry.member.gossip]
+        entry.member = member
+        self._by_address.setdefault(member.gossip, entry.identifier)
+        self._version += 1
+
     def remove(self, identifier: int) -> None:
         """Forget a member."""
         entry = self._entries.pop(identifier)
--- a/egretsill/membership/tests/test_claims.py
+++ b/egretsill/membership/tests/test_claims.py
@@ -4,6 +4,7 @@
 
 import itertools
 import random
+from dataclasses import replace
 
 import pytest
 from hypothesis import given, settings
@@ -175,6 +176,31 @@
     assert own.view.available == {2, 3}
 
 
+@pytest.mark.parametrize(
+    ("incarnation", "moved"),
+    [
+        pytest.param(60, True, id="later life"),
+        pytest.param(50, False, id="same life"),
+        pytest.param(40, False, id="earlier life"),
+    ],
+)
+def test_member_of_the_same_name_at_new_addresses(incarnation: int, moved: bool) -> None:
+    former, later = member(2), replace(member(3), name="agent-2")
+    own = membership(former)
+    record = MemberRecord.of(later, incarnation, ALIVE.value)
+    own.on_message(MemberRecords((record,)), SENDER, 1.0)
+    assert own.view.alive == ((later,) if moved else (former,))
+
+
+def test_dead_member_is_tried_at_its_listed_address() -> None:
+    former, later = member(2), replace(member(3), name="agent-2")
+    own = membership(former)
+    own.on_message(gossip(former, 50, DEAD), SENDER, 1.0)
+    own.on_vm_list([later], 2.0)
+    addresses = {each.address for each in sent(own.tick(2.1)) if isinstance(each.message, Ping)}
+    assert addresses == {later.gossip}
+
+
 def test_unanswering_candidate_is_forgotten_with_the_list() -> None:
     own = membership()
     own.on_vm_list([member(2)], 1.0)
