--- /dev/null
+++ b/egretsill/ctl/_main.py
@@ -0,0 +1,43 @@
+"""The commands of the operators' tool."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Sequence
+
+from ..commands import Command, run_program
+from . import _call, _check, _compile, _diff, _explain, _status
+
+PROGRAM = "egretsillctl"
+INTRODUCTION = f"""{PROGRAM} COMMAND [--flags] ARGUMENTS
+
+Checks, compiles and compares declarations, explains decisions, reads the daemons' status
+and calls a service. `{PROGRAM} COMMAND --help` tells what a command takes.
+
+Commands:"""
+
+
+def make_commands() -> Sequence[Command]:
+    """Return all commands in the order of help."""
+    return [
+        _check.make_command(),
+        _compile.make_command(),
+        _diff.make_command(),
+        _explain.make_command(),
+        _status.make_command(),
+        _call.make_command(),
+    ]
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Run one command and return its exit code.
+
+    Args:
+        arguments: without the program's own name.
+    """
+    return run_program(PROGRAM, INTRODUCTION, make_commands(), arguments)
+
+
+def run() -> None:
+    """Run the tool as a program."""
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/egretsill/placement/_placement.py
@@ -0,0 +1,199 @@
+"""Chooses the target that a request is offered to."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Mapping, Sequence
+from random import Random
+
+from ..configuration import RequestClass, RequestShape, Service, TargetState
+from ..outcomes import RefusalReason
+from ._messages import LoadReport
+from ._speed import compare_speeds
+from ._subset import used_targets
+from ._target_view import LONGEST_BACK_OFF_SECONDS, LONGEST_SHEDDING_BACK_OFF_SECONDS, TargetView
+
+FAR_LOAD = 0.1
+LOAD_FACTOR = 3.0
+COMPARE_SECONDS = 0.2
+LARGEST_LAG = 1.0
+FULL_PAUSE_SECONDS = 0.15
+
+
+class Placement:
+    """One asker's choice among the targets of a service.
+
+    What it sees itself is fact: its own outstanding requests, grants and refusals. Reports of other
+    agents are hints. Each request sent is told by `on_sent` and ended by exactly one `on_finished`
+    or `on_refused`; `on_granted` tells in between that it was started.
+
+    Args:
+        own_target: number of the target beside this process, or None.
+        service: the service asked.
+        random: for the choices.
+        failure_domain: the asker's, if it has no target of its own.
+    """
+
+    def __init__(
+        self,
+        own_target: int | None,
+        service: Service,
+        random: Random,
+        failure_domain: str | None = None,
+    ) -> None:
+        self._own_target = own_target
+        self._random = random
+        self._failure_domain = failure_domain
+        self._unavailable: frozenset[int] = frozenset()
+        self._views: dict[int, TargetView] = {}
+        self._used: Sequence[int] = ()
+        self._compared_at = 0.0
+        self.update_service(service)
+
+    @property
+    def used_targets(self) -> Sequence[int]:
+        """Return the numbers of the targets that it chooses among."""
+        return self._used
+
+    @property
+    def outstanding(self) -> Mapping[int, float]:
+        """Return the weight of own requests outstanding at each target."""
+        return {number: view.own_weight for number, view in self._views.items()}
+
+    def update_service(self, service: Service) -> None:
+        """Take over a changed configuration; what is known of targets that stay is kept."""
+        views: dict[int, TargetView] = {}
+        for target in service.targets:
+            view = self._views.get(target.number) or TargetView(target)
+            view.target = target
+            views[target.number] = view
+            if target.number == self._own_target:
+                self._failure_domain = target.failure_domain
+        self._views = views
+        self._used = used_targets(service, self._own_target)
+
+    def set_unavailable(self, numbers: Collection[int]) -> None:
+        """Choose none of these targets until told otherwise."""
+        self._unavailable = frozenset(numbers)
+
+    def choose(
+        self, request_class: RequestClass, exclude: Collection[int], now: float
+    ) -> int | None:
+        """Return the number of the target to offer a request to, or None if there is none.
+
+        Args:
+            request_class: of the request.
+            exclude: numbers of targets that refused it already.
+            now: the time in seconds.
+        """
+        candidates = self._candidates(exclude, now)
+        best = min(candidates, key=lambda view: self._cost(view, request_class, now), default=None)
+        return None if best is None else best.target.number
+
+    def on_sent(
+        self,
+        target_number: int,
+        weight: float,
+        now: float,
+        shape: RequestShape = RequestShape.SHORT,
+    ) -> None:
+        """Count a request that is offered to a target."""
+        view = self._views.get(target_number)
+        if view is None:
+            return
+        view.add(shape, weight)
+        if shape is not RequestShape.SUBSCRIPTION:
+            view.give(weight, now)
+
+    def on_finished(
+        self,
+        target_number: int,
+        weight: float,
+        now: float,
+        shape: RequestShape = RequestShape.SHORT,
+    ) -> None:
+        """Count that a request sent to a target has ended in any way but a refusal."""
+        view = self._views.get(target_number)
+        if view is not None:
+            view.add(shape, -weight)
+            if shape is not RequestShape.SUBSCRIPTION:
+                view.evidence.ended(weight, now)
+                self._compare_speeds(now)
+
+    def on_granted(self, target_number: int, now: float) -> None:
+        """Take in that a target started a request."""
+        view = self._views.get(target_number)
+        if view is not None:
+            view.succeeded()
+            view.evidence.began(now)
+
+    def on_refused(
+        self,
+        target_number: int,
+        weight: float,
+        reason: RefusalReason,
+        now: float,
+        shape: RequestShape = RequestShape.SHORT,
+    ) -> None:
+        """Count that a target refused a request, which ends it there."""
+        view = self._views.get(target_number)
+        if view is None:
+            return
+        view.add(shape, -weight)
+        if shape is not RequestShape.SUBSCRIPTION:
+            view.give(-weight, now)
+        match reason:
+            case RefusalReason.SHEDDING:
+                view.back_off(now, self._spread(), LONGEST_SHEDDING_BACK_OFF_SECONDS)
+            case (
+                RefusalReason.BACKEND_UNREACHABLE
+                | RefusalReason.DRAINING
+                | RefusalReason.WRONG_SERVICE
+            ):
+                view.back_off(now, self._spread(), LONGEST_BACK_OFF_SECONDS)
+            case _:
+                view.pause(now, FULL_PAUSE_SECONDS * self._spread())
+
+    def on_report(self, report: LoadReport, now: float) -> None:
+        """Take in another agent's report."""
+        view = self._views.get(report.target)
+        if view is not None:
+            view.take_report(report, now)
+
+    def _candidates(self, exclude: Collection[int], now: float) -> list[TargetView]:
+        able = [
+            self._views[number]
+            for number in self._used
+            if number not in exclude and number not in self._unavailable
+        ]
+        able = [
+            view for view in able if view.target.state is TargetState.ACTIVE and not view.draining
+        ]
+        ready = [view for view in able if view.back_off_until <= now]
+        self._lift(ready)
+        return ready or sorted(able, key=lambda view: view.back_off_until)[:1]
+
+    def _spread(self) -> float:
+        return self._random.uniform(0.5, 1.5)
+
+    def _compare_speeds(self, now: float) -> None:
+        if now < self._compared_at + COMPARE_SECONDS:
+            return
+        self._compared_at = now
+        compare_speeds([self._views[number].evidence for number in self._used], now)
+
+    def _lift(self, ready: Sequence[TargetView]) -> None:
+        if not ready:
+            return
+        mean = sum(view.given for view in ready) / len(ready)
+        for view in ready:
+            view.lift(mean - LARGEST_LAG)
+
+    def _cost(
+        self, view: TargetView, request_class: RequestClass, now: float
+    ) -> tuple[float, float]:
+        near = view.target.failure_domain == self._failure_domain
+        if request_class.shape is RequestShape.SUBSCRIPTION:
+            load = view.connection_load(now)
+        else:
+            load = view.given + LOAD_FACTOR * view.load(now) + (0.0 if near else FAR_LOAD)
+        return (load, self._random.random())
--- a/egretsill/quickstart/_site.py
+++ b/egretsill/quickstart/_site.py
@@ -7,16 +7,22 @@
 
 import trio
 
-from ..configuration import Bundle, Target
-from ..daemon._agent_core import AgentCore
-from ..settings import DaemonSettings, TlsSettings
+from ..configuration import (
+    Target,
+    compile_publication,
+    encode_publication,
+    encode_vms,
+)
+from ..daemon import Daemon
+from ..settings import DaemonSettings
 from ..stand_ins.backend_server import BackendBehaviour, BackendServer
 from ..stand_ins.fabric import Fabric
-from ..steering import Balancer, ConnectionIdCodec, ConnectionIdKey
-from ..timing import TrioTimerService
+from ..stand_ins.platform import PlatformStandIn
 from ._site_plan import SitePlan
 
 REVISION_SECONDS = 0.5
+FIRST_REVISION = 1
+READY_POLL_SECONDS = 0.1
 SECONDS_PER_WEIGHT = 0.004
 
 
@@ -27,10 +33,11 @@
         self._plan = plan
         self._nursery = nursery
         self._seed = seed
-        self._timer = TrioTimerService()
-        self._balancers: dict[str, trio.CancelScope] = {}
+        self._daemons: dict[str, Daemon] = {}
+        self._scopes: dict[str, trio.CancelScope] = {}
         self._backends: dict[str, BackendServer] = {}
         self._fabric: Fabric | None = None
+        self._platform = PlatformStandIn()
 
     @property
     def plan(self) -> SitePlan:
@@ -44,24 +51,57 @@
 
     async def start(self) -> None:
         """Start all processes."""
-        self._nursery.start_soon(self._timer.run)
-        bundle = Bundle(1, "", self._plan.services)
+        self.publish(FIRST_REVISION)
+        await self._nursery.start(self._platform.serve, self._plan.platform)
         for target in self._plan.targets:
             await self._start_backend(target)
-            self._start_agent(target, bundle)
+            await self._start_daemon(self._plan.agent_settings(target))
         for name in self._plan.balancers:
-            self._start_balancer(self._plan.balancer_settings(name), bundle)
+            await self._start_daemon(self._plan.balancer_settings(name))
         listeners = {name: self._plan.listeners(name) for name in self._plan.balancers}
         self._fabric = Fabric(self._plan.service_addresses, listeners, Random(self._seed))
         await self._nursery.start(self._fabric.run)
 
+    @property
+    def daemons(self) -> Mapping[str, Daemon]:
+        """Return every daemon that was started, by name."""
+        return self._daemons
+
+    def publish(self, revision: int) -> None:
+        """Publish the site's declaration under a revision number."""
+        publication = compile_publication(self._plan.services, revision)
+        self._platform.publish(encode_publication(publication))
+        self._platform.publish_vms(encode_vms(self._plan.vms))
+
+    def drain_target(self, name: str) -> None:
+        """Let a backend server say on its health page that it is leaving."""
+        self._backends[name].drain()
+
+    async def wait_until_ready(self, timeout_seconds: float) -> bool:
+        """Wait until every daemon has a configuration and sees all others; return whether."""
+        with trio.move_on_after(timeout_seconds):
+            while not all(self._is_ready(each) for each in self._daemons.values()):
+                await trio.sleep(READY_POLL_SECONDS)
+            return True
+        return False
+
+    @property
+    def revision_in_force(self) -> int:
+        """Return the lowest revision in force at the daemons that run."""
+        return min(daemon.revision for daemon in self._daemons.values())
+
     async def stop_balancer(self, name: str, noticed_after_seconds: float) -> None:
         """Stop a balancer without warning; the fabric feeds it on for a while."""
-        self._balancers[name].cancel()
+        self._scopes[name].cancel()
+        del self._daemons[name]
         await trio.sleep(noticed_after_seconds)
         if self._fabric is not None:
             self._fabric.feed([each for each in self._plan.balancers if each != name])
 
+    def _is_ready(self, daemon: Daemon) -> bool:
+        others = len(self._daemons) - 1
+        return daemon.revision > 0 and daemon.status["members_alive"] == others
+
     async def _start_backend(self, target: Target) -> None:
         behaviour = BackendBehaviour(
             slots=target.slots,
@@ -72,38 +112,16 @@
         self._backends[target.name] = backend
         await self._nursery.start(backend.serve, target.backend.host, target.backend.port)
 
-    def _start_agent(self, target: Target, bundle: Bundle) -> None:
-        settings = self._plan.agent_settings(target)
-        tls: TlsSettings = self._plan.tls
-        core = AgentCore(
-            settings,
-            tls,
-            bundle,
-            target,
-            self._timer,
-            SystemRandom(),
-            _codec(settings),
-            lambda: [],
-            self._nursery,
-        )
-        self._nursery.start_soon(core.run)
-
-    def _start_balancer(self, settings: DaemonSettings, bundle: Bundle) -> None:
-        balancer = Balancer(
-            self._timer, settings.tunnel, _codec(settings), lambda each: settings.listen[each]
-        )
-        balancer.apply_bundle(bundle)
+    async def _start_daemon(self, settings: DaemonSettings) -> None:
+        daemon = Daemon(settings, SystemRandom())
         scope = trio.CancelScope()
-        self._balancers[settings.name] = scope
-        self._nursery.start_soon(_run_within, balancer, scope)
+        self._daemons[settings.name] = daemon
+        self._scopes[settings.name] = scope
+        await self._nursery.start(_run_within, daemon, scope)
 
 
-async def _run_within(balancer: Balancer, scope: trio.CancelScope) -> None:
+async def _run_within(
+    daemon: Daemon, scope: trio.CancelScope, task_status: trio.TaskStatus[None]
+) -> None:
     with scope:
-        await balancer.run()
-
-
-def _codec(settings: DaemonSettings) -> ConnectionIdCodec:
-    return ConnectionIdCodec(
-        [ConnectionIdKey(each.rotation, each.key) for each in settings.connection_id_keys]
-    )
+        await daemon.run(task_status)
