--- a/egretsill/measurements/_membership_fleet.py
+++ b/egretsill/measurements/_membership_fleet.py
@@ -130,6 +130,10 @@
         """Let a process announce that it leaves."""
         self._perform(process, process.membership.announce_leaving(self.now))
 
+    def stay(self, process: Process) -> None:
+        """Let a process announce that it does not leave after all."""
+        self._perform(process, process.membership.announce_staying(self.now))
+
     def pause(self, process: Process) -> None:
         """Freeze a process."""
         process.paused = True
--- a/egretsill/membership/tests/membership.feature
+++ b/egretsill/membership/tests/membership.feature
@@ -59,6 +59,13 @@
     Then process 6 is leaving for all others
     And nobody was declared dead
 
+  Scenario: A process that stays after all is used again
+    Given a fleet of 24 processes with 5 percent loss
+    When process 6 announces that it leaves
+    And 2 seconds pass
+    And process 6 announces that it stays
+    Then all views agree within 5 seconds
+
   Scenario: A VM that replaces another at the same address
     Given a fleet of 24 processes with 5 percent loss
     When process 7 crashes
--- a/egretsill/membership/tests/test_scenarios.py
+++ b/egretsill/membership/tests/test_scenarios.py
@@ -103,6 +103,11 @@
     fleet.leave(_process(fleet, number))
 
 
+@when(parsers.parse("process {number:d} announces that it stays"))
+def _stay(fleet: Fleet, number: int) -> None:
+    fleet.stay(_process(fleet, number))
+
+
 @when(parsers.parse("process {number:d} runs only every {gap:g} seconds for {seconds:g} seconds"))
 def _slow(fleet: Fleet, number: int, gap: float, seconds: float) -> None:
     process = _process(fleet, number)
