Make the operators' tables of metrics and log lines from their definitions

Cause: a page written by hand goes stale. Change: metric_reference and log_reference return Markdown tables.

--- a/egretsill/observation/__init__.py
+++ b/egretsill/observation/__init__.py
@@ -6,6 +6,7 @@
 from ._health import HealthProblem, HealthState
 from ._logging import LogValue, StateChange, StateKind, StateLog, open_log
 from ._metrics import Counter, Gauge, Histogram, LabelValue, Metrics
+from ._reference import log_reference, metric_reference
 
 __all__ = [
     "AdminRefusal",
@@ -27,5 +28,7 @@
     "StateChange",
     "StateKind",
     "StateLog",
+    "log_reference",
+    "metric_reference",
     "open_log",
 ]
