Show every settings key in the examples

Cause: no example showed what a daemon's settings file takes. Change: example files of an agent and a balancer with each key and its default, kept true by a test. Conclusion: the examples are accepted and name the defaults of the model.

--- a/egretsill/settings/tests/test_loader.py
+++ b/egretsill/settings/tests/test_loader.py
@@ -1,10 +1,13 @@
 from __future__ import annotations
 
+import configparser
+import re
 from pathlib import Path
 
 import pytest
 
-from ...configuration import Address, Problem
+from ... import settings as settings_slice
+from ...configuration import Address, Problem, load_declaration
 from ...configuration.ini import (
     DuplicateAddress,
     InvalidValue,
@@ -24,7 +27,9 @@
     SettingsRejected,
     load_daemon_settings,
 )
+from .._loader import OPTIONAL
 
+EXAMPLES = Path(settings_slice.__file__).parents[2] / "examples"
 AGENT = """
 [daemon]
 role = agent
@@ -168,3 +173,34 @@
     with pytest.raises(SettingsRejected) as caught:
         load_daemon_settings(tmp_path / "none.ini")
     assert isinstance(caught.value.problems[0], UnreadableFile)
+
+
+def test_the_examples_are_accepted() -> None:
+    agent = load_daemon_settings(EXAMPLES / "agent.ini")
+    balancer = load_daemon_settings(EXAMPLES / "balancer.ini")
+    assert (agent.role, balancer.role) == (Role.AGENT, Role.BALANCER)
+    assert agent.connection_id_keys == balancer.connection_id_keys
+    target = load_declaration(EXAMPLES / "sibiu.ini")["catalog"].targets[0]
+    assert (agent.name, agent.number, agent.failure_domain) == (
+        target.name,
+        target.number,
+        target.failure_domain,
+    )
+    assert (agent.tunnel, agent.relay, agent.gossip) == (
+        target.tunnel,
+        target.relay,
+        target.gossip,
+    )
+
+
+def test_the_defaults_in_the_example_are_those_of_the_model(tmp_path: Path) -> None:
+    text = (EXAMPLES / "agent.ini").read_text()
+    spelled_out = re.sub(r"(?m)^# (\w+ = .*)$", r"\1", text)
+    spelled_out = spelled_out.replace("file = egretsilld.log\n", "")
+    path = tmp_path / "agent.ini"
+    path.write_text(spelled_out)
+    assert load_daemon_settings(path) == load_daemon_settings(EXAMPLES / "agent.ini")
+    sections = configparser.ConfigParser(interpolation=None)
+    sections.read_string(spelled_out)
+    for name in ("flows", "relay", "backend", "membership", "configuration", "shutdown"):
+        assert set(sections[name]) == set(OPTIONAL[name].model_fields)
