--- a/egretsill/measurements/_relay_parties.py
+++ b/egretsill/measurements/_relay_parties.py
@@ -65,16 +65,29 @@
         """Return the next target in turn."""
         return next((number for number in self._order if number not in exclude), None)
 
-    def on_sent(self, target_number: int, weight: float, now: float) -> None:
+    def on_sent(self, target_number: int, weight: float, now: float, shape: RequestShape) -> None:
         """Count an offer."""
         self.outstanding += weight
 
-    def on_finished(self, target_number: int, weight: float, now: float) -> None:
+    def on_granted(self, target_number: int, now: float) -> None:
+        """Do nothing."""
+
+    def on_finished(
+        self, target_number: int, weight: float, now: float, shape: RequestShape
+    ) -> None:
         """Count its end."""
         self.outstanding -= weight
 
-    def on_refused(self, target_number: int, reason: RefusalReason, now: float) -> None:
-        """Do nothing."""
+    def on_refused(
+        self,
+        target_number: int,
+        weight: float,
+        reason: RefusalReason,
+        now: float,
+        shape: RequestShape,
+    ) -> None:
+        """Count its end."""
+        self.outstanding -= weight
 
 
 class Decider(Protocol):
@@ -97,6 +110,7 @@
     Attributes:
         starts: first bytes that went to any backend server, without shed ones.
         runs: names of the runs, each with its own answer.
+        lost: whether the agent that owned its flow is gone, and nobody is told anything.
     """
 
     key: str
@@ -112,6 +126,7 @@
     data: bytes = b""
     outcome: Outcome | None = None
     conclusions: int = 0
+    lost: bool = False
     deliveries: deque[DeliverHead | DeliverData] = field(default_factory=deque)
 
     def start(self, run: str) -> None:
@@ -144,12 +159,18 @@
 
 @dataclass(slots=True, eq=False)
 class GateNode:
-    """A gate of one incarnation."""
+    """A gate of one incarnation.
+
+    Attributes:
+        skew: what its clock is ahead of the world's, in seconds.
+        paused_until: when its process runs again, in seconds of the world.
+    """
 
     number: int
     gate: Gate
     incarnation: int
     skew: float
+    paused_until: float = 0.0
     calls: list[BackendCallModel] = field(default_factory=list)
 
 
@@ -159,6 +180,7 @@
 
     Attributes:
         to_gate: messages on the way; None stands for the end of the stream.
+        late_until: when the next message can arrive, in seconds of the world.
     """
 
     caller: Caller
@@ -171,6 +193,7 @@
     gate_open: bool = True
     writer: AnswerWriter | None = None
     sends_body: bool = False
+    late_until: float = 0.0
 
 
 @dataclass(slots=True)
--- a/egretsill/membership/_claims.py
+++ b/egretsill/membership/_claims.py
@@ -69,6 +69,7 @@
         self.dissemination = Dissemination()
         self.wanted: dict[int, Wanted] = {}
         self.last_return = -math.inf
+        self.last_change = -math.inf
         self.dissemination.add(self.own_update)
 
     @property
@@ -114,7 +115,9 @@
         return tuple(newer)
 
     def declare(self, state: MemberState) -> None:
-        """Change what this process claims about itself."""
+        """Change what this process claims about itself; to take a claim back is a new life."""
+        if state < self._own_state:
+            self._incarnation += 1
         self._own_state = state
         self.dissemination.add(self.own_update)
 
@@ -159,15 +162,18 @@
     def accept(self, entry: Entry, update: MemberUpdate, now: float, pass_on: bool = True) -> None:
         """Believe a claim that beats what is known."""
         former = self.roster.at_address(entry.member.gossip)
+        # Whoever suspects a member buries it without being told.
+        expected = entry.state is MemberState.SUSPECT and update.state == MemberState.DEAD
         change = self.roster.apply(update, now)
         if pass_on:
-            self.dissemination.add(update)
+            self.dissemination.add(update, expected)
             self.dissemination.resize(len(self.roster.reachable))
         if entry.state is not MemberState.SUSPECT:
             self._suspicions.pop(entry.identifier, None)
         if change is None:
             return
         self._outbox.append(change)
+        self.last_change = now
         if change.after is MemberState.SUSPECT:
             self._await_refutation(entry, now, None)
         if change.before is MemberState.DEAD:
--- a/egretsill/requests/_request_service.py
+++ b/egretsill/requests/_request_service.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from ..configuration import Address, RequestClass, Service
+from ..configuration import Address, Limits, RequestClass, Service
 from ..outcomes import Outcome, RefusalReason, Refused
 from ..timing import TimerService
 from ..wire import StreamDecoder
@@ -93,6 +93,14 @@
         """Start nothing at the own gate from now on; what runs goes on to its end."""
         self._gate_runner.stop_new_work()
 
+    def resume_new_work(self) -> None:
+        """Start new work at the own gate again."""
+        self._gate_runner.resume_new_work()
+
+    def change_bounds(self, slots: int, connections: int, limits: Limits) -> None:
+        """Take over the bounds of a changed configuration."""
+        self._gate_runner.change_bounds(slots, connections, limits)
+
     async def serve(self, exchange: Exchange) -> None:
         """Take one request to its end and tell the caller how it ended.
 
@@ -156,18 +164,29 @@
             self._next_identifier,
         )
         asker = Asker(exchange, attempts, deadline, self._timer, self._pool)
-        outcome = await asker.run()
+        try:
+            return await asker.run()
+        finally:
+            self._observe(service, request_class, attempts, asker, began)
+
+    def _observe(
+        self,
+        service: Service,
+        request_class: RequestClass,
+        attempts: Attempts,
+        asker: Asker,
+        began: float,
+    ) -> None:
         first_byte = None if asker.first_byte_at is None else asker.first_byte_at - began
         self._observer.on_outcome(
             request_class,
             service.tenant,
-            outcome,
+            asker.outcome,
             first_byte,
             self._timer.now - began,
             attempts.queue_seconds,
             attempts.tries,
         )
-        return outcome
 
     def _next_identifier(self) -> RequestId:
         return RequestId(self._own_target_number, self._incarnation, next(self._sequence))
