--- a/egretsill/configuration/_core.py
+++ b/egretsill/configuration/_core.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from random import Random
 from typing import TypeAlias
@@ -96,13 +96,16 @@
         noted = self._ledger.note_announcement(message.sender, message.rank, message.settled, now)
         return [*noted, *self._exchange.receive(message, sender, self.standing(now))]
 
-    def tick(self, now: float, peers: Sequence[Peer]) -> Sequence[CoreEffect]:
-        """Do what is due; to be called a few times in each period."""
+    def tick(self, now: float, peers: Callable[[], Sequence[Peer]]) -> Sequence[CoreEffect]:
+        """Do what is due; to be called a few times in each period.
+
+        The peers are asked for only when one is to be chosen.
+        """
         settled = self._ledger.settle(now)
         if now < self._compare_at:
             return settled
         self._compare_at = now + self._times.period * self._random.uniform(0.75, 1.25)
-        return [*settled, *self._compare(now, peers, 1)]
+        return [*settled, *self._compare(now, peers(), 1)]
 
     def wake(self, now: float, peers: Sequence[Peer]) -> Sequence[CoreEffect]:
         """Ask around at once after this process did not run for a while.
--- a/egretsill/configuration/_distributor.py
+++ b/egretsill/configuration/_distributor.py
@@ -206,7 +206,7 @@
             tick.cancel()
 
     def _on_tick(self, now: float) -> None:
-        self._carry_out(self._core.tick(now, self._peers()))
+        self._carry_out(self._core.tick(now, self._peers))
 
     def _on_jump(self, jump: ClockJump) -> None:
         self._carry_out(self._core.wake(jump.after, self._peers()))
--- a/egretsill/configuration/tests/test_core.py
+++ b/egretsill/configuration/tests/test_core.py
@@ -44,14 +44,14 @@
 
 
 def test_seeds_are_asked_while_no_peer_is_known() -> None:
-    effects = make_core().tick(0.0, [])
+    effects = make_core().tick(0.0, lambda: [])
     assert [each.to for each in effects if isinstance(each, Announce)] == [PEERS[3].gossip]
 
 
 def test_news_are_pushed_once() -> None:
     core = make_core()
     history = make_history(2)
-    core.tick(10.0, PEERS)
+    core.tick(10.0, lambda: PEERS)
     effects = core.offer(history[0], 10.0, PEERS)
     assert PutInForce(history[0]) in effects
     assert sum(isinstance(each, Announce) for each in effects) == 4
--- a/egretsill/measurements/_configuration_fleet.py
+++ b/egretsill/measurements/_configuration_fleet.py
@@ -196,7 +196,7 @@
         return act
 
     def _tick(self, process: Process) -> None:
-        self._carry_out(process, process.core.tick(self.now, process.peers))
+        self._carry_out(process, process.core.tick(self.now, lambda: process.peers))
         self._later(TICK_SECONDS, self._for(process, self._tick))
 
     def _read_vms(self, process: Process, backoff: float) -> None:
