Tell unknown services beside a section's other mistakes, and read value files in one place

Cause: a class or target with another mistake hid that its service isn't declared; the stand-in and the command-line tool each had the walk over a directory of values. Change: references are checked apart from the rest of a section; one function reads value files, and the stand-in outlives a file that goes away meanwhile. Conclusion: one run names every mistake.

--- a/egretsill/configuration/__init__.py
+++ b/egretsill/configuration/__init__.py
@@ -55,6 +55,7 @@
 )
 from ._platform_client import PlatformClient, Unchanged, Value
 from ._problems import Problem
+from ._value_files import read_value_files
 from ._vms import Vm, VmState, decode_vms, encode_vms
 
 __all__ = [
@@ -78,8 +79,8 @@
     "IndexFound",
     "IndexWanted",
     "Limits",
-    "NothingHeld",
     "MalformedValue",
+    "NothingHeld",
     "Peer",
     "PeerFailure",
     "PeerUnreachable",
@@ -113,4 +114,5 @@
     "encode_publication",
     "encode_vms",
     "load_declaration",
+    "read_value_files",
 ]
--- a/egretsill/configuration/_declaration.py
+++ b/egretsill/configuration/_declaration.py
@@ -122,13 +122,19 @@
 
 @dataclass(slots=True)
 class _Draft:
-    """What was read so far; each part with the section that it came from."""
+    """What was read so far; each part with the section that it came from.
+
+    Attributes:
+        named: kind of section and service, for every service that a section names.
+        references: section, key and service where a section names one service.
+    """
 
     problems: list[Problem]
     services: dict[str, tuple[Section, ServiceSection | None]] = field(default_factory=dict)
     classes: dict[str, list[tuple[Section, RequestClass]]] = field(default_factory=dict)
     targets: dict[str, list[tuple[Section, Target]]] = field(default_factory=dict)
     named: set[tuple[str, str]] = field(default_factory=set)
+    references: list[tuple[Section, str, str]] = field(default_factory=list)
 
 
 def load_declaration(base: Path, overlay: Path | None = None) -> Mapping[str, Service]:
@@ -177,6 +183,7 @@
 
 def _read_class(section: Section, service: str, name: str, draft: _Draft) -> None:
     draft.named.add(("class", service))
+    draft.references.append((section, "", service))
     model = section.build(ClassSection, draft.problems)
     if model is not None:
         draft.classes.setdefault(service, []).append((section, model.to_class(name)))
@@ -190,7 +197,9 @@
     if len(services) > 1:
         file = section.file_of("service")
         draft.problems.append(TargetInTwoServices(file, section.name, "service", services))
-    elif model is not None:
+        return
+    draft.references.extend((section, "service", service) for service in services)
+    if model is not None:
         draft.targets.setdefault(model.service, []).append((section, model.to_target(name)))
 
 
@@ -205,17 +214,10 @@
 
 
 def _check_references(draft: _Draft) -> None:
-    for service, classes in draft.classes.items():
-        if service not in draft.services:
-            draft.problems.extend(
-                UnknownService(section.file, section.name, "", service) for section, _ in classes
-            )
-    for service, targets in draft.targets.items():
+    for section, key, service in draft.references:
         if service not in draft.services:
-            draft.problems.extend(
-                UnknownService(section.file_of("service"), section.name, "service", service)
-                for section, _ in targets
-            )
+            file = section.file_of(key)
+            draft.problems.append(UnknownService(file, section.name, key, service))
     for name, (section, _) in draft.services.items():
         if ("class", name) not in draft.named:
             draft.problems.append(ServiceWithoutClass(section.file, section.name, ""))
--- a/egretsill/configuration/tests/test_declaration.py
+++ b/egretsill/configuration/tests/test_declaration.py
@@ -239,6 +239,14 @@
     }
 
 
+def test_an_unknown_service_is_told_beside_other_mistakes_of_the_section(tmp_path: Path) -> None:
+    base = GOOD.replace("service = catalog", "service = other", 1).replace("slots = 2", "", 1)
+    assert {(type(each), each.section, each.key) for each in load(tmp_path, base)} == {
+        (UnknownService, "target one", "service"),
+        (MissingKey, "target one", "slots"),
+    }
+
+
 def test_an_overlay_replaces_single_values(tmp_path: Path) -> None:
     (tmp_path / "base.ini").write_text(GOOD)
     (tmp_path / "site.ini").write_text("[target one]\nslots = 9\n")
--- a/egretsill/ctl/_bundle_files.py
+++ b/egretsill/ctl/_bundle_files.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import os
-from collections.abc import Mapping
 from pathlib import Path
 
 from ..configuration import (
@@ -12,6 +11,7 @@
     Publication,
     decode_publication,
     encode_publication,
+    read_value_files,
 )
 
 
@@ -36,7 +36,7 @@
         ConfigurationError: if values are missing, malformed or of different revisions.
         OSError: if a file can't be read.
     """
-    return decode_publication(_read_values(directory))
+    return decode_publication(read_value_files(directory))
 
 
 def write_publication_files(directory: Path, publication: Publication) -> int:
@@ -49,7 +49,7 @@
         OSError: if a file can't be written.
     """
     values = encode_publication(publication)
-    before = _read_values(directory)
+    before = read_value_files(directory)
     changed = [key for key, value in values.items() if before.get(key) != value]
     for key in sorted(changed, key=lambda key: key == HEAD_KEY):
         _replace(directory / key, values[key])
@@ -59,14 +59,6 @@
     return len(changed)
 
 
-def _read_values(directory: Path) -> Mapping[str, bytes]:
-    return {
-        path.relative_to(directory).as_posix(): path.read_bytes()
-        for path in sorted(directory.rglob("*"))
-        if path.is_file() and not path.name.startswith(".")
-    }
-
-
 def _replace(path: Path, content: bytes) -> None:
     path.parent.mkdir(parents=True, exist_ok=True)
     part = path.with_name(f".{path.name}.part")
--- a/egretsill/stand_ins/platform.py
+++ b/egretsill/stand_ins/platform.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -18,7 +19,7 @@
 import h11
 import trio
 
-from ..configuration import Address
+from ..configuration import Address, read_value_files
 from ._platform_store import (
     Down,
     Failing,
@@ -127,9 +128,13 @@
         await trio.serve_listeners(self._serve_stream, listeners)
 
     async def follow_directory(self, directory: Path) -> None:
-        """Publish the files below a directory whenever they change, until cancelled."""
+        """Publish the files below a directory whenever they change, until cancelled.
+
+        A file that goes away while they are read is no mistake; the next round is whole again.
+        """
         while True:
-            self.publish(read_directory(directory))
+            with contextlib.suppress(FileNotFoundError):
+                self.publish(read_value_files(directory))
             await trio.sleep(DIRECTORY_SECONDS)
 
     def _wake(self) -> None:
@@ -195,15 +200,6 @@
         return _to_answer(value)
 
 
-def read_directory(directory: Path) -> Mapping[str, bytes]:
-    """Return the files below a directory by relative path."""
-    return {
-        path.relative_to(directory).as_posix(): path.read_bytes()
-        for path in sorted(directory.rglob("*"))
-        if path.is_file() and not path.name.startswith(".")
-    }
-
-
 def _to_answer(value: StoredValue | None) -> _Answer:
     return _Answer(404) if value is None else _Answer(200, value.content, value.version)
 
--- a/egretsill/stand_ins/tests/test_platform.py
+++ b/egretsill/stand_ins/tests/test_platform.py
@@ -19,6 +19,7 @@
     Unchanged,
     Value,
     ValueMissing,
+    read_value_files,
 )
 from ..platform import (
     Down,
@@ -31,7 +32,6 @@
     Slow,
     Stale,
     Well,
-    read_directory,
 )
 
 ANY_PORT = Address("127.0.0.1", 0)
@@ -251,4 +251,4 @@
     (tmp_path / "service" / "a").write_bytes(b"first")
     (tmp_path / "head").write_bytes(b"one")
     (tmp_path / ".part").write_bytes(b"x")
-    assert read_directory(tmp_path) == {"head": b"one", "service/a": b"first"}
+    assert read_value_files(tmp_path) == {"head": b"one", "service/a": b"first"}
