End every offer once, and measure with the product's retry budget

Placement is told of a refusal and of the end of the same request, as requests tell it; a refused request counts as no evidence of speed. What is unknown of a target's speed is now a weight and no time, so that it suits fast services as well, and the most that a target makes up for is measured from the median, which one target that was away does not pull down.

--- a/egretsill/measurements/_placement_load.py
+++ b/egretsill/measurements/_placement_load.py
@@ -19,6 +19,7 @@
 from ..configuration import RequestClass
 from ..outcomes import RefusalReason
 from ..placement import LoadReport, LoadReporter
+from ..requests._retry_budget import RetryBudget
 from ._placement_deployment import (
     END_SECONDS,
     LISTING,
@@ -78,25 +79,6 @@
     useful_margins: list[float] = field(default_factory=list)
 
 
-class RetryBudget:
-    """Allows retries as a share of first tries."""
-
-    def __init__(self, share: float) -> None:
-        self._share = share
-        self._tokens = 0.0
-
-    def earn(self) -> None:
-        """Count a first try."""
-        self._tokens = min(self._tokens + self._share, 10.0)
-
-    def spend(self) -> bool:
-        """Return whether a retry is allowed, and count it."""
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
-
-
 class ServiceUnderLoad:
     """Runs one deployment under one policy and load; `run` gives the totals.
 
@@ -182,7 +164,7 @@
             asker=self._random.choice(self._callers),
         )
         self._requests[request.identifier] = request
-        self._budgets[request.asker].earn()
+        self._budgets[request.asker].on_first_try(self._now)
         self._totals.first_tries += 1
         self._offer(request)
 
@@ -291,14 +273,15 @@
 
     def _refused(self, request: Request, target: int, reason: RefusalReason) -> None:
         policy = self._policies[request.asker]
-        policy.on_refused(target, request.request_class.weight, reason, self._now)
+        policy.on_refused(target, reason, self._now)
+        policy.on_finished(target, request.request_class.weight, self._now)
         request.refused_by.append(target)
         tries = len(request.refused_by)
         in_time = self._now < request.deadline and reason is not RefusalReason.DEADLINE
         if not in_time or tries >= self._service.limits.tries:
             self._refuse(request)
             return
-        if not self._budgets[request.asker].spend():
+        if not self._budgets[request.asker].take_retry(self._now):
             self._refuse(request)
             return
         self._totals.retries += 1
--- a/egretsill/measurements/_placement_policies.py
+++ b/egretsill/measurements/_placement_policies.py
@@ -29,9 +29,7 @@
     def on_granted(self, target_number: int, now: float) -> None:
         """Take in a grant."""
 
-    def on_refused(
-        self, target_number: int, weight: float, reason: RefusalReason, now: float
-    ) -> None:
+    def on_refused(self, target_number: int, reason: RefusalReason, now: float) -> None:
         """Take in a refusal."""
 
     def on_report(self, report: LoadReport, now: float) -> None:
@@ -64,9 +62,7 @@
     def on_granted(self, target_number: int, now: float) -> None:
         """Ignore it."""
 
-    def on_refused(
-        self, target_number: int, weight: float, reason: RefusalReason, now: float
-    ) -> None:
+    def on_refused(self, target_number: int, reason: RefusalReason, now: float) -> None:
         """Ignore it."""
 
     def on_report(self, report: LoadReport, now: float) -> None:
--- a/egretsill/placement/_placement.py
+++ b/egretsill/placement/_placement.py
@@ -23,8 +23,8 @@
     """One asker's choice among the targets of a service.
 
     What it sees itself is fact: its own outstanding requests, grants and refusals. Reports of other
-    agents are hints. Each request sent is told by `on_sent` and ended by exactly one `on_finished`
-    or `on_refused`; `on_granted` tells in between that it was started.
+    agents are hints. Each request sent is told by `on_sent`, then by `on_granted` or `on_refused`
+    if that is learnt, and ended by exactly one `on_finished`, whatever came of it.
 
     Args:
         own_target: number of the target beside this process, or None.
@@ -104,43 +104,23 @@
         if shape is not RequestShape.SUBSCRIPTION:
             view.give(weight, now)
 
-    def on_finished(
-        self,
-        target_number: int,
-        weight: float,
-        now: float,
-        shape: RequestShape = RequestShape.SHORT,
+    def on_granted(
+        self, target_number: int, now: float, shape: RequestShape = RequestShape.SHORT
     ) -> None:
-        """Count that a request sent to a target has ended in any way but a refusal."""
+        """Take in that a target started a request, from which its speed is learned."""
         view = self._views.get(target_number)
-        if view is not None:
-            view.add(shape, -weight)
-            if shape is not RequestShape.SUBSCRIPTION:
-                view.evidence.ended(weight, now)
-                self._compare_speeds(now)
-
-    def on_granted(self, target_number: int, now: float) -> None:
-        """Take in that a target started a request."""
-        view = self._views.get(target_number)
-        if view is not None:
-            view.succeeded()
+        if view is None:
+            return
+        view.succeeded()
+        if shape is not RequestShape.SUBSCRIPTION:
             view.evidence.began(now)
 
-    def on_refused(
-        self,
-        target_number: int,
-        weight: float,
-        reason: RefusalReason,
-        now: float,
-        shape: RequestShape = RequestShape.SHORT,
-    ) -> None:
-        """Count that a target refused a request, which ends it there."""
+    def on_refused(self, target_number: int, reason: RefusalReason, now: float) -> None:
+        """Take in that a target refused a request; `on_finished` follows for the same request."""
         view = self._views.get(target_number)
         if view is None:
             return
-        view.add(shape, -weight)
-        if shape is not RequestShape.SUBSCRIPTION:
-            view.give(-weight, now)
+        view.refused()
         match reason:
             case RefusalReason.SHEDDING:
                 view.back_off(now, self._spread(), LONGEST_SHEDDING_BACK_OFF_SECONDS)
@@ -150,8 +130,31 @@
                 | RefusalReason.WRONG_SERVICE
             ):
                 view.back_off(now, self._spread(), LONGEST_BACK_OFF_SECONDS)
-            case _:
+            case RefusalReason.FULL | RefusalReason.OVERLOAD:
                 view.pause(now, FULL_PAUSE_SECONDS * self._spread())
+            case _:
+                pass
+
+    def on_finished(
+        self,
+        target_number: int,
+        weight: float,
+        now: float,
+        shape: RequestShape = RequestShape.SHORT,
+    ) -> None:
+        """Count that a request offered to a target has ended there, however it ended."""
+        view = self._views.get(target_number)
+        if view is None:
+            return
+        view.add(shape, -weight)
+        was_refused = view.take_refusal()
+        if shape is RequestShape.SUBSCRIPTION:
+            return
+        if was_refused:
+            view.give(-weight, now)
+            return
+        view.evidence.ended(weight, now)
+        self._compare_speeds(now)
 
     def on_report(self, report: LoadReport, now: float) -> None:
         """Take in another agent's report."""
@@ -184,9 +187,9 @@
     def _lift(self, ready: Sequence[TargetView]) -> None:
         if not ready:
             return
-        mean = sum(view.given for view in ready) / len(ready)
+        median = sorted(view.given for view in ready)[len(ready) // 2]
         for view in ready:
-            view.lift(mean - LARGEST_LAG)
+            view.lift(median - LARGEST_LAG)
 
     def _cost(
         self, view: TargetView, request_class: RequestClass, now: float
--- a/egretsill/placement/_speed.py
+++ b/egretsill/placement/_speed.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 
 HALF_LIFE_SECONDS = 10.0
-PRIOR_SECONDS = 0.5
+PRIOR_WEIGHT = 4.0
 
 
 class SpeedEvidence:
@@ -59,8 +59,9 @@
 
     def compare(self, mean_weight_per_second: float) -> None:
         """Set the speed from the evidence, taking the mean for what isn't known."""
-        weight = self._weight + PRIOR_SECONDS * mean_weight_per_second
-        self._speed = weight / (self._slot_seconds + PRIOR_SECONDS) / mean_weight_per_second
+        weight = self._weight + PRIOR_WEIGHT
+        seconds = self._slot_seconds + PRIOR_WEIGHT / mean_weight_per_second
+        self._speed = weight / seconds / mean_weight_per_second
 
 
 def compare_speeds(evidence: Sequence[SpeedEvidence], now: float) -> None:
--- a/egretsill/placement/_target_view.py
+++ b/egretsill/placement/_target_view.py
@@ -29,6 +29,7 @@
         self._back_off_seconds = 0.0
         self._back_off_until = -math.inf
         self._given = 0.0
+        self._refusals = 0
         self._evidence = SpeedEvidence()
 
     @property
@@ -63,6 +64,17 @@
         else:
             self._own_weight = max(0.0, self._own_weight + weight)
 
+    def refused(self) -> None:
+        """Count a refusal of a request that is still to be ended."""
+        self._refusals += 1
+
+    def take_refusal(self) -> bool:
+        """Return whether the request that ends now was refused."""
+        if self._refusals == 0:
+            return False
+        self._refusals -= 1
+        return True
+
     def give(self, weight: float, now: float) -> None:
         """Count weight that is sent to it, or with a negative weight that it refused."""
         self._given += weight / self._usable_slots(now)
--- a/egretsill/placement/tests/test_placement.py
+++ b/egretsill/placement/tests/test_placement.py
@@ -67,7 +67,8 @@
     now = 0.0
     for shortest, longest in bounds:
         placement.on_sent(2, 1.0, now)
-        placement.on_refused(2, 1.0, reason, now)
+        placement.on_refused(2, reason, now)
+        placement.on_finished(2, 1.0, now)
         began = now
         while 2 not in chosen(placement, now) and now < 60.0:
             now += 0.01
@@ -79,7 +80,8 @@
 def test_lone_refusing_target_is_still_offered() -> None:
     placement = make_placement(1)
     placement.on_sent(1, 1.0, 0.0)
-    placement.on_refused(1, 1.0, RefusalReason.SHEDDING, 0.0)
+    placement.on_refused(1, RefusalReason.SHEDDING, 0.0)
+    placement.on_finished(1, 1.0, 0.0)
     assert placement.choose(LISTING, (), 0.0) == 1
 
 
@@ -120,7 +122,8 @@
     placement.on_sent(77, 1.0, 0.0)
     placement.on_granted(77, 0.0)
     placement.on_finished(77, 1.0, 0.0)
-    placement.on_refused(77, 1.0, RefusalReason.FULL, 0.0)
+    placement.on_refused(77, RefusalReason.FULL, 0.0)
+    placement.on_finished(77, 1.0, 0.0)
     assert set(placement.outstanding) == {1, 2}
 
 
@@ -131,3 +134,36 @@
     assert placement.outstanding == {1: 0.0, 2: 4.0, 3: 0.0}
     placement.update_service(make_service(1))
     assert set(chosen(placement)) == {1}
+
+
+def test_slow_target_gets_less_and_refusals_count_for_nothing() -> None:
+    placement = make_placement(2)
+    given: Counter[int] = Counter()
+    for step in range(2000):
+        now = step * 0.05
+        target = placement.choose(LISTING, (), now)
+        assert target is not None
+        given[target] += 1
+        placement.on_sent(target, 1.0, now)
+        if step % 50 == 0:
+            placement.on_refused(target, RefusalReason.OVERLOAD, now)
+        else:
+            placement.on_granted(target, now)
+            now += 0.01 if target == 1 else 0.03
+        placement.on_finished(target, 1.0, now)
+    assert 2.0 < given[1] / given[2] < 4.5
+
+
+def test_a_target_that_was_away_is_not_flooded() -> None:
+    placement = make_placement(2)
+    placement.set_unavailable({2})
+    for _ in range(1000):
+        placement.on_sent(placement.choose(LISTING, (), 0.0) or 0, 1.0, 0.0)
+        placement.on_finished(1, 1.0, 0.0)
+    placement.set_unavailable(())
+    flooded = 0
+    while placement.choose(LISTING, (), 1.0) == 2:
+        placement.on_sent(2, 1.0, 1.0)
+        placement.on_finished(2, 1.0, 1.0)
+        flooded += 1
+    assert flooded < 15
