Let placement hear of every offer's refusal and end

Cause: requests and placement had each adapted to the other's first contract. Change: one contract: on_refused is followed by on_finished. The tests of requests, placement and the measures pass (288).

--- a/egretsill/measurements/_relay_parties.py
+++ b/egretsill/measurements/_relay_parties.py
@@ -69,7 +69,7 @@
         """Count an offer."""
         self.outstanding += weight
 
-    def on_granted(self, target_number: int, now: float) -> None:
+    def on_granted(self, target_number: int, now: float, shape: RequestShape) -> None:
         """Do nothing."""
 
     def on_finished(
@@ -78,16 +78,8 @@
         """Count its end."""
         self.outstanding -= weight
 
-    def on_refused(
-        self,
-        target_number: int,
-        weight: float,
-        reason: RefusalReason,
-        now: float,
-        shape: RequestShape,
-    ) -> None:
-        """Count its end."""
-        self.outstanding -= weight
+    def on_refused(self, target_number: int, reason: RefusalReason, now: float) -> None:
+        """Do nothing."""
 
 
 class Decider(Protocol):
--- a/egretsill/requests/_attempts.py
+++ b/egretsill/requests/_attempts.py
@@ -248,7 +248,7 @@
                 return
             case Started(queue_milliseconds):
                 offer.started = True
-                self._placement.on_granted(offer.target_number, now)
+                self._placement.on_granted(offer.target_number, now, self._class.shape)
                 self._queue_seconds = queue_milliseconds / 1000
             case Refusal(reason, retry_after_seconds):
                 self._emit(FreeLink(offer.link))
@@ -323,12 +323,10 @@
         if self._answer.status is not None:
             self._on_unknown_end(offer, UnknownReason.RELAY_LOST, now)
             return
-        self._placement.on_refused(
-            offer.target_number, self._class.weight, refused.reason, now, self._class.shape
-        )
+        self._placement.on_refused(offer.target_number, refused.reason, now)
         self._excluded.add(offer.target_number)
         self._last_refusal = refused
-        self._offer = None
+        self._end_offer(now)
         if self._out_of_time or refused.reason is RefusalReason.DEADLINE:
             self._conclude(Refused(RefusalReason.DEADLINE), now)
         else:
--- a/egretsill/requests/_collaborators.py
+++ b/egretsill/requests/_collaborators.py
@@ -50,23 +50,16 @@
     def on_sent(self, target_number: int, weight: float, now: float, shape: RequestShape) -> None:
         """Note that a request was offered to a target."""
 
-    def on_granted(self, target_number: int, now: float) -> None:
+    def on_granted(self, target_number: int, now: float, shape: RequestShape) -> None:
         """Note that a target started an offered request."""
 
+    def on_refused(self, target_number: int, reason: RefusalReason, now: float) -> None:
+        """Note that a target refused; `on_finished` follows for the same request."""
+
     def on_finished(
         self, target_number: int, weight: float, now: float, shape: RequestShape
     ) -> None:
-        """Note that an offered request has ended there in any way but a refusal."""
-
-    def on_refused(
-        self,
-        target_number: int,
-        weight: float,
-        reason: RefusalReason,
-        now: float,
-        shape: RequestShape,
-    ) -> None:
-        """Note that a target refused an offered request, which ends it there."""
+        """Note that an offered request has ended there, however it ended."""
 
 
 class RequestObserver(Protocol):
--- a/egretsill/requests/tests/_fakes.py
+++ b/egretsill/requests/tests/_fakes.py
@@ -115,7 +115,7 @@
     def on_sent(self, target_number: int, weight: float, now: float, shape: RequestShape) -> None:
         self.outstanding += weight
 
-    def on_granted(self, target_number: int, now: float) -> None:
+    def on_granted(self, target_number: int, now: float, shape: RequestShape) -> None:
         self.granted.append(target_number)
 
     def on_finished(
@@ -123,16 +123,8 @@
     ) -> None:
         self.outstanding -= weight
 
-    def on_refused(
-        self,
-        target_number: int,
-        weight: float,
-        reason: RefusalReason,
-        now: float,
-        shape: RequestShape,
-    ) -> None:
+    def on_refused(self, target_number: int, reason: RefusalReason, now: float) -> None:
         self.refused.append((target_number, reason))
-        self.outstanding -= weight
 
 
 class FakeExchange:
