--- a/egretsill/measurements/_configuration_fleet.py
+++ b/egretsill/measurements/_configuration_fleet.py
@@ -6,11 +6,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import heapq
 import itertools
 from collections import Counter
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
@@ -24,26 +23,17 @@
     DistributionTimes,
     Peer,
     Publication,
-    RequestClass,
-    Service,
-    Target,
     Vm,
-    compile_publication,
     encode_vms,
 )
 from ..configuration._core import CoreEffect, DistributionCore
 from ..configuration._exchange import Announce, FetchFrom
 from ..configuration._ledger import PutInForce
 from ..configuration._readers import ReadOnce, Wait, Watch
-from ..configuration._sources import (
-    SINGLE_READS_FOR_EACH_PAGE,
-    PeerSource,
-    answer_question,
-    read_publication,
-)
+from ..configuration._sources import PeerSource, answer_question, read_publication
 from ..wire import Codec
+from ._configuration_content import DOMAINS, content_reads
 
-DOMAINS = ("turnisor", "vasile-aaron", "selimbar")
 DOMAIN_DELAY_SECONDS = 0.005
 LOCAL_DELAY_SECONDS = 0.0005
 PLATFORM_SECONDS = 0.004
@@ -54,7 +44,6 @@
 DATAGRAM_HEADER_BYTES = 28
 QUESTION_HEADER_BYTES = 160
 SEEDS = 3
-TARGETS_OF_A_SERVICE = 4
 FIRST_VM_LIST_BACKOFF_SECONDS = 1.0
 LONGEST_VM_LIST_BACKOFF_SECONDS = 30.0
 
@@ -365,33 +354,6 @@
         self.platform.reads[int(self.now)] += 1
 
 
-def make_history(services: int, length: int) -> Sequence[Publication]:
-    """Return publications of revision 1 to `length`; each changes one service."""
-    current: Mapping[str, Service] = {
-        f"service-{number}": _make_service(number) for number in range(services)
-    }
-    history = [compile_publication(current, 1)]
-    for revision in range(2, length + 1):
-        name = f"service-{revision % services}"
-        limits = dataclasses.replace(current[name].limits, queue_length=100 + revision)
-        current = {**current, name: dataclasses.replace(current[name], limits=limits)}
-        history.append(compile_publication(current, revision, history[-1]))
-    return history
-
-
-def content_reads(publication: Publication, known: Publication | None) -> int:
-    """Return how many values beside the head a reader gets from the platform."""
-    before = known.index if known else {}
-    missing = sum(before.get(name) != digest for name, digest in publication.index.items())
-    head = publication.head
-    behind = known is not None and any(
-        change.revision == known.head.revision for change in head.changes
-    )
-    index_reads = 0 if behind else head.index_parts
-    single = missing <= SINGLE_READS_FOR_EACH_PAGE * max(1, head.pages)
-    return index_reads + (missing if single else head.pages)
-
-
 def run_without_waiting(action: Callable[[], Any]) -> None:
     """Run a coroutine that never has to wait."""
     coroutine = action()
@@ -416,36 +378,3 @@
 def _make_vm(peer: Peer) -> Vm:
     addresses = {"gossip": peer.gossip, "relay": peer.relay, "tunnel": peer.gossip}
     return Vm(peer.name, "agent", peer.failure_domain, addresses=addresses)
-
-
-def _make_service(number: int) -> Service:
-    name = f"service-{number}"
-    first = number * TARGETS_OF_A_SERVICE + 1
-    classes = (
-        RequestClass("listings", ("GET", "HEAD"), "/", True),
-        RequestClass("orders", ("POST",), "/orders", False, weight=4.0),
-    )
-    return Service(
-        name=name,
-        number=number + 1,
-        tenant="sibiu",
-        authority=f"{name}.example",
-        addresses=(Address("10.255.0.1", number + 1),),
-        classes=classes,
-        targets=tuple(_make_target(name, first + each) for each in range(TARGETS_OF_A_SERVICE)),
-    )
-
-
-def _make_target(service: str, number: int) -> Target:
-    host = f"10.{128 + (number >> 16)}.{number >> 8 & 255}.{number & 255}"
-    return Target(
-        name=f"target-{number}",
-        number=number,
-        service=service,
-        failure_domain=DOMAINS[number % len(DOMAINS)],
-        tunnel=Address(host, 7000),
-        relay=Address(host, 7001),
-        gossip=Address(host, 7002),
-        backend=Address(host, 8080),
-        slots=4,
-    )
--- a/egretsill/measurements/configuration.py
+++ b/egretsill/measurements/configuration.py
@@ -11,7 +11,8 @@
 from collections.abc import Iterator, Sequence
 
 from ..configuration import Publication, encode_publication
-from ._configuration_fleet import ConfigurationFleet, content_reads, make_history
+from ._configuration_content import content_reads, make_history
+from ._configuration_fleet import ConfigurationFleet
 from ._measurement import Measurement
 
 MEASURE = "configuration"
--- a/egretsill/measurements/tests/test_configuration.py
+++ b/egretsill/measurements/tests/test_configuration.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
-from .._configuration_fleet import ConfigurationFleet, content_reads, make_history
+from .._configuration_content import content_reads, make_history
+from .._configuration_fleet import ConfigurationFleet
 
 SIZE = 12
 LIMIT_SECONDS = 30.0
