--- a/egretsill/measurements/_relay_parties.py
+++ b/egretsill/measurements/_relay_parties.py
@@ -182,6 +182,11 @@
     sends_body: bool = False
     late_until: float = 0.0
 
+    @property
+    def over(self) -> bool:
+        """Return whether nothing can happen on the link any more."""
+        return not (self.asker_open or self.gate_open or self.to_gate or self.to_asker)
+
 
 @dataclass(slots=True)
 class PendingConnect:
