Tell a leaving VM so, and place nothing by a stale view

Cause: each process reads the VM list at most every 10 s, at 1,300 processes about every 65 s, so a leaving target might start new work for that long; and a woken balancer placed first packets by the view from before its pause. Change: the first process that reads that a VM is leaving tells that VM's own process; a balancer drops first packets, counted, until its view is fresh. Conclusion: the wait is now that of the earliest reader and not the own one's; its length in a fleet is not measured yet.

--- a/egretsill/daemon/_balancer_role.py
+++ b/egretsill/daemon/_balancer_role.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from ..configuration import Address, Bundle
 from ..membership import MembershipView
-from ..observation import JSON, Counter, LabelValue, Metrics
+from ..observation import JSON, Metrics
 from ..settings import DaemonSettings
 from ..steering import Balancer, ConnectionIdCodec, SteeringView
 from ..timing import TimerService
@@ -20,11 +20,22 @@
         OSError: if the tunnel endpoint can't be bound.
     """
 
-    def __init__(self, settings: DaemonSettings, timer: TimerService, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        timer: TimerService,
+        metrics: Metrics,
+        is_view_fresh: Callable[[], bool],
+    ) -> None:
         self._settings = settings
         self._metrics = metrics
         self._balancer = Balancer(
-            timer, settings.tunnel, make_codec(settings.connection_id_keys), self._listener
+            timer,
+            settings.tunnel,
+            make_codec(settings.connection_id_keys),
+            self._listener,
+            placement_delay_seconds=settings.flows.placement_delay_seconds,
+            may_place=is_view_fresh,
         )
 
     @property
@@ -90,10 +101,10 @@
         """Bring the metrics up to what the balancer has counted."""
         counters = self._balancer.counters
         metrics = self._metrics
-        _catch_up(metrics.datagrams_forwarded, counters.forwarded, "to-agent")
-        _catch_up(metrics.datagrams_forwarded, counters.replied, "to-caller")
+        metrics.datagrams_forwarded.catch_up(counters.forwarded, "to-agent")
+        metrics.datagrams_forwarded.catch_up(counters.replied, "to-caller")
         for reason, count in counters.drops.items():
-            _catch_up(metrics.datagrams_dropped, count, "balancer", reason)
+            metrics.datagrams_dropped.catch_up(count, "balancer", reason)
 
     def status(self) -> Mapping[str, JSON]:
         """Return what the status page says of this role."""
@@ -101,9 +112,3 @@
 
     def _listener(self, service_address: Address) -> Address:
         return self._settings.listen.get(service_address, service_address)
-
-
-def _catch_up(counter: Counter, total: int, *labels: LabelValue) -> None:
-    behind = total - counter.value(*labels)
-    if behind > 0:
-        counter.increment(*labels, amount=behind)
--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -24,7 +24,7 @@
     ServicesWanted,
     Vm,
 )
-from ..draining import BackendState
+from ..draining import DRAINING_TYPES, BackendState, LeavingNotice, notices_for
 from ..membership import (
     MEMBERSHIP_TYPES,
     GossipSocket,
@@ -209,10 +209,12 @@
                 )
 
     def _make_balancer(self) -> BalancerRole:
-        return BalancerRole(self._settings, self._timer, self._metrics)
+        return BalancerRole(
+            self._settings, self._timer, self._metrics, lambda: self._membership.is_fresh
+        )
 
     def _bind_gossip(self) -> GossipSocket:
-        types = {**MEMBERSHIP_TYPES, **LOAD_TYPES, **CONFIGURATION_TYPES}
+        types = {**MEMBERSHIP_TYPES, **LOAD_TYPES, **CONFIGURATION_TYPES, **DRAINING_TYPES}
         listen = self._settings.gossip
         return _bound("gossip", listen, lambda: GossipSocket(listen, types, self._metrics))
 
@@ -247,6 +249,7 @@
                 period=exchange.period_seconds,
                 fetch=exchange.fetch_seconds,
                 start=exchange.start_seconds,
+                start_spread=exchange.start_spread_seconds,
                 silence=exchange.silence_seconds,
                 watch=settings.platform.watch_seconds,
                 vm_list=settings.membership.vm_list_seconds,
@@ -273,6 +276,7 @@
         self._configuration.subscribe_vms(self._on_vms)
         self._configuration.subscribe_conflicts(self._on_conflict)
         self._gossip.register([Announcement], self._configuration.receive)
+        self._gossip.register([LeavingNotice], self._on_leaving_notice)
         self._streams.register([HeadWanted, IndexWanted, ServicesWanted], self._answer_questions)
         self._timer.subscribe(GAUGE_SECONDS, self._update_gauges)
         if isinstance(self._role, AgentRole):
@@ -309,6 +313,13 @@
         self._membership.on_vm_list(balancers_of(vms))
         own = [each for each in vms if each.name == self._settings.name]
         self._drain.on_vm(own[0] if own else None)
+        serving = {each.name: each.gossip for each in self._membership.view.alive}
+        for sending in notices_for(vms, serving, self._settings.name):
+            self._gossip.send(sending.to, sending.notice)
+
+    def _on_leaving_notice(self, notice: LeavingNotice, sender: Address) -> None:
+        if notice.name == self._settings.name:
+            self._drain.on_leaving_notice()
 
     def _on_view(self, view: MembershipView) -> None:
         self._role.update_view(view)
@@ -336,6 +347,14 @@
 
     def _update_gauges(self, now: float) -> None:
         self._role.update_gauges()
+        counters = self._configuration.counters
+        reads = self._metrics.platform_reads
+        reads.catch_up(counters.platform_reads - counters.platform_failures, "answered")
+        reads.catch_up(counters.platform_failures, "failed")
+        ignored = self._metrics.configuration_ignored
+        ignored.catch_up(self._configuration.older_ignored, "older")
+        ignored.catch_up(counters.torn, "torn")
+        ignored.catch_up(counters.malformed, "invalid")
 
     def _record(
         self, kind: StateKind, state: str | int, details: Mapping[str, str] | None = None
--- a/egretsill/daemon/_drain_control.py
+++ b/egretsill/daemon/_drain_control.py
@@ -104,6 +104,10 @@
         if vm is not None:
             self._signal(DrainSignal.VM_LIST, vm.state is VmState.LEAVING)
 
+    def on_leaving_notice(self) -> None:
+        """Take in that another process read on the VM list that this VM is leaving."""
+        self._signal(DrainSignal.VM_LIST, True)
+
     def on_bundle(self, bundle: Bundle, target_number: int) -> None:
         """Take in what the configuration says of the target with this number."""
         states = [
--- a/egretsill/draining/__init__.py
+++ b/egretsill/draining/__init__.py
@@ -2,6 +2,7 @@
 
 from ._backend_health import BackendHealth, BackendState, HealthPage
 from ._draining import Draining
+from ._leaving_notices import DRAINING_TYPES, LeavingNotice, SendNotice, notices_for
 from ._messages import (
     DrainEffect,
     DrainSignal,
@@ -14,6 +15,10 @@
 )
 
 __all__ = [
+    "DRAINING_TYPES",
+    "LeavingNotice",
+    "SendNotice",
+    "notices_for",
     "BackendHealth",
     "BackendState",
     "DrainEffect",
--- a/egretsill/observation/_metrics.py
+++ b/egretsill/observation/_metrics.py
@@ -73,6 +73,12 @@
         key = self._series.key(labels)
         self._totals[key] = self._totals.get(key, 0) + amount
 
+    def catch_up(self, total: float, *labels: LabelValue) -> None:
+        """Bring the counter up to a total that is kept elsewhere."""
+        behind = total - self.value(*labels)
+        if behind > 0:
+            self.increment(*labels, amount=behind)
+
     def value(self, *labels: LabelValue) -> float:
         """Return the count of these label values."""
         return self._totals.get(self._series.key(labels), 0)
--- a/egretsill/steering/_balancer.py
+++ b/egretsill/steering/_balancer.py
@@ -36,7 +36,7 @@
     ForwardKind,
 )
 from ._source_limit import SourceLimit
-from ._steering import Drop, DropReason, Steering
+from ._steering import Drop, DropReason, Steering, always
 from ._tunnel import (
     AgentProbe,
     AgentProbeAnswer,
@@ -72,6 +72,7 @@
             at another address than the published one.
         source_limit: bound on first packets by source.
         placement_delay_seconds: for how long first packets keep away from a new target.
+        may_place: returns whether the view may place new flows; it must not after a pause.
     """
 
     def __init__(
@@ -82,10 +83,11 @@
         listen: Callable[[Address], Address] | None = None,
         source_limit: SourceLimit | None = None,
         placement_delay_seconds: float = PLACEMENT_DELAY_SECONDS,
+        may_place: Callable[[], bool] = always,
     ) -> None:
         self._timer = timer
         self._listen = listen or (lambda service_address: service_address)
-        self._steering = Steering(codec, source_limit, placement_delay_seconds)
+        self._steering = Steering(codec, source_limit, placement_delay_seconds, may_place)
         self._watch = FirstPacketWatch()
         self._tunnel_codec = make_tunnel_codec()
         self._encoder = CallerPacketEncoder()
--- a/egretsill/steering/_steering.py
+++ b/egretsill/steering/_steering.py
@@ -11,7 +11,7 @@
 
 import enum
 import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import TypeAlias
 
@@ -43,6 +43,7 @@
     UNKNOWN_OWNER = "unknown-owner"
     NO_TARGET = "no-target"
     SOURCE_LIMIT = "source-limit"
+    STALE_VIEW = "stale-view"
     TRUNCATED = "truncated"
     UNSUPPORTED_VERSION = "unsupported-version"
     CONNECTION_ID_TOO_LONG = "connection-id-too-long"
@@ -76,6 +77,12 @@
 _UNKNOWN_OWNER = _DROPS[DropReason.UNKNOWN_OWNER]
 _NO_TARGET = _DROPS[DropReason.NO_TARGET]
 _SOURCE_LIMIT = _DROPS[DropReason.SOURCE_LIMIT]
+_STALE_VIEW = _DROPS[DropReason.STALE_VIEW]
+
+
+def always() -> bool:
+    """Return that new flows may be placed."""
+    return True
 
 
 class Steering:
@@ -85,6 +92,8 @@
         codec: reads owner IDs; it may be replaced while keys rotate.
         source_limit: bound on first packets by source.
         placement_delay_seconds: for how long first packets keep away from a new target.
+        may_place: returns whether the view may place new flows. While it must not, first packets
+            are dropped and counted: callers send them again, and by then the view is fresh.
     """
 
     def __init__(
@@ -92,8 +101,10 @@
         codec: ConnectionIdCodec,
         source_limit: SourceLimit | None = None,
         placement_delay_seconds: float = PLACEMENT_DELAY_SECONDS,
+        may_place: Callable[[], bool] = always,
     ) -> None:
         self._codec = codec
+        self._may_place = may_place
         self._source_limit = source_limit or SourceLimit()
         self._table = RoutingTable(placement_delay_seconds)
         self._next_maturity = math.inf
@@ -199,6 +210,8 @@
             return _RETIRED_ADDRESS
         if not self._source_limit.admits(caller_host, now):
             return _SOURCE_LIMIT
+        if not self._may_place():
+            return _STALE_VIEW
         if now >= self._next_maturity:
             self._combine_views(now)
         winner = routes.winners.winner(key)
--- a/egretsill/steering/tests/test_steering.py
+++ b/egretsill/steering/tests/test_steering.py
@@ -226,6 +226,16 @@
     assert goes_to(steering, initial_packet(CLIENT_ID), old) is DropReason.RETIRED_ADDRESS
 
 
+def test_a_woken_balancer_places_nothing_until_its_view_is_fresh() -> None:
+    fresh = False
+    steering = Steering(CODEC, may_place=lambda: fresh)
+    steering.apply_bundle(bundle(), 0.0)
+    assert goes_to(steering, initial_packet(CLIENT_ID)) is DropReason.STALE_VIEW
+    assert goes_to(steering, short_packet(owned())) == 1
+    fresh = True
+    assert goes_to(steering, initial_packet(CLIENT_ID)) == RANKED[0]
+
+
 def test_flood_from_one_source() -> None:
     steering = Steering(CODEC, SourceLimit(5))
     steering.apply_bundle(bundle(), 0.0)
