--- a/egretsill/daemon/__init__.py
+++ b/egretsill/daemon/__init__.py
@@ -1,6 +1,14 @@
 """The daemon: one composition root for both roles."""
 
 from ._daemon import Daemon
-from ._sources import ConfigurationSource, FixedConfiguration
+from ._exceptions import AddressUnavailable, AgentSettingsIncomplete, TlsUnusable
+from ._main import main, run
 
-__all__ = ["ConfigurationSource", "Daemon", "FixedConfiguration"]
+__all__ = [
+    "AddressUnavailable",
+    "AgentSettingsIncomplete",
+    "Daemon",
+    "TlsUnusable",
+    "main",
+    "run",
+]
--- a/egretsill/membership/_dissemination.py
+++ b/egretsill/membership/_dissemination.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from collections.abc import Iterable
 
 from ._messages import MemberUpdate
 
-TRANSMISSIONS_FACTOR = 2.0
+TRANSMISSIONS_FACTOR = 1.0
 TRANSMISSIONS_MINIMUM = 4
 MAXIMUM_TRANSMISSIONS = 40
-BUDGET_BYTES_PER_SECOND = 8_000.0
-BUDGET_BURST_BYTES = 8_000.0
+EXPECTED_TRANSMISSIONS = 4
+GOSSIP_BYTES_PER_SECOND = 9_000.0
+GOSSIP_BURST_BYTES = 9_000.0
+SYNC_BYTES_PER_SECOND = 3_000.0
+SYNC_BURST_BYTES = 6_000.0
 UPDATE_BYTES = 21
 HEADER_BYTES = 40
 
@@ -31,11 +35,17 @@
         """Set the size of the fleet; each claim is passed on so often that all hear it."""
         wanted = math.ceil(TRANSMISSIONS_FACTOR * math.log2(members + 2))
         self._limit = min(max(wanted, TRANSMISSIONS_MINIMUM), MAXIMUM_TRANSMISSIONS)
+        for level in range(self._limit, MAXIMUM_TRANSMISSIONS):
+            for identifier in list(self._levels[level]):
+                self._take_out(identifier)
 
-    def add(self, update: MemberUpdate) -> None:
-        """Pass on a new claim in place of any older one about the same member."""
+    def add(self, update: MemberUpdate, expected: bool = False) -> None:
+        """Pass on a new claim in place of any older one about the same member.
+
+        A claim that the others come to by themselves is passed on after all else, and seldom.
+        """
         self._take_out(update.identifier)
-        self._put(update, 0)
+        self._put(update, max(self._limit - EXPECTED_TRANSMISSIONS, 0) if expected else 0)
 
     def heard(self, update: MemberUpdate) -> None:
         """Note that another member knows a claim already, so it needs less passing on."""
@@ -46,19 +56,22 @@
     def take(self, count: int) -> list[MemberUpdate]:
         """Return up to `count` claims to pass on now."""
         taken: list[tuple[MemberUpdate, int]] = []
-        for level, updates in enumerate(self._levels[: self._limit]):
-            for update in updates.values():
-                if len(taken) == count:
-                    break
-                taken.append((update, level))
+        for level in range(self._limit):
+            wanted = count - len(taken)
+            if wanted == 0:
+                break
+            updates = itertools.islice(self._levels[level].values(), wanted)
+            taken.extend((update, level) for update in updates)
         for update, level in taken:
             self._advance(update, level)
         return [update for update, _ in taken]
 
     def _advance(self, update: MemberUpdate, level: int) -> None:
-        self._take_out(update.identifier)
+        del self._levels[level][update.identifier]
         if level + 1 < self._limit:
             self._put(update, level + 1)
+        else:
+            del self._level_of[update.identifier]
 
     def _put(self, update: MemberUpdate, level: int) -> None:
         self._levels[level][update.identifier] = update
@@ -71,20 +84,32 @@
 
 
 class ByteBudget:
-    """A token bucket for the bytes of gossip and synchronization."""
+    """A token bucket for the bytes of claims."""
 
-    def __init__(self, now: float) -> None:
-        self._bytes = BUDGET_BURST_BYTES
+    def __init__(self, bytes_per_second: float, burst_bytes: float, now: float) -> None:
+        self._bytes_per_second = bytes_per_second
+        self._burst_bytes = burst_bytes
+        self._bytes = burst_bytes
         self._refilled = now
 
     def spend(self, updates: Iterable[MemberUpdate] | int, now: float) -> bool:
         """Pay for a datagram with these claims, and return whether it may be sent."""
         count = updates if isinstance(updates, int) else sum(1 for _ in updates)
         cost = HEADER_BYTES + UPDATE_BYTES * count
-        gained = (now - self._refilled) * BUDGET_BYTES_PER_SECOND
-        self._bytes = min(self._bytes + gained, BUDGET_BURST_BYTES)
-        self._refilled = now
+        self._refill(now)
         if self._bytes < cost:
             return False
         self._bytes -= cost
         return True
+
+    def share(self, most: int, now: float) -> int:
+        """Return how many claims, up to `most`, may go along with a message, and pay for them."""
+        self._refill(now)
+        count = min(most, int(self._bytes // UPDATE_BYTES))
+        self._bytes -= count * UPDATE_BYTES
+        return count
+
+    def _refill(self, now: float) -> None:
+        gained = (now - self._refilled) * self._bytes_per_second
+        self._bytes = min(self._bytes + gained, self._burst_bytes)
+        self._refilled = now
--- a/egretsill/membership/_messages.py
+++ b/egretsill/membership/_messages.py
@@ -175,6 +175,7 @@
         depth: identifiers are split into `2**depth` ranges by their first bits.
         first: number of the first range in `digests`.
         digests: one for each range.
+        parts: most parts that the answer may have.
     """
 
     sequence: int
@@ -182,6 +183,7 @@
     depth: int
     first: int
     digests: tuple[int, ...]
+    parts: int
 
     def __post_init__(self) -> None:
         _check_number(self.sequence)
@@ -192,6 +194,8 @@
             raise ValueError
         for digest in self.digests:
             _check_number(digest)
+        if not 1 <= self.parts <= MAXIMUM_PARTS:
+            raise ValueError
 
 
 @dataclass(frozen=True, slots=True)
@@ -281,10 +285,14 @@
 def _checked_updates(updates: Sequence[MemberUpdate]) -> tuple[MemberUpdate, ...]:
     if len(updates) > MAXIMUM_UPDATES:
         raise ValueError
-    checked = tuple(MemberUpdate(*each) for each in updates)
-    for update in checked:
-        _check_number(update.identifier)
-        _check_claim(update.incarnation, update.state)
+    return tuple(each if type(each) is MemberUpdate else _checked(each) for each in updates)
+
+
+def _checked(update: MemberUpdate) -> MemberUpdate:
+    """Return a claim that came over the wire, as a plain tuple, in its type."""
+    checked = MemberUpdate(*update)
+    _check_number(checked.identifier)
+    _check_claim(checked.incarnation, checked.state)
     return checked
 
 
--- a/egretsill/quickstart/_run.py
+++ b/egretsill/quickstart/_run.py
@@ -9,18 +9,22 @@
 import trio
 
 from ..settings import TlsSettings
-from ..stand_ins.certificates import write_certificate
+from ..stand_ins.certificates import CERTIFICATE_FILE, PRIVATE_KEY_FILE, write_certificate
 from ._score import Score, Verdict, judge
 from ._site import Site
-from ._site_plan import SitePlan, load_site_plan
+from ._site_plan import FIRST_PORTS, SitePlan, load_site_plan
 from ._traffic import RequestKind, Traffic
 
 EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
 AUTHORITIES = ("hakusana.example", "vastaanotto.example", "catalog.example", "upload.example")
-FIRST_PORTS = {"kallioniemi": 20_000, "sibiu": 21_000}
 TRAFFIC_SECONDS = 14.0
 BALANCER_STOPS_AFTER_SECONDS = 4.0
 FABRIC_NOTICES_AFTER_SECONDS = 1.0
+DRAIN_AFTER_SECONDS = 1.0
+PUBLISH_AFTER_SECONDS = 1.0
+READY_SECONDS = 12.0
+DRAINED_TARGETS = {"kallioniemi": "hakusana-2", "sibiu": "catalog-3"}
+SECOND_REVISION = 2
 SUBSCRIPTIONS = 6
 CALLERS_OF_A_KIND = 3
 UPLOADS = 2
@@ -37,25 +41,36 @@
     """Run the whole scene and return the verdict."""
     score = Score()
     with tempfile.TemporaryDirectory(prefix="egretsill-") as name:
-        directory = Path(name)
-        files = write_certificate(directory, AUTHORITIES)
-        tls = TlsSettings(files.certificate, files.private_key)
-        plans = [
-            load_site_plan(user, EXAMPLES, port, tls, directory)
-            for user, port in FIRST_PORTS.items()
-        ]
+        plans = [load_plan(user, Path(name)) for user in FIRST_PORTS]
         async with trio.open_nursery() as nursery:
             sites = [Site(plan, nursery, seed) for seed, plan in enumerate(plans)]
             for site in sites:
                 await site.start()
-            await _run_traffic(sites, files.certificate, score)
+            for site in sites:
+                if not await site.wait_until_ready(READY_SECONDS):
+                    print(f"{site.plan.name}: not all daemons were ready in time")
+            await _run_traffic(sites, plans[0].tls.certificate, score)
+            revision = min(site.revision_in_force for site in sites)
             nursery.cancel_scope.cancel()
     counts = [backend.counts for site in sites for backend in site.backends.values()]
-    verdict = judge(score, counts, revision_in_force=1)
+    verdict = judge(score, counts, revision)
     print(_summary(score, verdict))
     return verdict
 
 
+def load_plan(user: str, directory: Path) -> SitePlan:
+    """Return the plan of a user's example site, whose files are kept in `directory`.
+
+    Raises:
+        DeclarationRejected: if the example holds mistakes.
+    """
+    certificate = directory / CERTIFICATE_FILE
+    if not certificate.exists():
+        write_certificate(directory, AUTHORITIES)
+    tls = TlsSettings(certificate, directory / PRIVATE_KEY_FILE)
+    return load_site_plan(user, EXAMPLES, FIRST_PORTS[user], tls, directory)
+
+
 async def _run_traffic(sites: Sequence[Site], authorities_file: Path, score: Score) -> None:
     ends_at = trio.current_time() + TRAFFIC_SECONDS
     traffic = Traffic(authorities_file, score, lambda: trio.current_time() < ends_at)
@@ -95,11 +110,16 @@
 async def _disturb(site: Site) -> None:
     await trio.sleep(BALANCER_STOPS_AFTER_SECONDS)
     await site.stop_balancer(site.plan.balancers[0], FABRIC_NOTICES_AFTER_SECONDS)
+    await trio.sleep(DRAIN_AFTER_SECONDS)
+    site.drain_target(DRAINED_TARGETS[site.plan.name])
+    await trio.sleep(PUBLISH_AFTER_SECONDS)
+    site.publish(SECOND_REVISION)
 
 
 def _summary(score: Score, verdict: Verdict) -> str:
     lines = [
-        "egretsill quickstart: two sites, three balancers each, one balancer stopped in each",
+        "egretsill quickstart: two sites of three balancers and ten targets each;",
+        "in each a balancer was stopped without warning, a target drained, a revision published",
         f"  requests           {verdict.requests}",
         f"  whole answers      {verdict.whole_answers}",
         f"  wrong answers      {verdict.wrong_answers}",
--- a/egretsill/requests/_attempts.py
+++ b/egretsill/requests/_attempts.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 
 from ..configuration import RequestClass, Service
 from ..outcomes import Answered, Cancelled, Outcome, RefusalReason, Refused, Unknown, UnknownReason
@@ -174,7 +175,7 @@
             self._conclude(self._last_refusal or Refused(RefusalReason.NO_TARGET), now)
             return
         self._tries += 1
-        self._placement.on_sent(target_number, self._class.weight, now)
+        self._placement.on_sent(target_number, self._class.weight, now, self._class.shape)
         self._offer = Offer(target_number, self._next_identifier(), self._new_link())
         self._emit(Connect(self._offer.link, target_number, False, 0.0))
 
@@ -248,6 +249,7 @@
                 return
             case Started(queue_milliseconds):
                 offer.started = True
+                self._placement.on_granted(offer.target_number, now)
                 self._queue_seconds = queue_milliseconds / 1000
             case Refusal(reason, retry_after_seconds):
                 self._emit(FreeLink(offer.link))
@@ -294,8 +296,7 @@
             self._on_violation(offer, now)
 
     def _on_delivered(self, offset: int) -> None:
-        offer = self._offer
-        due = self._answer.take_delivery(offset)
+        offer, due = self._offer, self._answer.take_delivery(offset)
         if due and offer is not None and offer.stage is Stage.SENT:
             self._emit(SendMessage(offer.link, Acknowledge(self._answer.acknowledge())))
 
@@ -322,10 +323,12 @@
         if self._answer.status is not None:
             self._on_unknown_end(offer, UnknownReason.RELAY_LOST, now)
             return
-        self._placement.on_refused(offer.target_number, refused.reason, now)
+        self._placement.on_refused(
+            offer.target_number, self._class.weight, refused.reason, now, self._class.shape
+        )
         self._excluded.add(offer.target_number)
         self._last_refusal = refused
-        self._end_offer(now)
+        self._offer = None
         if self._out_of_time or refused.reason is RefusalReason.DEADLINE:
             self._conclude(Refused(RefusalReason.DEADLINE), now)
         else:
@@ -345,12 +348,11 @@
 
     def _retry(self, now: float) -> None:
         """Offer the request again if it may be, or conclude it."""
-        whole_body = self.body.base == 0
         last = self._last_refusal or Refused(RefusalReason.NO_TARGET)
-        if self._tries >= self._service.limits.tries or not whole_body:
+        if self._tries >= self._service.limits.tries or self.body.base > 0:
             self._conclude(last, now)
         elif not self._budget.take_retry(now):
-            self._conclude(Refused(RefusalReason.RETRY_BUDGET, last.retry_after_seconds), now)
+            self._conclude(replace(last, reason=RefusalReason.RETRY_BUDGET), now)
         else:
             self._offer_next(now)
 
@@ -385,7 +387,9 @@
 
     def _end_offer(self, now: float) -> None:
         if self._offer is not None:
-            self._placement.on_finished(self._offer.target_number, self._class.weight, now)
+            self._placement.on_finished(
+                self._offer.target_number, self._class.weight, now, self._class.shape
+            )
             self._offer = None
 
     def _new_link(self) -> int:
--- a/egretsill/requests/tests/test_relay.py
+++ b/egretsill/requests/tests/test_relay.py
@@ -63,15 +63,19 @@
 
 @asynccontextmanager
 async def running_fleet(
-    behaviour: BackendBehaviour | None = None, order: tuple[int, ...] = (2,)
+    behaviour: BackendBehaviour | None = None,
+    order: tuple[int, ...] = (2,),
+    shared: bool = False,
 ) -> AsyncIterator[Fleet]:
+    """Run a fleet; `shared` gives the asker's own gate the same backend server."""
     timer = VirtualTimerService()
     observer = CountingObserver()
     listeners = await trio.open_tcp_listeners(0, host=HOST)
     relay = Address(HOST, listeners[0].socket.getsockname()[1])
     service = make_service(make_target(1), make_target(2, relay=relay))
     async with running_backend(behaviour) as (server, backend), trio.open_nursery() as nursery:
-        asker = _request_service(1, timer, service, NOWHERE, SimplePlacement(order), observer)
+        own = backend if shared else NOWHERE
+        asker = _request_service(1, timer, service, own, SimplePlacement(order), observer)
         gate = _request_service(2, timer, service, backend, SimplePlacement(()), observer)
         fleet = Fleet(timer, asker, gate, server, observer, relay)
         await nursery.start(asker.run)
@@ -247,6 +251,61 @@
     trio.run(scenario)
 
 
+@pytest.mark.parametrize("order", [pytest.param((2,), id="relayed"), pytest.param((1,), id="own")])
+@pytest.mark.parametrize("way", ["scope", "exchange"])
+def test_cancellation_reaches_the_backend_server(order: tuple[int, ...], way: str) -> None:
+    async def scenario() -> None:
+        caller = FakeExchange("GET", "/subscriptions?from=0")
+        async with running_fleet(order=order, shared=True) as fleet, trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.asker.serve, caller)
+            await until(lambda: fleet.server.counts.subscriptions and caller.status)
+            if way == "scope":
+                nursery.cancel_scope.cancel()
+            else:
+                caller.leave()
+                fleet.server.publish()
+            with trio.CancelScope(shield=True):
+                await until(lambda: fleet.server.counts.cancelled)
+                await until(lambda: not fleet.gate.running and not fleet.asker.running)
+        assert fleet.server.counts.cancelled == 1
+
+    trio.run(scenario)
+
+
+def test_a_slow_caller_holds_up_its_own_answer_only() -> None:
+    async def scenario() -> None:
+        slow = FakeExchange("GET", "/subscriptions?from=0")
+        slow.stalled = True
+        async with running_fleet() as fleet, trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.asker.serve, slow)
+            await until(lambda: fleet.server.counts.subscriptions)
+            for _ in range(50):
+                fleet.server.publish()
+                caller = FakeExchange("GET", "/entry")
+                await fleet.asker.serve(caller)
+                assert caller.outcome == Answered(200)
+            assert not slow.data
+            nursery.cancel_scope.cancel()
+
+    trio.run(scenario)
+
+
+def test_deadline_travels_with_a_relayed_order() -> None:
+    async def scenario() -> None:
+        caller = FakeExchange("POST", "/order", [b"x"], deadline=5.0)
+        behaviour = BackendBehaviour(fault=Fault.SWALLOW)
+        async with running_fleet(behaviour) as fleet, trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.asker.serve, caller)
+            await until(lambda: fleet.server.counts.starts_by_method)
+            fleet.timer.advance(5.0)
+            await until(lambda: caller.outcome is not None)
+            await until(lambda: fleet.server.counts.cancelled)
+            await until(lambda: not fleet.gate.running)
+        assert caller.outcome == Unknown(UnknownReason.DEADLINE)
+
+    trio.run(scenario)
+
+
 @pytest.mark.parametrize(
     "garbage",
     [
--- a/egretsill/settings/_sections.py
+++ b/egretsill/settings/_sections.py
@@ -91,7 +91,7 @@
 
     addresses: Annotated[Endpoints, Field(min_length=1)]
     read_time: Seconds = 2.0
-    watch_time: Seconds = 30.0
+    watch_time: Seconds = 5.0
 
     def to_settings(self) -> PlatformSettings:
         """Return the section as a value."""
@@ -139,11 +139,16 @@
     idle_time: Seconds = _FLOWS.idle_seconds
     maximum_flows: Count = _FLOWS.maximum_flows
     handshakes_per_second: Count = _FLOWS.handshakes_per_second
+    placement_delay: Seconds = _FLOWS.placement_delay_seconds
 
     def to_settings(self) -> FlowSettings:
         """Return the section as a value."""
         return FlowSettings(
-            self.keep_alive, self.idle_time, self.maximum_flows, self.handshakes_per_second
+            self.keep_alive,
+            self.idle_time,
+            self.maximum_flows,
+            self.handshakes_per_second,
+            self.placement_delay,
         )
 
 
@@ -197,11 +202,14 @@
     period: Seconds = _EXCHANGE.period_seconds
     fetch_time: Seconds = _EXCHANGE.fetch_seconds
     start_time: Seconds = _EXCHANGE.start_seconds
+    start_spread: Seconds = _EXCHANGE.start_spread_seconds
     silence: Seconds = _EXCHANGE.silence_seconds
 
     def to_settings(self) -> ExchangeSettings:
         """Return the section as a value."""
-        return ExchangeSettings(self.period, self.fetch_time, self.start_time, self.silence)
+        return ExchangeSettings(
+            self.period, self.fetch_time, self.start_time, self.start_spread, self.silence
+        )
 
 
 class ShutdownSection(SectionModel):
