--- a/egretsill/requests/_attempts.py
+++ b/egretsill/requests/_attempts.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 
 from ..configuration import RequestClass, Service
 from ..outcomes import Answered, Cancelled, Outcome, RefusalReason, Refused, Unknown, UnknownReason
@@ -295,8 +296,7 @@
             self._on_violation(offer, now)
 
     def _on_delivered(self, offset: int) -> None:
-        offer = self._offer
-        due = self._answer.take_delivery(offset)
+        offer, due = self._offer, self._answer.take_delivery(offset)
         if due and offer is not None and offer.stage is Stage.SENT:
             self._emit(SendMessage(offer.link, Acknowledge(self._answer.acknowledge())))
 
@@ -346,12 +346,11 @@
 
     def _retry(self, now: float) -> None:
         """Offer the request again if it may be, or conclude it."""
-        whole_body = self.body.base == 0
         last = self._last_refusal or Refused(RefusalReason.NO_TARGET)
-        if self._tries >= self._service.limits.tries or not whole_body:
+        if self._tries >= self._service.limits.tries or self.body.base > 0:
             self._conclude(last, now)
         elif not self._budget.take_retry(now):
-            self._conclude(Refused(RefusalReason.RETRY_BUDGET, last.retry_after_seconds), now)
+            self._conclude(replace(last, reason=RefusalReason.RETRY_BUDGET), now)
         else:
             self._offer_next(now)
 
--- a/egretsill/requests/tests/_fakes.py
+++ b/egretsill/requests/tests/_fakes.py
@@ -141,6 +141,7 @@
         self._head = RequestHead("catalog", method, path, tuple(headers), deadline)
         self._pieces = list(body)
         self._gone = False
+        self.stalled = False
         self.status: int | None = None
         self.data = b""
         self.outcome: Outcome | None = None
@@ -165,6 +166,8 @@
 
     async def send_data(self, data: bytes) -> None:
         await trio.lowlevel.checkpoint()
+        while self.stalled:
+            await self.changed.wait()
         if self._gone:
             raise CallerGone
         self.data += data
