Probe beyond a silent member at once

Cause: members that ended together and follow each other on the ring were found one period after the other, so the end of a third of 600 processes was known to all at the edge of 5 s. Change: the first retry of a probe starts a probe of the next member on the ring, up to eight at a time.

--- a/egretsill/membership/_membership.py
+++ b/egretsill/membership/_membership.py
@@ -30,7 +30,7 @@
     SyncDigests,
     SyncEntries,
 )
-from ._probing import PROBE_SECONDS, Prober, ProbeStep, SelfHealth
+from ._probing import PROBE_SECONDS, Probe, Prober, ProbeStep, SelfHealth
 from ._synchronization import Synchronization
 
 TICK_SECONDS = 0.1
@@ -273,10 +273,13 @@
 
     def _start_probes(self, now: float) -> None:
         for target in self._prober.due_targets(now):
-            entry = self._roster.get(target)
-            if entry is not None:
-                address = entry.member.gossip
-                self._ping(address, target, self._prober.begin(target, address, now), now)
+            self._start_probe(target, now)
+
+    def _start_probe(self, target: int, now: float) -> None:
+        entry = self._roster.get(target)
+        if entry is not None:
+            address = entry.member.gossip
+            self._ping(address, target, self._prober.begin(target, address, now), now)
 
     def _step_probes(self, now: float) -> None:
         for sequence, probe, step in self._prober.steps(now):
@@ -289,6 +292,13 @@
                 case ProbeStep.RETRY:
                     self._ping(probe.address, probe.target, sequence, now)
                     self._ask_helpers(sequence, probe.target, now)
+                    self._probe_beyond(probe, now)
+
+    def _probe_beyond(self, probe: Probe, now: float) -> None:
+        """At a probe's first retry, probe one more member of the ring."""
+        target = self._prober.next_on_ring() if probe.retries == 1 else None
+        if target is not None:
+            self._start_probe(target, now)
 
     def _ask_helpers(self, sequence: int, target: int, now: float) -> None:
         own = self._claims
--- a/egretsill/membership/_probing.py
+++ b/egretsill/membership/_probing.py
@@ -17,6 +17,7 @@
 HELPERS = 3
 RELAY_SECONDS = 0.2
 MAXIMUM_RELAYS = 256
+MAXIMUM_PROBES = 8
 MAXIMUM_SLOWNESS = 3
 
 
@@ -113,6 +114,13 @@
         other = self._next_of_round(successor)
         return [successor] if other is None else [successor, other]
 
+    def next_on_ring(self) -> int | None:
+        """Return the next successor on the ring, for when the one probed is slow to answer.
+
+        So a run of members that ended together is found without a period for each.
+        """
+        return self._successor() if len(self.probes) < MAXIMUM_PROBES else None
+
     def begin(self, target: int, address: Address, now: float) -> int:
         """Start a probe and return its sequence number."""
         sequence = self.next_sequence()
