--- a/egretsill/daemon/_balancer_role.py
+++ b/egretsill/daemon/_balancer_role.py
@@ -56,6 +56,10 @@
         """Forward packets until cancelled."""
         await self._balancer.run()
 
+    def close(self) -> None:
+        """Close what was bound; do so if `run` is never called."""
+        self._balancer.close()
+
     def apply_bundle(self, bundle: Bundle) -> None:
         """Steer by this configuration from now on."""
         self._balancer.apply_bundle(bundle)
--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -52,9 +52,10 @@
 from ._codec import make_codec
 from ._configuration_link import fetch, serve_questions
 from ._drain_control import DrainControl, HealthPoller
-from ._exceptions import AddressUnavailable, AgentSettingsIncomplete
+from ._exceptions import AddressUnavailable, AgentSettingsIncomplete, TlsUnusable
 from ._members import agents_of, balancers_of, own_member, peers_of
 from ._stream_endpoint import StreamEndpoint
+from ._tls import check_tls
 
 GAUGE_SECONDS = 1.0
 
@@ -68,6 +69,7 @@
     Raises:
         AddressUnavailable: if the tunnel or gossip endpoint can't be bound.
         AgentSettingsIncomplete: if an agent has no target number or certificate.
+        TlsUnusable: if an agent's certificate or private key can't be read.
     """
 
     def __init__(self, settings: DaemonSettings, random: Random) -> None:
@@ -78,7 +80,11 @@
         self._state_log = StateLog(settings.name)
         self._stopped = trio.Event()
         self._role = self._make_role()
-        self._gossip = self._bind_gossip()
+        try:
+            self._gossip = self._bind_gossip()
+        except AddressUnavailable:
+            self._role.close()
+            raise
         self._streams = StreamEndpoint(
             settings.relay, {**RELAY_TYPES, **CONFIGURATION_TYPES}, self._metrics
         )
@@ -134,6 +140,36 @@
         Raises:
             AddressUnavailable: if an endpoint can't be bound.
         """
+        try:
+            await self._run(task_status)
+        finally:
+            self._role.close()
+            self._gossip.close()
+
+    def shut_down(self) -> None:
+        """Stop gracefully: take no new work, and end when what runs has ended."""
+        self._drain.terminate()
+
+    def replace_settings(self, settings: DaemonSettings) -> None:
+        """Take over what may change while running: connection-ID keys and the certificate.
+
+        Raises:
+            TlsUnusable: if the certificate or key can't be read; nothing is taken over then.
+        """
+        if settings.tls is not None:
+            check_tls(settings.tls)
+        self._settings = settings
+        self._role.replace_codec(make_codec(settings.connection_id_keys))
+        if isinstance(self._role, AgentRole) and settings.tls is not None:
+            self._role.replace_certificate(settings.tls)
+        rotations = ",".join(str(each.rotation) for each in settings.connection_id_keys)
+        self._record(StateKind.KEYS, rotations)
+
+    def reject_settings(self, error: SettingsRejected | TlsUnusable) -> None:
+        """Note that settings were to be re-read and hold mistakes; the old ones stay."""
+        self._record(StateKind.PROCESS, "settings-rejected", {"problem": str(error)})
+
+    async def _run(self, task_status: trio.TaskStatus[None]) -> None:
         self._connect_parts()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._timer.run)
@@ -152,23 +188,6 @@
             nursery.cancel_scope.cancel()
         self._record(StateKind.PROCESS, "stopped")
 
-    def shut_down(self) -> None:
-        """Stop gracefully: take no new work, and end when what runs has ended."""
-        self._drain.terminate()
-
-    def replace_settings(self, settings: DaemonSettings) -> None:
-        """Take over what may change while running: connection-ID keys and the certificate."""
-        self._settings = settings
-        self._role.replace_codec(make_codec(settings.connection_id_keys))
-        if isinstance(self._role, AgentRole) and settings.tls is not None:
-            self._role.replace_certificate(settings.tls)
-        rotations = ",".join(str(each.rotation) for each in settings.connection_id_keys)
-        self._record(StateKind.KEYS, rotations)
-
-    def reject_settings(self, error: SettingsRejected) -> None:
-        """Note that settings were to be re-read and hold mistakes; the old ones stay."""
-        self._record(StateKind.PROCESS, "settings-rejected", {"problem": str(error)})
-
     def _make_role(self) -> DaemonRole:
         settings = self._settings
         match settings.role:
@@ -177,6 +196,7 @@
             case Role.AGENT:
                 if settings.tls is None or settings.number is None:
                     raise AgentSettingsIncomplete(settings.name)
+                check_tls(settings.tls)
                 return AgentRole(
                     settings,
                     settings.tls,
--- a/egretsill/daemon/_drain_control.py
+++ b/egretsill/daemon/_drain_control.py
@@ -21,7 +21,7 @@
     TellPeers,
 )
 from ..settings import BackendSettings
-from ..timing import TrioTimerService
+from ..timing import TimerService, TrioTimerService
 from ..wire import PageUnavailable, get_page
 
 TICK_SECONDS = 0.25
@@ -69,7 +69,7 @@
     def __init__(
         self,
         role: DrainingRole,
-        timer: TrioTimerService,
+        timer: TimerService,
         quiet_seconds: float,
         tell_peers: Callable[[bool], None],
         leave: Callable[[], None],
