Believe a report's claims for a while only, and less than what requests show

A report that always says draining, or that its backend server has just started, kept work away from a healthy target for good; the measure now has one that says both. Such claims end after seconds, a request that is run refutes draining for two minutes, and a start is believed once in five minutes. Reported connections count a quarter of own ones, so that a false zero draws few subscriptions, and reports with numbers that can't be are dropped.

The services of three targets and the cases with old reports don't have this report and stay as they were.

--- a/egretsill/measurements/placement.py
+++ b/egretsill/measurements/placement.py
@@ -64,6 +64,11 @@
     )
 
 
+def claim_leaving(report: LoadReport, random: Random) -> LoadReport:
+    """Return a report of a target that was started just now and leaves already."""
+    return dataclasses.replace(report, draining=True, server_age_seconds=0.0)
+
+
 COLD = Behaviour(starts_at=WARM_UP_SECONDS + 5.0)
 SLOW = Behaviour(speed=0.6)
 SHEDDING = Behaviour(sheds_for=3.0)
@@ -73,7 +78,15 @@
 
 
 def _disguised(behaviours: Sequence[Behaviour]) -> tuple[Behaviour, ...]:
-    disguises = (claim_idle, claim_busy, claim_idle, None, claim_anything, None, None)
+    disguises = (
+        claim_idle,
+        claim_busy,
+        claim_idle,
+        claim_leaving,
+        claim_anything,
+        None,
+        None,
+    )
     return tuple(
         dataclasses.replace(each, disguise=disguise)
         for each, disguise in zip(behaviours, disguises, strict=False)
--- a/egretsill/placement/_messages.py
+++ b/egretsill/placement/_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 from types import MappingProxyType
@@ -38,9 +39,11 @@
     server_age_seconds: float
 
     @property
-    def idle(self) -> bool:
-        """Return whether it claims that a request could start at once."""
-        return self.running < self.slots and self.queued == 0
+    def plausible(self) -> bool:
+        """Return whether every number is one that an agent could mean."""
+        counts = (self.running, self.queued, self.slots, self.connections)
+        measures = (self.outstanding_weight, self.server_age_seconds)
+        return min(counts) >= 0 and all(math.isfinite(each) and each >= 0.0 for each in measures)
 
 
 LOAD_TYPES: Mapping[int, type[LoadReport]] = MappingProxyType({50: LoadReport})
--- a/egretsill/placement/_placement.py
+++ b/egretsill/placement/_placement.py
@@ -111,7 +111,7 @@
         view = self._views.get(target_number)
         if view is None:
             return
-        view.succeeded()
+        view.granted(now)
         if shape is not RequestShape.SUBSCRIPTION:
             view.evidence.began(now)
 
@@ -169,7 +169,9 @@
             if number not in exclude and number not in self._unavailable
         ]
         able = [
-            view for view in able if view.target.state is TargetState.ACTIVE and not view.draining
+            view
+            for view in able
+            if view.target.state is TargetState.ACTIVE and not view.draining(now)
         ]
         ready = [view for view in able if view.back_off_until <= now]
         self._lift(ready)
@@ -196,7 +198,7 @@
     ) -> tuple[float, float]:
         near = view.target.failure_domain == self._failure_domain
         if request_class.shape is RequestShape.SUBSCRIPTION:
-            load = view.connection_load(now)
+            load = view.connection_load()
         else:
             load = view.given + LOAD_FACTOR * view.load(now) + (0.0 if near else FAR_LOAD)
         return (load, self._random.random())
--- a/egretsill/placement/_target_view.py
+++ b/egretsill/placement/_target_view.py
@@ -5,13 +5,12 @@
 import math
 
 from ..configuration import RequestShape, Target
+from ._claims import ReportedClaims
 from ._messages import LoadReport
 from ._speed import SpeedEvidence
 
-SLOW_START_SECONDS = 20.0
-SLOW_START_SHARE = 0.25
+REPORTED_CONNECTIONS_FACTOR = 0.25
 FIRST_BACK_OFF_SECONDS = 0.25
-
 LONGEST_BACK_OFF_SECONDS = 8.0
 LONGEST_SHEDDING_BACK_OFF_SECONDS = 0.5
 
@@ -23,8 +22,7 @@
         self.target = target
         self._own_weight = 0.0
         self._own_connections = 0
-        self._report: LoadReport | None = None
-        self._reported_at = -math.inf
+        self._claims = ReportedClaims()
         self._own_connections_then = 0
         self._back_off_seconds = 0.0
         self._back_off_until = -math.inf
@@ -47,11 +45,6 @@
         """Return the weight of own requests that were sent there and have not ended."""
         return self._own_weight
 
-    @property
-    def draining(self) -> bool:
-        """Return whether its last report said that it takes no new work."""
-        return self._report is not None and self._report.draining
-
     @property
     def back_off_until(self) -> float:
         """Return until when it is left alone, in seconds."""
@@ -85,14 +78,12 @@
 
     def take_report(self, report: LoadReport, now: float) -> None:
         """Take in a report unless a later one is known."""
-        known = self._report
-        if known is not None:
-            rank = (known.incarnation, known.sequence)
-            if (report.incarnation, report.sequence) <= rank:
-                return
-        self._report = report
-        self._reported_at = now
-        self._own_connections_then = self._own_connections
+        if self._claims.take(report, now):
+            self._own_connections_then = self._own_connections
+
+    def draining(self, now: float) -> bool:
+        """Return whether its reports are believed to say that it takes no new work."""
+        return self._claims.draining(now)
 
     def back_off(self, now: float, factor: float, longest_seconds: float) -> None:
         """Leave it alone for a while, twice as long each time that it goes on.
@@ -110,25 +101,22 @@
         """Leave it alone for `seconds`, as it is full."""
         self._back_off_until = max(self._back_off_until, now + seconds)
 
-    def succeeded(self) -> None:
-        """End the growth of back-off, as a request was run there."""
+    def granted(self, now: float) -> None:
+        """Take in that a request was started there, which ends the growth of back-off."""
         self._back_off_seconds = 0.0
+        self._claims.ran_request(now)
 
     def load(self, now: float) -> float:
         """Return the own weight outstanding for each slot that can be used now."""
         return self._own_weight / self._usable_slots(now)
 
-    def connection_load(self, now: float) -> float:
-        """Return the expected share of connections in use."""
-        others = 0.0
-        if self._report is not None:
-            others = max(0, self._report.connections - self._own_connections_then)
-        return (self._own_connections + others) / max(1, self.target.connections)
+    def connection_load(self) -> float:
+        """Return the share of connections in own use, and a part of what others claim."""
+        claimed = self._claims.connections or 0
+        others = min(max(0, claimed - self._own_connections_then), self.target.connections)
+        used = self._own_connections + REPORTED_CONNECTIONS_FACTOR * others
+        return used / max(1, self.target.connections)
 
     def _usable_slots(self, now: float) -> float:
         slots = float(max(1, self.target.slots))
-        if self._report is None:
-            return slots * self._evidence.speed
-        age = self._report.server_age_seconds + now - self._reported_at
-        share = SLOW_START_SHARE + (1.0 - SLOW_START_SHARE) * age / SLOW_START_SECONDS
-        return slots * min(1.0, share) * self._evidence.speed
+        return slots * self._claims.usable_share(now) * self._evidence.speed
