Keep no table of winners for services of a few targets

At 1,900 services of four targets the tables of winners, two bytes for each of 16,384 buckets, took most of a balancer's memory. A service of up to four targets is now ranked anew for each first packet, one of up to 255 keeps a byte a bucket, and only larger ones keep two.

--- a/egretsill/steering/_ranking.py
+++ b/egretsill/steering/_ranking.py
@@ -17,7 +17,10 @@
 
 _TARGET_NUMBER_BYTES = 4
 _BUCKET_BYTES = 2
-_UNKNOWN = 0xFFFF
+_LARGEST_UNKEPT_TARGETS = 4
+_LARGEST_SMALL_TARGETS = 0xFF
+_SMALL_PLACES = "B"
+_LARGE_PLACES = "H"
 
 
 def bucket_of(key: bytes) -> int:
@@ -52,12 +55,19 @@
 
 
 class WinnerTable:
-    """The first of the rank for every bucket, worked out when it is first asked for."""
+    """The first of the rank for every bucket, worked out when it is first asked for.
+
+    A fleet may have thousands of services, nearly all of them small. So a few targets are ranked
+    anew each time, up to 255 cost a byte a bucket and more cost two.
+    """
 
     def __init__(self, target_numbers: Iterable[int]) -> None:
         self._target_numbers = tuple(sorted(target_numbers))
         self._encoded = tuple(_encoded(each) for each in self._target_numbers)
-        self._places = array("H")
+        self._keeps_places = len(self._target_numbers) > _LARGEST_UNKEPT_TARGETS
+        is_small = len(self._target_numbers) <= _LARGEST_SMALL_TARGETS
+        self._places = array(_SMALL_PLACES if is_small else _LARGE_PLACES)
+        self._unknown = (1 << 8 * self._places.itemsize) - 1
 
     @property
     def target_numbers(self) -> tuple[int, ...]:
@@ -66,28 +76,28 @@
 
     def winner(self, key: bytes) -> int | None:
         """Return the first of the rank for a steering key, or None if there are no targets."""
-        if not self._places:
-            return self._begin(key)
         bucket = xxh3_64_intdigest(key) % BUCKETS
+        if not self._places:
+            return self._winner_without_places(bucket)
         place = self._places[bucket]
-        if place == _UNKNOWN:
-            place = self._fill(bucket)
+        if place == self._unknown:
+            place = self._first_place(bucket)
+            self._places[bucket] = place
         return self._target_numbers[place]
 
-    def _begin(self, key: bytes) -> int | None:
+    def _winner_without_places(self, bucket: int) -> int | None:
         """Make the table when it is first asked, since many services see few first packets."""
         if not self._target_numbers:
             return None
-        self._places = array("H", (_UNKNOWN,)) * BUCKETS
-        return self.winner(key)
+        if self._keeps_places:
+            self._places = array(self._places.typecode, (self._unknown,)) * BUCKETS
+        return self._target_numbers[self._first_place(bucket)]
 
-    def _fill(self, bucket: int) -> int:
+    def _first_place(self, bucket: int) -> int:
         prefix = bucket.to_bytes(_BUCKET_BYTES, "big")
         weights = [xxh3_64_intdigest(prefix + encoded) for encoded in self._encoded]
         # Equal weights leave the lower number first, as the stable sort of `rank` does.
-        place = weights.index(max(weights))
-        self._places[bucket] = place
-        return place
+        return weights.index(max(weights))
 
 
 def _encoded(target_number: int) -> bytes:
