Replace every process of a site under its callers, twice

Cause: planned replacement had been measured on the decisions alone. Change: a scene on whole daemons: all three balancers and all ten targets are replaced one by one, side by side, twice, while subscriptions, look-ups and uploads go on.

--- a/egretsill/quickstart/__main__.py
+++ b/egretsill/quickstart/__main__.py
@@ -11,7 +11,9 @@
 from absl.flags import FlagValues
 
 from ..commands import EXIT_FAILED, EXIT_OK, EXIT_USAGE, Command, new_flags, run_program
+from ._replacement import run_replacement
 from ._run import load_plan, run_quickstart
+from ._score import Verdict
 from ._site_files import write_site_files
 from ._site_plan import FIRST_PORTS
 
@@ -24,7 +26,14 @@
 
 
 def _run(values: FlagValues, arguments: Sequence[str]) -> int:
-    verdict = trio.run(run_quickstart)
+    return _tell(trio.run(run_quickstart))
+
+
+def _replace(values: FlagValues, arguments: Sequence[str]) -> int:
+    return _tell(trio.run(run_replacement))
+
+
+def _tell(verdict: Verdict) -> int:
     print(verdict.to_json())
     return EXIT_OK if verdict.promises_kept else EXIT_FAILED
 
@@ -46,6 +55,13 @@
     )
     return [
         Command("run", "", "Run both sites in one process and judge.", new_flags(), _run),
+        Command(
+            "replace",
+            "",
+            "Replace every process of a site, one by one and twice, and judge.",
+            new_flags(),
+            _replace,
+        ),
         Command(
             "write-site",
             "DIRECTORY",
--- /dev/null
+++ b/egretsill/quickstart/_replacement.py
@@ -0,0 +1,151 @@
+"""Replaces every balancer and every target of a site, one by one and twice, under its callers."""
+
+from __future__ import annotations
+
+import tempfile
+from collections.abc import Sequence
+from dataclasses import replace
+from pathlib import Path
+
+import trio
+
+from ..configuration import Address, Target
+from ._run import (
+    ASK_PAUSE_SECONDS,
+    CALLERS_OF_A_KIND,
+    LOOKUP,
+    READY_SECONDS,
+    SUBSCRIPTIONS,
+    load_plan,
+    summarize,
+)
+from ._score import Score, Verdict, judge
+from ._site import Site
+from ._traffic import Traffic
+
+USER = "kallioniemi"
+ROUNDS = 2
+PORTS_BETWEEN_ROUNDS = 30
+NUMBERS_BETWEEN_ROUNDS = 1000
+PAUSE_SECONDS = 0.8
+UPLOADS = 3
+UPLOAD_PIECES = 60
+UPLOAD_PAUSE_SECONDS = 0.4
+SETTLE_SECONDS = 3.0
+LEAVE_SECONDS = 25.0
+
+
+async def run_replacement() -> Verdict:
+    """Run the scene and return the verdict."""
+    score = Score()
+    with tempfile.TemporaryDirectory(prefix="egretsill-") as name:
+        plan = load_plan(USER, Path(name))
+        async with trio.open_nursery() as nursery:
+            site = Site(plan, nursery, seed=1)
+            await site.start()
+            if not await site.wait_until_ready(READY_SECONDS):
+                print("not all daemons were ready in time")
+            replacement = _Replacement(site)
+            traffic = Traffic(plan.tls.certificate, score, lambda: not replacement.finished)
+            async with trio.open_nursery() as callers:
+                _start_callers(site, traffic, callers)
+                callers.start_soon(replacement.run)
+            left = await replacement.wait_for_leavers()
+            revision = site.revision_in_force
+            nursery.cancel_scope.cancel()
+    verdict = judge(score, [each.counts for each in site.backends.values()], revision)
+    title = (
+        f"replacement: {replacement.replaced} processes replaced, {left} have left by themselves"
+    )
+    print(summarize(title, score, verdict))
+    return verdict
+
+
+class _Replacement:
+    """The operators' work in this scene."""
+
+    def __init__(self, site: Site) -> None:
+        self._site = site
+        self._revision = 1
+        self._leavers: list[str] = []
+        self.finished = False
+
+    @property
+    def replaced(self) -> int:
+        """Return how many processes were replaced."""
+        return len(self._leavers)
+
+    async def run(self) -> None:
+        """Replace everything, targets and balancers side by side."""
+        for number in range(1, ROUNDS + 1):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._replace_balancers, number)
+                nursery.start_soon(self._replace_targets, number)
+        await trio.sleep(SETTLE_SECONDS)
+        self.finished = True
+
+    async def wait_for_leavers(self) -> int:
+        """Wait for those replaced to leave, within a bound; return how many have."""
+        with trio.move_on_after(LEAVE_SECONDS):
+            while not set(self._leavers) <= set(self._site.ended):
+                await trio.sleep(PAUSE_SECONDS)
+        return len(set(self._leavers) & set(self._site.ended))
+
+    async def _replace_balancers(self, number: int) -> None:
+        for old in self._site.plan.balancers[-3:]:
+            new = f"{old.rsplit('-r', 1)[0]}-r{number}"
+            await self._site.replace_balancer(old, new)
+            self._leavers.append(old)
+            await trio.sleep(2 * PAUSE_SECONDS)
+
+    async def _replace_targets(self, number: int) -> None:
+        for old in self._current_targets():
+            await self._site.add_target(_successor(old, number))
+            self._publish()
+            await trio.sleep(PAUSE_SECONDS)
+            self._site.mark_target_draining(old.name)
+            self._site.mark_vm_leaving(f"agent-{old.name}")
+            self._leavers.append(f"agent-{old.name}")
+            self._publish()
+            await trio.sleep(PAUSE_SECONDS)
+
+    def _current_targets(self) -> Sequence[Target]:
+        names = {each.removeprefix("agent-") for each in self._leavers}
+        return [each for each in self._site.plan.targets if each.name not in names]
+
+    def _publish(self) -> None:
+        self._revision += 1
+        self._site.publish(self._revision)
+
+
+def _start_callers(site: Site, traffic: Traffic, nursery: trio.Nursery) -> None:
+    reading, writing = (site.plan.services[name] for name in ("hakusana", "vastaanotto"))
+    for _ in range(SUBSCRIPTIONS):
+        nursery.start_soon(traffic.subscribe, reading, "/subscriptions")
+    for _ in range(CALLERS_OF_A_KIND):
+        nursery.start_soon(traffic.ask_repeatedly, reading, LOOKUP, ASK_PAUSE_SECONDS)
+    for _ in range(UPLOADS):
+        nursery.start_soon(
+            traffic.upload_slowly,
+            writing,
+            "/glossaries/draft",
+            UPLOAD_PIECES,
+            UPLOAD_PAUSE_SECONDS,
+        )
+
+
+def _successor(target: Target, number: int) -> Target:
+    """Return the target that takes another's place; numbers and endpoints are never reused."""
+    return replace(
+        target,
+        name=f"{target.name.rsplit('-r', 1)[0]}-r{number}",
+        number=target.number + NUMBERS_BETWEEN_ROUNDS,
+        tunnel=_shifted(target.tunnel),
+        relay=_shifted(target.relay),
+        gossip=_shifted(target.gossip),
+        backend=_shifted(target.backend),
+    )
+
+
+def _shifted(address: Address) -> Address:
+    return Address(address.host, address.port + PORTS_BETWEEN_ROUNDS)
--- a/egretsill/quickstart/_run.py
+++ b/egretsill/quickstart/_run.py
@@ -25,6 +25,10 @@
 READY_SECONDS = 12.0
 DRAINED_TARGETS = {"kallioniemi": "hakusana-2", "sibiu": "catalog-3"}
 SECOND_REVISION = 2
+TITLE = (
+    "egretsill quickstart: two sites of three balancers and ten targets each; in each\n"
+    "a balancer was stopped without warning, a target drained, a revision published"
+)
 SUBSCRIPTIONS = 6
 CALLERS_OF_A_KIND = 3
 UPLOADS = 2
@@ -54,7 +58,7 @@
             nursery.cancel_scope.cancel()
     counts = [backend.counts for site in sites for backend in site.backends.values()]
     verdict = judge(score, counts, revision)
-    print(_summary(score, verdict))
+    print(summarize(TITLE, score, verdict))
     return verdict
 
 
@@ -116,10 +120,10 @@
     site.publish(SECOND_REVISION)
 
 
-def _summary(score: Score, verdict: Verdict) -> str:
+def summarize(title: str, score: Score, verdict: Verdict) -> str:
+    """Return what happened, for people."""
     lines = [
-        "egretsill quickstart: two sites of three balancers and ten targets each;",
-        "in each a balancer was stopped without warning, a target drained, a revision published",
+        title,
         f"  requests           {verdict.requests}",
         f"  whole answers      {verdict.whole_answers}",
         f"  wrong answers      {verdict.wrong_answers}",
--- a/egretsill/quickstart/_site.py
+++ b/egretsill/quickstart/_site.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from random import Random, SystemRandom
 
 import trio
 
 from ..configuration import (
     Target,
+    TargetState,
     compile_publication,
     encode_publication,
     encode_vms,
@@ -36,6 +37,7 @@
         self._daemons: dict[str, Daemon] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
         self._backends: dict[str, BackendServer] = {}
+        self._ended: list[str] = []
         self._fabric: Fabric | None = None
         self._platform = PlatformStandIn()
 
@@ -73,6 +75,37 @@
         self._platform.publish(encode_publication(publication))
         self._platform.publish_vms(encode_vms(self._plan.vms))
 
+    async def add_target(self, target: Target) -> None:
+        """Start a new target's backend server and agent; the next publication tells of it."""
+        self._plan = self._plan.with_target(target)
+        await self._start_backend(target)
+        await self._start_daemon(self._plan.agent_settings(target))
+
+    def mark_target_draining(self, name: str) -> None:
+        """Declare a target as draining; the next publication tells of it."""
+        self._plan = self._plan.with_target_state(name, TargetState.DRAINING)
+
+    def mark_vm_leaving(self, name: str) -> None:
+        """Put a VM on its way out on the platform's list, at the next publication."""
+        self._plan = self._plan.with_vm_leaving(name)
+
+    async def add_balancer(self, name: str) -> None:
+        """Start a new balancer and feed it once it has a configuration."""
+        self._plan = self._plan.with_balancer(name)
+        await self._start_daemon(self._plan.balancer_settings(name))
+        while self._daemons[name].revision == 0:
+            await trio.sleep(READY_POLL_SECONDS)
+        if self._fabric is not None:
+            self._fabric.add_balancer(name, self._plan.listeners(name))
+            self._fabric.feed([*self._fabric.fed, name])
+
+    async def replace_balancer(self, old: str, new: str) -> None:
+        """Start a new balancer, stop feeding an old one and shut that down gracefully."""
+        await self.add_balancer(new)
+        if self._fabric is not None:
+            self._fabric.feed([each for each in self._fabric.fed if each != old])
+        self._daemons.pop(old).shut_down()
+
     def drain_target(self, name: str) -> None:
         """Let a backend server say on its health page that it is leaving."""
         self._backends[name].drain()
@@ -102,6 +135,11 @@
         others = len(self._daemons) - 1
         return daemon.revision > 0 and daemon.status["members_alive"] == others
 
+    @property
+    def ended(self) -> Sequence[str]:
+        """Return the names of the daemons that have ended."""
+        return tuple(self._ended)
+
     async def _start_backend(self, target: Target) -> None:
         behaviour = BackendBehaviour(
             slots=target.slots,
@@ -117,11 +155,15 @@
         scope = trio.CancelScope()
         self._daemons[settings.name] = daemon
         self._scopes[settings.name] = scope
-        await self._nursery.start(_run_within, daemon, scope)
-
-
-async def _run_within(
-    daemon: Daemon, scope: trio.CancelScope, task_status: trio.TaskStatus[None]
-) -> None:
-    with scope:
-        await daemon.run(task_status)
+        await self._nursery.start(self._run_daemon, settings.name, daemon, scope)
+
+    async def _run_daemon(
+        self,
+        name: str,
+        daemon: Daemon,
+        scope: trio.CancelScope,
+        task_status: trio.TaskStatus[None],
+    ) -> None:
+        with scope:
+            await daemon.run(task_status)
+        self._ended.append(name)
--- a/egretsill/quickstart/_site_plan.py
+++ b/egretsill/quickstart/_site_plan.py
@@ -3,10 +3,18 @@
 from __future__ import annotations
 
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
-from ..configuration import Address, Service, Target, Vm, load_declaration
+from ..configuration import (
+    Address,
+    Service,
+    Target,
+    TargetState,
+    Vm,
+    VmState,
+    load_declaration,
+)
 from ..settings import (
     ConnectionIdKey,
     DaemonSettings,
@@ -26,6 +34,7 @@
 BALANCER_ADMIN_PORT = 560
 BALANCER_LISTEN_PORT = 600
 BALANCER_LISTEN_STRIDE = 10
+AGENT_TUNNEL_PORT = 100
 AGENT_ADMIN_PORT = 700
 LINGER_SECONDS = 1.0
 CONNECTION_ID_KEYS = (ConnectionIdKey(1, bytes(range(16))),)
@@ -42,6 +51,7 @@
         balancers: names of the balancers.
         tls: certificate of all its services.
         log_directory: where daemons write their logs.
+        leaving: names of the VMs that the platform's list says are leaving.
     """
 
     name: str
@@ -50,6 +60,7 @@
     balancers: Sequence[str]
     tls: TlsSettings
     log_directory: Path
+    leaving: frozenset[str] = frozenset()
 
     @property
     def targets(self) -> Sequence[Target]:
@@ -81,11 +92,36 @@
                 name=each.name,
                 role=each.role.value,
                 failure_domain=each.failure_domain,
+                state=VmState.LEAVING if each.name in self.leaving else VmState.LIVE,
                 addresses={"gossip": each.gossip, "relay": each.relay, "tunnel": each.tunnel},
             )
             for each in daemons
         ]
 
+    def with_balancer(self, name: str) -> SitePlan:
+        """Return the plan with one more balancer."""
+        return replace(self, balancers=(*self.balancers, name))
+
+    def with_target(self, target: Target) -> SitePlan:
+        """Return the plan with one more target of an existing service."""
+        service = self.services[target.service]
+        return self._with_targets(service, (*service.targets, target))
+
+    def with_target_state(self, name: str, state: TargetState) -> SitePlan:
+        """Return the plan with another state of one target."""
+        plan = self
+        for service in self.services.values():
+            targets = tuple(
+                replace(each, state=state) if each.name == name else each
+                for each in service.targets
+            )
+            plan = plan._with_targets(service, targets)
+        return plan
+
+    def with_vm_leaving(self, name: str) -> SitePlan:
+        """Return the plan with one VM on its way out."""
+        return replace(self, leaving=self.leaving | {name})
+
     def listeners(self, balancer: str) -> Mapping[Address, Address]:
         """Return a balancer's own listener for each service address."""
         index = self.balancers.index(balancer)
@@ -128,7 +164,7 @@
             tunnel=target.tunnel,
             relay=target.relay,
             gossip=target.gossip,
-            admin=Address(HOST, self.first_port + AGENT_ADMIN_PORT + self.targets.index(target)),
+            admin=Address(HOST, self._agent_admin_port(target)),
             platform=PlatformSettings((self.platform,)),
             seeds=tuple(self.seeds),
             tls=self.tls,
@@ -137,6 +173,14 @@
             shutdown=ShutdownSettings(linger_seconds=LINGER_SECONDS),
         )
 
+    def _with_targets(self, service: Service, targets: tuple[Target, ...]) -> SitePlan:
+        changed = replace(service, targets=targets)
+        return replace(self, services={**self.services, service.name: changed})
+
+    def _agent_admin_port(self, target: Target) -> int:
+        first_tunnel_port = self.first_port + AGENT_TUNNEL_PORT
+        return self.first_port + AGENT_ADMIN_PORT + target.tunnel.port - first_tunnel_port
+
     def _balancer_port(self, index: int, offset: int) -> Address:
         return Address(HOST, self.first_port + offset + index)
 
--- a/egretsill/stand_ins/fabric.py
+++ b/egretsill/stand_ins/fabric.py
@@ -51,6 +51,11 @@
         """Return how many packets of callers came in."""
         return self._packets
 
+    @property
+    def fed(self) -> Sequence[str]:
+        """Return the names of the balancers that get packets."""
+        return tuple(self._fed)
+
     def feed(self, names: Sequence[str]) -> None:
         """Hand packets to these balancers and no others from now on."""
         self._fed = [name for name in names if name in self._balancers]
