Use one connection-ID key type, one event drain, relative imports

Cause: settings and steering each had a type for the same key, joined by a module of its own; caller and agent drained QUIC events by the same loop; some tests imported the package by its absolute name. Change: one of each.

--- a/egretsill/caller/_flow.py
+++ b/egretsill/caller/_flow.py
@@ -21,7 +21,7 @@
 )
 
 from ..configuration import Address
-from ..flows import Http3Connection, WindowedConnection
+from ..flows import Http3Connection, WindowedConnection, drain_events
 from ..flows import headers as names
 from ..outcomes import RefusalReason, Refused, Unknown, UnknownReason
 from ..timing import Subscription, TrioTimerService
@@ -201,10 +201,8 @@
         self._transmit()
 
     def _handle_events(self) -> None:
-        event = self._connection.next_event()
-        while event is not None:
+        for event in drain_events(self._connection):
             self._handle_event(event)
-            event = self._connection.next_event()
         for call in list(self._calls.values()):
             call.on_progress()
 
--- a/egretsill/ctl/_explain.py
+++ b/egretsill/ctl/_explain.py
@@ -21,7 +21,7 @@
     TargetState,
 )
 from ..settings import parse_keys
-from ..steering import CONNECTION_ID_BYTES, ConnectionIdCodec, ConnectionIdKey, rank
+from ..steering import CONNECTION_ID_BYTES, ConnectionIdCodec, rank
 from ._bundle_files import read_publication_files
 
 
@@ -97,7 +97,7 @@
     if arguments:
         return explain_request(service, values.method.upper(), arguments[0])
     keys = parse_keys(values.keys) if values.keys else ()
-    codec = ConnectionIdCodec([ConnectionIdKey(each.rotation, each.key) for each in keys])
+    codec = ConnectionIdCodec(keys)
     return explain_packet(bundle, service, codec, bytes.fromhex(values.connection_id))
 
 
--- a/egretsill/daemon/_agent_role.py
+++ b/egretsill/daemon/_agent_role.py
@@ -18,7 +18,6 @@
 from ..timing import TrioTimerService
 from ..wire import StreamDecoder
 from ._agent_core import AgentCore
-from ._codec import make_codec
 
 
 class AgentRole:
@@ -43,7 +42,7 @@
         self._send_report = send_report
         self._is_view_fresh = is_view_fresh
         self._random = random
-        self._codec = make_codec(settings.connection_id_keys)
+        self._codec = ConnectionIdCodec(settings.connection_id_keys)
         self._balancers: tuple[Address, ...] = ()
         self._view = MembershipView()
         self._started = trio.Event()
--- a/egretsill/daemon/_balancer_role.py
+++ b/egretsill/daemon/_balancer_role.py
@@ -10,7 +10,6 @@
 from ..settings import DaemonSettings
 from ..steering import Balancer, ConnectionIdCodec, SteeringView
 from ..timing import TimerService
-from ._codec import make_codec
 
 
 class BalancerRole:
@@ -32,7 +31,7 @@
         self._balancer = Balancer(
             timer,
             settings.tunnel,
-            make_codec(settings.connection_id_keys),
+            ConnectionIdCodec(settings.connection_id_keys),
             self._listener,
             placement_delay_seconds=settings.flows.placement_delay_seconds,
             may_place=is_view_fresh,
--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -45,11 +45,11 @@
 from ..placement import LOAD_TYPES, LoadReport
 from ..requests import RELAY_TYPES
 from ..settings import DaemonSettings, Role, SettingsRejected
+from ..steering import ConnectionIdCodec
 from ..timing import TrioTimerService
 from ..wire import StreamDecoder
 from ._agent_role import AgentRole
 from ._balancer_role import BalancerRole
-from ._codec import make_codec
 from ._configuration_link import fetch, serve_questions
 from ._drain_control import DrainControl, HealthPoller
 from ._exceptions import AddressUnavailable, AgentSettingsIncomplete, TlsUnusable
@@ -159,7 +159,7 @@
         if settings.tls is not None:
             check_tls(settings.tls)
         self._settings = settings
-        self._role.replace_codec(make_codec(settings.connection_id_keys))
+        self._role.replace_codec(ConnectionIdCodec(settings.connection_id_keys))
         if isinstance(self._role, AgentRole) and settings.tls is not None:
             self._role.replace_certificate(settings.tls)
         rotations = ",".join(str(each.rotation) for each in settings.connection_id_keys)
--- a/egretsill/flows/__init__.py
+++ b/egretsill/flows/__init__.py
@@ -2,7 +2,7 @@
 
 from . import headers
 from ._agent_tunnel import AgentTunnel
-from ._connection import Http3Connection, OwnedConnection, WindowedConnection
+from ._connection import Http3Connection, OwnedConnection, WindowedConnection, drain_events
 from ._datagram import IncomingDatagram, OutgoingDatagram
 from ._flow_server import FlowCounts, FlowServer, server_configuration
 from ._return_path import ReturnPath
@@ -17,6 +17,7 @@
     "OwnedConnection",
     "ReturnPath",
     "WindowedConnection",
+    "drain_events",
     "headers",
     "server_configuration",
 ]
--- a/egretsill/flows/_connection.py
+++ b/egretsill/flows/_connection.py
@@ -9,7 +9,7 @@
 
 import os
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from typing import Any, ClassVar
 
 import pylsqpack
@@ -25,6 +25,7 @@
     QuicReceiveContext,
 )
 from aioquic.quic.crypto import CryptoPair
+from aioquic.quic.events import QuicEvent
 from aioquic.quic.packet import QuicErrorCode, QuicFrameType, QuicProtocolVersion
 from aioquic.quic.packet_builder import QuicPacketBuilder
 from aioquic.quic.recovery import QuicPacketSpace
@@ -45,6 +46,14 @@
 FrameHandler = tuple[Callable[..., Any], frozenset[Epoch]]
 
 
+def drain_events(connection: QuicConnection) -> Iterator[QuicEvent]:
+    """Yield a connection's events until there are none, those that handling one adds included."""
+    event = connection.next_event()
+    while event is not None:
+        yield event
+        event = connection.next_event()
+
+
 class WindowedConnection(QuicConnection):
     """A connection whose stream windows move with what the application took."""
 
--- a/egretsill/flows/_flow.py
+++ b/egretsill/flows/_flow.py
@@ -19,7 +19,7 @@
 
 from ..configuration import Address
 from ..timing import Subscription, TimerService
-from ._connection import Http3Connection, OwnedConnection
+from ._connection import Http3Connection, OwnedConnection, drain_events
 from ._datagram import IncomingDatagram, OutgoingDatagram
 from ._flow_exchange import FlowExchange
 from ._request_head import MalformedRequest, read_request_head
@@ -208,10 +208,8 @@
         return 0 if self._closed else self._connection.unacknowledged_bytes(stream_id)
 
     def _handle_events(self) -> None:
-        event = self._connection.next_event()
-        while event is not None:
+        for event in drain_events(self._connection):
             self._handle_event(event)
-            event = self._connection.next_event()
         for exchange in list(self._exchanges.values()):
             exchange.on_progress()
 
--- a/egretsill/flows/tests/pair.py
+++ b/egretsill/flows/tests/pair.py
@@ -9,11 +9,10 @@
 
 from aioquic.h3.connection import H3_ALPN
 from aioquic.quic.configuration import QuicConfiguration
-from aioquic.quic.connection import QuicConnection
 from aioquic.quic.events import QuicEvent
 
 from ...stand_ins.certificates import write_certificate
-from .._connection import OwnedConnection, WindowedConnection
+from .._connection import OwnedConnection, WindowedConnection, drain_events
 from .._flow_server import server_configuration
 
 CALLER = ("192.0.2.1", 4000)
@@ -48,13 +47,13 @@
             self.now += STEP_SECONDS
             for data, _ in self.caller.datagrams_to_send(self.now):
                 self.agent.receive_datagram(data, CALLER, self.now)
-            for event in _events(self.agent):
+            for event in drain_events(self.agent):
                 agent_events.append(event)
                 if self.on_agent_event is not None:
                     self.on_agent_event(event)
             for data, _ in self.agent.datagrams_to_send(self.now):
                 self.caller.receive_datagram(data, SERVICE, self.now)
-            caller_events += _events(self.caller)
+            caller_events += drain_events(self.caller)
             for connection in (self.caller, self.agent):
                 timer = connection.get_timer()
                 if timer is not None and timer <= self.now:
@@ -78,12 +77,3 @@
     caller.connect(SERVICE, 1000.0)
     agent = OwnedConnection(server, caller.original_destination_connection_id, issuer)
     return Pair(caller, agent, issuer)
-
-
-def _events(connection: QuicConnection) -> list[QuicEvent]:
-    events: list[QuicEvent] = []
-    event = connection.next_event()
-    while event is not None:
-        events.append(event)
-        event = connection.next_event()
-    return events
--- a/egretsill/measurements/tests/test_isolation.py
+++ b/egretsill/measurements/tests/test_isolation.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from egretsill.measurements._steering_fleet import short_packet
-from egretsill.measurements.isolation import CODEC, KINDS, PACKETS, SharedFleet, measure
+from .._steering_fleet import short_packet
+from ..isolation import CODEC, KINDS, PACKETS, SharedFleet, measure
 
 
 @pytest.mark.parametrize(
--- a/egretsill/membership/tests/test_claims.py
+++ b/egretsill/membership/tests/test_claims.py
@@ -10,9 +10,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from egretsill.configuration import Address
-from egretsill.membership import Effect, Member, MemberChanged, Membership, MemberState, Role, Send
-from egretsill.membership._messages import (
+from ...configuration import Address
+from .. import Effect, Member, MemberChanged, Membership, MemberState, Role, Send
+from .._messages import (
     MAXIMUM_INCARNATION,
     Ack,
     Gossip,
--- a/egretsill/membership/tests/test_dissemination.py
+++ b/egretsill/membership/tests/test_dissemination.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from egretsill.membership._dissemination import (
+from .._dissemination import (
     GOSSIP_BURST_BYTES,
     GOSSIP_BYTES_PER_SECOND,
     HEADER_BYTES,
@@ -11,7 +11,7 @@
     ByteBudget,
     Dissemination,
 )
-from egretsill.membership._messages import MemberUpdate
+from .._messages import MemberUpdate
 
 
 def _update(identifier: int, incarnation: int = 1) -> MemberUpdate:
--- a/egretsill/membership/tests/test_gossip_socket.py
+++ b/egretsill/membership/tests/test_gossip_socket.py
@@ -10,16 +10,16 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from egretsill.configuration import Address
-from egretsill.membership import (
+from ...configuration import Address
+from ...observation import Metrics
+from ...wire import Codec
+from .. import (
     MAXIMUM_DATAGRAM_BYTES,
     MEMBERSHIP_TYPES,
     GossipSocket,
     MembershipMessage,
 )
-from egretsill.membership._messages import Gossip, MemberQuery, MemberUpdate, Ping
-from egretsill.observation import Metrics
-from egretsill.wire import Codec
+from .._messages import Gossip, MemberQuery, MemberUpdate, Ping
 
 
 @dataclass(frozen=True, slots=True)
--- a/egretsill/membership/tests/test_membership_service.py
+++ b/egretsill/membership/tests/test_membership_service.py
@@ -5,8 +5,10 @@
 import random
 from collections.abc import Callable, Iterable
 
-from egretsill.configuration import Address
-from egretsill.membership import (
+from ...configuration import Address
+from ...observation import Metrics, StateLog
+from ...timing import VirtualTimerService
+from .. import (
     Member,
     Membership,
     MembershipMessage,
@@ -14,8 +16,6 @@
     MembershipView,
     Role,
 )
-from egretsill.observation import Metrics, StateLog
-from egretsill.timing import VirtualTimerService
 
 
 class _Network:
--- a/egretsill/membership/tests/test_messages.py
+++ b/egretsill/membership/tests/test_messages.py
@@ -9,8 +9,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from egretsill.configuration import Address
-from egretsill.membership import (
+from ...configuration import Address
+from ...wire import Codec, MalformedMessage
+from .. import (
     MAXIMUM_DATAGRAM_BYTES,
     MEMBERSHIP_TYPES,
     Member,
@@ -18,7 +19,7 @@
     MembershipMessage,
     Role,
 )
-from egretsill.membership._messages import (
+from .._messages import (
     MAXIMUM_DIGESTS,
     MAXIMUM_INCARNATION,
     MAXIMUM_PARTS,
@@ -36,8 +37,7 @@
     SyncDigests,
     SyncEntries,
 )
-from egretsill.membership._synchronization import _batches
-from egretsill.wire import Codec, MalformedMessage
+from .._synchronization import _batches
 
 CODEC: Codec[MembershipMessage] = Codec("membership", MEMBERSHIP_TYPES)
 LARGEST = 2**64 - 1
--- a/egretsill/membership/tests/test_scenarios.py
+++ b/egretsill/membership/tests/test_scenarios.py
@@ -4,8 +4,8 @@
 
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from egretsill.measurements._membership_fleet import Fleet, Process
-from egretsill.membership import MemberState
+from ...measurements._membership_fleet import Fleet, Process
+from .. import MemberState
 
 SEED = 5
 SETTLE_SECONDS = 2.0
--- a/egretsill/observation/tests/test_admin_garbage.py
+++ b/egretsill/observation/tests/test_admin_garbage.py
@@ -9,9 +9,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from egretsill.configuration import Address
-from egretsill.observation import AdminServer, HealthState, Metrics
-from egretsill.observation._admin_server import MAXIMUM_REQUEST_BYTES, READ_BYTES
+from ...configuration import Address
+from .. import AdminServer, HealthState, Metrics
+from .._admin_server import MAXIMUM_REQUEST_BYTES, READ_BYTES
 
 GOOD = b"GET /status HTTP/1.1\r\nHost: admin\r\nAccept: */*\r\n\r\n"
 LONGEST_ANSWER_BYTES = 4_096
--- a/egretsill/observation/tests/test_admin_server.py
+++ b/egretsill/observation/tests/test_admin_server.py
@@ -9,9 +9,9 @@
 import trio
 import trio.testing
 
-from egretsill.configuration import Address
-from egretsill.observation import JSON, AdminServer, HealthProblem, HealthState, Metrics
-from egretsill.observation._admin_server import MAXIMUM_CONNECTIONS
+from ...configuration import Address
+from .. import JSON, AdminServer, HealthProblem, HealthState, Metrics
+from .._admin_server import MAXIMUM_CONNECTIONS
 
 
 class _Admin:
--- a/egretsill/observation/tests/test_logging.py
+++ b/egretsill/observation/tests/test_logging.py
@@ -8,7 +8,7 @@
 import eliot
 import pytest
 
-from egretsill.observation import LogFileUnavailable, StateChange, StateKind, StateLog, open_log
+from .. import LogFileUnavailable, StateChange, StateKind, StateLog, open_log
 
 
 def test_only_a_change_is_written(tmp_path: Path) -> None:
--- a/egretsill/observation/tests/test_metrics.py
+++ b/egretsill/observation/tests/test_metrics.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from egretsill.observation import METRIC_DEFINITIONS, LabelMismatch, Metrics
-from egretsill.observation._metrics import MAXIMUM_HISTOGRAM_SERIES, MAXIMUM_SERIES
-from egretsill.outcomes import RefusalReason
+from ...outcomes import RefusalReason
+from .. import METRIC_DEFINITIONS, LabelMismatch, Metrics
+from .._metrics import MAXIMUM_HISTOGRAM_SERIES, MAXIMUM_SERIES
 
 
 def _page(metrics: Metrics) -> str:
--- a/egretsill/observation/tests/test_reference.py
+++ b/egretsill/observation/tests/test_reference.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from egretsill.observation import (
+from .. import (
     METRIC_DEFINITIONS,
     Metrics,
     StateKind,
--- a/egretsill/quickstart/_site_files.py
+++ b/egretsill/quickstart/_site_files.py
@@ -56,7 +56,7 @@
     }
     if settings.number is not None:
         daemon["number"] = str(settings.number)
-    keys = [f"{each.rotation}:{each.key.hex()}" for each in settings.connection_id_keys]
+    keys = [f"{each.rotation}:{each.secret.hex()}" for each in settings.connection_id_keys]
     tls = {}
     if settings.tls is not None:
         tls = {"certificate": str(settings.tls.certificate), "key": str(settings.tls.key)}
--- a/egretsill/quickstart/_site_plan.py
+++ b/egretsill/quickstart/_site_plan.py
@@ -16,7 +16,6 @@
     load_declaration,
 )
 from ..settings import (
-    ConnectionIdKey,
     DaemonSettings,
     LogSettings,
     PlatformSettings,
@@ -24,6 +23,7 @@
     ShutdownSettings,
     TlsSettings,
 )
+from ..steering import ConnectionIdKey
 
 HOST = "127.0.0.1"
 FIRST_PORTS = {"kallioniemi": 20_000, "sibiu": 21_000}
--- a/egretsill/settings/__init__.py
+++ b/egretsill/settings/__init__.py
@@ -4,7 +4,6 @@
 from ._loader import load_daemon_settings
 from ._model import (
     BackendSettings,
-    ConnectionIdKey,
     DaemonSettings,
     ExchangeSettings,
     FlowSettings,
@@ -22,7 +21,6 @@
 __all__ = [
     "EXIT_CODE",
     "BackendSettings",
-    "ConnectionIdKey",
     "DaemonSettings",
     "ExchangeSettings",
     "FlowSettings",
--- a/egretsill/settings/_model.py
+++ b/egretsill/settings/_model.py
@@ -4,10 +4,11 @@
 
 import enum
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 
 from ..configuration import Address
+from ..steering import ConnectionIdKey
 
 
 class Role(enum.Enum):
@@ -49,19 +50,6 @@
     key: Path
 
 
-@dataclass(frozen=True, slots=True)
-class ConnectionIdKey:
-    """Key of the connection IDs that carry one number in their rotation bits.
-
-    Attributes:
-        rotation: 0 to 6.
-        key: 16 bytes.
-    """
-
-    rotation: int
-    key: bytes = field(repr=False)
-
-
 @dataclass(frozen=True, slots=True)
 class LogSettings:
     """Where log lines go and which are written.
--- a/egretsill/settings/_sections.py
+++ b/egretsill/settings/_sections.py
@@ -18,9 +18,9 @@
     SectionModel,
     parse_list,
 )
+from ..steering import ConnectionIdKey
 from ._model import (
     BackendSettings,
-    ConnectionIdKey,
     ExchangeSettings,
     FlowSettings,
     LogLevel,
--- a/egretsill/settings/tests/test_loader.py
+++ b/egretsill/settings/tests/test_loader.py
@@ -18,8 +18,8 @@
     UnreadableFile,
     WrongUnit,
 )
+from ...steering import ConnectionIdKey
 from .. import (
-    ConnectionIdKey,
     DaemonSettings,
     FlowSettings,
     LogLevel,
@@ -97,7 +97,7 @@
 
 
 def test_keys_are_kept_out_of_texts(tmp_path: Path) -> None:
-    key = load(tmp_path, AGENT).connection_id_keys[0].key
+    key = load(tmp_path, AGENT).connection_id_keys[0].secret
     assert repr(key) not in repr(load(tmp_path, AGENT))
 
 
--- a/egretsill/steering/tests/builders.py
+++ b/egretsill/steering/tests/builders.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Sequence
 
-from egretsill.configuration import Address, Bundle, Service, Target, TargetState
-from egretsill.steering import ConnectionIdCodec, ConnectionIdKey
+from ...configuration import Address, Bundle, Service, Target, TargetState
+from .. import ConnectionIdCodec, ConnectionIdKey
 
 LOOKUP = Address("10.0.0.1", 443)
 SUBMISSION = Address("10.0.0.2", 443)
--- a/egretsill/steering/tests/test_agent_steering.py
+++ b/egretsill/steering/tests/test_agent_steering.py
@@ -5,8 +5,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from egretsill.configuration import Address
-from egretsill.steering import (
+from ...configuration import Address
+from .. import (
     AgentDecision,
     AgentSteering,
     CallerPacket,
@@ -18,8 +18,7 @@
     SteeringView,
     rank,
 )
-from egretsill.steering._routes import PLACEMENT_DELAY_SECONDS
-
+from .._routes import PLACEMENT_DELAY_SECONDS
 from .builders import CODEC, bundle, initial_packet, short_packet
 
 BALANCER = Address("10.7.0.1", 4000)
--- a/egretsill/steering/tests/test_balancer.py
+++ b/egretsill/steering/tests/test_balancer.py
@@ -6,8 +6,9 @@
 import trio
 import trio.testing
 
-from egretsill.configuration import Address, Bundle
-from egretsill.steering import (
+from ...configuration import Address, Bundle
+from ...timing import VirtualTimerService
+from .. import (
     AgentProbe,
     AgentProbeAnswer,
     Balancer,
@@ -18,9 +19,7 @@
     TunnelMessage,
     make_tunnel_codec,
 )
-from egretsill.steering._balancer import BIND_RETRY_SECONDS
-from egretsill.timing import VirtualTimerService
-
+from .._balancer import BIND_RETRY_SECONDS
 from .builders import CODEC, LOOKUP, SUBMISSION, initial_packet, service, short_packet, target
 
 TUNNEL = make_tunnel_codec()
--- a/egretsill/steering/tests/test_connection_id.py
+++ b/egretsill/steering/tests/test_connection_id.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from egretsill.steering import (
+from .. import (
     CONNECTION_ID_BYTES,
     ConnectionIdCodec,
     ConnectionIdKey,
--- a/egretsill/steering/tests/test_first_packets.py
+++ b/egretsill/steering/tests/test_first_packets.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from egretsill.steering._first_packets import (
+from .._first_packets import (
     WATCH_TICK_SECONDS,
     BecameResponsive,
     BecameSilent,
--- a/egretsill/steering/tests/test_packet.py
+++ b/egretsill/steering/tests/test_packet.py
@@ -2,8 +2,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from egretsill.steering import MalformedPacket, MalformedReason, PacketHeader, parse_packet
-
+from .. import MalformedPacket, MalformedReason, PacketHeader, parse_packet
 from .builders import initial_packet, short_packet
 
 ID = bytes(range(17))
--- a/egretsill/steering/tests/test_ranking.py
+++ b/egretsill/steering/tests/test_ranking.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from egretsill.steering import rank
-from egretsill.steering._ranking import WinnerTable
+from .. import rank
+from .._ranking import WinnerTable
 
 KEYS = [random.Random(each).randbytes(8) for each in range(3000)]
 
--- a/egretsill/steering/tests/test_routes.py
+++ b/egretsill/steering/tests/test_routes.py
@@ -2,14 +2,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from egretsill.configuration import Address, Bundle
-from egretsill.steering import RetainedTarget
-from egretsill.steering._routes import (
+from ...configuration import Address, Bundle
+from .. import RetainedTarget
+from .._routes import (
     MAXIMUM_RETAINED_TARGETS,
     RETENTION_SECONDS,
     RoutingTable,
 )
-
 from .builders import LOOKUP, SUBMISSION, bundle
 
 OTHER_ADDRESS = Address("10.0.0.3", 443)
--- a/egretsill/steering/tests/test_scenarios.py
+++ b/egretsill/steering/tests/test_scenarios.py
@@ -5,14 +5,14 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from egretsill.configuration import TargetState
-from egretsill.measurements._steering_fleet import (
+from ...configuration import TargetState
+from ...measurements._steering_fleet import (
     FleetAgent,
     FleetBalancer,
     SteeringFleet,
     short_packet,
 )
-from egretsill.steering import ConnectionIdCodec, ConnectionIdKey
+from .. import ConnectionIdCodec, ConnectionIdKey
 
 scenarios("steering.feature")
 
--- a/egretsill/steering/tests/test_source_limit.py
+++ b/egretsill/steering/tests/test_source_limit.py
@@ -1,5 +1,5 @@
-from egretsill.steering import SourceLimit
-from egretsill.steering._source_limit import MAXIMUM_SOURCES
+from .. import SourceLimit
+from .._source_limit import MAXIMUM_SOURCES
 
 
 def test_flood_of_one_source_leaves_others_alone() -> None:
--- a/egretsill/steering/tests/test_steering.py
+++ b/egretsill/steering/tests/test_steering.py
@@ -5,8 +5,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from egretsill.configuration import Address
-from egretsill.steering import (
+from ...configuration import Address
+from .. import (
     ConnectionIdCodec,
     ConnectionIdKey,
     Drop,
@@ -19,12 +19,11 @@
     SteeringView,
     rank,
 )
-from egretsill.steering._routes import (
+from .._routes import (
     PLACEMENT_DELAY_SECONDS,
     RETENTION_SECONDS,
     VIEW_LAG_SECONDS,
 )
-
 from .builders import (
     CALLER_HOST,
     CODEC,
--- a/egretsill/steering/tests/test_tunnel.py
+++ b/egretsill/steering/tests/test_tunnel.py
@@ -3,7 +3,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from egretsill.steering import (
+from ...wire import MalformedMessage
+from .. import (
     AgentProbe,
     AgentProbeAnswer,
     CallerPacket,
@@ -12,8 +13,7 @@
     TunnelMessage,
     make_tunnel_codec,
 )
-from egretsill.steering._tunnel import CallerPacketEncoder, ReplyFields, decode_reply
-from egretsill.wire import MalformedMessage
+from .._tunnel import CallerPacketEncoder, ReplyFields, decode_reply
 
 CODEC = make_tunnel_codec()
 CALLER = CallerPacket("192.0.2.1", 5000, "10.0.0.1", 443, 1, 0, None, 0, b"payload")
