Ping quiet links seldom, and all links to a gate when one of them is lost

Cause: every relay link was pinged each 2 s; 2,000 relayed subscriptions would have cost about 170 KB/s of control traffic (reckoned from 170 bytes for a ping and its answer). Change: a link whose request holds a slot is pinged each 2 s, others each 10 to 45 s, so that all together stay near 2 KB/s and below 8 KB/s at 2,000 links; a Ping promises the next one, by which the gate bounds silence and how long it keeps an orphan; a lost link has its neighbours pinged at once; the kernel breaks a link whose bytes are not acknowledged for 10 s. Conclusion: relayed subscriptions fit the control traffic, at a later notice for single quiet links.

--- a/egretsill/requests/_asker.py
+++ b/egretsill/requests/_asker.py
@@ -51,6 +51,7 @@
         deadline: seconds on the timer service, or None.
         timer: the timer service.
         pool: opens links.
+        closely: whether the request holds a slot where it runs.
     """
 
     def __init__(
@@ -60,12 +61,14 @@
         deadline: float | None,
         timer: TimerService,
         pool: LinkPool,
+        closely: bool,
     ) -> None:
         self._exchange = exchange
         self._attempts = attempts
         self._deadline = deadline
         self._timer = timer
         self._pool = pool
+        self._closely = closely
         self._links: dict[int, RequestLink] = {}
         self._numbers: dict[RequestLink, int] = {}
         self._body_writer = BodyWriter(attempts.body)
@@ -193,7 +196,7 @@
             with bounded(self._timer, effect.delay_seconds):
                 await trio.sleep_forever()
         try:
-            link = await self._pool.open(effect.target_number, effect.fresh)
+            link = await self._pool.open(effect.target_number, effect.fresh, self._closely)
         except RelayClosed:
             self._feed(LinkFailed(effect.link))
             return
--- a/egretsill/requests/_asker_link.py
+++ b/egretsill/requests/_asker_link.py
@@ -16,13 +16,13 @@
 from ._local_link import LocalLinks
 from ._message_link import LinkBroken, MessageLink, StreamLink
 from ._messages import GateMark, Ping, Pong, RelayMessage
+from ._ping_schedule import PingSchedule, quiet_ping_seconds
 from ._request_link import LinkUser, RequestLink
-from ._silence import SilenceWatch, bounded
+from ._silence import bounded
 from ._wakeup import Wakeup
 
 OPEN_SECONDS = 2.0
-PING_SECONDS = 2.0
-SILENCE_SECONDS = 6.0
+REAP_SECONDS = 2.0
 IDLE_SECONDS = 30.0
 IDLE_LINKS = 16
 FLUSH_SECONDS = 1.0
@@ -44,6 +44,14 @@
 class AskerLink:
     """One link to a gate.
 
+    Args:
+        target_number: the gate's target.
+        link: what carries the messages.
+        timer: the timer service.
+        observer: is told of garbage.
+        quiet_seconds: returns the time between pings while nothing is urgent.
+        on_lost: is called when the link ended without `finish`.
+
     Attributes:
         target_number: the gate's target.
         user: the request that it serves, or None while it is idle.
@@ -56,6 +64,8 @@
         link: MessageLink,
         timer: TimerService,
         observer: RequestObserver,
+        quiet_seconds: Callable[[], float],
+        on_lost: Callable[[AskerLink], None],
     ) -> None:
         self.target_number = target_number
         self.user: LinkUser | None = None
@@ -72,6 +82,10 @@
         self._lost = False
         self._mark = GateMark(0, 0.0)
         self._offsets: deque[float] = deque(maxlen=CLOCK_SAMPLES)
+        self._on_lost = on_lost
+        self._pings = PingSchedule(
+            timer, lambda seconds: self.send(Ping(seconds)), self._scope.cancel, quiet_seconds
+        )
 
     @property
     def usable(self) -> bool:
@@ -105,6 +119,14 @@
         """See that there is more of the body."""
         self._wakeup.set()
 
+    def attend(self, closely: bool) -> None:
+        """Ping often while a request holds a slot over the link, else seldom."""
+        self._pings.attend(closely)
+
+    def ping_now(self) -> None:
+        """Ping at once, as another link to the same gate was lost."""
+        self._pings.ping_now()
+
     def finish(self) -> None:
         """Send what waits, and close."""
         self.user = None
@@ -123,18 +145,15 @@
 
     async def run(self) -> None:
         """Serve the link to its end."""
-        watch = SilenceWatch(self._timer, SILENCE_SECONDS, self._scope)
-        ping = self._timer.subscribe(PING_SECONDS, lambda _: self.send(Ping()))
-        self.send(Ping())
+        self._pings.start()
         try:
             with self._scope:
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._write)
-                    await self._read(watch)
+                    await self._read()
                     nursery.cancel_scope.cancel()
         finally:
-            watch.close()
-            ping.cancel()
+            self._pings.close()
             self._end()
             with trio.CancelScope(shield=True):
                 await self._link.close()
@@ -145,12 +164,14 @@
         user, self.user = self.user, None
         if user is not None:
             user.on_lost(self)
+        if not self._finishing:
+            self._on_lost(self)
 
-    async def _read(self, watch: SilenceWatch) -> None:
+    async def _read(self) -> None:
         try:
             while True:
                 message = await self._link.receive()
-                watch.touch()
+                self._pings.heard()
                 self._take(message)
         except LinkBroken as error:
             if error.malformed:
@@ -212,12 +233,13 @@
         self._observer = observer
         self._connect = connect
         self._idle: dict[int, list[AskerLink]] = {}
+        self._links: set[AskerLink] = set()
         self._nursery: trio.Nursery | None = None
         timer.subscribe_jumps(self._on_jump)
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Run until cancelled; nothing may be opened before it has started."""
-        reap = self._timer.subscribe(PING_SECONDS, self._reap)
+        reap = self._timer.subscribe(REAP_SECONDS, self._reap)
         try:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
@@ -227,23 +249,39 @@
             reap.cancel()
             self._nursery = None
 
-    async def open(self, target_number: int, fresh: bool) -> RequestLink:
+    @property
+    def links(self) -> int:
+        """Return how many links to other agents there are."""
+        return len(self._links)
+
+    async def open(self, target_number: int, fresh: bool, closely: bool) -> RequestLink:
         """Return a link to a target's gate that has answered a Ping.
 
         Args:
             target_number: the target.
             fresh: whether an idle link will not do.
+            closely: whether the request holds a slot, so that silence is to be noticed soon.
 
         Raises:
             RelayClosed: if there is none.
         """
         if target_number == self._own_target_number:
             return self._local_links.open()
+        link = None if fresh else self._take_idle(target_number)
+        if link is None:
+            link = await self._open_greeted(target_number)
+        link.attend(closely)
+        return link
+
+    def _take_idle(self, target_number: int) -> AskerLink | None:
         idle = self._idle.get(target_number, [])
-        while idle and not fresh:
+        while idle:
             link = idle.pop()
             if link.usable:
                 return link
+        return None
+
+    async def _open_greeted(self, target_number: int) -> AskerLink:
         with bounded(self._timer, OPEN_SECONDS):
             link = await self._open_fresh(target_number)
             try:
@@ -262,6 +300,7 @@
             return
         link.user = None
         link.send_body(None)
+        link.attend(False)
         idle = self._idle.setdefault(link.target_number, [])
         if not link.usable or len(idle) >= IDLE_LINKS:
             link.finish()
@@ -273,10 +312,28 @@
         if self._nursery is None:
             raise RelayClosed(target_number, "stopped")
         stream = StreamLink(await self._connect_to(target_number))
-        link = AskerLink(target_number, stream, self._timer, self._observer)
-        self._nursery.start_soon(link.run)
+        link = AskerLink(
+            target_number, stream, self._timer, self._observer, self._quiet_seconds, self._on_lost
+        )
+        self._nursery.start_soon(self._run, link)
         return link
 
+    async def _run(self, link: AskerLink) -> None:
+        self._links.add(link)
+        try:
+            await link.run()
+        finally:
+            self._links.discard(link)
+
+    def _quiet_seconds(self) -> float:
+        return quiet_ping_seconds(len(self._links))
+
+    def _on_lost(self, lost: AskerLink) -> None:
+        """Ask over all other links to the same gate whether it is there."""
+        for link in self._links:
+            if link.target_number == lost.target_number and link is not lost:
+                link.ping_now()
+
     async def _connect_to(self, target_number: int) -> trio.abc.Stream:
         address = self._addresses(target_number)
         if address is None:
--- a/egretsill/requests/_gate.py
+++ b/egretsill/requests/_gate.py
@@ -10,7 +10,6 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from collections.abc import Sequence
 
 from ..admission import AdmissionDecision, Admitted, Queued, Rejected, Ticket
@@ -85,7 +84,8 @@
         self._services = services
         self._admission = admission
         self._links: dict[int, GateRequest] = {}
-        self._detached: OrderedDict[RequestId, float] = OrderedDict()
+        self._promises: dict[int, float] = {}
+        self._detached: dict[RequestId, float] = {}
         self._stopped = False
         self._effects: list[GateEffect] = []
 
@@ -148,7 +148,8 @@
 
     def _on_message(self, link: int, message: object, now: float) -> None:
         match message:
-            case Ping():
+            case Ping(next_seconds):
+                self._promises[link] = next_seconds
                 self._emit(Send(link, Pong(GateMark(self._incarnation, now))))
             case Open():
                 self._on_open(link, message, now)
@@ -297,6 +298,7 @@
         request = self._links.get(link)
         if request is not None:
             self._detach(request, now)
+        self._promises.pop(link, None)
 
     def _on_backend_ended(self, identifier: RequestId, verdict: Verdict, now: float) -> None:
         request = self._memory.get(identifier)
@@ -315,10 +317,7 @@
         self._memory.forget_old(now)
 
     def _abandon_orphans(self, now: float) -> None:
-        while self._detached:
-            identifier, since = next(iter(self._detached.items()))
-            if now - since < ORPHAN_SECONDS:
-                return
+        for identifier in [each for each, due in self._detached.items() if due <= now]:
             del self._detached[identifier]
             request = self._memory.get(identifier)
             if request is not None and request.verdict is None:
@@ -345,11 +344,13 @@
             request.link = None
 
     def _detach(self, request: GateRequest, now: float) -> None:
-        if request.link is not None:
-            del self._links[request.link]
-            request.link = None
-        if request.verdict is None:
-            self._detached[request.open.identifier] = now
+        link, request.link = request.link, None
+        if link is not None:
+            del self._links[link]
+        if link is not None and request.verdict is None:
+            # The asker may see that the link is gone only at its next Ping.
+            due = now + ORPHAN_SECONDS + self._promises.get(link, 0.0)
+            self._detached[request.open.identifier] = due
 
     def _end(self, request: GateRequest, verdict: Verdict, now: float) -> None:
         """Give a request its verdict; nothing starts or changes it from now on."""
--- a/egretsill/requests/_gate_runner.py
+++ b/egretsill/requests/_gate_runner.py
@@ -42,13 +42,14 @@
 )
 from ._gate_request import PIECE_BYTES, AnswerWriter, GateRequest
 from ._message_link import LinkBroken, MessageLink
-from ._messages import End, Failed, Head, Refusal, RelayMessage, RequestId, Verdict
+from ._messages import End, Failed, Head, Ping, Refusal, RelayMessage, RequestId, Verdict
 from ._request_link import GateEnd
 from ._silence import SilenceWatch, bounded
 from ._wakeup import Wakeup
 
 TICK_SECONDS = 0.05
 LINK_SILENCE_SECONDS = 6.0
+LONGEST_PROMISE_SECONDS = 60.0
 
 Headers: TypeAlias = Sequence[tuple[bytes, bytes]]
 
@@ -173,6 +174,10 @@
         try:
             while True:
                 message = await link.receive()
+                if isinstance(message, Ping):
+                    watch.change(
+                        min(message.next_seconds, LONGEST_PROMISE_SECONDS) + LINK_SILENCE_SECONDS
+                    )
                 watch.touch()
                 self.take(number, message)
         except LinkBroken as error:
--- a/egretsill/requests/_message_link.py
+++ b/egretsill/requests/_message_link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections import deque
 from collections.abc import Iterable
 from typing import Any, Protocol
@@ -12,6 +13,7 @@
 from ._messages import RELAY_TYPES, RelayMessage
 
 RECEIVE_BYTES = 65_536
+UNACKNOWLEDGED_MILLISECONDS = 10_000
 
 RELAY_CODEC: Codec[RelayMessage] = Codec("relay", RELAY_TYPES)
 
@@ -65,6 +67,11 @@
         received: Iterable[RelayMessage] = (),
     ) -> None:
         self._stream = stream
+        if isinstance(stream, trio.SocketStream):
+            # What is sent into a path that has lost the connection breaks it by itself.
+            stream.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLISECONDS
+            )
         self._decoder = decoder or StreamDecoder(RELAY_CODEC)
         self._received = deque(received)
 
--- a/egretsill/requests/_messages.py
+++ b/egretsill/requests/_messages.py
@@ -51,7 +51,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Ping:
-    """Asker to gate: are you there?"""
+    """Asker to gate: are you there?
+
+    Attributes:
+        next_seconds: when the next one is sent at the latest.
+    """
+
+    next_seconds: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/egretsill/requests/_request_service.py
+++ b/egretsill/requests/_request_service.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from ..configuration import Address, Limits, RequestClass, Service
+from ..configuration import Address, Limits, RequestClass, RequestShape, Service
 from ..outcomes import Outcome, RefusalReason, Refused
 from ..timing import TimerService
 from ..wire import StreamDecoder
@@ -166,7 +166,8 @@
             self._budget,
             self._next_identifier,
         )
-        asker = Asker(exchange, attempts, deadline, self._timer, self._pool)
+        closely = request_class.shape is not RequestShape.SUBSCRIPTION
+        asker = Asker(exchange, attempts, deadline, self._timer, self._pool, closely)
         try:
             return await asker.run()
         finally:
--- /dev/null
+++ b/egretsill/requests/tests/test_ping_schedule.py
@@ -0,0 +1,97 @@
+from __future__ import annotations
+
+import pytest
+
+from ...timing import VirtualTimerService
+from .._gate_memory import MEMORY_SECONDS
+from .._ping_schedule import (
+    ANSWER_SECONDS,
+    CLOSE_PING_SECONDS,
+    LONGEST_QUIET_SECONDS,
+    PING_BYTES,
+    PING_BYTES_PER_SECOND,
+    SHORTEST_QUIET_SECONDS,
+    PingSchedule,
+    quiet_ping_seconds,
+)
+
+
+class Link:
+    def __init__(
+        self, quiet_seconds: float = SHORTEST_QUIET_SECONDS, answering: bool = True
+    ) -> None:
+        self.timer = VirtualTimerService()
+        self.pings: list[float] = []
+        self.lost_at: float | None = None
+        self.answering = answering
+        self.schedule = PingSchedule(self.timer, self._send, self._lose, lambda: quiet_seconds)
+        self.schedule.start()
+
+    def _send(self, next_seconds: float) -> None:
+        self.pings.append(self.timer.now)
+        if self.answering:
+            self.timer.call_later(0.01, lambda _: self.schedule.heard())
+
+    def _lose(self) -> None:
+        self.lost_at = self.timer.now
+        self.schedule.close()
+
+
+def test_a_link_in_use_is_pinged_often() -> None:
+    link = Link()
+    link.timer.advance(3 * CLOSE_PING_SECONDS + 1.0)
+    assert len(link.pings) == 4
+    assert link.lost_at is None
+
+
+def test_a_quiet_link_is_pinged_seldom_and_often_again() -> None:
+    link = Link()
+    link.schedule.attend(False)
+    link.timer.advance(CLOSE_PING_SECONDS + 2 * SHORTEST_QUIET_SECONDS + 1.0)
+    assert len(link.pings) == 4
+    link.schedule.attend(True)
+    link.timer.advance(CLOSE_PING_SECONDS)
+    assert len(link.pings) == 5
+
+
+def test_an_unanswered_ping_loses_the_link() -> None:
+    link = Link()
+    link.timer.advance(5.0)
+    link.answering = False
+    link.timer.advance(60.0)
+    assert link.lost_at is not None
+    assert link.lost_at <= 5.0 + CLOSE_PING_SECONDS + ANSWER_SECONDS
+
+
+def test_a_suspected_link_is_pinged_at_once_but_not_over_and_over() -> None:
+    link = Link()
+    link.schedule.attend(False)
+    link.timer.advance(CLOSE_PING_SECONDS + 5.0)
+    before = len(link.pings)
+    link.schedule.ping_now()
+    link.timer.advance(0.5)
+    link.schedule.ping_now()
+    assert len(link.pings) == before + 1
+
+
+def test_a_process_that_slept_gives_the_gate_another_chance() -> None:
+    link = Link(answering=False)
+    link.timer.pause(30.0)
+    link.timer.advance(0.0)
+    assert link.lost_at is None
+    link.schedule.heard()
+    link.answering = True
+    link.timer.advance(20.0)
+    assert link.lost_at is None
+
+
+@pytest.mark.parametrize("links", [1, 50, 200, 500, 2000])
+def test_quiet_links_together_stay_within_the_bound_on_traffic(links: int) -> None:
+    seconds = quiet_ping_seconds(links)
+    assert SHORTEST_QUIET_SECONDS <= seconds <= LONGEST_QUIET_SECONDS
+    bound = max(PING_BYTES_PER_SECOND, links * PING_BYTES / LONGEST_QUIET_SECONDS)
+    assert links * PING_BYTES / seconds <= bound
+
+
+def test_a_gate_remembers_longer_than_a_lost_link_goes_unnoticed() -> None:
+    assert LONGEST_QUIET_SECONDS + ANSWER_SECONDS < MEMORY_SECONDS
