--- a/egretsill/daemon/_agent_role.py
+++ b/egretsill/daemon/_agent_role.py
@@ -120,6 +120,9 @@
         if self._core is not None:
             self._core.receive_report(report, sender)
 
+    def close(self) -> None:
+        """Do nothing: an agent binds its tunnel when it runs."""
+
     def apply_bundle(self, bundle: Bundle) -> None:
         """Work by this configuration from now on."""
         if self._core is not None:
--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -24,7 +24,7 @@
     ServicesWanted,
     Vm,
 )
-from ..draining import BackendState
+from ..draining import DRAINING_TYPES, BackendState, LeavingNotice, notices_for
 from ..membership import (
     MEMBERSHIP_TYPES,
     GossipSocket,
@@ -80,7 +80,11 @@
         self._state_log = StateLog(settings.name)
         self._stopped = trio.Event()
         self._role = self._make_role()
-        self._gossip = self._bind_gossip()
+        try:
+            self._gossip = self._bind_gossip()
+        except AddressUnavailable:
+            self._role.close()
+            raise
         self._streams = StreamEndpoint(
             settings.relay, {**RELAY_TYPES, **CONFIGURATION_TYPES}, self._metrics
         )
@@ -136,23 +140,11 @@
         Raises:
             AddressUnavailable: if an endpoint can't be bound.
         """
-        self._connect_parts()
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._timer.run)
-            await nursery.start(self._gossip.run)
-            await self._start(nursery, "relay", self._settings.relay, self._streams.run)
-            await self._start(nursery, "admin", self._settings.admin, self._make_admin().run)
-            self._membership.start()
-            nursery.start_soon(self._configuration.run)
-            nursery.start_soon(self._role.run)
-            nursery.start_soon(self._make_health_poller().run)
-            self._drain.start()
-            self._record(StateKind.PROCESS, "ready")
-            task_status.started()
-            await self._stopped.wait()
-            self._membership.stop()
-            nursery.cancel_scope.cancel()
-        self._record(StateKind.PROCESS, "stopped")
+        try:
+            await self._run(task_status)
+        finally:
+            self._role.close()
+            self._gossip.close()
 
     def shut_down(self) -> None:
         """Stop gracefully: take no new work, and end when what runs has ended."""
@@ -177,6 +169,25 @@
         """Note that settings were to be re-read and hold mistakes; the old ones stay."""
         self._record(StateKind.PROCESS, "settings-rejected", {"problem": str(error)})
 
+    async def _run(self, task_status: trio.TaskStatus[None]) -> None:
+        self._connect_parts()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._timer.run)
+            await nursery.start(self._gossip.run)
+            await self._start(nursery, "relay", self._settings.relay, self._streams.run)
+            await self._start(nursery, "admin", self._settings.admin, self._make_admin().run)
+            self._membership.start()
+            nursery.start_soon(self._configuration.run)
+            nursery.start_soon(self._role.run)
+            nursery.start_soon(self._make_health_poller().run)
+            self._drain.start()
+            self._record(StateKind.PROCESS, "ready")
+            task_status.started()
+            await self._stopped.wait()
+            self._membership.stop()
+            nursery.cancel_scope.cancel()
+        self._record(StateKind.PROCESS, "stopped")
+
     def _make_role(self) -> DaemonRole:
         settings = self._settings
         match settings.role:
@@ -198,10 +209,12 @@
                 )
 
     def _make_balancer(self) -> BalancerRole:
-        return BalancerRole(self._settings, self._timer, self._metrics)
+        return BalancerRole(
+            self._settings, self._timer, self._metrics, lambda: self._membership.is_fresh
+        )
 
     def _bind_gossip(self) -> GossipSocket:
-        types = {**MEMBERSHIP_TYPES, **LOAD_TYPES, **CONFIGURATION_TYPES}
+        types = {**MEMBERSHIP_TYPES, **LOAD_TYPES, **CONFIGURATION_TYPES, **DRAINING_TYPES}
         listen = self._settings.gossip
         return _bound("gossip", listen, lambda: GossipSocket(listen, types, self._metrics))
 
@@ -236,6 +249,7 @@
                 period=exchange.period_seconds,
                 fetch=exchange.fetch_seconds,
                 start=exchange.start_seconds,
+                start_spread=exchange.start_spread_seconds,
                 silence=exchange.silence_seconds,
                 watch=settings.platform.watch_seconds,
                 vm_list=settings.membership.vm_list_seconds,
@@ -262,6 +276,7 @@
         self._configuration.subscribe_vms(self._on_vms)
         self._configuration.subscribe_conflicts(self._on_conflict)
         self._gossip.register([Announcement], self._configuration.receive)
+        self._gossip.register([LeavingNotice], self._on_leaving_notice)
         self._streams.register([HeadWanted, IndexWanted, ServicesWanted], self._answer_questions)
         self._timer.subscribe(GAUGE_SECONDS, self._update_gauges)
         if isinstance(self._role, AgentRole):
@@ -298,6 +313,13 @@
         self._membership.on_vm_list(balancers_of(vms))
         own = [each for each in vms if each.name == self._settings.name]
         self._drain.on_vm(own[0] if own else None)
+        serving = {each.name: each.gossip for each in self._membership.view.alive}
+        for sending in notices_for(vms, serving, self._settings.name):
+            self._gossip.send(sending.to, sending.notice)
+
+    def _on_leaving_notice(self, notice: LeavingNotice, sender: Address) -> None:
+        if notice.name == self._settings.name:
+            self._drain.on_leaving_notice()
 
     def _on_view(self, view: MembershipView) -> None:
         self._role.update_view(view)
@@ -325,6 +347,14 @@
 
     def _update_gauges(self, now: float) -> None:
         self._role.update_gauges()
+        counters = self._configuration.counters
+        reads = self._metrics.platform_reads
+        reads.catch_up(counters.platform_reads - counters.platform_failures, "answered")
+        reads.catch_up(counters.platform_failures, "failed")
+        ignored = self._metrics.configuration_ignored
+        ignored.catch_up(self._configuration.older_ignored, "older")
+        ignored.catch_up(counters.torn, "torn")
+        ignored.catch_up(counters.malformed, "invalid")
 
     def _record(
         self, kind: StateKind, state: str | int, details: Mapping[str, str] | None = None
--- a/egretsill/membership/_gossip_socket.py
+++ b/egretsill/membership/_gossip_socket.py
@@ -86,6 +86,10 @@
                 await trio.lowlevel.wait_readable(self._socket)
                 self._receive_batch()
 
+    def close(self) -> None:
+        """Close the socket; do so if `run` is never called."""
+        self._socket.close()
+
     def _receive_batch(self) -> None:
         for _ in range(BATCH_DATAGRAMS):
             try:
