Fall back to the rest of a large service when the subset has nobody left

A partition or a rollout can take all sixteen targets that an asker uses while others of the service answer.

--- a/egretsill/placement/_placement.py
+++ b/egretsill/placement/_placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from random import Random
 
 from ..configuration import RequestClass, RequestShape, Service, TargetState
@@ -163,20 +163,23 @@
             view.take_report(report, now)
 
     def _candidates(self, exclude: Collection[int], now: float) -> list[TargetView]:
-        able = [
-            self._views[number]
-            for number in self._used
-            if number not in exclude and number not in self._unavailable
-        ]
-        able = [
-            view
-            for view in able
-            if view.target.state is TargetState.ACTIVE and not view.draining(now)
-        ]
+        able = self._able(self._used, exclude, now) or self._able(self._views, exclude, now)
         ready = [view for view in able if view.back_off_until <= now]
         self._lift(ready)
         return ready or sorted(able, key=lambda view: view.back_off_until)[:1]
 
+    def _able(
+        self, numbers: Iterable[int], exclude: Collection[int], now: float
+    ) -> list[TargetView]:
+        return [
+            self._views[number]
+            for number in numbers
+            if number not in exclude
+            and number not in self._unavailable
+            and self._views[number].target.state is TargetState.ACTIVE
+            and not self._views[number].draining(now)
+        ]
+
     def _spread(self) -> float:
         return self._random.uniform(0.5, 1.5)
 
--- a/egretsill/placement/tests/test_placement.py
+++ b/egretsill/placement/tests/test_placement.py
@@ -167,3 +167,11 @@
         placement.on_finished(2, 1.0, 1.0)
         flooded += 1
     assert flooded < 15
+
+
+def test_other_targets_are_used_when_none_of_the_subset_is_left() -> None:
+    placement = make_placement(40)
+    placement.set_unavailable(placement.used_targets)
+    target = placement.choose(LISTING, (), 0.0)
+    assert target is not None
+    assert target not in placement.used_targets
