Count everything that the metrics page promises

Cause: seven metrics and the backend server's own evidence were defined and never fed. Change: a request's end is one value with its refusals and resumes; lost links, backend failures, closed flows, uploads and links are counted; the health judgement hears of every request to the backend server.

--- a/egretsill/admission/_admission.py
+++ b/egretsill/admission/_admission.py
@@ -80,6 +80,12 @@
         """Return how many subscriptions are open."""
         return len(self._subscriptions)
 
+    @property
+    def uploads(self) -> int:
+        """Return how many uploads hold a slot."""
+        shapes = [each.ticket.shape for each in self._running.values()]
+        return shapes.count(RequestShape.UPLOAD)
+
     @property
     def outstanding_weight(self) -> float:
         """Return the weight of the requests that hold a slot or wait for one."""
--- a/egretsill/benchmarks/requests.py
+++ b/egretsill/benchmarks/requests.py
@@ -100,7 +100,7 @@
     def on_sent(self, target_number: int, weight: float, now: float, shape: RequestShape) -> None:
         """Do nothing."""
 
-    def on_granted(self, target_number: int, now: float) -> None:
+    def on_granted(self, target_number: int, now: float, shape: RequestShape) -> None:
         """Do nothing."""
 
     def on_finished(
@@ -108,14 +108,7 @@
     ) -> None:
         """Do nothing."""
 
-    def on_refused(
-        self,
-        target_number: int,
-        weight: float,
-        reason: RefusalReason,
-        now: float,
-        shape: RequestShape,
-    ) -> None:
+    def on_refused(self, target_number: int, reason: RefusalReason, now: float) -> None:
         """Do nothing."""
 
 
--- a/egretsill/daemon/_agent_core.py
+++ b/egretsill/daemon/_agent_core.py
@@ -44,6 +44,7 @@
         balancers: returns the tunnel endpoints of the balancers that answer.
         send_report: sends a load report to the gossip endpoint of another agent.
         is_view_fresh: returns whether the view of the others may place new work.
+        on_backend: called with whether the backend server answered, after each request to it.
     """
 
     def __init__(
@@ -59,6 +60,7 @@
         balancers: Callable[[], Sequence[Address]],
         send_report: Callable[[Address, LoadReport], object],
         is_view_fresh: Callable[[], bool],
+        on_backend: Callable[[bool], None],
         nursery: trio.Nursery,
     ) -> None:
         self._bundle = bundle
@@ -72,7 +74,7 @@
         self._draining = False
         service = bundle.services[target.service]
         self._service_number = service.number
-        self._observer = RequestMetrics(metrics)
+        self._observer = RequestMetrics(metrics, on_backend)
         self._admission = Admission(target.slots, target.connections, service.limits, random)
         self._placement = Placement(target.number, service, random)
         self._reporter = LoadReporter(target.number, service, random)
@@ -201,7 +203,12 @@
         self._metrics.slots_in_use.set(admission.running)
         self._metrics.requests_queued.set(admission.queued)
         self._metrics.subscriptions_open.set(admission.open_connections)
+        self._metrics.uploads_open.set(admission.uploads)
+        self._metrics.relay_links_open.set(self._requests.links)
         self._metrics.draining.set(int(self._draining))
+        self._metrics.flows_opened.catch_up(self._flows.counts.opened)
+        for reason, count in self._flows.counts.closed.items():
+            self._metrics.flows_closed.catch_up(count, reason)
 
     def status(self) -> Mapping[str, JSON]:
         """Return what the status page says of the agent."""
--- a/egretsill/daemon/_agent_role.py
+++ b/egretsill/daemon/_agent_role.py
@@ -32,6 +32,7 @@
         metrics: Metrics,
         send_report: Callable[[Address, LoadReport], object],
         is_view_fresh: Callable[[], bool],
+        on_backend: Callable[[bool], None],
         random: Random,
     ) -> None:
         self._settings = settings
@@ -41,6 +42,7 @@
         self._metrics = metrics
         self._send_report = send_report
         self._is_view_fresh = is_view_fresh
+        self._on_backend = on_backend
         self._random = random
         self._codec = ConnectionIdCodec(settings.connection_id_keys)
         self._balancers: tuple[Address, ...] = ()
@@ -100,6 +102,7 @@
                 balancers=lambda: self._balancers,
                 send_report=self._send_report,
                 is_view_fresh=self._is_view_fresh,
+                on_backend=self._on_backend,
                 nursery=nursery,
             )
             self._core.update_view(self._view)
--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -90,6 +90,7 @@
         )
         self._membership = self._make_membership()
         self._configuration = self._make_configuration()
+        self._health = self._make_health_poller()
         self._drain = DrainControl(
             self._role,
             self._timer,
@@ -179,7 +180,7 @@
             self._membership.start()
             nursery.start_soon(self._configuration.run)
             nursery.start_soon(self._role.run)
-            nursery.start_soon(self._make_health_poller().run)
+            nursery.start_soon(self._health.run)
             self._drain.start()
             self._record(StateKind.PROCESS, "ready")
             task_status.started()
@@ -205,6 +206,7 @@
                     self._metrics,
                     self._send_report,
                     lambda: self._membership.is_fresh,
+                    self._on_backend_request,
                     self._random,
                 )
 
@@ -329,6 +331,9 @@
         self._metrics.configuration_conflicts.increment()
         self._record(StateKind.CONFIGURATION_CONFLICT, conflict.revision)
 
+    def _on_backend_request(self, answered: bool) -> None:
+        self._health.note_request(answered)
+
     def _on_backend_state(self, state: BackendState) -> None:
         self._drain.on_health(state)
         self._record(StateKind.BACKEND, state.value)
--- a/egretsill/daemon/_drain_control.py
+++ b/egretsill/daemon/_drain_control.py
@@ -171,6 +171,11 @@
         self._on_state = on_state
         self._health = BackendHealth()
 
+    def note_request(self, answered: bool) -> None:
+        """Take in whether a request was answered, which proves more than a page does."""
+        now = self._timer.now
+        self._on_state(self._health.answered(now) if answered else self._health.failed(now))
+
     async def run(self) -> None:
         """Read the page until cancelled."""
         while True:
--- a/egretsill/daemon/_request_metrics.py
+++ b/egretsill/daemon/_request_metrics.py
@@ -2,59 +2,83 @@
 
 from __future__ import annotations
 
+from collections import Counter
+from collections.abc import Callable, Mapping
+
 from ..configuration import RequestClass
 from ..observation import Metrics
-from ..outcomes import Answered, Cancelled, Outcome, Refused, Unknown
+from ..outcomes import Answered, Cancelled, Refused, Unknown
+from ..requests import BackendFailed, RequestEnd
 
 UNDECLARED_CLASS = "undeclared"
+LINK_LOST = "lost"
 
 
 class RequestMetrics:
-    """Counts starts and outcomes of one agent."""
+    """Counts starts, ends and failures of one agent.
+
+    Args:
+        metrics: of the process.
+        on_backend: called with whether the backend server answered, after each request to it.
+    """
 
-    def __init__(self, metrics: Metrics) -> None:
+    def __init__(self, metrics: Metrics, on_backend: Callable[[bool], None]) -> None:
         self._metrics = metrics
-        self._refusals: dict[str, int] = {}
+        self._on_backend = on_backend
+        self._refusals: Counter[str] = Counter()
 
     @property
-    def refusals(self) -> dict[str, int]:
+    def refusals(self) -> Mapping[str, int]:
         """Return how many requests were refused, by reason."""
-        return dict(self._refusals)
+        return self._refusals
 
     def on_start(self, request_class: RequestClass, tenant: str, queue_seconds: float) -> None:
         """Note that a request went to the backend server of this agent."""
         self._metrics.queue_wait_seconds.observe(queue_seconds, tenant, request_class.name)
 
-    def on_outcome(
-        self,
-        request_class: RequestClass | None,
-        tenant: str,
-        outcome: Outcome,
-        first_byte_seconds: float | None,
-        total_seconds: float,
-        queue_seconds: float,
-        tries: int,
-    ) -> None:
+    def on_end(self, end: RequestEnd) -> None:
         """Note how a caller's request ended."""
-        name = UNDECLARED_CLASS if request_class is None else request_class.name
+        name = UNDECLARED_CLASS if end.request_class is None else end.request_class.name
+        labels = (end.tenant, name)
         metrics = self._metrics
-        metrics.requests_ended.increment(tenant, name, type(outcome).__name__.lower())
-        match outcome:
+        metrics.requests_ended.increment(*labels, type(end.outcome).__name__.lower())
+        match end.outcome:
             case Answered():
-                metrics.answer_seconds.observe(total_seconds, tenant, name)
+                metrics.answer_seconds.observe(end.total_seconds, *labels)
             case Refused(reason=refusal):
-                metrics.requests_refused.increment(tenant, name, refusal)
-                self._refusals[refusal.value] = self._refusals.get(refusal.value, 0) + 1
+                metrics.requests_refused.increment(*labels, refusal)
+                self._refusals[refusal.value] += 1
             case Unknown(reason=cause):
-                metrics.requests_unknown.increment(tenant, name, cause)
+                metrics.requests_unknown.increment(*labels, cause)
             case Cancelled():
                 pass
-        if first_byte_seconds is not None:
-            metrics.time_to_first_byte_seconds.observe(first_byte_seconds, tenant, name)
-        metrics.tries.observe(tries, tenant, name)
-        if tries > 1:
-            metrics.requests_retried.increment(tenant, name, amount=tries - 1)
+        if end.first_byte_seconds is not None:
+            metrics.time_to_first_byte_seconds.observe(end.first_byte_seconds, *labels)
+        metrics.tries.observe(end.tries, *labels)
+        self._note_retries(end, labels)
+
+    def on_backend_answered(self) -> None:
+        """Note that the backend server gave a whole answer."""
+        self._on_backend(True)
+
+    def on_backend_failed(self, failure: Exception) -> None:
+        """Note that the backend server could not be reached or did not answer to the end."""
+        reason = failure.reason.value if isinstance(failure, BackendFailed) else "unreachable"
+        self._metrics.backend_failures.increment(reason)
+        self._on_backend(False)
+
+    def on_link_lost(self) -> None:
+        """Note that a link to another agent broke or went silent."""
+        self._metrics.relay_links_lost.increment(LINK_LOST)
 
     def on_malformed(self, protocol: str) -> None:
         """Note a relay link or backend connection that carried garbage."""
         self._metrics.messages_malformed.increment(protocol, "unreadable")
+
+    def _note_retries(self, end: RequestEnd, labels: tuple[str, str]) -> None:
+        if end.tries > 1:
+            self._metrics.requests_retried.increment(*labels, amount=end.tries - 1)
+        for reason in end.refusals[: max(0, end.tries - 1)]:
+            self._metrics.requests_rerouted.increment(reason)
+        if end.resumes:
+            self._metrics.answers_resumed.increment(amount=end.resumes)
--- a/egretsill/flows/_flow.py
+++ b/egretsill/flows/_flow.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import sys
 from collections.abc import Callable, Sequence
 
@@ -16,6 +17,7 @@
     StopSendingReceived,
     StreamReset,
 )
+from aioquic.quic.packet import QuicErrorCode
 
 from ..configuration import Address
 from ..timing import Subscription, TimerService
@@ -28,6 +30,16 @@
 
 KEEP_ALIVE_SECONDS = 15.0
 RETIRE_SECONDS = 2.0
+IDLE_TIMEOUT_PHRASE = "Idle timeout"
+
+
+class CloseReason(enum.Enum):
+    """Why a flow ended."""
+
+    CALLER = "caller"
+    SILENCE = "silence"
+    ERROR = "error"
+    RETIRED = "retired"
 
 
 class Flow:
@@ -75,7 +87,7 @@
         send: Callable[[OutgoingDatagram], None],
         return_path: ReturnPath,
         on_identifiers: Callable[[Flow, Sequence[bytes], Sequence[bytes]], None],
-        on_closed: Callable[[Flow], None],
+        on_closed: Callable[[Flow, CloseReason], None],
     ) -> None:
         self._connection = connection
         self._http3: Http3Connection | None = None
@@ -170,7 +182,7 @@
         if not self._closed:
             self._connection.close(error_code=HTTP3_NO_ERROR, reason_phrase="")
             self.transmit()
-            self._end()
+            self._end(CloseReason.RETIRED)
 
     def write_head(self, stream_id: int, headers: Sequence[tuple[bytes, bytes]], end: bool) -> None:
         """Send an answer's head on a request stream."""
@@ -223,8 +235,8 @@
                 self._on_identifiers(self, (issued,), ())
             case ConnectionIdRetired(connection_id=retired):
                 self._on_identifiers(self, (), (retired,))
-            case ConnectionTerminated():
-                self._end()
+            case ConnectionTerminated(error_code=code, reason_phrase=phrase):
+                self._end(_close_reason(code, phrase))
                 return
             case StreamReset(stream_id=stream_id) | StopSendingReceived(stream_id=stream_id):
                 self._withdraw(stream_id)
@@ -313,7 +325,7 @@
             self._handle_events()
         self.transmit()
 
-    def _end(self) -> None:
+    def _end(self, reason: CloseReason) -> None:
         if self._closed:
             return
         self._closed = True
@@ -322,4 +334,12 @@
         for exchange in list(self._exchanges.values()):
             exchange.on_gone()
         self._exchanges.clear()
-        self._on_closed(self)
+        self._on_closed(self, reason)
+
+
+def _close_reason(error_code: int, phrase: str) -> CloseReason:
+    if phrase == IDLE_TIMEOUT_PHRASE:
+        return CloseReason.SILENCE
+    if error_code in (QuicErrorCode.NO_ERROR, HTTP3_NO_ERROR):
+        return CloseReason.CALLER
+    return CloseReason.ERROR
--- a/egretsill/flows/_flow_server.py
+++ b/egretsill/flows/_flow_server.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import ssl
+from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 
 import trio
@@ -18,7 +19,7 @@
 from ..timing import TimerService
 from ._connection import OwnedConnection
 from ._datagram import IncomingDatagram, OutgoingDatagram
-from ._flow import Flow
+from ._flow import CloseReason, Flow
 from ._flow_exchange import FlowExchange
 from ._return_path import ReturnPath
 
@@ -31,10 +32,14 @@
 
 @dataclass(slots=True)
 class FlowCounts:
-    """What happened to datagrams and flows since the start."""
+    """What happened to datagrams and flows since the start.
+
+    Attributes:
+        closed: flows that ended, by reason.
+    """
 
     opened: int = 0
-    closed: int = 0
+    closed: Counter[str] = field(default_factory=Counter)
     datagrams: int = 0
     unknown_flow: int = 0
     malformed: int = 0
@@ -188,8 +193,8 @@
         for identifier in retired:
             self._flows.pop(identifier, None)
 
-    def _on_closed(self, flow: Flow) -> None:
-        self._counts.closed += 1
+    def _on_closed(self, flow: Flow, reason: CloseReason) -> None:
+        self._counts.closed[reason.value] += 1
         self._open_flows.discard(flow)
         for identifier in flow.connection_ids:
             self._flows.pop(identifier, None)
--- a/egretsill/requests/__init__.py
+++ b/egretsill/requests/__init__.py
@@ -4,23 +4,27 @@
 from ._backend_client import BackendClient
 from ._collaborators import (
     GateAdmission,
+    RequestEnd,
     RequestObserver,
     ServiceLookup,
     SilentObserver,
     TargetPlacement,
 )
+from ._exceptions import BackendFailed
 from ._exchange import CallerGone, Exchange, RequestHead
 from ._messages import RELAY_TYPES, RelayMessage
 from ._request_service import RequestService
 
 __all__ = [
     "BackendClient",
+    "BackendFailed",
     "Bounds",
     "CallerGone",
     "Exchange",
     "GateAdmission",
     "RELAY_TYPES",
     "RelayMessage",
+    "RequestEnd",
     "RequestHead",
     "RequestObserver",
     "RequestService",
--- a/egretsill/requests/_asker_link.py
+++ b/egretsill/requests/_asker_link.py
@@ -165,6 +165,7 @@
         if user is not None:
             user.on_lost(self)
         if not self._finishing:
+            self._observer.on_link_lost()
             self._on_lost(self)
 
     async def _read(self) -> None:
--- a/egretsill/requests/_attempts.py
+++ b/egretsill/requests/_attempts.py
@@ -37,6 +37,7 @@
     SendMessage,
     VerdictDue,
 )
+from ._attempt_tally import AttemptTally
 from ._byte_window import ByteWindow
 from ._collaborators import TargetPlacement
 from ._exchange import RequestHead
@@ -106,9 +107,8 @@
         self._next_identifier = next_identifier
         self._offer: Offer | None = None
         self._excluded: set[int] = set()
-        self._tries = 0
         self._links = 0
-        self._queue_seconds = 0.0
+        self._tally = AttemptTally()
         self._answer = AnswerReceiver(service.limits.answer_tail_bytes)
         self._may_have_run: UnknownReason | None = None
         self._last_refusal: Refused | None = None
@@ -117,14 +117,9 @@
         self._effects: list[AttemptEffect] = []
 
     @property
-    def tries(self) -> int:
-        """Return how many targets the request was offered to."""
-        return self._tries
-
-    @property
-    def queue_seconds(self) -> float:
-        """Return how long it waited at the gate where it started."""
-        return self._queue_seconds
+    def tally(self) -> AttemptTally:
+        """Return what became of the offers so far."""
+        return self._tally
 
     @property
     def concluded(self) -> bool:
@@ -174,7 +169,7 @@
         if target_number is None:
             self._conclude(self._last_refusal or Refused(RefusalReason.NO_TARGET), now)
             return
-        self._tries += 1
+        self._tally.tries += 1
         self._placement.on_sent(target_number, self._class.weight, now, self._class.shape)
         self._offer = Offer(target_number, self._next_identifier(), self._new_link())
         self._emit(Connect(self._offer.link, target_number, False, 0.0))
@@ -250,7 +245,7 @@
             case Started(queue_milliseconds):
                 offer.started = True
                 self._placement.on_granted(offer.target_number, now, self._class.shape)
-                self._queue_seconds = queue_milliseconds / 1000
+                self._tally.queue_seconds = queue_milliseconds / 1000
             case Refusal(reason, retry_after_seconds):
                 self._emit(FreeLink(offer.link))
                 self._on_refused(offer, Refused(RefusalReason(reason), retry_after_seconds), now)
@@ -306,6 +301,7 @@
             return
         if state in (RUNNING, FINISHED):
             offer.resume(now)
+            self._tally.resumes += 1
             # Acknowledgements may have been lost with the link before.
             self._emit(SendMessage(offer.link, Acknowledge(self._answer.acknowledge())))
             self._emit(SendBody(offer.link, max(body_offset, self.body.base)))
@@ -324,6 +320,7 @@
             self._on_unknown_end(offer, UnknownReason.RELAY_LOST, now)
             return
         self._placement.on_refused(offer.target_number, refused.reason, now)
+        self._tally.refusals.append(refused.reason)
         self._excluded.add(offer.target_number)
         self._last_refusal = refused
         self._end_offer(now)
@@ -347,7 +344,7 @@
     def _retry(self, now: float) -> None:
         """Offer the request again if it may be, or conclude it."""
         last = self._last_refusal or Refused(RefusalReason.NO_TARGET)
-        if self._tries >= self._service.limits.tries or self.body.base > 0:
+        if self._tally.tries >= self._service.limits.tries or self.body.base > 0:
             self._conclude(last, now)
         elif not self._budget.take_retry(now):
             self._conclude(replace(last, reason=RefusalReason.RETRY_BUDGET), now)
--- a/egretsill/requests/_collaborators.py
+++ b/egretsill/requests/_collaborators.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Sequence
+from dataclasses import dataclass
 from typing import Protocol, TypeAlias
 
 from ..admission import AdmissionDecision, Ticket
@@ -62,33 +63,50 @@
         """Note that an offered request has ended there, however it ended."""
 
 
+@dataclass(frozen=True, slots=True)
+class RequestEnd:
+    """How one caller's request ended.
+
+    Attributes:
+        request_class: None for a request of no declared class.
+        tenant: whose service it was for.
+        outcome: what the caller was told.
+        first_byte_seconds: from its arrival to the answer's head, or None without an answer.
+        total_seconds: from its arrival to its end.
+        queue_seconds: time in the queue of the gate where it started.
+        tries: targets that it was offered to.
+        refusals: why a target refused it, for each that did.
+        resumes: times that its answer was taken up again on a new link.
+    """
+
+    request_class: RequestClass | None
+    tenant: str
+    outcome: Outcome
+    first_byte_seconds: float | None = None
+    total_seconds: float = 0.0
+    queue_seconds: float = 0.0
+    tries: int = 0
+    refusals: tuple[RefusalReason, ...] = ()
+    resumes: int = 0
+
+
 class RequestObserver(Protocol):
     """Is told of every start at the own gate and of every request's end."""
 
     def on_start(self, request_class: RequestClass, tenant: str, queue_seconds: float) -> None:
         """Note that a request went to the backend server of this agent."""
 
-    def on_outcome(
-        self,
-        request_class: RequestClass | None,
-        tenant: str,
-        outcome: Outcome,
-        first_byte_seconds: float | None,
-        total_seconds: float,
-        queue_seconds: float,
-        tries: int,
-    ) -> None:
-        """Note how a caller's request ended.
-
-        Args:
-            request_class: None for a request of no declared class.
-            tenant: whose service it was for.
-            outcome: what the caller was told.
-            first_byte_seconds: from its arrival to the answer's head, or None without an answer.
-            total_seconds: from its arrival to its end.
-            queue_seconds: time in the queue of the own gate.
-            tries: targets that it was offered to.
-        """
+    def on_end(self, end: RequestEnd) -> None:
+        """Note how a caller's request ended."""
+
+    def on_backend_answered(self) -> None:
+        """Note that the backend server gave a whole answer."""
+
+    def on_backend_failed(self, failure: Exception) -> None:
+        """Note that the backend server could not be reached or did not answer to the end."""
+
+    def on_link_lost(self) -> None:
+        """Note that a link to another agent broke or went silent."""
 
     def on_malformed(self, protocol: str) -> None:
         """Note a relay link or backend connection that carried garbage."""
@@ -100,16 +118,16 @@
     def on_start(self, request_class: RequestClass, tenant: str, queue_seconds: float) -> None:
         """Do nothing."""
 
-    def on_outcome(
-        self,
-        request_class: RequestClass | None,
-        tenant: str,
-        outcome: Outcome,
-        first_byte_seconds: float | None,
-        total_seconds: float,
-        queue_seconds: float,
-        tries: int,
-    ) -> None:
+    def on_end(self, end: RequestEnd) -> None:
+        """Do nothing."""
+
+    def on_backend_answered(self) -> None:
+        """Do nothing."""
+
+    def on_backend_failed(self, failure: Exception) -> None:
+        """Do nothing."""
+
+    def on_link_lost(self) -> None:
         """Do nothing."""
 
     def on_malformed(self, protocol: str) -> None:
--- a/egretsill/requests/_gate_runner.py
+++ b/egretsill/requests/_gate_runner.py
@@ -249,11 +249,15 @@
         try:
             await self._backend.call(self._backend_request(call.request), call, call, call.start)
         except BackendNotRun as error:
+            if isinstance(error, BackendUnreachable):
+                self._observer.on_backend_failed(error)
             return _refusal(_refused(error))
         except BackendFailed as error:
+            self._observer.on_backend_failed(error)
             if error.reason is UnknownReason.BACKEND_MALFORMED:
                 self._observer.on_malformed("http")
             return Failed(error.reason.value)
+        self._observer.on_backend_answered()
         return End(call.request.answer.end)
 
     def _backend_request(self, request: GateRequest) -> BackendRequest:
--- a/egretsill/requests/_request_service.py
+++ b/egretsill/requests/_request_service.py
@@ -17,6 +17,7 @@
 from ._backend_client import BackendClient
 from ._collaborators import (
     GateAdmission,
+    RequestEnd,
     RequestObserver,
     ServiceLookup,
     SilentObserver,
@@ -78,6 +79,11 @@
         self._serving = 0
         self._ready = trio.Event()
 
+    @property
+    def links(self) -> int:
+        """Return how many links to other agents are open."""
+        return self._pool.links
+
     @property
     def running(self) -> int:
         """Return 0 only if no caller's request and no relayed one is in progress here."""
@@ -148,7 +154,7 @@
 
     def _refuse_undeclared(self, service: Service) -> Outcome:
         outcome = Refused(RefusalReason.UNDECLARED)
-        self._observer.on_outcome(None, service.tenant, outcome, None, 0.0, 0.0, 0)
+        self._observer.on_end(RequestEnd(None, service.tenant, outcome))
         return outcome
 
     async def _ask(
@@ -182,14 +188,19 @@
         began: float,
     ) -> None:
         first_byte = None if asker.first_byte_at is None else asker.first_byte_at - began
-        self._observer.on_outcome(
-            request_class,
-            service.tenant,
-            asker.outcome,
-            first_byte,
-            self._timer.now - began,
-            attempts.queue_seconds,
-            attempts.tries,
+        tally = attempts.tally
+        self._observer.on_end(
+            RequestEnd(
+                request_class,
+                service.tenant,
+                asker.outcome,
+                first_byte,
+                self._timer.now - began,
+                tally.queue_seconds,
+                tally.tries,
+                tuple(tally.refusals),
+                tally.resumes,
+            )
         )
 
     def _next_identifier(self) -> RequestId:
--- a/egretsill/requests/tests/test_attempts.py
+++ b/egretsill/requests/tests/test_attempts.py
@@ -149,7 +149,7 @@
     assert concluded(driver.tell(Begun(), LinkFailed(1))) is None
     outcome = concluded(driver.tell(LinkFailed(2)))
     assert outcome == Refused(RefusalReason.BACKEND_UNREACHABLE)
-    assert driver.attempts.tries == 2
+    assert driver.attempts.tally.tries == 2
 
 
 def test_a_spent_budget_ends_the_request_at_once() -> None:
