--- a/egretsill/membership/_dissemination.py
+++ b/egretsill/membership/_dissemination.py
@@ -4,7 +4,6 @@
 
 import itertools
 import math
-from collections.abc import Iterable
 
 from ._messages import MemberUpdate
 
@@ -92,9 +91,8 @@
         self._bytes = burst_bytes
         self._refilled = now
 
-    def spend(self, updates: Iterable[MemberUpdate] | int, now: float) -> bool:
-        """Pay for a datagram with these claims, and return whether it may be sent."""
-        count = updates if isinstance(updates, int) else sum(1 for _ in updates)
+    def spend(self, count: int, now: float) -> bool:
+        """Pay for a datagram with so many claims, and return whether it may be sent."""
         cost = HEADER_BYTES + UPDATE_BYTES * count
         self._refill(now)
         if self._bytes < cost:
--- a/egretsill/membership/_synchronization.py
+++ b/egretsill/membership/_synchronization.py
@@ -86,7 +86,7 @@
         """Take in one part of an answer, and return what is older in it than here."""
         self._claims.merge_all(message.updates, sender, now, pass_on=False)
         newer = self._claims.newer_than(message.updates)
-        if newer and self._budget.spend(newer, now):
+        if newer and self._budget.spend(len(newer), now):
             self._outbox.append(Send(sender, Gossip(newer)))
         self.refresh.answered(message.sequence, message.part, message.parts, message.complete)
 
@@ -143,7 +143,7 @@
             tuple(updates[first : first + MAXIMUM_UPDATES])
             for first in range(0, len(updates), MAXIMUM_UPDATES)
         ] or [()]
-        sent = [each for each in batches[: question.parts] if self._budget.spend(each, now)]
+        sent = [each for each in batches[: question.parts] if self._budget.spend(len(each), now)]
         complete = len(sent) == len(batches) and self.refresh.is_fresh(now)
         for part, batch in enumerate(sent):
             answer = SyncEntries(question.sequence, part, len(sent), complete, batch)
