Freeze an agent in the fleet script, and tell health in full

Cause: a paused process had been tried on pure classes only, and the health page said nothing of a failed backend server or a stale view. Change: the script freezes an agent for 3 s among uploads that must run at most once and adds up what the backend servers counted; the health page names both.

--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -79,6 +79,7 @@
         self._metrics = Metrics()
         self._state_log = StateLog(settings.name)
         self._stopped = trio.Event()
+        self._backend_state = BackendState.HEALTHY
         self._role = self._make_role()
         try:
             self._gossip = self._bind_gossip()
@@ -133,6 +134,10 @@
             problems.append(HealthProblem.NO_CONFIGURATION)
         if self._drain.draining:
             problems.append(HealthProblem.DRAINING)
+        if self._backend_state is BackendState.FAILED:
+            problems.append(HealthProblem.BACKEND_DOWN)
+        if not self._membership.is_fresh:
+            problems.append(HealthProblem.VIEW_STALE)
         return HealthState(tuple(problems))
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
@@ -335,6 +340,7 @@
         self._health.note_request(answered)
 
     def _on_backend_state(self, state: BackendState) -> None:
+        self._backend_state = state
         self._drain.on_health(state)
         self._record(StateKind.BACKEND, state.value)
 
@@ -342,6 +348,7 @@
         return self._role.backend
 
     def _tell_peers(self, draining: bool) -> None:
+        self._record(StateKind.TARGET, "draining" if draining else "serving")
         if draining:
             self._membership.leave()
         else:
@@ -356,11 +363,18 @@
         reads = self._metrics.platform_reads
         reads.catch_up(counters.platform_reads - counters.platform_failures, "answered")
         reads.catch_up(counters.platform_failures, "failed")
+        self._record_platform()
         ignored = self._metrics.configuration_ignored
         ignored.catch_up(self._configuration.older_ignored, "older")
         ignored.catch_up(counters.torn, "torn")
         ignored.catch_up(counters.malformed, "invalid")
 
+    def _record_platform(self) -> None:
+        age = self._configuration.platform_age_seconds
+        longest = self._settings.exchange.silence_seconds
+        answers = age is not None and age <= longest
+        self._record(StateKind.PLATFORM, "answers" if answers else "silent")
+
     def _record(
         self, kind: StateKind, state: str | int, details: Mapping[str, str] | None = None
     ) -> None:
--- a/egretsill/observation/_logging.py
+++ b/egretsill/observation/_logging.py
@@ -44,7 +44,7 @@
     )
     PLATFORM = (
         "platform",
-        "One of the platform's services became reachable or unreachable.",
+        "The platform answered this process or a peer lately, or nobody for a while.",
         "If it is unreachable from everywhere, look at the platform; flows go on without it.",
     )
     MEMBER = (
@@ -67,11 +67,6 @@
         "A target began or ended draining.",
         "Nothing, if somebody meant it.",
     )
-    RELAY_LINK = (
-        "relay-link",
-        "A relay link to another agent opened, broke or went silent.",
-        "If it repeats, look at the network between the two.",
-    )
     KEYS = (
         "keys",
         "The connection-ID keys or the certificate changed.",
--- a/egretsill/stand_ins/__main__.py
+++ b/egretsill/stand_ins/__main__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+import json
 import sys
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from pathlib import Path
@@ -11,9 +13,10 @@
 from absl import flags
 from absl.flags import FlagValues
 
-from ..commands import EXIT_OK, EXIT_USAGE, Command, new_flags, run_program
+from ..commands import EXIT_FAILED, EXIT_OK, EXIT_USAGE, Command, new_flags, run_program
 from ..configuration import Address
 from ..configuration.ini import parse_address
+from ._backend_totals import read_counts
 from .backend_server import BackendBehaviour, BackendServer
 from .certificates import write_certificate
 from .fabric import Fabric
@@ -112,6 +115,22 @@
     return EXIT_OK
 
 
+def _counts_command() -> Command:
+    return Command(
+        "counts",
+        "BACKEND_ADDRESS...",
+        "Add up what backend servers counted; exit code 1 if anything ran twice or went astray.",
+        new_flags(),
+        _run_counts,
+    )
+
+
+def _run_counts(values: FlagValues, arguments: Sequence[str]) -> int:
+    counts = trio.run(read_counts, [parse_address(each) for each in arguments])
+    print(json.dumps(dataclasses.asdict(counts)))
+    return EXIT_FAILED if counts.run_twice or counts.misdirected else EXIT_OK
+
+
 def _parse_listeners(text: str) -> Mapping[Address, Address]:
     pairs = [pair.partition("=") for pair in text.split(",")]
     return {parse_address(service): parse_address(listener) for service, _, listener in pairs}
@@ -136,6 +155,7 @@
         _backend_server_command(),
         _platform_command(),
         _fabric_command(),
+        _counts_command(),
         _certificate_command(),
     ]
     sys.exit(run_program(PROGRAM, INTRODUCTION, commands, sys.argv[1:]))
--- a/examples/fleet.sh
+++ b/examples/fleet.sh
@@ -15,6 +15,7 @@
     *) echo "fleet.sh: no user $user" >&2; exit 2 ;;
 esac
 pids=()
+backends=()
 failures=0
 
 start() {
@@ -55,6 +56,8 @@
     start "backend-$target" "$python" -m egretsill.stand_ins backend-server \
         --listen="$backend" --service="$service" --slots="$slots"
     start "agent-$target" "$python" -m egretsill.daemon --settings="$directory/settings/agent-$target.ini"
+    backends+=("$backend")
+    if [ "$service" = "$write_service" ]; then frozen_pid=$last_pid; fi
 done <"$directory/backends"
 fabric=()
 for number in 1 2 3; do
@@ -93,6 +96,21 @@
 ctl status "127.0.0.1:$((base + 560))" "127.0.0.1:$((base + 700))"
 expect "revision 2 is in force" sh -c "'$python' -m egretsill.ctl status --output=json 127.0.0.1:$((base + 560)) | grep -q '\"revision\": 2'"
 
+echo "-- an agent is frozen for 3 s while uploads that must run at most once are sent"
+head -c 200000 /dev/zero >"$directory/small"
+calls=()
+for number in $(seq 8); do
+    call $((base + 2)) $write_service --method=POST --body="$directory/small" --deadline="20 s" \
+        --header="x-request-marker: once-$number" $write_path >"$directory/call-$number" 2>&1 &
+    calls+=($!)
+    if [ "$number" -eq 4 ]; then kill -STOP "$frozen_pid"; fi
+done
+sleep 3
+kill -CONT "$frozen_pid"
+for pid in "${calls[@]}"; do wait "$pid"; done
+grep -hoE "^(answered|refused|unknown|cancelled).*|\}(answered|refused|unknown|cancelled).*" "$directory"/call-? | sort | uniq -c
+expect "nothing ran twice or went astray" "$python" -m egretsill.stand_ins counts "${backends[@]}"
+
 echo "-- graceful shutdown of a balancer"
 kill -TERM "${balancer_pids[3]}"
 wait "${balancer_pids[3]}"
