--- a/egretsill/measurements/placement.py
+++ b/egretsill/measurements/placement.py
@@ -5,6 +5,8 @@
 nothing away) is its utilisation. Imbalance is the maximum over the mean of that; once over the
 whole measured minute, and once as the 99th percentile of the windows of ten seconds in it. Each
 service has a cold, a slow and a shedding target, and reports are two seconds old when they arrive.
+The slot imbalance takes no account of speed and shedding: it is the maximum over the mean of the
+weight served for each slot, which a policy that loads targets by what they can do doesn't level.
 
 Baselines stand beside the values as the best of random, round robin and least of the reports.
 """
@@ -121,6 +123,12 @@
     return max(shares) * len(shares) / sum(shares)
 
 
+def slot_imbalance(totals: Totals, begin: int, end: int) -> float:
+    """Return the maximum over the mean of what the targets did, as all have the same slots."""
+    served = [sum(work[begin:end]) for work in totals.work[1:]]
+    return max(served) * len(served) / sum(served)
+
+
 def percentile(values: Sequence[float], share: float) -> float:
     """Return the value that `share` of the values don't exceed."""
     ordered = sorted(values)
@@ -133,6 +141,7 @@
 
     imbalance: float
     imbalance_99: float
+    slot_imbalance: float
     first_byte_99: float
     refused_share: float
     useful_share: float
@@ -152,6 +161,7 @@
     return Figures(
         imbalance=imbalance(deployment, totals, begin, end),
         imbalance_99=percentile(windows(deployment, totals), 0.99),
+        slot_imbalance=slot_imbalance(totals, begin, end),
         first_byte_99=percentile(totals.first_bytes, 0.99),
         refused_share=totals.refused / totals.first_tries,
         useful_share=totals.useful_weight / capacity,
@@ -177,7 +187,7 @@
     others = {load: _baselines(deployment, load) for load in (0.8, 1.2)}
     bound = HONEST_IMBALANCE if honest else MISLEADING_IMBALANCE
     case = f"{deployment.name}, {reports}, load 80%"
-    for name in ("imbalance", "imbalance_99"):
+    for name in ("imbalance", "imbalance_99", "slot_imbalance"):
         value = getattr(runs[0.8], name)
         best = min(getattr(each, name) for each in others[0.8])
         yield Measurement(f"placement.{name}", case, value, bound, best, value <= bound)
