Begin a stream's decoder with a small buffer

Cause: the unpacker's first buffer was 1 MB, so a relay link cost 2.2 MB at its two ends. Change: it begins with 1 KB and grows with what arrives, up to the same bound.

--- a/egretsill/wire/_codec.py
+++ b/egretsill/wire/_codec.py
@@ -14,6 +14,7 @@
 import msgpack
 
 MAXIMUM_MESSAGE_BYTES = 1_048_576 + 65_536
+FIRST_BUFFER_BYTES = 1_024
 
 MessageT = TypeVar("MessageT")
 
@@ -111,6 +112,7 @@
             use_list=False,
             raw=False,
             strict_map_key=False,
+            read_size=FIRST_BUFFER_BYTES,
             max_buffer_size=2 * MAXIMUM_MESSAGE_BYTES,
             max_bin_len=MAXIMUM_MESSAGE_BYTES,
             max_str_len=MAXIMUM_MESSAGE_BYTES,
