Keep a stream's unpacker only while a message is incomplete

Cause: an unpacker takes some 40 KB whatever it holds, at each end of each relay link. Change: it is dropped at a message's end and made anew for the next bytes.

--- a/egretsill/wire/_codec.py
+++ b/egretsill/wire/_codec.py
@@ -104,19 +104,16 @@
 
 
 class StreamDecoder(Generic[MessageT]):
-    """Cuts a byte stream into the messages of one protocol."""
+    """Cuts a byte stream into the messages of one protocol.
+
+    An unpacker takes some 40 KB, so it is kept only while a message is incomplete.
+    """
 
     def __init__(self, codec: Codec[MessageT]) -> None:
         self._codec = codec
-        self._unpacker = msgpack.Unpacker(
-            use_list=False,
-            raw=False,
-            strict_map_key=False,
-            read_size=FIRST_BUFFER_BYTES,
-            max_buffer_size=2 * MAXIMUM_MESSAGE_BYTES,
-            max_bin_len=MAXIMUM_MESSAGE_BYTES,
-            max_str_len=MAXIMUM_MESSAGE_BYTES,
-        )
+        self._unpacker: msgpack.Unpacker | None = None
+        self._fed_bytes = 0
+        self._ended_bytes = 0
 
     def feed(self, data: bytes) -> Iterator[MessageT]:
         """Yield each message completed by `data`.
@@ -124,14 +121,35 @@
         Raises:
             MalformedMessage: if the stream holds anything else; the stream is of no use then.
         """
+        if self._unpacker is None and not data:
+            return
         try:
-            self._unpacker.feed(data)
-            for array in self._unpacker:
+            unpacker = self._begin() if self._unpacker is None else self._unpacker
+            unpacker.feed(data)
+            self._fed_bytes += len(data)
+            for array in unpacker:
+                self._ended_bytes = unpacker.tell()
                 yield self._codec.build(array)
         except MalformedMessage:
             raise
         except Exception as error:
             raise MalformedMessage(self._codec.protocol, type(error).__name__) from error
+        if self._ended_bytes == self._fed_bytes:
+            self._unpacker = None
+
+    def _begin(self) -> msgpack.Unpacker:
+        self._fed_bytes = 0
+        self._ended_bytes = 0
+        self._unpacker = msgpack.Unpacker(
+            use_list=False,
+            raw=False,
+            strict_map_key=False,
+            read_size=FIRST_BUFFER_BYTES,
+            max_buffer_size=2 * MAXIMUM_MESSAGE_BYTES,
+            max_bin_len=MAXIMUM_MESSAGE_BYTES,
+            max_str_len=MAXIMUM_MESSAGE_BYTES,
+        )
+        return self._unpacker
 
 
 def _acceptable(hint: Any) -> frozenset[type]:
--- a/egretsill/wire/tests/test_codec.py
+++ b/egretsill/wire/tests/test_codec.py
@@ -63,3 +63,21 @@
         received.extend(decoder.feed(stream[offset : offset + size]))
         offset += size
     assert received == messages
+
+
+def test_messages_left_in_the_decoder_come_with_the_next_feed() -> None:
+    messages = [Sample(str(n), n, n / 2, None) for n in range(3)]
+    decoder = StreamDecoder(CODEC)
+    stream = b"".join(CODEC.encode(message) for message in messages)
+    first = next(decoder.feed(stream + stream[:3]))
+    rest = [*decoder.feed(b""), *decoder.feed(stream[3:])]
+    assert [first, *rest] == [*messages, *messages]
+    assert list(decoder.feed(b"")) == []
+
+
+def test_a_stream_is_of_no_use_after_garbage() -> None:
+    decoder = StreamDecoder(CODEC)
+    with pytest.raises(MalformedMessage):
+        list(decoder.feed(b"\xc1"))
+    with pytest.raises(MalformedMessage):
+        list(decoder.feed(CODEC.encode(Sample("a", 1, 1.0, None)) + b"\xc1"))
