--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -45,11 +45,11 @@
 from ..placement import LOAD_TYPES, LoadReport
 from ..requests import RELAY_TYPES
 from ..settings import DaemonSettings, Role, SettingsRejected
+from ..steering import ConnectionIdCodec
 from ..timing import TrioTimerService
 from ..wire import StreamDecoder
 from ._agent_role import AgentRole
 from ._balancer_role import BalancerRole
-from ._codec import make_codec
 from ._configuration_link import fetch, serve_questions
 from ._drain_control import DrainControl, HealthPoller
 from ._exceptions import AddressUnavailable, AgentSettingsIncomplete, TlsUnusable
@@ -90,6 +90,7 @@
         )
         self._membership = self._make_membership()
         self._configuration = self._make_configuration()
+        self._health = self._make_health_poller()
         self._drain = DrainControl(
             self._role,
             self._timer,
@@ -159,7 +160,7 @@
         if settings.tls is not None:
             check_tls(settings.tls)
         self._settings = settings
-        self._role.replace_codec(make_codec(settings.connection_id_keys))
+        self._role.replace_codec(ConnectionIdCodec(settings.connection_id_keys))
         if isinstance(self._role, AgentRole) and settings.tls is not None:
             self._role.replace_certificate(settings.tls)
         rotations = ",".join(str(each.rotation) for each in settings.connection_id_keys)
@@ -179,7 +180,7 @@
             self._membership.start()
             nursery.start_soon(self._configuration.run)
             nursery.start_soon(self._role.run)
-            nursery.start_soon(self._make_health_poller().run)
+            nursery.start_soon(self._health.run)
             self._drain.start()
             self._record(StateKind.PROCESS, "ready")
             task_status.started()
@@ -205,6 +206,7 @@
                     self._metrics,
                     self._send_report,
                     lambda: self._membership.is_fresh,
+                    self._on_backend_request,
                     self._random,
                 )
 
@@ -329,6 +331,9 @@
         self._metrics.configuration_conflicts.increment()
         self._record(StateKind.CONFIGURATION_CONFLICT, conflict.revision)
 
+    def _on_backend_request(self, answered: bool) -> None:
+        self._health.note_request(answered)
+
     def _on_backend_state(self, state: BackendState) -> None:
         self._drain.on_health(state)
         self._record(StateKind.BACKEND, state.value)
