--- a/egretsill/daemon/_drain_control.py
+++ b/egretsill/daemon/_drain_control.py
@@ -80,6 +80,7 @@
         self._leave = leave
         self._draining = Draining(quiet_seconds)
         self._packets = 0
+        self._was_listed = False
 
     @property
     def draining(self) -> bool:
@@ -109,14 +110,20 @@
         self._signal(DrainSignal.VM_LIST, True)
 
     def on_bundle(self, bundle: Bundle, target_number: int) -> None:
-        """Take in what the configuration says of the target with this number."""
+        """Take in what the configuration says of the target with this number.
+
+        A target that was never listed is one that the operators have yet to add; its process
+        waits for that.
+        """
         states = [
             target.state
             for service in bundle.services.values()
             for target in service.targets
             if target.number == target_number
         ]
-        self._signal(DrainSignal.CONFIGURATION, states != [TargetState.ACTIVE])
+        self._was_listed = self._was_listed or bool(states)
+        leaves = self._was_listed and states != [TargetState.ACTIVE]
+        self._signal(DrainSignal.CONFIGURATION, leaves)
 
     def on_health(self, state: BackendState) -> None:
         """Take in what the backend server is taken to be."""
--- a/egretsill/daemon/_main.py
+++ b/egretsill/daemon/_main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import resource
 import signal
 import sys
 from collections.abc import Iterator, Sequence
@@ -73,6 +74,7 @@
         if check_only:
             return EXIT_STOPPED
         open_log(settings.log.file)
+        raise_file_limit()
         daemon = Daemon(settings, SystemRandom())
     except (SettingsRejected, LogFileUnavailable, AgentSettingsIncomplete, TlsUnusable) as error:
         return _fail(EXIT_SETTINGS, str(error))
@@ -81,6 +83,12 @@
     return _run_to_exit_code(daemon, path)
 
 
+def raise_file_limit() -> None:
+    """Allow as many open files as the VM does: each relayed request holds a connection."""
+    _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
+
+
 def _run_to_exit_code(daemon: Daemon, path: Path) -> int:
     try:
         trio.run(_run, daemon, path)
--- a/egretsill/measurements/_naive_attempts.py
+++ b/egretsill/measurements/_naive_attempts.py
@@ -6,7 +6,7 @@
 
 from ..configuration import RequestClass, Service
 from ..outcomes import Answered, Cancelled, RefusalReason, Refused
-from ..requests import RequestHead
+from ..requests import RequestHead, RetryBudget
 from ..requests._attempt_events import (
     AttemptEffect,
     AttemptEvent,
@@ -27,7 +27,6 @@
 from ..requests._byte_window import ByteWindow
 from ..requests._collaborators import TargetPlacement
 from ..requests._messages import Acknowledge, Data, End, Failed, Head, Open, Refusal, RequestId
-from ..requests._retry_budget import RetryBudget
 
 
 class NaiveAttempts:
--- a/egretsill/measurements/_relay_world.py
+++ b/egretsill/measurements/_relay_world.py
@@ -16,7 +16,7 @@
 from ..admission import Admission
 from ..configuration import RequestClass
 from ..outcomes import Answered
-from ..requests import RequestHead
+from ..requests import RequestHead, RetryBudget
 from ..requests._attempt_events import (
     AttemptEffect,
     AttemptEvent,
@@ -55,7 +55,6 @@
 )
 from ..requests._gate_request import AnswerWriter, BodyWriter, Phase
 from ..requests._messages import End, Failed, GateMark, Head, Refusal, RequestId, Verdict
-from ..requests._retry_budget import RetryBudget
 from ._relay_parties import (
     KEY_HEADER,
     PIECES,
--- a/egretsill/requests/__init__.py
+++ b/egretsill/requests/__init__.py
@@ -14,6 +14,7 @@
 from ._exchange import CallerGone, Exchange, RequestHead
 from ._messages import RELAY_TYPES, RelayMessage
 from ._request_service import RequestService
+from ._retry_budget import RetryBudget
 
 __all__ = [
     "BackendClient",
@@ -28,6 +29,7 @@
     "RequestHead",
     "RequestObserver",
     "RequestService",
+    "RetryBudget",
     "ServiceLookup",
     "SilentObserver",
     "TargetPlacement",
--- a/egretsill/requests/_attempts.py
+++ b/egretsill/requests/_attempts.py
@@ -143,7 +143,7 @@
     def _dispatch(self, event: AttemptEvent, now: float) -> None:
         match event:
             case Begun():
-                self._budget.on_first_try(now)
+                self._budget.on_first_try()
                 self._offer_next(now)
             case LinkReady():
                 self._on_link_ready(event, now)
@@ -346,7 +346,7 @@
         last = self._last_refusal or Refused(RefusalReason.NO_TARGET)
         if self._tally.tries >= self._service.limits.tries or self.body.base > 0:
             self._conclude(last, now)
-        elif not self._budget.take_retry(now):
+        elif not self._budget.take_retry():
             self._conclude(replace(last, reason=RefusalReason.RETRY_BUDGET), now)
         else:
             self._offer_next(now)
--- a/egretsill/requests/_retry_budget.py
+++ b/egretsill/requests/_retry_budget.py
@@ -2,70 +2,41 @@
 
 from __future__ import annotations
 
-from collections import deque
-
-WINDOW_SECONDS = 10.0
-BUCKET_SECONDS = 1.0
-RESERVE_RETRIES = 3
+LARGEST_CREDIT_RETRIES = 20.0
+ROUNDING = 1e-9
 
 
 class RetryBudget:
-    """Counts first tries and retries over a sliding window.
+    """Earns a part of a retry with each first try, and pays for each retry with a whole one.
+
+    There is no credit to begin with, so at no time were there more retries than the share of the
+    first tries so far. Credit does not age: a quiet service may use what it has earned.
 
     Args:
         share: retries allowed for each first try.
-        reserve: retries allowed in a window beside that, for times of little traffic.
     """
 
-    def __init__(self, share: float, reserve: int = RESERVE_RETRIES) -> None:
+    def __init__(self, share: float) -> None:
         self._share = share
-        self._reserve = reserve
-        self._buckets: deque[_Bucket] = deque()
-        self._first_tries = 0
-        self._retries = 0
-
-    @property
-    def first_tries(self) -> int:
-        """Return the first tries in the window."""
-        return self._first_tries
+        self._credit = 0.0
 
     @property
-    def retries(self) -> int:
-        """Return the retries in the window."""
-        return self._retries
+    def credit(self) -> float:
+        """Return how many retries are paid for."""
+        return self._credit
 
     def set_share(self, share: float) -> None:
         """Change the share, as by a new configuration."""
         self._share = share
 
-    def on_first_try(self, now: float) -> None:
+    def on_first_try(self) -> None:
         """Count a first try."""
-        self._bucket(now).first_tries += 1
-        self._first_tries += 1
+        self._credit = min(self._credit + self._share, LARGEST_CREDIT_RETRIES)
 
-    def take_retry(self, now: float) -> bool:
-        """Count a retry if the budget allows it, and return whether it does."""
-        bucket = self._bucket(now)
-        if self._retries + 1 > self._share * self._first_tries + self._reserve:
+    def take_retry(self) -> bool:
+        """Pay for a retry if there is credit, and return whether there was."""
+        # Ten parts of a tenth make a little less than one.
+        if self._credit < 1.0 - ROUNDING:
             return False
-        bucket.retries += 1
-        self._retries += 1
+        self._credit = max(0.0, self._credit - 1.0)
         return True
-
-    def _bucket(self, now: float) -> _Bucket:
-        while self._buckets and now - self._buckets[0].since >= WINDOW_SECONDS:
-            old = self._buckets.popleft()
-            self._first_tries -= old.first_tries
-            self._retries -= old.retries
-        if not self._buckets or now - self._buckets[-1].since >= BUCKET_SECONDS:
-            self._buckets.append(_Bucket(now))
-        return self._buckets[-1]
-
-
-class _Bucket:
-    __slots__ = ("first_tries", "retries", "since")
-
-    def __init__(self, since: float) -> None:
-        self.since = since
-        self.first_tries = 0
-        self.retries = 0
