--- a/egretsill/steering/_ranking.py
+++ b/egretsill/steering/_ranking.py
@@ -16,7 +16,6 @@
 BUCKETS = 16_384
 
 _TARGET_NUMBER_BYTES = 4
-_BUCKET_BYTES = 2
 _LARGEST_UNKEPT_TARGETS = 4
 _LARGEST_SMALL_TARGETS = 0xFF
 _SMALL_PLACES = "B"
@@ -30,9 +29,9 @@
 
 def rank(key: bytes, target_numbers: Iterable[int]) -> tuple[int, ...]:
     """Return the targets in the order in which they are to be asked to take a new flow."""
-    bucket = bucket_of(key).to_bytes(_BUCKET_BYTES, "big")
+    bucket = bucket_of(key)
     in_order = sorted(target_numbers)
-    in_order.sort(key=lambda each: xxh3_64_intdigest(bucket + _encoded(each)), reverse=True)
+    in_order.sort(key=lambda each: xxh3_64_intdigest(_encoded(each), bucket), reverse=True)
     return tuple(in_order)
 
 
@@ -94,10 +93,13 @@
         return self._target_numbers[self._first_place(bucket)]
 
     def _first_place(self, bucket: int) -> int:
-        prefix = bucket.to_bytes(_BUCKET_BYTES, "big")
-        weights = [xxh3_64_intdigest(prefix + encoded) for encoded in self._encoded]
-        # Equal weights leave the lower number first, as the stable sort of `rank` does.
-        return weights.index(max(weights))
+        """Return the place of the target with the greatest weight, the first of equal ones."""
+        greatest, first = -1, 0
+        for place, encoded in enumerate(self._encoded):
+            weight = xxh3_64_intdigest(encoded, bucket)
+            if weight > greatest:
+                greatest, first = weight, place
+        return first
 
 
 def _encoded(target_number: int) -> bytes:
