--- a/egretsill/benchmarks/control.py
+++ b/egretsill/benchmarks/control.py
@@ -39,6 +39,7 @@
 CHANGES_PER_RUN = 60
 HISTORY = 32
 DELTAS = 5
+HOUR_CHANGES = 267
 REPORTS = 2_000
 PAGES = 20
 FIRST_PACKETS_PER_SERVICE = 30
@@ -127,6 +128,7 @@
         *tables,
         slope_result(tables, "MB a service"),
         _announcements(publication),
+        *_catching_up(publication),
     ]
 
 
@@ -178,6 +180,25 @@
     return spent / DELTAS, exchanged / DELTAS
 
 
+def _catching_up(publication: Publication) -> Sequence[BenchmarkResult]:
+    """Return what a process takes that missed the changes of an hour."""
+    newer = publication
+    for revision in range(2, HOUR_CHANGES + 2):
+        newer = compile_publication(_changed(newer.bundle, revision), revision, newer)
+    peer = _Peer(newer)
+    seconds = processor_seconds(lambda: trio.run(_fetch, peer, publication))
+    services = len(publication.index)
+    return [
+        _result("bytes of catching up with an hour's changes", peer.exchanged, "bytes", services),
+        _result(
+            "processor time of catching up with an hour's changes",
+            1e3 * seconds,
+            "milliseconds",
+            services,
+        ),
+    ]
+
+
 class _Peer:
     """Answers questions about one publication and counts the bytes of both ways."""
 
