--- a/egretsill/daemon/_agent_role.py
+++ b/egretsill/daemon/_agent_role.py
@@ -18,7 +18,6 @@
 from ..timing import TrioTimerService
 from ..wire import StreamDecoder
 from ._agent_core import AgentCore
-from ._codec import make_codec
 
 
 class AgentRole:
@@ -33,6 +32,7 @@
         metrics: Metrics,
         send_report: Callable[[Address, LoadReport], object],
         is_view_fresh: Callable[[], bool],
+        on_backend: Callable[[bool], None],
         random: Random,
     ) -> None:
         self._settings = settings
@@ -42,8 +42,9 @@
         self._metrics = metrics
         self._send_report = send_report
         self._is_view_fresh = is_view_fresh
+        self._on_backend = on_backend
         self._random = random
-        self._codec = make_codec(settings.connection_id_keys)
+        self._codec = ConnectionIdCodec(settings.connection_id_keys)
         self._balancers: tuple[Address, ...] = ()
         self._view = MembershipView()
         self._started = trio.Event()
@@ -101,6 +102,7 @@
                 balancers=lambda: self._balancers,
                 send_report=self._send_report,
                 is_view_fresh=self._is_view_fresh,
+                on_backend=self._on_backend,
                 nursery=nursery,
             )
             self._core.update_view(self._view)
@@ -120,6 +122,9 @@
         if self._core is not None:
             self._core.receive_report(report, sender)
 
+    def close(self) -> None:
+        """Do nothing: an agent binds its tunnel when it runs."""
+
     def apply_bundle(self, bundle: Bundle) -> None:
         """Work by this configuration from now on."""
         if self._core is not None:
--- a/egretsill/membership/tests/test_scenarios.py
+++ b/egretsill/membership/tests/test_scenarios.py
@@ -4,8 +4,8 @@
 
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from egretsill.measurements._membership_fleet import Fleet, Process
-from egretsill.membership import MemberState
+from ...measurements._membership_fleet import Fleet, Process
+from .. import MemberState
 
 SEED = 5
 SETTLE_SECONDS = 2.0
@@ -103,6 +103,11 @@
     fleet.leave(_process(fleet, number))
 
 
+@when(parsers.parse("process {number:d} announces that it stays"))
+def _stay(fleet: Fleet, number: int) -> None:
+    fleet.stay(_process(fleet, number))
+
+
 @when(parsers.parse("process {number:d} runs only every {gap:g} seconds for {seconds:g} seconds"))
 def _slow(fleet: Fleet, number: int, gap: float, seconds: float) -> None:
     process = _process(fleet, number)
--- a/egretsill/quickstart/_run.py
+++ b/egretsill/quickstart/_run.py
@@ -9,15 +9,14 @@
 import trio
 
 from ..settings import TlsSettings
-from ..stand_ins.certificates import write_certificate
+from ..stand_ins.certificates import CERTIFICATE_FILE, PRIVATE_KEY_FILE, write_certificate
 from ._score import Score, Verdict, judge
 from ._site import Site
-from ._site_plan import SitePlan, load_site_plan
+from ._site_plan import FIRST_PORTS, SitePlan, load_site_plan
 from ._traffic import RequestKind, Traffic
 
 EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
 AUTHORITIES = ("hakusana.example", "vastaanotto.example", "catalog.example", "upload.example")
-FIRST_PORTS = {"kallioniemi": 20_000, "sibiu": 21_000}
 TRAFFIC_SECONDS = 14.0
 BALANCER_STOPS_AFTER_SECONDS = 4.0
 FABRIC_NOTICES_AFTER_SECONDS = 1.0
@@ -26,6 +25,10 @@
 READY_SECONDS = 12.0
 DRAINED_TARGETS = {"kallioniemi": "hakusana-2", "sibiu": "catalog-3"}
 SECOND_REVISION = 2
+TITLE = (
+    "egretsill quickstart: two sites of three balancers and ten targets each; in each\n"
+    "a balancer was stopped without warning, a target drained, a revision published"
+)
 SUBSCRIPTIONS = 6
 CALLERS_OF_A_KIND = 3
 UPLOADS = 2
@@ -42,13 +45,7 @@
     """Run the whole scene and return the verdict."""
     score = Score()
     with tempfile.TemporaryDirectory(prefix="egretsill-") as name:
-        directory = Path(name)
-        files = write_certificate(directory, AUTHORITIES)
-        tls = TlsSettings(files.certificate, files.private_key)
-        plans = [
-            load_site_plan(user, EXAMPLES, port, tls, directory)
-            for user, port in FIRST_PORTS.items()
-        ]
+        plans = [load_plan(user, Path(name)) for user in FIRST_PORTS]
         async with trio.open_nursery() as nursery:
             sites = [Site(plan, nursery, seed) for seed, plan in enumerate(plans)]
             for site in sites:
@@ -56,15 +53,28 @@
             for site in sites:
                 if not await site.wait_until_ready(READY_SECONDS):
                     print(f"{site.plan.name}: not all daemons were ready in time")
-            await _run_traffic(sites, files.certificate, score)
+            await _run_traffic(sites, plans[0].tls.certificate, score)
             revision = min(site.revision_in_force for site in sites)
             nursery.cancel_scope.cancel()
     counts = [backend.counts for site in sites for backend in site.backends.values()]
     verdict = judge(score, counts, revision)
-    print(_summary(score, verdict))
+    print(summarize(TITLE, score, verdict))
     return verdict
 
 
+def load_plan(user: str, directory: Path) -> SitePlan:
+    """Return the plan of a user's example site, whose files are kept in `directory`.
+
+    Raises:
+        DeclarationRejected: if the example holds mistakes.
+    """
+    certificate = directory / CERTIFICATE_FILE
+    if not certificate.exists():
+        write_certificate(directory, AUTHORITIES)
+    tls = TlsSettings(certificate, directory / PRIVATE_KEY_FILE)
+    return load_site_plan(user, EXAMPLES, FIRST_PORTS[user], tls, directory)
+
+
 async def _run_traffic(sites: Sequence[Site], authorities_file: Path, score: Score) -> None:
     ends_at = trio.current_time() + TRAFFIC_SECONDS
     traffic = Traffic(authorities_file, score, lambda: trio.current_time() < ends_at)
@@ -110,10 +120,10 @@
     site.publish(SECOND_REVISION)
 
 
-def _summary(score: Score, verdict: Verdict) -> str:
+def summarize(title: str, score: Score, verdict: Verdict) -> str:
+    """Return what happened, for people."""
     lines = [
-        "egretsill quickstart: two sites of three balancers and ten targets each;",
-        "in each a balancer was stopped without warning, a target drained, a revision published",
+        title,
         f"  requests           {verdict.requests}",
         f"  whole answers      {verdict.whole_answers}",
         f"  wrong answers      {verdict.wrong_answers}",
--- a/egretsill/requests/_asker_link.py
+++ b/egretsill/requests/_asker_link.py
@@ -4,7 +4,6 @@
 
 from collections import deque
 from collections.abc import Awaitable, Callable
-from typing import Protocol
 
 import trio
 
@@ -14,15 +13,16 @@
 from ._collaborators import RequestObserver
 from ._exceptions import RelayClosed
 from ._gate_request import BodyWriter
-from ._gate_runner import GateRunner
-from ._message_link import LinkBroken, MessageLink, StreamLink, local_link_pair
+from ._local_link import LocalLinks
+from ._message_link import LinkBroken, MessageLink, StreamLink
 from ._messages import GateMark, Ping, Pong, RelayMessage
-from ._silence import SilenceWatch, bounded
+from ._ping_schedule import PingSchedule, quiet_ping_seconds
+from ._request_link import LinkUser, RequestLink
+from ._silence import bounded
 from ._wakeup import Wakeup
 
 OPEN_SECONDS = 2.0
-PING_SECONDS = 2.0
-SILENCE_SECONDS = 6.0
+REAP_SECONDS = 2.0
 IDLE_SECONDS = 30.0
 IDLE_LINKS = 16
 FLUSH_SECONDS = 1.0
@@ -41,19 +41,17 @@
     return await trio.open_tcp_stream(address.host, address.port)
 
 
-class LinkUser(Protocol):
-    """The request that a link serves just now."""
-
-    def on_message(self, link: AskerLink, message: RelayMessage) -> None:
-        """Take a message."""
-
-    def on_lost(self, link: AskerLink) -> None:
-        """Take note that the link is gone."""
-
-
 class AskerLink:
     """One link to a gate.
 
+    Args:
+        target_number: the gate's target.
+        link: what carries the messages.
+        timer: the timer service.
+        observer: is told of garbage.
+        quiet_seconds: returns the time between pings while nothing is urgent.
+        on_lost: is called when the link ended without `finish`.
+
     Attributes:
         target_number: the gate's target.
         user: the request that it serves, or None while it is idle.
@@ -66,7 +64,8 @@
         link: MessageLink,
         timer: TimerService,
         observer: RequestObserver,
-        watched: bool,
+        quiet_seconds: Callable[[], float],
+        on_lost: Callable[[AskerLink], None],
     ) -> None:
         self.target_number = target_number
         self.user: LinkUser | None = None
@@ -74,7 +73,6 @@
         self._link = link
         self._timer = timer
         self._observer = observer
-        self._watched = watched
         self._scope = trio.CancelScope()
         self._control: deque[RelayMessage] = deque()
         self._body: BodyWriter | None = None
@@ -84,6 +82,10 @@
         self._lost = False
         self._mark = GateMark(0, 0.0)
         self._offsets: deque[float] = deque(maxlen=CLOCK_SAMPLES)
+        self._on_lost = on_lost
+        self._pings = PingSchedule(
+            timer, lambda seconds: self.send(Ping(seconds)), self._scope.cancel, quiet_seconds
+        )
 
     @property
     def usable(self) -> bool:
@@ -117,6 +119,14 @@
         """See that there is more of the body."""
         self._wakeup.set()
 
+    def attend(self, closely: bool) -> None:
+        """Ping often while a request holds a slot over the link, else seldom."""
+        self._pings.attend(closely)
+
+    def ping_now(self) -> None:
+        """Ping at once, as another link to the same gate was lost."""
+        self._pings.ping_now()
+
     def finish(self) -> None:
         """Send what waits, and close."""
         self.user = None
@@ -135,20 +145,15 @@
 
     async def run(self) -> None:
         """Serve the link to its end."""
-        watch = SilenceWatch(self._timer, SILENCE_SECONDS if self._watched else None, self._scope)
-        ping = self._timer.subscribe(PING_SECONDS, lambda _: self.send(Ping()))
-        if not self._watched:
-            ping.cancel()
-        self.send(Ping())
+        self._pings.start()
         try:
             with self._scope:
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._write)
-                    await self._read(watch)
+                    await self._read()
                     nursery.cancel_scope.cancel()
         finally:
-            watch.close()
-            ping.cancel()
+            self._pings.close()
             self._end()
             with trio.CancelScope(shield=True):
                 await self._link.close()
@@ -159,12 +164,15 @@
         user, self.user = self.user, None
         if user is not None:
             user.on_lost(self)
+        if not self._finishing:
+            self._observer.on_link_lost()
+            self._on_lost(self)
 
-    async def _read(self, watch: SilenceWatch) -> None:
+    async def _read(self) -> None:
         try:
             while True:
                 message = await self._link.receive()
-                watch.touch()
+                self._pings.heard()
                 self._take(message)
         except LinkBroken as error:
             if error.malformed:
@@ -204,7 +212,7 @@
     Args:
         own_target_number: whose gate is in this process.
         timer: the timer service.
-        gate_runner: the own gate.
+        local_links: makes links to the own gate.
         addresses: relay endpoint of each target.
         observer: is told of garbage.
         connect: opens a stream to an agent; may raise OSError.
@@ -214,24 +222,25 @@
         self,
         own_target_number: int,
         timer: TimerService,
-        gate_runner: GateRunner,
+        local_links: LocalLinks,
         addresses: AddressLookup,
         observer: RequestObserver,
         connect: Connector = connect_tcp,
     ) -> None:
         self._own_target_number = own_target_number
         self._timer = timer
-        self._gate_runner = gate_runner
+        self._local_links = local_links
         self._addresses = addresses
         self._observer = observer
         self._connect = connect
         self._idle: dict[int, list[AskerLink]] = {}
+        self._links: set[AskerLink] = set()
         self._nursery: trio.Nursery | None = None
         timer.subscribe_jumps(self._on_jump)
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Run until cancelled; nothing may be opened before it has started."""
-        reap = self._timer.subscribe(PING_SECONDS, self._reap)
+        reap = self._timer.subscribe(REAP_SECONDS, self._reap)
         try:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
@@ -241,21 +250,39 @@
             reap.cancel()
             self._nursery = None
 
-    async def open(self, target_number: int, fresh: bool) -> AskerLink:
+    @property
+    def links(self) -> int:
+        """Return how many links to other agents there are."""
+        return len(self._links)
+
+    async def open(self, target_number: int, fresh: bool, closely: bool) -> RequestLink:
         """Return a link to a target's gate that has answered a Ping.
 
         Args:
             target_number: the target.
             fresh: whether an idle link will not do.
+            closely: whether the request holds a slot, so that silence is to be noticed soon.
 
         Raises:
             RelayClosed: if there is none.
         """
+        if target_number == self._own_target_number:
+            return self._local_links.open()
+        link = None if fresh else self._take_idle(target_number)
+        if link is None:
+            link = await self._open_greeted(target_number)
+        link.attend(closely)
+        return link
+
+    def _take_idle(self, target_number: int) -> AskerLink | None:
         idle = self._idle.get(target_number, [])
-        while idle and not fresh:
+        while idle:
             link = idle.pop()
             if link.usable:
                 return link
+        return None
+
+    async def _open_greeted(self, target_number: int) -> AskerLink:
         with bounded(self._timer, OPEN_SECONDS):
             link = await self._open_fresh(target_number)
             try:
@@ -267,10 +294,14 @@
                 return link
         raise RelayClosed(target_number, "no answer to the first ping")
 
-    def free(self, link: AskerLink) -> None:
-        """Keep a link for another request."""
+    def free(self, link: RequestLink) -> None:
+        """Keep a link for another request, if it is worth it."""
+        if not isinstance(link, AskerLink):
+            link.finish()
+            return
         link.user = None
         link.send_body(None)
+        link.attend(False)
         idle = self._idle.setdefault(link.target_number, [])
         if not link.usable or len(idle) >= IDLE_LINKS:
             link.finish()
@@ -281,17 +312,29 @@
     async def _open_fresh(self, target_number: int) -> AskerLink:
         if self._nursery is None:
             raise RelayClosed(target_number, "stopped")
-        local = target_number == self._own_target_number
-        if local:
-            carrier, gate_end = local_link_pair()
-            self._nursery.start_soon(self._gate_runner.serve_link, gate_end, False)
-            link = AskerLink(target_number, carrier, self._timer, self._observer, False)
-        else:
-            stream = StreamLink(await self._connect_to(target_number))
-            link = AskerLink(target_number, stream, self._timer, self._observer, True)
-        self._nursery.start_soon(link.run)
+        stream = StreamLink(await self._connect_to(target_number))
+        link = AskerLink(
+            target_number, stream, self._timer, self._observer, self._quiet_seconds, self._on_lost
+        )
+        self._nursery.start_soon(self._run, link)
         return link
 
+    async def _run(self, link: AskerLink) -> None:
+        self._links.add(link)
+        try:
+            await link.run()
+        finally:
+            self._links.discard(link)
+
+    def _quiet_seconds(self) -> float:
+        return quiet_ping_seconds(len(self._links))
+
+    def _on_lost(self, lost: AskerLink) -> None:
+        """Ask over all other links to the same gate whether it is there."""
+        for link in self._links:
+            if link.target_number == lost.target_number and link is not lost:
+                link.ping_now()
+
     async def _connect_to(self, target_number: int) -> trio.abc.Stream:
         address = self._addresses(target_number)
         if address is None:
--- a/egretsill/requests/_collaborators.py
+++ b/egretsill/requests/_collaborators.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Sequence
+from dataclasses import dataclass
 from typing import Protocol, TypeAlias
 
 from ..admission import AdmissionDecision, Ticket
@@ -50,23 +51,43 @@
     def on_sent(self, target_number: int, weight: float, now: float, shape: RequestShape) -> None:
         """Note that a request was offered to a target."""
 
-    def on_granted(self, target_number: int, now: float) -> None:
+    def on_granted(self, target_number: int, now: float, shape: RequestShape) -> None:
         """Note that a target started an offered request."""
 
+    def on_refused(self, target_number: int, reason: RefusalReason, now: float) -> None:
+        """Note that a target refused; `on_finished` follows for the same request."""
+
     def on_finished(
         self, target_number: int, weight: float, now: float, shape: RequestShape
     ) -> None:
-        """Note that an offered request has ended there in any way but a refusal."""
-
-    def on_refused(
-        self,
-        target_number: int,
-        weight: float,
-        reason: RefusalReason,
-        now: float,
-        shape: RequestShape,
-    ) -> None:
-        """Note that a target refused an offered request, which ends it there."""
+        """Note that an offered request has ended there, however it ended."""
+
+
+@dataclass(frozen=True, slots=True)
+class RequestEnd:
+    """How one caller's request ended.
+
+    Attributes:
+        request_class: None for a request of no declared class.
+        tenant: whose service it was for.
+        outcome: what the caller was told.
+        first_byte_seconds: from its arrival to the answer's head, or None without an answer.
+        total_seconds: from its arrival to its end.
+        queue_seconds: time in the queue of the gate where it started.
+        tries: targets that it was offered to.
+        refusals: why a target refused it, for each that did.
+        resumes: times that its answer was taken up again on a new link.
+    """
+
+    request_class: RequestClass | None
+    tenant: str
+    outcome: Outcome
+    first_byte_seconds: float | None = None
+    total_seconds: float = 0.0
+    queue_seconds: float = 0.0
+    tries: int = 0
+    refusals: tuple[RefusalReason, ...] = ()
+    resumes: int = 0
 
 
 class RequestObserver(Protocol):
@@ -75,27 +96,17 @@
     def on_start(self, request_class: RequestClass, tenant: str, queue_seconds: float) -> None:
         """Note that a request went to the backend server of this agent."""
 
-    def on_outcome(
-        self,
-        request_class: RequestClass | None,
-        tenant: str,
-        outcome: Outcome,
-        first_byte_seconds: float | None,
-        total_seconds: float,
-        queue_seconds: float,
-        tries: int,
-    ) -> None:
-        """Note how a caller's request ended.
-
-        Args:
-            request_class: None for a request of no declared class.
-            tenant: whose service it was for.
-            outcome: what the caller was told.
-            first_byte_seconds: from its arrival to the answer's head, or None without an answer.
-            total_seconds: from its arrival to its end.
-            queue_seconds: time in the queue of the own gate.
-            tries: targets that it was offered to.
-        """
+    def on_end(self, end: RequestEnd) -> None:
+        """Note how a caller's request ended."""
+
+    def on_backend_answered(self) -> None:
+        """Note that the backend server gave a whole answer."""
+
+    def on_backend_failed(self, failure: Exception) -> None:
+        """Note that the backend server could not be reached or did not answer to the end."""
+
+    def on_link_lost(self) -> None:
+        """Note that a link to another agent broke or went silent."""
 
     def on_malformed(self, protocol: str) -> None:
         """Note a relay link or backend connection that carried garbage."""
@@ -107,16 +118,16 @@
     def on_start(self, request_class: RequestClass, tenant: str, queue_seconds: float) -> None:
         """Do nothing."""
 
-    def on_outcome(
-        self,
-        request_class: RequestClass | None,
-        tenant: str,
-        outcome: Outcome,
-        first_byte_seconds: float | None,
-        total_seconds: float,
-        queue_seconds: float,
-        tries: int,
-    ) -> None:
+    def on_end(self, end: RequestEnd) -> None:
+        """Do nothing."""
+
+    def on_backend_answered(self) -> None:
+        """Do nothing."""
+
+    def on_backend_failed(self, failure: Exception) -> None:
+        """Do nothing."""
+
+    def on_link_lost(self) -> None:
         """Do nothing."""
 
     def on_malformed(self, protocol: str) -> None:
--- a/egretsill/requests/_request_service.py
+++ b/egretsill/requests/_request_service.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from ..configuration import Address, Limits, RequestClass, Service
+from ..configuration import Address, Limits, RequestClass, RequestShape, Service
 from ..outcomes import Outcome, RefusalReason, Refused
 from ..timing import TimerService
 from ..wire import StreamDecoder
@@ -17,6 +17,7 @@
 from ._backend_client import BackendClient
 from ._collaborators import (
     GateAdmission,
+    RequestEnd,
     RequestObserver,
     ServiceLookup,
     SilentObserver,
@@ -25,6 +26,7 @@
 from ._exchange import CallerGone, Exchange
 from ._gate import Gate
 from ._gate_runner import GateRunner
+from ._local_link import LocalLinks
 from ._message_link import StreamLink
 from ._messages import RelayMessage, RequestId
 from ._retry_budget import RetryBudget
@@ -68,14 +70,20 @@
         self._observer = observer or SilentObserver()
         gate = Gate(incarnation, own_service, services, admission)
         self._gate_runner = GateRunner(gate, timer, backend, self._observer)
+        self._local_links = LocalLinks(self._gate_runner, timer)
         self._pool = LinkPool(
-            own_target_number, timer, self._gate_runner, self._address, self._observer, connect
+            own_target_number, timer, self._local_links, self._address, self._observer, connect
         )
         self._sequence = itertools.count(1)
         self._budget = RetryBudget(0.0)
         self._serving = 0
         self._ready = trio.Event()
 
+    @property
+    def links(self) -> int:
+        """Return how many links to other agents are open."""
+        return self._pool.links
+
     @property
     def running(self) -> int:
         """Return 0 only if no caller's request and no relayed one is in progress here."""
@@ -85,6 +93,7 @@
         """Run until cancelled; requests wait until it has started."""
         async with trio.open_nursery() as nursery:
             await nursery.start(self._gate_runner.run)
+            await nursery.start(self._local_links.run)
             await nursery.start(self._pool.run)
             self._ready.set()
             task_status.started()
@@ -145,7 +154,7 @@
 
     def _refuse_undeclared(self, service: Service) -> Outcome:
         outcome = Refused(RefusalReason.UNDECLARED)
-        self._observer.on_outcome(None, service.tenant, outcome, None, 0.0, 0.0, 0)
+        self._observer.on_end(RequestEnd(None, service.tenant, outcome))
         return outcome
 
     async def _ask(
@@ -163,7 +172,8 @@
             self._budget,
             self._next_identifier,
         )
-        asker = Asker(exchange, attempts, deadline, self._timer, self._pool)
+        closely = request_class.shape is not RequestShape.SUBSCRIPTION
+        asker = Asker(exchange, attempts, deadline, self._timer, self._pool, closely)
         try:
             return await asker.run()
         finally:
@@ -178,14 +188,19 @@
         began: float,
     ) -> None:
         first_byte = None if asker.first_byte_at is None else asker.first_byte_at - began
-        self._observer.on_outcome(
-            request_class,
-            service.tenant,
-            asker.outcome,
-            first_byte,
-            self._timer.now - began,
-            attempts.queue_seconds,
-            attempts.tries,
+        tally = attempts.tally
+        self._observer.on_end(
+            RequestEnd(
+                request_class,
+                service.tenant,
+                asker.outcome,
+                first_byte,
+                self._timer.now - began,
+                tally.queue_seconds,
+                tally.tries,
+                tuple(tally.refusals),
+                tally.resumes,
+            )
         )
 
     def _next_identifier(self) -> RequestId:
--- a/egretsill/requests/tests/_fakes.py
+++ b/egretsill/requests/tests/_fakes.py
@@ -115,7 +115,7 @@
     def on_sent(self, target_number: int, weight: float, now: float, shape: RequestShape) -> None:
         self.outstanding += weight
 
-    def on_granted(self, target_number: int, now: float) -> None:
+    def on_granted(self, target_number: int, now: float, shape: RequestShape) -> None:
         self.granted.append(target_number)
 
     def on_finished(
@@ -123,16 +123,8 @@
     ) -> None:
         self.outstanding -= weight
 
-    def on_refused(
-        self,
-        target_number: int,
-        weight: float,
-        reason: RefusalReason,
-        now: float,
-        shape: RequestShape,
-    ) -> None:
+    def on_refused(self, target_number: int, reason: RefusalReason, now: float) -> None:
         self.refused.append((target_number, reason))
-        self.outstanding -= weight
 
 
 class FakeExchange:
@@ -149,6 +141,7 @@
         self._head = RequestHead("catalog", method, path, tuple(headers), deadline)
         self._pieces = list(body)
         self._gone = False
+        self.stalled = False
         self.status: int | None = None
         self.data = b""
         self.outcome: Outcome | None = None
@@ -173,6 +166,8 @@
 
     async def send_data(self, data: bytes) -> None:
         await trio.lowlevel.checkpoint()
+        while self.stalled:
+            await self.changed.wait()
         if self._gone:
             raise CallerGone
         self.data += data
--- a/egretsill/steering/_datagram_socket.py
+++ b/egretsill/steering/_datagram_socket.py
@@ -35,9 +35,12 @@
 
 def close_datagram_socket(datagram_socket: socket.socket) -> None:
     """Close a socket and wake the task that reads it, if there is one."""
-    if datagram_socket.fileno() >= 0:
+    if datagram_socket.fileno() < 0:
+        return
+    # Before the loop runs there is no reader to wake.
+    if trio.lowlevel.in_trio_run():
         trio.lowlevel.notify_closing(datagram_socket)
-        datagram_socket.close()
+    datagram_socket.close()
 
 
 async def read_batches(datagram_socket: socket.socket, take_batch: Callable[[], bool]) -> None:
