Add egretsillctl report, one page of measures and benchmarks with plots

The page shows placement against the best other policy, broken flows by scheme, cost against size, detection times and control bytes against size, and every measure with its target and whether it holds. matplotlib is needed by this command only and loaded when it runs.

--- a/egretsill/ctl/_main.py
+++ b/egretsill/ctl/_main.py
@@ -6,13 +6,13 @@
 from collections.abc import Sequence
 
 from ..commands import Command, run_program
-from . import _call, _check, _compile, _diff, _explain, _status
+from . import _call, _check, _compile, _diff, _explain, _report, _status
 
 PROGRAM = "egretsillctl"
 INTRODUCTION = f"""{PROGRAM} COMMAND [--flags] ARGUMENTS
 
 Checks, compiles and compares declarations, explains decisions, reads the daemons' status
-and calls a service. `{PROGRAM} COMMAND --help` tells what a command takes.
+calls a service and reports measures. `{PROGRAM} COMMAND --help` tells what a command takes.
 
 Commands:"""
 
@@ -26,6 +26,7 @@
         _explain.make_command(),
         _status.make_command(),
         _call.make_command(),
+        _report.make_command(),
     ]
 
 
--- /dev/null
+++ b/egretsill/ctl/_report_plots.py
@@ -0,0 +1,209 @@
+"""Plots of measures and benchmarks as SVG; the only place that needs matplotlib."""
+
+from __future__ import annotations
+
+import io
+import re
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from ..benchmarks._result import BenchmarkResult
+from ..measurements._measurement import Measurement
+
+WIDTH_INCHES = 10.0
+HEIGHT_INCHES = 4.2
+ROW_INCHES = 0.36
+LONGEST_LABEL = 64
+CONTROL_LIMIT_BYTES = 18_000.0
+OURS = "egretsill"
+OURS_COLOUR = "#1f6f8b"
+BASELINE_COLOUR = "#c9a66b"
+TARGET_COLOUR = "#a33b3b"
+SIZE_AT_END = re.compile(r"^(.*), (\d+)$")
+SCHEMES = "flows broken by 50 planned changes, against "
+
+
+@dataclass(frozen=True, slots=True)
+class Bar:
+    """One row of a bar plot.
+
+    Attributes:
+        baseline: the value under the policy compared with, or None.
+        target: the stated bound, or None.
+    """
+
+    label: str
+    value: float
+    baseline: float | None = None
+    target: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Plot:
+    """A picture with its title.
+
+    Attributes:
+        svg: an `svg` element, ready to stand in a page.
+    """
+
+    title: str
+    svg: str
+
+
+def make_plots(
+    measures: Sequence[Measurement], results: Sequence[BenchmarkResult]
+) -> Sequence[Plot]:
+    """Return all plots that the figures suffice for.
+
+    Raises:
+        ImportError: if matplotlib is not installed.
+    """
+    return [
+        Plot(title, _as_svg(figure)) for title, figure in make_figures(measures, results).items()
+    ]
+
+
+def make_figures(
+    measures: Sequence[Measurement], results: Sequence[BenchmarkResult]
+) -> Mapping[str, Any]:
+    """Return matplotlib's figures by title, those left out that there are no values for.
+
+    Raises:
+        ImportError: if matplotlib is not installed.
+    """
+    drawn: dict[str, Callable[[], Any]] = {}
+    imbalance = _imbalance(measures)
+    broken = _broken_flows(measures)
+    detection = _detection(measures)
+    control = _control_bytes(measures)
+    cost = _cost(results)
+    if imbalance:
+        drawn["Placement against the best other policy"] = lambda: _draw_bars(imbalance, "value")
+    if broken:
+        drawn["Flows broken by 50 planned changes, by scheme"] = lambda: _draw_bars(broken, "flows")
+    if cost:
+        drawn["Cost against size"] = lambda: _draw_cost(cost)
+    if detection:
+        drawn["Detection times"] = lambda: _draw_bars(detection, "seconds")
+    if control:
+        drawn["Control bytes against size"] = lambda: _draw_control(control)
+    return {title: draw() for title, draw in drawn.items()}
+
+
+def _imbalance(measures: Iterable[Measurement]) -> Sequence[Bar]:
+    return [
+        Bar(f"{each.measure.removeprefix('placement.')}: {each.case}", each.value, each.baseline)
+        for each in measures
+        if each.measure.startswith("placement.") and each.baseline is not None
+    ]
+
+
+def _broken_flows(measures: Iterable[Measurement]) -> Sequence[Bar]:
+    rows = [each for each in measures if each.case.startswith(SCHEMES)]
+    if not rows:
+        return []
+    baselines = [Bar(each.case.removeprefix(SCHEMES), each.baseline or 0.0) for each in rows]
+    return [Bar("owner IDs (egretsill)", rows[0].value), *baselines]
+
+
+def _detection(measures: Iterable[Measurement]) -> Sequence[Bar]:
+    return [
+        Bar(f"{each.measure}: {each.case}", each.value, target=each.target)
+        for each in measures
+        if each.case.startswith(("detection", "seconds until first packets avoid"))
+        or (each.measure == "silence" and "noticed" in each.case)
+    ]
+
+
+def _control_bytes(measures: Iterable[Measurement]) -> Mapping[str, list[tuple[int, float]]]:
+    lines: dict[str, list[tuple[int, float]]] = {}
+    for each in measures:
+        sized = SIZE_AT_END.match(each.case)
+        if sized and sized[1].startswith("bytes"):
+            lines.setdefault(f"{each.measure}: {sized[1]}", []).append((int(sized[2]), each.value))
+    return lines
+
+
+def _cost(
+    results: Iterable[BenchmarkResult],
+) -> Mapping[str, Mapping[str, list[tuple[int, float]]]]:
+    """Return lines of size and value by case, by unit."""
+    units: dict[str, dict[str, list[tuple[int, float]]]] = {}
+    for each in results:
+        if each.size is not None and each.unit in ("milliseconds", "microseconds", "MB", "kB"):
+            lines = units.setdefault(each.unit, {})
+            lines.setdefault(f"{each.benchmark}: {each.case}", []).append((each.size, each.value))
+    grown = {
+        unit: {case: points for case, points in lines.items() if len(points) > 1}
+        for unit, lines in units.items()
+    }
+    return {unit: lines for unit, lines in grown.items() if lines}
+
+
+def _new_figure(height: float, columns: int = 1, rows: int = 1) -> Any:
+    from matplotlib.figure import Figure
+
+    figure = Figure(figsize=(WIDTH_INCHES, height), layout="constrained")
+    return figure, figure.subplots(rows, columns, squeeze=False)
+
+
+def _draw_bars(bars: Sequence[Bar], unit: str) -> Any:
+    figure, axes = _new_figure(1.2 + ROW_INCHES * len(bars))
+    plot = axes[0][0]
+    has_baseline = any(each.baseline is not None for each in bars)
+    thickness = 0.4 if has_baseline else 0.7
+    places = range(len(bars))
+    plot.barh(places, [each.value for each in bars], thickness, color=OURS_COLOUR, label=OURS)
+    if has_baseline:
+        shifted = [place + thickness for place in places]
+        values = [each.baseline or 0.0 for each in bars]
+        plot.barh(shifted, values, thickness, color=BASELINE_COLOUR, label="best other policy")
+    targets = [(place, each.target) for place, each in enumerate(bars) if each.target is not None]
+    if targets:
+        rows, bounds = zip(*targets, strict=True)
+        plot.plot(bounds, rows, "|", color=TARGET_COLOUR, markersize=14, label="target")
+    plot.set_yticks([place + (thickness / 2 if has_baseline else 0) for place in places])
+    plot.set_yticklabels([_short(each.label) for each in bars], fontsize=8)
+    plot.invert_yaxis()
+    plot.set_xlabel(unit)
+    if has_baseline or targets:
+        figure.legend(loc="outside upper right", ncols=3, fontsize=8)
+    return figure
+
+
+def _draw_cost(units: Mapping[str, Mapping[str, list[tuple[int, float]]]]) -> Any:
+    figure, axes = _new_figure(HEIGHT_INCHES * len(units), rows=len(units))
+    for (unit, lines), (plot,) in zip(units.items(), axes, strict=True):
+        _draw_lines(plot, lines, unit)
+    return figure
+
+
+def _draw_control(lines: Mapping[str, list[tuple[int, float]]]) -> Any:
+    figure, axes = _new_figure(HEIGHT_INCHES)
+    plot = axes[0][0]
+    plot.axhline(CONTROL_LIMIT_BYTES, color=TARGET_COLOUR, linestyle="--", label="limit, 18 KB")
+    _draw_lines(plot, lines, "bytes a second")
+    return figure
+
+
+def _draw_lines(plot: Any, lines: Mapping[str, list[tuple[int, float]]], unit: str) -> None:
+    for case, points in lines.items():
+        plot.plot(*zip(*sorted(points), strict=True), marker="o", label=_short(case))
+    plot.set_xscale("log")
+    plot.set_yscale("log")
+    plot.set_xlabel("size")
+    plot.set_ylabel(unit)
+    plot.grid(alpha=0.3)
+    plot.legend(fontsize=7, loc="center left", bbox_to_anchor=(1.01, 0.5))
+
+
+def _short(label: str) -> str:
+    return label if len(label) <= LONGEST_LABEL else label[: LONGEST_LABEL - 1] + "…"
+
+
+def _as_svg(figure: Any) -> str:
+    content = io.StringIO()
+    figure.savefig(content, format="svg", metadata={"Date": None})
+    whole = content.getvalue()
+    return whole[whole.index("<svg") :]
