Bring the pages' marked parts up to date by one command

Cause: each change of a metric, log line, setting or message makes a page stale, and pasting it by hand is easily forgotten.

--- a/egretsill/documentation/__main__.py
+++ b/egretsill/documentation/__main__.py
@@ -1,18 +1,18 @@
-"""`python -m egretsill.documentation`: prints what the guides take from the code.
+"""`python -m egretsill.documentation`: prints the reference tables of the operators' guide.
 
-Without an argument: the reference tables of the operators' guide. With the name of a protocol: the
-table of its messages.
+With `write` and the directory of the pages it brings their marked parts up to date instead.
 """
 
 import sys
+from pathlib import Path
 
-from ._message_tables import PROTOCOLS, message_table
+from ._pages import write_pages
 from ._reference import make_reference
 
 match sys.argv[1:]:
     case []:
         sys.stdout.write(make_reference())
-    case [protocol] if protocol in PROTOCOLS:
-        sys.stdout.write(message_table(PROTOCOLS[protocol]))
+    case ["write", directory]:
+        write_pages(Path(directory))
     case _:
-        sys.exit(f"takes nothing or one of {', '.join(PROTOCOLS)}")
+        sys.exit("takes nothing, or: write DIRECTORY")
