--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -24,7 +24,7 @@
     ServicesWanted,
     Vm,
 )
-from ..draining import BackendState
+from ..draining import DRAINING_TYPES, BackendState, LeavingNotice, notices_for
 from ..membership import (
     MEMBERSHIP_TYPES,
     GossipSocket,
@@ -45,11 +45,11 @@
 from ..placement import LOAD_TYPES, LoadReport
 from ..requests import RELAY_TYPES
 from ..settings import DaemonSettings, Role, SettingsRejected
+from ..steering import ConnectionIdCodec
 from ..timing import TrioTimerService
 from ..wire import StreamDecoder
 from ._agent_role import AgentRole
 from ._balancer_role import BalancerRole
-from ._codec import make_codec
 from ._configuration_link import fetch, serve_questions
 from ._drain_control import DrainControl, HealthPoller
 from ._exceptions import AddressUnavailable, AgentSettingsIncomplete, TlsUnusable
@@ -79,6 +79,7 @@
         self._metrics = Metrics()
         self._state_log = StateLog(settings.name)
         self._stopped = trio.Event()
+        self._backend_state = BackendState.HEALTHY
         self._role = self._make_role()
         try:
             self._gossip = self._bind_gossip()
@@ -90,6 +91,7 @@
         )
         self._membership = self._make_membership()
         self._configuration = self._make_configuration()
+        self._health = self._make_health_poller()
         self._drain = DrainControl(
             self._role,
             self._timer,
@@ -132,6 +134,10 @@
             problems.append(HealthProblem.NO_CONFIGURATION)
         if self._drain.draining:
             problems.append(HealthProblem.DRAINING)
+        if self._backend_state is BackendState.FAILED:
+            problems.append(HealthProblem.BACKEND_DOWN)
+        if not self._membership.is_fresh:
+            problems.append(HealthProblem.VIEW_STALE)
         return HealthState(tuple(problems))
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
@@ -159,7 +165,7 @@
         if settings.tls is not None:
             check_tls(settings.tls)
         self._settings = settings
-        self._role.replace_codec(make_codec(settings.connection_id_keys))
+        self._role.replace_codec(ConnectionIdCodec(settings.connection_id_keys))
         if isinstance(self._role, AgentRole) and settings.tls is not None:
             self._role.replace_certificate(settings.tls)
         rotations = ",".join(str(each.rotation) for each in settings.connection_id_keys)
@@ -179,7 +185,7 @@
             self._membership.start()
             nursery.start_soon(self._configuration.run)
             nursery.start_soon(self._role.run)
-            nursery.start_soon(self._make_health_poller().run)
+            nursery.start_soon(self._health.run)
             self._drain.start()
             self._record(StateKind.PROCESS, "ready")
             task_status.started()
@@ -205,14 +211,17 @@
                     self._metrics,
                     self._send_report,
                     lambda: self._membership.is_fresh,
+                    self._on_backend_request,
                     self._random,
                 )
 
     def _make_balancer(self) -> BalancerRole:
-        return BalancerRole(self._settings, self._timer, self._metrics)
+        return BalancerRole(
+            self._settings, self._timer, self._metrics, lambda: self._membership.is_fresh
+        )
 
     def _bind_gossip(self) -> GossipSocket:
-        types = {**MEMBERSHIP_TYPES, **LOAD_TYPES, **CONFIGURATION_TYPES}
+        types = {**MEMBERSHIP_TYPES, **LOAD_TYPES, **CONFIGURATION_TYPES, **DRAINING_TYPES}
         listen = self._settings.gossip
         return _bound("gossip", listen, lambda: GossipSocket(listen, types, self._metrics))
 
@@ -247,6 +256,7 @@
                 period=exchange.period_seconds,
                 fetch=exchange.fetch_seconds,
                 start=exchange.start_seconds,
+                start_spread=exchange.start_spread_seconds,
                 silence=exchange.silence_seconds,
                 watch=settings.platform.watch_seconds,
                 vm_list=settings.membership.vm_list_seconds,
@@ -273,6 +283,7 @@
         self._configuration.subscribe_vms(self._on_vms)
         self._configuration.subscribe_conflicts(self._on_conflict)
         self._gossip.register([Announcement], self._configuration.receive)
+        self._gossip.register([LeavingNotice], self._on_leaving_notice)
         self._streams.register([HeadWanted, IndexWanted, ServicesWanted], self._answer_questions)
         self._timer.subscribe(GAUGE_SECONDS, self._update_gauges)
         if isinstance(self._role, AgentRole):
@@ -309,6 +320,13 @@
         self._membership.on_vm_list(balancers_of(vms))
         own = [each for each in vms if each.name == self._settings.name]
         self._drain.on_vm(own[0] if own else None)
+        serving = {each.name: each.gossip for each in self._membership.view.alive}
+        for sending in notices_for(vms, serving, self._settings.name):
+            self._gossip.send(sending.to, sending.notice)
+
+    def _on_leaving_notice(self, notice: LeavingNotice, sender: Address) -> None:
+        if notice.name == self._settings.name:
+            self._drain.on_leaving_notice()
 
     def _on_view(self, view: MembershipView) -> None:
         self._role.update_view(view)
@@ -318,7 +336,11 @@
         self._metrics.configuration_conflicts.increment()
         self._record(StateKind.CONFIGURATION_CONFLICT, conflict.revision)
 
+    def _on_backend_request(self, answered: bool) -> None:
+        self._health.note_request(answered)
+
     def _on_backend_state(self, state: BackendState) -> None:
+        self._backend_state = state
         self._drain.on_health(state)
         self._record(StateKind.BACKEND, state.value)
 
@@ -326,6 +348,7 @@
         return self._role.backend
 
     def _tell_peers(self, draining: bool) -> None:
+        self._record(StateKind.TARGET, "draining" if draining else "serving")
         if draining:
             self._membership.leave()
         else:
@@ -336,6 +359,21 @@
 
     def _update_gauges(self, now: float) -> None:
         self._role.update_gauges()
+        counters = self._configuration.counters
+        reads = self._metrics.platform_reads
+        reads.catch_up(counters.platform_reads - counters.platform_failures, "answered")
+        reads.catch_up(counters.platform_failures, "failed")
+        self._record_platform()
+        ignored = self._metrics.configuration_ignored
+        ignored.catch_up(self._configuration.older_ignored, "older")
+        ignored.catch_up(counters.torn, "torn")
+        ignored.catch_up(counters.malformed, "invalid")
+
+    def _record_platform(self) -> None:
+        age = self._configuration.platform_age_seconds
+        longest = self._settings.exchange.silence_seconds
+        answers = age is not None and age <= longest
+        self._record(StateKind.PLATFORM, "answers" if answers else "silent")
 
     def _record(
         self, kind: StateKind, state: str | int, details: Mapping[str, str] | None = None
--- a/egretsill/daemon/_drain_control.py
+++ b/egretsill/daemon/_drain_control.py
@@ -104,6 +104,10 @@
         if vm is not None:
             self._signal(DrainSignal.VM_LIST, vm.state is VmState.LEAVING)
 
+    def on_leaving_notice(self) -> None:
+        """Take in that another process read on the VM list that this VM is leaving."""
+        self._signal(DrainSignal.VM_LIST, True)
+
     def on_bundle(self, bundle: Bundle, target_number: int) -> None:
         """Take in what the configuration says of the target with this number."""
         states = [
@@ -167,6 +171,11 @@
         self._on_state = on_state
         self._health = BackendHealth()
 
+    def note_request(self, answered: bool) -> None:
+        """Take in whether a request was answered, which proves more than a page does."""
+        now = self._timer.now
+        self._on_state(self._health.answered(now) if answered else self._health.failed(now))
+
     async def run(self) -> None:
         """Read the page until cancelled."""
         while True:
--- a/egretsill/steering/tests/test_steering.py
+++ b/egretsill/steering/tests/test_steering.py
@@ -5,8 +5,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from egretsill.configuration import Address
-from egretsill.steering import (
+from ...configuration import Address
+from .. import (
     ConnectionIdCodec,
     ConnectionIdKey,
     Drop,
@@ -19,12 +19,11 @@
     SteeringView,
     rank,
 )
-from egretsill.steering._routes import (
+from .._routes import (
     PLACEMENT_DELAY_SECONDS,
     RETENTION_SECONDS,
     VIEW_LAG_SECONDS,
 )
-
 from .builders import (
     CALLER_HOST,
     CODEC,
@@ -226,6 +225,16 @@
     assert goes_to(steering, initial_packet(CLIENT_ID), old) is DropReason.RETIRED_ADDRESS
 
 
+def test_a_woken_balancer_places_nothing_until_its_view_is_fresh() -> None:
+    fresh = False
+    steering = Steering(CODEC, may_place=lambda: fresh)
+    steering.apply_bundle(bundle(), 0.0)
+    assert goes_to(steering, initial_packet(CLIENT_ID)) is DropReason.STALE_VIEW
+    assert goes_to(steering, short_packet(owned())) == 1
+    fresh = True
+    assert goes_to(steering, initial_packet(CLIENT_ID)) == RANKED[0]
+
+
 def test_flood_from_one_source() -> None:
     steering = Steering(CODEC, SourceLimit(5))
     steering.apply_bundle(bundle(), 0.0)
