Keep new work from targets that were never heard of, and fleets apart

Cause: a declared target whose agent had not run yet counted as usable: with 2 of 7 targets up, 4 of 4 flows failed to open in the first 35 s and later 2 of 4 requests were refused. Ruled out: the view itself, which knew them as candidates; nobody read that. And two fleets that could reach each other became one membership. Change: candidates that never answered are avoided like silent ones, with the same last resort; gossip carries a mark of its fleet.

--- a/egretsill/daemon/_agent_core.py
+++ b/egretsill/daemon/_agent_core.py
@@ -158,9 +158,11 @@
     def update_view(self, view: MembershipView) -> None:
         """Place new work by this view from now on."""
         self._steering.update_view(
-            SteeringView(draining=view.leaving, unresponsive=view.suspect | view.dead)
+            SteeringView(draining=view.leaving, unresponsive=view.unresponsive)
         )
-        self._placement.set_unavailable(view.leaving | view.dead)
+        # This process is no member of its own view, and a suspect may still answer in time.
+        absent = view.leaving | view.dead | view.unheard
+        self._placement.set_unavailable(absent - {self._target.number})
 
     def receive_report(self, report: LoadReport, sender: Address) -> None:
         """Take another agent's load report."""
--- a/egretsill/daemon/_balancer_role.py
+++ b/egretsill/daemon/_balancer_role.py
@@ -77,7 +77,7 @@
     def update_view(self, view: MembershipView) -> None:
         """Place new flows by this view from now on."""
         self._balancer.update_view(
-            SteeringView(draining=view.leaving, unresponsive=view.suspect | view.dead)
+            SteeringView(draining=view.leaving, unresponsive=view.unresponsive)
         )
 
     def replace_codec(self, codec: ConnectionIdCodec) -> None:
--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -223,7 +223,8 @@
     def _bind_gossip(self) -> GossipSocket:
         types = {**MEMBERSHIP_TYPES, **LOAD_TYPES, **CONFIGURATION_TYPES, **DRAINING_TYPES}
         listen = self._settings.gossip
-        return _bound("gossip", listen, lambda: GossipSocket(listen, types, self._metrics))
+        fleet = self._settings.fleet
+        return _bound("gossip", listen, lambda: GossipSocket(listen, types, self._metrics, fleet))
 
     def _make_membership(self) -> MembershipService:
         membership = Membership(
--- a/egretsill/membership/_gossip_socket.py
+++ b/egretsill/membership/_gossip_socket.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import hashlib
 import socket
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
@@ -16,6 +17,7 @@
 
 BATCH_DATAGRAMS = 64
 RECEIVE_BUFFER_BYTES = 1_048_576
+FLEET_MARK_BYTES = 4
 
 _PORT = "gossip"
 
@@ -25,6 +27,7 @@
 
     OVERSIZED = "oversized"
     MALFORMED = "malformed"
+    FOREIGN_FLEET = "foreign-fleet"
     NO_HANDLER = "no-handler"
     BUFFER_FULL = "buffer-full"
     UNREACHABLE = "unreachable"
@@ -32,19 +35,24 @@
 
 
 class GossipSocket:
-    """Sends and receives messages of at most `MAXIMUM_DATAGRAM_BYTES`, one in each datagram.
+    """Sends and receives messages of at most `MAXIMUM_DATAGRAM_BYTES`, one a datagram, with a mark.
 
     Args:
         listen: UDP endpoint; port 0 takes any free one.
         types: message data class for each tag, of all slices that use the socket.
+        fleet: name of the fleet; datagrams of another are dropped, so that two fleets that can
+            reach each other stay apart. It is no protection against a forger.
 
     Raises:
         OSError: if the endpoint can't be bound.
     """
 
-    def __init__(self, listen: Address, types: Mapping[int, type], metrics: Metrics) -> None:
+    def __init__(
+        self, listen: Address, types: Mapping[int, type], metrics: Metrics, fleet: str = ""
+    ) -> None:
         self._codec: Codec[Any] = Codec("gossip", types)
         self._metrics = metrics
+        self._mark = fleet_mark(fleet)
         self._handlers: dict[type, Callable[[Any, Address], None]] = {}
         self._socket = _bound_socket(listen)
 
@@ -63,8 +71,8 @@
 
     def send(self, address: Address, message: object) -> bool:
         """Send a message and return whether the operating system took it."""
-        data = self._codec.encode(message)
-        if len(data) > MAXIMUM_DATAGRAM_BYTES:
+        data = self._mark + self._codec.encode(message)
+        if len(data) > FLEET_MARK_BYTES + MAXIMUM_DATAGRAM_BYTES:
             self._drop(GossipDrop.OVERSIZED)
             return False
         try:
@@ -93,7 +101,7 @@
     def _receive_batch(self) -> None:
         for _ in range(BATCH_DATAGRAMS):
             try:
-                data, name = self._socket.recvfrom(MAXIMUM_DATAGRAM_BYTES + 1)
+                data, name = self._socket.recvfrom(FLEET_MARK_BYTES + MAXIMUM_DATAGRAM_BYTES + 1)
             except BlockingIOError:
                 return
             except OSError:
@@ -102,11 +110,14 @@
             self._receive(data, Address(name[0], name[1]))
 
     def _receive(self, data: bytes, sender: Address) -> None:
-        if len(data) > MAXIMUM_DATAGRAM_BYTES:
+        if len(data) > FLEET_MARK_BYTES + MAXIMUM_DATAGRAM_BYTES:
             self._drop(GossipDrop.OVERSIZED)
             return
+        if not data.startswith(self._mark):
+            self._drop(GossipDrop.FOREIGN_FLEET)
+            return
         try:
-            message = self._codec.decode(data)
+            message = self._codec.decode(data[FLEET_MARK_BYTES:])
         except MalformedMessage as error:
             self._metrics.messages_malformed.increment(error.protocol, error.reason)
             self._drop(GossipDrop.MALFORMED)
@@ -122,6 +133,11 @@
         self._metrics.datagrams_dropped.increment(_PORT, reason)
 
 
+def fleet_mark(fleet: str) -> bytes:
+    """Return what every gossip datagram of a fleet begins with."""
+    return hashlib.blake2b(fleet.encode(), digest_size=FLEET_MARK_BYTES).digest()
+
+
 def _bound_socket(listen: Address) -> socket.socket:
     family = socket.AF_INET6 if ":" in listen.host else socket.AF_INET
     bound = socket.socket(family, socket.SOCK_DGRAM)
--- a/egretsill/membership/_member.py
+++ b/egretsill/membership/_member.py
@@ -68,6 +68,7 @@
         suspect: numbers of the targets whose agent missed probes and may still answer.
         dead: numbers of the targets whose agent does not answer.
         alive: all processes that answer and stay, balancers and agents, in order of name.
+        unheard: numbers of the targets whose agent is a candidate that was never heard of.
         unanswering: names of the processes that do not answer.
     """
 
@@ -77,8 +78,14 @@
     suspect: frozenset[int] = frozenset()
     dead: frozenset[int] = frozenset()
     alive: tuple[Member, ...] = ()
+    unheard: frozenset[int] = frozenset()
     unanswering: frozenset[str] = frozenset()
 
+    @property
+    def unresponsive(self) -> frozenset[int]:
+        """Return the numbers of the targets whose agent is not known to answer."""
+        return self.suspect | self.dead | self.unheard
+
     @property
     def balancers(self) -> tuple[Member, ...]:
         """Return the live balancers in order of name."""
--- a/egretsill/membership/_roster.py
+++ b/egretsill/membership/_roster.py
@@ -127,6 +127,7 @@
         self._entries[identifier] = entry
         self._by_address.setdefault(member.gossip, identifier)
         self.unreachable.add(identifier)
+        self._version += 1
         return entry
 
     def readdress(self, entry: Entry, member: Member) -> None:
@@ -229,6 +230,7 @@
         leaving = numbers[MemberState.LEAVING] - available
         suspect = numbers[MemberState.SUSPECT] - available - leaving
         dead = numbers[MemberState.DEAD] - available - leaving - suspect
+        unheard = numbers[MemberState.CANDIDATE] - available - leaving - suspect - dead
         return MembershipView(
             self._version,
             frozenset(available),
@@ -236,6 +238,7 @@
             frozenset(suspect),
             frozenset(dead),
             tuple(sorted(alive, key=lambda each: each.name)),
+            frozenset(unheard),
             frozenset(unanswering),
         )
 
--- a/egretsill/membership/tests/test_claims.py
+++ b/egretsill/membership/tests/test_claims.py
@@ -169,9 +169,11 @@
     own.on_vm_list([listed], 1.0)
     assert own.state_of(listed.name) is MemberState.CANDIDATE
     assert own.view.available == {3}
+    assert own.view.unresponsive == {2}
     ping = Ping(1, listed.identifier, 70, own.own.identifier)
     own.on_message(ping, listed.gossip, 2.0)
     assert own.view.available == {2, 3}
+    assert own.view.unresponsive == frozenset()
     own.on_vm_list([], 3.0)
     assert own.view.available == {2, 3}
 
--- a/egretsill/membership/tests/test_gossip_socket.py
+++ b/egretsill/membership/tests/test_gossip_socket.py
@@ -19,6 +19,7 @@
     GossipSocket,
     MembershipMessage,
 )
+from .._gossip_socket import FLEET_MARK_BYTES, fleet_mark
 from .._messages import Gossip, MemberQuery, MemberUpdate, Ping
 
 
@@ -29,6 +30,8 @@
 
 LOOPBACK = Address("127.0.0.1", 0)
 MESSAGE = Gossip((MemberUpdate(1, 2, 0),))
+MARK = fleet_mark("")
+LARGEST = FLEET_MARK_BYTES + MAXIMUM_DATAGRAM_BYTES
 
 
 async def _receive(datagrams: list[bytes], metrics: Metrics, expected: int) -> list[object]:
@@ -51,12 +54,16 @@
 @pytest.mark.parametrize(
     ("datagram", "reason"),
     [
-        pytest.param(b"", "malformed", id="empty"),
-        pytest.param(b"\xc1\xff", "malformed", id="no msgpack"),
-        pytest.param(b"\x92\x3f", "malformed", id="truncated"),
-        pytest.param(b"\x92\x01\x90", "malformed", id="unknown tag"),
-        pytest.param(b"\x92\x42\x90", "no-handler", id="message that nobody wants"),
-        pytest.param(b"x" * (MAXIMUM_DATAGRAM_BYTES + 1), "oversized", id="one byte too many"),
+        pytest.param(b"", "foreign-fleet", id="empty"),
+        pytest.param(MARK[:-1], "foreign-fleet", id="part of a mark"),
+        pytest.param(fleet_mark("other"), "foreign-fleet", id="another fleet"),
+        pytest.param(MARK, "malformed", id="only a mark"),
+        pytest.param(MARK + b"\xc1\xff", "malformed", id="no msgpack"),
+        pytest.param(MARK + b"\x92\x3f", "malformed", id="truncated"),
+        pytest.param(MARK + b"\x92\x01\x90", "malformed", id="unknown tag"),
+        pytest.param(MARK + b"\x92\x42\x90", "no-handler", id="message that nobody wants"),
+        pytest.param(MARK + b"x" * MAXIMUM_DATAGRAM_BYTES, "malformed", id="largest"),
+        pytest.param(b"x" * (LARGEST + 1), "oversized", id="one byte too many"),
         pytest.param(b"x" * 60_000, "oversized", id="far too many bytes"),
     ],
 )
@@ -94,7 +101,7 @@
     gossip = GossipSocket(LOOPBACK, MEMBERSHIP_TYPES, metrics)
     gossip.register(MEMBERSHIP_TYPES.values(), lambda message, sender: handled.append(message))
     with gossip._socket:
-        gossip._receive(data, LOOPBACK)
+        gossip._receive(MARK + data, LOOPBACK)
     assert len(handled) + metrics.datagrams_dropped.total() == 1
     assert metrics.gossip_messages.value("received") == len(handled)
 
@@ -118,5 +125,5 @@
 
 def test_more_than_one_batch_is_received() -> None:
     metrics = Metrics()
-    good = b"\x92\x3f\x91\x93\x01\x02\x00"
+    good = MARK + b"\x92\x3f\x91\x93\x01\x02\x00"
     assert trio.run(_receive, [good] * 150, metrics, 151) == [MESSAGE] * 151
--- a/egretsill/quickstart/_site_files.py
+++ b/egretsill/quickstart/_site_files.py
@@ -53,6 +53,7 @@
         "role": settings.role.value,
         "name": settings.name,
         "failure_domain": settings.failure_domain,
+        "fleet": settings.fleet,
     }
     if settings.number is not None:
         daemon["number"] = str(settings.number)
--- a/egretsill/quickstart/_site_plan.py
+++ b/egretsill/quickstart/_site_plan.py
@@ -149,6 +149,7 @@
             seeds=tuple(self.seeds),
             tls=None,
             connection_id_keys=CONNECTION_ID_KEYS,
+            fleet=self.name,
             log=LogSettings(self.log_directory / f"{balancer}.log"),
             shutdown=ShutdownSettings(linger_seconds=LINGER_SECONDS),
         )
@@ -169,6 +170,7 @@
             seeds=tuple(self.seeds),
             tls=self.tls,
             connection_id_keys=CONNECTION_ID_KEYS,
+            fleet=self.name,
             log=LogSettings(self.log_directory / f"agent-{target.name}.log"),
             shutdown=ShutdownSettings(linger_seconds=LINGER_SECONDS),
         )
--- a/egretsill/settings/_loader.py
+++ b/egretsill/settings/_loader.py
@@ -167,6 +167,7 @@
         seeds=PeersSection.model_validate(sections["peers"] or {}).seeds,
         tls=TlsSection.model_validate(tls).to_settings() if tls else None,
         connection_id_keys=keys.keys,
+        fleet=daemon.fleet,
         log=LogSection.model_validate(sections["log"] or {}).to_settings(),
         flows=FlowsSection.model_validate(sections["flows"] or {}).to_settings(),
         relay_links=RelaySection.model_validate(sections["relay"] or {}).to_settings(),
--- a/egretsill/settings/_model.py
+++ b/egretsill/settings/_model.py
@@ -10,6 +10,8 @@
 from ..configuration import Address
 from ..steering import ConnectionIdKey
 
+DEFAULT_FLEET = "egretsill"
+
 
 class Role(enum.Enum):
     """What a daemon does."""
@@ -175,6 +177,7 @@
 
     Attributes:
         name: the VM's name in the platform's list.
+        fleet: name that all processes of one fleet share; gossip of others is dropped.
         number: number of the target beside which an agent runs; None for a balancer.
         listen: local endpoint for each service address; a service address that isn't named
             is bound itself.
@@ -200,6 +203,7 @@
     seeds: tuple[Address, ...]
     tls: TlsSettings | None
     connection_id_keys: tuple[ConnectionIdKey, ...]
+    fleet: str = DEFAULT_FLEET
     log: LogSettings = LogSettings()
     flows: FlowSettings = FlowSettings()
     relay_links: RelaySettings = RelaySettings()
--- a/egretsill/settings/_sections.py
+++ b/egretsill/settings/_sections.py
@@ -20,6 +20,7 @@
 )
 from ..steering import ConnectionIdKey
 from ._model import (
+    DEFAULT_FLEET,
     BackendSettings,
     ExchangeSettings,
     FlowSettings,
@@ -74,6 +75,7 @@
     role: Role
     name: Name
     failure_domain: Name
+    fleet: Name = DEFAULT_FLEET
     number: Annotated[int, Field(ge=1, le=2**32 - 1)] | None = None
 
 
--- a/egretsill/settings/tests/test_loader.py
+++ b/egretsill/settings/tests/test_loader.py
@@ -182,7 +182,7 @@
     assert agent.connection_id_keys == balancer.connection_id_keys
     target = load_declaration(EXAMPLES / "sibiu.ini")["catalog"].targets[0]
     assert (agent.name, agent.number, agent.failure_domain) == (
-        target.name,
+        f"agent-{target.name}",
         target.number,
         target.failure_domain,
     )
--- a/egretsill/stand_ins/fabric.py
+++ b/egretsill/stand_ins/fabric.py
@@ -109,9 +109,11 @@
             outside = self._admit(key)
             nursery.start_soon(self._carry_out, outside, listener, caller)
         self._callers.move_to_end(key)
-        balancer = self._balancers[self._random.choice(self._fed)]
+        balancer = self._balancers[self._random.choice(self._fed)].get(service_address)
+        if balancer is None:
+            return
         with suppress(OSError):
-            outside.sendto(payload, tuple(balancer[service_address]))
+            outside.sendto(payload, tuple(balancer))
 
     def _admit(self, key: tuple[Address, Address]) -> socket.socket:
         if len(self._callers) >= MAXIMUM_CALLERS:
