--- a/egretsill/ctl/_report_plots.py
+++ b/egretsill/ctl/_report_plots.py
@@ -79,7 +79,7 @@
     control = _control_bytes(measures)
     cost = _cost(results)
     if imbalance:
-        drawn["Placement against the best other policy"] = lambda: _draw_bars(imbalance, "value")
+        drawn["Imbalance by policy"] = lambda: _draw_bars(imbalance, "ratio")
     if broken:
         drawn["Flows broken by 50 planned changes, by scheme"] = lambda: _draw_bars(broken, "flows")
     if cost:
@@ -95,7 +95,7 @@
     return [
         Bar(f"{each.measure.removeprefix('placement.')}: {each.case}", each.value, each.baseline)
         for each in measures
-        if each.measure.startswith("placement.") and each.baseline is not None
+        if "imbalance" in each.measure and each.baseline is not None
     ]
 
 
@@ -154,17 +154,20 @@
     has_baseline = any(each.baseline is not None for each in bars)
     thickness = 0.4 if has_baseline else 0.7
     places = range(len(bars))
-    plot.barh(places, [each.value for each in bars], thickness, color=OURS_COLOUR, label=OURS)
+    values = [each.value for each in bars]
+    drawn = plot.barh(places, values, thickness, color=OURS_COLOUR, label=OURS)
+    plot.bar_label(drawn, fmt="%.4g", padding=3, fontsize=7)
     if has_baseline:
         shifted = [place + thickness for place in places]
-        values = [each.baseline or 0.0 for each in bars]
-        plot.barh(shifted, values, thickness, color=BASELINE_COLOUR, label="best other policy")
+        others = [each.baseline or 0.0 for each in bars]
+        plot.barh(shifted, others, thickness, color=BASELINE_COLOUR, label="best other policy")
     targets = [(place, each.target) for place, each in enumerate(bars) if each.target is not None]
     if targets:
         rows, bounds = zip(*targets, strict=True)
         plot.plot(bounds, rows, "|", color=TARGET_COLOUR, markersize=14, label="target")
     plot.set_yticks([place + (thickness / 2 if has_baseline else 0) for place in places])
     plot.set_yticklabels([_short(each.label) for each in bars], fontsize=8)
+    plot.margins(x=0.1, y=0.01)
     plot.invert_yaxis()
     plot.set_xlabel(unit)
     if has_baseline or targets:
