Let the settings of callers' flows take effect

`[flows] keep_alive`, `idle_time` and `handshakes_per_second` were read and used nowhere: flows ran with constants and without a bound on new ones.

The agent now gives them to its flows. New flows beyond the bound are dropped and counted (`flow-rate`), as are those beyond `maximum_flows` (`flows-full`), which so far no metric showed. What all flows of an agent share stands in one object instead of in each flow, so that the setting costs a flow nothing.

Idle time and keep-alive are read at the start of the process; a new certificate keeps them.

--- a/egretsill/daemon/_agent_core.py
+++ b/egretsill/daemon/_agent_core.py
@@ -6,6 +6,7 @@
 from random import Random
 
 import trio
+from aioquic.quic.configuration import QuicConfiguration
 
 from ..admission import Admission
 from ..configuration import Address, Bundle, Service, Target
@@ -71,6 +72,7 @@
         self._codec = codec
         self._send_report = send_report
         self._is_view_fresh = is_view_fresh
+        self._idle_seconds = settings.flows.idle_seconds
         self._draining = False
         service = bundle.services[target.service]
         self._service_number = service.number
@@ -96,7 +98,7 @@
             settings.tunnel, target.number, self._services, lambda: self._draining
         )
         self._flows = FlowServer(
-            configuration=server_configuration(tls.certificate, tls.key),
+            configuration=self._make_configuration(tls),
             timer=timer,
             issue_connection_id=self._issue_connection_id,
             serve=self._serve,
@@ -104,6 +106,8 @@
             balancers=balancers,
             nursery=nursery,
             maximum_flows=settings.flows.maximum_flows,
+            flows_per_second=settings.flows.handshakes_per_second,
+            keep_alive_seconds=settings.flows.keep_alive_seconds,
         )
         self._tunnel.receive_with(self._receive, self._learn)
 
@@ -173,7 +177,7 @@
 
     def replace_certificate(self, tls: TlsSettings) -> None:
         """Use another certificate for flows opened from now on."""
-        self._flows.replace_configuration(server_configuration(tls.certificate, tls.key))
+        self._flows.replace_configuration(self._make_configuration(tls))
 
     def stop_new_work(self) -> None:
         """Start no new work from now on."""
@@ -209,6 +213,9 @@
         self._metrics.flows_opened.catch_up(self._flows.counts.opened)
         for reason, count in self._flows.counts.closed.items():
             self._metrics.flows_closed.catch_up(count, reason)
+        dropped = self._metrics.datagrams_dropped
+        dropped.catch_up(self._flows.counts.refused_full, "tunnel", "flows-full")
+        dropped.catch_up(self._flows.counts.refused_rate, "tunnel", "flow-rate")
 
     def status(self) -> Mapping[str, JSON]:
         """Return what the status page says of the agent."""
@@ -223,6 +230,9 @@
             "dropped": dict(self._tunnel.drops),
         }
 
+    def _make_configuration(self, tls: TlsSettings) -> QuicConfiguration:
+        return server_configuration(tls.certificate, tls.key, self._idle_seconds)
+
     def _make_requests(self, settings: DaemonSettings) -> RequestService:
         bounds = Bounds(
             connect_seconds=settings.backend.connect_seconds,
--- a/egretsill/flows/_flow.py
+++ b/egretsill/flows/_flow.py
@@ -5,6 +5,7 @@
 import enum
 import sys
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 
 from aioquic.h3.events import DataReceived, H3Event, HeadersReceived
 from aioquic.quic.events import (
@@ -28,7 +29,6 @@
 from ._return_path import ReturnPath
 from .headers import HTTP3_NO_ERROR, HTTP3_REQUEST_CANCELLED, HTTP3_REQUEST_REJECTED
 
-KEEP_ALIVE_SECONDS = 15.0
 RETIRE_SECONDS = 2.0
 IDLE_TIMEOUT_PHRASE = "Idle timeout"
 
@@ -42,37 +42,48 @@
     RETIRED = "retired"
 
 
+@dataclass(frozen=True, slots=True)
+class FlowContext:
+    """What all flows of an agent share, held once so that a flow stays small.
+
+    Attributes:
+        serve: starts serving a request.
+        send: sends a datagram through a balancer.
+        on_identifiers: called with the IDs that a flow issued and retired.
+        on_closed: called once when a flow has ended.
+        keep_alive_seconds: time without a datagram of the caller after which one is sent.
+    """
+
+    timer: TimerService
+    serve: Callable[[FlowExchange], None]
+    send: Callable[[OutgoingDatagram], None]
+    on_identifiers: Callable[[Flow, Sequence[bytes], Sequence[bytes]], None]
+    on_closed: Callable[[Flow, CloseReason], None]
+    keep_alive_seconds: float
+
+
 class Flow:
     """A flow that this agent owns.
 
     Args:
         connection: the QUIC connection, before its first datagram.
-        service: name of the service that the flow was opened to.
         first: the caller's first datagram; it names caller, service address and balancer.
-        serve: starts serving a request.
-        send: sends a datagram through a balancer.
-        other_balancer: returns a live balancer other than the given one, or None.
-        on_identifiers: called with the IDs issued and retired.
     """
 
     __slots__ = (
         "_closed",
         "_connection",
+        "_context",
         "_established",
         "_exchanges",
         "_first_rejected_stream",
         "_http3",
         "_keep_alive_at",
         "_next_request_stream",
-        "_on_closed",
-        "_on_identifiers",
         "_retire_at",
         "_return_path",
-        "_send",
-        "_serve",
         "_service",
         "_service_address",
-        "_timer",
         "_trimmed",
         "_wake",
         "_wake_at",
@@ -82,23 +93,15 @@
         self,
         connection: OwnedConnection,
         first: IncomingDatagram,
-        timer: TimerService,
-        serve: Callable[[FlowExchange], None],
-        send: Callable[[OutgoingDatagram], None],
         return_path: ReturnPath,
-        on_identifiers: Callable[[Flow, Sequence[bytes], Sequence[bytes]], None],
-        on_closed: Callable[[Flow, CloseReason], None],
+        context: FlowContext,
     ) -> None:
         self._connection = connection
+        self._context = context
         self._http3: Http3Connection | None = None
         self._service = first.service
         self._service_address = first.service_address
-        self._timer = timer
-        self._serve = serve
-        self._send = send
         self._return_path = return_path
-        self._on_identifiers = on_identifiers
-        self._on_closed = on_closed
         self._exchanges: dict[int, FlowExchange] = {}
         self._wake: Subscription | None = None
         self._wake_at = 0.0
@@ -108,7 +111,7 @@
         self._next_request_stream = 0
         self._first_rejected_stream: int | None = None
         self._closed = False
-        self._keep_alive_at = timer.now + KEEP_ALIVE_SECONDS
+        self._keep_alive_at = context.timer.now + context.keep_alive_seconds
 
     @property
     def service(self) -> str:
@@ -135,9 +138,9 @@
 
     def receive(self, datagram: IncomingDatagram) -> None:
         """Take one datagram of the caller and send what follows from it."""
-        now = self._timer.now
+        now = self._context.timer.now
         self._return_path.on_received(datagram.balancer, now)
-        self._keep_alive_at = now + KEEP_ALIVE_SECONDS
+        self._keep_alive_at = now + self._context.keep_alive_seconds
         self._connection.receive_datagram(datagram.payload, tuple(datagram.caller), now)
         self._handle_events()
         self.transmit()
@@ -147,7 +150,7 @@
 
     def transmit(self) -> None:
         """Send what the connection has to send and arrange to be woken when it next must act."""
-        now = self._timer.now
+        now = self._context.timer.now
         for payload, caller in self._connection.datagrams_to_send(now):
             self._send_one(payload, Address(caller[0], caller[1]), now)
         self._arrange_wake()
@@ -156,7 +159,7 @@
         """Ask the caller to open its next requests on another flow."""
         if self._http3 is not None and not self._closed:
             self._http3.send_goaway()
-            self._retire_at = self._timer.now + RETIRE_SECONDS
+            self._retire_at = self._context.timer.now + RETIRE_SECONDS
             self.transmit()
 
     def retire(self, now: float) -> None:
@@ -232,9 +235,9 @@
             case HandshakeCompleted():
                 self._established = True
             case ConnectionIdIssued(connection_id=issued):
-                self._on_identifiers(self, (issued,), ())
+                self._context.on_identifiers(self, (issued,), ())
             case ConnectionIdRetired(connection_id=retired):
-                self._on_identifiers(self, (), (retired,))
+                self._context.on_identifiers(self, (), (retired,))
             case ConnectionTerminated(error_code=code, reason_phrase=phrase):
                 self._end(_close_reason(code, phrase))
                 return
@@ -269,14 +272,14 @@
             self._connection.reset_stream(stream_id, HTTP3_REQUEST_REJECTED)
             return
         try:
-            head = read_request_head(self._service, headers, self._timer.now)
+            head = read_request_head(self._service, headers, self._context.timer.now)
         except MalformedRequest:
             self._connection.reset_stream(stream_id, HTTP3_REQUEST_REJECTED)
             return
         exchange = FlowExchange(stream_id, head, self)
         exchange.on_body(b"", ended)
         self._exchanges[stream_id] = exchange
-        self._serve(exchange)
+        self._context.serve(exchange)
 
     def _withdraw(self, stream_id: int) -> None:
         exchange = self._exchanges.get(stream_id)
@@ -298,7 +301,7 @@
     def _send_one(self, payload: bytes, caller: Address, now: float) -> None:
         balancer = self._return_path.choose(now)
         if balancer is not None:
-            self._send(OutgoingDatagram(caller, self._service_address, balancer, payload))
+            self._context.send(OutgoingDatagram(caller, self._service_address, balancer, payload))
 
     def _arrange_wake(self) -> None:
         wanted = self._connection.get_timer()
@@ -310,14 +313,14 @@
         if self._wake is not None:
             self._wake.cancel()
         self._wake_at = wanted
-        self._wake = self._timer.call_at(wanted, self._on_wake)
+        self._wake = self._context.timer.call_at(wanted, self._on_wake)
 
     def _on_wake(self, now: float) -> None:
         self._wake = None
         if self._closed:
             return
         if now >= self._keep_alive_at:
-            self._keep_alive_at = now + KEEP_ALIVE_SECONDS
+            self._keep_alive_at = now + self._context.keep_alive_seconds
             self._connection.send_ping(0)
         wanted = self._connection.get_timer()
         if wanted is not None and now >= wanted:
@@ -334,7 +337,7 @@
         for exchange in list(self._exchanges.values()):
             exchange.on_gone()
         self._exchanges.clear()
-        self._on_closed(self, reason)
+        self._context.on_closed(self, reason)
 
 
 def _close_reason(error_code: int, phrase: str) -> CloseReason:
--- a/egretsill/flows/_flow_server.py
+++ b/egretsill/flows/_flow_server.py
@@ -19,12 +19,14 @@
 from ..timing import TimerService
 from ._connection import OwnedConnection
 from ._datagram import IncomingDatagram, OutgoingDatagram
-from ._flow import CloseReason, Flow
+from ._flow import CloseReason, Flow, FlowContext
 from ._flow_exchange import FlowExchange
+from ._flow_rate import FlowRate
 from ._return_path import ReturnPath
 
 CONNECTION_ID_BYTES = 17
-IDLE_TIMEOUT_SECONDS = 60.0
+IDLE_SECONDS = 60.0
+KEEP_ALIVE_SECONDS = 15.0
 STREAM_WINDOW_BYTES = 131_072
 CONNECTION_WINDOW_BYTES = 1_048_576
 SMALLEST_INITIAL_BYTES = 1200
@@ -36,6 +38,8 @@
 
     Attributes:
         closed: flows that ended, by reason.
+        refused_full: first packets dropped as too many flows were open.
+        refused_rate: first packets dropped as too many flows had just been opened.
     """
 
     opened: int = 0
@@ -45,15 +49,24 @@
     malformed: int = 0
     wrong_service: int = 0
     refused_full: int = 0
+    refused_rate: int = 0
 
 
-def server_configuration(certificate: Path, private_key: Path) -> QuicConfiguration:
-    """Return the QUIC settings of an agent; session tickets and so 0-RTT are off."""
+def server_configuration(
+    certificate: Path, private_key: Path, idle_seconds: float = IDLE_SECONDS
+) -> QuicConfiguration:
+    """Return the QUIC settings of an agent; session tickets and so 0-RTT are off.
+
+    Args:
+        certificate: PEM file of the certificate chain.
+        private_key: PEM file of the private key.
+        idle_seconds: time without a packet after which a connection is given up.
+    """
     configuration = QuicConfiguration(
         is_client=False,
         alpn_protocols=list(H3_ALPN),
         connection_id_length=CONNECTION_ID_BYTES,
-        idle_timeout=IDLE_TIMEOUT_SECONDS,
+        idle_timeout=idle_seconds,
         max_stream_data=STREAM_WINDOW_BYTES,
         max_data=CONNECTION_WINDOW_BYTES,
         verify_mode=ssl.CERT_NONE,
@@ -72,6 +85,8 @@
         send: sends one datagram through a balancer.
         balancers: returns the tunnel endpoints of the balancers that answer.
         maximum_flows: first packets beyond it are dropped.
+        flows_per_second: first packets that would open more than so many are dropped.
+        keep_alive_seconds: time without a datagram of a caller after which one is sent to it.
     """
 
     def __init__(
@@ -84,15 +99,25 @@
         balancers: Callable[[], Sequence[Address]],
         nursery: trio.Nursery,
         maximum_flows: int = 20_000,
+        flows_per_second: int = 20_000,
+        keep_alive_seconds: float = KEEP_ALIVE_SECONDS,
     ) -> None:
         self._configuration = configuration
         self._timer = timer
         self._issue_connection_id = issue_connection_id
         self._serve = serve
-        self._send = send
         self._balancers = balancers
         self._nursery = nursery
         self._maximum_flows = maximum_flows
+        self._rate = FlowRate(flows_per_second)
+        self._context = FlowContext(
+            timer=timer,
+            serve=self._start_serving,
+            send=send,
+            on_identifiers=self._change_identifiers,
+            on_closed=self._on_closed,
+            keep_alive_seconds=keep_alive_seconds,
+        )
         self._flows: dict[bytes, Flow] = {}
         self._open_flows: set[Flow] = set()
         self._counts = FlowCounts()
@@ -164,20 +189,14 @@
         if len(self._open_flows) >= self._maximum_flows:
             self._counts.refused_full += 1
             return None
+        if not self._rate.admits(self._timer.now):
+            self._counts.refused_rate += 1
+            return None
         service = datagram.service
         connection = OwnedConnection(
             self._configuration, chosen_by_caller, lambda: self._issue_connection_id(service)
         )
-        flow = Flow(
-            connection=connection,
-            first=datagram,
-            timer=self._timer,
-            serve=self._start_serving,
-            send=self._send,
-            return_path=ReturnPath(self._balancers),
-            on_identifiers=self._change_identifiers,
-            on_closed=self._on_closed,
-        )
+        flow = Flow(connection, datagram, ReturnPath(self._balancers), self._context)
         self._open_flows.add(flow)
         self._change_identifiers(flow, flow.connection_ids, ())
         self._counts.opened += 1
--- a/egretsill/flows/tests/test_flow_server.py
+++ b/egretsill/flows/tests/test_flow_server.py
@@ -30,14 +30,22 @@
 class World:
     """One agent's flows and one caller, joined in memory."""
 
-    def __init__(self, directory: Path, serve: Callable[[Exchange], Any], maximum: int) -> None:
+    def __init__(
+        self,
+        directory: Path,
+        serve: Callable[[Exchange], Any],
+        maximum: int,
+        flows_per_second: int = 100,
+        keep_alive_seconds: float = 15.0,
+        idle_seconds: float = 60.0,
+    ) -> None:
         files = write_certificate(directory, ["service.example"])
         self.timer = VirtualTimerService(1000.0)
         self.sent: list[OutgoingDatagram] = []
         self.issued = 0
         self.nursery = RunningNursery()
         self.server = FlowServer(
-            server_configuration(files.certificate, files.private_key),
+            server_configuration(files.certificate, files.private_key, idle_seconds),
             self.timer,
             self.issue,
             serve,
@@ -45,6 +53,8 @@
             lambda: [BALANCER],
             self.nursery,  # type: ignore[arg-type]
             maximum,
+            flows_per_second,
+            keep_alive_seconds,
         )
 
     def issue(self, service: str) -> bytes:
@@ -206,6 +216,60 @@
     assert world.server.counts.refused_full >= 3
 
 
+def test_flows_beyond_the_rate_are_opened_in_the_next_second(tmp_path: Path) -> None:
+    world = World(tmp_path, concluding_with(Answered(200), True), 10, flows_per_second=2)
+    for _ in range(4):
+        CallerEnd(world).exchange(1)
+    assert world.server.open_flows == 2
+    assert world.server.counts.refused_rate == 2
+    world.timer.advance(1.0)
+    CallerEnd(world).exchange(1)
+    assert world.server.open_flows == 3
+
+
+@pytest.mark.parametrize(
+    ("keep_alive_seconds", "expected"),
+    [
+        pytest.param(5.0, 2, id="every 5 s"),
+        pytest.param(11.0, 1, id="every 11 s"),
+        pytest.param(15.0, 0, id="later than the time looked at"),
+    ],
+)
+def test_a_silent_caller_is_sent_a_packet_as_often_as_set(
+    tmp_path: Path, keep_alive_seconds: float, expected: int
+) -> None:
+    world = World(
+        tmp_path, concluding_with(Answered(200), True), 10, keep_alive_seconds=keep_alive_seconds
+    )
+    caller = CallerEnd(world)
+    caller.ask()
+    last_at, asked_at = 0.0, []
+    for _ in range(140):
+        world.timer.advance(0.1)
+        if world.sent:
+            # Within a second of another packet it is a repetition, as the answer is slow here.
+            if world.timer.now - last_at > 1.0:
+                asked_at.append(world.timer.now)
+            last_at = world.timer.now
+        caller.exchange(1)
+    assert len(asked_at) == expected
+
+
+@pytest.mark.parametrize("idle_seconds", [20.0, 40.0])
+def test_a_flow_is_given_up_after_the_silence_that_is_set(
+    tmp_path: Path, idle_seconds: float
+) -> None:
+    world = World(
+        tmp_path, concluding_with(Answered(200), True), 10, 100, 100.0, idle_seconds=idle_seconds
+    )
+    CallerEnd(world).ask()
+    world.timer.advance(idle_seconds - 1.0)
+    assert world.server.open_flows == 1
+    world.timer.advance(2.0)
+    assert world.server.open_flows == 0
+    assert world.server.counts.closed == {"silence": 1}
+
+
 @pytest.fixture(scope="module")
 def silent_world(tmp_path_factory: pytest.TempPathFactory) -> World:
     return World(tmp_path_factory.mktemp("tls"), concluding_with(Answered(200), True), 10)
