Remove the settings of relay links, which had no effect

`[relay]` was read and used nowhere: links work by constants that were chosen from measurements, and a second set of defaults beside them could only mislead. The section and its value are gone; a settings file that still has it is rejected with the section named. No behaviour changes.

--- a/egretsill/documentation/_sections.py
+++ b/egretsill/documentation/_sections.py
@@ -17,7 +17,6 @@
     LogSettings,
     MembershipSettings,
     PlatformSettings,
-    RelaySettings,
     ShutdownSettings,
 )
 from ..settings._loader import OPTIONAL, REQUIRED
@@ -28,7 +27,6 @@
     "platform": PlatformSettings,
     "log": LogSettings,
     "flows": FlowSettings,
-    "relay": RelaySettings,
     "backend": BackendSettings,
     "membership": MembershipSettings,
     "configuration": ExchangeSettings,
--- a/egretsill/settings/_loader.py
+++ b/egretsill/settings/_loader.py
@@ -34,7 +34,6 @@
     MembershipSection,
     PeersSection,
     PlatformSection,
-    RelaySection,
     ShutdownSection,
     TlsSection,
 )
@@ -52,7 +51,6 @@
     TLS: TlsSection,
     "log": LogSection,
     "flows": FlowsSection,
-    "relay": RelaySection,
     "backend": BackendSection,
     "membership": MembershipSection,
     "configuration": ExchangeSection,
@@ -169,7 +167,6 @@
         connection_id_keys=keys.keys,
         log=LogSection.model_validate(sections["log"] or {}).to_settings(),
         flows=FlowsSection.model_validate(sections["flows"] or {}).to_settings(),
-        relay_links=RelaySection.model_validate(sections["relay"] or {}).to_settings(),
         backend=BackendSection.model_validate(sections["backend"] or {}).to_settings(),
         membership=MembershipSection.model_validate(sections["membership"] or {}).to_settings(),
         exchange=ExchangeSection.model_validate(sections["configuration"] or {}).to_settings(),
--- a/egretsill/settings/_sections.py
+++ b/egretsill/settings/_sections.py
@@ -27,7 +27,6 @@
     LogSettings,
     MembershipSettings,
     PlatformSettings,
-    RelaySettings,
     Role,
     ShutdownSettings,
     TlsSettings,
@@ -38,7 +37,6 @@
 
 _KEY = re.compile(rf"([0-{HIGHEST_ROTATION}]):([0-9a-fA-F]{{{2 * KEY_BYTES}}})")
 _FLOWS = FlowSettings()
-_RELAY = RelaySettings()
 _BACKEND = BackendSettings()
 _MEMBERSHIP = MembershipSettings()
 _EXCHANGE = ExchangeSettings()
@@ -152,19 +150,6 @@
         )
 
 
-class RelaySection(SectionModel):
-    """Keys of `[relay]`."""
-
-    connect_time: Seconds = _RELAY.connect_seconds
-    keep_alive: Seconds = _RELAY.keep_alive_seconds
-    silence: Seconds = _RELAY.silence_seconds
-    resume_time: Seconds = _RELAY.resume_seconds
-
-    def to_settings(self) -> RelaySettings:
-        """Return the section as a value."""
-        return RelaySettings(self.connect_time, self.keep_alive, self.silence, self.resume_time)
-
-
 class BackendSection(SectionModel):
     """Keys of `[backend]`."""
 
