Remove settings that had no effect from log, backend and membership

`[log] level`, `[backend] load_path` and `[membership] probe_interval`, `probe_timeout`, `suspicion` were read and used nowhere. Log lines tell changes of state only and have no levels; the agent counts its own slots; the times of probes were chosen together from measurements and stay constants.

A file that still has one of them is rejected with the key named. The tests of the settings that used `level` use `[backend] health_path` and `[log] file` instead and check the same mistakes. No behaviour changes.

--- a/egretsill/documentation/_sections.py
+++ b/egretsill/documentation/_sections.py
@@ -52,7 +52,6 @@
     "certificate": "PEM file of the certificate chain; for an agent.",
     "key": "PEM file of the private key; for an agent.",
     "keys": "ROTATION:HEX, any number; the first is used for new connection IDs.",
-    "level": "which log lines are written.",
 }
 
 
--- a/egretsill/settings/_model.py
+++ b/egretsill/settings/_model.py
@@ -18,15 +18,6 @@
     AGENT = "agent"
 
 
-class LogLevel(enum.Enum):
-    """Which log lines are written."""
-
-    ERROR = "error"
-    WARNING = "warning"
-    INFO = "info"
-    DEBUG = "debug"
-
-
 @dataclass(frozen=True, slots=True)
 class PlatformSettings:
     """How the platform's configuration service and VM list are read.
@@ -52,14 +43,13 @@
 
 @dataclass(frozen=True, slots=True)
 class LogSettings:
-    """Where log lines go and which are written.
+    """Where log lines go.
 
     Attributes:
         file: None for standard error.
     """
 
     file: Path | None = None
-    level: LogLevel = LogLevel.INFO
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,32 +79,24 @@
     Attributes:
         connect_seconds: longest wait for a new connection.
         silence_seconds: longest wait for a first or next byte of a short request's answer.
-        health_seconds: time between reads of the health and load pages.
+        health_seconds: time between reads of the health page.
         health_path: path of the health page.
-        load_path: path of the load page.
     """
 
     connect_seconds: float = 1.0
     silence_seconds: float = 30.0
     health_seconds: float = 1.0
     health_path: str = "/health"
-    load_path: str = "/load"
 
 
 @dataclass(frozen=True, slots=True)
 class MembershipSettings:
-    """Probes between processes.
+    """What a process learns of the others.
 
     Attributes:
-        probe_seconds: time between two probes by this process.
-        timeout_seconds: longest wait for a direct answer before others are asked to probe.
-        suspicion_seconds: time a suspect has to refute before it counts as dead.
         vm_list_seconds: time between reads of the VM list.
     """
 
-    probe_seconds: float = 1.0
-    timeout_seconds: float = 0.3
-    suspicion_seconds: float = 2.0
     vm_list_seconds: float = 10.0
 
 
--- a/egretsill/settings/_sections.py
+++ b/egretsill/settings/_sections.py
@@ -23,7 +23,6 @@
     BackendSettings,
     ExchangeSettings,
     FlowSettings,
-    LogLevel,
     LogSettings,
     MembershipSettings,
     PlatformSettings,
@@ -123,11 +122,10 @@
     """Keys of `[log]`."""
 
     file: FilePath | None = None
-    level: LogLevel = LogLevel.INFO
 
     def to_settings(self) -> LogSettings:
         """Return the section as a value."""
-        return LogSettings(self.file, self.level)
+        return LogSettings(self.file)
 
 
 class FlowsSection(SectionModel):
@@ -157,28 +155,22 @@
     silence: Seconds = _BACKEND.silence_seconds
     health_interval: Seconds = _BACKEND.health_seconds
     health_path: PagePath = _BACKEND.health_path
-    load_path: PagePath = _BACKEND.load_path
 
     def to_settings(self) -> BackendSettings:
         """Return the section as a value."""
         return BackendSettings(
-            self.connect_time, self.silence, self.health_interval, self.health_path, self.load_path
+            self.connect_time, self.silence, self.health_interval, self.health_path
         )
 
 
 class MembershipSection(SectionModel):
     """Keys of `[membership]`."""
 
-    probe_interval: Seconds = _MEMBERSHIP.probe_seconds
-    probe_timeout: Seconds = _MEMBERSHIP.timeout_seconds
-    suspicion: Seconds = _MEMBERSHIP.suspicion_seconds
     vm_list_interval: Seconds = _MEMBERSHIP.vm_list_seconds
 
     def to_settings(self) -> MembershipSettings:
         """Return the section as a value."""
-        return MembershipSettings(
-            self.probe_interval, self.probe_timeout, self.suspicion, self.vm_list_interval
-        )
+        return MembershipSettings(self.vm_list_interval)
 
 
 class ExchangeSection(SectionModel):
--- a/egretsill/settings/tests/test_loader.py
+++ b/egretsill/settings/tests/test_loader.py
@@ -22,7 +22,6 @@
 from .. import (
     DaemonSettings,
     FlowSettings,
-    LogLevel,
     Role,
     SettingsRejected,
     load_daemon_settings,
@@ -58,7 +57,10 @@
 keys = 1:00112233445566778899aabbccddeeff, 0:ffeeddccbbaa99887766554433221100
 
 [log]
-level = debug
+file = agent.log
+
+[backend]
+health_path = /alive
 """
 BALANCER = AGENT.replace("role = agent", "role = balancer").replace("number = 1001\n", "")
 
@@ -85,7 +87,8 @@
     )
     assert settings.tls is not None
     assert settings.tls.certificate == Path("chain.pem")
-    assert settings.log.level is LogLevel.DEBUG
+    assert settings.log.file == Path("agent.log")
+    assert settings.backend.health_path == "/alive"
     assert settings.flows == FlowSettings()
 
 
@@ -106,7 +109,7 @@
     (tmp_path / "overlay.ini").write_text("[log]\nfile = /tmp/x.log\n[flows]\nidle_time = 2 min\n")
     settings = load_daemon_settings(tmp_path / "base.ini", tmp_path / "overlay.ini")
     assert settings.log.file == Path("/tmp/x.log")
-    assert settings.log.level is LogLevel.DEBUG
+    assert settings.backend.health_path == "/alive"
     assert settings.flows.idle_seconds == 120.0
 
 
@@ -120,7 +123,7 @@
         ),
         pytest.param("[tls]", "[ssl]", MissingSection, "tls", "", id="agent without certificate"),
         pytest.param("[log]", "[logs]", UnknownSection, "logs", "", id="unknown section"),
-        pytest.param("level", "levels", UnknownKey, "log", "levels", id="unknown key"),
+        pytest.param("file =", "files =", UnknownKey, "log", "files", id="unknown key"),
         pytest.param("500 ms", "500", WrongUnit, "platform", "read_time", id="no unit"),
         pytest.param("500 ms", "0 ms", InvalidValue, "platform", "read_time", id="no time at all"),
         pytest.param(
@@ -158,12 +161,12 @@
 
 
 def test_all_mistakes_are_told_at_once(tmp_path: Path) -> None:
-    text = AGENT.replace("500 ms", "5").replace("debug", "loud").replace("tunnel", "tunel")
+    text = AGENT.replace("500 ms", "5").replace("/alive", "alive").replace("tunnel", "tunel")
     with pytest.raises(SettingsRejected) as caught:
         load(tmp_path, text)
     assert {(each.section, each.key) for each in caught.value.problems} == {
         ("platform", "read_time"),
-        ("log", "level"),
+        ("backend", "health_path"),
         ("addresses", "tunel"),
         ("addresses", "tunnel"),
     }
