Let drain_time end a shutdown that takes too long for its operators

`[shutdown] drain_time` was read and used nowhere. Now a process that has refused new work for longer than that leaves though requests are in progress, and writes a state-change line, `egretsill:process` `forced-to-stop`, with the requests and flows that it cut. Work taken again starts the time anew. Without the setting, which stays the default, no wait is cut short.

The time counts in balancers too.

--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -96,8 +96,10 @@
             self._role,
             self._timer,
             settings.shutdown.linger_seconds,
+            settings.shutdown.drain_seconds,
             self._tell_peers,
             self._stopped.set,
+            self._record,
         )
 
     @property
--- a/egretsill/daemon/_drain_control.py
+++ b/egretsill/daemon/_drain_control.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Protocol
 
 from ..configuration import Address, Bundle, TargetState, Vm, VmState
@@ -20,6 +20,7 @@
     StopNewWork,
     TellPeers,
 )
+from ..observation import StateKind
 from ..settings import BackendSettings
 from ..timing import TimerService, TrioTimerService
 from ..wire import PageUnavailable, get_page
@@ -27,6 +28,7 @@
 TICK_SECONDS = 0.25
 HEALTH_TIMEOUT_SECONDS = 1.0
 HEALTHY_STATUS = 200
+FORCED_STOP = "forced-to-stop"
 
 
 class DrainingRole(Protocol):
@@ -62,8 +64,11 @@
 
     Args:
         quiet_seconds: how long nothing must arrive before the process leaves.
+        longest_seconds: how long new work may be refused before the process leaves though
+            requests are in progress; None for any time.
         tell_peers: announces that new work is refused, or taken again.
         leave: ends the process.
+        record: writes a state-change line, here that the process leaves by force.
     """
 
     def __init__(
@@ -71,13 +76,19 @@
         role: DrainingRole,
         timer: TimerService,
         quiet_seconds: float,
+        longest_seconds: float | None,
         tell_peers: Callable[[bool], None],
         leave: Callable[[], None],
+        record: Callable[[StateKind, str, Mapping[str, str]], None],
     ) -> None:
         self._role = role
         self._timer = timer
         self._tell_peers = tell_peers
         self._leave = leave
+        self._longest_seconds = longest_seconds
+        self._record = record
+        self._refusing_since: float | None = None
+        self._has_left = False
         self._draining = Draining(quiet_seconds)
         self._packets = 0
         self._was_listed = False
@@ -141,20 +152,35 @@
         work = (self._role.requests_running, self._role.flows_open)
         self._carry_out(self._draining.work(*work, now))
         self._carry_out(self._draining.tick(now))
+        if self._is_overdue(now):
+            cut = dict(zip(("requests", "flows"), map(str, work), strict=True))
+            self._record(StateKind.PROCESS, FORCED_STOP, cut)
+            self._end()
+
+    def _is_overdue(self, now: float) -> bool:
+        if self._longest_seconds is None or self._refusing_since is None or self._has_left:
+            return False
+        return now - self._refusing_since > self._longest_seconds
+
+    def _end(self) -> None:
+        self._has_left = True
+        self._leave()
 
     def _carry_out(self, effects: Sequence[DrainEffect]) -> None:
         for effect in effects:
             match effect:
                 case StopNewWork():
+                    self._refusing_since = self._timer.now
                     self._role.stop_new_work()
                 case ResumeNewWork():
+                    self._refusing_since = None
                     self._role.resume_new_work()
                 case SendGoaway():
                     self._role.send_goaway()
                 case TellPeers(draining):
                     self._tell_peers(draining)
                 case Leave():
-                    self._leave()
+                    self._end()
 
 
 class HealthPoller:
--- a/egretsill/daemon/tests/test_drain_control.py
+++ b/egretsill/daemon/tests/test_drain_control.py
@@ -1,12 +1,13 @@
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
 
 import pytest
 
 from ...configuration import Address, Bundle, Service, Target, TargetState, Vm, VmState
 from ...draining import BackendState
+from ...observation import StateKind
 from ...timing import VirtualTimerService
 from .._drain_control import DrainControl
 
@@ -38,8 +39,9 @@
 
 
 class World:
-    def __init__(self) -> None:
+    def __init__(self, longest_seconds: float | None = None) -> None:
         self.timer = VirtualTimerService(100.0)
+        self.lines: list[tuple[StateKind, str, Mapping[str, str]]] = []
         self.role = Role()
         self.told: list[bool] = []
         self.left_at: list[float] = []
@@ -47,8 +49,10 @@
             self.role,
             self.timer,
             QUIET_SECONDS,
+            longest_seconds,
             self.told.append,
             lambda: self.left_at.append(self.timer.now),
+            lambda *line: self.lines.append(line),
         )
         self.control.start()
 
@@ -134,3 +138,36 @@
     assert world.left_at == []
     world.timer.advance(2 * QUIET_SECONDS)
     assert len(world.left_at) == 1
+
+
+def test_a_process_leaves_by_force_once_after_the_longest_time_that_is_set() -> None:
+    world = World(longest_seconds=30.0)
+    world.role.requests_running, world.role.flows_open = 2, 1
+    world.timer.advance(60.0)
+    world.control.terminate()
+    world.timer.advance(30.0)
+    assert (world.lines, world.left_at) == ([], [])
+    world.timer.advance(30.0)
+    cut = {"requests": "2", "flows": "1"}
+    assert world.lines == [(StateKind.PROCESS, "forced-to-stop", cut)]
+    assert len(world.left_at) == 1
+    assert 190.0 < world.left_at[0] <= 191.0
+
+
+def test_the_longest_time_counts_from_the_last_time_that_new_work_was_refused() -> None:
+    world = World(longest_seconds=30.0)
+    world.role.requests_running = world.role.flows_open = 1
+    for _ in range(3):
+        world.control.on_health(BackendState.DRAINING)
+        world.timer.advance(20.0)
+        world.control.on_health(BackendState.HEALTHY)
+    world.timer.advance(60.0)
+    assert (world.lines, world.left_at) == ([], [])
+
+
+def test_a_process_without_work_leaves_as_ever_and_not_by_force() -> None:
+    world = World(longest_seconds=30.0)
+    world.control.terminate()
+    world.timer.advance(120.0)
+    assert world.lines == []
+    assert len(world.left_at) == 1
--- a/egretsill/settings/_model.py
+++ b/egretsill/settings/_model.py
@@ -126,7 +126,8 @@
     """A graceful shutdown.
 
     Attributes:
-        drain_seconds: longest wait for requests in progress; None for no limit.
+        drain_seconds: time from the signal to leave after which the process ends though requests
+            are in progress; None for never.
         linger_seconds: how long a balancer forwards on after the signal to stop.
     """
 
