Remove shedding from load reports

The field of message 50 was always False and nobody decided by it but the reporter's urgency: who sends the next request to a target that sheds learns it from the refusal.

The bench of control traffic was not run again; its bound of bytes a second is unchanged.

--- a/egretsill/benchmarks/control.py
+++ b/egretsill/benchmarks/control.py
@@ -243,7 +243,7 @@
     placement = Placement(service.targets[0].number, service, Random(1))
     codec = Codec("load", LOAD_TYPES)
     reports = [
-        LoadReport(each.number, 1_700_000_000_000, 1, 3.0, 2, 1, 4, 100, False, False, 100.0)
+        LoadReport(each.number, 1_700_000_000_000, 1, 3.0, 2, 1, 4, 100, False, 100.0)
         for each in service.targets
     ]
 
--- a/egretsill/daemon/_load_sampler.py
+++ b/egretsill/daemon/_load_sampler.py
@@ -38,6 +38,5 @@
             slots=admission.slots,
             connections=admission.open_connections,
             draining=draining,
-            shedding=False,
             server_age_seconds=now - self._server_since,
         )
--- a/egretsill/placement/_load_reporter.py
+++ b/egretsill/placement/_load_reporter.py
@@ -88,7 +88,7 @@
         last = self._last
         if last is None:
             return True
-        if (report.draining, report.shedding) != (last.draining, last.shedding):
+        if report.draining != last.draining:
             return True
         if now - self._last_at < SHORTEST_GAP_SECONDS:
             return False
--- a/egretsill/placement/_messages.py
+++ b/egretsill/placement/_messages.py
@@ -22,7 +22,6 @@
         slots: requests that may run at once.
         connections: subscriptions that are open.
         draining: whether it takes no new work.
-        shedding: whether the backend server turned requests away lately.
         server_age_seconds: how long the backend server has been up.
     """
 
@@ -35,7 +34,6 @@
     slots: int
     connections: int
     draining: bool
-    shedding: bool
     server_age_seconds: float
 
     @property
