--- a/egretsill/settings/_loader.py
+++ b/egretsill/settings/_loader.py
@@ -165,6 +165,7 @@
         seeds=PeersSection.model_validate(sections["peers"] or {}).seeds,
         tls=TlsSection.model_validate(tls).to_settings() if tls else None,
         connection_id_keys=keys.keys,
+        fleet=daemon.fleet,
         log=LogSection.model_validate(sections["log"] or {}).to_settings(),
         flows=FlowsSection.model_validate(sections["flows"] or {}).to_settings(),
         backend=BackendSection.model_validate(sections["backend"] or {}).to_settings(),
