Move the content of a daemon's pages out of its composition root

The root made the status page, health and the platform's log state besides wiring the parts. They are in `egretsill/daemon/_pages.py` now, which reads the parts and changes none, and have tests of their own. No behaviour changes, but that the pages show settings as at the start; a re-read of settings takes over keys and certificate only.

--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -35,8 +35,6 @@
 from ..observation import (
     JSON,
     AdminServer,
-    HealthProblem,
-    HealthState,
     Metrics,
     StateChange,
     StateKind,
@@ -54,6 +52,7 @@
 from ._drain_control import DrainControl, HealthPoller
 from ._exceptions import AddressUnavailable, AgentSettingsIncomplete, TlsUnusable
 from ._members import agents_of, balancers_of, own_member, peers_of
+from ._pages import Pages
 from ._stream_endpoint import StreamEndpoint
 from ._tls import check_tls
 
@@ -101,6 +100,14 @@
             self._stopped.set,
             self._record,
         )
+        self._pages = Pages(
+            settings,
+            self._role,
+            self._membership,
+            self._configuration,
+            self._drain,
+            lambda: self._backend_state,
+        )
 
     @property
     def revision(self) -> int:
@@ -110,37 +117,7 @@
     @property
     def status(self) -> Mapping[str, JSON]:
         """Return the content of the status page."""
-        return {
-            "name": self._settings.name,
-            "role": self._settings.role.value,
-            "failure_domain": self._settings.failure_domain,
-            "revision": self.revision,
-            "flows": self._role.flows_open,
-            "requests": self._role.requests_running,
-            "draining": self._drain.draining,
-            "drain_signals": list(self._drain.signals),
-            "members_alive": len(self._membership.view.alive),
-            "view_fresh": self._membership.is_fresh,
-            "reads_platform": self._configuration.is_reader,
-            "platform_age_seconds": self._configuration.platform_age_seconds,
-            "older_revisions_ignored": self._configuration.older_ignored,
-            "revision_conflicts": self._configuration.conflicts,
-            **self._role.status(),
-        }
-
-    @property
-    def health(self) -> HealthState:
-        """Return whether this process takes new work."""
-        problems: list[HealthProblem] = []
-        if self._configuration.bundle is None:
-            problems.append(HealthProblem.NO_CONFIGURATION)
-        if self._drain.draining:
-            problems.append(HealthProblem.DRAINING)
-        if self._backend_state is BackendState.FAILED:
-            problems.append(HealthProblem.BACKEND_DOWN)
-        if not self._membership.is_fresh:
-            problems.append(HealthProblem.VIEW_STALE)
-        return HealthState(tuple(problems))
+        return self._pages.status
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Run until shut down or cancelled; started when every endpoint is bound.
@@ -272,7 +249,10 @@
 
     def _make_admin(self) -> AdminServer:
         return AdminServer(
-            self._settings.admin, self._metrics, lambda: self.status, lambda: self.health
+            self._settings.admin,
+            self._metrics,
+            lambda: self._pages.status,
+            lambda: self._pages.health,
         )
 
     def _make_health_poller(self) -> HealthPoller:
@@ -366,18 +346,12 @@
         reads = self._metrics.platform_reads
         reads.catch_up(counters.platform_reads - counters.platform_failures, "answered")
         reads.catch_up(counters.platform_failures, "failed")
-        self._record_platform()
+        self._record(StateKind.PLATFORM, self._pages.platform_state)
         ignored = self._metrics.configuration_ignored
         ignored.catch_up(self._configuration.older_ignored, "older")
         ignored.catch_up(counters.torn, "torn")
         ignored.catch_up(counters.malformed, "invalid")
 
-    def _record_platform(self) -> None:
-        age = self._configuration.platform_age_seconds
-        longest = self._settings.exchange.silence_seconds
-        answers = age is not None and age <= longest
-        self._record(StateKind.PLATFORM, "answers" if answers else "silent")
-
     def _record(
         self, kind: StateKind, state: str | int, details: Mapping[str, str] | None = None
     ) -> None:
--- /dev/null
+++ b/egretsill/daemon/tests/test_pages.py
@@ -0,0 +1,89 @@
+from __future__ import annotations
+
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from ... import settings as settings_slice
+from ...draining import BackendState
+from ...observation import HealthProblem
+from ...settings import load_daemon_settings
+from .._pages import Pages
+
+SETTINGS = load_daemon_settings(
+    Path(settings_slice.__file__).parents[2] / "examples" / "balancer.ini"
+)
+
+
+def make_pages(
+    revision: int | None = 7,
+    draining: bool = False,
+    backend: BackendState = BackendState.HEALTHY,
+    fresh: bool = True,
+    platform_age: float | None = 1.0,
+) -> Pages:
+    role: Any = SimpleNamespace(flows_open=3, requests_running=2, status=lambda: {"own": 1})
+    view = SimpleNamespace(alive=("a", "b"))
+    membership: Any = SimpleNamespace(view=view, is_fresh=fresh)
+    configuration: Any = SimpleNamespace(
+        revision=revision,
+        bundle=None if revision is None else object(),
+        is_reader=True,
+        platform_age_seconds=platform_age,
+        older_ignored=0,
+        conflicts=0,
+    )
+    drain: Any = SimpleNamespace(draining=draining, signals=("termination",) if draining else ())
+    return Pages(SETTINGS, role, membership, configuration, drain, lambda: backend)
+
+
+@pytest.mark.parametrize(
+    ("pages", "problems"),
+    [
+        pytest.param(make_pages(), (), id="well"),
+        pytest.param(make_pages(revision=None), (HealthProblem.NO_CONFIGURATION,), id="new"),
+        pytest.param(make_pages(draining=True), (HealthProblem.DRAINING,), id="draining"),
+        pytest.param(
+            make_pages(backend=BackendState.FAILED), (HealthProblem.BACKEND_DOWN,), id="backend"
+        ),
+        pytest.param(make_pages(fresh=False), (HealthProblem.VIEW_STALE,), id="stale view"),
+        pytest.param(
+            make_pages(revision=None, fresh=False),
+            (HealthProblem.NO_CONFIGURATION, HealthProblem.VIEW_STALE),
+            id="two at once",
+        ),
+    ],
+)
+def test_health_names_each_problem(pages: Pages, problems: tuple[HealthProblem, ...]) -> None:
+    assert pages.health.problems == problems
+
+
+def test_status_has_the_parts_and_what_the_role_adds() -> None:
+    status = make_pages(draining=True).status
+    expected = {
+        "name": SETTINGS.name,
+        "role": "balancer",
+        "revision": 7,
+        "flows": 3,
+        "requests": 2,
+        "draining": True,
+        "drain_signals": ["termination"],
+        "members_alive": 2,
+        "own": 1,
+    }
+    assert {key: status[key] for key in expected} == expected
+    assert make_pages(revision=None).status["revision"] == 0
+
+
+@pytest.mark.parametrize(
+    ("age", "state"),
+    [
+        pytest.param(None, "silent", id="never heard of"),
+        pytest.param(SETTINGS.exchange.silence_seconds, "answers", id="just in time"),
+        pytest.param(SETTINGS.exchange.silence_seconds + 0.1, "silent", id="too long ago"),
+    ],
+)
+def test_platform_answers_or_is_silent(age: float | None, state: str) -> None:
+    assert make_pages(platform_age=age).platform_state == state
