--- a/egretsill/documentation/_sections.py
+++ b/egretsill/documentation/_sections.py
@@ -17,7 +17,6 @@
     LogSettings,
     MembershipSettings,
     PlatformSettings,
-    RelaySettings,
     ShutdownSettings,
 )
 from ..settings._loader import OPTIONAL, REQUIRED
@@ -28,7 +27,6 @@
     "platform": PlatformSettings,
     "log": LogSettings,
     "flows": FlowSettings,
-    "relay": RelaySettings,
     "backend": BackendSettings,
     "membership": MembershipSettings,
     "configuration": ExchangeSettings,
@@ -54,7 +52,6 @@
     "certificate": "PEM file of the certificate chain; for an agent.",
     "key": "PEM file of the private key; for an agent.",
     "keys": "ROTATION:HEX, any number; the first is used for new connection IDs.",
-    "level": "which log lines are written.",
 }
 
 
--- a/egretsill/settings/_model.py
+++ b/egretsill/settings/_model.py
@@ -20,15 +20,6 @@
     AGENT = "agent"
 
 
-class LogLevel(enum.Enum):
-    """Which log lines are written."""
-
-    ERROR = "error"
-    WARNING = "warning"
-    INFO = "info"
-    DEBUG = "debug"
-
-
 @dataclass(frozen=True, slots=True)
 class PlatformSettings:
     """How the platform's configuration service and VM list are read.
@@ -54,14 +45,13 @@
 
 @dataclass(frozen=True, slots=True)
 class LogSettings:
-    """Where log lines go and which are written.
+    """Where log lines go.
 
     Attributes:
         file: None for standard error.
     """
 
     file: Path | None = None
-    level: LogLevel = LogLevel.INFO
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,23 +74,6 @@
     placement_delay_seconds: float = 35.0
 
 
-@dataclass(frozen=True, slots=True)
-class RelaySettings:
-    """Links between agents.
-
-    Attributes:
-        connect_seconds: longest wait for a new link.
-        keep_alive_seconds: time without a message after which one is sent.
-        silence_seconds: time without a message after which a link is replaced.
-        resume_seconds: how long a gate keeps a request whose link was lost.
-    """
-
-    connect_seconds: float = 1.0
-    keep_alive_seconds: float = 1.0
-    silence_seconds: float = 3.0
-    resume_seconds: float = 10.0
-
-
 @dataclass(frozen=True, slots=True)
 class BackendSettings:
     """An agent's dealings with its own backend server.
@@ -108,32 +81,24 @@
     Attributes:
         connect_seconds: longest wait for a new connection.
         silence_seconds: longest wait for a first or next byte of a short request's answer.
-        health_seconds: time between reads of the health and load pages.
+        health_seconds: time between reads of the health page.
         health_path: path of the health page.
-        load_path: path of the load page.
     """
 
     connect_seconds: float = 1.0
     silence_seconds: float = 30.0
     health_seconds: float = 1.0
     health_path: str = "/health"
-    load_path: str = "/load"
 
 
 @dataclass(frozen=True, slots=True)
 class MembershipSettings:
-    """Probes between processes.
+    """What a process learns of the others.
 
     Attributes:
-        probe_seconds: time between two probes by this process.
-        timeout_seconds: longest wait for a direct answer before others are asked to probe.
-        suspicion_seconds: time a suspect has to refute before it counts as dead.
         vm_list_seconds: time between reads of the VM list.
     """
 
-    probe_seconds: float = 1.0
-    timeout_seconds: float = 0.3
-    suspicion_seconds: float = 2.0
     vm_list_seconds: float = 10.0
 
 
@@ -163,7 +128,8 @@
     """A graceful shutdown.
 
     Attributes:
-        drain_seconds: longest wait for requests in progress; None for no limit.
+        drain_seconds: time from the signal to leave after which the process ends though requests
+            are in progress; None for never.
         linger_seconds: how long a balancer forwards on after the signal to stop.
     """
 
@@ -206,7 +172,6 @@
     fleet: str = DEFAULT_FLEET
     log: LogSettings = LogSettings()
     flows: FlowSettings = FlowSettings()
-    relay_links: RelaySettings = RelaySettings()
     backend: BackendSettings = BackendSettings()
     membership: MembershipSettings = MembershipSettings()
     exchange: ExchangeSettings = ExchangeSettings()
