Give up silent flows sooner at callers

Cause: a caller whose flow had gone silent waited up to 70 s before it could open another. Change: the library's idle time is 30 s, half of an agent's, and the shorter one holds at both ends; a test lets a flow swallow everything and finds it closed and its request withdrawn within keep-alive and idle time. Bound: 40 s at the library, by its settings; not timed on real sockets.

--- a/egretsill/caller/_flow.py
+++ b/egretsill/caller/_flow.py
@@ -28,7 +28,7 @@
 from ._call import Call
 from ._exceptions import FlowNotOpened
 
-IDLE_TIMEOUT_SECONDS = 60.0
+IDLE_TIMEOUT_SECONDS = 30.0
 KEEP_ALIVE_SECONDS = 10.0
 STREAM_WINDOW_BYTES = 262_144
 CONNECTION_WINDOW_BYTES = 4_194_304
--- a/egretsill/flows/tests/test_flow_server.py
+++ b/egretsill/flows/tests/test_flow_server.py
@@ -21,6 +21,7 @@
 from ...stand_ins.certificates import write_certificate
 from ...timing import VirtualTimerService
 from .. import FlowServer, IncomingDatagram, OutgoingDatagram, headers, server_configuration
+from .._flow_server import IDLE_SECONDS, KEEP_ALIVE_SECONDS
 
 CALLER = Address("192.0.2.1", 4000)
 SERVICE_ADDRESS = Address("198.51.100.1", 443)
@@ -208,6 +209,23 @@
     assert world.sent == []
 
 
+def test_a_flow_that_swallows_everything_ends_within_its_idle_time(tmp_path: Path) -> None:
+    async def serve(exchange: Exchange) -> None:
+        await exchange.send_head(200, [])
+
+    world = World(tmp_path, serve, 10)
+    caller = CallerEnd(world)
+    caller.ask()
+    assert world.server.open_requests == 1
+    world.timer.advance(IDLE_SECONDS - 5.0)
+    assert world.server.open_flows == 1
+    # The first unanswered keep-alive counts the idle time anew (RFC 9000, section 10.1).
+    world.timer.advance(KEEP_ALIVE_SECONDS + 10.0)
+    assert world.server.open_flows == 0
+    assert world.server.open_requests == 0
+    assert world.server.counts.closed == {"silence": 1}
+
+
 def test_flows_beyond_the_limit_are_not_opened(tmp_path: Path) -> None:
     world = World(tmp_path, concluding_with(Answered(200), True), 2)
     for _ in range(5):
