--- a/egretsill/documentation/_pages.py
+++ b/egretsill/documentation/_pages.py
@@ -5,11 +5,13 @@
 from collections.abc import Mapping
 from pathlib import Path
 
+from ._measures_table import KEPT_RUN, measures_table, read_measures
 from ._message_tables import PROTOCOLS, message_table
 from ._reference import make_reference
 
 OPERATING_PAGE = "OPERATING.md"
 CONTRACTS_PAGE = "CONTRACTS.md"
+MEASUREMENTS_PAGE = "MEASUREMENTS.md"
 
 
 class PartMissing(Exception):
@@ -27,7 +29,12 @@
 def make_parts() -> Mapping[str, Mapping[str, str]]:
     """Return the content of each marked part, by page and name."""
     tables = {name: message_table(types) for name, types in PROTOCOLS.items()}
-    return {OPERATING_PAGE: {"reference": make_reference()}, CONTRACTS_PAGE: tables}
+    measures = measures_table(read_measures(KEPT_RUN))
+    return {
+        OPERATING_PAGE: {"reference": make_reference()},
+        CONTRACTS_PAGE: tables,
+        MEASUREMENTS_PAGE: {"measures": measures},
+    }
 
 
 def fill(page: str, parts: Mapping[str, str]) -> str:
