Rotate keys and lose the platform under callers

Cause: key rotation and platform outage had been tried on pure classes only. Change: a scene on whole daemons: keys are rotated in two steps while subscriptions are open, a revision is published, the platform goes down, all three balancers are replaced without it, it comes back with the first revision and one more balancer starts on that.

--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -109,6 +109,11 @@
             lambda: self._backend_state,
         )
 
+    @property
+    def settings(self) -> DaemonSettings:
+        """Return the settings in use."""
+        return self._settings
+
     @property
     def revision(self) -> int:
         """Return the revision in force, or 0 before the first."""
--- a/egretsill/quickstart/__main__.py
+++ b/egretsill/quickstart/__main__.py
@@ -11,6 +11,7 @@
 from absl.flags import FlagValues
 
 from ..commands import EXIT_FAILED, EXIT_OK, EXIT_USAGE, Command, new_flags, run_program
+from ._operations import LATEST_REVISION, run_operations
 from ._replacement import run_replacement
 from ._run import load_plan, run_quickstart
 from ._score import Verdict
@@ -33,6 +34,12 @@
     return _tell(trio.run(run_replacement))
 
 
+def _operate(values: FlagValues, arguments: Sequence[str]) -> int:
+    verdict = trio.run(run_operations)
+    code = _tell(verdict)
+    return code if verdict.revision_in_force == LATEST_REVISION else EXIT_FAILED
+
+
 def _tell(verdict: Verdict) -> int:
     print(verdict.to_json())
     return EXIT_OK if verdict.promises_kept else EXIT_FAILED
@@ -62,6 +69,13 @@
             new_flags(),
             _replace,
         ),
+        Command(
+            "operate",
+            "",
+            "Rotate keys, take the platform away, give an old one back, and judge.",
+            new_flags(),
+            _operate,
+        ),
         Command(
             "write-site",
             "DIRECTORY",
--- /dev/null
+++ b/egretsill/quickstart/_operations.py
@@ -0,0 +1,98 @@
+"""What operators do and suffer: keys rotated, the platform down, then old, processes replaced."""
+
+from __future__ import annotations
+
+import tempfile
+from pathlib import Path
+
+import trio
+
+from ..stand_ins.platform import Down, Well
+from ..steering import ConnectionIdKey
+from ._run import (
+    ASK_PAUSE_SECONDS,
+    CALLERS_OF_A_KIND,
+    LOOKUP,
+    READY_SECONDS,
+    SUBSCRIPTIONS,
+    load_plan,
+    summarize,
+)
+from ._score import Score, Verdict, judge
+from ._site import FIRST_REVISION, Site
+from ._site_plan import CONNECTION_ID_KEYS
+from ._traffic import Traffic
+
+USER = "kallioniemi"
+OLD_KEY = CONNECTION_ID_KEYS[0]
+NEW_KEY = ConnectionIdKey(2, bytes(range(16, 32)))
+BETWEEN_PROCESSES_SECONDS = 0.1
+PAUSE_SECONDS = 2.0
+IN_FORCE_SECONDS = 5.0
+LATEST_REVISION = 3
+
+
+async def run_operations() -> Verdict:
+    """Run the scene and return the verdict; a revision that went back counts as not in force."""
+    score = Score()
+    with tempfile.TemporaryDirectory(prefix="egretsill-") as name:
+        plan = load_plan(USER, Path(name))
+        async with trio.open_nursery() as nursery:
+            site = Site(plan, nursery, seed=1)
+            await site.start()
+            if not await site.wait_until_ready(READY_SECONDS):
+                print("not all daemons were ready in time")
+            operations = _Operations(site)
+            traffic = Traffic(plan.tls.certificate, score, lambda: not operations.finished)
+            async with trio.open_nursery() as callers:
+                operations.start_callers(traffic, callers)
+                callers.start_soon(operations.run, traffic, callers)
+            nursery.cancel_scope.cancel()
+    counts = [each.counts for each in site.backends.values()]
+    verdict = judge(score, counts, operations.lowest_revision)
+    print(summarize("operations: keys rotated, platform down and then old", score, verdict))
+    return verdict
+
+
+class _Operations:
+    """The operators' work in this scene."""
+
+    def __init__(self, site: Site) -> None:
+        self._site = site
+        self.finished = False
+        self.lowest_revision = 0
+
+    def start_callers(self, traffic: Traffic, nursery: trio.Nursery) -> None:
+        """Start subscriptions and look-ups."""
+        service = self._site.plan.services["hakusana"]
+        for _ in range(SUBSCRIPTIONS):
+            nursery.start_soon(traffic.subscribe, service, "/subscriptions")
+        for _ in range(CALLERS_OF_A_KIND):
+            nursery.start_soon(traffic.ask_repeatedly, service, LOOKUP, ASK_PAUSE_SECONDS)
+
+    async def run(self, traffic: Traffic, nursery: trio.Nursery) -> None:
+        """Rotate the keys, then take the platform away and give an old one back."""
+        await self._rotate_keys()
+        self.start_callers(traffic, nursery)
+        self._site.publish(LATEST_REVISION)
+        await trio.sleep(IN_FORCE_SECONDS)
+        self._site.platform.set_fault(Down())
+        await self._replace_balancers()
+        self._site.platform.set_fault(Well())
+        self._site.publish(FIRST_REVISION)
+        await trio.sleep(PAUSE_SECONDS)
+        await self._site.add_balancer(f"{USER}-balancer-late")
+        await trio.sleep(PAUSE_SECONDS)
+        self.lowest_revision = self._site.revision_in_force
+        self.finished = True
+
+    async def _rotate_keys(self) -> None:
+        """Make the new key known everywhere, then use it everywhere; old flows keep the old."""
+        for keys in ((OLD_KEY, NEW_KEY), (NEW_KEY, OLD_KEY)):
+            await self._site.set_keys(keys, BETWEEN_PROCESSES_SECONDS)
+            await trio.sleep(PAUSE_SECONDS)
+
+    async def _replace_balancers(self) -> None:
+        for old in self._site.plan.balancers[:3]:
+            await self._site.replace_balancer(old, f"{old}-new")
+            await trio.sleep(PAUSE_SECONDS)
--- a/egretsill/quickstart/_site.py
+++ b/egretsill/quickstart/_site.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping, Sequence
+from dataclasses import replace
 from random import Random, SystemRandom
 
 import trio
@@ -19,6 +20,7 @@
 from ..stand_ins.backend_server import BackendBehaviour, BackendServer
 from ..stand_ins.fabric import Fabric
 from ..stand_ins.platform import PlatformStandIn
+from ..steering import ConnectionIdKey
 from ._site_plan import SitePlan
 
 REVISION_SECONDS = 0.5
@@ -69,6 +71,11 @@
         """Return every daemon that was started, by name."""
         return self._daemons
 
+    @property
+    def platform(self) -> PlatformStandIn:
+        """Return the platform stand-in."""
+        return self._platform
+
     def publish(self, revision: int) -> None:
         """Publish the site's declaration under a revision number."""
         publication = compile_publication(self._plan.services, revision)
@@ -89,6 +96,15 @@
         """Put a VM on its way out on the platform's list, at the next publication."""
         self._plan = self._plan.with_vm_leaving(name)
 
+    async def set_keys(
+        self, keys: tuple[ConnectionIdKey, ...], between_processes_seconds: float
+    ) -> None:
+        """Let every daemon take over other connection-ID keys, one after the other."""
+        self._plan = self._plan.with_keys(keys)
+        for daemon in list(self._daemons.values()):
+            daemon.replace_settings(replace(daemon.settings, connection_id_keys=keys))
+            await trio.sleep(between_processes_seconds)
+
     async def add_balancer(self, name: str) -> None:
         """Start a new balancer and feed it once it has a configuration."""
         self._plan = self._plan.with_balancer(name)
--- a/egretsill/quickstart/_site_plan.py
+++ b/egretsill/quickstart/_site_plan.py
@@ -52,6 +52,7 @@
         tls: certificate of all its services.
         log_directory: where daemons write their logs.
         leaving: names of the VMs that the platform's list says are leaving.
+        connection_id_keys: of processes that start from now on.
     """
 
     name: str
@@ -61,6 +62,7 @@
     tls: TlsSettings
     log_directory: Path
     leaving: frozenset[str] = frozenset()
+    connection_id_keys: tuple[ConnectionIdKey, ...] = CONNECTION_ID_KEYS
 
     @property
     def targets(self) -> Sequence[Target]:
@@ -118,6 +120,10 @@
             plan = plan._with_targets(service, targets)
         return plan
 
+    def with_keys(self, keys: tuple[ConnectionIdKey, ...]) -> SitePlan:
+        """Return the plan with other connection-ID keys."""
+        return replace(self, connection_id_keys=keys)
+
     def with_vm_leaving(self, name: str) -> SitePlan:
         """Return the plan with one VM on its way out."""
         return replace(self, leaving=self.leaving | {name})
@@ -148,7 +154,7 @@
             platform=PlatformSettings((self.platform,)),
             seeds=tuple(self.seeds),
             tls=None,
-            connection_id_keys=CONNECTION_ID_KEYS,
+            connection_id_keys=self.connection_id_keys,
             fleet=self.name,
             log=LogSettings(self.log_directory / f"{balancer}.log"),
             shutdown=ShutdownSettings(linger_seconds=LINGER_SECONDS),
@@ -169,7 +175,7 @@
             platform=PlatformSettings((self.platform,)),
             seeds=tuple(self.seeds),
             tls=self.tls,
-            connection_id_keys=CONNECTION_ID_KEYS,
+            connection_id_keys=self.connection_id_keys,
             fleet=self.name,
             log=LogSettings(self.log_directory / f"agent-{target.name}.log"),
             shutdown=ShutdownSettings(linger_seconds=LINGER_SECONDS),
