Give every drop at an agent a type and a metric

Cause: the tunnel counted drops under bare strings, the flow server in a field each, and most of them reached no metric. Change: one type of reasons, counted in one place each and shown on the metrics and status pages.

--- a/egretsill/daemon/_agent_core.py
+++ b/egretsill/daemon/_agent_core.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 from random import Random
 
@@ -10,7 +11,7 @@
 
 from ..admission import Admission
 from ..configuration import Address, Bundle, Service, Target
-from ..flows import AgentTunnel, FlowServer, IncomingDatagram, server_configuration
+from ..flows import AgentTunnel, FlowDrop, FlowServer, IncomingDatagram, server_configuration
 from ..membership import MembershipView
 from ..observation import JSON, Metrics
 from ..placement import LoadReport, LoadReporter, Placement
@@ -35,6 +36,7 @@
 INCARNATION_BITS = 48
 REPORT_POLL_SECONDS = 0.1
 FRESHNESS_POLL_SECONDS = 0.02
+TUNNEL_PORT = "tunnel"
 
 
 class AgentCore:
@@ -215,9 +217,8 @@
         self._metrics.flows_opened.catch_up(self._flows.counts.opened)
         for reason, count in self._flows.counts.closed.items():
             self._metrics.flows_closed.catch_up(count, reason)
-        dropped = self._metrics.datagrams_dropped
-        dropped.catch_up(self._flows.counts.refused_full, "tunnel", "flows-full")
-        dropped.catch_up(self._flows.counts.refused_rate, "tunnel", "flow-rate")
+        for drop, count in self._drops().items():
+            self._metrics.datagrams_dropped.catch_up(count, TUNNEL_PORT, drop)
 
     def status(self) -> Mapping[str, JSON]:
         """Return what the status page says of the agent."""
@@ -229,9 +230,12 @@
             "queued": self._admission.queued,
             "subscriptions": self._admission.open_connections,
             "refusals": dict(self._observer.refusals),
-            "dropped": dict(self._tunnel.drops),
+            "dropped": {drop.value: count for drop, count in self._drops().items()},
         }
 
+    def _drops(self) -> Mapping[FlowDrop, int]:
+        return Counter(self._tunnel.drops) + self._flows.counts.drops
+
     def _make_configuration(self, tls: TlsSettings) -> QuicConfiguration:
         return server_configuration(tls.certificate, tls.key, self._idle_seconds)
 
@@ -280,7 +284,7 @@
                 self._tunnel.send_message(passed, tunnel)
                 self._tunnel.send_message(notice, balancer)
             case Drop(reason):
-                self._metrics.datagrams_dropped.increment("tunnel", reason)
+                self._metrics.datagrams_dropped.increment(TUNNEL_PORT, reason)
 
     def _learn(self, notice: OwnerNotice) -> None:
         self._steering.learn(notice, self._timer.now)
--- a/egretsill/flows/_agent_tunnel.py
+++ b/egretsill/flows/_agent_tunnel.py
@@ -21,6 +21,7 @@
 )
 from ..wire import MalformedMessage
 from ._datagram import IncomingDatagram, OutgoingDatagram
+from ._drops import FlowDrop
 
 LARGEST_DATAGRAM_BYTES = 65_536
 BATCH_DATAGRAMS = 64
@@ -56,7 +57,7 @@
         self._services = services
         self._draining = draining
         self._codec = make_tunnel_codec()
-        self._drops: Counter[str] = Counter()
+        self._drops: Counter[FlowDrop] = Counter()
         self._receive: DatagramReceiver | None = None
         self._learn: Callable[[OwnerNotice], None] | None = None
         family = socket.AF_INET6 if ":" in listen.host else socket.AF_INET
@@ -66,7 +67,7 @@
         self._socket.bind(tuple(listen))
 
     @property
-    def drops(self) -> Mapping[str, int]:
+    def drops(self) -> Mapping[FlowDrop, int]:
         """Return how many datagrams were dropped, by reason."""
         return self._drops
 
@@ -114,7 +115,7 @@
         try:
             message = self._codec.decode(data)
         except MalformedMessage:
-            self._drops["malformed"] += 1
+            self._drops[FlowDrop.MALFORMED] += 1
             return
         match message:
             case CallerPacket():
@@ -125,12 +126,12 @@
             case OwnerNotice() if self._learn is not None:
                 self._learn(message)
             case _:
-                self._drops["unexpected"] += 1
+                self._drops[FlowDrop.UNEXPECTED] += 1
 
     def _take_packet(self, packet: CallerPacket, sender: Address) -> None:
         service = self._services().get(packet.service_number)
         if service is None:
-            self._drops["wrong-service"] += 1
+            self._drops[FlowDrop.WRONG_SERVICE] += 1
             return
         balancer = sender
         if packet.balancer_host is not None:
@@ -150,4 +151,4 @@
         try:
             self._socket.sendto(data, tuple(address))
         except OSError:
-            self._drops["not-sent"] += 1
+            self._drops[FlowDrop.NOT_SENT] += 1
--- a/egretsill/flows/_flow_server.py
+++ b/egretsill/flows/_flow_server.py
@@ -19,6 +19,7 @@
 from ..timing import TimerService
 from ._connection import OwnedConnection
 from ._datagram import IncomingDatagram, OutgoingDatagram
+from ._drops import FlowDrop
 from ._flow import CloseReason, Flow, FlowContext
 from ._flow_exchange import FlowExchange
 from ._flow_rate import FlowRate
@@ -38,18 +39,13 @@
 
     Attributes:
         closed: flows that ended, by reason.
-        refused_full: first packets dropped as too many flows were open.
-        refused_rate: first packets dropped as too many flows had just been opened.
+        drops: datagrams that belonged to no flow and opened none, by reason.
     """
 
     opened: int = 0
-    closed: Counter[str] = field(default_factory=Counter)
     datagrams: int = 0
-    unknown_flow: int = 0
-    malformed: int = 0
-    wrong_service: int = 0
-    refused_full: int = 0
-    refused_rate: int = 0
+    closed: Counter[CloseReason] = field(default_factory=Counter)
+    drops: Counter[FlowDrop] = field(default_factory=Counter)
 
 
 def server_configuration(
@@ -152,20 +148,20 @@
         try:
             header = pull_quic_header(Buffer(data=payload), host_cid_length=CONNECTION_ID_BYTES)
         except ValueError:
-            self._counts.malformed += 1
+            self._counts.drops[FlowDrop.MALFORMED] += 1
             return
         flow = self._flows.get(header.destination_cid)
         if flow is None:
             opens = header.packet_type == QuicPacketType.INITIAL
             known_version = header.version in list(QuicProtocolVersion)
             if not opens or not known_version or len(payload) < SMALLEST_INITIAL_BYTES:
-                self._counts.unknown_flow += 1
+                self._counts.drops[FlowDrop.UNKNOWN_FLOW] += 1
                 return
             flow = self._open(datagram, header.destination_cid)
             if flow is None:
                 return
         elif flow.service != datagram.service:
-            self._counts.wrong_service += 1
+            self._counts.drops[FlowDrop.WRONG_SERVICE] += 1
             return
         flow.receive(datagram)
 
@@ -187,10 +183,10 @@
 
     def _open(self, datagram: IncomingDatagram, chosen_by_caller: bytes) -> Flow | None:
         if len(self._open_flows) >= self._maximum_flows:
-            self._counts.refused_full += 1
+            self._counts.drops[FlowDrop.FLOWS_FULL] += 1
             return None
         if not self._rate.admits(self._timer.now):
-            self._counts.refused_rate += 1
+            self._counts.drops[FlowDrop.FLOW_RATE] += 1
             return None
         service = datagram.service
         connection = OwnedConnection(
@@ -213,7 +209,7 @@
             self._flows.pop(identifier, None)
 
     def _on_closed(self, flow: Flow, reason: CloseReason) -> None:
-        self._counts.closed[reason.value] += 1
+        self._counts.closed[reason] += 1
         self._open_flows.discard(flow)
         for identifier in flow.connection_ids:
             self._flows.pop(identifier, None)
--- a/egretsill/flows/tests/test_flow_server.py
+++ b/egretsill/flows/tests/test_flow_server.py
@@ -20,7 +20,15 @@
 from ...requests import Exchange
 from ...stand_ins.certificates import write_certificate
 from ...timing import VirtualTimerService
-from .. import FlowServer, IncomingDatagram, OutgoingDatagram, headers, server_configuration
+from .. import (
+    CloseReason,
+    FlowDrop,
+    FlowServer,
+    IncomingDatagram,
+    OutgoingDatagram,
+    headers,
+    server_configuration,
+)
 from .._flow_server import IDLE_SECONDS, KEEP_ALIVE_SECONDS
 
 CALLER = Address("192.0.2.1", 4000)
@@ -205,7 +213,7 @@
     caller.connection.send_ping(1)
     for payload, _ in caller.connection.datagrams_to_send(world.timer.now):
         world.deliver(payload, service="submission")
-    assert world.server.counts.wrong_service == 1
+    assert world.server.counts.drops[FlowDrop.WRONG_SERVICE] == 1
     assert world.sent == []
 
 
@@ -223,7 +231,7 @@
     world.timer.advance(KEEP_ALIVE_SECONDS + 10.0)
     assert world.server.open_flows == 0
     assert world.server.open_requests == 0
-    assert world.server.counts.closed == {"silence": 1}
+    assert world.server.counts.closed == {CloseReason.SILENCE: 1}
 
 
 def test_flows_beyond_the_limit_are_not_opened(tmp_path: Path) -> None:
@@ -231,7 +239,7 @@
     for _ in range(5):
         CallerEnd(world).exchange(1)
     assert world.server.open_flows == 2
-    assert world.server.counts.refused_full >= 3
+    assert world.server.counts.drops[FlowDrop.FLOWS_FULL] >= 3
 
 
 def test_flows_beyond_the_rate_are_opened_in_the_next_second(tmp_path: Path) -> None:
@@ -239,7 +247,7 @@
     for _ in range(4):
         CallerEnd(world).exchange(1)
     assert world.server.open_flows == 2
-    assert world.server.counts.refused_rate == 2
+    assert world.server.counts.drops[FlowDrop.FLOW_RATE] == 2
     world.timer.advance(1.0)
     CallerEnd(world).exchange(1)
     assert world.server.open_flows == 3
@@ -285,7 +293,7 @@
     assert world.server.open_flows == 1
     world.timer.advance(2.0)
     assert world.server.open_flows == 0
-    assert world.server.counts.closed == {"silence": 1}
+    assert world.server.counts.closed == {CloseReason.SILENCE: 1}
 
 
 @pytest.fixture(scope="module")
@@ -298,5 +306,6 @@
 def test_random_datagrams_open_nothing(silent_world: World, payload: bytes) -> None:
     silent_world.deliver(payload)
     counts = silent_world.server.counts
-    assert counts.malformed + counts.unknown_flow == counts.datagrams
+    assert counts.drops.keys() <= {FlowDrop.MALFORMED, FlowDrop.UNKNOWN_FLOW}
+    assert counts.drops.total() == counts.datagrams
     assert silent_world.server.open_flows == 0
