End with code 3 when an agent's tunnel endpoint is taken

Cause: an agent binds its tunnel only when it knows its target, and that failure ended the daemon with code 1 and a traceback. Change: it is the same typed failure as for every other endpoint.

--- a/egretsill/daemon/_agent_role.py
+++ b/egretsill/daemon/_agent_role.py
@@ -18,6 +18,7 @@
 from ..timing import TrioTimerService
 from ..wire import StreamDecoder
 from ._agent_core import AgentCore
+from ._exceptions import AddressUnavailable
 
 
 class AgentRole:
@@ -83,28 +84,18 @@
         return 0 if self._core is None else self._core.requests_running
 
     async def run(self) -> None:
-        """Wait for the own target in the configuration, then serve until cancelled."""
+        """Wait for the own target in the configuration, then serve until cancelled.
+
+        Raises:
+            AddressUnavailable: if the tunnel endpoint can't be bound then.
+        """
         await self._known.wait()
         bundle = self._bundle
         target = None if bundle is None else find_target(bundle, self._target_number)
         if bundle is None or target is None:
             return
         async with trio.open_nursery() as nursery:
-            self._core = AgentCore(
-                settings=self._settings,
-                tls=self._tls,
-                bundle=bundle,
-                target=target,
-                timer=self._timer,
-                metrics=self._metrics,
-                random=self._random,
-                codec=self._codec,
-                balancers=lambda: self._balancers,
-                send_report=self._send_report,
-                is_view_fresh=self._is_view_fresh,
-                on_backend=self._on_backend,
-                nursery=nursery,
-            )
+            self._core = self._make_core(bundle, target, nursery)
             self._core.update_view(self._view)
             self._started.set()
             await self._core.run()
@@ -181,6 +172,27 @@
         """Return what the status page says of this role."""
         return {} if self._core is None else self._core.status()
 
+    def _make_core(self, bundle: Bundle, target: Target, nursery: trio.Nursery) -> AgentCore:
+        try:
+            return AgentCore(
+                settings=self._settings,
+                tls=self._tls,
+                bundle=bundle,
+                target=target,
+                timer=self._timer,
+                metrics=self._metrics,
+                random=self._random,
+                codec=self._codec,
+                balancers=lambda: self._balancers,
+                send_report=self._send_report,
+                is_view_fresh=self._is_view_fresh,
+                on_backend=self._on_backend,
+                nursery=nursery,
+            )
+        except OSError as error:
+            tunnel = self._settings.tunnel
+            raise AddressUnavailable.caused_by(error, "tunnel", tunnel) from error
+
 
 def find_target(bundle: Bundle, number: int) -> Target | None:
     """Return a target by its number, or None if the bundle has none such."""
--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import errno
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from random import Random
 from typing import Any, TypeAlias, TypeVar
@@ -293,7 +292,7 @@
         try:
             await nursery.start(run)
         except OSError as error:
-            raise _unavailable(purpose, address, error) from error
+            raise AddressUnavailable.caused_by(error, purpose, address) from error
 
     def _on_bundle(self, bundle: Bundle) -> None:
         self._role.apply_bundle(bundle)
@@ -367,8 +366,4 @@
     try:
         return make()
     except OSError as error:
-        raise _unavailable(purpose, address, error) from error
-
-
-def _unavailable(purpose: str, address: Address, error: OSError) -> AddressUnavailable:
-    return AddressUnavailable(purpose, address, errno.errorcode.get(error.errno or 0, "OSError"))
+        raise AddressUnavailable.caused_by(error, purpose, address) from error
--- a/egretsill/daemon/_exceptions.py
+++ b/egretsill/daemon/_exceptions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 from pathlib import Path
 
 from ..configuration import Address
@@ -21,6 +22,11 @@
         self.address = address
         self.reason = reason
 
+    @classmethod
+    def caused_by(cls, error: OSError, purpose: str, address: Address) -> AddressUnavailable:
+        """Return the failure that an error of the operating system stands for."""
+        return cls(purpose, address, errno.errorcode.get(error.errno or 0, "OSError"))
+
 
 class TlsUnusable(Exception):
     """A certificate or private key could not be read.
