Measure how soon a leaving VM is told

Cause: the notice from the first reader of the VM list was tested, not measured. Change: a seeded measure over the real reading duty and rule of notices at five fleet sizes.

--- /dev/null
+++ b/egretsill/measurements/leaving_notice.py
@@ -0,0 +1,97 @@
+"""Measures how long after the platform's VM list says so a VM's process learns that it is leaving.
+
+Each process reads the list at its own times, as often as the real reading duty allows for a list
+and a fleet of this size. The first that reads it after the change notices by the real rule whom to
+tell, and its notice takes one way between failure domains. The value is the 99th percentile over
+many departures; the baseline is that of a process that only reads the list itself.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from random import Random
+
+from ..configuration import Address, DistributionTimes, Vm, VmState, encode_vms
+from ..configuration._readers import ReadDuty
+from ..draining import notices_for
+from ._measurement import Measurement
+
+SIZES = (13, 60, 200, 600, 1300)
+DEPARTURES = 1000
+TOLD_SECONDS = 3.0
+ONE_WAY_SECONDS = 0.005
+SPREAD = (0.75, 1.25)
+PERCENTILE = 0.99
+SEED = 8
+
+
+def measure() -> Sequence[Measurement]:
+    """Return one line for each fleet size."""
+    return [_measure_fleet(size, Random(SEED)) for size in SIZES]
+
+
+def _measure_fleet(size: int, random: Random) -> Measurement:
+    vms = [_make_vm(number) for number in range(size)]
+    longest = _seconds_between_reads(vms, random)
+    told, alone = [], []
+    for _ in range(DEPARTURES):
+        first, own = _depart(vms, longest, random)
+        told.append(first)
+        alone.append(own)
+    value = _percentile(told)
+    return Measurement(
+        measure="draining",
+        case=f"seconds until a VM on the list as leaving is told, 99th percentile, {size}",
+        value=round(value, 3),
+        target=TOLD_SECONDS,
+        baseline=round(_percentile(alone), 3),
+        holds=value <= TOLD_SECONDS,
+    )
+
+
+def _depart(vms: Sequence[Vm], seconds: float, random: Random) -> tuple[float, float]:
+    """Return when one leaving VM is told, and when it would have read so itself."""
+    leaving = random.randrange(len(vms))
+    listed = [
+        (
+            Vm(vm.name, vm.role, vm.failure_domain, VmState.LEAVING, vm.addresses)
+            if number == leaving
+            else vm
+        )
+        for number, vm in enumerate(vms)
+    ]
+    reads = [_next_read(seconds, random) for _ in vms]
+    first = min(range(len(vms)), key=reads.__getitem__)
+    serving = {vm.name: vm.addresses["gossip"] for vm in vms if vm is not vms[first]}
+    notices = notices_for(listed, serving, vms[first].name)
+    told = [each.notice.name for each in notices]
+    if first != leaving and told != [vms[leaving].name]:
+        return float("inf"), reads[leaving]
+    way = 0.0 if first == leaving else ONE_WAY_SECONDS
+    return reads[first] + way, reads[leaving]
+
+
+def _next_read(seconds: float, random: Random) -> float:
+    """Return the time to a process's next read, at a moment that its reads know nothing of."""
+    while True:
+        interval = seconds * random.uniform(*SPREAD)
+        # A moment falls into a long interval more often than into a short one.
+        if random.random() * SPREAD[1] * seconds < interval:
+            return interval * random.random()
+
+
+def _seconds_between_reads(vms: Sequence[Vm], random: Random) -> float:
+    times = DistributionTimes()
+    duty = ReadDuty(vms[0].name, vms[0].failure_domain, random, 0.0, times.silence)
+    duty.set_vms(vms, 0.0)
+    return max(times.vm_list, duty.vm_list_seconds(len(encode_vms(vms))))
+
+
+def _make_vm(number: int) -> Vm:
+    endpoint = Address(f"10.0.{number // 250}.{number % 250 + 1}", 7000)
+    addresses = dict.fromkeys(("gossip", "relay", "tunnel"), endpoint)
+    return Vm(f"agent-{number:05}", "agent", f"domain-{number % 11}", addresses=addresses)
+
+
+def _percentile(values: Sequence[float]) -> float:
+    return sorted(values)[int(PERCENTILE * len(values))]
