Open UDP sockets and scenes in one place

Cause: the same bind stood four times, in the agent's tunnel without closing the socket when the address is taken; two scenes began alike; a percentile was written twice. Change: one of each.

--- a/egretsill/flows/_agent_tunnel.py
+++ b/egretsill/flows/_agent_tunnel.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 from collections import Counter
 from collections.abc import Callable, Mapping
 from typing import Protocol
@@ -19,7 +18,7 @@
     TunnelMessage,
     make_tunnel_codec,
 )
-from ..wire import MalformedMessage
+from ..wire import MalformedMessage, close_datagram_socket, open_datagram_socket
 from ._datagram import IncomingDatagram, OutgoingDatagram
 from ._drops import FlowDrop
 
@@ -60,11 +59,7 @@
         self._drops: Counter[FlowDrop] = Counter()
         self._receive: DatagramReceiver | None = None
         self._learn: Callable[[OwnerNotice], None] | None = None
-        family = socket.AF_INET6 if ":" in listen.host else socket.AF_INET
-        self._socket = socket.socket(family, socket.SOCK_DGRAM)
-        self._socket.setblocking(False)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        self._socket.bind(tuple(listen))
+        self._socket = open_datagram_socket(listen, RECEIVE_BUFFER_BYTES)
 
     @property
     def drops(self) -> Mapping[FlowDrop, int]:
@@ -98,8 +93,7 @@
                 await trio.lowlevel.wait_readable(self._socket)
                 self._read_batch()
         finally:
-            trio.lowlevel.notify_closing(self._socket)
-            self._socket.close()
+            close_datagram_socket(self._socket)
 
     def _read_batch(self) -> None:
         for _ in range(BATCH_DATAGRAMS):
--- a/egretsill/measurements/leaving_notice.py
+++ b/egretsill/measurements/leaving_notice.py
@@ -15,6 +15,7 @@
 from ..configuration._readers import ReadDuty
 from ..draining import notices_for
 from ._measurement import Measurement
+from .placement import percentile
 
 SIZES = (13, 60, 200, 600, 1300)
 DEPARTURES = 1000
@@ -38,13 +39,13 @@
         first, own = _depart(vms, longest, random)
         told.append(first)
         alone.append(own)
-    value = _percentile(told)
+    value = percentile(told, PERCENTILE)
     return Measurement(
         measure="draining",
         case=f"seconds until a VM on the list as leaving is told, 99th percentile, {size}",
         value=round(value, 3),
         target=TOLD_SECONDS,
-        baseline=round(_percentile(alone), 3),
+        baseline=round(percentile(alone, PERCENTILE), 3),
         holds=value <= TOLD_SECONDS,
     )
 
@@ -91,7 +92,3 @@
     endpoint = Address(f"10.0.{number // 250}.{number % 250 + 1}", 7000)
     addresses = dict.fromkeys(("gossip", "relay", "tunnel"), endpoint)
     return Vm(f"agent-{number:05}", "agent", f"domain-{number % 11}", addresses=addresses)
-
-
-def _percentile(values: Sequence[float]) -> float:
-    return sorted(values)[int(PERCENTILE * len(values))]
--- a/egretsill/membership/_gossip_socket.py
+++ b/egretsill/membership/_gossip_socket.py
@@ -4,7 +4,6 @@
 
 import enum
 import hashlib
-import socket
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
@@ -12,7 +11,7 @@
 
 from ..configuration import Address
 from ..observation import Metrics
-from ..wire import Codec, MalformedMessage
+from ..wire import Codec, MalformedMessage, open_datagram_socket
 from ._messages import MAXIMUM_DATAGRAM_BYTES
 
 BATCH_DATAGRAMS = 64
@@ -54,7 +53,7 @@
         self._metrics = metrics
         self._mark = fleet_mark(fleet)
         self._handlers: dict[type, Callable[[Any, Address], None]] = {}
-        self._socket = _bound_socket(listen)
+        self._socket = open_datagram_socket(listen, RECEIVE_BUFFER_BYTES)
 
     @property
     def address(self) -> Address:
@@ -136,16 +135,3 @@
 def fleet_mark(fleet: str) -> bytes:
     """Return what every gossip datagram of a fleet begins with."""
     return hashlib.blake2b(fleet.encode(), digest_size=FLEET_MARK_BYTES).digest()
-
-
-def _bound_socket(listen: Address) -> socket.socket:
-    family = socket.AF_INET6 if ":" in listen.host else socket.AF_INET
-    bound = socket.socket(family, socket.SOCK_DGRAM)
-    try:
-        bound.setblocking(False)
-        bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        bound.bind(listen)
-    except BaseException:
-        bound.close()
-        raise
-    return bound
--- a/egretsill/quickstart/_operations.py
+++ b/egretsill/quickstart/_operations.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-import tempfile
-from pathlib import Path
-
 import trio
 
 from ..stand_ins.platform import Down, Well
@@ -13,11 +10,10 @@
     ASK_PAUSE_SECONDS,
     CALLERS_OF_A_KIND,
     LOOKUP,
-    READY_SECONDS,
     SUBSCRIPTIONS,
-    load_plan,
     summarize,
 )
+from ._scene import open_site
 from ._score import Score, Verdict, judge
 from ._site import FIRST_REVISION, Site
 from ._site_plan import CONNECTION_ID_KEYS
@@ -35,19 +31,13 @@
 async def run_operations() -> Verdict:
     """Run the scene and return the verdict; a revision that went back counts as not in force."""
     score = Score()
-    with tempfile.TemporaryDirectory(prefix="egretsill-") as name:
-        plan = load_plan(USER, Path(name))
-        async with trio.open_nursery() as nursery:
-            site = Site(plan, nursery, seed=1)
-            await site.start()
-            if not await site.wait_until_ready(READY_SECONDS):
-                print("not all daemons were ready in time")
-            operations = _Operations(site)
-            traffic = Traffic(plan.tls.certificate, score, lambda: not operations.finished)
-            async with trio.open_nursery() as callers:
-                operations.start_callers(traffic, callers)
-                callers.start_soon(operations.run, traffic, callers)
-            nursery.cancel_scope.cancel()
+    async with open_site(USER) as site:
+        operations = _Operations(site)
+        authorities_file = site.plan.tls.certificate
+        traffic = Traffic(authorities_file, score, lambda: not operations.finished)
+        async with trio.open_nursery() as callers:
+            operations.start_callers(traffic, callers)
+            callers.start_soon(operations.run, traffic, callers)
     counts = [each.counts for each in site.backends.values()]
     verdict = judge(score, counts, operations.lowest_revision)
     print(summarize("operations: keys rotated, platform down and then old", score, verdict))
--- a/egretsill/quickstart/_replacement.py
+++ b/egretsill/quickstart/_replacement.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-import tempfile
 from collections.abc import Sequence
 from dataclasses import replace
-from pathlib import Path
 
 import trio
 
@@ -14,11 +12,10 @@
     ASK_PAUSE_SECONDS,
     CALLERS_OF_A_KIND,
     LOOKUP,
-    READY_SECONDS,
     SUBSCRIPTIONS,
-    load_plan,
     summarize,
 )
+from ._scene import open_site
 from ._score import Score, Verdict, judge
 from ._site import Site
 from ._traffic import Traffic
@@ -38,21 +35,15 @@
 async def run_replacement() -> Verdict:
     """Run the scene and return the verdict."""
     score = Score()
-    with tempfile.TemporaryDirectory(prefix="egretsill-") as name:
-        plan = load_plan(USER, Path(name))
-        async with trio.open_nursery() as nursery:
-            site = Site(plan, nursery, seed=1)
-            await site.start()
-            if not await site.wait_until_ready(READY_SECONDS):
-                print("not all daemons were ready in time")
-            replacement = _Replacement(site)
-            traffic = Traffic(plan.tls.certificate, score, lambda: not replacement.finished)
-            async with trio.open_nursery() as callers:
-                _start_callers(site, traffic, callers)
-                callers.start_soon(replacement.run)
-            left = await replacement.wait_for_leavers()
-            revision = site.revision_in_force
-            nursery.cancel_scope.cancel()
+    async with open_site(USER) as site:
+        replacement = _Replacement(site)
+        authorities_file = site.plan.tls.certificate
+        traffic = Traffic(authorities_file, score, lambda: not replacement.finished)
+        async with trio.open_nursery() as callers:
+            _start_callers(site, traffic, callers)
+            callers.start_soon(replacement.run)
+        left = await replacement.wait_for_leavers()
+        revision = site.revision_in_force
     verdict = judge(score, [each.counts for each in site.backends.values()], revision)
     title = (
         f"replacement: {replacement.replaced} processes replaced, {left} have left by themselves"
--- a/egretsill/stand_ins/fabric.py
+++ b/egretsill/stand_ins/fabric.py
@@ -15,9 +15,11 @@
 import trio
 
 from ..configuration import Address
+from ..wire import close_datagram_socket, open_datagram_socket
 
 LARGEST_DATAGRAM_BYTES = 65_536
 BATCH_DATAGRAMS = 64
+RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
 MAXIMUM_CALLERS = 4096
 
 
@@ -67,7 +69,10 @@
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Carry packets until cancelled."""
         async with trio.open_nursery() as nursery:
-            sockets = [_bind(address) for address in self._service_addresses]
+            sockets = [
+                open_datagram_socket(address, RECEIVE_BUFFER_BYTES)
+                for address in self._service_addresses
+            ]
             try:
                 for address, each in zip(self._service_addresses, sockets, strict=True):
                     nursery.start_soon(self._carry_in, address, each, nursery)
@@ -75,8 +80,7 @@
                 await trio.sleep_forever()
             finally:
                 for each in [*sockets, *self._callers.values()]:
-                    trio.lowlevel.notify_closing(each)
-                    each.close()
+                    close_datagram_socket(each)
 
     async def _carry_in(
         self, service_address: Address, listener: socket.socket, nursery: trio.Nursery
@@ -118,9 +122,8 @@
     def _admit(self, key: tuple[Address, Address]) -> socket.socket:
         if len(self._callers) >= MAXIMUM_CALLERS:
             _, oldest = self._callers.popitem(last=False)
-            trio.lowlevel.notify_closing(oldest)
-            oldest.close()
-        outside = _bind(Address(key[0].host, 0))
+            close_datagram_socket(oldest)
+        outside = open_datagram_socket(Address(key[0].host, 0), RECEIVE_BUFFER_BYTES)
         self._callers[key] = outside
         return outside
 
@@ -142,12 +145,3 @@
                 if self._random.random() >= self._loss:
                     with suppress(OSError):
                         listener.sendto(payload, tuple(caller))
-
-
-def _bind(address: Address) -> socket.socket:
-    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-    bound = socket.socket(family, socket.SOCK_DGRAM)
-    bound.setblocking(False)
-    bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 * 1024 * 1024)
-    bound.bind(tuple(address))
-    return bound
--- a/egretsill/steering/_balancer.py
+++ b/egretsill/steering/_balancer.py
@@ -10,14 +10,13 @@
 
 from ..configuration import Address, Bundle
 from ..timing import ClockJump, TimerService
-from ..wire import MalformedMessage
+from ..wire import MalformedMessage, close_datagram_socket, open_datagram_socket
 from ._connection_id import ConnectionIdCodec
 from ._counters import BalancerCounters
 from ._datagram_socket import (
     BATCH_DATAGRAMS,
     MAXIMUM_DATAGRAM_BYTES,
-    close_datagram_socket,
-    open_datagram_socket,
+    SOCKET_BUFFER_BYTES,
     read_batches,
 )
 from ._first_packets import (
@@ -91,7 +90,9 @@
         self._watch = FirstPacketWatch()
         self._tunnel_codec = make_tunnel_codec()
         self._encoder = CallerPacketEncoder()
-        self._tunnel = open_datagram_socket(tunnel_address)
+        self._tunnel = open_datagram_socket(
+            tunnel_address, SOCKET_BUFFER_BYTES, SOCKET_BUFFER_BYTES
+        )
         self._listeners: dict[tuple[str, int], _Listener] = {}
         self._unbound: set[Address] = set()
         self._nursery: trio.Nursery | None = None
@@ -185,7 +186,9 @@
 
     def _open_listener(self, service_address: Address) -> None:
         try:
-            opened = open_datagram_socket(self._listen(service_address))
+            opened = open_datagram_socket(
+                self._listen(service_address), SOCKET_BUFFER_BYTES, SOCKET_BUFFER_BYTES
+            )
         except OSError:
             self._counters.bind_failures += 1
             self._unbound.add(service_address)
--- a/egretsill/steering/_datagram_socket.py
+++ b/egretsill/steering/_datagram_socket.py
@@ -1,4 +1,4 @@
-"""Non-blocking UDP sockets for reading in batches."""
+"""Reading a UDP socket in batches."""
 
 from __future__ import annotations
 
@@ -7,42 +7,11 @@
 
 import trio
 
-from ..configuration import Address
-
 MAXIMUM_DATAGRAM_BYTES = 2048
 BATCH_DATAGRAMS = 64
 SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
 
 
-def open_datagram_socket(address: Address) -> socket.socket:
-    """Return a non-blocking UDP socket bound to an address.
-
-    Raises:
-        OSError: if the address can't be bound.
-    """
-    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-    datagram_socket = socket.socket(family, socket.SOCK_DGRAM)
-    try:
-        datagram_socket.setblocking(False)
-        datagram_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
-        datagram_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
-        datagram_socket.bind(address)
-    except BaseException:
-        datagram_socket.close()
-        raise
-    return datagram_socket
-
-
-def close_datagram_socket(datagram_socket: socket.socket) -> None:
-    """Close a socket and wake the task that reads it, if there is one."""
-    if datagram_socket.fileno() < 0:
-        return
-    # Before the loop runs there is no reader to wake.
-    if trio.lowlevel.in_trio_run():
-        trio.lowlevel.notify_closing(datagram_socket)
-    datagram_socket.close()
-
-
 async def read_batches(datagram_socket: socket.socket, take_batch: Callable[[], bool]) -> None:
     """Call `take_batch` whenever the socket is readable, until the socket is closed.
 
--- a/egretsill/wire/__init__.py
+++ b/egretsill/wire/__init__.py
@@ -1,6 +1,7 @@
-"""Framing of typed messages between the system's own processes, and small page reads."""
+"""Framing of typed messages between processes, UDP sockets, and reads of small pages."""
 
 from ._codec import Codec, MalformedMessage, StreamDecoder
+from ._datagram_socket import close_datagram_socket, open_datagram_socket
 from ._http_get import HttpPage, PageUnavailable, get_page
 
 __all__ = [
@@ -9,5 +10,7 @@
     "MalformedMessage",
     "PageUnavailable",
     "StreamDecoder",
+    "close_datagram_socket",
     "get_page",
+    "open_datagram_socket",
 ]
