Count the revision in force at processes that run

Cause: the replacement scene took the lowest revision over all processes, those that had left included, whose revision stays what it was when they left. Change: those that have ended no longer count.

--- a/egretsill/quickstart/_site.py
+++ b/egretsill/quickstart/_site.py
@@ -137,7 +137,8 @@
     @property
     def revision_in_force(self) -> int:
         """Return the lowest revision in force at the daemons that run."""
-        return min(daemon.revision for daemon in self._daemons.values())
+        running = [each for name, each in self._daemons.items() if name not in self._ended]
+        return min(daemon.revision for daemon in running)
 
     async def stop_balancer(self, name: str, noticed_after_seconds: float) -> None:
         """Stop a balancer without warning; the fabric feeds it on for a while."""
