Let a process load observation and ranking without the rest

Cause: importing observation pulled in pydantic, the configuration slice and aioprometheus (0.63 s of processor time, 43 MB); rendezvous ranking pulled in the QUIC connection IDs. Change: Address moved to wire, ranking is a package of its own, and the metrics library is loaded with the first page.

--- a/egretsill/configuration/__init__.py
+++ b/egretsill/configuration/__init__.py
@@ -1,5 +1,6 @@
 """Services, targets and limits as the operators declared them, and how a process learns them."""
 
+from ..wire import Address
 from ._bundle_codec import (
     HEAD_KEY,
     Change,
@@ -44,7 +45,6 @@
     ServicesWanted,
 )
 from ._model import (
-    Address,
     Bundle,
     Limits,
     RequestClass,
--- a/egretsill/configuration/_core.py
+++ b/egretsill/configuration/_core.py
@@ -7,11 +7,11 @@
 from random import Random
 from typing import TypeAlias
 
+from ..wire import Address
 from ._bundle_codec import Publication
 from ._exchange import Announce, Exchange, FetchFrom, Peer, Standing
 from ._ledger import PutInForce, RevisionConflict, RevisionLedger
 from ._messages import Announcement, Rank
-from ._model import Address
 from ._readers import ReadDuty
 
 COMPARISONS_AFTER_JUMP = 3
--- a/egretsill/configuration/_declaration.py
+++ b/egretsill/configuration/_declaration.py
@@ -9,9 +9,10 @@
 
 from pydantic import Field
 
+from ..wire import Address
 from ._exceptions import DeclarationRejected
 from ._ini import Section, SectionModel, read_layers
-from ._model import Address, Limits, RequestClass, RequestShape, Service, Target, TargetState
+from ._model import Limits, RequestClass, RequestShape, Service, Target, TargetState
 from ._problems import (
     DuplicateAddress,
     DuplicateClass,
--- a/egretsill/configuration/_distributor.py
+++ b/egretsill/configuration/_distributor.py
@@ -12,13 +12,14 @@
 import trio
 
 from ..timing import ClockJump, TimerService
+from ..wire import Address
 from ._bundle_codec import HEAD_KEY, Publication, decode_head
 from ._core import CoreEffect, DistributionCore, DistributionTimes
 from ._exceptions import ConfigurationError, PeerFailure, PlatformFailure, TornPublication
 from ._exchange import Announce, FetchFrom, Peer
 from ._ledger import PutInForce, RevisionConflict
 from ._messages import Announcement, ConfigurationAnswer, ConfigurationQuestion
-from ._model import Address, Bundle
+from ._model import Bundle
 from ._platform_client import Value, WatchAnswer
 from ._readers import ReadOnce, Wait, Watch
 from ._sources import PeerSource, PlatformSource, answer_question, read_publication
--- a/egretsill/configuration/_exchange.py
+++ b/egretsill/configuration/_exchange.py
@@ -7,8 +7,8 @@
 from random import Random
 from typing import TypeAlias
 
+from ..wire import Address
 from ._messages import MAXIMUM_CONTACT_AGE_MS, NO_REVISION, Announcement, Rank
-from ._model import Address
 
 FAN_OUT = 4
 MAXIMUM_SOURCES = 8
--- a/egretsill/configuration/_messages.py
+++ b/egretsill/configuration/_messages.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Any, TypeAlias
 
-from ._model import Address
+from ..wire import Address
 
 MAXIMUM_NAME_CHARACTERS = 63
 DIGEST_CHARACTERS = 32
--- a/egretsill/configuration/_model.py
+++ b/egretsill/configuration/_model.py
@@ -5,17 +5,8 @@
 import enum
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from typing import NamedTuple
 
-
-class Address(NamedTuple):
-    """A UDP or TCP endpoint by IP number."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
+from ..wire import Address
 
 
 class RequestShape(enum.Enum):
--- a/egretsill/configuration/_platform_client.py
+++ b/egretsill/configuration/_platform_client.py
@@ -14,6 +14,7 @@
 import h11
 import trio
 
+from ..wire import Address
 from ._exceptions import (
     PlatformFailure,
     PlatformMalformed,
@@ -22,7 +23,6 @@
     PlatformUnreachable,
     ValueMissing,
 )
-from ._model import Address
 from ._vms import VMS_KEY
 
 MAXIMUM_BODY_BYTES = 1_048_576
--- a/egretsill/configuration/_published.py
+++ b/egretsill/configuration/_published.py
@@ -9,8 +9,9 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from ..wire import Address
 from ._exceptions import MalformedValue
-from ._model import Address, Limits, RequestClass, RequestShape, Service, Target, TargetState
+from ._model import Limits, RequestClass, RequestShape, Service, Target, TargetState
 
 FORMAT = 1
 DIGEST_BYTES = 16
--- a/egretsill/configuration/_quantities.py
+++ b/egretsill/configuration/_quantities.py
@@ -10,7 +10,7 @@
 from pydantic import BeforeValidator, Field
 from pydantic_core import PydanticCustomError
 
-from ._model import Address
+from ..wire import Address
 
 SECONDS_BY_UNIT: Mapping[str, float] = {
     "us": 1e-6,
--- a/egretsill/configuration/_vms.py
+++ b/egretsill/configuration/_vms.py
@@ -9,8 +9,8 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from ..wire import Address
 from ._exceptions import MalformedValue
-from ._model import Address
 from ._published import canonical_json
 from ._quantities import Endpoint, Name
 
--- a/egretsill/observation/_admin_server.py
+++ b/egretsill/observation/_admin_server.py
@@ -15,7 +15,7 @@
 import h11
 import trio
 
-from ..configuration import Address
+from ..wire import Address
 from ._health import HealthState
 from ._metrics import Metrics
 
--- a/egretsill/observation/_metrics.py
+++ b/egretsill/observation/_metrics.py
@@ -1,23 +1,26 @@
 """Typed metrics over an aioprometheus registry.
 
-Counters are plain additions until somebody asks for the page, so that a hot path may count. Each
-metric keeps a bounded number of label combinations; what comes after them is counted together.
+Counters are plain additions until somebody asks for the page, so that a hot path may count. The
+library is loaded with the first page, as it takes 0.1 s and 10 MB that a starting process needs.
+Each metric keeps a bounded number of label combinations; what comes after them is counted together.
 """
 
 from __future__ import annotations
 
 import enum
 from collections.abc import Sequence
-from typing import TypeAlias, cast
-
-from aioprometheus import collectors, renderer
+from typing import TYPE_CHECKING, TypeAlias, cast
 
 from ._definitions import METRIC_DEFINITIONS, MetricDefinition, MetricKind
 from ._exceptions import LabelMismatch
 
+if TYPE_CHECKING:
+    from aioprometheus import collectors
+
 MAXIMUM_SERIES = 200
 MAXIMUM_HISTOGRAM_SERIES = 64
 MAXIMUM_LABEL_CHARACTERS = 64
+MAXIMUM_PENDING_OBSERVATIONS = 20_000  # some 3 MB before a page that nobody asks for
 OTHER_LABEL = "other"
 
 LabelValue: TypeAlias = str | enum.Enum
@@ -59,8 +62,9 @@
 class Counter:
     """Counts events; it only goes up."""
 
-    def __init__(self, definition: MetricDefinition, registry: collectors.Registry) -> None:
-        self._collector = collectors.Counter(definition.name, definition.meaning, registry=registry)
+    def __init__(self, definition: MetricDefinition) -> None:
+        self._definition = definition
+        self._collector: collectors.Counter | None = None
         self._series = _Series(definition, MAXIMUM_SERIES)
         self._totals: dict[tuple[str, ...], float] = {}
 
@@ -87,8 +91,15 @@
         """Return the count over all label values."""
         return sum(self._totals.values())
 
-    def flush(self) -> None:
+    def flush(self, registry: collectors.Registry) -> None:
         """Bring the registry up to date."""
+        if self._collector is None:
+            from aioprometheus import collectors
+
+            definition = self._definition
+            self._collector = collectors.Counter(
+                definition.name, definition.meaning, registry=registry
+            )
         for key, total in self._totals.items():
             self._collector.set(self._series.labels(key), total)
 
@@ -96,8 +107,9 @@
 class Gauge:
     """A value that goes up and down."""
 
-    def __init__(self, definition: MetricDefinition, registry: collectors.Registry) -> None:
-        self._collector = collectors.Gauge(definition.name, definition.meaning, registry=registry)
+    def __init__(self, definition: MetricDefinition) -> None:
+        self._definition = definition
+        self._collector: collectors.Gauge | None = None
         self._series = _Series(definition, MAXIMUM_SERIES)
         self._values: dict[tuple[str, ...], float] = {}
 
@@ -113,8 +125,15 @@
         """Return the value of these label values, 0 if it was never set."""
         return self._values.get(self._series.key(labels), 0)
 
-    def flush(self) -> None:
+    def flush(self, registry: collectors.Registry) -> None:
         """Bring the registry up to date."""
+        if self._collector is None:
+            from aioprometheus import collectors
+
+            definition = self._definition
+            self._collector = collectors.Gauge(
+                definition.name, definition.meaning, registry=registry
+            )
         for key, value in self._values.items():
             self._collector.set(self._series.labels(key), value)
 
@@ -122,11 +141,12 @@
 class Histogram:
     """Distribution of a measured quantity by tenant and class."""
 
-    def __init__(self, definition: MetricDefinition, registry: collectors.Registry) -> None:
-        self._collector = collectors.Histogram(
-            definition.name, definition.meaning, registry=registry, buckets=definition.buckets
-        )
+    def __init__(self, definition: MetricDefinition) -> None:
+        self._definition = definition
+        self._collector: collectors.Histogram | None = None
         self._series = _Series(definition, MAXIMUM_HISTOGRAM_SERIES)
+        self._pending: list[tuple[tuple[str, ...], float]] = []
+        self._registered = False
 
     def observe(self, value: float, *labels: LabelValue) -> None:
         """Add one measured value.
@@ -134,15 +154,41 @@
         Raises:
             LabelMismatch: if there are more or fewer values than labels.
         """
-        self._collector.observe(self._series.labels(self._series.key(labels)), float(value))
+        self._pending.append((self._series.key(labels), float(value)))
+        if len(self._pending) >= MAXIMUM_PENDING_OBSERVATIONS:
+            self._drain_pending()
 
     def count(self, *labels: LabelValue) -> int:
         """Return how many values were observed for these label values."""
+        collector = self._drain_pending()
         try:
-            distribution = self._collector.get(self._series.labels(self._series.key(labels)))
+            distribution = collector.get(self._series.labels(self._series.key(labels)))
         except KeyError:
             return 0
-        return cast(int, distribution[collectors.Histogram.COUNT_KEY])
+        return cast(int, distribution[collector.COUNT_KEY])
+
+    def flush(self, registry: collectors.Registry) -> None:
+        """Bring the registry up to date."""
+        collector = self._drain_pending()
+        if not self._registered:
+            registry.register(collector)
+            self._registered = True
+
+    def _drain_pending(self) -> collectors.Histogram:
+        if self._collector is None:
+            from aioprometheus import collectors
+
+            definition = self._definition
+            self._collector = collectors.Histogram(
+                definition.name,
+                definition.meaning,
+                registry=collectors.Registry(),
+                buckets=definition.buckets,
+            )
+        for key, value in self._pending:
+            self._collector.observe(self._series.labels(key), value)
+        self._pending.clear()
+        return self._collector
 
 
 class Metrics:
@@ -186,8 +232,8 @@
     tries: Histogram
 
     def __init__(self) -> None:
-        self._registry = collectors.Registry()
-        self._flushed: list[Counter | Gauge] = []
+        self._registry: collectors.Registry | None = None
+        self._all: list[Counter | Gauge | Histogram] = []
         for definition in METRIC_DEFINITIONS:
             setattr(self, definition.attribute, self._create(definition))
 
@@ -197,22 +243,25 @@
         Args:
             accept: values of the request's Accept headers.
         """
-        for metric in self._flushed:
-            metric.flush()
+        from aioprometheus import collectors, renderer
+
+        if self._registry is None:
+            self._registry = collectors.Registry()
+        for metric in self._all:
+            metric.flush(self._registry)
         return renderer.render(self._registry, list(accept))
 
     def _create(self, definition: MetricDefinition) -> Counter | Gauge | Histogram:
+        metric: Counter | Gauge | Histogram
         match definition.kind:
             case MetricKind.COUNTER:
-                counter = Counter(definition, self._registry)
-                self._flushed.append(counter)
-                return counter
+                metric = Counter(definition)
             case MetricKind.GAUGE:
-                gauge = Gauge(definition, self._registry)
-                self._flushed.append(gauge)
-                return gauge
+                metric = Gauge(definition)
             case MetricKind.HISTOGRAM:
-                return Histogram(definition, self._registry)
+                metric = Histogram(definition)
+        self._all.append(metric)
+        return metric
 
 
 def _text(value: LabelValue) -> str:
--- a/egretsill/steering/__init__.py
+++ b/egretsill/steering/__init__.py
@@ -1,5 +1,6 @@
 """Which agent a packet goes to, and the balancer that sends it there."""
 
+from ..ranking import rank
 from ._agent_steering import (
     ANNOUNCEMENT_SECONDS,
     AgentDecision,
@@ -26,7 +27,6 @@
     WatchEffect,
 )
 from ._packet import MalformedPacket, MalformedReason, PacketHeader, parse_packet
-from ._ranking import rank
 from ._routes import (
     PLACEMENT_DELAY_SECONDS,
     RETENTION_SECONDS,
--- a/egretsill/steering/_agent_steering.py
+++ b/egretsill/steering/_agent_steering.py
@@ -15,9 +15,9 @@
 from typing import TypeAlias
 
 from ..configuration import Address, Bundle
+from ..ranking import first_unavoided, rank
 from ._connection_id import ConnectionIdCodec, is_owner, owner_bytes, service_number_of
 from ._packet import MalformedPacket, parse_packet
-from ._ranking import first_unavoided, rank
 from ._routes import (
     PLACEMENT_DELAY_SECONDS,
     RETENTION_SECONDS,
--- a/egretsill/steering/_routes.py
+++ b/egretsill/steering/_routes.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass, replace
 
 from ..configuration import Address, Bundle, Service, TargetState
+from ..ranking import WinnerTable
 from ._connection_id import owner_bytes
-from ._ranking import WinnerTable
 from ._view import RetainedTarget
 
 RETENTION_SECONDS = 24 * 3600.0
--- a/egretsill/steering/_steering.py
+++ b/egretsill/steering/_steering.py
@@ -16,9 +16,9 @@
 from typing import TypeAlias
 
 from ..configuration import Address, Bundle
+from ..ranking import first_unavoided, rank
 from ._connection_id import CONNECTION_ID_BYTES, ConnectionIdCodec, is_owner, service_number_of
 from ._packet import MalformedPacket, MalformedReason, parse_packet
-from ._ranking import first_unavoided, rank
 from ._routes import (
     PLACEMENT_DELAY_SECONDS,
     AgentIdentity,
