--- a/Makefile
+++ b/Makefile
@@ -18,13 +18,13 @@
 	$(PYTHON) -m pytest
 
 check: env
-	$(PYTHON) -m black --check --quiet egretsill
-	$(PYTHON) -m ruff check egretsill
+	$(PYTHON) -m black --check --quiet egretsill platform
+	$(PYTHON) -m ruff check egretsill platform
 	$(PYTHON) -m mypy
 
 format: env
-	$(PYTHON) -m black --quiet egretsill
-	$(PYTHON) -m ruff check --fix egretsill
+	$(PYTHON) -m black --quiet egretsill platform
+	$(PYTHON) -m ruff check --fix egretsill platform
 
 measure: env
 	$(PYTHON) -m egretsill.measurements
--- /dev/null
+++ b/egretsill/address_steering/_agent_steering.py
@@ -0,0 +1,255 @@
+"""What an agent does with packets of callers and of its target.
+
+The agent sees every packet of its target's flows in both directions, so it knows them exactly. A
+packet of a flow that isn't here goes on to the next candidate, in the manner of Beamer's daisy
+chaining (Olteanu and others, 2018), with the visited agents listed so that none sees it twice.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from ..directory import Directory, Route, TargetPhase, TargetView
+from ..fleet import PeerTable
+from ._decisions import (
+    AgentEffect,
+    Drop,
+    DropReason,
+    Forward,
+    ForwardReason,
+    HandToTarget,
+    Refuse,
+    RefuseReason,
+    SendToCaller,
+    TellOwner,
+)
+from ._flow_table import FlowEntry, FlowState, FlowTable
+from ._packet import FlowPacket, PacketKind
+from ._placement import FlowPlacement
+from ._tunnel import MAXIMUM_VISITED, Envelope, OwnerNotice, service_mark
+
+
+class AgentSteering:
+    """Decides what happens to each packet at one agent.
+
+    Args:
+        host: IPv4 address of the agent and its target, as a number.
+        service: the target's service.
+        directory: routes and targets.
+        peers: heartbeats of the others.
+        retention_seconds: age at which a flow may be forgotten.
+        started_at: local time since which the agent has seen every packet of its target.
+    """
+
+    def __init__(
+        self,
+        host: int,
+        service: str,
+        directory: Directory,
+        peers: PeerTable,
+        retention_seconds: float,
+        started_at: float,
+    ) -> None:
+        self._host = host
+        self._service = service
+        self._mark = service_mark(service)
+        self._directory = directory
+        self._placement = FlowPlacement(directory, peers)
+        self._flows = FlowTable(retention_seconds)
+        self._complete_at = started_at + retention_seconds
+        self._is_target_down = False
+
+    @property
+    def flows(self) -> FlowTable:
+        """Return the flows that this agent knows of."""
+        return self._flows
+
+    @property
+    def is_refusing(self) -> bool:
+        """Return whether the target takes no flows at all."""
+        return self._is_target_down
+
+    def note_target_down(self) -> None:
+        """Note that nothing listens at the target: its flows are gone."""
+        self._is_target_down = True
+
+    def note_target_up(self) -> None:
+        """Note that the target answers."""
+        self._is_target_down = False
+
+    def take_from_peer(
+        self, envelope: Envelope, packet: FlowPacket, now: float
+    ) -> Sequence[AgentEffect]:
+        """Return what to do with a caller's packet that a balancer or an agent sent here."""
+        entry = self._flows.get(packet.flow)
+        if entry is not None and entry.state is FlowState.OWNED:
+            if packet.kind is PacketKind.OPENING and entry.has_ended:
+                self._flows.remove(packet.flow)
+                return self._take_opening(envelope, packet, now)
+            return self._take_owned(entry, envelope, packet, now)
+        if packet.kind is PacketKind.OPENING:
+            return self._take_opening(envelope, packet, now)
+        if entry is None:
+            return self._take_unknown(envelope, packet, now)
+        if entry.state is FlowState.PASSED:
+            entry.seen_at = now
+            return self._pass_to(entry.passed_to, envelope, packet, ForwardReason.PASSED_BEFORE)
+        return self._take_owned(entry, envelope, packet, now)
+
+    def take_from_target(self, packet: FlowPacket, now: float) -> Sequence[AgentEffect]:
+        """Return what to do with a packet that the target sent or gave back."""
+        if packet.is_bounced:
+            return self._take_bounced(packet, now)
+        self._is_target_down = False
+        entry = self._flows.get(packet.flow)
+        if entry is None:
+            entry = FlowEntry(FlowState.OWNED, 0, (), now, now)
+            self._flows.put(packet.flow, entry)
+        elif entry.state is not FlowState.OWNED:
+            self._flows.own(entry)
+        entry.seen_at = now
+        if packet.payload_bytes:
+            self._flows.answer_request(entry, now)
+        if packet.kind is PacketKind.RESET:
+            self._flows.remove(packet.flow)
+        elif packet.kind is PacketKind.CLOSING:
+            entry.target_closed = True
+            self._flows.end_request(entry)
+        return (SendToCaller(packet.flow.caller_host, packet.datagram),)
+
+    def sweep(self, now: float) -> None:
+        """Forget what is over or too old."""
+        table = self._directory.table
+        self._flows.sweep(now, table.idle_seconds if table else 0.0)
+
+    def _take_owned(
+        self, entry: FlowEntry, envelope: Envelope, packet: FlowPacket, now: float
+    ) -> Sequence[AgentEffect]:
+        entry.seen_at = now
+        entry.balancer = envelope.balancer
+        entry.visited = envelope.visited
+        if packet.payload_bytes:
+            self._flows.begin_request(entry, now)
+        if packet.kind is PacketKind.CLOSING:
+            entry.caller_closed = True
+        elif packet.kind is PacketKind.RESET:
+            entry.caller_closed = entry.target_closed = True
+            self._flows.end_request(entry)
+        hand = HandToTarget(packet.datagram)
+        if envelope.visited and entry.state is FlowState.OWNED:
+            return (hand, TellOwner(envelope.balancer, OwnerNotice(packet.flow, self._host)))
+        return (hand,)
+
+    def _take_opening(
+        self, envelope: Envelope, packet: FlowPacket, now: float
+    ) -> Sequence[AgentEffect]:
+        route = self._directory.route(packet.flow.service_host, packet.flow.service_port)
+        is_newer_here = self._directory.version >= envelope.version
+        if route is None and is_newer_here and self._directory.version:
+            return (Refuse(packet.flow, packet.acknowledged, RefuseReason.NO_ROUTE),)
+        service = self._service
+        if route is not None and is_newer_here and service not in route.services:
+            service = self._placement.service_of(route, packet.flow)
+            return self._pass_opening(envelope, packet, service, ForwardReason.OTHER_SERVICE, now)
+        if (route is None or not is_newer_here) and envelope.service_mark != self._mark:
+            return (Drop(packet.flow, DropReason.STALE_CONTENT),)
+        reason = self._reason_to_pass(now)
+        if reason is not None:
+            return self._pass_opening(envelope, packet, service, reason, now)
+        self._flows.put(packet.flow, self._entry(FlowState.TRYING, envelope, now))
+        return (HandToTarget(packet.datagram),)
+
+    def _take_unknown(
+        self, envelope: Envelope, packet: FlowPacket, now: float
+    ) -> Sequence[AgentEffect]:
+        if now >= self._complete_at or self._is_target_down:
+            return self._pass_on(envelope, packet, now)
+        entry = self._entry(FlowState.TRYING, envelope, now)
+        self._flows.put(packet.flow, entry)
+        return self._take_owned(entry, envelope, packet, now)
+
+    def _take_bounced(self, packet: FlowPacket, now: float) -> Sequence[AgentEffect]:
+        entry = self._flows.get(packet.flow)
+        if entry is None:
+            return (Drop(packet.flow, DropReason.UNEXPECTED),)
+        envelope = Envelope(entry.balancer, self._directory.version, self._mark, entry.visited)
+        if packet.kind is PacketKind.OPENING:
+            return self._pass_opening(
+                envelope, packet, self._service, ForwardReason.TARGET_FULL, now
+            )
+        self._flows.remove(packet.flow)
+        return self._pass_on(envelope, packet, now)
+
+    def _reason_to_pass(self, now: float) -> ForwardReason | None:
+        """Return why the target should get no new flow, or None if it may."""
+        if self._is_target_down:
+            return ForwardReason.TARGET_DOWN
+        view = self._own_view()
+        if view is None:
+            # Balancers learn of a target from its entry, so it exists if they send packets here.
+            return None
+        is_gone = view.gone_at is not None and view.lapsed_until <= now
+        if is_gone or view.target.phase is TargetPhase.DRAINING:
+            return ForwardReason.TARGET_LEAVING
+        return None
+
+    def _pass_opening(
+        self,
+        envelope: Envelope,
+        packet: FlowPacket,
+        service: str,
+        reason: ForwardReason,
+        now: float,
+    ) -> Sequence[AgentEffect]:
+        excluded = {*envelope.visited, self._host}
+        host = None
+        if len(excluded) <= MAXIMUM_VISITED:
+            host = self._placement.choose(packet.flow, service, excluded, now)
+        if host is None:
+            self._flows.remove(packet.flow)
+            is_full = reason is ForwardReason.TARGET_FULL
+            refusal = RefuseReason.ALL_FULL if is_full else RefuseReason.NO_TARGET
+            return (Refuse(packet.flow, packet.acknowledged, refusal),)
+        entry = self._entry(FlowState.PASSED, envelope, now)
+        entry.passed_to = host
+        self._flows.put(packet.flow, entry)
+        mark = self._mark if service == self._service else service_mark(service)
+        steered = envelope._replace(version=self._directory.version, service_mark=mark)
+        return self._pass_to(host, steered, packet, reason)
+
+    def _pass_on(self, envelope: Envelope, packet: FlowPacket, now: float) -> Sequence[AgentEffect]:
+        """Send a packet of a flow that isn't here to the next VM where it may be."""
+        flow = packet.flow
+        route = self._directory.route(flow.service_host, flow.service_port)
+        if route is None:
+            return (Drop(flow, DropReason.NO_TARGET),)
+        visited = {*envelope.visited, self._host}
+        for host in self._placement.ranked(flow, route.services):
+            if host in visited or self._is_empty(host, route, now):
+                continue
+            return self._pass_to(host, envelope, packet, ForwardReason.NOT_HERE)
+        if packet.kind is PacketKind.RESET:
+            return (Drop(flow, DropReason.NO_TARGET),)
+        return (Refuse(flow, packet.acknowledged, RefuseReason.NOWHERE_OPEN),)
+
+    def _pass_to(
+        self, host: int, envelope: Envelope, packet: FlowPacket, reason: ForwardReason
+    ) -> Sequence[AgentEffect]:
+        if len(envelope.visited) >= MAXIMUM_VISITED or host in envelope.visited:
+            return (Drop(packet.flow, DropReason.TOO_MANY_HOPS),)
+        onward = envelope._replace(visited=(*envelope.visited, self._host))
+        return (Forward(host, onward, reason, packet.flow, packet.datagram),)
+
+    def _is_empty(self, host: int, route: Route, now: float) -> bool:
+        """Return whether no flow can be open on a VM, as its target has left."""
+        views = [self._directory.target_at(host, service) for service in route.services]
+        return all(
+            view is None or (view.gone_at is not None and view.lapsed_until <= now)
+            for view in views
+        )
+
+    def _own_view(self) -> TargetView | None:
+        return self._directory.target_at(self._host, self._service)
+
+    def _entry(self, state: FlowState, envelope: Envelope, now: float) -> FlowEntry:
+        return FlowEntry(state, envelope.balancer, envelope.visited, now, now)
--- /dev/null
+++ b/egretsill/address_steering/_balancer_steering.py
@@ -0,0 +1,163 @@
+"""Where a balancer sends callers' packets.
+
+A balancer needs no state of a flow: every flow's owner is found from the rank of its candidates.
+It remembers owners that it chose or was told of, to spare packets a hop.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from ..directory import Directory
+from ..fleet import PeerTable
+from ._decisions import (
+    BalancerDecision,
+    Drop,
+    DropReason,
+    Forward,
+    ForwardReason,
+    Refuse,
+    RefuseReason,
+)
+from ._packet import FlowKey, FlowPacket, PacketKind
+from ._placement import CHOICES, FlowPlacement
+from ._tunnel import Envelope, OwnerNotice, service_mark
+
+MAXIMUM_OWNERS = 20_000  # some 6 MB; what is forgotten costs its next packet a hop
+CERTAIN_SECONDS = 2.0  # content confirmed longer ago may lack a new route
+DEPARTED_SECONDS = 1.0  # a target whose entry vanished may answer for that long
+
+
+@dataclass(frozen=True, slots=True)
+class _Owner:
+    host: int
+    service: str
+    tried: tuple[int, ...]
+    known_at: float
+
+
+class BalancerSteering:
+    """Decides where each packet of a caller goes.
+
+    Args:
+        host: IPv4 address of this balancer, as a number.
+        directory: routes and targets.
+        peers: heartbeats of the agents.
+        retention_seconds: age at which a flow may be forgotten.
+    """
+
+    def __init__(
+        self, host: int, directory: Directory, peers: PeerTable, retention_seconds: float
+    ) -> None:
+        self._host = host
+        self._directory = directory
+        self._peers = peers
+        self._retention_seconds = retention_seconds
+        self._placement = FlowPlacement(directory, peers)
+        self._owners: OrderedDict[FlowKey, _Owner] = OrderedDict()
+        self._marks: dict[str, int] = {}
+
+    @property
+    def owners_known(self) -> int:
+        """Return how many flows' owners are remembered."""
+        return len(self._owners)
+
+    def steer(self, packet: FlowPacket, now: float) -> BalancerDecision:
+        """Return what to do with a caller's packet."""
+        if packet.kind is PacketKind.OPENING_ANSWER:
+            return Drop(packet.flow, DropReason.UNEXPECTED)
+        route = self._directory.route(packet.flow.service_host, packet.flow.service_port)
+        if route is None:
+            return self._steer_without_route(packet, now)
+        if packet.kind is PacketKind.OPENING:
+            return self._place(packet, self._placement.service_of(route, packet.flow), now)
+        owner = self._owners.get(packet.flow)
+        if owner is not None:
+            return self._send_to_owner(packet, owner, now)
+        services = route.services
+        ranked = self._placement.ranked(packet.flow, services)
+        if not ranked:
+            return Drop(packet.flow, DropReason.NO_TARGET)
+        heard = [host for host in ranked if not self._peers.is_silent(host, now)]
+        host = (heard or ranked)[0]
+        return self._forward(packet, host, services[0], ForwardReason.FIRST_CANDIDATE)
+
+    def learn_owner(self, notice: OwnerNotice, now: float) -> bool:
+        """Remember where a flow is; return whether the owner is a known target's VM."""
+        route = self._directory.route(notice.flow.service_host, notice.flow.service_port)
+        if route is None:
+            return False
+        for service in route.services:
+            if self._directory.target_at(notice.owner, service) is not None:
+                self._remember(notice.flow, _Owner(notice.owner, service, (notice.owner,), now))
+                return True
+        return False
+
+    def tick(self, now: float) -> None:
+        """Forget owners of flows that are too old."""
+        while self._owners:
+            flow, owner = next(iter(self._owners.items()))
+            if now - owner.known_at < self._retention_seconds:
+                break
+            del self._owners[flow]
+
+    def _steer_without_route(self, packet: FlowPacket, now: float) -> BalancerDecision:
+        if now - self._directory.confirmed_at > CERTAIN_SECONDS:
+            return Drop(packet.flow, DropReason.STALE_CONTENT)
+        if packet.kind is PacketKind.RESET:
+            return Drop(packet.flow, DropReason.UNEXPECTED)
+        return Refuse(packet.flow, packet.acknowledged, RefuseReason.NO_ROUTE)
+
+    def _place(self, packet: FlowPacket, service: str, now: float) -> BalancerDecision:
+        flow = packet.flow
+        excluded = self._tried(packet, service)
+        host = self._placement.choose(flow, service, excluded, now)
+        if host is None and excluded:
+            host = self._placement.choose(flow, service, (), now)
+        if host is None:
+            if now - self._directory.confirmed_at > CERTAIN_SECONDS:
+                return Drop(flow, DropReason.NO_TARGET)
+            return Refuse(flow, packet.acknowledged, RefuseReason.NO_TARGET)
+        self._placement.note_sent(host)
+        self._remember(flow, _Owner(host, service, (*excluded, host), now))
+        return self._forward(packet, host, service, ForwardReason.NEW_FLOW)
+
+    def _tried(self, packet: FlowPacket, service: str) -> tuple[int, ...]:
+        """Return the VMs that earlier copies of an opening packet went to, or probably did."""
+        if packet.copy == 0:
+            return ()
+        owner = self._owners.get(packet.flow)
+        if owner is not None and owner.service == service:
+            return owner.tried
+        ranked = self._placement.ranked(packet.flow, (service,))
+        return tuple(ranked[: CHOICES * packet.copy])
+
+    def _send_to_owner(self, packet: FlowPacket, owner: _Owner, now: float) -> BalancerDecision:
+        view = self._directory.target_at(owner.host, owner.service)
+        is_gone = view is None or (
+            view.gone_at is not None
+            and view.lapsed_until <= now
+            and now - view.gone_at > DEPARTED_SECONDS
+        )
+        if is_gone and not self._peers.is_heard(owner.host, now):
+            self._owners.pop(packet.flow, None)
+            if packet.kind is PacketKind.RESET:
+                return Drop(packet.flow, DropReason.NO_TARGET)
+            return Refuse(packet.flow, packet.acknowledged, RefuseReason.TARGET_GONE)
+        return self._forward(packet, owner.host, owner.service, ForwardReason.KNOWN_OWNER)
+
+    def _forward(
+        self, packet: FlowPacket, host: int, service: str, reason: ForwardReason
+    ) -> Forward:
+        mark = self._marks.get(service)
+        if mark is None:
+            mark = self._marks.setdefault(service, service_mark(service))
+        envelope = Envelope(self._host, self._directory.version, mark)
+        return Forward(host, envelope, reason, packet.flow, packet.datagram)
+
+    def _remember(self, flow: FlowKey, owner: _Owner) -> None:
+        self._owners.pop(flow, None)
+        self._owners[flow] = owner
+        if len(self._owners) > MAXIMUM_OWNERS:
+            self._owners.popitem(last=False)
--- /dev/null
+++ b/egretsill/address_steering/_decisions.py
@@ -0,0 +1,112 @@
+"""What is to be done with a packet, and why."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+from typing import TypeAlias
+
+from ._packet import FlowKey
+from ._tunnel import Envelope, OwnerNotice
+
+
+class ForwardReason(enum.Enum):
+    """Why a packet goes to an agent."""
+
+    NEW_FLOW = "new-flow"
+    KNOWN_OWNER = "known-owner"
+    FIRST_CANDIDATE = "first-candidate"
+    TARGET_LEAVING = "target-leaving"
+    TARGET_FULL = "target-full"
+    TARGET_DOWN = "target-down"
+    OTHER_SERVICE = "other-service"
+    PASSED_BEFORE = "passed-before"
+    NOT_HERE = "not-here"
+
+
+class RefuseReason(enum.Enum):
+    """Why a flow is reset. None of these flows has a request that ran unknown to its caller."""
+
+    NO_ROUTE = "no-route"
+    NO_TARGET = "no-target"
+    ALL_FULL = "all-full"
+    NOWHERE_OPEN = "nowhere-open"
+    TARGET_GONE = "target-gone"
+
+
+class DropReason(enum.Enum):
+    """Why a packet is not passed on."""
+
+    MALFORMED = "malformed"
+    STALE_CONTENT = "stale-content"
+    NO_TARGET = "no-target"
+    TOO_MANY_HOPS = "too-many-hops"
+    UNEXPECTED = "unexpected"
+    SEND_BLOCKED = "send-blocked"
+    SEND_FAILED = "send-failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Forward:
+    """Send a caller's packet to an agent.
+
+    Attributes:
+        host: address of the agent's VM.
+        envelope: how it came here.
+        reason: why it goes there.
+    """
+
+    host: int
+    envelope: Envelope
+    reason: ForwardReason
+    flow: FlowKey
+    datagram: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class HandToTarget:
+    """Give a caller's packet to the target beside this agent."""
+
+    datagram: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class SendToCaller:
+    """Send a target's packet to its caller."""
+
+    host: int
+    datagram: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Reset a flow at its caller.
+
+    Attributes:
+        acknowledged: the caller's last acknowledgement number.
+        reason: why.
+    """
+
+    flow: FlowKey
+    acknowledged: int
+    reason: RefuseReason
+
+
+@dataclass(frozen=True, slots=True)
+class TellOwner:
+    """Tell a balancer which agent has a flow."""
+
+    balancer: int
+    notice: OwnerNotice
+
+
+@dataclass(frozen=True, slots=True)
+class Drop:
+    """Do nothing with a packet."""
+
+    flow: FlowKey
+    reason: DropReason
+
+
+BalancerDecision: TypeAlias = Forward | Refuse | Drop
+AgentEffect: TypeAlias = Forward | HandToTarget | SendToCaller | Refuse | TellOwner | Drop
--- /dev/null
+++ b/egretsill/address_steering/_tunnel.py
@@ -0,0 +1,122 @@
+"""Datagrams between processes that steer by address, packed by hand as every packet is one.
+
+A carried packet has a head of its own: how far the packet has come, and by which configuration.
+"""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass
+from typing import NamedTuple, TypeAlias
+
+from xxhash import xxh32_intdigest
+
+from ._packet import FlowKey
+
+MAXIMUM_VISITED = 12  # hops of one packet; a service has fewer targets, or its owner is near
+
+_CARRY = 0xE1
+_OWNER = 0xE2
+_CARRY_HEAD = struct.Struct(">BBIQI")  # mark, visited agents, balancer, version, service
+_OWNER_NOTICE = struct.Struct(">BIHIHI")  # mark, four parts of the flow, owner
+
+
+class Envelope(NamedTuple):
+    """How a packet came here.
+
+    Attributes:
+        balancer: address of the balancer that took it from the fabric.
+        version: configuration version by which it was steered.
+        service_mark: hash of the name of the service that it was steered to.
+        visited: addresses of the agents that have passed it on.
+    """
+
+    balancer: int
+    version: int
+    service_mark: int
+    visited: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class CarriedPacket:
+    """A caller's packet on its way to an agent."""
+
+    envelope: Envelope
+    datagram: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerNotice:
+    """Tells a balancer which agent has a flow.
+
+    Attributes:
+        flow: the flow.
+        owner: address of the agent.
+    """
+
+    flow: FlowKey
+    owner: int
+
+
+TunnelMessage: TypeAlias = CarriedPacket | OwnerNotice
+
+
+class MalformedTunnelMessage(Exception):
+    """A datagram that is no message of the tunnel.
+
+    Attributes:
+        reason: what was wrong, in a few words.
+    """
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(f"no tunnel message: {reason}")
+        self.reason = reason
+
+
+def service_mark(service: str) -> int:
+    """Return the number that stands for a service between processes."""
+    return xxh32_intdigest(service.encode())
+
+
+def encode_carried(envelope: Envelope, datagram: bytes) -> bytes:
+    """Return the bytes of a carried packet."""
+    visited = envelope.visited
+    head = _CARRY_HEAD.pack(
+        _CARRY, len(visited), envelope.balancer, envelope.version, envelope.service_mark
+    )
+    if not visited:
+        return head + datagram
+    return head + struct.pack(f">{len(visited)}I", *visited) + datagram
+
+
+def encode_owner_notice(notice: OwnerNotice) -> bytes:
+    """Return the bytes of a notice."""
+    return _OWNER_NOTICE.pack(_OWNER, *notice.flow, notice.owner)
+
+
+def decode_tunnel(data: bytes) -> TunnelMessage:
+    """Return the message in a datagram.
+
+    Raises:
+        MalformedTunnelMessage: if it is none.
+    """
+    if not data:
+        raise MalformedTunnelMessage("empty")
+    mark = data[0]
+    if mark == _CARRY:
+        if len(data) < _CARRY_HEAD.size:
+            raise MalformedTunnelMessage("short head")
+        _, count, balancer, version, service = _CARRY_HEAD.unpack_from(data)
+        start = _CARRY_HEAD.size + 4 * count
+        if count > MAXIMUM_VISITED or len(data) < start:
+            raise MalformedTunnelMessage("visited agents")
+        visited: tuple[int, ...] = ()
+        if count:
+            visited = struct.unpack_from(f">{count}I", data, _CARRY_HEAD.size)
+        return CarriedPacket(Envelope(balancer, version, service, visited), data[start:])
+    if mark == _OWNER:
+        if len(data) != _OWNER_NOTICE.size:
+            raise MalformedTunnelMessage("notice length")
+        _, caller, caller_port, service_host, service_port, owner = _OWNER_NOTICE.unpack(data)
+        return OwnerNotice(FlowKey(caller, caller_port, service_host, service_port), owner)
+    raise MalformedTunnelMessage("unknown mark")
--- a/egretsill/configuration/_platform_client.py
+++ b/egretsill/configuration/_platform_client.py
@@ -14,7 +14,7 @@
 import h11
 import trio
 
-from ..wire import Address
+from ..wire import Address, HttpResponse, KeptHttpConnection
 from ._exceptions import (
     PlatformFailure,
     PlatformMalformed,
@@ -26,9 +26,7 @@
 from ._vms import VMS_KEY
 
 MAXIMUM_BODY_BYTES = 1_048_576
-MAXIMUM_HEAD_BYTES = 16_384
 MAXIMUM_VERSION_DIGITS = 18
-READ_BYTES = 65_536
 VALUES_PATH = "/v1/values/"
 VMS_PATH = "/v1/vms"
 
@@ -62,17 +60,6 @@
 AnswerT = TypeVar("AnswerT")
 
 
-@dataclass(frozen=True, slots=True)
-class _Response:
-    status: int
-    headers: Mapping[bytes, bytes]
-    body: bytes
-
-
-class _StaleConnection(Exception):
-    """The other end closed a kept connection before a byte of an answer."""
-
-
 class PlatformClient:
     """Reads values and the VM list.
 
@@ -86,15 +73,13 @@
         self._read_seconds = read_seconds
         self._next_address = 0
         self._turn = trio.Lock()
-        self._stream: trio.abc.Stream | None = None
-        self._connection = h11.Connection(h11.CLIENT)
-        self._reads = 0
+        self._connection = KeptHttpConnection(MAXIMUM_BODY_BYTES)
         self._failures = 0
 
     @property
     def reads(self) -> int:
         """Return how many requests were made."""
-        return self._reads
+        return self._connection.requests
 
     @property
     def failures(self) -> int:
@@ -121,17 +106,14 @@
 
     async def aclose(self) -> None:
         """Close the connection."""
-        stream, self._stream = self._stream, None
-        if stream is not None:
-            with trio.CancelScope(shield=True):
-                await trio.aclose_forcefully(stream)
+        await self._connection.aclose()
 
     async def _get(
         self,
         key: str,
         query: str,
         wait_seconds: float,
-        interpret: Callable[[str, _Response], AnswerT],
+        interpret: Callable[[str, HttpResponse], AnswerT],
     ) -> AnswerT:
         path = VMS_PATH if key == VMS_KEY else VALUES_PATH + quote(key)
         async with self._turn:
@@ -156,11 +138,11 @@
 
     async def _request_in_time(
         self, key: str, address: Address, target: str, wait_seconds: float
-    ) -> _Response:
+    ) -> HttpResponse:
         seconds = wait_seconds + self._read_seconds
         try:
             with trio.fail_after(seconds):
-                return await self._request(address, target)
+                return await self._connection.get(address, target)
         except trio.TooSlowError as error:
             raise PlatformTimedOut(str(address), seconds) from error
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
@@ -168,98 +150,14 @@
         except h11.ProtocolError as error:
             raise PlatformMalformed(key, str(error)) from error
 
-    async def _request(self, address: Address, target: str) -> _Response:
-        reused = self._stream is not None
-        try:
-            return await self._request_once(address, target)
-        except _StaleConnection as error:
-            await self.aclose()
-            if not reused:
-                raise trio.BrokenResourceError("closed before an answer") from error
-        try:
-            return await self._request_once(address, target)
-        except _StaleConnection as error:
-            raise trio.BrokenResourceError("closed before an answer") from error
-
-    async def _request_once(self, address: Address, target: str) -> _Response:
-        stream = await self._open(address)
-        self._reads += 1
-        headers = [("Host", str(address)), ("Accept", "*/*")]
-        request = h11.Request(method="GET", target=target, headers=headers)
-        data = self._connection.send(request)
-        data = (data or b"") + (self._connection.send(h11.EndOfMessage()) or b"")
-        try:
-            await stream.send_all(data)
-        except trio.BrokenResourceError as error:
-            raise _StaleConnection from error
-        head = await self._next_response(stream)
-        body = await self._read_body(stream)
-        await self._finish()
-        return _Response(head.status_code, dict(head.headers), body)
-
-    async def _open(self, address: Address) -> trio.abc.Stream:
-        if self._stream is None:
-            self._stream = await trio.open_tcp_stream(address.host, address.port)
-            self._connection = h11.Connection(
-                h11.CLIENT, max_incomplete_event_size=MAXIMUM_HEAD_BYTES
-            )
-        return self._stream
-
-    async def _next_response(self, stream: trio.abc.Stream) -> h11.Response:
-        received = 0
-        while True:
-            event = self._connection.next_event()
-            if isinstance(event, h11.Response):
-                return event
-            if event is h11.NEED_DATA:
-                data = await self._receive(stream, received)
-                received += len(data)
-                self._connection.receive_data(data)
-            elif not isinstance(event, h11.InformationalResponse):
-                raise h11.RemoteProtocolError("no response")
-
-    async def _receive(self, stream: trio.abc.Stream, received: int) -> bytes:
-        try:
-            data = bytes(await stream.receive_some(READ_BYTES))
-        except trio.BrokenResourceError as error:
-            if received:
-                raise
-            raise _StaleConnection from error
-        if not data and not received:
-            raise _StaleConnection
-        return data
-
-    async def _read_body(self, stream: trio.abc.Stream) -> bytes:
-        body = bytearray()
-        while True:
-            event = self._connection.next_event()
-            if isinstance(event, h11.EndOfMessage):
-                return bytes(body)
-            if event is h11.NEED_DATA:
-                self._connection.receive_data(bytes(await stream.receive_some(READ_BYTES)))
-            elif isinstance(event, h11.Data):
-                body += event.data
-            else:
-                raise h11.RemoteProtocolError("connection closed in the middle of a body")
-            if len(body) > MAXIMUM_BODY_BYTES:
-                raise h11.RemoteProtocolError("body too large")
-
-    async def _finish(self) -> None:
-        """Keep the connection for the next request if the other end keeps it."""
-        done = self._connection.our_state is h11.DONE and self._connection.their_state is h11.DONE
-        if done:
-            self._connection.start_next_cycle()
-        else:
-            await self.aclose()
-
-
-def _to_watch_answer(key: str, response: _Response) -> WatchAnswer:
+
+def _to_watch_answer(key: str, response: HttpResponse) -> WatchAnswer:
     if response.status == 304:
         return Unchanged(key, _version(key, response.headers))
     return _to_value(key, response)
 
 
-def _to_value(key: str, response: _Response) -> Value:
+def _to_value(key: str, response: HttpResponse) -> Value:
     match response.status:
         case 200:
             return Value(key, _version(key, response.headers), response.body)
--- /dev/null
+++ b/egretsill/directory/_directory.py
@@ -0,0 +1,240 @@
+"""What one process believes about routes and targets, merged from the store and from peers.
+
+Nothing goes backwards: the highest configuration version wins, and content of a lower revision is
+ignored. Content carries the store's revision at its last change, and the age of the last moment at
+which somebody's linearizable read confirmed it, so that processes can compare without reading.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from typing import TypeVar
+
+from ._model import Changes, Route, RouteTable, Snapshot, Target, TargetPhase
+
+OUTAGE_SECONDS = 1.5  # unconfirmed for longer: entries may have lapsed while nobody could renew
+LAPSE_GRACE_SECONDS = 2.5  # live targets are back within 2 s of the store's return, plus lag
+RETENTION_SECONDS = 60.0  # default age at which a flow may be forgotten
+MAXIMUM_RETAINED = 10_000  # departed targets remembered; two a second over the retention, and slack
+NEVER = float("-inf")
+
+KeyT = TypeVar("KeyT")
+
+
+@dataclass(frozen=True, slots=True)
+class TargetView:
+    """A target and what this process adds to its entry.
+
+    Attributes:
+        target: the entry.
+        cold_until: local time at which it is warm.
+        gone_at: local time at which its entry vanished, or None while it is there.
+        lapsed_until: while later than now, a vanished entry may come back and still counts.
+    """
+
+    target: Target
+    cold_until: float
+    gone_at: float | None = None
+    lapsed_until: float = NEVER
+
+
+class Directory:
+    """Routes and targets in force at one process."""
+
+    def __init__(self, retention_seconds: float = RETENTION_SECONDS) -> None:
+        self._retention_seconds = retention_seconds
+        self._table: RouteTable | None = None
+        self._targets: dict[str, TargetView] = {}
+        self._departed: OrderedDict[str, TargetView] = OrderedDict()
+        self._by_service: dict[str, tuple[TargetView, ...]] = {}
+        self._by_host: dict[int, tuple[TargetView, ...]] = {}
+        self._content_revision = 0
+        self._confirmed_at = NEVER
+        self._grace_until = NEVER
+        self._unreadable = 0
+
+    @property
+    def table(self) -> RouteTable | None:
+        """Return the configuration in force."""
+        return self._table
+
+    @property
+    def version(self) -> int:
+        """Return the configuration's version, 0 before the first."""
+        return self._table.version if self._table else 0
+
+    @property
+    def content_revision(self) -> int:
+        """Return the store's revision at the last change that is in force here."""
+        return self._content_revision
+
+    @property
+    def confirmed_at(self) -> float:
+        """Return the local time at which the content was last known to be the store's."""
+        return self._confirmed_at
+
+    @property
+    def is_known(self) -> bool:
+        """Return whether there is a configuration and something was read about targets."""
+        return self._table is not None and self._content_revision > 0
+
+    @property
+    def targets(self) -> Sequence[Target]:
+        """Return the entries that the store holds; lapsed ones are this process's own matter."""
+        return [each.target for each in self._targets.values() if each.gone_at is None]
+
+    @property
+    def unreadable(self) -> int:
+        """Return how many entries of the last read named no usable target."""
+        return self._unreadable
+
+    def route(self, host: int, port: int) -> Route | None:
+        """Return the route of a service address."""
+        return self._table.routes.get((host, port)) if self._table else None
+
+    def targets_of(self, service: str) -> Sequence[TargetView]:
+        """Return a service's targets, with those that left while their flows may be open."""
+        return self._by_service.get(service, ())
+
+    def target_at(self, host: int, service: str) -> TargetView | None:
+        """Return the newest target of a service on a VM."""
+        found = [each for each in self._by_host.get(host, ()) if each.target.service == service]
+        return max(found, key=_recency, default=None)
+
+    def hosts(self) -> Iterable[int]:
+        """Return the VMs of the targets in force."""
+        return {each.target.host for each in self._targets.values()}
+
+    def apply_snapshot(self, snapshot: Snapshot, now: float) -> bool:
+        """Take over a linearizable read; return whether anything in force changed."""
+        if snapshot.at < self._content_revision:
+            return False
+        self._unreadable = snapshot.unreadable
+        self._note_return(now)
+        named = {each.name: each for each in snapshot.targets}
+        removed = [name for name in self._targets if name not in named]
+        changes = Changes(snapshot.at, snapshot.table, tuple(named.values()), tuple(removed))
+        changed = self._merge(changes, now)
+        if changed or self._content_revision == 0:
+            self._content_revision = max(snapshot.at, self._content_revision)
+        self._confirmed_at = now
+        return changed
+
+    def apply_changes(self, changes: Changes, now: float) -> bool:
+        """Take over a watch's answer; return whether anything in force changed."""
+        if changes.at < self._content_revision:
+            return False
+        self._note_return(now)
+        changed = self._merge(changes, now)
+        if changed:
+            self._content_revision = changes.at
+        self._confirmed_at = now
+        return changed
+
+    def apply_peer_content(
+        self,
+        revision: int,
+        table: RouteTable | None,
+        targets: Iterable[Target],
+        age_seconds: float,
+        now: float,
+    ) -> bool:
+        """Take over a peer's content if it is newer; return whether anything changed."""
+        if revision < self._content_revision:
+            return False
+        self._note_return(now - age_seconds)
+        named = {each.name: each for each in targets}
+        removed = [name for name in self._targets if name not in named]
+        changed = self._merge(Changes(revision, table, tuple(named.values()), tuple(removed)), now)
+        self._content_revision = revision
+        self.confirm(revision, age_seconds, now)
+        return changed
+
+    def confirm(self, revision: int, age_seconds: float, now: float) -> None:
+        """Note that somebody's read confirmed a revision some seconds ago."""
+        if revision == self._content_revision and revision > 0:
+            self._confirmed_at = max(self._confirmed_at, now - age_seconds)
+
+    def tick(self, now: float) -> bool:
+        """Drop what is too old; return whether what is in force changed."""
+        over = [
+            name
+            for name, each in self._targets.items()
+            if each.gone_at is not None and each.lapsed_until <= now
+        ]
+        for name in over:
+            self._depart(name, now)
+        while self._departed:
+            name, view = next(iter(self._departed.items()))
+            gone_at = view.gone_at if view.gone_at is not None else now
+            if now - gone_at < self._retention_seconds and len(self._departed) < MAXIMUM_RETAINED:
+                break
+            del self._departed[name]
+            over.append(name)
+        if over:
+            self._index()
+        return bool(over)
+
+    def _note_return(self, now: float) -> None:
+        if self._confirmed_at != NEVER and now - self._confirmed_at > OUTAGE_SECONDS:
+            self._grace_until = now + LAPSE_GRACE_SECONDS
+
+    def _merge(self, changes: Changes, now: float) -> bool:
+        changed = False
+        if changes.table is not None and changes.table.version > self.version:
+            self._table = changes.table
+            changed = True
+        for target in changes.changed:
+            changed |= self._merge_target(target, now)
+        for name in changes.removed:
+            changed |= self._remove(name, now)
+        if changed:
+            self._index()
+        return changed
+
+    def _merge_target(self, target: Target, now: float) -> bool:
+        known = self._targets.get(target.name)
+        if known is not None and known.gone_at is None and target.revision <= known.target.revision:
+            return False
+        if known is not None and known.target.started_milliseconds != target.started_milliseconds:
+            self._departed[target.name] = TargetView(known.target, known.cold_until, now)
+        for name, other in tuple(self._targets.items()):
+            same_place = (other.target.host, other.target.port) == (target.host, target.port)
+            if name != target.name and same_place:
+                self._depart(name, now)
+        self._targets[target.name] = TargetView(target, now + target.cold_seconds)
+        return True
+
+    def _remove(self, name: str, now: float) -> bool:
+        known = self._targets.get(name)
+        if known is None or known.gone_at is not None:
+            return False
+        if now < self._grace_until and known.target.phase is TargetPhase.READY:
+            self._targets[name] = TargetView(known.target, known.cold_until, now, self._grace_until)
+        else:
+            self._depart(name, now)
+        return True
+
+    def _depart(self, name: str, now: float) -> None:
+        known = self._targets.pop(name)
+        self._departed.pop(name, None)
+        self._departed[name] = TargetView(known.target, known.cold_until, now)
+
+    def _index(self) -> None:
+        by_service: dict[str, list[TargetView]] = {}
+        by_host: dict[int, list[TargetView]] = {}
+        for view in (*self._targets.values(), *self._departed.values()):
+            by_service.setdefault(view.target.service, []).append(view)
+            by_host.setdefault(view.target.host, []).append(view)
+        self._by_service = _frozen(by_service)
+        self._by_host = _frozen(by_host)
+
+
+def _recency(view: TargetView) -> tuple[bool, int]:
+    return view.gone_at is None, view.target.revision
+
+
+def _frozen(groups: Mapping[KeyT, list[TargetView]]) -> dict[KeyT, tuple[TargetView, ...]]:
+    return {key: tuple(views) for key, views in groups.items()}
--- /dev/null
+++ b/egretsill/directory/_reading.py
@@ -0,0 +1,138 @@
+"""Which processes read the store, and when.
+
+A few readers, ranked by rendezvous hash over the processes that can reach the store, hold a watch
+each; the others learn from peers. A process reads for itself when nothing that it heard was
+confirmed lately, so the bound on staleness doesn't rest on any reader. Views of the fleet may
+differ; then there are some more readers for a while.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass
+from typing import TypeAlias
+
+from ..ranking import rank
+
+READERS = 2  # one may fail unnoticed for a moment without others having to read
+STALE_SECONDS = 1.5  # leaves half of the 3 s in which changes must be in force for reading
+WATCH_SECONDS = 1.0  # confirms content before it is stale elsewhere, heartbeats included
+WATCH_SLACK_SECONDS = 0.7  # answers may take 60 times the usual 4 ms, and the network
+READ_TIMEOUT_SECONDS = 0.8  # likewise, for two or more pages
+HASTY_TIMEOUT_SECONDS = 0.3  # before anything is known a lost call must not cost much
+HASTY_PAUSE_SECONDS = 0.15  # between tries of a process that serves nothing until it has read
+CALM_PAUSE_SECONDS = 1.0  # between tries before the fleet's first configuration
+RETRY_PAUSE_SECONDS = 0.4  # between tries of the first in rank while content is stale
+RANK_SLOWDOWN = 0.5  # each further place in the rank waits this share of a pause longer
+FAILED_SECONDS = 2.0  # for how long a failed read keeps a process from being a reader
+POLL_SECONDS = 0.1  # how soon a change of the fleet or of ages is noticed
+
+_READERS_KEY = b"store readers"
+
+
+@dataclass(frozen=True, slots=True)
+class ReadAll:
+    """Read everything.
+
+    Attributes:
+        timeout_seconds: longest wait for the answer.
+    """
+
+    timeout_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class WatchChanges:
+    """Wait for changes.
+
+    Attributes:
+        wait_seconds: how long the store may hold the call.
+        timeout_seconds: longest wait for the answer.
+    """
+
+    wait_seconds: float
+    timeout_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Pause:
+    """Do nothing for a while."""
+
+    seconds: float
+
+
+ReadStep: TypeAlias = ReadAll | WatchChanges | Pause
+
+
+class ReadPlan:
+    """Decides what one process asks the store next.
+
+    Args:
+        host: IPv4 address of this process, as a number.
+        is_first_start: whether the whole fleet starts for the first time.
+    """
+
+    def __init__(self, host: int, is_first_start: bool) -> None:
+        self._host = host
+        self._is_first_start = is_first_start
+        self._failed_at = float("-inf")
+        self._tried_at = float("-inf")
+        self._needs_read = True
+
+    def can_read(self, now: float) -> bool:
+        """Return whether the store answered this process when it last asked."""
+        return now - self._failed_at > FAILED_SECONDS
+
+    def next_step(
+        self, now: float, confirmed_at: float, is_known: bool, readers: Collection[int]
+    ) -> ReadStep:
+        """Return what to do now.
+
+        Args:
+            now: local time.
+            confirmed_at: when the content was last confirmed by anybody.
+            is_known: whether there is content to serve by.
+            readers: other processes that can reach the store.
+        """
+        order = rank(_READERS_KEY, {*readers, self._host})
+        place = order.index(self._host)
+        if not is_known:
+            return self._step_unknown(now, place)
+        if place < READERS and self.can_read(now):
+            if self._needs_read:
+                return ReadAll(READ_TIMEOUT_SECONDS)
+            return WatchChanges(WATCH_SECONDS, WATCH_SECONDS + WATCH_SLACK_SECONDS)
+        if now - confirmed_at < STALE_SECONDS:
+            return Pause(POLL_SECONDS)
+        return self._step_after(now, RETRY_PAUSE_SECONDS * (1 + RANK_SLOWDOWN * place))
+
+    def note_try(self, now: float) -> None:
+        """Note that the store is being asked."""
+        self._tried_at = now
+
+    def note_read(self) -> None:
+        """Note that everything was read, so that changes can be watched from there."""
+        self._needs_read = False
+        self._failed_at = float("-inf")
+
+    def note_failure(self, now: float) -> None:
+        """Note that the store gave no usable answer."""
+        self._failed_at = now
+        self._needs_read = True
+
+    def note_history_lost(self) -> None:
+        """Note that changes can't be watched from the known revision."""
+        self._needs_read = True
+
+    def _step_unknown(self, now: float, place: int) -> ReadStep:
+        if self._is_first_start:
+            pause = CALM_PAUSE_SECONDS * (1 + RANK_SLOWDOWN * place)
+            return self._step_after(now, pause)
+        return self._step_after(now, HASTY_PAUSE_SECONDS, HASTY_TIMEOUT_SECONDS)
+
+    def _step_after(
+        self, now: float, pause_seconds: float, timeout_seconds: float = READ_TIMEOUT_SECONDS
+    ) -> ReadStep:
+        if now - self._tried_at < pause_seconds:
+            return Pause(min(POLL_SECONDS, self._tried_at + pause_seconds - now))
+        return ReadAll(timeout_seconds)
--- /dev/null
+++ b/egretsill/node/_decision_log.py
@@ -0,0 +1,84 @@
+"""Counts decisions about packets and writes the notable ones to the journal."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ..address_steering import Drop, FlowKey, Forward, ForwardReason, Refuse, dotted
+from ..directory import Directory
+from ..observation import Journal, Metrics
+from ..timing import TimerService
+
+_QUIET = frozenset({ForwardReason.KNOWN_OWNER, ForwardReason.PASSED_BEFORE})
+
+
+class DecisionLog:
+    """What happened to packets, with the inputs that decided it.
+
+    Args:
+        role: name of the role, for counters.
+        load_of: returns a target's load as placement sees it, or None if it is unknown.
+    """
+
+    def __init__(
+        self,
+        role: str,
+        directory: Directory,
+        timer: TimerService,
+        metrics: Metrics,
+        journal: Journal,
+        load_of: Callable[[int, FlowKey], float | None],
+    ) -> None:
+        self._role = role
+        self._directory = directory
+        self._timer = timer
+        self._metrics = metrics
+        self._journal = journal
+        self._load_of = load_of
+
+    def forwarded(self, decision: Forward) -> None:
+        """Note that a packet goes to an agent."""
+        reason = decision.reason
+        self._metrics.flow_packets.increment(self._role, reason)
+        if reason in _QUIET or not self._journal.allows(f"flow-{reason.value}"):
+            return
+        load = self._load_of(decision.host, decision.flow)
+        self._journal.write(
+            f"flow-{reason.value}",
+            {
+                "flow": str(decision.flow),
+                "agent": dotted(decision.host),
+                "load": None if load is None else round(load, 3),
+                "visited": ",".join(dotted(each) for each in decision.envelope.visited),
+                **self._belief(),
+            },
+        )
+
+    def refused(self, decision: Refuse) -> None:
+        """Note that a flow was reset."""
+        self._metrics.flow_packets.increment(self._role, decision.reason)
+        self._journal.record(
+            "flow-refused",
+            flow=str(decision.flow),
+            reason=decision.reason.value,
+            **self._belief(),
+        )
+
+    def dropped(self, decision: Drop) -> None:
+        """Note that a packet was not passed on."""
+        self._metrics.datagrams_dropped.increment(self._role, decision.reason)
+        self._journal.record(
+            "flow-packet-dropped",
+            flow=str(decision.flow),
+            reason=decision.reason.value,
+            **self._belief(),
+        )
+
+    def _belief(self) -> dict[str, int | float]:
+        directory = self._directory
+        age = min(self._timer.now - directory.confirmed_at, 1e6)
+        return {
+            "version": directory.version,
+            "revision": directory.content_revision,
+            "age": round(age, 3),
+        }
--- /dev/null
+++ b/egretsill/node/_main.py
@@ -0,0 +1,84 @@
+"""Runs one process until it is told to stop."""
+
+from __future__ import annotations
+
+import signal
+import sys
+from pathlib import Path
+from random import SystemRandom
+
+import trio
+
+from ..address_steering import PacketCodec
+from ._node import Node, StoreFactory
+from ._settings import NodeSettingsRejected, load_node_settings
+
+EXIT_STOPPED = 0
+EXIT_SETTINGS = 2
+EXIT_ADDRESS = 3
+SETTINGS_POLL_SECONDS = 1.0  # settings may change without a signal
+
+
+def run(settings_path: Path, codec: PacketCodec, make_store: StoreFactory) -> int:
+    """Run the process that a settings file describes and return its exit code.
+
+    0: stopped as asked; 2: settings rejected; 3: an address could not be bound.
+
+    Args:
+        settings_path: INI file.
+        codec: reads the packets of flows.
+        make_store: opens the store at an address.
+    """
+    try:
+        node = Node(load_node_settings(settings_path), codec, make_store, SystemRandom())
+    except NodeSettingsRejected as error:
+        print(f"egretsill: {error}", file=sys.stderr)
+        return EXIT_SETTINGS
+    except OSError as error:
+        print(f"egretsill: address can't be bound: {error}", file=sys.stderr)
+        return EXIT_ADDRESS
+    trio.run(_run, node, settings_path)
+    return EXIT_STOPPED
+
+
+async def _run(node: Node, settings_path: Path) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_run_to_end, node, nursery.cancel_scope)
+            nursery.start_soon(_poll_settings, node, settings_path)
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    _reload(node, settings_path)
+                else:
+                    node.shut_down()
+
+
+async def _run_to_end(node: Node, scope: trio.CancelScope) -> None:
+    await node.run()
+    scope.cancel()
+
+
+async def _poll_settings(node: Node, settings_path: Path) -> None:
+    before = _change_mark(settings_path)
+    while True:
+        await trio.sleep(SETTINGS_POLL_SECONDS)
+        mark = _change_mark(settings_path)
+        if mark != before:
+            before = mark
+            _reload(node, settings_path)
+
+
+def _change_mark(settings_path: Path) -> tuple[int, int]:
+    try:
+        status = settings_path.stat()
+    except OSError:
+        # A file that is just being replaced; the next look finds the new one.
+        return 0, 0
+    return status.st_mtime_ns, status.st_size
+
+
+def _reload(node: Node, settings_path: Path) -> None:
+    try:
+        node.replace_settings(load_node_settings(settings_path))
+    except NodeSettingsRejected as error:
+        node.reject_settings(str(error))
--- /dev/null
+++ b/egretsill/node/_node.py
@@ -0,0 +1,275 @@
+"""The composition root of a process that steers by address."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from random import Random
+from typing import TypeAlias
+
+import trio
+
+from ..address_steering import (
+    AgentSteering,
+    BalancerSteering,
+    FlowKey,
+    FlowPlacement,
+    PacketCodec,
+    numbered,
+)
+from ..directory import Directory, ReadPlan, Store
+from ..fleet import PeerTable
+from ..observation import (
+    JSON,
+    AdminServer,
+    HealthProblem,
+    HealthState,
+    Journal,
+    Metrics,
+    open_standard_output,
+)
+from ..timing import TrioTimerService
+from ..wire import Address
+from ._agent_node import AgentNode
+from ._balancer_node import BalancerNode
+from ._content_exchange import ContentExchange
+from ._decision_log import DecisionLog
+from ._fleet_link import FleetLink, Load
+from ._settings import AgentSettings, NodeSettings
+from ._shutdown import ShutdownPlan
+from ._store_reading import StoreReading
+
+LOG_SECONDS = 0.25  # how long a line waits at most before it is written
+LOG_START_SECONDS = (2.0, 6.0)  # when the log library is loaded, spread over the fleet
+SWEEP_SECONDS = 1.0
+
+StoreFactory: TypeAlias = Callable[[Address], Store]
+
+
+class Node:
+    """One balancer or agent.
+
+    Raises:
+        OSError: if a UDP endpoint can't be bound.
+    """
+
+    def __init__(
+        self, settings: NodeSettings, codec: PacketCodec, make_store: StoreFactory, random: Random
+    ) -> None:
+        self._settings = settings
+        self._random = random
+        self._timer = TrioTimerService()
+        self._metrics = Metrics()
+        self._journal = Journal(
+            settings.name, lambda: self._timer.now, lambda: self._timer.epoch_milliseconds / 1000
+        )
+        self._host = numbered(settings.host)
+        self._directory = Directory(settings.flow_seconds)
+        self._peers = PeerTable(self._host, [numbered(each) for each in settings.seeds])
+        self._placement = FlowPlacement(self._directory, self._peers)
+        self._plan = ReadPlan(self._host, settings.is_first_start)
+        self._shutdown = ShutdownPlan(settings.grace_seconds)
+        self._stopped = trio.Event()
+        self._tunnel = Address(settings.host, settings.tunnel_port)
+        self._agent_steering: AgentSteering | None = None
+        self._role = self._make_role(codec)
+        self._exchange = ContentExchange(
+            self._tunnel,
+            self._directory,
+            self._timer,
+            lambda reason: self._metrics.messages_malformed.increment("directory", reason),
+        )
+        self._link = self._make_link()
+        self._reading = StoreReading(
+            make_store(settings.store),
+            self._plan,
+            self._directory,
+            self._peers,
+            self._timer,
+            self._metrics,
+            self._journal,
+            self._on_content,
+        )
+
+    @property
+    def health(self) -> HealthState:
+        """Return whether this process takes packets of new flows."""
+        problems = []
+        if not self._directory.is_known:
+            problems.append(HealthProblem.NO_CONFIGURATION)
+        if self._shutdown.is_leaving:
+            problems.append(HealthProblem.DRAINING)
+        return HealthState(tuple(problems))
+
+    @property
+    def status(self) -> Mapping[str, JSON]:
+        """Return the content of the status page."""
+        now = self._timer.now
+        load = self._load()
+        return {
+            "name": self._settings.name,
+            "role": self._settings.role.value,
+            "version": self._directory.version,
+            "revision": self._directory.content_revision,
+            "content_age": round(min(now - self._directory.confirmed_at, 1e6), 3),
+            "targets": len(self._directory.targets),
+            "peers_heard": len(self._peers.heard(now)),
+            "flows": load.flows,
+            "pending": load.pending,
+            "is_leaving": self._shutdown.is_leaving,
+        }
+
+    async def run(self) -> None:
+        """Run until shut down or cancelled.
+
+        Raises:
+            OSError: if a TCP endpoint can't be bound.
+        """
+        settings = self._settings
+        self._journal.record("started", role=settings.role.value, host=settings.host)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._timer.run)
+                nursery.start_soon(self._role.run)
+                nursery.start_soon(self._reading.run)
+                await nursery.start(self._exchange.run)
+                nursery.start_soon(self._link.run)
+                for listen in (settings.health, settings.metrics):
+                    await nursery.start(self._make_admin(listen).run)
+                self._timer.subscribe(SWEEP_SECONDS, self._sweep)
+                nursery.start_soon(self._write_log)
+                await self._stopped.wait()
+                nursery.cancel_scope.cancel()
+        finally:
+            self._journal.record("stopped", **self._shutdown.outcome)
+            open_standard_output()
+            self._journal.flush()
+
+    def shut_down(self) -> None:
+        """Leave: take no new flows, and end when the routers and flows allow it."""
+        if self._shutdown.is_leaving:
+            return
+        self._shutdown.begin(self._timer.now)
+        self._journal.record("leaving", flows=self._load().flows, pending=self._load().pending)
+        self._link.leave()
+        self._timer.subscribe(ShutdownPlan.POLL_SECONDS, self._check_shutdown)
+
+    def replace_settings(self, settings: NodeSettings) -> None:
+        """Take over the seeds; what else differs takes effect at the next start."""
+        self._peers.replace_seeds([numbered(each) for each in settings.seeds])
+        self._journal.record("settings-reloaded", seeds=",".join(settings.seeds))
+
+    def reject_settings(self, problem: str) -> None:
+        """Note that the settings file holds a mistake; the old settings stay."""
+        self._journal.record("settings-rejected", problem=problem)
+
+    def _make_role(self, codec: PacketCodec) -> BalancerNode | AgentNode:
+        settings = self._settings
+        log = DecisionLog(
+            settings.role.value,
+            self._directory,
+            self._timer,
+            self._metrics,
+            self._journal,
+            self._load_of,
+        )
+        if settings.agent is not None:
+            return self._make_agent(settings.agent, codec, log)
+        steering = BalancerSteering(self._host, self._directory, self._peers, settings.flow_seconds)
+        self._timer.subscribe(SWEEP_SECONDS, steering.tick)
+        return BalancerNode(
+            settings.packets, self._tunnel, codec, steering, self._timer, self._metrics, log
+        )
+
+    def _make_agent(self, agent: AgentSettings, codec: PacketCodec, log: DecisionLog) -> AgentNode:
+        settings = self._settings
+        steering = AgentSteering(
+            self._host,
+            agent.service,
+            self._directory,
+            self._peers,
+            settings.flow_seconds,
+            self._timer.now,
+        )
+        self._agent_steering = steering
+        self._timer.subscribe(SWEEP_SECONDS, steering.sweep)
+        return AgentNode(
+            settings.packets.port,
+            self._tunnel,
+            agent.target,
+            agent.outbound,
+            codec,
+            steering,
+            self._timer,
+            self._metrics,
+            log,
+        )
+
+    def _make_link(self) -> FleetLink:
+        settings = self._settings
+        return FleetLink(
+            settings.host,
+            settings.gossip_port,
+            settings.failure_domain,
+            settings.agent is None,
+            self._directory,
+            self._peers,
+            self._plan,
+            self._exchange,
+            self._timer,
+            self._metrics,
+            self._journal,
+            self._load,
+            self._on_content,
+        )
+
+    def _make_admin(self, listen: Address) -> AdminServer:
+        return AdminServer(listen, self._metrics, lambda: self.status, lambda: self.health)
+
+    def _load(self) -> Load:
+        if self._agent_steering is None:
+            return Load()
+        flows = self._agent_steering.flows
+        return Load(
+            flows.pending, flows.owned, flows.delay_seconds, self._agent_steering.is_refusing
+        )
+
+    def _load_of(self, host: int, flow: FlowKey) -> float | None:
+        route = self._directory.route(flow.service_host, flow.service_port)
+        for service in route.services if route else ():
+            view = self._directory.target_at(host, service)
+            if view is not None:
+                return self._placement.load(view, self._timer.now)
+        return None
+
+    def _on_content(self, source: str) -> None:
+        directory = self._directory
+        self._metrics.revision_in_force.set(directory.version)
+        self._journal.record(
+            "content-changed",
+            source=source,
+            version=directory.version,
+            revision=directory.content_revision,
+            targets=len(directory.targets),
+        )
+        self._link.send_heartbeats()
+
+    def _sweep(self, now: float) -> None:
+        self._directory.tick(now)
+        load = self._load()
+        self._metrics.flows_open.set(load.flows)
+
+    def _check_shutdown(self, now: float) -> None:
+        is_quiet = (
+            now - self._role.last_packet_at > ShutdownPlan.QUIET_SECONDS
+            if isinstance(self._role, BalancerNode)
+            else self._load().pending == 0
+        )
+        if self._shutdown.is_over(now, is_quiet):
+            self._stopped.set()
+
+    async def _write_log(self) -> None:
+        await trio.sleep(self._random.uniform(*LOG_START_SECONDS))
+        open_standard_output()
+        while True:
+            self._journal.flush()
+            await trio.sleep(LOG_SECONDS)
--- /dev/null
+++ b/egretsill/node/_settings.py
@@ -0,0 +1,210 @@
+"""Settings of one process that steers by address, from an INI file.
+
+They are checked here and not by pydantic, which would take a third of such a process's memory.
+"""
+
+from __future__ import annotations
+
+import configparser
+import enum
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+from ..address_steering import numbered
+from ..wire import Address
+
+_TRUE = {"true": True, "false": False}
+
+
+class NodeRole(enum.Enum):
+    """What a process does."""
+
+    BALANCER = "balancer"
+    AGENT = "agent"
+
+
+class NodeSettingsRejected(Exception):
+    """The settings file can't be used.
+
+    Attributes:
+        path: the file.
+        section: where the mistake is, empty for the file as a whole.
+        key: which key, empty for the section as a whole.
+        problem: what is wrong.
+    """
+
+    def __init__(self, path: Path, section: str, key: str, problem: str) -> None:
+        where = f"[{section}] {key}".strip() if section else "file"
+        super().__init__(f"{path}: {where}: {problem}")
+        self.path = path
+        self.section = section
+        self.key = key
+        self.problem = problem
+
+
+@dataclass(frozen=True, slots=True)
+class AgentSettings:
+    """What only an agent has.
+
+    Attributes:
+        service: the service that its target belongs to.
+        target: where the target takes packets.
+        outbound: where the target sends its packets to.
+    """
+
+    service: str
+    target: Address
+    outbound: Address
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """Settings of one process.
+
+    Attributes:
+        role: what it does.
+        name: its name in logs.
+        host: IPv4 address of its VM.
+        failure_domain: where its VM is.
+        is_first_start: whether the whole fleet starts for the first time.
+        packets: where the fabric sends to a balancer; callers take packets at the same port.
+        health: TCP endpoint of the health page.
+        metrics: TCP endpoint of the metrics page.
+        tunnel_port: UDP port of carried packets and TCP port of content, the same on all VMs.
+        gossip_port: UDP port of heartbeats, the same on all VMs.
+        store: endpoint of the store.
+        seeds: IPv4 addresses of some balancers.
+        flow_seconds: age at which a flow may be forgotten.
+        grace_seconds: time between the signal to stop and the end.
+        agent: None for a balancer.
+    """
+
+    role: NodeRole
+    name: str
+    host: str
+    failure_domain: str
+    is_first_start: bool
+    packets: Address
+    health: Address
+    metrics: Address
+    tunnel_port: int
+    gossip_port: int
+    store: Address
+    seeds: Sequence[str]
+    flow_seconds: float
+    grace_seconds: float
+    agent: AgentSettings | None = None
+
+
+class _Reader:
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        self._parser = configparser.ConfigParser(interpolation=None)
+        try:
+            self._parser.read_string(path.read_text(encoding="utf-8"))
+        except (OSError, UnicodeError) as error:
+            raise NodeSettingsRejected(path, "", "", type(error).__name__) from error
+        except configparser.Error as error:
+            raise NodeSettingsRejected(path, "", "", error.message) from error
+
+    def text(self, section: str, key: str) -> str:
+        """Return a value that must not be empty."""
+        value = self._parser.get(section, key, fallback="").strip()
+        if not value:
+            raise NodeSettingsRejected(self._path, section, key, "missing")
+        return value
+
+    def flag(self, section: str, key: str) -> bool:
+        """Return true or false."""
+        value = _TRUE.get(self.text(section, key).lower())
+        if value is None:
+            raise NodeSettingsRejected(self._path, section, key, "true or false is expected")
+        return value
+
+    def seconds(self, section: str, key: str) -> float:
+        """Return a positive duration."""
+        try:
+            value = float(self.text(section, key))
+        except ValueError:
+            value = 0.0
+        if not 0.0 < value < float("inf"):
+            raise NodeSettingsRejected(self._path, section, key, "seconds above 0 are expected")
+        return value
+
+    def port(self, section: str, key: str) -> int:
+        """Return a port number."""
+        return self._port(section, key, self.text(section, key))
+
+    def host(self, section: str, key: str) -> str:
+        """Return an IPv4 address."""
+        return self._host(section, key, self.text(section, key))
+
+    def address(self, section: str, key: str) -> Address:
+        """Return an IPv4 address with a port."""
+        host, _, port = self.text(section, key).rpartition(":")
+        return Address(self._host(section, key, host), self._port(section, key, port))
+
+    def hosts(self, section: str, key: str) -> Sequence[str]:
+        """Return the IPv4 addresses of a list of endpoints, which may be empty."""
+        entries = self._parser.get(section, key, fallback="").split(",")
+        hosts = [each.strip().partition(":")[0] for each in entries if each.strip()]
+        return tuple(self._host(section, key, each) for each in hosts)
+
+    def role(self, section: str, key: str) -> NodeRole:
+        """Return a role."""
+        try:
+            return NodeRole(self.text(section, key))
+        except ValueError as error:
+            expected = " or ".join(each.value for each in NodeRole)
+            raise NodeSettingsRejected(
+                self._path, section, key, f"{expected} is expected"
+            ) from error
+
+    def _host(self, section: str, key: str, text: str) -> str:
+        try:
+            numbered(text)
+        except ValueError as error:
+            raise NodeSettingsRejected(
+                self._path, section, key, "an IPv4 address is expected"
+            ) from error
+        return text
+
+    def _port(self, section: str, key: str, text: str) -> int:
+        if not text.isdecimal() or not 0 < int(text) < 65536:
+            raise NodeSettingsRejected(self._path, section, key, "a port is expected")
+        return int(text)
+
+
+def load_node_settings(path: Path) -> NodeSettings:
+    """Return the settings in a file; keys and sections that aren't known are ignored.
+
+    Raises:
+        NodeSettingsRejected: if the file can't be used.
+    """
+    reader = _Reader(path)
+    role = reader.role("node", "role")
+    agent = None
+    if role is NodeRole.AGENT:
+        agent = AgentSettings(
+            reader.text("node", "service"),
+            reader.address("addresses", "target"),
+            reader.address("addresses", "outbound"),
+        )
+    return NodeSettings(
+        role=role,
+        name=reader.text("node", "name"),
+        host=reader.host("node", "host"),
+        failure_domain=reader.text("node", "failure_domain"),
+        is_first_start=reader.flag("node", "first_start"),
+        packets=reader.address("addresses", "packets"),
+        health=reader.address("addresses", "health"),
+        metrics=reader.address("addresses", "metrics"),
+        tunnel_port=reader.port("addresses", "tunnel_port"),
+        gossip_port=reader.port("addresses", "gossip_port"),
+        store=reader.address("addresses", "store"),
+        seeds=reader.hosts("addresses", "seeds"),
+        flow_seconds=reader.seconds("bounds", "flow_seconds"),
+        grace_seconds=reader.seconds("bounds", "grace_seconds"),
+        agent=agent,
+    )
--- /dev/null
+++ b/egretsill/node/_store_reading.py
@@ -0,0 +1,123 @@
+"""The task that reads the store as the plan says and merges what it finds."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+
+from ..directory import (
+    Directory,
+    HistoryLost,
+    Pause,
+    ReadAll,
+    ReadPlan,
+    Store,
+    StoreUnavailable,
+    WatchChanges,
+)
+from ..fleet import PeerTable
+from ..observation import Journal, Metrics
+from ..timing import TimerService
+
+
+class StoreReading:
+    """Keeps the directory up to date from the store.
+
+    Args:
+        on_change: called after content in force changed.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        plan: ReadPlan,
+        directory: Directory,
+        peers: PeerTable,
+        timer: TimerService,
+        metrics: Metrics,
+        journal: Journal,
+        on_change: Callable[[str], None],
+    ) -> None:
+        self._store = store
+        self._plan = plan
+        self._directory = directory
+        self._peers = peers
+        self._timer = timer
+        self._metrics = metrics
+        self._journal = journal
+        self._on_change = on_change
+        self._cursor = 0
+        self._was_reached = True
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        try:
+            while True:
+                await self._do_next_step()
+        finally:
+            with trio.CancelScope(shield=True):
+                await self._store.close()
+
+    async def _do_next_step(self) -> None:
+        now = self._timer.now
+        directory = self._directory
+        step = self._plan.next_step(
+            now, directory.confirmed_at, directory.is_known, self._peers.readers(now)
+        )
+        if isinstance(step, Pause):
+            await trio.sleep(step.seconds)
+            return
+        self._plan.note_try(now)
+        try:
+            match step:
+                case ReadAll(timeout_seconds):
+                    await self._read(timeout_seconds)
+                case WatchChanges(wait_seconds, timeout_seconds):
+                    await self._watch(wait_seconds, timeout_seconds)
+        except StoreUnavailable as error:
+            self._plan.note_failure(self._timer.now)
+            self._note_failure(error)
+        except HistoryLost as error:
+            self._plan.note_history_lost()
+            self._journal.record("store-history-lost", after=error.after)
+        else:
+            self._note_success()
+
+    async def _read(self, timeout_seconds: float) -> None:
+        snapshot = await self._store.read(timeout_seconds)
+        self._plan.note_read()
+        self._cursor = snapshot.at
+        self._count_unreadable(snapshot.unreadable)
+        if self._directory.apply_snapshot(snapshot, self._timer.now):
+            self._on_change("store")
+
+    async def _watch(self, wait_seconds: float, timeout_seconds: float) -> None:
+        changes = await self._store.watch(self._cursor, wait_seconds, timeout_seconds)
+        self._cursor = max(self._cursor, changes.at)
+        self._count_unreadable(changes.unreadable)
+        if self._directory.apply_changes(changes, self._timer.now):
+            self._on_change("store")
+
+    def _count_unreadable(self, count: int) -> None:
+        if count:
+            self._metrics.configuration_ignored.increment("unreadable", amount=count)
+            self._journal.record("store-entries-unreadable", count=count)
+
+    def _note_failure(self, error: StoreUnavailable) -> None:
+        self._metrics.platform_reads.increment("failed")
+        if self._was_reached:
+            self._was_reached = False
+            self._journal.record(
+                "store-lost",
+                failure=error.failure.value,
+                detail=error.detail,
+                content_age=round(self._timer.now - self._directory.confirmed_at, 3),
+                revision=self._directory.content_revision,
+            )
+
+    def _note_success(self) -> None:
+        self._metrics.platform_reads.increment("answered")
+        if not self._was_reached:
+            self._was_reached = True
+            self._journal.record("store-regained", revision=self._directory.content_revision)
--- a/egretsill/observation/__init__.py
+++ b/egretsill/observation/__init__.py
@@ -4,6 +4,7 @@
 from ._definitions import METRIC_DEFINITIONS, MetricDefinition, MetricKind
 from ._exceptions import LabelMismatch, LogFileUnavailable
 from ._health import HealthProblem, HealthState
+from ._journal import Journal, NonBlockingStream, open_standard_output
 from ._logging import LogValue, StateChange, StateKind, StateLog, open_log
 from ._metrics import Counter, Gauge, Histogram, LabelValue, Metrics
 from ._reference import log_reference, metric_reference
@@ -17,6 +18,7 @@
     "HealthState",
     "Histogram",
     "JSON",
+    "Journal",
     "LabelMismatch",
     "LabelValue",
     "LogFileUnavailable",
@@ -25,10 +27,12 @@
     "MetricDefinition",
     "MetricKind",
     "Metrics",
+    "NonBlockingStream",
     "StateChange",
     "StateKind",
     "StateLog",
     "log_reference",
     "metric_reference",
     "open_log",
+    "open_standard_output",
 ]
--- a/egretsill/observation/_definitions.py
+++ b/egretsill/observation/_definitions.py
@@ -77,6 +77,12 @@
         "Datagrams passed on: to an agent, or back to a caller.",
         _NORMAL,
     ),
+    _counter(
+        "flow_packets",
+        ("role", "reason"),
+        "Packets of flows steered by address that were sent on or refused, by why.",
+        "Look up rising reasons other than known-owner in the journal's lines of the same name.",
+    ),
     _counter(
         "datagrams_dropped",
         ("port", "reason"),
--- a/egretsill/observation/_logging.py
+++ b/egretsill/observation/_logging.py
@@ -10,8 +10,6 @@
 from pathlib import Path
 from typing import TextIO, TypeAlias
 
-import eliot
-
 from ._exceptions import LogFileUnavailable
 
 MAXIMUM_SUBJECTS = 20_000
@@ -117,6 +115,8 @@
         self._states.move_to_end(key)
         if len(self._states) > MAXIMUM_SUBJECTS:
             self._states.popitem(last=False)
+        import eliot  # Loaded with the first line: a process that logs elsewhere needs none.
+
         eliot.log_message(
             message_type=f"egretsill:{change.kind.label}",
             process=self._process,
@@ -140,5 +140,7 @@
             stream = path.open("a", buffering=1, encoding="utf-8")
         except OSError as error:
             raise LogFileUnavailable(str(path), error.strerror or type(error).__name__) from error
+    import eliot
+
     eliot.to_file(stream)
     return stream
--- a/egretsill/observation/_metrics.py
+++ b/egretsill/observation/_metrics.py
@@ -195,6 +195,7 @@
     """All metrics of one process; the attributes are described by `METRIC_DEFINITIONS`."""
 
     datagrams_forwarded: Counter
+    flow_packets: Counter
     datagrams_dropped: Counter
     messages_malformed: Counter
     first_packets_rerouted: Counter
--- a/egretsill/stand_ins/tests/test_platform.py
+++ b/egretsill/stand_ins/tests/test_platform.py
@@ -204,7 +204,7 @@
 def test_a_closed_kept_connection_is_replaced_without_a_failure() -> None:
     async def scenario(stand_in: PlatformStandIn, client: PlatformClient) -> None:
         await client.read("head")
-        stream = client._stream
+        stream = client._connection._stream
         assert isinstance(stream, trio.SocketStream)
         await stream.send_all(b"nonsense\r\n\r\n")
         await trio.sleep(0.05)
--- a/egretsill/steering/_balancer.py
+++ b/egretsill/steering/_balancer.py
@@ -10,15 +10,17 @@
 
 from ..configuration import Address, Bundle
 from ..timing import ClockJump, TimerService
-from ..wire import MalformedMessage, close_datagram_socket, open_datagram_socket
-from ._connection_id import ConnectionIdCodec
-from ._counters import BalancerCounters
-from ._datagram_socket import (
+from ..wire import (
     BATCH_DATAGRAMS,
     MAXIMUM_DATAGRAM_BYTES,
     SOCKET_BUFFER_BYTES,
+    MalformedMessage,
+    close_datagram_socket,
+    open_datagram_socket,
     read_batches,
 )
+from ._connection_id import ConnectionIdCodec
+from ._counters import BalancerCounters
 from ._first_packets import (
     WATCH_TICK_SECONDS,
     BecameResponsive,
--- /dev/null
+++ b/egretsill/wire/_http_connection.py
@@ -0,0 +1,144 @@
+"""Reads over one HTTP/1.1 connection that is kept between requests."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import h11
+import trio
+
+from ._address import Address
+
+MAXIMUM_HEAD_BYTES = 16_384
+READ_BYTES = 65_536
+
+
+@dataclass(frozen=True, slots=True)
+class HttpResponse:
+    """One whole answer."""
+
+    status: int
+    headers: Mapping[bytes, bytes]
+    body: bytes
+
+
+class _StaleConnection(Exception):
+    """The other end closed a kept connection before a byte of an answer."""
+
+
+class KeptHttpConnection:
+    """Makes one request at a time and keeps the connection if the other end does.
+
+    Args:
+        maximum_body_bytes: a longer answer is a protocol error.
+    """
+
+    def __init__(self, maximum_body_bytes: int) -> None:
+        self._maximum_body_bytes = maximum_body_bytes
+        self._stream: trio.abc.Stream | None = None
+        self._connection = h11.Connection(h11.CLIENT)
+        self._requests = 0
+
+    @property
+    def requests(self) -> int:
+        """Return how many requests were sent."""
+        return self._requests
+
+    async def get(self, address: Address, target: str) -> HttpResponse:
+        """Return the answer; one that finds a kept connection closed is asked for once more.
+
+        Raises:
+            OSError: if the other end can't be reached.
+            trio.BrokenResourceError: if the connection broke.
+            h11.ProtocolError: if the answer is malformed or too large.
+        """
+        reused = self._stream is not None
+        try:
+            return await self._request_once(address, target)
+        except _StaleConnection as error:
+            await self.aclose()
+            if not reused:
+                raise trio.BrokenResourceError("closed before an answer") from error
+        try:
+            return await self._request_once(address, target)
+        except _StaleConnection as error:
+            raise trio.BrokenResourceError("closed before an answer") from error
+
+    async def aclose(self) -> None:
+        """Close the connection; the next request opens another."""
+        stream, self._stream = self._stream, None
+        if stream is not None:
+            with trio.CancelScope(shield=True):
+                await trio.aclose_forcefully(stream)
+
+    async def _request_once(self, address: Address, target: str) -> HttpResponse:
+        stream = await self._open(address)
+        self._requests += 1
+        headers = [("Host", str(address)), ("Accept", "*/*")]
+        request = h11.Request(method="GET", target=target, headers=headers)
+        data = self._connection.send(request)
+        data = (data or b"") + (self._connection.send(h11.EndOfMessage()) or b"")
+        try:
+            await stream.send_all(data)
+        except trio.BrokenResourceError as error:
+            raise _StaleConnection from error
+        head = await self._next_response(stream)
+        body = await self._read_body(stream)
+        await self._finish()
+        return HttpResponse(head.status_code, dict(head.headers), body)
+
+    async def _open(self, address: Address) -> trio.abc.Stream:
+        if self._stream is None:
+            self._stream = await trio.open_tcp_stream(address.host, address.port)
+            self._connection = h11.Connection(
+                h11.CLIENT, max_incomplete_event_size=MAXIMUM_HEAD_BYTES
+            )
+        return self._stream
+
+    async def _next_response(self, stream: trio.abc.Stream) -> h11.Response:
+        received = 0
+        while True:
+            event = self._connection.next_event()
+            if isinstance(event, h11.Response):
+                return event
+            if event is h11.NEED_DATA:
+                data = await self._receive(stream, received)
+                received += len(data)
+                self._connection.receive_data(data)
+            elif not isinstance(event, h11.InformationalResponse):
+                raise h11.RemoteProtocolError("no response")
+
+    async def _receive(self, stream: trio.abc.Stream, received: int) -> bytes:
+        try:
+            data = bytes(await stream.receive_some(READ_BYTES))
+        except trio.BrokenResourceError as error:
+            if received:
+                raise
+            raise _StaleConnection from error
+        if not data and not received:
+            raise _StaleConnection
+        return data
+
+    async def _read_body(self, stream: trio.abc.Stream) -> bytes:
+        body = bytearray()
+        while True:
+            event = self._connection.next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            if event is h11.NEED_DATA:
+                self._connection.receive_data(bytes(await stream.receive_some(READ_BYTES)))
+            elif isinstance(event, h11.Data):
+                body += event.data
+            else:
+                raise h11.RemoteProtocolError("connection closed in the middle of a body")
+            if len(body) > self._maximum_body_bytes:
+                raise h11.RemoteProtocolError("body too large")
+
+    async def _finish(self) -> None:
+        """Keep the connection for the next request if the other end keeps it."""
+        done = self._connection.our_state is h11.DONE and self._connection.their_state is h11.DONE
+        if done:
+            self._connection.start_next_cycle()
+        else:
+            await self.aclose()
