--- a/egretsill/address_steering/tests/test_tunnel.py
+++ b/egretsill/address_steering/tests/test_tunnel.py
@@ -48,7 +48,7 @@
 
 def test_random_bytes_are_decoded_or_refused() -> None:
     source = random.Random(8)
-    outcomes = set()
+    outcomes: set[type] = set()
     for _ in range(5000):
         data = bytes([source.choice((0xE1, 0xE2, source.randrange(256)))])
         try:
--- a/egretsill/fleet/tests/test_peers.py
+++ b/egretsill/fleet/tests/test_peers.py
@@ -66,7 +66,7 @@
 
 def test_recipients_are_bounded_and_every_process_is_somebodys() -> None:
     hosts = range(1, 301)
-    reached = set()
+    reached: set[int] = set()
     for host in hosts:
         recipients = PeerTable(host, ()).recipients(hosts, 0.0)
         assert len(recipients) == MAXIMUM_RECIPIENTS
