Keep a crashed target's entry from hiding its successor at the same address

Cause: entries of crashed targets stay in the store until they lapse. A read that held both the old and the new entry of an address took the old one as the newer arrival and dropped the new one, so after a restart of all 4 of 9 targets took all flows (log: targets 9 to 4 at one read, loads of 100). Ruled out: loss of heartbeats, stale loads (both current in the log). Now the entry with the higher revision counts and the other is treated as gone, whatever comes first.

--- a/egretsill/directory/_directory.py
+++ b/egretsill/directory/_directory.py
@@ -50,6 +50,7 @@
         self._departed: OrderedDict[str, TargetView] = OrderedDict()
         self._by_service: dict[str, tuple[TargetView, ...]] = {}
         self._by_host: dict[int, tuple[TargetView, ...]] = {}
+        self._replaced_at: dict[str, float] = {}
         self._content_revision = 0
         self._confirmed_at = NEVER
         self._grace_until = NEVER
@@ -174,7 +175,7 @@
             del self._departed[name]
             over.append(name)
         if over:
-            self._index()
+            self._index(now)
         return bool(over)
 
     def _note_return(self, now: float) -> None:
@@ -191,7 +192,7 @@
         for name in changes.removed:
             changed |= self._remove(name, now)
         if changed:
-            self._index()
+            self._index(now)
         return changed
 
     def _merge_target(self, target: Target, now: float) -> bool:
@@ -200,10 +201,6 @@
             return False
         if known is not None and known.target.started_milliseconds != target.started_milliseconds:
             self._departed[target.name] = TargetView(known.target, known.cold_until, now)
-        for name, other in tuple(self._targets.items()):
-            same_place = (other.target.host, other.target.port) == (target.host, target.port)
-            if name != target.name and same_place:
-                self._depart(name, now)
         self._targets[target.name] = TargetView(target, now + target.cold_seconds)
         return True
 
@@ -222,15 +219,37 @@
         self._departed.pop(name, None)
         self._departed[name] = TargetView(known.target, known.cold_until, now)
 
-    def _index(self) -> None:
+    def _index(self, now: float) -> None:
         by_service: dict[str, list[TargetView]] = {}
         by_host: dict[int, list[TargetView]] = {}
-        for view in (*self._targets.values(), *self._departed.values()):
+        for view in (*self._in_place(now), *self._departed.values()):
             by_service.setdefault(view.target.service, []).append(view)
             by_host.setdefault(view.target.host, []).append(view)
         self._by_service = _frozen(by_service)
         self._by_host = _frozen(by_host)
 
+    def _in_place(self, now: float) -> Iterable[TargetView]:
+        """Yield the targets, those whose address a later one has as gone.
+
+        An entry stays in the store for a while after its target crashed, and the next target at
+        its address has an entry of its own by then.
+        """
+        newest: dict[tuple[int, int], TargetView] = {}
+        for view in self._targets.values():
+            place = (view.target.host, view.target.port)
+            known = newest.get(place)
+            if known is None or _recency(view) > _recency(known):
+                newest[place] = view
+        kept = {each.target.name for each in newest.values()}
+        self._replaced_at = {
+            name: self._replaced_at.get(name, now) for name in self._targets if name not in kept
+        }
+        for name, view in self._targets.items():
+            if name in kept:
+                yield view
+            else:
+                yield TargetView(view.target, view.cold_until, self._replaced_at[name])
+
 
 def _recency(view: TargetView) -> tuple[bool, int]:
     return view.gone_at is None, view.target.revision
