Place new flows in the balancer's failure domain unless it has more to do

Now the two first targets next door are compared with the two first elsewhere, which must have half a request a slot less to do. Agents rank by the domain of the balancer that took the packet.

--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -204,7 +204,8 @@
         excluded = {*envelope.visited, self._host}
         host = None
         if len(excluded) <= MAXIMUM_VISITED:
-            host = self._placement.choose(packet.flow, service, excluded, now)
+            domain = self._placement.domain_of(envelope.balancer)
+            host = self._placement.choose(packet.flow, service, excluded, domain, now)
         if host is None:
             self._flows.remove(packet.flow)
             is_full = reason is ForwardReason.TARGET_FULL
@@ -224,7 +225,8 @@
         if route is None:
             return (Drop(flow, DropReason.NO_TARGET),)
         visited = {*envelope.visited, self._host}
-        for host in self._placement.ranked(flow, route.services):
+        domain = self._placement.domain_of(envelope.balancer)
+        for host in self._placement.ranked(flow, route.services, domain):
             if host in visited or self._is_empty(host, route, now):
                 continue
             return self._pass_to(host, envelope, packet, ForwardReason.NOT_HERE)
--- a/egretsill/address_steering/_balancer_steering.py
+++ b/egretsill/address_steering/_balancer_steering.py
@@ -42,15 +42,22 @@
 
     Args:
         host: IPv4 address of this balancer, as a number.
+        failure_domain: where its VM is.
         directory: routes and targets.
         peers: heartbeats of the agents.
         retention_seconds: age at which a flow may be forgotten.
     """
 
     def __init__(
-        self, host: int, directory: Directory, peers: PeerTable, retention_seconds: float
+        self,
+        host: int,
+        failure_domain: str,
+        directory: Directory,
+        peers: PeerTable,
+        retention_seconds: float,
     ) -> None:
         self._host = host
+        self._domain = failure_domain
         self._directory = directory
         self._peers = peers
         self._retention_seconds = retention_seconds
@@ -76,7 +83,7 @@
         if owner is not None:
             return self._send_to_owner(packet, owner, now)
         services = route.services
-        ranked = self._placement.ranked(packet.flow, services)
+        ranked = self._placement.ranked(packet.flow, services, self._domain)
         if not ranked:
             return Drop(packet.flow, DropReason.NO_TARGET)
         heard = [host for host in ranked if not self._peers.is_silent(host, now)]
@@ -112,9 +119,9 @@
     def _place(self, packet: FlowPacket, service: str, now: float) -> BalancerDecision:
         flow = packet.flow
         excluded = self._tried(packet, service)
-        host = self._placement.choose(flow, service, excluded, now)
+        host = self._placement.choose(flow, service, excluded, self._domain, now)
         if host is None and excluded:
-            host = self._placement.choose(flow, service, (), now)
+            host = self._placement.choose(flow, service, (), self._domain, now)
         if host is None:
             if now - self._directory.confirmed_at > CERTAIN_SECONDS:
                 return Drop(flow, DropReason.NO_TARGET)
@@ -130,7 +137,7 @@
         owner = self._owners.get(packet.flow)
         if owner is not None and owner.service == service:
             return owner.tried
-        ranked = self._placement.ranked(packet.flow, (service,))
+        ranked = self._placement.ranked(packet.flow, (service,), self._domain)
         return tuple(ranked[: CHOICES * packet.copy])
 
     def _send_to_owner(self, packet: FlowPacket, owner: _Owner, now: float) -> BalancerDecision:
--- a/egretsill/address_steering/_placement.py
+++ b/egretsill/address_steering/_placement.py
@@ -2,7 +2,8 @@
 
 The two first targets in the flow's rendezvous rank that can take it are compared, and the less
 loaded one is chosen (the power of two choices; Mitzenmacher, 2001). So load is balanced, and any
-process that knows only the flow finds its owner among the first of the rank.
+process that knows only the flow finds its owner among the first of the rank. Targets in the failure
+domain of the balancer that took the packet come first, and the others only if they have less to do.
 """
 
 from __future__ import annotations
@@ -16,6 +17,9 @@
 from ._packet import FlowKey
 
 CHOICES = 2
+REMOTE_LOAD = (
+    0.5  # request a slot; a target next door may have so much more to do than a distant one
+)
 FLOW_LOAD = 0.1  # share of a request that an open flow stands for; long flows mostly pause
 COLD_LOAD = 1.6  # a target that has just started takes that much longer
 SLOWEST_LOAD = 8.0  # a target is never counted as slower than that, so it can show recovery
@@ -44,19 +48,35 @@
                 return share.service
         return shares[0].service
 
-    def ranked(self, flow: FlowKey, services: Sequence[str]) -> Sequence[int]:
+    def ranked(self, flow: FlowKey, services: Sequence[str], domain: str) -> Sequence[int]:
         """Return the VMs on which a flow may be open, the likeliest first.
 
         VMs of targets that left are among them, as their flows may still be open.
+
+        Args:
+            flow: the flow.
+            services: the services that may have it.
+            domain: failure domain of the balancer that took its packet.
         """
         order: list[int] = []
         for service in services:
-            hosts = {each.target.host for each in self._directory.targets_of(service)}
-            order.extend(host for host in rank(flow.hash_key, hosts) if host not in order)
+            domains = {
+                each.target.host: each.target.failure_domain
+                for each in self._directory.targets_of(service)
+            }
+            hosts = rank(flow.hash_key, domains)
+            near = [host for host in hosts if domains[host] == domain]
+            far = [host for host in hosts if domains[host] != domain]
+            order.extend(host for host in (*near, *far) if host not in order)
         return order
 
+    def domain_of(self, balancer: int) -> str:
+        """Return the failure domain of a balancer, empty if it is unknown."""
+        peer = self._peers.peers.get(balancer)
+        return peer.heartbeat.failure_domain if peer is not None else ""
+
     def choose(
-        self, flow: FlowKey, service: str, excluded: Collection[int], now: float
+        self, flow: FlowKey, service: str, excluded: Collection[int], domain: str, now: float
     ) -> int | None:
         """Return the VM of the target that takes a new flow, or None if there is none.
 
@@ -64,6 +84,7 @@
             flow: the flow.
             service: the service that it goes to.
             excluded: VMs that were tried already.
+            domain: failure domain of the balancer that took its packet.
             now: local time.
         """
         usable = {
@@ -79,7 +100,7 @@
         unknown = {host for host in usable if host not in self._peers.peers}
         for tier in (heard - refusing - leaving, unknown, usable.keys() - refusing - leaving):
             if tier:
-                return self._lesser(flow, usable, tier, now)
+                return self._lesser(flow, usable, tier, domain, now)
         return None
 
     def note_sent(self, host: int) -> None:
@@ -105,10 +126,20 @@
         return load / max(view.target.capacity or USUAL_CAPACITY, 1)
 
     def _lesser(
-        self, flow: FlowKey, usable: dict[int, TargetView], hosts: Collection[int], now: float
+        self,
+        flow: FlowKey,
+        usable: dict[int, TargetView],
+        hosts: Collection[int],
+        domain: str,
+        now: float,
     ) -> int:
-        ranked = rank(flow.hash_key, hosts)[:CHOICES]
-        return min(ranked, key=lambda host: self.load(usable[host], now))
+        ranked = rank(flow.hash_key, hosts)
+        near = [host for host in ranked if usable[host].target.failure_domain == domain]
+        far = [host for host in ranked if usable[host].target.failure_domain != domain]
+        costs = {host: self.load(usable[host], now) for host in near[:CHOICES]}
+        extra = REMOTE_LOAD if near else 0.0
+        costs |= {host: self.load(usable[host], now) + extra for host in far[:CHOICES]}
+        return min(costs, key=costs.__getitem__)
 
     def _slowness(self, heartbeat: Heartbeat, service: str) -> float:
         delays = [
--- a/egretsill/address_steering/tests/scene.py
+++ b/egretsill/address_steering/tests/scene.py
@@ -23,16 +23,17 @@
 SERVICE_HOST = 0xC6120001
 PORT = 443
 SERVICE = "lookup"
+DOMAIN = "a"
 OTHER_SERVICE = "intake"
 RETENTION = 60.0
 IDLE = 15.0
 
-QUIET = Heartbeat(0, 1, 1, False, "a", False, True, 7, 100, 0, 0, 0, 0, False, ())
+QUIET = Heartbeat(0, 1, 1, False, DOMAIN, False, True, 7, 100, 0, 0, 0, 0, False, ())
 
 
 def target(host: int, service: str = SERVICE, **fields: object) -> Target:
     """Return a ready target on a VM, with other fields if given."""
-    plain = Target(f"t{host:x}", host, 8080, service, "a", TargetPhase.READY, 4, 0.0, 1, 10)
+    plain = Target(f"t{host:x}", host, 8080, service, DOMAIN, TargetPhase.READY, 4, 0.0, 1, 10)
     return replace(plain, **fields)  # type: ignore[arg-type]
 
 
--- a/egretsill/address_steering/tests/test_balancer_steering.py
+++ b/egretsill/address_steering/tests/test_balancer_steering.py
@@ -22,6 +22,7 @@
 from .scene import (
     AGENTS,
     BALANCER,
+    DOMAIN,
     OTHER_AGENT,
     RETENTION,
     SERVICE_HOST,
@@ -29,6 +30,7 @@
     flow,
     packet,
     table,
+    target,
 )
 
 OPENING = PacketKind.OPENING
@@ -36,7 +38,7 @@
 
 
 def make_balancer(scene: Scene) -> BalancerSteering:
-    return BalancerSteering(BALANCER, scene.directory, scene.peers, RETENTION)
+    return BalancerSteering(BALANCER, DOMAIN, scene.directory, scene.peers, RETENTION)
 
 
 def place(balancer: BalancerSteering, number: int, now: float, copy: int = 0) -> int:
@@ -132,6 +134,18 @@
     assert counts[AGENTS[0]] == 0
 
 
+def test_targets_next_door_come_first_unless_they_have_more_to_do() -> None:
+    targets = [
+        target(host, failure_domain=DOMAIN if host in AGENTS[:2] else "b") for host in AGENTS
+    ]
+    scene = Scene(targets=targets)
+    scene.hear(0.0)
+    balancer = make_balancer(scene)
+    assert {place(balancer, number, 0.0) for number in range(4)} == set(AGENTS[:2])
+    scene.hear(0.1, AGENTS[:2], pending=9)
+    assert {place(balancer, number, 0.2) for number in range(4, 10)} <= set(AGENTS[2:])
+
+
 @pytest.mark.parametrize(
     ("age", "kind", "expected"),
     [
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -174,7 +174,13 @@
         )
         if settings.agent is not None:
             return self._make_agent(settings.agent, codec, log)
-        steering = BalancerSteering(self._host, self._directory, self._peers, settings.flow_seconds)
+        steering = BalancerSteering(
+            self._host,
+            settings.failure_domain,
+            self._directory,
+            self._peers,
+            settings.flow_seconds,
+        )
         self._timer.subscribe(SWEEP_SECONDS, steering.tick)
         return BalancerNode(
             settings.packets, self._tunnel, codec, steering, self._timer, self._metrics, log
