Let requests wait at the agent, those that can be answered in time first

Cause: targets serve in order of arrival. Ruled out: slow start of our processes (content 0.06 s after start), uneven load (trial of passing on changed nothing), refusing (a refused caller returns at once and gives up). Change: an agent hands its target half as many requests again as it works on; the others wait at the agent, earliest deadline first among those that can be in time, then the late ones. What its caller has given up on is not started. Data that is sent again is told by its sequence number.

--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 
 from ..directory import Directory, Route, TargetPhase, TargetView
@@ -23,11 +24,14 @@
     SendToCaller,
     TellOwner,
 )
-from ._flow_table import FlowEntry, FlowState, FlowTable
+from ._flow_table import MAXIMUM_FLOWS, FlowEntry, FlowState, FlowTable
 from ._packet import FlowPacket, PacketKind
 from ._placement import FlowPlacement
+from ._request_queue import RequestQueue, WaitingRequest
 from ._tunnel import MAXIMUM_VISITED, Envelope, OwnerNotice, service_mark
 
+SPARE_SHARE = 0.5  # of the capacity is handed over beyond it, so that no slot waits for the agent
+
 
 class AgentSteering:
     """Decides what happens to each packet at one agent.
@@ -56,6 +60,7 @@
         self._directory = directory
         self._placement = FlowPlacement(directory, peers)
         self._flows = FlowTable(retention_seconds)
+        self._queue = RequestQueue()
         self._complete_at = started_at + retention_seconds
         self._is_target_down = False
 
@@ -64,6 +69,11 @@
         """Return the flows that this agent knows of."""
         return self._flows
 
+    @property
+    def queue(self) -> RequestQueue:
+        """Return the requests that wait for the target."""
+        return self._queue
+
     @property
     def is_refusing(self) -> bool:
         """Return whether the target takes no flows at all."""
@@ -112,10 +122,25 @@
             self._flows.answer_request(entry, now)
         if packet.kind is PacketKind.RESET:
             self._flows.remove(packet.flow)
+            self._queue.remove(packet.flow)
         elif packet.kind is PacketKind.CLOSING:
             entry.target_closed = True
             self._flows.end_request(entry)
-        return (SendToCaller(packet.flow.caller_host, packet.datagram),)
+        answer = SendToCaller(packet.flow.caller_host, packet.datagram)
+        return (answer, *self.release(now)) if len(self._queue) else (answer,)
+
+    def release(self, now: float) -> Sequence[HandToTarget]:
+        """Return the packets of the requests that the target has capacity for now."""
+        handed: list[HandToTarget] = []
+        while len(self._queue) and self._flows.pending < self._most_pending():
+            request = self._queue.pop_next(now, self._flows.service_seconds)
+            if request is None:
+                break
+            entry = self._flows.get(request.flow)
+            if entry is not None:
+                self._flows.begin_request(entry, now)
+                handed.extend(HandToTarget(each) for each in request.packets.values())
+        return handed
 
     def sweep(self, now: float) -> None:
         """Forget what is over or too old."""
@@ -128,17 +153,45 @@
         entry.seen_at = now
         entry.balancer = envelope.balancer
         entry.visited = envelope.visited
-        if packet.payload_bytes:
-            self._flows.begin_request(entry, now)
+        effects: list[AgentEffect] = []
+        if packet.payload_bytes and self._must_wait(entry, packet, now):
+            waiting = self._queue.get(packet.flow)
+            if waiting is not None:
+                waiting.add(packet.sequence, packet.datagram)
+        else:
+            effects.append(HandToTarget(packet.datagram))
         if packet.kind is PacketKind.CLOSING:
             entry.caller_closed = True
         elif packet.kind is PacketKind.RESET:
             entry.caller_closed = entry.target_closed = True
             self._flows.end_request(entry)
-        hand = HandToTarget(packet.datagram)
+            self._queue.remove(packet.flow)
         if envelope.visited and entry.state is FlowState.OWNED:
-            return (hand, TellOwner(envelope.balancer, OwnerNotice(packet.flow, self._host)))
-        return (hand,)
+            notice = OwnerNotice(packet.flow, self._host)
+            effects.append(TellOwner(envelope.balancer, notice))
+        return effects
+
+    def _must_wait(self, entry: FlowEntry, packet: FlowPacket, now: float) -> bool:
+        """Return whether a caller's data waits, and note the request that it belongs to."""
+        is_new = self._flows.note_data(entry, packet.sequence, packet.payload_bytes)
+        if self._queue.get(packet.flow) is not None:
+            return True
+        if not is_new:
+            return False
+        if entry.pending_since is None and self._flows.pending >= self._most_pending():
+            route = self._directory.route(packet.flow.service_host, packet.flow.service_port)
+            if route is not None and route.limit_seconds and not self._queue.is_full:
+                aim_at, limit_at = now + route.aim_seconds, now + route.limit_seconds
+                self._queue.push(WaitingRequest(packet.flow, aim_at, limit_at, route.urgency))
+                return True
+        self._flows.begin_request(entry, now)
+        return False
+
+    def _most_pending(self) -> int:
+        """Return how many requests the target gets at once."""
+        view = self._own_view()
+        capacity = view.target.capacity if view is not None else 0
+        return math.ceil(capacity * (1 + SPARE_SHARE)) if capacity else MAXIMUM_FLOWS
 
     def _take_opening(
         self, envelope: Envelope, packet: FlowPacket, now: float
@@ -178,6 +231,7 @@
                 envelope, packet, self._service, ForwardReason.TARGET_FULL, now
             )
         self._flows.remove(packet.flow)
+        self._queue.remove(packet.flow)
         return self._pass_on(envelope, packet, now)
 
     def _reason_to_pass(self, now: float) -> ForwardReason | None:
--- a/egretsill/address_steering/_flow_table.py
+++ b/egretsill/address_steering/_flow_table.py
@@ -10,6 +10,8 @@
 MAXIMUM_FLOWS = 20_000  # ten times what a target of 2,000 connections holds, some 8 MB
 OPENING_SECONDS = 3.0  # a caller gives up opening after 1.4 s
 ENDED_SECONDS = 10.0  # the target answers late packets of an ended flow for longer than that
+STUCK_SECONDS = 2.0  # a request at the target for longer no longer counts against its capacity
+SEQUENCE_NUMBERS = 2**32  # they wrap
 DELAY_SHARE = 0.2  # of a new measurement in the mean delay
 
 
@@ -33,6 +35,7 @@
         opened_at: when its first packet passed.
         passed_to: VM that has it, if it was passed on.
         pending_since: when its request in progress began to arrive, None if there is none.
+        next_sequence: number of the byte after the last one that the caller sent.
         caller_closed: whether the caller has ended its direction.
         target_closed: whether the target has ended its direction.
     """
@@ -44,6 +47,7 @@
     opened_at: float
     passed_to: int = 0
     pending_since: float | None = None
+    next_sequence: int | None = None
     caller_closed: bool = False
     target_closed: bool = False
 
@@ -66,6 +70,7 @@
         self._pending = 0
         self._owned = 0
         self._delay_seconds = 0.0
+        self._service_seconds = 0.0
 
     def __len__(self) -> int:
         return len(self._flows)
@@ -80,6 +85,11 @@
         """Return how many requests are in progress at the target."""
         return self._pending
 
+    @property
+    def service_seconds(self) -> float:
+        """Return the mean time that the target works on a request, 0 before the first answer."""
+        return self._service_seconds
+
     @property
     def delay_seconds(self) -> float:
         """Return the mean time to an answer's first byte lately, 0 if unknown."""
@@ -111,6 +121,15 @@
         self._owned -= entry.state is FlowState.OWNED
         self.end_request(entry)
 
+    def note_data(self, entry: FlowEntry, sequence: int, payload_bytes: int) -> bool:
+        """Note a caller's data; return whether it is new and not sent again."""
+        end = (sequence + payload_bytes) % SEQUENCE_NUMBERS
+        ahead = 0 if entry.next_sequence is None else (end - entry.next_sequence) % SEQUENCE_NUMBERS
+        if entry.next_sequence is not None and not 0 < ahead < SEQUENCE_NUMBERS // 2:
+            return False
+        entry.next_sequence = end
+        return True
+
     def begin_request(self, entry: FlowEntry, now: float) -> None:
         """Note that a caller's data arrived."""
         if entry.pending_since is None:
@@ -123,6 +142,8 @@
             return None
         delay = now - entry.pending_since
         self._delay_seconds += DELAY_SHARE * (delay - self._delay_seconds)
+        share = DELAY_SHARE if self._service_seconds else 1.0
+        self._service_seconds += share * (delay - self._service_seconds)
         self.end_request(entry)
         return delay
 
@@ -132,21 +153,13 @@
             entry.pending_since = None
             self._pending -= 1
 
-    def clear(self) -> None:
-        """Forget all flows."""
-        for flow in tuple(self._flows):
-            self.remove(flow)
-
-    def oldest_pending(self, now: float) -> float:
-        """Return for how long the longest request has waited, in seconds."""
-        waits = [now - each.pending_since for each in self._flows.values() if each.pending_since]
-        return max(waits, default=0.0)
-
     def sweep(self, now: float, idle_seconds: float) -> None:
         """Forget flows that are over or were silent for too long."""
         for flow, entry in tuple(self._flows.items()):
             if now - entry.seen_at > self._longest_silence(entry, idle_seconds):
                 self.remove(flow)
+            elif entry.pending_since is not None and now - entry.pending_since > STUCK_SECONDS:
+                self.end_request(entry)
 
     def _longest_silence(self, entry: FlowEntry, idle_seconds: float) -> float:
         if entry.has_ended:
--- a/egretsill/address_steering/_packet.py
+++ b/egretsill/address_steering/_packet.py
@@ -44,6 +44,7 @@
         kind: what it does to the flow.
         is_bounced: whether the target gave it back unread.
         copy: for an opening packet, how many were sent before it.
+        sequence: number of its first byte in the sender's direction.
         acknowledged: the sender's last acknowledgement number.
         payload_bytes: length of the data that it carries.
         datagram: the whole packet, fit to be handed to a target or a caller.
@@ -53,6 +54,7 @@
     kind: PacketKind
     is_bounced: bool
     copy: int
+    sequence: int
     acknowledged: int
     payload_bytes: int
     datagram: bytes
--- /dev/null
+++ b/egretsill/address_steering/_request_queue.py
@@ -0,0 +1,102 @@
+"""Requests that wait at an agent while all of its target's capacity is in use.
+
+A target serves in the order of arrival, so after an outage everybody would wait behind the backlog
+and nearly all answers would be late. Here the requests whose answers can still be in time go first,
+by earliest deadline; then those that are late but whose callers still wait, likewise. What can't be
+answered before its caller gives up is not started: it never ran. More urgent routes go first within
+both groups (earliest deadline first; Liu and Layland, 1973, with late work put behind it).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from ._packet import FlowKey
+
+MAXIMUM_WAITING = 512  # requests; more than callers send in the time that they wait
+MAXIMUM_PACKETS = 64  # of one request; a caller has 16 packets in flight and sends some again
+
+
+@dataclass(slots=True, eq=False)
+class WaitingRequest:
+    """The beginning of a request that the target has not seen yet.
+
+    Attributes:
+        flow: its flow.
+        aim_at: when its caller wants the answer.
+        limit_at: when its caller gives up.
+        urgency: rank of its route, 0 the most urgent.
+        packets: its packets by sequence number, in the order of arrival.
+    """
+
+    flow: FlowKey
+    aim_at: float
+    limit_at: float
+    urgency: int
+    packets: dict[int, bytes] = field(default_factory=dict)
+
+    def add(self, sequence: int, datagram: bytes) -> None:
+        """Keep a packet; one that was sent again replaces the first."""
+        if sequence in self.packets or len(self.packets) < MAXIMUM_PACKETS:
+            self.packets[sequence] = datagram
+
+
+class RequestQueue:
+    """Waiting requests by flow."""
+
+    def __init__(self) -> None:
+        self._waiting: dict[FlowKey, WaitingRequest] = {}
+        self._expired = 0
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether no more requests may wait."""
+        return len(self._waiting) >= MAXIMUM_WAITING
+
+    @property
+    def expired(self) -> int:
+        """Return how many requests were dropped because their callers had given up."""
+        return self._expired
+
+    def get(self, flow: FlowKey) -> WaitingRequest | None:
+        """Return the waiting request of a flow."""
+        return self._waiting.get(flow)
+
+    def push(self, request: WaitingRequest) -> None:
+        """Let a request wait."""
+        self._waiting[request.flow] = request
+
+    def remove(self, flow: FlowKey) -> WaitingRequest | None:
+        """Return a flow's request and forget it."""
+        return self._waiting.pop(flow, None)
+
+    def pop_next(self, now: float, service_seconds: float) -> WaitingRequest | None:
+        """Return the request to start now, or None if nothing waits.
+
+        Args:
+            now: local time.
+            service_seconds: how long the target works on a request.
+        """
+        answered_at = now + service_seconds
+        for request in self._expire(now):
+            del self._waiting[request.flow]
+            self._expired += 1
+        if not self._waiting:
+            return None
+        chosen = min(self._waiting.values(), key=lambda each: _order(each, answered_at))
+        return self._waiting.pop(chosen.flow)
+
+    def _expire(self, now: float) -> Sequence[WaitingRequest]:
+        return [each for each in self._waiting.values() if each.limit_at <= now]
+
+
+def _order(request: WaitingRequest, answered_at: float) -> tuple[int, int, float]:
+    if answered_at <= request.aim_at:
+        return 0, request.urgency, request.aim_at
+    if answered_at <= request.limit_at:
+        return 1, request.urgency, request.limit_at
+    return 2, request.urgency, -request.limit_at
--- a/egretsill/address_steering/tests/scene.py
+++ b/egretsill/address_steering/tests/scene.py
@@ -27,6 +27,8 @@
 OTHER_SERVICE = "intake"
 RETENTION = 60.0
 IDLE = 15.0
+AIM = 0.2
+LIMIT = 1.5
 
 QUIET = Heartbeat(0, 1, 1, False, DOMAIN, False, True, 7, 100, 0, 0, 0, 0, False, ())
 
@@ -40,7 +42,7 @@
 def table(version: int = 7, services: Sequence[str] = (SERVICE,), port: int = PORT) -> RouteTable:
     """Return a configuration with one route."""
     shares = tuple(ServiceShare(each, 1) for each in services)
-    route = Route("r", SERVICE_HOST, port, shares)
+    route = Route("r", SERVICE_HOST, port, shares, AIM, LIMIT)
     return RouteTable(version, {(SERVICE_HOST, port): route}, IDLE)
 
 
@@ -95,9 +97,12 @@
     copy: int = 0,
     payload_bytes: int = 0,
     is_bounced: bool = False,
+    sequence: int = 1,
 ) -> FlowPacket:
     """Return a packet of a flow."""
-    return FlowPacket(key or flow(), kind, is_bounced, copy, 1000, payload_bytes, b"packet")
+    return FlowPacket(
+        key or flow(), kind, is_bounced, copy, sequence, 1000, payload_bytes, b"packet"
+    )
 
 
 def envelope(visited: Sequence[int] = (), version: int = 7, service: str = SERVICE) -> Envelope:
--- a/egretsill/address_steering/tests/test_agent_steering.py
+++ b/egretsill/address_steering/tests/test_agent_steering.py
@@ -248,3 +248,60 @@
     dropped = only(agent.take_from_peer(far, packet(), 0.0))
     assert isinstance(dropped, Drop)
     assert dropped.reason is DropReason.TOO_MANY_HOPS
+
+
+def ask(agent: AgentSteering, number: int, now: float, sequence: int = 1) -> list[type]:
+    request = packet(key=flow(number), payload_bytes=100, sequence=sequence)
+    return [type(each) for each in agent.take_from_peer(envelope(), request, now)]
+
+
+def test_requests_beyond_the_targets_capacity_wait_for_answers() -> None:
+    scene = Scene(HERE)
+    agent = make_agent(scene)
+    for number in range(8):
+        open_flow(agent, number)
+    handed = [ask(agent, number, 1.0) for number in range(8)]
+    assert handed == [[HandToTarget]] * 6 + [[]] * 2
+    assert (agent.flows.pending, len(agent.queue)) == (6, 2)
+    assert ask(agent, 7, 1.2) == [], "what is sent again waits with the first"
+    effects = agent.take_from_target(packet(key=flow(0), payload_bytes=9), 1.3)
+    assert [type(each) for each in effects] == [SendToCaller, HandToTarget]
+    assert (agent.flows.pending, len(agent.queue)) == (6, 1)
+
+
+def test_data_that_is_sent_again_is_no_new_request() -> None:
+    scene = Scene(HERE)
+    agent = make_agent(scene)
+    open_flow(agent)
+    ask(agent, 0, 1.0)
+    agent.take_from_target(packet(payload_bytes=9), 1.1)
+    assert ask(agent, 0, 1.2) == [HandToTarget]
+    assert agent.flows.pending == 0
+    assert ask(agent, 0, 1.3, sequence=101) == [HandToTarget]
+    assert agent.flows.pending == 1
+
+
+def test_a_caller_that_goes_away_does_not_wait() -> None:
+    scene = Scene(HERE)
+    agent = make_agent(scene)
+    for number in range(7):
+        open_flow(agent, number)
+        ask(agent, number, 1.0)
+    agent.take_from_peer(envelope(), packet(PacketKind.RESET, flow(6)), 1.1)
+    assert len(agent.queue) == 0
+    assert agent.take_from_target(packet(key=flow(0), payload_bytes=9), 1.3) == (
+        SendToCaller(flow().caller_host, b"packet"),
+    )
+
+
+def test_a_target_that_does_not_answer_does_not_stop_the_queue() -> None:
+    scene = Scene(HERE)
+    agent = make_agent(scene)
+    for number in range(7):
+        open_flow(agent, number)
+        ask(agent, number, 1.0)
+    assert agent.release(1.5) == []
+    agent.sweep(3.1)
+    assert agent.flows.pending == 0
+    assert agent.release(3.1) == [], "its caller has given up by then"
+    assert agent.queue.expired == 1
--- a/egretsill/directory/_messages.py
+++ b/egretsill/directory/_messages.py
@@ -61,6 +61,9 @@
             each.host,
             each.port,
             tuple((share.service, share.weight) for share in each.shares),
+            each.aim_seconds,
+            each.limit_seconds,
+            each.urgency,
         )
         for each in table.routes.values()
     )
@@ -76,8 +79,8 @@
     try:
         version, idle_seconds, packed_routes = packed
         routes = [
-            Route(name, host, port, tuple(ServiceShare(*share) for share in shares))
-            for name, host, port, shares in packed_routes
+            Route(name, host, port, tuple(ServiceShare(*share) for share in shares), *times)
+            for name, host, port, shares, *times in packed_routes
         ]
         table = RouteTable(version, {(each.host, each.port): each for each in routes}, idle_seconds)
     except (TypeError, ValueError) as error:
--- a/egretsill/directory/_model.py
+++ b/egretsill/directory/_model.py
@@ -36,12 +36,18 @@
         host: IPv4 address that callers send to, as a number.
         port: port that callers send to.
         shares: services that take its flows, at least one.
+        aim_seconds: how soon callers want the answers of its requests; 0 if they don't say.
+        limit_seconds: when callers give up; 0 if they don't say.
+        urgency: rank of its requests among those of other routes, 0 the most urgent.
     """
 
     name: str
     host: int
     port: int
     shares: tuple[ServiceShare, ...]
+    aim_seconds: float = 0.0
+    limit_seconds: float = 0.0
+    urgency: int = 0
 
     @property
     def services(self) -> tuple[str, ...]:
--- a/egretsill/directory/tests/test_directory.py
+++ b/egretsill/directory/tests/test_directory.py
@@ -140,7 +140,7 @@
     [
         pytest.param((), id="empty"),
         pytest.param((7, 15.0, ((),)), id="route without fields"),
-        pytest.param((7, 15.0, (("r", 9, 443, ()),)), id="route without services"),
+        pytest.param((7, 15.0, (("r", 9, 443, (), 0.2, 1.5, 1),)), id="route without services"),
         pytest.param(("7", 15.0, ()), id="version of another type"),
     ],
 )
--- a/egretsill/node/_agent_node.py
+++ b/egretsill/node/_agent_node.py
@@ -41,6 +41,8 @@
 )
 from ._decision_log import DecisionLog
 
+RELEASE_SECONDS = 0.1  # how often waiting requests are looked at if the target answers nothing
+
 _NO_FLOW = FlowKey(0, 0, 0, 0)
 
 
@@ -87,6 +89,7 @@
 
     async def run(self) -> None:
         """Forward until cancelled."""
+        self._timer.subscribe(RELEASE_SECONDS, self._release)
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(read_batches, self._tunnel, self._take_peers)
@@ -99,6 +102,10 @@
         close_datagram_socket(self._tunnel)
         close_datagram_socket(self._outbound)
 
+    def _release(self, now: float) -> None:
+        if len(self._steering.queue):
+            self._apply(self._steering.release(now))
+
     def _take_peers(self) -> bool:
         now = self._timer.now
         for _ in range(BATCH_DATAGRAMS):
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -235,9 +235,8 @@
         if self._agent_steering is None:
             return Load()
         flows = self._agent_steering.flows
-        return Load(
-            flows.pending, flows.owned, flows.delay_seconds, self._agent_steering.is_refusing
-        )
+        expected = flows.pending + len(self._agent_steering.queue)
+        return Load(expected, flows.owned, flows.delay_seconds, self._agent_steering.is_refusing)
 
     def _load_of(self, host: int, flow: FlowKey) -> float | None:
         route = self._directory.route(flow.service_host, flow.service_port)
