--- a/egretsill/address_steering/_placement.py
+++ b/egretsill/address_steering/_placement.py
@@ -51,7 +51,7 @@
     def ranked(self, flow: FlowKey, services: Sequence[str], domain: str) -> Sequence[int]:
         """Return the VMs on which a flow may be open, the likeliest first.
 
-        VMs of targets that left are among them, as their flows may still be open.
+        VMs of targets that left come last, as few of their flows are still open.
 
         Args:
             flow: the flow.
@@ -60,14 +60,12 @@
         """
         order: list[int] = []
         for service in services:
-            domains = {
-                each.target.host: each.target.failure_domain
-                for each in self._directory.targets_of(service)
-            }
-            hosts = rank(flow.hash_key, domains)
-            near = [host for host in hosts if domains[host] == domain]
-            far = [host for host in hosts if domains[host] != domain]
-            order.extend(host for host in (*near, *far) if host not in order)
+            places: dict[int, tuple[bool, bool]] = {}
+            for each in self._directory.targets_of(service):
+                place = (each.gone_at is not None, each.target.failure_domain != domain)
+                places[each.target.host] = min(place, places.get(each.target.host, place))
+            hosts = sorted(rank(flow.hash_key, places), key=places.__getitem__)
+            order.extend(host for host in hosts if host not in order)
         return order
 
     def domain_of(self, balancer: int) -> str:
--- a/egretsill/address_steering/tests/test_balancer_steering.py
+++ b/egretsill/address_steering/tests/test_balancer_steering.py
@@ -205,3 +205,15 @@
     assert balancer.owners_known == 1
     balancer.tick(RETENTION + 1)
     assert balancer.owners_known == 0
+
+
+def test_unknown_flows_never_go_to_a_vm_whose_target_left_long_ago() -> None:
+    scene = Scene()
+    scene.hear(0.0)
+    scene.remove_target(AGENTS[0], 1.0)
+    scene.peers.tick(30.0)
+    scene.hear(30.0, AGENTS[1:])
+    balancer = make_balancer(scene)
+    decisions = [balancer.steer(packet(key=flow(number)), 30.0) for number in range(99)]
+    hosts = {each.host for each in decisions if isinstance(each, Forward)}
+    assert hosts == set(AGENTS[1:])
--- /dev/null
+++ b/egretsill/measurements/_address_fleet.py
@@ -0,0 +1,219 @@
+"""Balancers, agents and targets whose views lag, for the measure of steering by address.
+
+Nothing carries an owner: packets have a four-tuple only, and any balancer may get them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field, replace
+from random import Random
+
+from ..address_steering import (
+    AgentSteering,
+    BalancerSteering,
+    FlowKey,
+    FlowPacket,
+    Forward,
+    HandToTarget,
+    PacketKind,
+    Refuse,
+    TellOwner,
+)
+from ..directory import (
+    Directory,
+    Route,
+    RouteTable,
+    ServiceShare,
+    Snapshot,
+    Target,
+    TargetPhase,
+)
+from ..fleet import PeerTable
+
+LAG_SECONDS = 2.0  # longest time until a process knows of a change
+RETENTION_SECONDS = 60.0
+SERVICE = "lookup"
+SERVICE_HOST, SERVICE_PORT = 1, 443
+ROUTE = Route("lookup", SERVICE_HOST, SERVICE_PORT, (ServiceShare(SERVICE, 1),))
+TABLE = RouteTable(1, {(SERVICE_HOST, SERVICE_PORT): ROUTE}, RETENTION_SECONDS)
+FIRST_AGENT, FIRST_BALANCER = 1000, 1_000_000
+
+
+@dataclass(slots=True, eq=False)
+class View:
+    """What one process knows, and when it learns of the next change."""
+
+    directory: Directory = field(default_factory=lambda: Directory(RETENTION_SECONDS))
+    pending: list[tuple[float, Snapshot]] = field(default_factory=list)
+
+    def catch_up(self, now: float) -> None:
+        """Apply what has arrived by now."""
+        while self.pending and self.pending[0][0] <= now:
+            self.directory.apply_snapshot(self.pending.pop(0)[1], now)
+        self.directory.tick(now)
+
+
+@dataclass(slots=True, eq=False)
+class FleetTarget:
+    """A target with its agent; the target alone knows for sure which flows it holds."""
+
+    view: View
+    steering: AgentSteering
+    flows: set[FlowKey] = field(default_factory=set)
+
+
+@dataclass(slots=True, eq=False)
+class FleetBalancer:
+    """A balancer and its view."""
+
+    view: View
+    steering: BalancerSteering
+
+
+@dataclass(frozen=True, slots=True)
+class Delivery:
+    """What became of a packet.
+
+    Attributes:
+        reached: the target's VM that took it, or None.
+        hops: how many agents passed it on.
+        astray: how many targets gave it back.
+        is_refused: whether its flow was reset.
+    """
+
+    reached: int | None
+    hops: int
+    astray: int
+    is_refused: bool
+
+
+class AddressFleet:
+    """Hands packets to balancers and agents until a target takes them."""
+
+    def __init__(self, random: Random, targets: int, balancers: int) -> None:
+        self.random = random
+        self.now = 0.0
+        self.entries: dict[int, Target] = {}
+        self.targets: dict[int, FleetTarget] = {}
+        self.balancers: dict[int, FleetBalancer] = {}
+        self.notices = 0
+        self._revision = 0
+        for _ in range(targets):
+            self.add_target(lag_seconds=0.0)
+        for _ in range(balancers):
+            self.start_balancer()
+
+    def add_target(self, lag_seconds: float = LAG_SECONDS) -> None:
+        """Start a target with its agent."""
+        host = FIRST_AGENT + self._revision
+        target = Target(
+            f"t{host}", host, 80, SERVICE, "a", TargetPhase.READY, 4, 0.0, 1, self._revision
+        )
+        self.entries[host] = target
+        view = View()
+        steering = AgentSteering(
+            host, SERVICE, view.directory, PeerTable(host, ()), RETENTION_SECONDS, self.now
+        )
+        self.targets[host] = FleetTarget(view, steering)
+        self._publish(lag_seconds)
+
+    def drain_target(self, host: int) -> None:
+        """Let a target take no new flows."""
+        self.entries[host] = replace(
+            self.entries[host], phase=TargetPhase.DRAINING, revision=self._revision + 1
+        )
+        self._publish(LAG_SECONDS)
+
+    def remove_target(self, host: int) -> None:
+        """Let a target end."""
+        del self.entries[host]
+        del self.targets[host]
+        self._publish(LAG_SECONDS)
+
+    def restart_agent(self, host: int) -> None:
+        """Let an agent lose all that it knows while its target goes on."""
+        view = View()
+        steering = AgentSteering(
+            host, SERVICE, view.directory, PeerTable(host, ()), RETENTION_SECONDS, self.now
+        )
+        self.targets[host].view, self.targets[host].steering = view, steering
+        view.pending.append((self.now, self._snapshot()))
+
+    def start_balancer(self) -> None:
+        """Start a balancer that has just read the store."""
+        host = FIRST_BALANCER + self._revision * 100 + len(self.balancers)
+        view = View(pending=[(self.now, self._snapshot())])
+        steering = BalancerSteering(
+            host, "a", view.directory, PeerTable(host, ()), RETENTION_SECONDS
+        )
+        self.balancers[host] = FleetBalancer(view, steering)
+
+    def stop_balancer(self) -> None:
+        """End a balancer without warning."""
+        del self.balancers[self.random.choice(list(self.balancers))]
+
+    def ready(self) -> Sequence[int]:
+        """Return the VMs of the targets that take new flows."""
+        return [h for h, each in self.entries.items() if each.phase is TargetPhase.READY]
+
+    def deliver(self, key: FlowKey, kind: PacketKind) -> Delivery:
+        """Hand a packet to a random balancer and follow it to its end."""
+        balancer = self.balancers[self.random.choice(list(self.balancers))]
+        balancer.view.catch_up(self.now)
+        packet = FlowPacket(key, kind, False, 0, 1, 1, 0, b"")
+        effects: list[object] = [balancer.steering.steer(packet, self.now)]
+        hops = astray = 0
+        host = 0
+        while effects:
+            match effects.pop():
+                case Forward(to, envelope):
+                    if to not in self.targets:
+                        return Delivery(None, hops, astray, False)
+                    hops += len(envelope.visited) > 0
+                    host = to
+                    agent = self._agent(host)
+                    effects.extend(agent.take_from_peer(envelope, packet, self.now))
+                case HandToTarget():
+                    if kind is PacketKind.OPENING or key in self.targets[host].flows:
+                        self._take(host, key, kind)
+                        self._tell(effects)
+                        return Delivery(host, hops, astray, False)
+                    astray += 1
+                    bounced = packet._replace(is_bounced=True)
+                    effects.extend(self._agent(host).take_from_target(bounced, self.now))
+                case TellOwner() as told:
+                    self._tell([told])
+                case Refuse():
+                    return Delivery(None, hops, astray, True)
+        return Delivery(None, hops, astray, False)
+
+    def _take(self, host: int, key: FlowKey, kind: PacketKind) -> None:
+        if kind is PacketKind.OPENING:
+            self.targets[host].flows.add(key)
+            answer = FlowPacket(key, PacketKind.OPENING_ANSWER, False, 0, 1, 1, 0, b"")
+            self._agent(host).take_from_target(answer, self.now)
+
+    def _tell(self, effects: Sequence[object]) -> None:
+        for effect in effects:
+            if isinstance(effect, TellOwner) and effect.balancer in self.balancers:
+                self.notices += 1
+                balancer = self.balancers[effect.balancer]
+                balancer.steering.learn_owner(effect.notice, self.now)
+
+    def _agent(self, host: int) -> AgentSteering:
+        self.targets[host].view.catch_up(self.now)
+        return self.targets[host].steering
+
+    def _snapshot(self) -> Snapshot:
+        return Snapshot(max(self._revision, 1), TABLE, tuple(self.entries.values()))
+
+    def _publish(self, lag_seconds: float) -> None:
+        self._revision += 1
+        snapshot = self._snapshot()
+        views = [each.view for each in self.targets.values()]
+        views += [each.view for each in self.balancers.values()]
+        for view in views:
+            last = view.pending[-1][0] if view.pending else 0.0
+            arrival = self.now + self.random.uniform(0.0, lag_seconds)
+            view.pending.append((max(arrival, last), snapshot))
