--- a/egretsill/address_steering/__init__.py
+++ b/egretsill/address_steering/__init__.py
@@ -4,9 +4,11 @@
 from ._balancer_steering import BalancerSteering
 from ._decisions import (
     AgentEffect,
+    Answered,
     BalancerDecision,
     Drop,
     DropReason,
+    Expire,
     Forward,
     ForwardReason,
     HandToTarget,
@@ -14,6 +16,7 @@
     RefuseReason,
     SendToCaller,
     TellOwner,
+    Wait,
 )
 from ._flow_table import FlowEntry, FlowState, FlowTable
 from ._packet import (
@@ -41,12 +44,14 @@
 __all__ = [
     "AgentEffect",
     "AgentSteering",
+    "Answered",
     "BalancerDecision",
     "BalancerSteering",
     "CarriedPacket",
     "Drop",
     "DropReason",
     "Envelope",
+    "Expire",
     "FlowEntry",
     "FlowKey",
     "FlowPacket",
@@ -66,6 +71,7 @@
     "SendToCaller",
     "TellOwner",
     "TunnelMessage",
+    "Wait",
     "decode_tunnel",
     "dotted",
     "encode_carried",
--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -14,8 +14,10 @@
 from ..fleet import PeerTable
 from ._decisions import (
     AgentEffect,
+    Answered,
     Drop,
     DropReason,
+    Expire,
     Forward,
     ForwardReason,
     HandToTarget,
@@ -23,6 +25,7 @@
     RefuseReason,
     SendToCaller,
     TellOwner,
+    Wait,
 )
 from ._flow_table import MAXIMUM_FLOWS, FlowEntry, FlowState, FlowTable
 from ._packet import FlowPacket, PacketKind
@@ -118,8 +121,7 @@
         elif entry.state is not FlowState.OWNED:
             self._flows.own(entry)
         entry.seen_at = now
-        if packet.payload_bytes:
-            self._flows.answer_request(entry, now)
+        delay = self._flows.answer_request(entry, now) if packet.payload_bytes else None
         if packet.kind is PacketKind.RESET:
             self._flows.remove(packet.flow)
             self._queue.remove(packet.flow)
@@ -127,11 +129,15 @@
             entry.target_closed = True
             self._flows.end_request(entry)
         answer = SendToCaller(packet.flow.caller_host, packet.datagram)
-        return (answer, *self.release(now)) if len(self._queue) else (answer,)
+        if delay is None:
+            return (answer, *self.release(now)) if len(self._queue) else (answer,)
+        return (answer, Answered(packet.flow, delay), *self.release(now))
 
-    def release(self, now: float) -> Sequence[HandToTarget]:
+    def release(self, now: float) -> Sequence[AgentEffect]:
         """Return the packets of the requests that the target has capacity for now."""
-        handed: list[HandToTarget] = []
+        effects: list[AgentEffect] = [
+            Expire(each.flow, now - each.arrived_at) for each in self._queue.expire(now)
+        ]
         while len(self._queue) and self._flows.pending < self._most_pending():
             request = self._queue.pop_next(now, self._flows.service_seconds)
             if request is None:
@@ -139,8 +145,8 @@
             entry = self._flows.get(request.flow)
             if entry is not None:
                 self._flows.begin_request(entry, now)
-                handed.extend(HandToTarget(each) for each in request.packets.values())
-        return handed
+                effects.extend(HandToTarget(each) for each in request.packets.values())
+        return effects
 
     def sweep(self, now: float) -> None:
         """Forget what is over or too old."""
@@ -157,6 +163,8 @@
         if packet.payload_bytes and self._must_wait(entry, packet, now):
             waiting = self._queue.get(packet.flow)
             if waiting is not None:
+                if not waiting.packets:
+                    effects.append(Wait(packet.flow, len(self._queue), self._flows.pending))
                 waiting.add(packet.sequence, packet.datagram)
         else:
             effects.append(HandToTarget(packet.datagram))
@@ -182,7 +190,7 @@
             route = self._directory.route(packet.flow.service_host, packet.flow.service_port)
             if route is not None and route.limit_seconds and not self._queue.is_full:
                 aim_at, limit_at = now + route.aim_seconds, now + route.limit_seconds
-                self._queue.push(WaitingRequest(packet.flow, aim_at, limit_at, route.urgency))
+                self._queue.push(WaitingRequest(packet.flow, now, aim_at, limit_at, route.urgency))
                 return True
         self._flows.begin_request(entry, now)
         return False
--- a/egretsill/address_steering/_decisions.py
+++ b/egretsill/address_steering/_decisions.py
@@ -108,5 +108,41 @@
     reason: DropReason
 
 
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """Let a request wait for the target's capacity.
+
+    Attributes:
+        waiting: how many requests wait now.
+        pending: how many the target has.
+    """
+
+    flow: FlowKey
+    waiting: int
+    pending: int
+
+
+@dataclass(frozen=True, slots=True)
+class Expire:
+    """Forget a request that waited until its caller gave up; it never ran."""
+
+    flow: FlowKey
+    waited_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """Note that the target began to answer a request.
+
+    Attributes:
+        delay_seconds: since the last data of the request came.
+    """
+
+    flow: FlowKey
+    delay_seconds: float
+
+
 BalancerDecision: TypeAlias = Forward | Refuse | Drop
-AgentEffect: TypeAlias = Forward | HandToTarget | SendToCaller | Refuse | TellOwner | Drop
+AgentEffect: TypeAlias = (
+    Forward | HandToTarget | SendToCaller | Refuse | TellOwner | Drop | Wait | Expire | Answered
+)
--- a/egretsill/address_steering/_request_queue.py
+++ b/egretsill/address_steering/_request_queue.py
@@ -24,6 +24,7 @@
 
     Attributes:
         flow: its flow.
+        arrived_at: when its first packet came.
         aim_at: when its caller wants the answer.
         limit_at: when its caller gives up.
         urgency: rank of its route, 0 the most urgent.
@@ -31,6 +32,7 @@
     """
 
     flow: FlowKey
+    arrived_at: float
     aim_at: float
     limit_at: float
     urgency: int
@@ -74,25 +76,27 @@
         """Return a flow's request and forget it."""
         return self._waiting.pop(flow, None)
 
+    def expire(self, now: float) -> Sequence[WaitingRequest]:
+        """Return the requests whose callers have given up, and forget them."""
+        expired = [each for each in self._waiting.values() if each.limit_at <= now]
+        for request in expired:
+            del self._waiting[request.flow]
+        self._expired += len(expired)
+        return expired
+
     def pop_next(self, now: float, service_seconds: float) -> WaitingRequest | None:
-        """Return the request to start now, or None if nothing waits.
+        """Return the request to start now, or None if nothing waits; ask `expire` before.
 
         Args:
             now: local time.
             service_seconds: how long the target works on a request.
         """
         answered_at = now + service_seconds
-        for request in self._expire(now):
-            del self._waiting[request.flow]
-            self._expired += 1
         if not self._waiting:
             return None
         chosen = min(self._waiting.values(), key=lambda each: _order(each, answered_at))
         return self._waiting.pop(chosen.flow)
 
-    def _expire(self, now: float) -> Sequence[WaitingRequest]:
-        return [each for each in self._waiting.values() if each.limit_at <= now]
-
 
 def _order(request: WaitingRequest, answered_at: float) -> tuple[int, int, float]:
     if answered_at <= request.aim_at:
--- a/egretsill/node/_agent_node.py
+++ b/egretsill/node/_agent_node.py
@@ -10,9 +10,11 @@
 from ..address_steering import (
     AgentEffect,
     AgentSteering,
+    Answered,
     CarriedPacket,
     Drop,
     DropReason,
+    Expire,
     FlowKey,
     Forward,
     HandToTarget,
@@ -23,6 +25,7 @@
     Refuse,
     SendToCaller,
     TellOwner,
+    Wait,
     decode_tunnel,
     dotted,
     encode_carried,
@@ -169,6 +172,12 @@
                     self._send(self._tunnel, encode_owner_notice(notice), to, notice.flow)
                 case Drop():
                     self._log.dropped(effect)
+                case Answered():
+                    self._log.answered(effect)
+                case Wait():
+                    self._log.waits(effect)
+                case Expire():
+                    self._log.expired(effect)
 
     def _send_to_caller(self, host: int, datagram: bytes) -> None:
         self._send(self._tunnel, datagram, Address(dotted(host), self._caller_port), _NO_FLOW)
--- a/egretsill/node/_decision_log.py
+++ b/egretsill/node/_decision_log.py
@@ -4,7 +4,17 @@
 
 from collections.abc import Callable
 
-from ..address_steering import Drop, FlowKey, Forward, ForwardReason, Refuse, dotted
+from ..address_steering import (
+    Answered,
+    Drop,
+    Expire,
+    FlowKey,
+    Forward,
+    ForwardReason,
+    Refuse,
+    Wait,
+    dotted,
+)
 from ..directory import Directory
 from ..observation import Journal, Metrics
 from ..timing import TimerService
@@ -74,6 +84,32 @@
             **self._belief(),
         )
 
+    def waits(self, decision: Wait) -> None:
+        """Note that a request waits for the target's capacity."""
+        self._metrics.flow_requests.increment("waited")
+        self._journal.record(
+            "request-waits",
+            flow=str(decision.flow),
+            waiting=decision.waiting,
+            pending=decision.pending,
+        )
+
+    def expired(self, decision: Expire) -> None:
+        """Note that a request was forgotten before it ran, as its caller had given up."""
+        self._metrics.flow_requests.increment("expired")
+        self._journal.record(
+            "request-expired",
+            flow=str(decision.flow),
+            waited=round(decision.waited_seconds, 3),
+        )
+
+    def answered(self, decision: Answered) -> None:
+        """Note how long a target took to begin its answer."""
+        self._metrics.flow_requests.increment("answered")
+        route = self._directory.route(decision.flow.service_host, decision.flow.service_port)
+        service, name = (route.shares[0].service, route.name) if route else ("", "")
+        self._metrics.time_to_first_byte_seconds.observe(decision.delay_seconds, service, name)
+
     def _belief(self) -> dict[str, int | float]:
         directory = self._directory
         age = min(self._timer.now - directory.confirmed_at, 1e6)
--- a/egretsill/observation/_definitions.py
+++ b/egretsill/observation/_definitions.py
@@ -83,6 +83,13 @@
         "Packets of flows steered by address that were sent on or refused, by why.",
         "Look up rising reasons other than known-owner in the journal's lines of the same name.",
     ),
+    _counter(
+        "flow_requests",
+        ("event",),
+        "Requests on flows steered by address that were answered, waited for the target's "
+        "capacity, or expired while they waited.",
+        "Expired ones never ran: the service has too few targets for its load, or lost some.",
+    ),
     _counter(
         "datagrams_dropped",
         ("port", "reason"),
--- a/egretsill/observation/_metrics.py
+++ b/egretsill/observation/_metrics.py
@@ -196,6 +196,7 @@
 
     datagrams_forwarded: Counter
     flow_packets: Counter
+    flow_requests: Counter
     datagrams_dropped: Counter
     messages_malformed: Counter
     first_packets_rerouted: Counter
