Keep new flows from a target that answers nothing

Cause: a target that falls silent stays in the store for three of its heartbeats; new flows went there until a caller's copy went elsewhere 200 ms later. Nothing called the two methods that were to tell of it. Now an agent derives it from what it handed over and got no answer for in 0.6 s, tells it in its heartbeat and passes new flows on if there is another target. Tests in test_agent_steering.

--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -33,6 +33,8 @@
 from ._request_queue import RequestQueue, WaitingRequest
 from ._tunnel import MAXIMUM_VISITED, Envelope, OwnerNotice, service_mark
 
+SILENT_TARGET_SECONDS = 0.6  # a usual answer takes a tenth; two copies of an opening packet fit in
+SILENCE_MEMORY_SECONDS = 2.0  # for how long after the last packet a silent target is avoided
 SPARE_SHARE = 0.5  # of the capacity is handed over beyond it, so that no slot waits for the agent
 
 
@@ -65,7 +67,8 @@
         self._flows = FlowTable(retention_seconds)
         self._queue = RequestQueue()
         self._complete_at = started_at + retention_seconds
-        self._is_target_down = False
+        self._unanswered_since: float | None = None
+        self._handed_at = float("-inf")
 
     @property
     def flows(self) -> FlowTable:
@@ -77,18 +80,13 @@
         """Return the requests that wait for the target."""
         return self._queue
 
-    @property
-    def is_refusing(self) -> bool:
-        """Return whether the target takes no flows at all."""
-        return self._is_target_down
-
-    def note_target_down(self) -> None:
-        """Note that nothing listens at the target: its flows are gone."""
-        self._is_target_down = True
-
-    def note_target_up(self) -> None:
-        """Note that the target answers."""
-        self._is_target_down = False
+    def is_target_silent(self, now: float) -> bool:
+        """Return whether the target has answered nothing for a while though it was sent work."""
+        if self._unanswered_since is None:
+            return False
+        # Without packets nothing can show that it is back, so it gets new flows again then.
+        is_current = now - self._handed_at < SILENCE_MEMORY_SECONDS
+        return is_current and now - self._unanswered_since > SILENT_TARGET_SECONDS
 
     def take_from_peer(
         self, envelope: Envelope, packet: FlowPacket, now: float
@@ -111,9 +109,9 @@
 
     def take_from_target(self, packet: FlowPacket, now: float) -> Sequence[AgentEffect]:
         """Return what to do with a packet that the target sent or gave back."""
+        self._unanswered_since = None
         if packet.is_bounced:
             return self._take_bounced(packet, now)
-        self._is_target_down = False
         entry = self._flows.get(packet.flow)
         if entry is None:
             entry = FlowEntry(FlowState.OWNED, 0, (), now, now)
@@ -145,6 +143,7 @@
             entry = self._flows.get(request.flow)
             if entry is not None:
                 self._flows.begin_request(entry, now)
+                self._note_handed(now)
                 effects.extend(HandToTarget(each) for each in request.packets.values())
         return effects
 
@@ -168,6 +167,8 @@
                 waiting.add(packet.sequence, packet.datagram)
         else:
             effects.append(HandToTarget(packet.datagram))
+            if packet.payload_bytes:
+                self._note_handed(now)
         if packet.kind is PacketKind.CLOSING:
             entry.caller_closed = True
         elif packet.kind is PacketKind.RESET:
@@ -217,13 +218,17 @@
         reason = self._reason_to_pass(now)
         if reason is not None:
             return self._pass_opening(envelope, packet, service, reason, now)
+        if self.is_target_silent(now) and self._choose(envelope, packet, service, now) is not None:
+            reason = ForwardReason.TARGET_SILENT
+            return self._pass_opening(envelope, packet, service, reason, now)
         self._flows.put(packet.flow, self._entry(FlowState.TRYING, envelope, now))
+        self._note_handed(now)
         return (HandToTarget(packet.datagram),)
 
     def _take_unknown(
         self, envelope: Envelope, packet: FlowPacket, now: float
     ) -> Sequence[AgentEffect]:
-        if now >= self._complete_at or self._is_target_down:
+        if now >= self._complete_at:
             return self._pass_on(envelope, packet, now)
         entry = self._entry(FlowState.TRYING, envelope, now)
         self._flows.put(packet.flow, entry)
@@ -244,8 +249,6 @@
 
     def _reason_to_pass(self, now: float) -> ForwardReason | None:
         """Return why the target should get no new flow, or None if it may."""
-        if self._is_target_down:
-            return ForwardReason.TARGET_DOWN
         view = self._own_view()
         if view is None:
             # Balancers learn of a target from its entry, so it exists if they send packets here.
@@ -263,11 +266,7 @@
         reason: ForwardReason,
         now: float,
     ) -> Sequence[AgentEffect]:
-        excluded = {*envelope.visited, self._host}
-        host = None
-        if len(excluded) <= MAXIMUM_VISITED:
-            domain = self._placement.domain_of(envelope.balancer)
-            host = self._placement.choose(packet.flow, service, excluded, domain, now)
+        host = self._choose(envelope, packet, service, now)
         if host is None:
             self._flows.remove(packet.flow)
             is_full = reason is ForwardReason.TARGET_FULL
@@ -280,6 +279,22 @@
         steered = envelope._replace(version=self._directory.version, service_mark=mark)
         return self._pass_to(host, steered, packet, reason)
 
+    def _choose(
+        self, envelope: Envelope, packet: FlowPacket, service: str, now: float
+    ) -> int | None:
+        """Return another VM for an opening packet, or None if there is none left."""
+        if len(envelope.visited) >= MAXIMUM_VISITED:
+            return None
+        excluded = {*envelope.visited, self._host}
+        domain = self._placement.domain_of(envelope.balancer)
+        return self._placement.choose(packet.flow, service, excluded, domain, now)
+
+    def _note_handed(self, now: float) -> None:
+        """Note that the target was sent something that it answers."""
+        self._handed_at = now
+        if self._unanswered_since is None:
+            self._unanswered_since = now
+
     def _pass_on(self, envelope: Envelope, packet: FlowPacket, now: float) -> Sequence[AgentEffect]:
         """Send a packet of a flow that isn't here to the next VM where it may be."""
         flow = packet.flow
--- a/egretsill/address_steering/_decisions.py
+++ b/egretsill/address_steering/_decisions.py
@@ -18,7 +18,7 @@
     FIRST_CANDIDATE = "first-candidate"
     TARGET_LEAVING = "target-leaving"
     TARGET_FULL = "target-full"
-    TARGET_DOWN = "target-down"
+    TARGET_SILENT = "target-silent"
     OTHER_SERVICE = "other-service"
     PASSED_BEFORE = "passed-before"
     NOT_HERE = "not-here"
--- a/egretsill/address_steering/_placement.py
+++ b/egretsill/address_steering/_placement.py
@@ -93,10 +93,11 @@
             and each.target.host not in excluded
         }
         heard = {host for host in usable if self._peers.is_heard(host, now)}
-        refusing = {host for host in heard if self._heartbeat(host).is_refusing}
+        silent = {host for host in heard if self._heartbeat(host).is_target_silent}
         leaving = {host for host in heard if self._heartbeat(host).is_leaving}
         unknown = {host for host in usable if host not in self._peers.peers}
-        for tier in (heard - refusing - leaving, unknown, usable.keys() - refusing - leaving):
+        tiers = (heard - silent - leaving, unknown, usable.keys() - silent - leaving, usable)
+        for tier in tiers:
             if tier:
                 return self._lesser(flow, usable, tier, domain, now)
         return None
--- a/egretsill/address_steering/tests/test_agent_steering.py
+++ b/egretsill/address_steering/tests/test_agent_steering.py
@@ -309,3 +309,27 @@
     assert agent.flows.pending == 0
     assert agent.release(3.25) == [Expire(flow(6), 2.25)]
     assert agent.queue.expired == 1
+
+
+def test_new_flows_keep_away_from_a_target_that_answers_nothing() -> None:
+    scene = Scene(HERE)
+    scene.hear(0.0)
+    agent = make_agent(scene)
+    agent.take_from_peer(envelope(), packet(OPENING, flow(1)), 0.0)
+    assert not agent.is_target_silent(0.5)
+    scene.hear(0.7)
+    passed = only(agent.take_from_peer(envelope(), packet(OPENING, flow(2)), 0.7))
+    assert isinstance(passed, Forward)
+    assert passed.reason is ForwardReason.TARGET_SILENT
+    last = only(agent.take_from_peer(envelope(AGENTS[1:]), packet(OPENING, flow(3)), 0.8))
+    assert isinstance(last, HandToTarget), "there is no other target"
+    agent.take_from_target(packet(PacketKind.OPENING_ANSWER, flow(3)), 0.9)
+    assert not agent.is_target_silent(0.9)
+
+
+def test_a_silent_target_is_tried_again_after_a_while() -> None:
+    scene = Scene(HERE)
+    agent = make_agent(scene)
+    agent.take_from_peer(envelope(), packet(OPENING), 0.0)
+    assert agent.is_target_silent(1.0)
+    assert not agent.is_target_silent(2.1)
--- a/egretsill/address_steering/tests/test_balancer_steering.py
+++ b/egretsill/address_steering/tests/test_balancer_steering.py
@@ -88,7 +88,7 @@
 @pytest.mark.parametrize(
     "fields",
     [
-        pytest.param({"is_refusing": True}, id="target down"),
+        pytest.param({"is_target_silent": True}, id="target silent"),
         pytest.param({"is_leaving": True}, id="agent leaving"),
     ],
 )
--- a/egretsill/directory/_directory.py
+++ b/egretsill/directory/_directory.py
@@ -54,7 +54,6 @@
         self._content_revision = 0
         self._confirmed_at = NEVER
         self._grace_until = NEVER
-        self._unreadable = 0
 
     @property
     def table(self) -> RouteTable | None:
@@ -86,11 +85,6 @@
         """Return the entries that the store holds; lapsed ones are this process's own matter."""
         return [each.target for each in self._targets.values() if each.gone_at is None]
 
-    @property
-    def unreadable(self) -> int:
-        """Return how many entries of the last read named no usable target."""
-        return self._unreadable
-
     def route(self, host: int, port: int) -> Route | None:
         """Return the route of a service address."""
         return self._table.routes.get((host, port)) if self._table else None
@@ -112,7 +106,6 @@
         """Take over a linearizable read; return whether anything in force changed."""
         if snapshot.at < self._content_revision:
             return False
-        self._unreadable = snapshot.unreadable
         self._note_return(now)
         named = {each.name: each for each in snapshot.targets}
         removed = [name for name in self._targets if name not in named]
--- a/egretsill/fleet/_heartbeat.py
+++ b/egretsill/fleet/_heartbeat.py
@@ -24,7 +24,7 @@
         pending: requests in progress at its target.
         flows: open flows at its target.
         delay_milliseconds: how long answers began to take there lately; 0 if unknown.
-        is_refusing: whether its target takes no flows at all now.
+        is_target_silent: whether its target has answered nothing for a while.
         balancers: some other balancers that it hears, as addresses in numbers.
     """
 
@@ -41,7 +41,7 @@
     pending: int
     flows: int
     delay_milliseconds: int
-    is_refusing: bool
+    is_target_silent: bool
     balancers: tuple[int, ...]
 
 
--- a/egretsill/node/_fleet_link.py
+++ b/egretsill/node/_fleet_link.py
@@ -38,13 +38,13 @@
         pending: requests in progress.
         flows: open flows.
         delay_seconds: mean time to an answer's first byte lately.
-        is_refusing: whether it takes no flows at all.
+        is_target_silent: whether it has answered nothing for a while.
     """
 
     pending: int = 0
     flows: int = 0
     delay_seconds: float = 0.0
-    is_refusing: bool = False
+    is_target_silent: bool = False
 
 
 class FleetLink:
@@ -148,7 +148,7 @@
             pending=load.pending,
             flows=load.flows,
             delay_milliseconds=int(load.delay_seconds * MILLISECONDS),
-            is_refusing=load.is_refusing,
+            is_target_silent=load.is_target_silent,
             balancers=self._peers.told_balancers(now, self._sequence),
         )
 
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -236,7 +236,12 @@
             return Load()
         flows = self._agent_steering.flows
         expected = flows.pending + len(self._agent_steering.queue)
-        return Load(expected, flows.owned, flows.delay_seconds, self._agent_steering.is_refusing)
+        return Load(
+            expected,
+            flows.owned,
+            flows.delay_seconds,
+            self._agent_steering.is_target_silent(self._timer.now),
+        )
 
     def _load_of(self, host: int, flow: FlowKey) -> float | None:
         route = self._directory.route(flow.service_host, flow.service_port)
