--- a/egretsill/node/_balancer_node.py
+++ b/egretsill/node/_balancer_node.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import socket
-
 import trio
 
 from ..address_steering import (
@@ -11,7 +9,6 @@
     CarriedPacket,
     Drop,
     DropReason,
-    FlowKey,
     Forward,
     MalformedFlowPacket,
     MalformedTunnelMessage,
@@ -19,24 +16,13 @@
     PacketCodec,
     Refuse,
     decode_tunnel,
-    dotted,
     encode_carried,
 )
 from ..observation import Metrics
 from ..timing import TimerService
-from ..wire import (
-    BATCH_DATAGRAMS,
-    MAXIMUM_DATAGRAM_BYTES,
-    SOCKET_BUFFER_BYTES,
-    Address,
-    close_datagram_socket,
-    open_datagram_socket,
-    read_batches,
-)
+from ..wire import Address
 from ._decision_log import DecisionLog
-
-_ROLE = "balancer"
-_NO_FLOW = FlowKey(0, 0, 0, 0)
+from ._packet_socket import NO_FLOW, PacketSocket
 
 
 class BalancerNode:
@@ -58,14 +44,13 @@
     ) -> None:
         self._codec = codec
         self._steering = steering
-        self._timer = timer
         self._metrics = metrics
         self._log = log
         self._caller_port = packets.port
         self._tunnel_port = tunnel.port
-        self._packets = open_datagram_socket(packets, SOCKET_BUFFER_BYTES, SOCKET_BUFFER_BYTES)
+        self._packets = PacketSocket(packets, timer, log, self._take_caller)
         try:
-            self._tunnel = open_datagram_socket(tunnel, SOCKET_BUFFER_BYTES, SOCKET_BUFFER_BYTES)
+            self._tunnel = PacketSocket(tunnel, timer, log, self._take_agent)
         except OSError:
             self._packets.close()
             raise
@@ -80,57 +65,31 @@
         """Forward until cancelled."""
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(read_batches, self._packets, self._take_callers)
-                nursery.start_soon(read_batches, self._tunnel, self._take_agents)
+                nursery.start_soon(self._packets.run)
+                nursery.start_soon(self._tunnel.run)
         finally:
-            self.close()
-
-    def close(self) -> None:
-        """Close the sockets."""
-        close_datagram_socket(self._packets)
-        close_datagram_socket(self._tunnel)
-
-    def _take_callers(self) -> bool:
-        now = self._timer.now
-        for _ in range(BATCH_DATAGRAMS):
-            try:
-                datagram = self._packets.recv(MAXIMUM_DATAGRAM_BYTES)
-            except BlockingIOError:
-                return False
-            self._last_packet_at = now
-            self._take_caller(datagram, now)
-        return True
+            self._packets.close()
+            self._tunnel.close()
 
     def _take_caller(self, datagram: bytes, now: float) -> None:
+        self._last_packet_at = now
         try:
             packet = self._codec.decode_from_caller(datagram)
         except MalformedFlowPacket:
-            self._log.dropped(Drop(_NO_FLOW, DropReason.MALFORMED))
+            self._log.dropped(Drop(NO_FLOW, DropReason.MALFORMED))
             return
         decision = self._steering.steer(packet, now)
         match decision:
             case Forward(host, envelope, _, flow, carried):
                 self._log.forwarded(decision)
-                self._send(
-                    self._tunnel, encode_carried(envelope, carried), host, self._tunnel_port, flow
-                )
+                self._tunnel.send(encode_carried(envelope, carried), host, self._tunnel_port, flow)
             case Refuse(flow, acknowledged):
                 self._log.refused(decision)
                 reset = self._codec.encode_reset(flow, acknowledged)
-                self._send(self._packets, reset, flow.caller_host, self._caller_port, flow)
+                self._packets.send(reset, flow.caller_host, self._caller_port, flow)
             case Drop():
                 self._log.dropped(decision)
 
-    def _take_agents(self) -> bool:
-        now = self._timer.now
-        for _ in range(BATCH_DATAGRAMS):
-            try:
-                data = self._tunnel.recv(MAXIMUM_DATAGRAM_BYTES)
-            except BlockingIOError:
-                return False
-            self._take_agent(data, now)
-        return True
-
     def _take_agent(self, data: bytes, now: float) -> None:
         try:
             message = decode_tunnel(data)
@@ -142,14 +101,4 @@
                 if not self._steering.learn_owner(message, now):
                     self._log.dropped(Drop(message.flow, DropReason.UNEXPECTED))
             case CarriedPacket():
-                self._log.dropped(Drop(_NO_FLOW, DropReason.UNEXPECTED))
-
-    def _send(
-        self, sender: socket.socket, data: bytes, host: int, port: int, flow: FlowKey
-    ) -> None:
-        try:
-            sender.sendto(data, (dotted(host), port))
-        except BlockingIOError:
-            self._log.dropped(Drop(flow, DropReason.SEND_BLOCKED))
-        except OSError:
-            self._log.dropped(Drop(flow, DropReason.SEND_FAILED))
+                self._log.dropped(Drop(NO_FLOW, DropReason.UNEXPECTED))
--- /dev/null
+++ b/egretsill/node/_packet_socket.py
@@ -0,0 +1,71 @@
+"""A UDP socket for packets: reads in batches, and never waits to send."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ..address_steering import Drop, DropReason, FlowKey, dotted
+from ..timing import TimerService
+from ..wire import (
+    BATCH_DATAGRAMS,
+    MAXIMUM_DATAGRAM_BYTES,
+    SOCKET_BUFFER_BYTES,
+    Address,
+    close_datagram_socket,
+    open_datagram_socket,
+    read_batches,
+)
+from ._decision_log import DecisionLog
+
+NO_FLOW = FlowKey(0, 0, 0, 0)  # of datagrams whose flow isn't known
+
+
+class PacketSocket:
+    """One bound endpoint.
+
+    Args:
+        listen: where it is bound.
+        take: called with each datagram and the local time at which its batch began.
+
+    Raises:
+        OSError: if the endpoint can't be bound.
+    """
+
+    def __init__(
+        self,
+        listen: Address,
+        timer: TimerService,
+        log: DecisionLog,
+        take: Callable[[bytes, float], None],
+    ) -> None:
+        self._timer = timer
+        self._log = log
+        self._take = take
+        self._socket = open_datagram_socket(listen, SOCKET_BUFFER_BYTES, SOCKET_BUFFER_BYTES)
+
+    async def run(self) -> None:
+        """Take datagrams until the socket is closed."""
+        await read_batches(self._socket, self._take_batch)
+
+    def close(self) -> None:
+        """Close the socket."""
+        close_datagram_socket(self._socket)
+
+    def send(self, data: bytes, host: int, port: int, flow: FlowKey = NO_FLOW) -> None:
+        """Send a datagram, or note why it could not be sent."""
+        try:
+            self._socket.sendto(data, (dotted(host), port))
+        except BlockingIOError:
+            self._log.dropped(Drop(flow, DropReason.SEND_BLOCKED))
+        except OSError:
+            self._log.dropped(Drop(flow, DropReason.SEND_FAILED))
+
+    def _take_batch(self) -> bool:
+        now = self._timer.now
+        for _ in range(BATCH_DATAGRAMS):
+            try:
+                datagram = self._socket.recv(MAXIMUM_DATAGRAM_BYTES)
+            except BlockingIOError:
+                return False
+            self._take(datagram, now)
+        return True
