Hand data of flows that may be elsewhere to the target without waiting

Now only data of flows that the target is known to have may wait. Test: data_of_a_flow_that_may_be_elsewhere_never_waits.

--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -182,6 +182,9 @@
 
     def _must_wait(self, entry: FlowEntry, packet: FlowPacket, now: float) -> bool:
         """Return whether a caller's data waits, and note the request that it belongs to."""
+        if entry.state is not FlowState.OWNED:
+            # The target gives the packet back at once if it doesn't have the flow.
+            return False
         is_new = self._flows.note_data(entry, packet.sequence, packet.payload_bytes)
         if self._queue.get(packet.flow) is not None:
             return True
--- a/egretsill/address_steering/tests/test_agent_steering.py
+++ b/egretsill/address_steering/tests/test_agent_steering.py
@@ -272,6 +272,20 @@
     assert (agent.flows.pending, len(agent.queue)) == (6, 1)
 
 
+def test_data_of_a_flow_that_may_be_elsewhere_never_waits() -> None:
+    scene = Scene(HERE)
+    scene.hear(0.0)
+    agent = make_agent(scene, started_at=0.0)
+    for number in range(8):
+        open_flow(agent, number)
+        ask(agent, number, 1.0)
+    assert ask(agent, 99, 1.1) == [HandToTarget]
+    assert agent.flows.pending == 6
+    passed = only(agent.take_from_target(packet(key=flow(99), is_bounced=True), 1.1))
+    assert isinstance(passed, Forward)
+    assert passed.reason is ForwardReason.NOT_HERE
+
+
 def test_data_that_is_sent_again_is_no_new_request() -> None:
     scene = Scene(HERE)
     agent = make_agent(scene)
