Say no more of resets than is true

A request on a flow whose target crashed may have run; only a reset of a flow that never opened says "not run".

--- a/egretsill/address_steering/_decisions.py
+++ b/egretsill/address_steering/_decisions.py
@@ -25,7 +25,11 @@
 
 
 class RefuseReason(enum.Enum):
-    """Why a flow is reset. None of these flows has a request that ran unknown to its caller."""
+    """Why a flow is reset.
+
+    A reset says "not run" only of a flow that never opened. A request on a flow whose target
+    crashed may have run before the crash.
+    """
 
     NO_ROUTE = "no-route"
     NO_TARGET = "no-target"
