Trace a flow through the logs, and show the status of all processes

egretsillctl trace puts the lines about one flow, and what happened to the processes that it passed, in order and says in a sentence how it ended. egretsillctl status shows processes that steer by address as well.

--- a/egretsill/ctl/_main.py
+++ b/egretsill/ctl/_main.py
@@ -6,13 +6,14 @@
 from collections.abc import Sequence
 
 from ..commands import Command, run_program
-from . import _call, _check, _compile, _diff, _explain, _report, _status
+from . import _call, _check, _compile, _diff, _explain, _report, _status, _trace
 
 PROGRAM = "egretsillctl"
 INTRODUCTION = f"""{PROGRAM} COMMAND [--flags] ARGUMENTS
 
-Checks, compiles and compares declarations, explains decisions, reads the daemons' status
-calls a service and reports measures. `{PROGRAM} COMMAND --help` tells what a command takes.
+Checks, compiles and compares declarations, explains decisions, reads the daemons' status, traces
+flows through logs, calls a service and reports measures. `{PROGRAM} COMMAND --help` tells what a
+command takes.
 
 Commands:"""
 
@@ -25,6 +26,7 @@
         _diff.make_command(),
         _explain.make_command(),
         _status.make_command(),
+        _trace.make_command(),
         _call.make_command(),
         _report.make_command(),
     ]
--- a/egretsill/ctl/_status.py
+++ b/egretsill/ctl/_status.py
@@ -16,7 +16,19 @@
 from ..wire import PageUnavailable, get_page
 
 TIMEOUT_SECONDS = 3.0
-COLUMNS = ("name", "role", "revision", "flows", "requests", "draining")
+DAEMON_COLUMNS = ("name", "role", "revision", "flows", "requests", "draining")
+NODE_COLUMNS = (
+    "name",
+    "role",
+    "version",
+    "revision",
+    "content_age",
+    "targets",
+    "peers_heard",
+    "flows",
+    "pending",
+    "is_leaving",
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,14 +103,22 @@
 
 
 def _as_text(statuses: Sequence[DaemonStatus]) -> str:
-    rows: list[tuple[str, ...]] = [("address", *COLUMNS)]
+    """Return a table for each of the two kinds of process, as far as there are any."""
+    nodes = [each for each in statuses if each.page is not None and "peers_heard" in each.page]
+    daemons = [each for each in statuses if each not in nodes]
+    tables = ((daemons, DAEMON_COLUMNS), (nodes, NODE_COLUMNS))
+    return "\n".join(_as_table(those, columns) for those, columns in tables if those)
+
+
+def _as_table(statuses: Sequence[DaemonStatus], columns: Sequence[str]) -> str:
+    rows: list[tuple[str, ...]] = [("address", *columns)]
     notes: list[str] = []
     for each in statuses:
         if each.page is None:
-            rows.append((str(each.address), "unreachable", *("-" for _ in COLUMNS[1:])))
+            rows.append((str(each.address), "unreachable", *("-" for _ in columns[1:])))
             notes.append(f"{each.address}: {each.problem}")
             continue
-        rows.append((str(each.address), *(str(each.page.get(name, "-")) for name in COLUMNS)))
+        rows.append((str(each.address), *(str(each.page.get(name, "-")) for name in columns)))
         notes += _refusals(each.address, each.page)
     widths = [max(len(row[column]) for row in rows) for column in range(len(rows[0]))]
     lines = [
