--- a/egretsill/node/_main.py
+++ b/egretsill/node/_main.py
@@ -10,6 +10,7 @@
 
 from ..address_steering import PacketCodec
 from ..boot import NodeBoot, NodeSettingsRejected, load_node_settings
+from ..timing import TrioTimerService
 from ._node import Node, StoreFactory
 
 EXIT_STOPPED = 0
@@ -27,7 +28,8 @@
     Raises:
         OSError: if a TCP endpoint can't be bound.
     """
-    node = Node(started.settings, started.sockets, codec, make_store, SystemRandom())
+    timer = TrioTimerService()
+    node = Node(started.settings, started.sockets, codec, make_store, timer, SystemRandom())
     trio.run(_run, node, started.settings_path)
     return EXIT_STOPPED
 
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -53,6 +53,7 @@
         sockets: bound according to them; they are closed in the end.
         codec: reads the packets of flows.
         make_store: opens the store at an address.
+        timer: the only clock that it reads; the node runs it.
         random: spreads what the fleet would do at the same moment.
     """
 
@@ -62,12 +63,13 @@
         sockets: NodeSockets,
         codec: PacketCodec,
         make_store: StoreFactory,
+        timer: TrioTimerService,
         random: Random,
     ) -> None:
         self._settings = settings
         self._sockets = sockets
         self._random = random
-        self._timer = TrioTimerService()
+        self._timer = timer
         self._metrics = Metrics()
         self._journal = Journal(
             settings.name, lambda: self._timer.now, lambda: self._timer.epoch_milliseconds / 1000
