--- a/egretsill/node/_main.py
+++ b/egretsill/node/_main.py
@@ -10,6 +10,7 @@
 
 from ..address_steering import PacketCodec
 from ..boot import NodeBoot, NodeSettingsRejected, load_node_settings
+from ..observation import open_standard_output
 from ..timing import TrioTimerService
 from ._node import Node, StoreFactory
 
@@ -29,7 +30,10 @@
         OSError: if a TCP endpoint can't be bound.
     """
     timer = TrioTimerService()
-    node = Node(started.settings, started.sockets, codec, make_store, timer, SystemRandom())
+    chance = SystemRandom()
+    node = Node(
+        started.settings, started.sockets, codec, make_store, timer, open_standard_output, chance
+    )
     trio.run(_run, node, started.settings_path)
     return EXIT_STOPPED
 
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -26,7 +26,6 @@
     HealthState,
     Journal,
     Metrics,
-    open_standard_output,
 )
 from ..timing import TrioTimerService
 from ._agent_node import AgentNode
@@ -54,6 +53,7 @@
         codec: reads the packets of flows.
         make_store: opens the store at an address.
         timer: the only clock that it reads; the node runs it.
+        open_log: called once before the first lines are written.
         random: spreads what the fleet would do at the same moment.
     """
 
@@ -64,11 +64,14 @@
         codec: PacketCodec,
         make_store: StoreFactory,
         timer: TrioTimerService,
+        open_log: Callable[[], None],
         random: Random,
     ) -> None:
         self._settings = settings
         self._sockets = sockets
         self._random = random
+        self._open_log = open_log
+        self._is_log_open = False
         self._timer = timer
         self._metrics = Metrics()
         self._journal = Journal(
@@ -153,8 +156,7 @@
                 nursery.cancel_scope.cancel()
         finally:
             self._journal.record("stopped", **self._shutdown.outcome)
-            open_standard_output()
-            self._journal.flush()
+            self._flush_log()
 
     def shut_down(self) -> None:
         """Leave: take no new flows, and end when the routers and flows allow it."""
@@ -306,7 +308,12 @@
 
     async def _write_log(self) -> None:
         await trio.sleep(self._random.uniform(*LOG_START_SECONDS))
-        open_standard_output()
         while True:
-            self._journal.flush()
+            self._flush_log()
             await trio.sleep(LOG_SECONDS)
+
+    def _flush_log(self) -> None:
+        if not self._is_log_open:
+            self._is_log_open = True
+            self._open_log()
+        self._journal.flush()
