Add an emulated world in which real processes run under virtual time

Callers with flows, copies, windows and repeats; targets with slots, a queue, a slow start, draining and crashes; routers that hash by modulo or steadily and probe; links with delay, loss and cuts; the store as published, with faults. Processes run with their own code and the platform's adapter, over sockets in memory, in one process and repeatably. A judge decides by what callers, targets and operators saw.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,9 @@
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
 
-.PHONY: env quickstart test check measure bench format
+SEED ?= 1
+
+.PHONY: env quickstart test check measure bench days format
 
 env: $(VENV)/.installed
 
@@ -29,5 +31,8 @@
 measure: env
 	$(PYTHON) -m egretsill.measurements
 
+days: env
+	PYTHONPATH=platform $(PYTHON) -m egretsill.measurements.emulated_days --seed=$(SEED)
+
 bench: env
 	$(PYTHON) -m egretsill.benchmarks
--- a/egretsill/address_steering/__init__.py
+++ b/egretsill/address_steering/__init__.py
@@ -25,6 +25,7 @@
     MalformedFlowPacket,
     PacketCodec,
     PacketKind,
+    opening_delay,
 )
 from ._placement import FlowPlacement
 from ._tunnel import (
@@ -73,5 +74,6 @@
     "decode_tunnel",
     "encode_carried",
     "encode_owner_notice",
+    "opening_delay",
     "service_mark",
 ]
--- /dev/null
+++ b/egretsill/ctl/_emulate.py
@@ -0,0 +1,85 @@
+"""`egretsillctl emulate`: play a day in virtual time."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+
+from absl import flags
+from absl.flags import FlagValues
+
+from ..commands import EXIT_FAILED, EXIT_OK, EXIT_USAGE, Command, new_flags
+
+
+def make_command() -> Command:
+    """Return the command."""
+    values = new_flags()
+    flags.DEFINE_integer("seed", 1, "Seed of all chance.", flag_values=values)
+    flags.DEFINE_string("log", None, "File to write the processes' lines to.", flag_values=values)
+    flags.DEFINE_string(
+        "adapter", None, "MODULE:FUNCTION that makes packets and the store.", flag_values=values
+    )
+    return Command(
+        "emulate",
+        "DAY",
+        "Play a day (a TOML file, or the name of one that comes along) in virtual time.",
+        values,
+        _run,
+    )
+
+
+def _run(values: FlagValues, arguments: Sequence[str]) -> int:
+    # The emulated world takes a while to load, and the other commands don't need it.
+    from ..emulator import (
+        DEFAULT_ADAPTER,
+        AdapterUnavailable,
+        DayRejected,
+        library,
+        load_adapter,
+        load_day,
+        play,
+    )
+
+    if len(arguments) != 1:
+        print("emulate takes one DAY", file=sys.stderr)
+        return EXIT_USAGE
+    named = {path.stem: path for path in library()}
+    try:
+        day = load_day(named.get(arguments[0], Path(arguments[0])))
+        adapter = load_adapter(values.adapter or DEFAULT_ADAPTER)
+    except (DayRejected, AdapterUnavailable) as error:
+        print(f"emulate: {error}", file=sys.stderr)
+        return EXIT_USAGE
+    played = play(day, adapter, values.seed)
+    if values.log:
+        _write_log(Path(values.log), played.log)
+    summary = {
+        "requests": played.requests,
+        "served": played.served,
+        "outcomes": {outcome.value: count for outcome, count in played.outcomes.items()},
+        "broken": [
+            {"rule": each.rule.value, "at": round(each.at, 3), "detail": each.detail}
+            for each in played.violations
+        ],
+        "worst_windows": [
+            {"at": each.at, "requests": each.requests, "in_time": each.in_time}
+            for each in played.worst_windows
+        ],
+        "store_calls": played.store_calls,
+        "datagrams": played.datagrams,
+        "virtual_seconds": played.virtual_seconds,
+    }
+    print(json.dumps(summary) if values.output == "json" else _as_text(summary))
+    return EXIT_FAILED if played.violations else EXIT_OK
+
+
+def _write_log(path: Path, lines: Sequence[Mapping[str, object]]) -> None:
+    with path.open("w", encoding="utf-8") as target:
+        for line in lines:
+            target.write(json.dumps(line) + "\n")
+
+
+def _as_text(summary: Mapping[str, object]) -> str:
+    return "\n".join(f"{name.replace('_', ' ')}: {value}" for name, value in summary.items())
--- a/egretsill/ctl/_main.py
+++ b/egretsill/ctl/_main.py
@@ -6,14 +6,14 @@
 from collections.abc import Sequence
 
 from ..commands import Command, run_program
-from . import _call, _check, _compile, _diff, _explain, _report, _status, _trace
+from . import _call, _check, _compile, _diff, _emulate, _explain, _report, _status, _trace
 
 PROGRAM = "egretsillctl"
 INTRODUCTION = f"""{PROGRAM} COMMAND [--flags] ARGUMENTS
 
 Checks, compiles and compares declarations, explains decisions, reads the daemons' status, traces
-flows through logs, calls a service and reports measures. `{PROGRAM} COMMAND --help` tells what a
-command takes.
+flows through logs, calls a service, reports measures and plays emulated days. `{PROGRAM} COMMAND
+--help` tells what a command takes.
 
 Commands:"""
 
@@ -29,6 +29,7 @@
         _trace.make_command(),
         _call.make_command(),
         _report.make_command(),
+        _emulate.make_command(),
     ]
 
 
--- /dev/null
+++ b/egretsill/emulator/_events.py
@@ -0,0 +1,249 @@
+"""What happens on a day, done to the world."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Sequence
+from dataclasses import replace
+
+from ..directory import TargetPhase
+from ..endpoints import dotted
+from ._day import (
+    AddBalancers,
+    Burst,
+    ClockStep,
+    Configure,
+    CrashTarget,
+    Cut,
+    Drain,
+    Event,
+    Kill,
+    Loss,
+    MoveRoute,
+    PowerLoss,
+    Restart,
+    ReuseAddress,
+    SlowTarget,
+    StoreDown,
+    StoreForgets,
+    StoreRefuses,
+    StoreSlow,
+    Who,
+)
+from ._machine import Machine
+from ._target import EmulatedTarget
+from ._world import DOMAINS, INTAKE, LISTINGS, UPLOADS, World
+
+DRAIN_SECONDS = 4.0  # a leaving target goes on serving for so long
+EXPIRY_SECONDS = 3.0  # until the store removes the entry of a target that crashed
+RESTART_CHECK_SECONDS = 0.1
+
+
+def begin(event: Event, world: World) -> None:
+    """Do what an event says, and plan its end."""
+    match event:
+        case Kill():
+            chosen = _machines(world, event.who, event.share)
+            _kill(world, chosen, event.seconds)
+        case PowerLoss():
+            _take_power(world, _machines(world, event.who, event.share), event.seconds)
+        case Cut():
+            for machine in _machines(world, event.who, event.share):
+                world.network.cut(machine.host)
+                _until(world, event.seconds, machine, lambda m: world.network.mend(m.host))
+        case Loss():
+            for machine in _machines(world, event.who, event.share):
+                world.network.lose(machine.host, event.lost)
+                _until(world, event.seconds, machine, lambda m: world.network.lose(m.host, 0.0))
+        case Restart():
+            _restart_in_turn(world, _machines(world, event.who, event.share), event.gap)
+        case ClockStep():
+            for machine in _machines(world, Who.ALL, event.share):
+                machine.wall_offset += event.by
+                _until(world, event.seconds, machine, _set_back(event.by))
+        case AddBalancers():
+            for number in range(event.count):
+                world.add_balancer(DOMAINS[number % len(DOMAINS)])
+        case StoreDown():
+            world.store.faults.is_down = True
+            _later(world, event.seconds, lambda: setattr(world.store.faults, "is_down", False))
+        case StoreSlow():
+            usual = world.store.faults.delay_seconds
+            world.store.faults.delay_seconds = event.delay
+            _later(
+                world, event.seconds, lambda: setattr(world.store.faults, "delay_seconds", usual)
+            )
+        case StoreRefuses():
+            hosts = {each.host for each in _machines(world, Who.ALL, event.share)}
+            world.store.faults.refused_hosts |= hosts
+            _later(world, event.seconds, lambda: world.store.faults.refused_hosts.clear())
+        case StoreForgets():
+            world.store.compact()
+        case Configure():
+            for number in range(event.count):
+                world.scheduler.call_later(
+                    number * event.gap, lambda n=number: world.publish(n % 3)  # type: ignore[misc]
+                )
+        case MoveRoute():
+            world.services[UPLOADS] = LISTINGS
+            world.publish()
+        case Drain():
+            for number, target in enumerate(_targets(world, LISTINGS, event.count)):
+                world.scheduler.call_later(
+                    number * event.gap, lambda t=target: _drain(world, t)  # type: ignore[misc]
+                )
+        case CrashTarget():
+            for target in _targets(world, LISTINGS, event.count):
+                _crash(world, target, event.seconds)
+        case ReuseAddress():
+            for target in _targets(world, LISTINGS, 1):
+                _reuse(world, target, event.seconds)
+        case SlowTarget():
+            for target in _targets(world, LISTINGS, event.count):
+                target.slowness = event.factor
+                _later(world, event.seconds, lambda t=target: setattr(t, "slowness", 1.0))  # type: ignore[misc]
+        case Burst():
+            world.pace *= event.factor
+            _later(world, event.seconds, lambda: _slow_down(world, event.factor))
+
+
+def _machines(world: World, who: Who, share: float) -> Sequence[Machine]:
+    match who:
+        case Who.BALANCERS:
+            those = world.balancers
+        case Who.AGENTS:
+            those = world.agents
+        case Who.ALL:
+            those = list(world.machines.values())
+    return world.random.sample(those, math.ceil(share * len(those)))
+
+
+def _targets(world: World, service: str, count: int) -> Sequence[EmulatedTarget]:
+    """Return running targets of a service; at least one is left alone."""
+    running = [
+        each
+        for each in world.targets.values()
+        if each.is_running and not each.is_draining and each.entry.service == service
+    ]
+    return world.random.sample(running, min(count, max(len(running) - 1, 0)))
+
+
+def _later(world: World, seconds: float, call: Callable[[], None]) -> None:
+    ends_at = world.scheduler.now + seconds
+    world.last_fault_ended_at = max(world.last_fault_ended_at, ends_at)
+    world.scheduler.call_at(ends_at, call)
+
+
+def _until(world: World, seconds: float, machine: Machine, end: Callable[[Machine], None]) -> None:
+    def finish() -> None:
+        machine.disturb()
+        end(machine)
+
+    machine.disturb()
+    # A long disturbance is one all the while.
+    for step in range(int(seconds)):
+        world.scheduler.call_later(step + 1.0, machine.disturb)
+    _later(world, seconds, finish)
+
+
+def _set_back(by: float) -> Callable[[Machine], None]:
+    def set_back(machine: Machine) -> None:
+        machine.wall_offset -= by
+
+    return set_back
+
+
+def _slow_down(world: World, factor: float) -> None:
+    world.pace /= factor
+
+
+def _kill(world: World, machines: Sequence[Machine], seconds: float) -> None:
+    def start(machine: Machine) -> None:
+        if machine.host in world.machines:
+            machine.start()
+
+    for machine in machines:
+        machine.kill()
+        _until(world, seconds, machine, start)
+
+
+def _take_power(world: World, machines: Sequence[Machine], seconds: float) -> None:
+    def restore(machine: Machine) -> None:
+        world.network.light(machine.host)
+        if machine.host in world.machines:
+            machine.start()
+
+    for machine in machines:
+        machine.kill()
+        world.network.darken(machine.host)
+        _until(world, seconds, machine, restore)
+        for target in tuple(world.targets.values()):
+            if dotted(target.entry.host) == machine.host and target.is_running:
+                _crash(world, target, seconds)
+
+
+def _crash(world: World, target: EmulatedTarget, seconds: float) -> None:
+    entry = replace(target.entry, phase=TargetPhase.READY)
+    target.stop()
+    _later(world, seconds, lambda: _start_again(world, target, entry.host))
+
+
+def _start_again(world: World, target: EmulatedTarget, host: int) -> None:
+    if dotted(host) in world.machines and world.targets.get(target.entry.name) is target:
+        world.start_target(replace(target.entry, phase=TargetPhase.READY))
+
+
+def _drain(world: World, target: EmulatedTarget) -> None:
+    if not target.is_running:
+        return
+    target.entry = replace(target.entry, phase=TargetPhase.DRAINING)
+    world.register(target)
+
+    def leave() -> None:
+        if not target.is_running:
+            return
+        target.stop()
+        world.remove_entry(target.entry.name)
+        machine = world.machines.get(dotted(target.entry.host))
+        if machine is not None:
+            world.forget_machine(machine)
+
+    _later(world, DRAIN_SECONDS, leave)
+
+
+def _reuse(world: World, target: EmulatedTarget, seconds: float) -> None:
+    """Let a target of the other service take a VM, once the old entry may be gone."""
+    target.stop()
+    host = dotted(target.entry.host)
+    world.scheduler.call_later(EXPIRY_SECONDS, lambda: world.remove_entry(target.entry.name))
+    machine = world.machines[host]
+    settings = machine.settings
+    machine.kill()
+
+    def move_in() -> None:
+        agent = settings.agent
+        if agent is None or host not in world.machines:
+            return
+        machine.settings = replace(settings, agent=replace(agent, service=INTAKE))
+        machine.start()
+        world.add_target(INTAKE, settings.failure_domain, host)
+
+    _later(world, seconds, move_in)
+
+
+def _restart_in_turn(world: World, machines: Sequence[Machine], gap: float) -> None:
+    def stop(machine: Machine) -> None:
+        machine.disturb()
+        machine.stop()
+        start_when_ended(machine)
+
+    def start_when_ended(machine: Machine) -> None:
+        if machine.host not in world.machines:
+            return
+        if machine.node is None:
+            machine.start()
+        else:
+            world.scheduler.call_later(RESTART_CHECK_SECONDS, lambda: start_when_ended(machine))
+
+    for number, machine in enumerate(machines):
+        _later(world, number * gap, lambda m=machine: stop(m))  # type: ignore[misc]
--- /dev/null
+++ b/egretsill/emulator/_world.py
@@ -0,0 +1,279 @@
+"""The emulated world of one day: everything that is there, and how it is reached."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Mapping
+from dataclasses import replace
+from random import Random
+
+import trio
+
+from ..address_steering import FlowKey
+from ..boot import AgentSettings, NodeRole, NodeSettings
+from ..directory import Route, RouteTable, ServiceShare, Target, TargetPhase
+from ..endpoints import Address, dotted, numbered
+from ._adapter import Adapter
+from ._caller import EmulatedCaller
+from ._day import Day
+from ._judge import Judge
+from ._machine import EPOCH_SECONDS, Machine
+from ._network import Network
+from ._request import RequestKind
+from ._router import Router
+from ._scheduler import Scheduler
+from ._stream_socket import CURRENT_HOST, StreamFabric
+from ._target import COLD_SECONDS, EmulatedTarget
+
+LISTINGS, INTAKE = "catalog", "intake"
+UPLOADS = 2  # index of their kind
+DOMAINS = ("a", "b", "c")
+CALLERS_A_DOMAIN = 3
+STORE = Address("10.200.0.1", 8169)
+STORE_WRITE_SECONDS = 0.005
+SERVICE_HOST = numbered("198.18.0.1")
+FIRST_SERVICE_PORT = 443
+SPARE_SERVICE_PORT = 8_000
+PACKETS, OUTBOUND, TARGET, HEALTH, METRICS, TUNNEL, GOSSIP = range(7_000, 7_007)
+FLOW_SECONDS = 60.0
+GRACE_SECONDS = 6.0
+IDLE_SECONDS = 12.0
+CALM_SECONDS = 4.0  # after a disturbance a VM isn't held to its promises for so long
+KINDS = (
+    RequestKind("listing", LISTINGS, True, True, 200, 2_000, 0.03, 0.2, 1.5, 0.7),
+    RequestKind("order", LISTINGS, False, False, 900, 600, 0.039, 0.25, 2.0, 0.2),
+    RequestKind("upload", INTAKE, False, False, 12_000, 300, 0.005, 0.5, 5.0, 0.1),
+)
+
+
+class World:
+    """All parts of a day.
+
+    Args:
+        nursery: in which everything runs.
+    """
+
+    def __init__(self, day: Day, adapter: Adapter, random: Random, nursery: trio.Nursery) -> None:
+        self.day = day
+        self.random = random
+        self.scheduler = Scheduler()
+        self.network = Network(self.scheduler, random)
+        self.store = adapter.make_store_stand_in()
+        self.judge = Judge(KINDS, self._is_calm, self._is_open)
+        self.machines: dict[str, Machine] = {}
+        self.targets: dict[str, EmulatedTarget] = {}
+        self.last_fault_ended_at = 0.0
+        self.pace = 1.0
+        self.services = [kind.service for kind in KINDS]
+        self._adapter = adapter
+        self._nursery = nursery
+        self._numbers = itertools.count(1)
+        self._names = itertools.count(1)
+        self._version = 0
+        self._spare_routes = 0
+        self._fabric = StreamFabric(self.network)
+        self._routers = {
+            domain: Router(f"10.201.0.{number}", PACKETS, HEALTH, day.hashing, self.network)
+            for number, domain in enumerate(DOMAINS, start=1)
+        }
+        self._callers = [
+            self._make_caller(number, domain)
+            for number, domain in enumerate(DOMAINS * CALLERS_A_DOMAIN)
+        ]
+
+    @property
+    def balancers(self) -> list[Machine]:
+        """Return the VMs of balancers."""
+        return [each for each in self.machines.values() if each.settings.agent is None]
+
+    @property
+    def agents(self) -> list[Machine]:
+        """Return the VMs of agents."""
+        return [each for each in self.machines.values() if each.settings.agent is not None]
+
+    async def open(self) -> None:
+        """Start everything; the operators' first configuration is confirmed at the end."""
+        trio.socket.set_custom_socket_factory(self._fabric)
+        self._nursery.start_soon(self.scheduler.run)
+        await self._nursery.start(self._serve_store)
+        self.publish()
+        for number in range(self.day.balancers):
+            self.add_balancer(DOMAINS[number % len(DOMAINS)])
+        counts = {LISTINGS: self.day.targets, INTAKE: self.day.intake_targets}
+        for service, count in counts.items():
+            for number in range(count):
+                self.add_target(service, DOMAINS[number % len(DOMAINS)])
+        for number, (domain, router) in enumerate(self._routers.items(), start=1):
+            self.network.place(f"10.201.0.{number}", domain)
+            self._nursery.start_soon(router.probe)
+
+    async def ask(self, seconds: float) -> None:
+        """Let callers ask for a while, at random times and of random kinds."""
+        end = trio.current_time() + seconds
+        shares = [kind.share for kind in KINDS]
+        while True:
+            pause = self.random.expovariate(self.day.requests_a_second * self.pace)
+            await trio.sleep(pause)
+            if trio.current_time() >= end:
+                return
+            kind = self.random.choices(range(len(KINDS)), shares)[0]
+            self.random.choice(self._callers).ask(kind)
+
+    def publish(self, spare_routes: int = 0) -> None:
+        """Write the next configuration, with some routes that nobody uses."""
+        self._version += self.random.randrange(1, 4)
+        routes: dict[tuple[int, int], Route] = {}
+        for number, kind in enumerate(KINDS):
+            port = FIRST_SERVICE_PORT + number
+            shares = (ServiceShare(self.services[number], 1),)
+            routes[SERVICE_HOST, port] = Route(
+                kind.name, SERVICE_HOST, port, shares, kind.aim_seconds, kind.limit_seconds
+            )
+        for number in range(spare_routes):
+            port = SPARE_SERVICE_PORT + number
+            share = (ServiceShare(LISTINGS, 1),)
+            routes[SERVICE_HOST, port] = Route(f"spare-{number}", SERVICE_HOST, port, share)
+        table = RouteTable(self._version, routes, IDLE_SECONDS)
+        self.store.publish(table)
+        self.judge.note_version(table, self.scheduler.now + STORE_WRITE_SECONDS)
+
+    def add_balancer(self, domain: str) -> Machine:
+        """Add a balancer."""
+        number = len(self.balancers) + 1
+        settings = self._settings(f"balancer-{number}", f"10.1.0.{number}", domain, None)
+        machine = self._add_machine(settings)
+        self._routers[domain].add(machine.host)
+        return machine
+
+    def add_target(self, service: str, domain: str, host: str | None = None) -> EmulatedTarget:
+        """Add a target with its agent, on a new VM or on one whose target is gone."""
+        if host is None:
+            number = next(self._names)
+            host = f"10.2.{number // 250}.{number % 250 + 1}"
+            agent = AgentSettings(service, Address(host, TARGET), Address(host, OUTBOUND))
+            self._add_machine(self._settings(f"agent-{number}", host, domain, agent))
+        entry = Target(
+            name=f"t{next(self._names)}",
+            host=numbered(host),
+            port=TARGET,
+            service=service,
+            failure_domain=domain,
+            phase=TargetPhase.READY,
+            capacity=self.day.slots,
+            cold_seconds=0.0,
+            started_milliseconds=0,
+            revision=0,
+        )
+        return self.start_target(entry)
+
+    def start_target(self, entry: Target) -> EmulatedTarget:
+        """Start a run of a target, and let it register itself."""
+        born = int((EPOCH_SECONDS + self.scheduler.now) * 1000)
+        run = replace(entry, started_milliseconds=born, cold_seconds=COLD_SECONDS)
+        outbound = Address(dotted(entry.host), OUTBOUND)
+        target = EmulatedTarget(
+            run, outbound, self._adapter, self.network, self.scheduler, self.judge
+        )
+        self.targets[entry.name] = target
+        self.register(target)
+        return target
+
+    def register(self, target: EmulatedTarget) -> None:
+        """Write a target's entry, if the store takes it; otherwise try again."""
+
+        def write() -> None:
+            if not target.is_running or self.targets.get(target.entry.name) is not target:
+                return
+            if self.store.faults.is_down:
+                self.scheduler.call_later(0.5, write)
+                return
+            self.store.put_target(target.entry)
+            if target.is_draining:
+                self.judge.note_draining(target.entry, self.scheduler.now)
+
+        self.scheduler.call_later(STORE_WRITE_SECONDS, write)
+
+    def remove_entry(self, name: str) -> None:
+        """Remove a target's entry when the store takes it."""
+        if self.store.faults.is_down:
+            self.scheduler.call_later(0.5, lambda: self.remove_entry(name))
+        elif name not in self.targets or not self.targets[name].is_running:
+            self.store.remove_target(name)
+
+    def forget_machine(self, machine: Machine) -> None:
+        """Take a VM away."""
+        machine.kill()
+        self.machines.pop(machine.host, None)
+
+    def _add_machine(self, settings: NodeSettings) -> Machine:
+        machine = Machine(settings, self._adapter, self.network, self._nursery, self.random)
+        self.machines[settings.host] = machine
+        machine.start()
+        return machine
+
+    def _settings(
+        self, name: str, host: str, domain: str, agent: AgentSettings | None
+    ) -> NodeSettings:
+        return NodeSettings(
+            role=NodeRole.BALANCER if agent is None else NodeRole.AGENT,
+            name=name,
+            host=host,
+            failure_domain=domain,
+            is_first_start=False,
+            packets=Address(host, PACKETS),
+            health=Address(host, HEALTH),
+            metrics=Address(host, METRICS),
+            tunnel_port=TUNNEL,
+            gossip_port=GOSSIP,
+            store=STORE,
+            seeds=tuple(f"10.1.0.{number}" for number in range(1, 4)),
+            flow_seconds=FLOW_SECONDS,
+            grace_seconds=GRACE_SECONDS,
+            agent=agent,
+        )
+
+    def _make_caller(self, number: int, domain: str) -> EmulatedCaller:
+        host = f"100.64.0.{number + 1}"
+        self.network.place(host, domain)
+        address = Address(host, PACKETS)
+        router = self._routers[domain]
+        ports: Mapping[int, tuple[int, int]] = {
+            index: (SERVICE_HOST, FIRST_SERVICE_PORT + index) for index in range(len(KINDS))
+        }
+
+        def send(data: bytes, flow: FlowKey) -> None:
+            router.forward(data, flow, address)
+
+        caller = EmulatedCaller(
+            numbered(host),
+            address,
+            dict(ports),
+            KINDS,
+            self._adapter,
+            self.scheduler,
+            self.judge,
+            self.random,
+            send,
+            lambda: next(self._numbers),
+        )
+        self.network.bind(address, caller)
+        return caller
+
+    async def _serve_store(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        CURRENT_HOST.set(STORE.host)
+        listeners = await trio.open_tcp_listeners(STORE.port, host=STORE.host)
+        task_status.started()
+        await trio.serve_listeners(self.store.serve_stream, listeners)
+
+    def _is_calm(self, host: int) -> bool:
+        machine = self.machines.get(dotted(host))
+        return machine is None or self.scheduler.now - machine.disturbed_at > CALM_SECONDS
+
+    def _is_open(self, entry: Target, flow: FlowKey) -> bool:
+        target = self.targets.get(entry.name)
+        is_same_run = (
+            target is not None and target.entry.started_milliseconds == entry.started_milliseconds
+        )
+        return target is not None and is_same_run and target.has_open(flow)
--- /dev/null
+++ b/egretsill/emulator/tests/test_judge.py
@@ -0,0 +1,163 @@
+"""What the judge calls a broken promise, and what it doesn't."""
+
+from __future__ import annotations
+
+import pytest
+
+from ...address_steering import FlowKey
+from ...directory import Route, RouteTable, ServiceShare, Target, TargetPhase
+from .. import Outcome, Rule
+from .._judge import Judge
+from .._request import Answer, Request, RequestKind, answer_body
+
+KIND = RequestKind("listing", "catalog", True, True, 200, 2_000, 0.03, 0.2, 1.5, 1.0)
+FLOW = FlowKey(1, 2, 3, 443)
+RESET = b"reset"
+
+
+def target(service: str = "catalog", host: int = 9) -> Target:
+    return Target("t1", host, 80, service, "a", TargetPhase.READY, 2, 0.0, 1, 1)
+
+
+def table(version: int, *services: str) -> RouteTable:
+    shares = tuple(ServiceShare(each, 1) for each in services)
+    routes = {(3, 443): Route("r", 3, 443, shares)} if services else {}
+    return RouteTable(version, routes, 12.0)
+
+
+def make_judge(is_calm: bool = True, is_open: bool = True) -> Judge:
+    judge = Judge((KIND,), lambda _: is_calm, lambda *_: is_open)
+    judge.note_version(table(1, "catalog"), 0.0)
+    return judge
+
+
+def rules(judge: Judge) -> list[Rule]:
+    return [each.rule for each in judge.violations]
+
+
+@pytest.mark.parametrize(
+    ("sent_at", "service", "expected"),
+    [
+        pytest.param(11.0, "catalog", [], id="the old service, just after the change"),
+        pytest.param(13.5, "catalog", [Rule.CONFIGURATION], id="the old service, too late"),
+        pytest.param(13.5, "intake", [], id="the new service"),
+        pytest.param(11.0, "other", [Rule.ROUTE], id="a service that no version allows"),
+    ],
+)
+def test_which_service_takes_a_flow(sent_at: float, service: str, expected: list[Rule]) -> None:
+    judge = make_judge()
+    judge.note_version(table(2, "intake"), 10.0)
+    judge.note_opening_sent(FLOW, sent_at)
+    judge.note_opening(FLOW, target(service), sent_at + 0.1)
+    assert rules(judge) == expected
+
+
+@pytest.mark.parametrize(
+    ("at", "expected"),
+    [
+        pytest.param(7.9, [], id="soon after it said so"),
+        pytest.param(8.1, [Rule.DRAIN], id="later"),
+    ],
+)
+def test_a_leaving_target_gets_no_new_flow(at: float, expected: list[Rule]) -> None:
+    judge = make_judge()
+    judge.note_draining(target(), 5.0)
+    judge.note_opening_sent(FLOW, at)
+    judge.note_opening(FLOW, target(), at)
+    assert rules(judge) == expected
+
+
+@pytest.mark.parametrize(
+    ("is_calm", "is_open", "is_targets_own", "expected"),
+    [
+        pytest.param(True, True, False, [Rule.FLOW], id="an open flow of a calm target"),
+        pytest.param(False, True, False, [], id="of a VM that was just disturbed"),
+        pytest.param(True, False, False, [], id="a flow that its target doesn't have"),
+        pytest.param(True, True, True, [], id="by the target itself"),
+    ],
+)
+def test_resets(is_calm: bool, is_open: bool, is_targets_own: bool, expected: list[Rule]) -> None:
+    judge = make_judge(is_calm, is_open)
+    judge.note_open(FLOW, target(), 1.0)
+    if is_targets_own:
+        judge.note_written(RESET)
+    judge.note_reset(FLOW, RESET, 2.0)
+    assert rules(judge) == expected
+
+
+@pytest.mark.parametrize(
+    ("times", "arrives_at", "expected"),
+    [
+        pytest.param([1.0, 2.0, 3.0], None, [Rule.FLOW], id="three in two seconds"),
+        pytest.param([1.0, 3.0], None, [], id="only two"),
+        pytest.param([1.0, 1.5, 2.0], None, [], id="for a short while"),
+        pytest.param([1.0, 2.0, 3.0], 2.5, [], id="one arrived meanwhile"),
+    ],
+)
+def test_packets_astray(times: list[float], arrives_at: float | None, expected: list[Rule]) -> None:
+    judge = make_judge()
+    judge.note_open(FLOW, target(), 0.5)
+    for at in times:
+        if arrives_at is not None and arrives_at < at:
+            judge.note_arrival(FLOW, arrives_at)
+        judge.note_astray(FLOW, target(host=8), at)
+    assert rules(judge) == expected
+
+
+def test_requests_run_once_and_only_if_they_were_sent() -> None:
+    judge = make_judge()
+    request = Request(7, 0, 0.03, 16, 200)
+    judge.note_run(request, FLOW, target(), 1.0)
+    judge.note_sent(request, FLOW, 1.0)
+    judge.note_run(request, FLOW, target(), 2.0)
+    judge.note_run(request, FLOW, target(), 3.0)
+    assert rules(judge) == [Rule.UNASKED, Rule.TWICE]
+
+
+@pytest.mark.parametrize(
+    ("answer", "expected_number", "expected"),
+    [
+        pytest.param(Answer(7, True, answer_body(7, 16)), 7, [], id="right"),
+        pytest.param(Answer(7, False, b""), 7, [], id="not run"),
+        pytest.param(Answer(7, True, answer_body(8, 16)), 7, [Rule.MIXED], id="another's body"),
+        pytest.param(Answer(7, True, b""), 7, [Rule.MIXED], id="cut off"),
+        pytest.param(Answer(7, True, answer_body(7, 16)), 8, [Rule.MIXED], id="another's answer"),
+        pytest.param(Answer(9, True, b""), None, [Rule.MIXED], id="of no request"),
+    ],
+)
+def test_answers(answer: Answer, expected_number: int | None, expected: list[Rule]) -> None:
+    judge = make_judge()
+    judge.note_sent(Request(7, 0, 0.03, 16, 200), FLOW, 1.0)
+    judge.note_sent(Request(8, 0, 0.03, 16, 200), FLOW, 1.0)
+    judge.note_answer(answer, expected_number)
+    assert rules(judge) == expected
+
+
+def test_packets_that_nobody_wrote() -> None:
+    judge = make_judge()
+    judge.note_written(b"whole")
+    for data in (b"whole", b"changed"):
+        judge.note_delivery(data, target())
+        judge.note_delivery_to_caller(data)
+    assert rules(judge) == [Rule.UNASKED, Rule.MIXED]
+
+
+@pytest.mark.parametrize(
+    ("served", "expected"),
+    [pytest.param(1, [], id="a quarter"), pytest.param(0, [Rule.RECOVERY], id="nobody")],
+)
+def test_recovery(served: int, expected: list[Rule]) -> None:
+    judge = make_judge()
+    for number in range(4):
+        outcome = Outcome.LATE if number < served else Outcome.FAILED
+        judge.note_outcome(outcome, 20.0 + number)
+    judge.note_outcome(Outcome.FAILED, 10.0)
+    judge.check_recovery(5.0, 30.0)
+    assert rules(judge) == expected
+
+
+def test_worst_windows_come_first() -> None:
+    judge = make_judge()
+    for asked_at, outcome in ((1.0, Outcome.IN_TIME), (3.0, Outcome.LATE), (3.5, Outcome.IN_TIME)):
+        judge.note_outcome(outcome, asked_at)
+    assert judge.worst_windows(1) == [(2.0, 2, 1)]
--- /dev/null
+++ b/egretsill/measurements/_wrong_decisions.py
@@ -0,0 +1,172 @@
+"""Deliberately wrong versions of decisions, to see that the judge of emulated days notices them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass
+from typing import Any
+from unittest import mock
+
+from ..address_steering import HandToTarget, Refuse, RefuseReason, SendToCaller
+from ..address_steering._agent_steering import AgentSteering
+from ..address_steering._placement import FlowPlacement
+from ..directory import Directory, Pause, ReadPlan, TargetPhase
+
+Method = Callable[..., Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Replacement:
+    """A method that is replaced.
+
+    Attributes:
+        owner: its class.
+        method: its name.
+        make: returns the wrong method for the right one.
+    """
+
+    owner: type
+    method: str
+    make: Callable[[Method], Method]
+
+
+@dataclass(frozen=True, slots=True)
+class WrongDecision:
+    """One wrong version.
+
+    Attributes:
+        name: what is wrong.
+        day: name of the day on which it matters.
+        replacements: that make it wrong.
+    """
+
+    name: str
+    day: str
+    replacements: tuple[Replacement, ...]
+
+    @contextmanager
+    def applied(self) -> Iterator[None]:
+        """Let every process decide so meanwhile."""
+        with ExitStack() as stack:
+            for each in self.replacements:
+                wrong = each.make(getattr(each.owner, each.method))
+                stack.enter_context(mock.patch.object(each.owner, each.method, wrong))
+            yield
+
+
+def _choose_leaving(right: Method) -> Method:
+    def choose(self: Any, flow: Any, service: str, excluded: Any, domain: str, now: float) -> Any:
+        for each in self._directory.targets_of(service):
+            is_leaving = each.target.phase is TargetPhase.DRAINING
+            if is_leaving and each.target.host not in excluded:
+                return each.target.host
+        return right(self, flow, service, excluded, domain, now)
+
+    return choose
+
+
+def _refuse_unknown(_: Method) -> Method:
+    def take_unknown(self: Any, envelope: Any, packet: Any, now: float) -> Any:
+        return (Refuse(packet.flow, packet.acknowledged, RefuseReason.NOWHERE_OPEN),)
+
+    return take_unknown
+
+
+def _keep_unknown(_: Method) -> Method:
+    def take_unknown(self: Any, envelope: Any, packet: Any, now: float) -> Any:
+        return (HandToTarget(packet.datagram),)
+
+    return take_unknown
+
+
+def _change_payload(right: Method) -> Method:
+    def take_owned(self: Any, entry: Any, envelope: Any, packet: Any, now: float) -> Any:
+        effects = right(self, entry, envelope, packet, now)
+        return [
+            (
+                HandToTarget(each.datagram[:-1] + b"!")
+                if isinstance(each, HandToTarget) and packet.payload_bytes
+                else each
+            )
+            for each in effects
+        ]
+
+    return take_owned
+
+
+def _change_answers(right: Method) -> Method:
+    def take_from_target(self: Any, packet: Any, now: float) -> Any:
+        return [
+            (
+                SendToCaller(each.host, each.datagram[:-1] + b"!")
+                if isinstance(each, SendToCaller) and packet.payload_bytes
+                else each
+            )
+            for each in right(self, packet, now)
+        ]
+
+    return take_from_target
+
+
+def _never_read_again(right: Method) -> Method:
+    def next_step(self: Any, now: float, *rest: Any) -> Any:
+        return right(self, now, *rest) if now < 4.0 else Pause(1.0)
+
+    return next_step
+
+
+def _never_pass(_: Method) -> Method:
+    return lambda *_: None
+
+
+def _keep_first_route(right: Method) -> Method:
+    kept: dict[tuple[int, int, int], Any] = {}
+
+    def route(self: Any, host: int, port: int) -> Any:
+        found = right(self, host, port)
+        return found if found is None else kept.setdefault((id(self), host, port), found)
+
+    return route
+
+
+WRONG_DECISIONS = (
+    WrongDecision(
+        "targets that leave get new flows",
+        "release",
+        (
+            Replacement(FlowPlacement, "choose", _choose_leaving),
+            Replacement(AgentSteering, "_reason_to_pass", _never_pass),
+        ),
+    ),
+    WrongDecision(
+        "a newer configuration is ignored",
+        "route-moves",
+        (Replacement(Directory, "route", _keep_first_route),),
+    ),
+    WrongDecision(
+        "a flow that isn't here is reset at once",
+        "balancers-killed",
+        (Replacement(AgentSteering, "_take_unknown", _refuse_unknown),),
+    ),
+    WrongDecision(
+        "a flow that isn't here is never passed on",
+        "balancers-killed",
+        (Replacement(AgentSteering, "_take_unknown", _keep_unknown),),
+    ),
+    WrongDecision(
+        "callers' data is changed",
+        "quiet",
+        (Replacement(AgentSteering, "_take_owned", _change_payload),),
+    ),
+    WrongDecision(
+        "targets' answers are changed",
+        "quiet",
+        (Replacement(AgentSteering, "take_from_target", _change_answers),),
+    ),
+    WrongDecision(
+        "a process doesn't read the store after its start",
+        "recovery",
+        (Replacement(ReadPlan, "next_step", _never_read_again),),
+    ),
+)
