--- a/egretsill/documentation/_pages.py
+++ b/egretsill/documentation/_pages.py
@@ -9,7 +9,7 @@
 from ._message_tables import PROTOCOLS, message_table
 from ._reference import make_reference
 
-OPERATING_PAGE = "OPERATING.md"
+OPERATIONS_PAGE = "OPERATIONS.md"
 CONTRACTS_PAGE = "CONTRACTS.md"
 MEASUREMENTS_PAGE = "MEASUREMENTS.md"
 
@@ -31,7 +31,7 @@
     tables = {name: message_table(types) for name, types in PROTOCOLS.items()}
     measures = measures_table(read_measures(KEPT_RUN))
     return {
-        OPERATING_PAGE: {"reference": make_reference()},
+        OPERATIONS_PAGE: {"reference": make_reference()},
         CONTRACTS_PAGE: tables,
         MEASUREMENTS_PAGE: {"measures": measures},
     }
--- a/egretsill/documentation/tests/test_pages.py
+++ b/egretsill/documentation/tests/test_pages.py
@@ -6,12 +6,12 @@
 
 import pytest
 
-from .._pages import CONTRACTS_PAGE, OPERATING_PAGE, PartMissing, fill, make_parts, write_pages
+from .._pages import CONTRACTS_PAGE, OPERATIONS_PAGE, PartMissing, fill, make_parts, write_pages
 
 DIRECTORY = Path(__file__).parents[3] / "docs"
 
 
-@pytest.mark.parametrize("page", [OPERATING_PAGE, CONTRACTS_PAGE])
+@pytest.mark.parametrize("page", [OPERATIONS_PAGE, CONTRACTS_PAGE])
 def test_committed_page_is_up_to_date(page: str) -> None:
     text = (DIRECTORY / page).read_text(encoding="utf-8")
     update = "python -m egretsill.documentation write docs"
