--- a/egretsill/ctl/_main.py
+++ b/egretsill/ctl/_main.py
@@ -6,7 +6,18 @@
 from collections.abc import Sequence
 
 from ..commands import Command, run_program
-from . import _call, _check, _compile, _diff, _emulate, _explain, _report, _status, _trace
+from . import (
+    _call,
+    _check,
+    _compile,
+    _diff,
+    _emulate,
+    _experiment,
+    _explain,
+    _report,
+    _status,
+    _trace,
+)
 
 PROGRAM = "egretsillctl"
 INTRODUCTION = f"""{PROGRAM} COMMAND [--flags] ARGUMENTS
@@ -30,6 +41,7 @@
         _call.make_command(),
         _report.make_command(),
         _emulate.make_command(),
+        _experiment.make_command(),
     ]
 
 
--- a/egretsill/ctl/_report.py
+++ b/egretsill/ctl/_report.py
@@ -14,7 +14,8 @@
 from ..benchmarks._result import BenchmarkResult
 from ..commands import EXIT_FAILED, EXIT_OK, EXIT_USAGE, Command, new_flags
 from ..measurements._measurement import Measurement
-from ._report_plots import Plot, make_plots
+from ._figures import Plot
+from ._report_plots import make_plots
 
 STYLE = """
 body { font: 15px/1.45 sans-serif; margin: 2em auto; max-width: 62em; color: #222; }
--- a/egretsill/ctl/_report_plots.py
+++ b/egretsill/ctl/_report_plots.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import io
 import re
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
@@ -10,14 +9,13 @@
 
 from ..benchmarks._result import BenchmarkResult
 from ..measurements._measurement import Measurement
+from ._figures import OURS_COLOUR, Plot, as_svg, new_figure
 
-WIDTH_INCHES = 10.0
 HEIGHT_INCHES = 4.2
 ROW_INCHES = 0.36
 LONGEST_LABEL = 64
 CONTROL_LIMIT_BYTES = 18_000.0
 OURS = "egretsill"
-OURS_COLOUR = "#1f6f8b"
 BASELINE_COLOUR = "#c9a66b"
 TARGET_COLOUR = "#a33b3b"
 SIZE_AT_END = re.compile(r"^(.*), (\d+)$")
@@ -39,18 +37,6 @@
     target: float | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Plot:
-    """A picture with its title.
-
-    Attributes:
-        svg: an `svg` element, ready to stand in a page.
-    """
-
-    title: str
-    svg: str
-
-
 def make_plots(
     measures: Sequence[Measurement], results: Sequence[BenchmarkResult]
 ) -> Sequence[Plot]:
@@ -60,7 +46,7 @@
         ImportError: if matplotlib is not installed.
     """
     return [
-        Plot(title, _as_svg(figure)) for title, figure in make_figures(measures, results).items()
+        Plot(title, as_svg(figure)) for title, figure in make_figures(measures, results).items()
     ]
 
 
@@ -141,15 +127,8 @@
     return {unit: lines for unit, lines in grown.items() if lines}
 
 
-def _new_figure(height: float, columns: int = 1, rows: int = 1) -> Any:
-    from matplotlib.figure import Figure
-
-    figure = Figure(figsize=(WIDTH_INCHES, height), layout="constrained")
-    return figure, figure.subplots(rows, columns, squeeze=False)
-
-
 def _draw_bars(bars: Sequence[Bar], unit: str) -> Any:
-    figure, axes = _new_figure(1.2 + ROW_INCHES * len(bars))
+    figure, axes = new_figure(1.2 + ROW_INCHES * len(bars))
     plot = axes[0][0]
     has_baseline = any(each.baseline is not None for each in bars)
     thickness = 0.4 if has_baseline else 0.7
@@ -176,14 +155,14 @@
 
 
 def _draw_cost(units: Mapping[str, Mapping[str, list[tuple[int, float]]]]) -> Any:
-    figure, axes = _new_figure(HEIGHT_INCHES * len(units), rows=len(units))
+    figure, axes = new_figure(HEIGHT_INCHES * len(units), rows=len(units))
     for (unit, lines), (plot,) in zip(units.items(), axes, strict=True):
         _draw_lines(plot, lines, unit)
     return figure
 
 
 def _draw_control(lines: Mapping[str, list[tuple[int, float]]]) -> Any:
-    figure, axes = _new_figure(HEIGHT_INCHES)
+    figure, axes = new_figure(HEIGHT_INCHES)
     plot = axes[0][0]
     plot.axhline(CONTROL_LIMIT_BYTES, color=TARGET_COLOUR, linestyle="--", label="limit, 18 KB")
     _draw_lines(plot, lines, "bytes a second")
@@ -203,10 +182,3 @@
 
 def _short(label: str) -> str:
     return label if len(label) <= LONGEST_LABEL else label[: LONGEST_LABEL - 1] + "…"
-
-
-def _as_svg(figure: Any) -> str:
-    content = io.StringIO()
-    figure.savefig(content, format="svg", metadata={"Date": None})
-    whole = content.getvalue()
-    return whole[whole.index("<svg") :]
--- a/egretsill/emulator/_judge.py
+++ b/egretsill/emulator/_judge.py
@@ -88,6 +88,7 @@
         self.violations: list[Violation] = []
         self.outcomes: Counter[Outcome] = Counter()
         self.asked = 0
+        self.flows_by_target: Counter[str] = Counter()
         self._kinds = kinds
         self._is_calm = is_calm
         self._is_open = is_open
@@ -163,6 +164,7 @@
         record = self._flows.setdefault(flow, _FlowRecord(now))
         record.owner = target
         record.astray.clear()
+        self.flows_by_target[target.name] += 1
 
     def note_arrival(self, flow: FlowKey, now: float) -> None:
         """Note that a packet reached its flow's target."""
@@ -236,13 +238,13 @@
         if later and sum(later) < RECOVERED_SHARE * len(later):
             self._break(Rule.RECOVERY, now, f"{sum(later)} of {len(later)} served")
 
-    def worst_windows(self, count: int) -> list[tuple[float, int, int]]:
-        """Return start, requests and requests in time of the worst windows."""
-        found = [
+    @property
+    def windows(self) -> list[tuple[float, int, int]]:
+        """Return start, requests and requests in time of each window, in order."""
+        return [
             (number * WINDOW_SECONDS, window.total(), window[Outcome.IN_TIME])
-            for number, window in self._windows.items()
+            for number, window in sorted(self._windows.items())
         ]
-        return sorted(found, key=lambda each: each[2] / each[1])[:count]
 
     def _is_protected(self, record: _FlowRecord, flow: FlowKey) -> bool:
         owner = record.owner
--- a/egretsill/emulator/_network.py
+++ b/egretsill/emulator/_network.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 from typing import Protocol
 
@@ -35,6 +35,7 @@
         self._cut: set[str] = set()
         self._dark: set[str] = set()
         self._loss: dict[str, float] = {}
+        self._counted: dict[Address, int] = {}
         self.carried = 0
 
     def place(self, host: str, domain: str) -> None:
@@ -87,9 +88,21 @@
         is_near = self._domains.get(source) == self._domains.get(destination)
         return NEAR_SECONDS if is_near else FAR_SECONDS
 
+    def count_between(self, addresses: Iterable[Address]) -> None:
+        """Count the datagrams from any of these addresses to any other of them."""
+        for each in addresses:
+            self._counted.setdefault(each, 0)
+
+    @property
+    def counted(self) -> int:
+        """Return how many of those there were."""
+        return sum(self._counted.values())
+
     def send(self, data: bytes, source: Address, destination: Address) -> None:
         """Carry a datagram, unless it is lost."""
         self.carried += 1
+        if source in self._counted and destination in self._counted:
+            self._counted[source] += 1
         if not self.passes(source.host, destination.host) or self._is_lost(source, destination):
             return
         self.later(source.host, destination.host, lambda: self._arrive(data, source, destination))
--- a/egretsill/emulator/_play.py
+++ b/egretsill/emulator/_play.py
@@ -45,7 +45,9 @@
         requests: that callers asked for.
         outcomes: how they ended, by outcome.
         violations: promises that were broken, in the order in which they were seen.
-        worst_windows: the two in which the fewest were served in time.
+        windows: all, in order.
+        flows_by_target: flows that were open at each target.
+        hops: datagrams from one agent to another that carried a caller's packet.
         store_calls: calls to the store.
         datagrams: carried by the network.
         virtual_seconds: length of the day.
@@ -56,13 +58,21 @@
     requests: int
     outcomes: Mapping[Outcome, int]
     violations: tuple[Violation, ...]
-    worst_windows: tuple[WindowService, ...]
+    windows: tuple[WindowService, ...]
+    flows_by_target: Mapping[str, int]
+    hops: int
     store_calls: int
     datagrams: int
     virtual_seconds: float
     real_seconds: float
     log: tuple[Mapping[str, object], ...]
 
+    @property
+    def worst_windows(self) -> tuple[WindowService, ...]:
+        """Return the windows in which the smallest shares were served in time, the worst first."""
+        ordered = sorted(self.windows, key=lambda each: (each.in_time / each.requests, each.at))
+        return tuple(ordered[:WORST_WINDOWS])
+
     @property
     def served(self) -> int:
         """Return how many requests were answered, in time or late."""
@@ -89,13 +99,15 @@
     judge = world.judge
     windows = tuple(
         WindowService(at - LEAD_SECONDS, requests, in_time)
-        for at, requests, in_time in judge.worst_windows(WORST_WINDOWS)
+        for at, requests, in_time in judge.windows
     )
     return Played(
         requests=judge.asked,
         outcomes=dict(judge.outcomes),
         violations=tuple(judge.violations),
-        worst_windows=windows,
+        windows=windows,
+        flows_by_target=dict(judge.flows_by_target),
+        hops=world.hops,
         store_calls=world.store.answered,
         datagrams=world.network.carried,
         virtual_seconds=LEAD_SECONDS + day.seconds + TAIL_SECONDS,
--- a/egretsill/emulator/_world.py
+++ b/egretsill/emulator/_world.py
@@ -91,6 +91,11 @@
         """Return the VMs of agents."""
         return [each for each in self.machines.values() if each.settings.agent is not None]
 
+    @property
+    def hops(self) -> int:
+        """Return how many packets went from one agent to another."""
+        return self.network.counted
+
     async def open(self) -> None:
         """Start everything; the operators' first configuration is confirmed at the end."""
         trio.socket.set_custom_socket_factory(self._fabric)
@@ -152,6 +157,7 @@
             host = f"10.2.{number // 250}.{number % 250 + 1}"
             agent = AgentSettings(service, Address(host, TARGET), Address(host, OUTBOUND))
             self._add_machine(self._settings(f"agent-{number}", host, domain, agent))
+            self.network.count_between([Address(host, TUNNEL)])
         entry = Target(
             name=f"t{next(self._names)}",
             host=numbered(host),
--- a/egretsill/emulator/tests/test_judge.py
+++ b/egretsill/emulator/tests/test_judge.py
@@ -156,8 +156,8 @@
     assert rules(judge) == expected
 
 
-def test_worst_windows_come_first() -> None:
+def test_windows_count_by_when_requests_were_asked() -> None:
     judge = make_judge()
     for asked_at, outcome in ((1.0, Outcome.IN_TIME), (3.0, Outcome.LATE), (3.5, Outcome.IN_TIME)):
         judge.note_outcome(outcome, asked_at)
-    assert judge.worst_windows(1) == [(2.0, 2, 1)]
+    assert judge.windows == [(0.0, 1, 1), (2.0, 2, 1)]
