--- a/egretsill/measurements/_wrong_decisions.py
+++ b/egretsill/measurements/_wrong_decisions.py
@@ -146,12 +146,12 @@
     ),
     WrongDecision(
         "a flow that isn't here is reset at once",
-        "balancers-killed",
+        "balancers-restart-and-grow",
         (Replacement(AgentSteering, "_take_unknown", _refuse_unknown),),
     ),
     WrongDecision(
         "a flow that isn't here is never passed on",
-        "balancers-killed",
+        "balancers-restart-and-grow",
         (Replacement(AgentSteering, "_take_unknown", _keep_unknown),),
     ),
     WrongDecision(
--- a/egretsill/quickstart/_run.py
+++ b/egretsill/quickstart/_run.py
@@ -10,6 +10,7 @@
 
 from ..settings import TlsSettings
 from ..stand_ins.certificates import CERTIFICATE_FILE, PRIVATE_KEY_FILE, write_certificate
+from ._loopback import own_loopback_host
 from ._score import Score, Verdict, judge
 from ._site import Site
 from ._site_plan import FIRST_PORTS, SitePlan, load_site_plan
@@ -44,8 +45,8 @@
 async def run_quickstart() -> Verdict:
     """Run the whole scene and return the verdict."""
     score = Score()
-    with tempfile.TemporaryDirectory(prefix="egretsill-") as name:
-        plans = [load_plan(user, Path(name)) for user in FIRST_PORTS]
+    with tempfile.TemporaryDirectory(prefix="egretsill-") as name, own_loopback_host() as host:
+        plans = [load_plan(user, Path(name)).moved_to(host) for user in FIRST_PORTS]
         async with trio.open_nursery() as nursery:
             sites = [Site(plan, nursery, seed) for seed, plan in enumerate(plans)]
             for site in sites:
--- a/egretsill/quickstart/_scene.py
+++ b/egretsill/quickstart/_scene.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from ._loopback import own_loopback_host
 from ._run import READY_SECONDS, load_plan
 from ._site import Site
 
@@ -18,8 +19,8 @@
 @asynccontextmanager
 async def open_site(user: str) -> AsyncIterator[Site]:
     """Run a user's example site for the length of the block, which begins when it is ready."""
-    with tempfile.TemporaryDirectory(prefix="egretsill-") as name:
-        plan = load_plan(user, Path(name))
+    with tempfile.TemporaryDirectory(prefix="egretsill-") as name, own_loopback_host() as host:
+        plan = load_plan(user, Path(name)).moved_to(host)
         async with trio.open_nursery() as nursery:
             site = Site(plan, nursery, SEED)
             await site.start()
--- a/egretsill/quickstart/_site_plan.py
+++ b/egretsill/quickstart/_site_plan.py
@@ -53,6 +53,7 @@
         log_directory: where daemons write their logs.
         leaving: names of the VMs that the platform's list says are leaving.
         connection_id_keys: of processes that start from now on.
+        host: loopback address of everything that the declaration doesn't name.
     """
 
     name: str
@@ -63,6 +64,7 @@
     log_directory: Path
     leaving: frozenset[str] = frozenset()
     connection_id_keys: tuple[ConnectionIdKey, ...] = CONNECTION_ID_KEYS
+    host: str = HOST
 
     @property
     def targets(self) -> Sequence[Target]:
@@ -77,7 +79,7 @@
     @property
     def platform(self) -> Address:
         """Return the endpoint of the platform stand-in."""
-        return Address(HOST, self.first_port + PLATFORM_PORT)
+        return Address(self.host, self.first_port + PLATFORM_PORT)
 
     @property
     def seeds(self) -> Sequence[Address]:
@@ -100,6 +102,11 @@
             for each in daemons
         ]
 
+    def moved_to(self, host: str) -> SitePlan:
+        """Return the plan with every endpoint at another address of this machine."""
+        services = {name: _moved(service, host) for name, service in self.services.items()}
+        return replace(self, services=services, host=host)
+
     def with_balancer(self, name: str) -> SitePlan:
         """Return the plan with one more balancer."""
         return replace(self, balancers=(*self.balancers, name))
@@ -133,7 +140,7 @@
         index = self.balancers.index(balancer)
         first = self.first_port + BALANCER_LISTEN_PORT + BALANCER_LISTEN_STRIDE * index
         return {
-            address: Address(HOST, first + offset)
+            address: Address(self.host, first + offset)
             for offset, address in enumerate(self.service_addresses)
         }
 
@@ -171,7 +178,7 @@
             tunnel=target.tunnel,
             relay=target.relay,
             gossip=target.gossip,
-            admin=Address(HOST, self._agent_admin_port(target)),
+            admin=Address(self.host, self._agent_admin_port(target)),
             platform=PlatformSettings((self.platform,)),
             seeds=tuple(self.seeds),
             tls=self.tls,
@@ -190,7 +197,24 @@
         return self.first_port + AGENT_ADMIN_PORT + target.tunnel.port - first_tunnel_port
 
     def _balancer_port(self, index: int, offset: int) -> Address:
-        return Address(HOST, self.first_port + offset + index)
+        return Address(self.host, self.first_port + offset + index)
+
+
+def _moved(service: Service, host: str) -> Service:
+    def at_host(address: Address) -> Address:
+        return Address(host, address.port)
+
+    targets = tuple(
+        replace(
+            each,
+            tunnel=at_host(each.tunnel),
+            relay=at_host(each.relay),
+            gossip=at_host(each.gossip),
+            backend=at_host(each.backend),
+        )
+        for each in service.targets
+    )
+    return replace(service, addresses=tuple(map(at_host, service.addresses)), targets=targets)
 
 
 def load_site_plan(
