--- a/egretsill/emulator/_caller.py
+++ b/egretsill/emulator/_caller.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from ..address_steering import FlowKey, opening_delay
-from ..endpoints import Address, dotted
+from ..endpoints import Address
 from ._adapter import Adapter, Segment, SegmentFlag
 from ._judge import Judge, Outcome
 from ._request import Request, RequestKind, decode_answer
@@ -80,16 +80,11 @@
         self._kept: dict[int, _Flow] = {}
         self._check_repeats()
 
-    @property
-    def domain_host(self) -> str:
-        """Return its host as text."""
-        return dotted(self._host)
-
     def ask(self, kind: int) -> None:
         """Begin a request."""
         now = self._scheduler.now
         task = _Task(kind, now)
-        self._judge.note_asked(now)
+        self._judge.note_asked()
         self._scheduler.call_later(self._kinds[kind].limit_seconds, lambda: self._give_up(task))
         self._try(task)
 
@@ -103,7 +98,7 @@
             self._judge.note_reset(segment.flow, data, self._scheduler.now)
             self._lose(flow)
             return
-        self._judge.note_delivery_to_caller(data)
+        self._judge.note_delivery_to_caller(data, self._scheduler.now)
         now = self._scheduler.now
         if segment.flags & SegmentFlag.OPEN:
             self._opened(flow, segment)
@@ -168,14 +163,15 @@
         work = kind.work_seconds * self._random.uniform(0.5, 1.5)
         request = Request(task.number, task.kind, work, kind.answer_bytes, kind.request_bytes)
         flow.used_at = self._scheduler.now
-        self._judge.note_sent(request, flow.key, self._scheduler.now)
+        self._judge.note_sent(request)
         self._send(end.send(request.encode(), self._scheduler.now))
 
     def _take_answers(self, flow: _Flow) -> None:
         end = flow.end
         while end is not None and (answer := decode_answer(end.received)) is not None:
             task, flow.task = flow.task, None
-            self._judge.note_answer(answer, task.number if task is not None else None)
+            expected = task.number if task is not None else None
+            self._judge.note_answer(answer, expected, self._scheduler.now)
             if task is None or task.is_over:
                 continue
             if not answer.has_run:
--- a/egretsill/emulator/_judge.py
+++ b/egretsill/emulator/_judge.py
@@ -9,7 +9,7 @@
 
 from ..address_steering import FlowKey
 from ..directory import RouteTable, Target
-from ._request import Answer, Request, RequestKind, answer_body
+from ._request import Answer, Request, answer_body
 
 DRAIN_SECONDS = 3.0  # after which a leaving target must get no new flow
 APPLY_SECONDS = 3.0  # after which a configuration must be in force
@@ -74,14 +74,12 @@
     """Takes what the ends saw.
 
     Args:
-        kinds: of requests, by their index.
         is_calm: returns whether nothing disturbed a host for a while.
         is_open: returns whether a target holds a flow now.
     """
 
     def __init__(
         self,
-        kinds: tuple[RequestKind, ...],
         is_calm: Callable[[int], bool],
         is_open: Callable[[Target, FlowKey], bool],
     ) -> None:
@@ -89,7 +87,6 @@
         self.outcomes: Counter[Outcome] = Counter()
         self.asked = 0
         self.flows_by_target: Counter[str] = Counter()
-        self._kinds = kinds
         self._is_calm = is_calm
         self._is_open = is_open
         self._written: set[bytes] = set()
@@ -120,15 +117,15 @@
         """Note a datagram that an end wrote."""
         self._written.add(data)
 
-    def note_delivery(self, data: bytes, target: Target) -> None:
+    def note_delivery(self, data: bytes, target: Target, now: float) -> None:
         """Note a datagram that reached a target."""
         if data not in self._written:
-            self._break(Rule.UNASKED, 0.0, f"{target.name} got a packet that nobody wrote")
+            self._break(Rule.UNASKED, now, f"{target.name} got a packet that nobody wrote")
 
-    def note_delivery_to_caller(self, data: bytes) -> None:
+    def note_delivery_to_caller(self, data: bytes, now: float) -> None:
         """Note a datagram other than a reset that reached a caller."""
         if data not in self._written:
-            self._break(Rule.MIXED, 0.0, "a caller got a packet that nobody wrote")
+            self._break(Rule.MIXED, now, "a caller got a packet that nobody wrote")
 
     # What happened to flows.
 
@@ -199,15 +196,15 @@
 
     # What happened to requests.
 
-    def note_asked(self, now: float) -> None:
+    def note_asked(self) -> None:
         """Note that a caller began a request."""
         self.asked += 1
 
-    def note_sent(self, request: Request, flow: FlowKey, now: float) -> None:
+    def note_sent(self, request: Request) -> None:
         """Note a try of a request."""
         self._sent[request.number] = request
 
-    def note_run(self, request: Request, flow: FlowKey, target: Target, now: float) -> None:
+    def note_run(self, request: Request, target: Target, now: float) -> None:
         """Note that a target began to work on a request."""
         if self._sent.get(request.number) is None:
             self._break(Rule.UNASKED, now, f"{target.name} runs a request that nobody sent")
@@ -216,13 +213,13 @@
         if self._runs[request.number] > 1:
             self._break(Rule.TWICE, now, f"request {request.number} runs again")
 
-    def note_answer(self, answer: Answer, expected: int | None) -> None:
+    def note_answer(self, answer: Answer, expected: int | None, now: float) -> None:
         """Note an answer that a caller got."""
         sent = self._sent.get(answer.number)
         if sent is None or (expected is not None and answer.number != expected):
-            self._break(Rule.MIXED, 0.0, f"answer to request {answer.number}")
+            self._break(Rule.MIXED, now, f"answer to request {answer.number}")
         elif answer.has_run and answer.body != answer_body(sent.number, sent.answer_bytes):
-            self._break(Rule.MIXED, 0.0, f"body of request {answer.number}")
+            self._break(Rule.MIXED, now, f"body of request {answer.number}")
 
     def note_outcome(self, outcome: Outcome, asked_at: float) -> None:
         """Note how a request ended."""
--- a/egretsill/emulator/_target.py
+++ b/egretsill/emulator/_target.py
@@ -92,7 +92,7 @@
         """Take a datagram from its agent."""
         if not self.is_running:
             return
-        self._judge.note_delivery(data, self.entry)
+        self._judge.note_delivery(data, self.entry, self._scheduler.now)
         try:
             segment = self._adapter.decode(data)
         except MalformedFlowPacket:
@@ -154,7 +154,7 @@
             if work.flow not in self._flows:
                 continue
             self._working += 1
-            self._judge.note_run(work.request, work.flow, self.entry, self._scheduler.now)
+            self._judge.note_run(work.request, self.entry, self._scheduler.now)
             is_cold = self._scheduler.now - self._started_at < COLD_SECONDS
             seconds = work.request.work_seconds * self.slowness * (COLD_FACTOR if is_cold else 1)
             self._scheduler.call_later(seconds, self._finisher(work))
--- a/egretsill/emulator/_world.py
+++ b/egretsill/emulator/_world.py
@@ -59,7 +59,7 @@
         self.scheduler = Scheduler()
         self.network = Network(self.scheduler, random)
         self.store = adapter.make_store_stand_in()
-        self.judge = Judge(KINDS, self._is_calm, self._is_open)
+        self.judge = Judge(self._is_calm, self._is_open)
         self.machines: dict[str, Machine] = {}
         self.targets: dict[str, EmulatedTarget] = {}
         self.last_fault_ended_at = 0.0
--- a/egretsill/emulator/tests/test_judge.py
+++ b/egretsill/emulator/tests/test_judge.py
@@ -8,9 +8,8 @@
 from ...directory import Route, RouteTable, ServiceShare, Target, TargetPhase
 from .. import Outcome, Rule
 from .._judge import Judge
-from .._request import Answer, Request, RequestKind, answer_body
+from .._request import Answer, Request, answer_body
 
-KIND = RequestKind("listing", "catalog", True, True, 200, 2_000, 0.03, 0.2, 1.5, 1.0)
 FLOW = FlowKey(1, 2, 3, 443)
 RESET = b"reset"
 
@@ -26,7 +25,7 @@
 
 
 def make_judge(is_calm: bool = True, is_open: bool = True) -> Judge:
-    judge = Judge((KIND,), lambda _: is_calm, lambda *_: is_open)
+    judge = Judge(lambda _: is_calm, lambda *_: is_open)
     judge.note_version(table(1, "catalog"), 0.0)
     return judge
 
@@ -107,10 +106,10 @@
 def test_requests_run_once_and_only_if_they_were_sent() -> None:
     judge = make_judge()
     request = Request(7, 0, 0.03, 16, 200)
-    judge.note_run(request, FLOW, target(), 1.0)
-    judge.note_sent(request, FLOW, 1.0)
-    judge.note_run(request, FLOW, target(), 2.0)
-    judge.note_run(request, FLOW, target(), 3.0)
+    judge.note_run(request, target(), 1.0)
+    judge.note_sent(request)
+    judge.note_run(request, target(), 2.0)
+    judge.note_run(request, target(), 3.0)
     assert rules(judge) == [Rule.UNASKED, Rule.TWICE]
 
 
@@ -127,9 +126,9 @@
 )
 def test_answers(answer: Answer, expected_number: int | None, expected: list[Rule]) -> None:
     judge = make_judge()
-    judge.note_sent(Request(7, 0, 0.03, 16, 200), FLOW, 1.0)
-    judge.note_sent(Request(8, 0, 0.03, 16, 200), FLOW, 1.0)
-    judge.note_answer(answer, expected_number)
+    judge.note_sent(Request(7, 0, 0.03, 16, 200))
+    judge.note_sent(Request(8, 0, 0.03, 16, 200))
+    judge.note_answer(answer, expected_number, 2.0)
     assert rules(judge) == expected
 
 
@@ -137,8 +136,8 @@
     judge = make_judge()
     judge.note_written(b"whole")
     for data in (b"whole", b"changed"):
-        judge.note_delivery(data, target())
-        judge.note_delivery_to_caller(data)
+        judge.note_delivery(data, target(), 1.0)
+        judge.note_delivery_to_caller(data, 1.0)
     assert rules(judge) == [Rule.UNASKED, Rule.MIXED]
 
 
