Never reset a flow because a balancer remembers a target that left

Change: an owner that has left is forgotten and the flow looked for along the rank, where it is reset only after every candidate denied it. The reason target-gone is no more.

The test that wanted such a reset was wrong, as memory of one's own choice is no proof; it wants now that the packet goes on to another candidate, also for resets, and failed before the change.

--- a/egretsill/address_steering/_balancer_steering.py
+++ b/egretsill/address_steering/_balancer_steering.py
@@ -80,8 +80,9 @@
         if packet.kind is PacketKind.OPENING:
             return self._place(packet, self._placement.service_of(route, packet.flow), now)
         owner = self._owners.get(packet.flow)
-        if owner is not None:
-            return self._send_to_owner(packet, owner, now)
+        if owner is not None and not self._is_gone(owner, now):
+            return self._forward(packet, owner.host, owner.service, ForwardReason.KNOWN_OWNER)
+        self._owners.pop(packet.flow, None)
         services = route.services
         ranked = self._placement.ranked(packet.flow, services, self._domain)
         if not ranked:
@@ -140,19 +141,19 @@
         ranked = self._placement.ranked(packet.flow, (service,), self._domain)
         return tuple(ranked[: CHOICES * packet.copy])
 
-    def _send_to_owner(self, packet: FlowPacket, owner: _Owner, now: float) -> BalancerDecision:
+    def _is_gone(self, owner: _Owner, now: float) -> bool:
+        """Return whether a flow's supposed owner has left with its VM.
+
+        That doesn't mean that the flow is over: an owner that this balancer chose may have had
+        no part in it, as another copy of the opening packet may have been answered first.
+        """
         view = self._directory.target_at(owner.host, owner.service)
-        is_gone = view is None or (
+        has_left = view is None or (
             view.gone_at is not None
             and view.lapsed_until <= now
             and now - view.gone_at > DEPARTED_SECONDS
         )
-        if is_gone and not self._peers.is_heard(owner.host, now):
-            self._owners.pop(packet.flow, None)
-            if packet.kind is PacketKind.RESET:
-                return Drop(packet.flow, DropReason.NO_TARGET)
-            return Refuse(packet.flow, packet.acknowledged, RefuseReason.TARGET_GONE)
-        return self._forward(packet, owner.host, owner.service, ForwardReason.KNOWN_OWNER)
+        return has_left and not self._peers.is_heard(owner.host, now)
 
     def _forward(
         self, packet: FlowPacket, host: int, service: str, reason: ForwardReason
--- a/egretsill/address_steering/_decisions.py
+++ b/egretsill/address_steering/_decisions.py
@@ -37,7 +37,6 @@
     NO_TARGET = "no-target"
     ALL_FULL = "all-full"
     NOWHERE_OPEN = "nowhere-open"
-    TARGET_GONE = "target-gone"
 
 
 class DropReason(enum.Enum):
--- a/egretsill/tracing/_conclusion.py
+++ b/egretsill/tracing/_conclusion.py
@@ -17,7 +17,6 @@
     RefuseReason.NOWHERE_OPEN.value: (
         "no target has the flow any more: it ended, or its target restarted"
     ),
-    RefuseReason.TARGET_GONE.value: "the entry of its target vanished and the VM was silent",
 }
 
 
