--- a/egretsill/emulator/_router.py
+++ b/egretsill/emulator/_router.py
@@ -45,6 +45,11 @@
         self._network = network
         self._missed: dict[str, int] = {}
 
+    @property
+    def host(self) -> str:
+        """Return its address."""
+        return self._host
+
     @property
     def balancers(self) -> list[str]:
         """Return the balancers in rotation, or all if too few are."""
--- a/egretsill/emulator/_world.py
+++ b/egretsill/emulator/_world.py
@@ -50,7 +50,17 @@
     """All parts of a day.
 
     Args:
+        day: what is there at the beginning.
+        adapter: makes packets and the store.
+        random: all chance of the day.
         nursery: in which everything runs.
+
+    Attributes:
+        machines: VMs with a process, by address.
+        targets: by the name of their entry, those that ended too.
+        services: that serve each kind of request, by its index; taken up when published.
+        pace: callers, of the usual number.
+        last_fault_ended_at: until when something is wrong, as far as it is planned.
     """
 
     def __init__(self, day: Day, adapter: Adapter, random: Random, nursery: trio.Nursery) -> None:
@@ -70,7 +80,6 @@
         self._numbers = itertools.count(1)
         self._names = itertools.count(1)
         self._version = 0
-        self._spare_routes = 0
         self._fabric = StreamFabric(self.network)
         self._routers = {
             domain: Router(f"10.201.0.{number}", PACKETS, HEALTH, day.hashing, self.network)
@@ -108,8 +117,8 @@
         for service, count in counts.items():
             for number in range(count):
                 self.add_target(service, DOMAINS[number % len(DOMAINS)])
-        for number, (domain, router) in enumerate(self._routers.items(), start=1):
-            self.network.place(f"10.201.0.{number}", domain)
+        for domain, router in self._routers.items():
+            self.network.place(router.host, domain)
             self._nursery.start_soon(router.probe)
 
     async def ask(self, seconds: float) -> None:
