Order a trace's lines of the same millisecond by the life of a flow

Cause: lines have milliseconds, a balancer's and an agent's decision may fall into one, and then the order was that of the files. The new test fails without the change.

--- a/egretsill/tracing/_history.py
+++ b/egretsill/tracing/_history.py
@@ -9,6 +9,8 @@
 
 AROUND_SECONDS = 5.0  # longer than callers wait for most answers, and than a VM takes to restart
 
+_FIRST = frozenset({"flow-new-flow", "flow-first-candidate"})
+_LAST = frozenset({"flow-refused", "request-expired"})
 _ABOUT_PROCESS = frozenset({"started", "leaving", "stopped", "woke"})
 _ABOUT_PEER = frozenset({"peer-silent", "peer-heard"})
 _ABOUT_STORE = frozenset({"store-lost", "store-regained"})
@@ -33,7 +35,7 @@
     @property
     def in_order(self) -> Sequence[LogLine]:
         """Return all its lines in order of time."""
-        return sorted((*self.lines, *self.around), key=lambda line: line.at)
+        return sorted((*self.lines, *self.around), key=_order)
 
 
 def find_history(name: str, lines: Iterable[LogLine]) -> History:
@@ -45,7 +47,7 @@
         name: a flow's name, or its caller's end.
         lines: of all processes, in any order.
     """
-    known = sorted(lines, key=lambda line: line.at)
+    known = sorted(lines, key=_order)
     own = tuple(line for line in known if _is_of(line, name))
     if not own:
         return History(name, (), (), 0)
@@ -60,6 +62,13 @@
     return History(name, own, around, omitted)
 
 
+def _order(line: LogLine) -> tuple[float, int]:
+    """Sort by time, and within a millisecond by which decision comes first in a flow's life."""
+    if line.kind in _FIRST:
+        return line.at, 0
+    return line.at, 2 if line.kind in _LAST else 1
+
+
 def _is_of(line: LogLine, name: str) -> bool:
     return line.flow == name or (bool(line.flow) and line.flow.partition(">")[0] == name)
 
--- a/egretsill/tracing/tests/test_conclusion.py
+++ b/egretsill/tracing/tests/test_conclusion.py
@@ -75,3 +75,9 @@
         STEERED,
     ]
     assert find_history(FLOW, lines).omitted == 3
+
+
+def test_lines_of_the_same_millisecond_are_in_the_order_of_a_flows_life() -> None:
+    refused = line("side-1", 100.0, "flow-refused", flow=FLOW, reason="all-full")
+    passed = line("side-1", 100.0, "flow-target-full", flow=FLOW, agent="10.1.0.8")
+    assert find_history(FLOW, [refused, passed, STEERED]).lines == (STEERED, passed, refused)
