--- a/egretsill/address_steering/__init__.py
+++ b/egretsill/address_steering/__init__.py
@@ -2,6 +2,7 @@
 
 from ._agent_steering import AgentSteering
 from ._balancer_steering import BalancerSteering
+from ._candidates import Candidates
 from ._decisions import (
     AgentEffect,
     Answered,
@@ -15,10 +16,12 @@
     Refuse,
     RefuseReason,
     SendToCaller,
+    TellHome,
     TellOwner,
     Wait,
 )
 from ._flow_table import FlowEntry, FlowState, FlowTable
+from ._homes import TELL_SECONDS
 from ._packet import (
     FlowKey,
     FlowPacket,
@@ -31,11 +34,13 @@
 from ._tunnel import (
     CarriedPacket,
     Envelope,
+    HomeNotice,
     MalformedTunnelMessage,
     OwnerNotice,
     TunnelMessage,
     decode_tunnel,
     encode_carried,
+    encode_home_notice,
     encode_owner_notice,
     service_mark,
 )
@@ -46,6 +51,7 @@
     "Answered",
     "BalancerDecision",
     "BalancerSteering",
+    "Candidates",
     "CarriedPacket",
     "Drop",
     "DropReason",
@@ -60,6 +66,7 @@
     "Forward",
     "ForwardReason",
     "HandToTarget",
+    "HomeNotice",
     "MalformedFlowPacket",
     "MalformedTunnelMessage",
     "OwnerNotice",
@@ -68,11 +75,14 @@
     "Refuse",
     "RefuseReason",
     "SendToCaller",
+    "TELL_SECONDS",
+    "TellHome",
     "TellOwner",
     "TunnelMessage",
     "Wait",
     "decode_tunnel",
     "encode_carried",
+    "encode_home_notice",
     "encode_owner_notice",
     "opening_delay",
     "service_mark",
--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -1,8 +1,9 @@
 """What an agent does with packets of callers and of its target.
 
 The agent sees every packet of its target's flows in both directions, so it knows them exactly. A
-packet of a flow that isn't here goes on to the next candidate, in the manner of Beamer's daisy
-chaining (Olteanu and others, 2018), with the visited agents listed so that none sees it twice.
+packet of a flow that isn't here goes to its owner, if the owner told this agent as the flow's home,
+or else on to the next candidate, in the manner of Beamer's daisy chaining (Olteanu and others,
+2018), with the visited agents listed so that none sees it twice.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 
 from ..directory import Directory, Route, TargetPhase, TargetView
 from ..fleet import PeerTable
+from ._candidates import ServiceRank, has_departed
 from ._decisions import (
     AgentEffect,
     Answered,
@@ -24,14 +26,16 @@
     Refuse,
     RefuseReason,
     SendToCaller,
+    TellHome,
     TellOwner,
     Wait,
 )
 from ._flow_table import MAXIMUM_FLOWS, FlowEntry, FlowState, FlowTable
+from ._homes import HomeTable, notices_due
 from ._packet import FlowPacket, PacketKind, opening_delay
 from ._placement import FlowPlacement
 from ._request_queue import RequestQueue, WaitingRequest
-from ._tunnel import MAXIMUM_VISITED, Envelope, OwnerNotice, service_mark
+from ._tunnel import MAXIMUM_VISITED, Envelope, HomeNotice, OwnerNotice, service_mark
 
 SILENT_TARGET_SECONDS = 0.6  # a usual answer takes a tenth; two copies of an opening packet fit in
 SILENCE_MEMORY_SECONDS = 2.0  # for how long after the last packet a silent target is avoided
@@ -46,6 +50,7 @@
         service: the target's service.
         directory: routes and targets.
         peers: heartbeats of the others.
+        placement: chooses targets for new flows that this one doesn't take.
         retention_seconds: age at which a flow may be forgotten.
         started_at: local time since which the agent has seen every packet of its target.
     """
@@ -56,6 +61,7 @@
         service: str,
         directory: Directory,
         peers: PeerTable,
+        placement: FlowPlacement,
         retention_seconds: float,
         started_at: float,
     ) -> None:
@@ -63,7 +69,10 @@
         self._service = service
         self._mark = service_mark(service)
         self._directory = directory
-        self._placement = FlowPlacement(directory, peers)
+        self._peers = peers
+        self._placement = placement
+        self._homes = HomeTable()
+        self._told_rank: ServiceRank | None = None
         self._flows = FlowTable(retention_seconds)
         self._queue = RequestQueue()
         self._complete_at = started_at + retention_seconds
@@ -80,6 +89,23 @@
         """Return the requests that wait for the target."""
         return self._queue
 
+    @property
+    def homed(self) -> int:
+        """Return how many flows of others this agent was told of."""
+        return len(self._homes)
+
+    def learn_home(self, notice: HomeNotice, now: float) -> None:
+        """Remember which agent has some flows, as their home."""
+        self._homes.learn(notice, now)
+
+    def tell_homes(self, now: float) -> Sequence[TellHome]:
+        """Return what to tell the homes of the flows that are open here."""
+        rank = self._placement.candidates.of(self._service)
+        is_new_rank = rank is not self._told_rank
+        self._told_rank = rank
+        due = notices_due(self._host, self._flows, rank, is_new_rank, now)
+        return [TellHome(home, notice) for home, notices in due.items() for notice in notices]
+
     def is_target_silent(self, now: float) -> bool:
         """Return whether the target has answered nothing for a while though it was sent work."""
         if self._unanswered_since is None:
@@ -114,11 +140,13 @@
             return self._take_bounced(packet, now)
         entry = self._flows.get(packet.flow)
         if entry is None:
-            entry = FlowEntry(FlowState.OWNED, 0, (), now, now)
+            entry = FlowEntry(FlowState.OWNED, 0, 0, (), now, now)
             self._flows.put(packet.flow, entry)
         elif entry.state is not FlowState.OWNED:
             self._flows.own(entry)
         entry.seen_at = now
+        if packet.kind is not PacketKind.OPENING_ANSWER:
+            entry.is_established = True
         delay = self._flows.answer_request(entry, now) if packet.payload_bytes else None
         if packet.kind is PacketKind.RESET:
             self._flows.remove(packet.flow)
@@ -152,12 +180,15 @@
         """Forget what is over or too old."""
         table = self._directory.table
         self._flows.sweep(now, table.idle_seconds if table else 0.0)
+        self._homes.sweep(now)
+        self._placement.tick(now)
 
     def _take_owned(
         self, entry: FlowEntry, envelope: Envelope, packet: FlowPacket, now: float
     ) -> Sequence[AgentEffect]:
         entry.seen_at = now
         entry.balancer = envelope.balancer
+        entry.cell_mark = envelope.cell_mark
         entry.visited = envelope.visited
         effects: list[AgentEffect] = []
         if packet.payload_bytes and self._must_wait(entry, packet, now):
@@ -247,13 +278,18 @@
         entry = self._flows.get(packet.flow)
         if entry is None:
             return (Drop(packet.flow, DropReason.UNEXPECTED),)
-        envelope = Envelope(entry.balancer, self._directory.version, self._mark, entry.visited)
+        envelope = Envelope(
+            entry.balancer, self._directory.version, self._mark, entry.visited, entry.cell_mark
+        )
         if packet.kind is PacketKind.OPENING:
             return self._pass_opening(
                 envelope, packet, self._service, ForwardReason.TARGET_FULL, now
             )
         self._flows.remove(packet.flow)
         self._queue.remove(packet.flow)
+        if entry.is_established:
+            # The flow was open here and nowhere else, so its target has lost it.
+            return self._refuse(packet, RefuseReason.LOST_BY_TARGET)
         return self._pass_on(envelope, packet, now)
 
     def _reason_to_pass(self, now: float) -> ForwardReason | None:
@@ -295,8 +331,8 @@
         if len(envelope.visited) >= MAXIMUM_VISITED:
             return None
         excluded = {*envelope.visited, self._host}
-        domain = self._placement.domain_of(envelope.balancer)
-        return self._placement.choose(packet.flow, service, excluded, domain, now)
+        cell = self._placement.candidates.cells.named_by(envelope.cell_mark)
+        return self._placement.choose(packet.flow, service, excluded, cell, now)
 
     def _note_handed(self, now: float) -> None:
         """Note that the target was sent something that it answers."""
@@ -311,14 +347,37 @@
         if route is None:
             return (Drop(flow, DropReason.NO_TARGET),)
         visited = {*envelope.visited, self._host}
-        domain = self._placement.domain_of(envelope.balancer)
-        for host in self._placement.ranked(flow, route.services, domain):
+        owner = self._homes.owner(flow)
+        if owner is not None and owner not in visited:
+            if not self._is_gone(owner, route, now):
+                return self._pass_to(owner, envelope, packet, ForwardReason.TOLD_BY_OWNER)
+            self._homes.forget(flow)
+            return self._refuse(packet, RefuseReason.OWNER_GONE)
+        cell = self._placement.candidates.cells.named_by(envelope.cell_mark)
+        for host in self._placement.search(flow, route.services, cell):
             if host in visited or self._is_empty(host, route, now):
                 continue
             return self._pass_to(host, envelope, packet, ForwardReason.NOT_HERE)
+        return self._refuse(packet, RefuseReason.NOWHERE_OPEN)
+
+    def _refuse(self, packet: FlowPacket, reason: RefuseReason) -> Sequence[AgentEffect]:
+        """Reset a flow that is known to be open nowhere."""
         if packet.kind is PacketKind.RESET:
-            return (Drop(flow, DropReason.NO_TARGET),)
-        return (Refuse(flow, packet.acknowledged, RefuseReason.NOWHERE_OPEN),)
+            return (Drop(packet.flow, DropReason.NO_TARGET),)
+        return (Refuse(packet.flow, packet.acknowledged, reason),)
+
+    def _is_gone(self, host: int, route: Route, now: float) -> bool:
+        """Return whether a flow's owner is known to have left with its VM.
+
+        An owner that isn't known here may be newer than this agent's directory.
+        """
+        views = [self._directory.target_at(host, service) for service in route.services]
+        known = [each for each in views if each is not None]
+        return (
+            bool(known)
+            and all(has_departed(each, now) for each in known)
+            and not self._peers.is_heard(host, now)
+        )
 
     def _pass_to(
         self, host: int, envelope: Envelope, packet: FlowPacket, reason: ForwardReason
@@ -340,4 +399,4 @@
         return self._directory.target_at(self._host, self._service)
 
     def _entry(self, state: FlowState, envelope: Envelope, now: float) -> FlowEntry:
-        return FlowEntry(state, envelope.balancer, envelope.visited, now, now)
+        return FlowEntry(state, envelope.balancer, envelope.cell_mark, envelope.visited, now, now)
--- a/egretsill/address_steering/_balancer_steering.py
+++ b/egretsill/address_steering/_balancer_steering.py
@@ -1,16 +1,19 @@
 """Where a balancer sends callers' packets.
 
-A balancer needs no state of a flow: every flow's owner is found from the rank of its candidates.
+A balancer needs no state of a flow: every flow's owner is found from the flow's candidates.
 It remembers owners that it chose or was told of, to spare packets a hop.
 """
 
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Sequence
 from dataclasses import dataclass
+from itertools import islice
 
 from ..directory import Directory
-from ..fleet import PeerTable
+from ..fleet import Cells, PeerTable, cell_mark
+from ._candidates import CHOICES, has_departed
 from ._decisions import (
     BalancerDecision,
     Drop,
@@ -21,12 +24,11 @@
     RefuseReason,
 )
 from ._packet import FlowKey, FlowPacket, PacketKind
-from ._placement import CHOICES, FlowPlacement
+from ._placement import FlowPlacement
 from ._tunnel import Envelope, OwnerNotice, service_mark
 
 MAXIMUM_OWNERS = 20_000  # some 6 MB; what is forgotten costs its next packet a hop
 CERTAIN_SECONDS = 2.0  # content confirmed longer ago may lack a new route
-DEPARTED_SECONDS = 1.0  # a target whose entry vanished may answer for that long
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +47,7 @@
         failure_domain: where its VM is.
         directory: routes and targets.
         peers: heartbeats of the agents.
+        placement: chooses targets for new flows.
         retention_seconds: age at which a flow may be forgotten.
     """
 
@@ -54,6 +57,7 @@
         failure_domain: str,
         directory: Directory,
         peers: PeerTable,
+        placement: FlowPlacement,
         retention_seconds: float,
     ) -> None:
         self._host = host
@@ -61,7 +65,9 @@
         self._directory = directory
         self._peers = peers
         self._retention_seconds = retention_seconds
-        self._placement = FlowPlacement(directory, peers)
+        self._placement = placement
+        self._cells: Cells | None = None
+        self._cell, self._cell_mark = "", 0
         self._owners: OrderedDict[FlowKey, _Owner] = OrderedDict()
         self._marks: dict[str, int] = {}
 
@@ -84,11 +90,9 @@
             return self._forward(packet, owner.host, owner.service, ForwardReason.KNOWN_OWNER)
         self._owners.pop(packet.flow, None)
         services = route.services
-        ranked = self._placement.ranked(packet.flow, services, self._domain)
-        if not ranked:
+        host = self._likeliest(packet.flow, services)
+        if host is None:
             return Drop(packet.flow, DropReason.NO_TARGET)
-        heard = [host for host in ranked if not self._peers.is_silent(host, now)]
-        host = (heard or ranked)[0]
         return self._forward(packet, host, services[0], ForwardReason.FIRST_CANDIDATE)
 
     def learn_owner(self, notice: OwnerNotice, now: float) -> bool:
@@ -103,13 +107,31 @@
         return False
 
     def tick(self, now: float) -> None:
-        """Forget owners of flows that are too old."""
+        """Forget owners of flows that are too old, and counts of new ones."""
+        self._placement.tick(now)
         while self._owners:
             flow, owner = next(iter(self._owners.items()))
             if now - owner.known_at < self._retention_seconds:
                 break
             del self._owners[flow]
 
+    def _own_cell(self) -> str:
+        cells = self._placement.candidates.cells
+        if cells is not self._cells:
+            self._cells = cells
+            self._cell = cells.cell_of(self._host, self._domain)
+            self._cell_mark = cell_mark(self._cell)
+        return self._cell
+
+    def _likeliest(self, flow: FlowKey, services: Sequence[str]) -> int | None:
+        """Return the VM on which a flow is looked for first, None if there are no targets."""
+        first = None
+        for host in self._placement.search(flow, services, self._own_cell()):
+            if not self._peers.is_silent(host):
+                return host
+            first = host if first is None else first
+        return first
+
     def _steer_without_route(self, packet: FlowPacket, now: float) -> BalancerDecision:
         if now - self._directory.confirmed_at > CERTAIN_SECONDS:
             return Drop(packet.flow, DropReason.STALE_CONTENT)
@@ -120,14 +142,14 @@
     def _place(self, packet: FlowPacket, service: str, now: float) -> BalancerDecision:
         flow = packet.flow
         excluded = self._tried(packet, service)
-        host = self._placement.choose(flow, service, excluded, self._domain, now)
+        host = self._placement.choose(flow, service, excluded, self._own_cell(), now)
         if host is None and excluded:
-            host = self._placement.choose(flow, service, (), self._domain, now)
+            host = self._placement.choose(flow, service, (), self._own_cell(), now)
         if host is None:
             if now - self._directory.confirmed_at > CERTAIN_SECONDS:
                 return Drop(flow, DropReason.NO_TARGET)
             return Refuse(flow, packet.acknowledged, RefuseReason.NO_TARGET)
-        self._placement.note_sent(host)
+        self._placement.note_sent(host, now)
         self._remember(flow, _Owner(host, service, (*excluded, host), now))
         return self._forward(packet, host, service, ForwardReason.NEW_FLOW)
 
@@ -138,8 +160,8 @@
         owner = self._owners.get(packet.flow)
         if owner is not None and owner.service == service:
             return owner.tried
-        ranked = self._placement.ranked(packet.flow, (service,), self._domain)
-        return tuple(ranked[: CHOICES * packet.copy])
+        search = self._placement.search(packet.flow, (service,), self._own_cell())
+        return tuple(islice(search, CHOICES * packet.copy))
 
     def _is_gone(self, owner: _Owner, now: float) -> bool:
         """Return whether a flow's supposed owner has left with its VM.
@@ -148,11 +170,7 @@
         no part in it, as another copy of the opening packet may have been answered first.
         """
         view = self._directory.target_at(owner.host, owner.service)
-        has_left = view is None or (
-            view.gone_at is not None
-            and view.lapsed_until <= now
-            and now - view.gone_at > DEPARTED_SECONDS
-        )
+        has_left = view is None or has_departed(view, now)
         return has_left and not self._peers.is_heard(owner.host, now)
 
     def _forward(
@@ -161,7 +179,8 @@
         mark = self._marks.get(service)
         if mark is None:
             mark = self._marks.setdefault(service, service_mark(service))
-        envelope = Envelope(self._host, self._directory.version, mark)
+        self._own_cell()
+        envelope = Envelope(self._host, self._directory.version, mark, (), self._cell_mark)
         return Forward(host, envelope, reason, packet.flow, packet.datagram)
 
     def _remember(self, flow: FlowKey, owner: _Owner) -> None:
--- /dev/null
+++ b/egretsill/address_steering/_candidates.py
@@ -0,0 +1,169 @@
+"""On which VMs a flow may be, as a function of the flow and the directory alone.
+
+New flows go to the first two targets of the rendezvous rank within the balancer's cell, or to the
+first of the two cells that rank first for the flow. The first of the two first cells are also the
+flow's homes, where the agent that has a flow tells so once the flow has lived for a while. So a
+packet whose owner isn't known is found from its flow alone, along five VMs at most, whatever the
+number of targets; only what was placed beyond them and not told yet needs a longer search.
+
+Ranking cells first and targets within a cell after it (two-level rendezvous hashing) costs the
+number of cells and the size of a cell, and not the number of targets.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping, Sequence
+
+from xxhash import xxh3_64_intdigest
+
+from ..directory import Directory, TargetView
+from ..fleet import Cells
+from ..ranking import bucket_of
+from ._packet import FlowKey
+
+CHOICES = 2  # the power of two choices (Mitzenmacher, 2001), in the near cell and beyond
+HOMES = 2  # one may die unnoticed
+DEPARTED_SECONDS = 1.0  # a target whose entry vanished may answer for that long
+
+
+class ServiceRank:
+    """The VMs of one service's targets, ranked for flows.
+
+    Args:
+        views: the service's targets, departed ones too.
+        cells: the cells of all VMs.
+    """
+
+    def __init__(self, views: Sequence[TargetView], cells: Cells) -> None:
+        self._views: dict[int, TargetView] = {}
+        departed: dict[int, None] = {}
+        members: dict[str, list[int]] = {}
+        for view in views:
+            host = view.target.host
+            if view.gone_at is not None and view.lapsed_until <= view.gone_at:
+                departed[host] = None
+                continue
+            if host not in self._views:
+                cell = cells.cell_of(host, view.target.failure_domain)
+                members.setdefault(cell, []).append(host)
+            self._views[host] = view
+        self._departed = tuple(host for host in departed if host not in self._views)
+        self._members = {
+            cell: tuple((host, host.to_bytes(4, "big")) for host in sorted(hosts))
+            for cell, hosts in sorted(members.items())
+        }
+        self._cells = tuple((cell, cell.encode()) for cell in self._members)
+
+    @property
+    def views(self) -> Mapping[int, TargetView]:
+        """Return the targets that have not departed, by VM."""
+        return self._views
+
+    @property
+    def departed(self) -> Sequence[int]:
+        """Return the VMs of targets that left while their flows may be open."""
+        return self._departed
+
+    def cells(self, bucket: int) -> Sequence[str]:
+        """Return the cells in the rank of a flow's bucket."""
+        ranked = sorted(self._cells, key=lambda each: xxh3_64_intdigest(each[1], bucket))
+        return [cell for cell, _ in ranked]
+
+    def ranked(self, cell: str, bucket: int) -> Sequence[int]:
+        """Return the VMs of a cell in the rank of a flow's bucket."""
+        digest = xxh3_64_intdigest
+        weighed = [(digest(encoded, bucket), host) for host, encoded in self._members.get(cell, ())]
+        weighed.sort(reverse=True)
+        return [host for _, host in weighed]
+
+    def first(self, cell: str, bucket: int) -> int | None:
+        """Return the first VM of a cell, None if it has no targets of the service."""
+        digest = xxh3_64_intdigest
+        members = self._members.get(cell)
+        return (
+            max((digest(encoded, bucket), host) for host, encoded in members)[1]
+            if members
+            else None
+        )
+
+    def homes(self, flow: FlowKey) -> Sequence[int]:
+        """Return the VMs whose agents are told where a flow is."""
+        return self._homes(bucket_of(flow.hash_key), HOMES)
+
+    def search(self, flow: FlowKey, near_cell: str) -> Iterator[int]:
+        """Yield the VMs on which a flow may be, the likeliest first, each once.
+
+        Args:
+            flow: the flow.
+            near_cell: cell of the balancer that took its packet.
+        """
+        seen: set[int] = set()
+        for host in self._search(bucket_of(flow.hash_key), near_cell):
+            if host not in seen:
+                seen.add(host)
+                yield host
+
+    def _search(self, bucket: int, near_cell: str) -> Iterator[int]:
+        near = self.ranked(near_cell, bucket)
+        # One home more than are told: new flows go beyond the near cell to the first two others.
+        homes = self._homes(bucket, HOMES + 1)
+        yield from near[:1]
+        yield from homes[:1]
+        yield from near[1:CHOICES]
+        yield from homes[1:]
+        yield from near
+        for cell in self.cells(bucket):
+            yield from self.ranked(cell, bucket)
+        yield from self._departed
+
+    def _homes(self, bucket: int, count: int) -> Sequence[int]:
+        cells = self.cells(bucket)
+        if len(cells) == 1:
+            return self.ranked(cells[0], bucket)[:count]
+        firsts = (self.first(cell, bucket) for cell in cells[:count])
+        return [host for host in firsts if host is not None]
+
+
+class Candidates:
+    """The ranks of all services, made anew when the directory's targets change.
+
+    Args:
+        directory: the targets.
+    """
+
+    def __init__(self, directory: Directory) -> None:
+        self._directory = directory
+        self._generation = -1
+        self._cells = Cells({})
+        self._ranks: dict[str, ServiceRank] = {}
+
+    @property
+    def cells(self) -> Cells:
+        """Return the cells of the targets in force; the same object until their VMs change."""
+        self._refresh()
+        return self._cells
+
+    def of(self, service: str) -> ServiceRank:
+        """Return the rank of a service's targets."""
+        self._refresh()
+        found = self._ranks.get(service)
+        if found is None:
+            found = ServiceRank(self._directory.targets_of(service), self._cells)
+            self._ranks[service] = found
+        return found
+
+    def _refresh(self) -> None:
+        if self._generation == self._directory.generation:
+            return
+        self._generation = self._directory.generation
+        self._ranks = {}
+        domains = self._directory.domains()
+        if domains != self._cells.domains:
+            self._cells = Cells(domains)
+
+
+def has_departed(view: TargetView, now: float) -> bool:
+    """Return whether a target's entry vanished and its last packets have been answered."""
+    if view.gone_at is None or view.lapsed_until > now:
+        return False
+    return now - view.gone_at > DEPARTED_SECONDS
--- a/egretsill/address_steering/_decisions.py
+++ b/egretsill/address_steering/_decisions.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple, TypeAlias
 
 from ._packet import FlowKey
-from ._tunnel import Envelope, OwnerNotice
+from ._tunnel import Envelope, HomeNotice, OwnerNotice
 
 
 class ForwardReason(enum.Enum):
@@ -23,6 +23,7 @@
     TARGET_SILENT = "target-silent"
     OTHER_SERVICE = "other-service"
     PASSED_BEFORE = "passed-before"
+    TOLD_BY_OWNER = "told-by-owner"
     NOT_HERE = "not-here"
 
 
@@ -37,6 +38,8 @@
     NO_TARGET = "no-target"
     ALL_FULL = "all-full"
     NOWHERE_OPEN = "nowhere-open"
+    OWNER_GONE = "owner-gone"
+    LOST_BY_TARGET = "lost-by-target"
 
 
 class DropReason(enum.Enum):
@@ -100,6 +103,13 @@
     notice: OwnerNotice
 
 
+class TellHome(NamedTuple):
+    """Tell a home which flows this agent has."""
+
+    home: int
+    notice: HomeNotice
+
+
 class Drop(NamedTuple):
     """Do nothing with a packet."""
 
@@ -140,5 +150,14 @@
 
 BalancerDecision: TypeAlias = Forward | Refuse | Drop
 AgentEffect: TypeAlias = (
-    Forward | HandToTarget | SendToCaller | Refuse | TellOwner | Drop | Wait | Expire | Answered
+    Forward
+    | HandToTarget
+    | SendToCaller
+    | Refuse
+    | TellOwner
+    | TellHome
+    | Drop
+    | Wait
+    | Expire
+    | Answered
 )
--- a/egretsill/address_steering/_flow_table.py
+++ b/egretsill/address_steering/_flow_table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
 from ._packet import FlowKey
@@ -30,6 +31,7 @@
     Attributes:
         state: what is known.
         balancer: the balancer that sent its last packet here.
+        cell_mark: mark of that balancer's cell.
         visited: agents that passed its last packet on before this one.
         seen_at: when its last packet passed.
         opened_at: when its first packet passed.
@@ -37,12 +39,16 @@
         pending_since: when its request in progress began to arrive, None if there is none.
         next_sequence: number of the byte after the last one that the caller sent.
         copy: how many opening packets the caller had sent before the one that came here.
+        is_established: whether the target has sent more than its answer to an opening packet.
+        homes: VMs whose agents were told of it.
+        told_at: when they were told last.
         caller_closed: whether the caller has ended its direction.
         target_closed: whether the target has ended its direction.
     """
 
     state: FlowState
     balancer: int
+    cell_mark: int
     visited: tuple[int, ...]
     seen_at: float
     opened_at: float
@@ -50,6 +56,9 @@
     pending_since: float | None = None
     next_sequence: int | None = None
     copy: int = 0
+    is_established: bool = False
+    homes: Sequence[int] = ()
+    told_at: float = float("-inf")
     caller_closed: bool = False
     target_closed: bool = False
 
@@ -101,6 +110,12 @@
         """Return a flow, or None if it isn't known."""
         return self._flows.get(flow)
 
+    def established(self) -> Iterator[tuple[FlowKey, FlowEntry]]:
+        """Yield the flows that are open at the target for sure."""
+        for flow, entry in self._flows.items():
+            if entry.is_established and not entry.has_ended:
+                yield flow, entry
+
     def put(self, flow: FlowKey, entry: FlowEntry) -> None:
         """Add or replace a flow; of too many, the oldest is forgotten."""
         self.remove(flow)
--- /dev/null
+++ b/egretsill/address_steering/_homes.py
@@ -0,0 +1,92 @@
+"""Where flows are, as their owners tell the flows' homes.
+
+An agent tells the homes of a flow once the flow has lived for longer than a request usually does,
+again when the homes change, and from time to time, as a home may have started anew. So the state
+of a home is its share of the flows, and a flow of a single request costs no message.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Mapping, Sequence
+
+from ._candidates import ServiceRank
+from ._flow_table import FlowTable
+from ._packet import FlowKey
+from ._tunnel import MAXIMUM_TOLD_FLOWS, HomeNotice
+
+TELL_SECONDS = 0.5  # how often flows are looked at; ten times a usual request's work
+TOLD_AGE_SECONDS = 0.4  # younger flows are found at their candidates, and most end before
+REPEAT_SECONDS = 4.0  # a home that started anew knows its flows by then
+MAXIMUM_HELD = 20_000  # flows, some 5 MB; of too many, those told longest ago are forgotten
+HELD_SECONDS = 3 * REPEAT_SECONDS  # two repeats may be lost
+
+
+class HomeTable:
+    """The flows that owners told this agent of."""
+
+    def __init__(self) -> None:
+        self._owners: OrderedDict[FlowKey, tuple[int, float]] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._owners)
+
+    def learn(self, notice: HomeNotice, now: float) -> None:
+        """Take over what an owner tells."""
+        for flow in notice.flows:
+            self._owners[flow] = (notice.owner, now)
+            self._owners.move_to_end(flow)
+        while len(self._owners) > MAXIMUM_HELD:
+            self._owners.popitem(last=False)
+
+    def owner(self, flow: FlowKey) -> int | None:
+        """Return the VM that has a flow, None if nobody told."""
+        found = self._owners.get(flow)
+        return found[0] if found else None
+
+    def forget(self, flow: FlowKey) -> None:
+        """Forget a flow whose owner turned out to be gone."""
+        self._owners.pop(flow, None)
+
+    def sweep(self, now: float) -> None:
+        """Forget what was not told again."""
+        while self._owners:
+            flow, (_, told_at) = next(iter(self._owners.items()))
+            if now - told_at < HELD_SECONDS:
+                return
+            del self._owners[flow]
+
+
+def notices_due(
+    host: int, flows: FlowTable, rank: ServiceRank, is_new_rank: bool, now: float
+) -> Mapping[int, Sequence[HomeNotice]]:
+    """Return what to tell the homes of an agent's flows now, and note that they are told.
+
+    Args:
+        host: address of the agent; it tells itself nothing.
+        flows: the flows that it knows of.
+        rank: the targets of its service.
+        is_new_rank: whether they changed since the last time.
+        now: local time.
+    """
+    due: dict[int, list[FlowKey]] = {}
+    for flow, entry in flows.established():
+        if now - entry.opened_at < TOLD_AGE_SECONDS:
+            continue
+        is_repeat = now - entry.told_at >= REPEAT_SECONDS
+        if not is_repeat and not is_new_rank:
+            continue
+        homes = rank.homes(flow)
+        for home in homes:
+            if home != host and (is_repeat or home not in entry.homes):
+                due.setdefault(home, []).append(flow)
+        entry.homes = homes
+        if is_repeat:
+            entry.told_at = now
+    return {
+        home: [
+            HomeNotice(host, tuple(told[start : start + MAXIMUM_TOLD_FLOWS]))
+            for start in range(0, len(told), MAXIMUM_TOLD_FLOWS)
+        ]
+        for home, told in due.items()
+    }
--- a/egretsill/address_steering/_placement.py
+++ b/egretsill/address_steering/_placement.py
@@ -1,21 +1,20 @@
 """Which target takes a new flow.
 
-The two first targets in the flow's rendezvous rank that can take it are compared, and the less
-loaded one is chosen (the power of two choices; Mitzenmacher, 2001). So load is balanced, and any
-process that knows only the flow finds its owner among the first of the rank. Targets in the failure
-domain of the balancer that took the packet come first, and the others only if they have less to do.
+The less loaded of the flow's candidates is chosen: the first two of its rank that can take it near
+the balancer, and the first of two other cells only if they have less to do. So load is balanced,
+and any process that knows only the flow finds its owner.
 """
 
 from __future__ import annotations
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Iterable, Iterator, Sequence
 
 from ..directory import Directory, Route, TargetPhase, TargetView
-from ..fleet import Heartbeat, PeerTable
-from ..ranking import bucket_of, rank
+from ..fleet import PeerTable
+from ..ranking import bucket_of
+from ._candidates import CHOICES, Candidates, ServiceRank
 from ._packet import FlowKey
 
-CHOICES = 2
 REMOTE_LOAD = (
     0.5  # request a slot; a target next door may have so much more to do than a distant one
 )
@@ -24,15 +23,26 @@
 SLOWEST_LOAD = 8.0  # a target is never counted as slower than that, so it can show recovery
 FASTEST_DELAY_MILLISECONDS = 10.0  # shorter delays are compared as this one
 USUAL_CAPACITY = 4  # for a target that doesn't say how many requests it works on
+USUAL_DELAY_SECONDS = 0.5  # for how long a service's usual delay is kept; heartbeats bring more
+FORGET_SENT_SECONDS = 5.0  # a count of flows is outdated by then, as heartbeats tell them
+
+HEALTHY, UNCERTAIN, UNWILLING, SILENT = range(4)
 
 
 class FlowPlacement:
     """Ranks and chooses targets for flows, by the directory and the peers' heartbeats."""
 
-    def __init__(self, directory: Directory, peers: PeerTable) -> None:
+    def __init__(self, directory: Directory, peers: PeerTable, candidates: Candidates) -> None:
         self._directory = directory
         self._peers = peers
-        self._sent: dict[int, tuple[int, int]] = {}
+        self._candidates = candidates
+        self._sent: dict[int, tuple[int, int, float]] = {}
+        self._usual_delays: dict[str, tuple[float, float]] = {}
+
+    @property
+    def candidates(self) -> Candidates:
+        """Return the ranks of the targets."""
+        return self._candidates
 
     def service_of(self, route: Route, flow: FlowKey) -> str:
         """Return the service that a new flow of a route goes to, by the shares' weights."""
@@ -47,33 +57,26 @@
                 return share.service
         return shares[0].service
 
-    def ranked(self, flow: FlowKey, services: Sequence[str], domain: str) -> Sequence[int]:
-        """Return the VMs on which a flow may be open, the likeliest first.
-
-        VMs of targets that left come last, as few of their flows are still open.
+    def search(self, flow: FlowKey, services: Sequence[str], cell: str) -> Iterator[int]:
+        """Yield the VMs on which a flow may be open, the likeliest first, each once.
 
         Args:
             flow: the flow.
             services: the services that may have it.
-            domain: failure domain of the balancer that took its packet.
+            cell: cell of the balancer that took its packet.
         """
-        order: list[int] = []
+        if len(services) == 1:
+            yield from self._candidates.of(services[0]).search(flow, cell)
+            return
+        seen: set[int] = set()
         for service in services:
-            places: dict[int, tuple[bool, bool]] = {}
-            for each in self._directory.targets_of(service):
-                place = (each.gone_at is not None, each.target.failure_domain != domain)
-                places[each.target.host] = min(place, places.get(each.target.host, place))
-            hosts = sorted(rank(flow.hash_key, places), key=places.__getitem__)
-            order.extend(host for host in hosts if host not in order)
-        return order
-
-    def domain_of(self, balancer: int) -> str:
-        """Return the failure domain of a balancer, empty if it is unknown."""
-        peer = self._peers.peers.get(balancer)
-        return peer.heartbeat.failure_domain if peer is not None else ""
+            for host in self._candidates.of(service).search(flow, cell):
+                if host not in seen:
+                    seen.add(host)
+                    yield host
 
     def choose(
-        self, flow: FlowKey, service: str, excluded: Collection[int], domain: str, now: float
+        self, flow: FlowKey, service: str, excluded: Collection[int], cell: str, now: float
     ) -> int | None:
         """Return the VM of the target that takes a new flow, or None if there is none.
 
@@ -81,32 +84,47 @@
             flow: the flow.
             service: the service that it goes to.
             excluded: VMs that were tried already.
-            domain: failure domain of the balancer that took its packet.
+            cell: cell of the balancer that took its packet.
             now: local time.
         """
-        usable = {
-            each.target.host: each
-            for each in self._directory.targets_of(service)
-            if each.target.phase is TargetPhase.READY
-            and (each.gone_at is None or each.lapsed_until > now)
-            and each.target.host not in excluded
-        }
-        heard = {host for host in usable if self._peers.is_heard(host, now)}
-        silent = {host for host in heard if self._heartbeat(host).is_target_silent}
-        leaving = {host for host in heard if self._heartbeat(host).is_leaving}
-        unknown = {host for host in usable if host not in self._peers.peers}
-        tiers = (heard - silent - leaving, unknown, usable.keys() - silent - leaving, usable)
-        for tier in tiers:
-            if tier:
-                return self._lesser(flow, usable, tier, domain, now)
-        return None
-
-    def note_sent(self, host: int) -> None:
-        """Count a flow that was placed since the target's last heartbeat."""
+        rank = self._candidates.of(service)
+        bucket = bucket_of(flow.hash_key)
+        near = self._best(rank, rank.ranked(cell, bucket), excluded, CHOICES, now)
+        costs = {host: self.load(rank.views[host], now) for host in near}
+        extra = 0.0
+        if near and self._level(near[0], now) == HEALTHY:
+            extra = REMOTE_LOAD
+            best = min(costs, key=costs.__getitem__)
+            # No other cell's target of the same capacity can have less to do.
+            if costs[best] <= extra + 1.0 / _capacity(rank.views[best]):
+                return best
+        far: list[int] = []
+        for other in rank.cells(bucket):
+            if other != cell:
+                far += self._best(rank, rank.ranked(other, bucket), excluded, 1, now)
+            if len(far) >= CHOICES and any(self._level(each, now) == HEALTHY for each in far):
+                break
+        costs |= {host: self.load(rank.views[host], now) + extra for host in far}
+        if not costs:
+            return None
+        levels = {host: self._level(host, now) for host in costs}
+        return min(costs, key=lambda host: (levels[host], costs[host]))
+
+    def note_sent(self, host: int, now: float) -> None:
+        """Count a flow that was placed since the target's last report."""
         peer = self._peers.peers.get(host)
-        sequence = peer.heartbeat.sequence if peer else 0
-        count, counted_at = self._sent.get(host, (0, sequence))
-        self._sent[host] = (count + 1 if counted_at == sequence else 1, sequence)
+        news = peer.news if peer else 0
+        count, counted_at, _ = self._sent.get(host, (0, news, now))
+        self._sent[host] = (count + 1 if counted_at == news else 1, news, now)
+
+    def tick(self, now: float) -> None:
+        """Forget counts that are outdated."""
+        for host, (_, _, sent_at) in tuple(self._sent.items()):
+            if now - sent_at > FORGET_SENT_SECONDS:
+                del self._sent[host]
+        for service, (_, found_at) in tuple(self._usual_delays.items()):
+            if now - found_at > FORGET_SENT_SECONDS:
+                del self._usual_delays[service]
 
     def load(self, view: TargetView, now: float) -> float:
         """Return the load of a target, per request that it works on at once."""
@@ -114,41 +132,79 @@
         peer = self._peers.peers.get(host)
         load = 1.0
         if peer is not None:
-            heartbeat = peer.heartbeat
-            count, counted_at = self._sent.get(host, (0, 0))
-            load += heartbeat.pending + FLOW_LOAD * heartbeat.flows
-            load += count if counted_at == heartbeat.sequence else 0
-            load *= self._slowness(heartbeat, view.target.service)
+            report = peer.report
+            count, counted_at, _ = self._sent.get(host, (0, 0, 0.0))
+            load += report.pending + FLOW_LOAD * report.flows
+            load += count if counted_at == peer.news else 0
+            if report.delay_milliseconds > FASTEST_DELAY_MILLISECONDS:
+                load *= self._slowness(report.delay_milliseconds, view.target.service, now)
         if view.cold_until > now:
             load *= COLD_LOAD
-        return load / max(view.target.capacity or USUAL_CAPACITY, 1)
+        return load / _capacity(view)
 
-    def _lesser(
+    def _best(
         self,
-        flow: FlowKey,
-        usable: dict[int, TargetView],
-        hosts: Collection[int],
-        domain: str,
+        rank: ServiceRank,
+        ranked: Iterable[int],
+        excluded: Collection[int],
+        count: int,
         now: float,
-    ) -> int:
-        ranked = rank(flow.hash_key, hosts)
-        near = [host for host in ranked if usable[host].target.failure_domain == domain]
-        far = [host for host in ranked if usable[host].target.failure_domain != domain]
-        costs = {host: self.load(usable[host], now) for host in near[:CHOICES]}
-        extra = REMOTE_LOAD if near else 0.0
-        costs |= {host: self.load(usable[host], now) + extra for host in far[:CHOICES]}
-        return min(costs, key=costs.__getitem__)
-
-    def _slowness(self, heartbeat: Heartbeat, service: str) -> float:
+    ) -> list[int]:
+        """Return the first VMs of a rank that take new flows, healthy ones before others."""
+        others: list[tuple[int, int]] = []
+        found: list[int] = []
+        for place, host in enumerate(ranked):
+            if host in excluded or not _is_open(rank.views[host], now):
+                continue
+            level = self._level(host, now)
+            if level == HEALTHY:
+                found.append(host)
+                if len(found) == count:
+                    return found
+            else:
+                others.append((level * len(rank.views) + place, host))
+        if found or not others:
+            return found
+        least = min(others)[0] // len(rank.views)
+        return [host for order, host in sorted(others) if order // len(rank.views) == least][:count]
+
+    def _level(self, host: int, now: float) -> int:
+        """Return how well a VM can take a new flow, as far as heartbeats tell."""
+        peer = self._peers.peers.get(host)
+        if peer is None:
+            return UNCERTAIN
+        if self._peers.is_silent(host):
+            return SILENT
+        if peer.report.is_leaving or peer.report.is_target_silent:
+            return UNWILLING
+        return HEALTHY if self._peers.is_heard(host, now) else UNCERTAIN
+
+    def _slowness(self, delay_milliseconds: int, service: str, now: float) -> float:
+        usual, found_at = self._usual_delays.get(service, (0.0, float("-inf")))
+        if now - found_at > USUAL_DELAY_SECONDS:
+            usual = self._usual_delay(service)
+            self._usual_delays[service] = (usual, now)
+        return min(max(delay_milliseconds / usual, 1.0), SLOWEST_LOAD)
+
+    def _usual_delay(self, service: str) -> float:
+        """Return the lower median of what a service's targets take, in milliseconds."""
+        peers = self._peers.peers
         delays = [
-            self._heartbeat(each.target.host).delay_milliseconds
-            for each in self._directory.targets_of(service)
-            if each.target.host in self._peers.peers
+            peers[host].report.delay_milliseconds
+            for host in self._candidates.of(service).views
+            if host in peers
         ]
-        # The lower median; the module statistics costs a start of the process 2% of its time.
+        # The module statistics would cost a start of the process 2% of its time.
         middle = sorted(delays)[(len(delays) - 1) // 2] if delays else 0
-        usual = max(middle, FASTEST_DELAY_MILLISECONDS)
-        return min(max(heartbeat.delay_milliseconds / usual, 1.0), SLOWEST_LOAD)
+        return max(float(middle), FASTEST_DELAY_MILLISECONDS)
+
+
+def _is_open(view: TargetView, now: float) -> bool:
+    """Return whether a target takes new flows by its entry."""
+    return view.target.phase is TargetPhase.READY and (
+        view.gone_at is None or view.lapsed_until > now
+    )
+
 
-    def _heartbeat(self, host: int) -> Heartbeat:
-        return self._peers.peers[host].heartbeat
+def _capacity(view: TargetView) -> int:
+    return max(view.target.capacity or USUAL_CAPACITY, 1)
--- a/egretsill/address_steering/_tunnel.py
+++ b/egretsill/address_steering/_tunnel.py
@@ -13,12 +13,16 @@
 
 from ._packet import FlowKey
 
-MAXIMUM_VISITED = 12  # hops of one packet; a service has fewer targets, or its owner is near
+MAXIMUM_VISITED = 12  # hops of one packet; candidates and homes are five, the rest is a search
+MAXIMUM_TOLD_FLOWS = 90  # of one datagram, which stays within a packet of 1,200 bytes
 
 _CARRY = 0xE1
 _OWNER = 0xE2
-_CARRY_HEAD = struct.Struct(">BBIQI")  # mark, visited agents, balancer, version, service
+_HOME = 0xE3
+_CARRY_HEAD = struct.Struct(">BBIQIH")  # mark, visited agents, balancer, version, service, cell
 _OWNER_NOTICE = struct.Struct(">BIHIHI")  # mark, four parts of the flow, owner
+_HOME_HEAD = struct.Struct(">BI")  # mark, owner
+_FLOW = struct.Struct(">IHIH")
 
 
 class Envelope(NamedTuple):
@@ -29,12 +33,14 @@
         version: configuration version by which it was steered.
         service_mark: hash of the name of the service that it was steered to.
         visited: addresses of the agents that have passed it on.
+        cell_mark: hash of the name of the balancer's cell.
     """
 
     balancer: int
     version: int
     service_mark: int
     visited: tuple[int, ...] = ()
+    cell_mark: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,7 +64,20 @@
     owner: int
 
 
-TunnelMessage: TypeAlias = CarriedPacket | OwnerNotice
+@dataclass(frozen=True, slots=True)
+class HomeNotice:
+    """Tells a flow's home which agent has it.
+
+    Attributes:
+        owner: address of the agent.
+        flows: at most 90 flows that it has.
+    """
+
+    owner: int
+    flows: tuple[FlowKey, ...]
+
+
+TunnelMessage: TypeAlias = CarriedPacket | OwnerNotice | HomeNotice
 
 
 class MalformedTunnelMessage(Exception):
@@ -82,7 +101,12 @@
     """Return the bytes of a carried packet."""
     visited = envelope.visited
     head = _CARRY_HEAD.pack(
-        _CARRY, len(visited), envelope.balancer, envelope.version, envelope.service_mark
+        _CARRY,
+        len(visited),
+        envelope.balancer,
+        envelope.version,
+        envelope.service_mark,
+        envelope.cell_mark,
     )
     if not visited:
         return head + datagram
@@ -94,6 +118,13 @@
     return _OWNER_NOTICE.pack(_OWNER, *notice.flow, notice.owner)
 
 
+def encode_home_notice(notice: HomeNotice) -> bytes:
+    """Return the bytes of a notice to a home."""
+    return _HOME_HEAD.pack(_HOME, notice.owner) + b"".join(
+        _FLOW.pack(*flow) for flow in notice.flows
+    )
+
+
 def decode_tunnel(data: bytes) -> TunnelMessage:
     """Return the message in a datagram.
 
@@ -106,17 +137,24 @@
     if mark == _CARRY:
         if len(data) < _CARRY_HEAD.size:
             raise MalformedTunnelMessage("short head")
-        _, count, balancer, version, service = _CARRY_HEAD.unpack_from(data)
+        _, count, balancer, version, service, cell = _CARRY_HEAD.unpack_from(data)
         start = _CARRY_HEAD.size + 4 * count
         if count > MAXIMUM_VISITED or len(data) < start:
             raise MalformedTunnelMessage("visited agents")
         visited: tuple[int, ...] = ()
         if count:
             visited = struct.unpack_from(f">{count}I", data, _CARRY_HEAD.size)
-        return CarriedPacket(Envelope(balancer, version, service, visited), data[start:])
+        return CarriedPacket(Envelope(balancer, version, service, visited, cell), data[start:])
     if mark == _OWNER:
         if len(data) != _OWNER_NOTICE.size:
             raise MalformedTunnelMessage("notice length")
         _, caller, caller_port, service_host, service_port, owner = _OWNER_NOTICE.unpack(data)
         return OwnerNotice(FlowKey(caller, caller_port, service_host, service_port), owner)
+    if mark == _HOME:
+        flows_bytes = len(data) - _HOME_HEAD.size
+        if flows_bytes <= 0 or flows_bytes % _FLOW.size:
+            raise MalformedTunnelMessage("home notice length")
+        owner = _HOME_HEAD.unpack_from(data)[1]
+        flows = tuple(FlowKey(*parts) for parts in _FLOW.iter_unpack(data[_HOME_HEAD.size :]))
+        return HomeNotice(owner, flows)
     raise MalformedTunnelMessage("unknown mark")
--- a/egretsill/address_steering/tests/scene.py
+++ b/egretsill/address_steering/tests/scene.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Mapping, Sequence
 from dataclasses import replace
+from typing import Any
 
 from ...directory import (
     Directory,
@@ -14,8 +15,16 @@
     Target,
     TargetPhase,
 )
-from ...fleet import Heartbeat, PeerTable
-from .. import Envelope, FlowKey, FlowPacket, PacketKind, service_mark
+from ...fleet import PeerReport, PeerTable, cell_mark
+from .. import (
+    Candidates,
+    Envelope,
+    FlowKey,
+    FlowPacket,
+    FlowPlacement,
+    PacketKind,
+    service_mark,
+)
 
 BALANCER = 0x0A010001
 AGENTS = tuple(0x0A020001 + number for number in range(5))
@@ -29,8 +38,7 @@
 IDLE = 15.0
 AIM = 0.2
 LIMIT = 1.5
-
-QUIET = Heartbeat(0, 1, 1, False, DOMAIN, False, True, 7, 100, 0, 0, 0, 0, False, ())
+CELL = f"{DOMAIN}/0"
 
 
 def target(host: int, service: str = SERVICE, **fields: object) -> Target:
@@ -51,7 +59,7 @@
 
     def __init__(self, host: int = BALANCER, targets: Sequence[Target] | None = None) -> None:
         self.directory = Directory(RETENTION)
-        self.peers = PeerTable(host, ())
+        self.peers = PeerTable(host)
         self.targets = {each.name: each for each in (targets or [target(host) for host in AGENTS])}
         self.revision = 100
         self.table = table()
@@ -77,13 +85,23 @@
         self.targets = {name: each for name, each in self.targets.items() if each.host != host}
         self.publish(now)
 
-    def hear(self, now: float, hosts: Sequence[int] = AGENTS, **fields: object) -> None:
-        """Let agents' heartbeats arrive."""
+    @property
+    def placement(self) -> FlowPlacement:
+        """Return a placement by what the process believes."""
+        return FlowPlacement(self.directory, self.peers, Candidates(self.directory))
+
+    def hear(self, now: float, hosts: Sequence[int] = AGENTS, **fields: Any) -> None:
+        """Let a hub tell of the agents that it hears, and how long it hasn't heard the others."""
+        reports = []
         for host in hosts:
             known = self.peers.peers.get(host)
-            before = known.heartbeat if known else replace(QUIET, host=host)
-            after = replace(before, sequence=before.sequence + 1, **fields)  # type: ignore[arg-type]
-            self.peers.receive(after, now)
+            before = known.report if known else PeerReport(host)
+            reports.append(before._replace(silence_milliseconds=0, **fields))
+        for host, peer in self.peers.peers.items():
+            if host not in hosts:
+                silence = round((now - peer.heard_at) * 1000)
+                reports.append(peer.report._replace(silence_milliseconds=silence))
+        self.peers.receive_reports(reports, now)
 
 
 def flow(number: int = 0) -> FlowKey:
@@ -107,4 +125,4 @@
 
 def envelope(visited: Sequence[int] = (), version: int = 7, service: str = SERVICE) -> Envelope:
     """Return how a packet came to an agent."""
-    return Envelope(BALANCER, version, service_mark(service), tuple(visited))
+    return Envelope(BALANCER, version, service_mark(service), tuple(visited), cell_mark(CELL))
--- a/egretsill/address_steering/tests/test_agent_steering.py
+++ b/egretsill/address_steering/tests/test_agent_steering.py
@@ -49,7 +49,9 @@
 
 
 def make_agent(scene: Scene, started_at: float = -RETENTION, host: int = HERE) -> AgentSteering:
-    return AgentSteering(host, SERVICE, scene.directory, scene.peers, RETENTION, started_at)
+    return AgentSteering(
+        host, SERVICE, scene.directory, scene.peers, scene.placement, RETENTION, started_at
+    )
 
 
 def open_flow(agent: AgentSteering, number: int = 0, now: float = 0.0) -> None:
--- a/egretsill/address_steering/tests/test_balancer_steering.py
+++ b/egretsill/address_steering/tests/test_balancer_steering.py
@@ -38,7 +38,9 @@
 
 
 def make_balancer(scene: Scene) -> BalancerSteering:
-    return BalancerSteering(BALANCER, DOMAIN, scene.directory, scene.peers, RETENTION)
+    return BalancerSteering(
+        BALANCER, DOMAIN, scene.directory, scene.peers, scene.placement, RETENTION
+    )
 
 
 def place(balancer: BalancerSteering, number: int, now: float, copy: int = 0) -> int:
--- a/egretsill/address_steering/tests/test_return_of_all.py
+++ b/egretsill/address_steering/tests/test_return_of_all.py
@@ -54,9 +54,19 @@
         scene = Scene()
         scene.hear(0.0)
         self.order = itertools.count()
-        self.balancer = BalancerSteering(BALANCER, DOMAIN, scene.directory, scene.peers, RETENTION)
+        self.balancer = BalancerSteering(
+            BALANCER, DOMAIN, scene.directory, scene.peers, scene.placement, RETENTION
+        )
         self.agents = {
-            host: AgentSteering(host, SERVICE, scene.directory, scene.peers, RETENTION, -RETENTION)
+            host: AgentSteering(
+                host,
+                SERVICE,
+                scene.directory,
+                scene.peers,
+                scene.placement,
+                RETENTION,
+                -RETENTION,
+            )
             for host in AGENTS
         }
         self.free_at = {host: [0.0] * SLOTS for host in AGENTS}
--- a/egretsill/address_steering/tests/test_tunnel.py
+++ b/egretsill/address_steering/tests/test_tunnel.py
@@ -9,19 +9,22 @@
 from .. import (
     CarriedPacket,
     Envelope,
+    HomeNotice,
     MalformedTunnelMessage,
     OwnerNotice,
     decode_tunnel,
     encode_carried,
+    encode_home_notice,
     encode_owner_notice,
     service_mark,
 )
+from .._tunnel import MAXIMUM_TOLD_FLOWS
 from .scene import AGENTS, BALANCER, flow
 
 
 @pytest.mark.parametrize("visited", [(), AGENTS[:1], AGENTS], ids=["none", "one", "five"])
 def test_carried_packets_come_back_as_they_were(visited: tuple[int, ...]) -> None:
-    envelope = Envelope(BALANCER, 2**40, service_mark("lookup"), visited)
+    envelope = Envelope(BALANCER, 2**40, service_mark("lookup"), visited, 0xBEEF)
     assert decode_tunnel(encode_carried(envelope, b"data")) == CarriedPacket(envelope, b"data")
 
 
@@ -30,6 +33,13 @@
     assert decode_tunnel(encode_owner_notice(notice)) == notice
 
 
+def test_home_notices_come_back_as_they_were_and_stay_within_a_packet() -> None:
+    notice = HomeNotice(AGENTS[2], tuple(flow(number) for number in range(MAXIMUM_TOLD_FLOWS)))
+    data = encode_home_notice(notice)
+    assert decode_tunnel(data) == notice
+    assert len(data) <= 1_200
+
+
 @pytest.mark.parametrize(
     "data",
     [
@@ -39,6 +49,8 @@
         pytest.param(b"\xe1\xff" + bytes(400), id="too many visited"),
         pytest.param(b"\xe1\x05" + bytes(20), id="visited cut off"),
         pytest.param(b"\xe2" + bytes(3), id="short notice"),
+        pytest.param(b"\xe3" + bytes(4), id="home notice without flows"),
+        pytest.param(b"\xe3" + bytes(15), id="home notice cut off"),
     ],
 )
 def test_anything_else_is_a_typed_error(data: bytes) -> None:
@@ -50,9 +62,9 @@
     source = random.Random(8)
     outcomes: set[type] = set()
     for _ in range(5000):
-        data = bytes([source.choice((0xE1, 0xE2, source.randrange(256)))])
+        data = bytes([source.choice((0xE1, 0xE2, 0xE3, source.randrange(256)))])
         try:
             outcomes.add(type(decode_tunnel(data + source.randbytes(source.randrange(60)))))
         except MalformedTunnelMessage:
             outcomes.add(MalformedTunnelMessage)
-    assert outcomes == {CarriedPacket, OwnerNotice, MalformedTunnelMessage}
+    assert outcomes == {CarriedPacket, OwnerNotice, HomeNotice, MalformedTunnelMessage}
--- a/egretsill/directory/__init__.py
+++ b/egretsill/directory/__init__.py
@@ -1,23 +1,30 @@
 """Routes and targets that a process steers by, read from the store or learned from peers."""
 
+from ._change_log import ChangeLog, ContentChanges, RouteChanges
 from ._directory import RETENTION_SECONDS, Directory, TargetView
 from ._messages import (
     DIRECTORY_TYPES,
+    ContentChanged,
     ContentFound,
     ContentWanted,
     DirectoryMessage,
     MalformedContent,
+    pack_changes,
     pack_table,
     pack_targets,
+    unpack_changes,
     unpack_table,
     unpack_targets,
 )
 from ._model import Changes, Route, RouteTable, ServiceShare, Snapshot, Target, TargetPhase
-from ._reading import Pause, ReadAll, ReadPlan, ReadStep, WatchChanges
+from ._reading import READERS, Pause, ReadAll, ReadPlan, ReadStep, WatchChanges, reader_order
 from ._store import HistoryLost, Store, StoreFailure, StoreUnavailable
 
 __all__ = [
+    "ChangeLog",
     "Changes",
+    "ContentChanged",
+    "ContentChanges",
     "ContentFound",
     "ContentWanted",
     "DIRECTORY_TYPES",
@@ -26,11 +33,13 @@
     "HistoryLost",
     "MalformedContent",
     "Pause",
+    "READERS",
     "RETENTION_SECONDS",
     "ReadAll",
     "ReadPlan",
     "ReadStep",
     "Route",
+    "RouteChanges",
     "RouteTable",
     "ServiceShare",
     "Snapshot",
@@ -41,8 +50,11 @@
     "TargetPhase",
     "TargetView",
     "WatchChanges",
+    "pack_changes",
     "pack_table",
     "pack_targets",
+    "reader_order",
+    "unpack_changes",
     "unpack_table",
     "unpack_targets",
 ]
--- /dev/null
+++ b/egretsill/directory/_change_log.py
@@ -0,0 +1,122 @@
+"""What changed in a directory, kept for peers that have an earlier revision."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from ._model import Route, RouteTable, Target
+
+MAXIMUM_STEPS = 256  # changes kept; two rolling releases of a hundred targets are some 400
+
+
+@dataclass(frozen=True, slots=True)
+class RouteChanges:
+    """How a configuration differs from an earlier one.
+
+    Attributes:
+        base_version: the earlier one's version.
+        version: its own version.
+        idle_seconds: a flow that was silent for longer may be forgotten.
+        changed: routes that are new or differ.
+        removed: addresses and ports of routes that are gone.
+    """
+
+    base_version: int
+    version: int
+    idle_seconds: float
+    changed: Sequence[Route]
+    removed: Sequence[tuple[int, int]]
+
+
+@dataclass(frozen=True, slots=True)
+class ContentChanges:
+    """What came after a revision. Holds for every state from the base on, as it is a net result.
+
+    Attributes:
+        base: the revision that it is built on.
+        revision: the store's revision at the last of the changes.
+        routes: changes of the configuration, None if there are none.
+        targets: entries that were written.
+        removed: names of entries that are gone.
+    """
+
+    base: int
+    revision: int
+    routes: RouteChanges | None
+    targets: Sequence[Target]
+    removed: Sequence[str]
+
+
+def route_changes(before: RouteTable, after: RouteTable) -> RouteChanges:
+    """Return how a configuration differs from an earlier one."""
+    changed = [each for key, each in after.routes.items() if before.routes.get(key) != each]
+    removed = [key for key in before.routes if key not in after.routes]
+    return RouteChanges(before.version, after.version, after.idle_seconds, changed, removed)
+
+
+def apply_route_changes(table: RouteTable, changes: RouteChanges) -> RouteTable:
+    """Return the later configuration that changes make of one that is not older than their base."""
+    routes = dict(table.routes)
+    for key in changes.removed:
+        routes.pop(key, None)
+    routes.update({(each.host, each.port): each for each in changes.changed})
+    return RouteTable(changes.version, routes, changes.idle_seconds)
+
+
+class ChangeLog:
+    """The last changes of a directory, in order, each built on the one before."""
+
+    def __init__(self) -> None:
+        self._steps: deque[ContentChanges] = deque(maxlen=MAXIMUM_STEPS)
+
+    def append(self, step: ContentChanges) -> None:
+        """Keep a change; what doesn't follow the last one makes the earlier ones useless."""
+        if self._steps and self._steps[-1].revision != step.base:
+            self._steps.clear()
+        self._steps.append(step)
+
+    def clear(self) -> None:
+        """Forget all changes, as the content was replaced as a whole."""
+        self._steps.clear()
+
+    def since(self, revision: int) -> ContentChanges | None:
+        """Return what came after a revision, or None if that is no longer known."""
+        if not self._steps or not self._steps[0].base <= revision < self._steps[-1].revision:
+            return None
+        steps = [each for each in self._steps if each.revision > revision]
+        targets: dict[str, Target] = {}
+        removed: dict[str, None] = {}
+        for step in steps:
+            for name in step.removed:
+                targets.pop(name, None)
+                removed[name] = None
+            for target in step.targets:
+                targets[target.name] = target
+                removed.pop(target.name, None)
+        return ContentChanges(
+            steps[0].base,
+            steps[-1].revision,
+            _combined([each.routes for each in steps if each.routes is not None]),
+            tuple(targets.values()),
+            tuple(removed),
+        )
+
+
+def _combined(steps: Sequence[RouteChanges]) -> RouteChanges | None:
+    if not steps:
+        return None
+    changed: dict[tuple[int, int], Route] = {}
+    removed: dict[tuple[int, int], None] = {}
+    for step in steps:
+        for key in step.removed:
+            changed.pop(key, None)
+            removed[key] = None
+        for route in step.changed:
+            changed[(route.host, route.port)] = route
+            removed.pop((route.host, route.port), None)
+    base, last = steps[0].base_version, steps[-1]
+    return RouteChanges(
+        base, last.version, last.idle_seconds, tuple(changed.values()), tuple(removed)
+    )
--- a/egretsill/directory/_directory.py
+++ b/egretsill/directory/_directory.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 from typing import TypeVar
 
+from ._change_log import ChangeLog, ContentChanges, apply_route_changes, route_changes
 from ._model import Changes, Route, RouteTable, Snapshot, Target, TargetPhase
 
 OUTAGE_SECONDS = 1.5  # unconfirmed for longer: entries may have lapsed while nobody could renew
@@ -54,6 +55,13 @@
         self._content_revision = 0
         self._confirmed_at = NEVER
         self._grace_until = NEVER
+        self._generation = 0
+        self._log = ChangeLog()
+
+    @property
+    def generation(self) -> int:
+        """Return a number that rises whenever targets in force or departed ones change."""
+        return self._generation
 
     @property
     def table(self) -> RouteTable | None:
@@ -80,6 +88,11 @@
         """Return whether there is a configuration and something was read about targets."""
         return self._table is not None and self._content_revision > 0
 
+    @property
+    def has_content(self) -> bool:
+        """Return whether anything was read about the store's content."""
+        return self._content_revision > 0
+
     @property
     def targets(self) -> Sequence[Target]:
         """Return the entries that the store holds; lapsed ones are this process's own matter."""
@@ -98,9 +111,17 @@
         found = [each for each in self._by_host.get(host, ()) if each.target.service == service]
         return max(found, key=_recency, default=None)
 
-    def hosts(self) -> Iterable[int]:
-        """Return the VMs of the targets in force."""
-        return {each.target.host for each in self._targets.values()}
+    def domains(self) -> Mapping[int, str]:
+        """Return the failure domain of each VM that has a target in force."""
+        return {each.target.host: each.target.failure_domain for each in self._targets.values()}
+
+    def services(self) -> Iterable[str]:
+        """Return the names of the services that have targets, departed ones too."""
+        return self._by_service.keys()
+
+    def changes_since(self, revision: int) -> ContentChanges | None:
+        """Return what came after a revision, or None if only the whole content will do."""
+        return self._log.since(revision)
 
     def apply_snapshot(self, snapshot: Snapshot, now: float) -> bool:
         """Take over a linearizable read; return whether anything in force changed."""
@@ -110,9 +131,10 @@
         named = {each.name: each for each in snapshot.targets}
         removed = [name for name in self._targets if name not in named]
         changes = Changes(snapshot.at, snapshot.table, tuple(named.values()), tuple(removed))
+        is_first = self._content_revision == 0
         changed = self._merge(changes, now)
-        if changed or self._content_revision == 0:
-            self._content_revision = max(snapshot.at, self._content_revision)
+        if is_first:
+            self._content_revision = snapshot.at
         self._confirmed_at = now
         return changed
 
@@ -122,8 +144,6 @@
             return False
         self._note_return(now)
         changed = self._merge(changes, now)
-        if changed:
-            self._content_revision = changes.at
         self._confirmed_at = now
         return changed
 
@@ -146,6 +166,31 @@
         self.confirm(revision, age_seconds, now)
         return changed
 
+    def apply_peer_changes(
+        self, changes: ContentChanges, age_seconds: float, now: float
+    ) -> bool | None:
+        """Take over what a peer says came after a revision.
+
+        Returns:
+            Whether anything changed; None if this process lacks what the changes build on.
+        """
+        if changes.revision <= self._content_revision:
+            return False
+        if changes.base > self._content_revision or self._content_revision == 0:
+            return None
+        table = None
+        if changes.routes is not None and changes.routes.version > self.version:
+            if self._table is None or changes.routes.base_version > self.version:
+                return None
+            table = apply_route_changes(self._table, changes.routes)
+        self._note_return(now - age_seconds)
+        changed = self._merge(
+            Changes(changes.revision, table, changes.targets, changes.removed), now
+        )
+        self._content_revision = changes.revision
+        self.confirm(changes.revision, age_seconds, now)
+        return changed
+
     def confirm(self, revision: int, age_seconds: float, now: float) -> None:
         """Note that somebody's read confirmed a revision some seconds ago."""
         if revision == self._content_revision and revision > 0:
@@ -176,17 +221,39 @@
             self._grace_until = now + LAPSE_GRACE_SECONDS
 
     def _merge(self, changes: Changes, now: float) -> bool:
-        changed = False
-        if changes.table is not None and changes.table.version > self.version:
+        before = self._table
+        is_newer = changes.table is not None and changes.table.version > self.version
+        if is_newer:
             self._table = changes.table
-            changed = True
-        for target in changes.changed:
-            changed |= self._merge_target(target, now)
-        for name in changes.removed:
-            changed |= self._remove(name, now)
-        if changed:
+        written = [each for each in changes.changed if self._merge_target(each, now)]
+        removed = [name for name in changes.removed if self._remove(name, now)]
+        if not is_newer and not written and not removed:
+            return False
+        if written or removed:
             self._index(now)
-        return changed
+        self._log_changes(changes.at, before, written, removed)
+        self._content_revision = max(changes.at, self._content_revision)
+        return True
+
+    def _log_changes(
+        self,
+        revision: int,
+        table_before: RouteTable | None,
+        written: Sequence[Target],
+        removed: Sequence[str],
+    ) -> None:
+        """Keep a change for peers, if there is a revision that it is built on."""
+        base = self._content_revision
+        if base == 0 or revision <= base:
+            self._log.clear()
+            return
+        routes = None
+        if self._table is not table_before and self._table is not None:
+            if table_before is None:
+                self._log.clear()
+                return
+            routes = route_changes(table_before, self._table)
+        self._log.append(ContentChanges(base, revision, routes, tuple(written), tuple(removed)))
 
     def _merge_target(self, target: Target, now: float) -> bool:
         known = self._targets.get(target.name)
@@ -213,6 +280,7 @@
         self._departed[name] = TargetView(known.target, known.cold_until, now)
 
     def _index(self, now: float) -> None:
+        self._generation += 1
         by_service: dict[str, list[TargetView]] = {}
         by_host: dict[int, list[TargetView]] = {}
         for view in (*self._in_place(now), *self._departed.values()):
--- a/egretsill/directory/_reading.py
+++ b/egretsill/directory/_reading.py
@@ -1,17 +1,19 @@
 """Which processes read the store, and when.
 
-A few readers, ranked by rendezvous hash over the processes that can reach the store, hold a watch
-each; the others learn from peers. A process reads for itself when nothing that it heard was
-confirmed lately, so the bound on staleness doesn't rest on any reader. Views of the fleet may
-differ; then there are some more readers for a while.
+Two readers, the first agents in a rendezvous rank over the directory's VMs that reach the store,
+hold a watch each; the others learn from peers. Everybody ranks what everybody knows, so the readers
+are the same two for all, whatever the size of the fleet. A process reads for itself when nothing
+that it heard was confirmed lately, so the bound on staleness doesn't rest on any reader.
 """
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import TypeAlias
 
+from xxhash import xxh3_64_intdigest
+
 from ..ranking import rank
 
 READERS = 2  # one may fail unnoticed for a moment without others having to read
@@ -23,14 +25,22 @@
 HASTY_PAUSE_SECONDS = 0.15  # between tries of a process that serves nothing until it has read
 CALM_PAUSE_SECONDS = 1.0  # between tries before the fleet's first configuration
 RETRY_PAUSE_SECONDS = 0.4  # between tries of the first in rank while content is stale
-RANK_SLOWDOWN = 0.5  # each further place in the rank waits this share of a pause longer
+RANK_SLOWDOWN = 0.5  # each further turn waits this share of a pause longer
+TURNS = 16  # over which the processes that are no readers are spread
+TURN_SECONDS = 0.06  # so all turns pass within a second, which the bound on staleness leaves
+FIRST_TURN_SECONDS = 0.25  # likewise before the fleet's first configuration, in four seconds
 FAILED_SECONDS = 2.0  # for how long a failed read keeps a process from being a reader
 SHORTEST_PAUSE_SECONDS = 0.005  # a wait that rounds to nothing would spin
-POLL_SECONDS = 0.1  # how soon a change of the fleet or of ages is noticed
+POLL_SECONDS = 0.2  # how soon a change of the fleet or of ages is noticed
 
 _READERS_KEY = b"store readers"
 
 
+def reader_order(hosts: Iterable[int]) -> Sequence[int]:
+    """Return VMs in the order in which they are to read the store."""
+    return rank(_READERS_KEY, hosts)
+
+
 @dataclass(frozen=True, slots=True)
 class ReadAll:
     """Read everything.
@@ -75,6 +85,8 @@
 
     def __init__(self, host: int, is_first_start: bool) -> None:
         self._host = host
+        self._spread = xxh3_64_intdigest(host.to_bytes(4, "big")) % TURNS
+        self._started_at: float | None = None
         self._is_first_start = is_first_start
         self._failed_at = float("-inf")
         self._tried_at = float("-inf")
@@ -85,27 +97,27 @@
         return now - self._failed_at > FAILED_SECONDS
 
     def next_step(
-        self, now: float, confirmed_at: float, is_known: bool, readers: Collection[int]
+        self, now: float, confirmed_at: float, has_content: bool, readers: Sequence[int]
     ) -> ReadStep:
         """Return what to do now.
 
         Args:
             now: local time.
             confirmed_at: when the content was last confirmed by anybody.
-            is_known: whether there is content to serve by.
-            readers: other processes that can reach the store.
+            has_content: whether anything is known of the store's content.
+            readers: the processes that hold a watch, as far as this one can tell.
         """
-        order = rank(_READERS_KEY, {*readers, self._host})
-        place = order.index(self._host)
-        if not is_known:
-            return self._step_unknown(now, place)
-        if place < READERS and self.can_read(now):
+        turn = readers.index(self._host) if self._host in readers else READERS + self._spread
+        if not has_content:
+            return self._step_without_content(now, turn)
+        if self._host in readers and self.can_read(now):
             if self._needs_read:
                 return ReadAll(READ_TIMEOUT_SECONDS)
             return WatchChanges(WATCH_SECONDS, WATCH_SECONDS + WATCH_SLACK_SECONDS)
-        if now - confirmed_at < STALE_SECONDS:
-            return Pause(POLL_SECONDS)
-        return self._step_after(now, RETRY_PAUSE_SECONDS * (1 + RANK_SLOWDOWN * place))
+        due_at = confirmed_at + STALE_SECONDS + TURN_SECONDS * turn
+        if now < due_at:
+            return _pause_until(due_at, now)
+        return self._step_after(now, RETRY_PAUSE_SECONDS * (1 + RANK_SLOWDOWN * turn))
 
     def note_try(self, now: float) -> None:
         """Note that the store is being asked."""
@@ -125,16 +137,23 @@
         """Note that changes can't be watched from the known revision."""
         self._needs_read = True
 
-    def _step_unknown(self, now: float, place: int) -> ReadStep:
-        if self._is_first_start:
-            pause = CALM_PAUSE_SECONDS * (1 + RANK_SLOWDOWN * place)
-            return self._step_after(now, pause)
-        return self._step_after(now, HASTY_PAUSE_SECONDS, HASTY_TIMEOUT_SECONDS)
+    def _step_without_content(self, now: float, turn: int) -> ReadStep:
+        if not self._is_first_start:
+            return self._step_after(now, HASTY_PAUSE_SECONDS, HASTY_TIMEOUT_SECONDS)
+        if self._started_at is None:
+            self._started_at = now
+        due_at = self._started_at + FIRST_TURN_SECONDS * turn
+        if now < due_at:
+            return _pause_until(due_at, now)
+        return self._step_after(now, CALM_PAUSE_SECONDS * (1 + RANK_SLOWDOWN * turn))
 
     def _step_after(
         self, now: float, pause_seconds: float, timeout_seconds: float = READ_TIMEOUT_SECONDS
     ) -> ReadStep:
         if now - self._tried_at < pause_seconds:
-            left = self._tried_at + pause_seconds - now
-            return Pause(min(max(left, SHORTEST_PAUSE_SECONDS), POLL_SECONDS))
+            return _pause_until(self._tried_at + pause_seconds, now)
         return ReadAll(timeout_seconds)
+
+
+def _pause_until(due_at: float, now: float) -> Pause:
+    return Pause(min(max(due_at - now, SHORTEST_PAUSE_SECONDS), POLL_SECONDS))
--- a/egretsill/directory/tests/test_reading.py
+++ b/egretsill/directory/tests/test_reading.py
@@ -2,20 +2,22 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 import pytest
 
-from ...ranking import rank
-from .. import Pause, ReadAll, ReadPlan, ReadStep, WatchChanges
-from .._reading import FAILED_SECONDS, READERS, STALE_SECONDS
+from .. import READERS, Pause, ReadAll, ReadPlan, ReadStep, WatchChanges, reader_order
+from .._reading import FAILED_SECONDS, STALE_SECONDS, TURN_SECONDS, TURNS
 
 FLEET = frozenset(range(1, 18))
-ORDER = rank(b"store readers", FLEET)
+ORDER = reader_order(FLEET)
+CHOSEN = ORDER[:READERS]
 
 
-def step(host: int, now: float, confirmed_at: float, readers: frozenset[int] = FLEET) -> ReadStep:
+def step(host: int, now: float, confirmed_at: float, readers: Sequence[int] = CHOSEN) -> ReadStep:
     plan = ReadPlan(host, False)
     plan.note_read()
-    return plan.next_step(now, confirmed_at, True, readers - {host})
+    return plan.next_step(now, confirmed_at, True, readers)
 
 
 def test_two_processes_watch_and_the_others_wait() -> None:
@@ -25,33 +27,42 @@
 
 
 def test_the_next_in_rank_watches_when_a_reader_cannot() -> None:
-    without = FLEET - {ORDER[0]}
+    without = ORDER[1 : 1 + READERS]
     assert isinstance(step(ORDER[READERS], 10.0, 9.9, without), WatchChanges)
 
 
 def test_everybody_reads_when_nothing_was_confirmed_lately() -> None:
-    now = 10.0 + STALE_SECONDS
+    now = 10.0 + STALE_SECONDS + TURN_SECONDS * (READERS + TURNS)
+    assert now < 10.0 + 3.0, "the shortest time in which changes must be in force"
     assert all(isinstance(step(host, now, 10.0), ReadAll) for host in ORDER[READERS:])
 
 
+def test_the_processes_that_read_because_nobody_does_are_spread() -> None:
+    """Hundreds that notice at once would read at once, and the first reading serves them all."""
+    now = 10.0 + STALE_SECONDS + TURN_SECONDS * 2
+    fleet = range(1, 400)
+    first = sum(isinstance(step(host, now, 10.0), ReadAll) for host in fleet)
+    assert first < 2 * len(fleet) / TURNS
+
+
 def test_a_failed_reader_is_none_for_a_while_and_reads_everything_then() -> None:
     plan = ReadPlan(ORDER[0], False)
     plan.note_read()
     plan.note_failure(10.0)
     assert not plan.can_read(10.1)
-    assert isinstance(plan.next_step(10.1, 10.0, True, FLEET), Pause)
+    assert isinstance(plan.next_step(10.1, 10.0, True, CHOSEN), Pause)
     later = 10.1 + FAILED_SECONDS
-    assert isinstance(plan.next_step(later, later, True, FLEET), ReadAll)
+    assert isinstance(plan.next_step(later, later, True, CHOSEN), ReadAll)
 
 
 def test_lost_history_is_read_anew() -> None:
     plan = ReadPlan(ORDER[0], False)
     plan.note_read()
     plan.note_history_lost()
-    assert isinstance(plan.next_step(10.0, 9.9, True, FLEET), ReadAll)
+    assert isinstance(plan.next_step(10.0, 9.9, True, CHOSEN), ReadAll)
 
 
-def tries(is_first_start: bool, host: int, readers: frozenset[int] = FLEET) -> int:
+def tries(is_first_start: bool, host: int, readers: Sequence[int] = CHOSEN) -> int:
     """Return how often a process that knows nothing asks in ten seconds."""
     plan = ReadPlan(host, is_first_start)
     now, count = 0.0, 0
@@ -81,7 +92,7 @@
         plan.note_read()
         now = 10.0
         while now < 20.0:
-            match plan.next_step(now, 5.0, True, frozenset()):
+            match plan.next_step(now, 5.0, True, ()):
                 case ReadAll() | WatchChanges():
                     plan.note_try(now)
                     plan.note_failure(now)
--- a/egretsill/documentation/_message_tables.py
+++ b/egretsill/documentation/_message_tables.py
@@ -8,7 +8,6 @@
 
 from ..configuration import CONFIGURATION_TYPES
 from ..directory import DIRECTORY_TYPES
-from ..fleet import FLEET_TYPES
 from ..membership import MEMBERSHIP_TYPES
 from ..placement import LOAD_TYPES
 from ..requests import RELAY_TYPES
@@ -19,7 +18,6 @@
     "load": LOAD_TYPES,
     "configuration": CONFIGURATION_TYPES,
     "directory": DIRECTORY_TYPES,
-    "fleet": FLEET_TYPES,
 }
 
 _HEADING = "| Tag | Message | Fields | Meaning |\n| --- | --- | --- | --- |\n"
--- a/egretsill/fleet/__init__.py
+++ b/egretsill/fleet/__init__.py
@@ -1,13 +1,35 @@
 """Heartbeats between the processes of a fleet that steers by address."""
 
-from ._heartbeat import FLEET_TYPES, Heartbeat
+from ._cells import CELL_TARGETS, Cells, cell_mark
+from ._heartbeat import (
+    MAXIMUM_REPORTS,
+    Heartbeat,
+    HeartbeatHead,
+    MalformedHeartbeat,
+    PeerReport,
+    decode_head,
+    decode_reports,
+    encode_heartbeat,
+)
+from ._hubs import HUBS, HubPlan
 from ._peers import HEARTBEAT_SECONDS, SILENT_SECONDS, Peer, PeerTable
 
 __all__ = [
-    "FLEET_TYPES",
+    "CELL_TARGETS",
+    "Cells",
     "HEARTBEAT_SECONDS",
+    "HUBS",
     "Heartbeat",
+    "HeartbeatHead",
+    "HubPlan",
+    "MAXIMUM_REPORTS",
+    "MalformedHeartbeat",
     "Peer",
+    "PeerReport",
     "PeerTable",
     "SILENT_SECONDS",
+    "cell_mark",
+    "decode_head",
+    "decode_reports",
+    "encode_heartbeat",
 ]
--- a/egretsill/fleet/_peers.py
+++ b/egretsill/fleet/_peers.py
@@ -1,49 +1,50 @@
-"""The processes that this one exchanges heartbeats with, and which of them are heard."""
+"""What is known of the other processes, from their own heartbeats and from their hubs."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
-from ..ranking import rank
-from ._heartbeat import Heartbeat
+from ._heartbeat import HeartbeatHead, PeerReport
 
 HEARTBEAT_SECONDS = 0.25  # three fit between the first copies of a caller's opening packet
 SILENT_SECONDS = 0.85  # three lost heartbeats and the delay of a busy sender
-FORGET_SECONDS = 20.0  # a balancer that was silent for longer has left for good
-MAXIMUM_BALANCERS = 2_000  # above the size that the fleet is built for
-MAXIMUM_RECIPIENTS = 40  # heartbeats a period that one process sends
-TOLD_BALANCERS = 6  # addresses a heartbeat; a newcomer is known to all after two rounds
+UNCERTAIN_SECONDS = 3.0  # without news of a peer for longer, its state is no longer relied on
+FORGET_SECONDS = 20.0  # a process that was silent for longer has left for good
+MILLISECONDS = 1000
 
-_RING_KEY = b"heartbeat recipients"
 
-
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Peer:
     """What is known of one process.
 
     Attributes:
-        heartbeat: the newest one.
-        heard_at: local time of its arrival.
+        report: the newest one.
+        heard_at: local time at which somebody heard the process last.
+        reported_at: local time at which somebody last told whether it was heard.
+        news: counts the reports that told something newer.
     """
 
-    heartbeat: Heartbeat
+    report: PeerReport
     heard_at: float
+    reported_at: float
+    news: int = 0
 
 
 class PeerTable:
-    """Heartbeats of the other processes.
+    """The other processes.
+
+    Silence is evidence only of somebody who would have heard: a process is silent if a hub that
+    it tells says so, and never because nobody told this process of it.
 
     Args:
         host: IPv4 address of this process, as a number.
-        seeds: processes to tell before anything is known.
     """
 
-    def __init__(self, host: int, seeds: Iterable[int]) -> None:
+    def __init__(self, host: int) -> None:
         self._host = host
-        self._seeds = frozenset(seeds) - {host}
         self._peers: dict[int, Peer] = {}
-        self._named: dict[int, float] = {}
+        self._runs: dict[int, tuple[int, int, float]] = {}
         self._woken_at = float("-inf")
 
     @property
@@ -51,74 +52,73 @@
         """Return every peer that was ever heard and is not forgotten, by address."""
         return self._peers
 
-    def replace_seeds(self, seeds: Iterable[int]) -> None:
-        """Use other seeds from now on."""
-        self._seeds = frozenset(seeds) - {self._host}
-
-    def receive(self, heartbeat: Heartbeat, now: float) -> bool:
-        """Take over a heartbeat; return whether it is news."""
-        if heartbeat.host == self._host:
+    def receive_head(self, head: HeartbeatHead, now: float) -> bool:
+        """Note a sender; return whether its heartbeat is news."""
+        if head.host == self._host:
+            return False
+        known = self._runs.get(head.host)
+        # A later run may have a lower number, as the clock of its VM may have been set back.
+        if known is not None and head.incarnation == known[0] and head.sequence <= known[1]:
             return False
-        known = self._peers.get(heartbeat.host)
-        if known is not None:
-            before = known.heartbeat
-            # A later run may have a lower number, as the clock of its VM may have been set back.
-            is_same_run = heartbeat.incarnation == before.incarnation
-            if is_same_run and heartbeat.sequence <= before.sequence:
-                return False
-        self._peers[heartbeat.host] = Peer(heartbeat, now)
-        for host in heartbeat.balancers[:TOLD_BALANCERS]:
-            if host != self._host and len(self._named) < MAXIMUM_BALANCERS:
-                self._named.setdefault(host, now)
+        self._runs[head.host] = (head.incarnation, head.sequence, now)
         return True
 
+    def receive_reports(self, reports: Iterable[PeerReport], now: float) -> None:
+        """Take over what a sender told."""
+        peers = self._peers
+        for report in reports:
+            if report.host == self._host:
+                continue
+            heard_at = now - report.silence_milliseconds / MILLISECONDS
+            known = peers.get(report.host)
+            if known is None:
+                peers[report.host] = Peer(report, heard_at, now)
+                continue
+            known.reported_at = now
+            if heard_at > known.heard_at:
+                known.report = report
+                known.heard_at = heard_at
+                known.news += 1
+
     def is_heard(self, host: int, now: float) -> bool:
         """Return whether a peer is alive as far as this process can tell."""
         peer = self._peers.get(host)
-        return peer is not None and now - max(peer.heard_at, self._woken_at) < SILENT_SECONDS
+        if peer is None or peer.reported_at - peer.heard_at >= SILENT_SECONDS:
+            return False
+        return now - max(peer.heard_at, self._woken_at) < UNCERTAIN_SECONDS
 
-    def is_silent(self, host: int, now: float) -> bool:
-        """Return whether a peer that was heard before is heard no more."""
+    def is_silent(self, host: int) -> bool:
+        """Return whether somebody who would have heard a peer says that it is silent."""
         peer = self._peers.get(host)
-        return peer is not None and now - max(peer.heard_at, self._woken_at) >= SILENT_SECONDS
+        return peer is not None and peer.reported_at - peer.heard_at >= SILENT_SECONDS
 
     def heard(self, now: float) -> Sequence[Peer]:
         """Return the peers that are alive."""
         return [each for host, each in self._peers.items() if self.is_heard(host, now)]
 
-    def readers(self, now: float) -> frozenset[int]:
-        """Return the peers that are alive and reach the store."""
-        return frozenset(
-            each.heartbeat.host
-            for each in self.heard(now)
-            if each.heartbeat.can_read and not each.heartbeat.is_leaving
-        )
+    def can_read(self, host: int) -> bool:
+        """Return whether a peer reaches the store, is there and stays, as far as is known."""
+        peer = self._peers.get(host)
+        if peer is None:
+            return True
+        return peer.report.can_read and not peer.report.is_leaving and not self.is_silent(host)
 
-    def recipients(self, agents: Iterable[int], now: float) -> Sequence[int]:
-        """Return the processes to send a heartbeat to.
+    def reports_of(self, hosts: Iterable[int], now: float) -> Sequence[PeerReport]:
+        """Return what to tell of processes that tell this one.
 
         Args:
-            agents: addresses of the targets' VMs.
+            hosts: they send their heartbeats here, so their silence is evidence.
             now: local time.
         """
-        heard = {host for host in self._peers if self.is_heard(host, now)}
-        wanted = {*agents, *self._seeds, *heard, *self._named} - {self._host}
-        if len(wanted) <= MAXIMUM_RECIPIENTS:
-            return tuple(wanted)
-        key = _RING_KEY + self._host.to_bytes(4, "big")
-        return rank(key, wanted)[:MAXIMUM_RECIPIENTS]
-
-    def told_balancers(self, now: float, sequence: int) -> tuple[int, ...]:
-        """Return some balancers for the next heartbeat, others each time."""
-        known = sorted(
-            host
-            for host, each in self._peers.items()
-            if each.heartbeat.is_balancer and self.is_heard(host, now)
-        )
-        if len(known) <= TOLD_BALANCERS:
-            return tuple(known)
-        start = sequence * TOLD_BALANCERS % len(known)
-        return tuple((known + known)[start : start + TOLD_BALANCERS])
+        found = []
+        for host in hosts:
+            peer = self._peers.get(host)
+            if peer is None:
+                continue
+            silence = max(now - max(peer.heard_at, self._woken_at), 0.0)
+            peer.reported_at = max(peer.reported_at, min(now, peer.heard_at + silence))
+            found.append(peer.report._replace(silence_milliseconds=int(silence * MILLISECONDS)))
+        return found
 
     def note_wake(self, now: float) -> None:
         """Don't count the own sleep as the others' silence."""
@@ -129,6 +129,6 @@
         for host, peer in tuple(self._peers.items()):
             if now - max(peer.heard_at, self._woken_at) > FORGET_SECONDS:
                 del self._peers[host]
-        for host, named_at in tuple(self._named.items()):
-            if now - named_at > FORGET_SECONDS:
-                del self._named[host]
+        for host, (_, _, heard_at) in tuple(self._runs.items()):
+            if now - heard_at > FORGET_SECONDS:
+                del self._runs[host]
--- /dev/null
+++ b/egretsill/fleet/tests/test_heartbeat.py
@@ -0,0 +1,62 @@
+"""Heartbeats as bytes."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from .. import (
+    MAXIMUM_REPORTS,
+    Heartbeat,
+    HeartbeatHead,
+    MalformedHeartbeat,
+    PeerReport,
+    decode_head,
+    decode_reports,
+    encode_heartbeat,
+)
+
+HEAD = HeartbeatHead(0x0A010001, 1_790_000_000_000, 77, 12, 3_456, 250, "fi-south-a/0")
+REPORT = PeerReport(0x0A020001, False, True, True, True, 3, 12, 45, 250)
+
+
+def test_a_heartbeat_survives_the_wire() -> None:
+    data = encode_heartbeat(Heartbeat(HEAD, [REPORT, PeerReport(5, can_read=False)]))
+    assert decode_head(data) == HEAD
+    assert decode_reports(data) == [REPORT, PeerReport(5, can_read=False)]
+
+
+def test_a_full_heartbeat_stays_within_a_packet() -> None:
+    assert len(encode_heartbeat(Heartbeat(HEAD, [REPORT] * MAXIMUM_REPORTS))) <= 1_200
+
+
+def test_figures_beyond_their_width_are_the_largest() -> None:
+    report = REPORT._replace(pending=10**6, flows=10**6, silence_milliseconds=10**6)
+    (decoded,) = decode_reports(encode_heartbeat(Heartbeat(HEAD, [report])))
+    assert (decoded.pending, decoded.flows, decoded.silence_milliseconds) == (65535, 65535, 2550)
+
+
+@given(st.binary(max_size=200), st.integers(0, 60))
+def test_anything_else_is_malformed_or_decoded(noise: bytes, kept: int) -> None:
+    whole = encode_heartbeat(Heartbeat(HEAD, [REPORT] * 3))
+    for data in (noise, whole[:kept] + noise):
+        try:
+            head = decode_head(data)
+        except MalformedHeartbeat:
+            continue
+        assert isinstance(head.cell, str)
+        assert all(0 <= each.silence_milliseconds <= 2550 for each in decode_reports(data))
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        pytest.param(b"", id="empty"),
+        pytest.param(encode_heartbeat(Heartbeat(HEAD, [REPORT]))[:-1], id="cut"),
+        pytest.param(b"\xb0" + encode_heartbeat(Heartbeat(HEAD, [REPORT]))[1:], id="other mark"),
+    ],
+)
+def test_what_is_no_heartbeat_is_rejected(data: bytes) -> None:
+    with pytest.raises(MalformedHeartbeat):
+        decode_head(data)
--- /dev/null
+++ b/egretsill/fleet/tests/test_hubs.py
@@ -0,0 +1,147 @@
+"""Who tells whom: at every size of a fleet, and while hubs die."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+
+from .. import HEARTBEAT_SECONDS, HUBS, Cells, HeartbeatHead, HubPlan, PeerReport, PeerTable
+from .._hubs import FAILED_SECONDS, HUB_SILENT_SECONDS, TOLD_CELLS
+
+SEED = 99
+
+
+class Fleet:
+    """Processes of some cells that tell each other in steps, without a network."""
+
+    def __init__(self, targets: int, domains: int) -> None:
+        known = {0x0A000000 + each: f"d{each % domains}" for each in range(targets)}
+        self.cells = Cells(known)
+        self.hosts = dict(known)
+        self.peers = {host: PeerTable(host) for host in known}
+        self.plans = {
+            host: HubPlan(host, domain, [SEED], self.peers[host]) for host, domain in known.items()
+        }
+        for plan in self.plans.values():
+            plan.replace_cells(self.cells)
+        self.dead: set[int] = set()
+        self.now = 0.0
+        self.sent: Counter[int] = Counter()
+
+    def step(self) -> None:
+        """Let every process tell whom it would in one period."""
+        self.now += HEARTBEAT_SECONDS
+        for host, plan in self.plans.items():
+            if host in self.dead:
+                continue
+            hubs = plan.hubs(self.now)
+            far = plan.far_hubs(self.now)
+            own = [PeerReport(host)]
+            digest = own + list(self.peers[host].reports_of(plan.subscribers(), self.now))
+            for told in hubs:
+                self._deliver(host, told, own, True)
+            for told in far:
+                self._deliver(host, told, digest, True)
+            for told in (*plan.subscribers(), *plan.far_subscribers(self.now)):
+                self._deliver(host, told, digest, False)
+            plan.note_told((*hubs, *far), self.now)
+            plan.stop_telling((*hubs, *far))
+            plan.tick(self.now)
+
+    def _deliver(self, sender: int, host: int, reports: list[PeerReport], is_asking: bool) -> None:
+        self.sent[sender] += 1
+        if host in self.dead or host not in self.plans:
+            return
+        cell = self.plans[sender].cell
+        head = HeartbeatHead(sender, 1, self.sent[sender], 1, 1, 0, cell, is_asking)
+        self.peers[host].receive_reports(reports, self.now)
+        self.plans[host].receive(head, self.now)
+
+    def hubs_of(self, host: int) -> tuple[int, ...]:
+        cell = self.plans[host].cell
+        return tuple(each for each in self.cells.members(cell) if self.plans[each].is_hub(self.now))
+
+
+def test_before_anything_is_known_the_seeds_are_told() -> None:
+    plan = HubPlan(1, "d0", [SEED, 1], PeerTable(1))
+    assert plan.hubs(0.0) == (SEED,)
+    assert plan.far_hubs(0.0) == ()
+    plan.replace_seeds([7])
+    assert plan.hubs(0.0) == (7,)
+
+
+@pytest.mark.parametrize(("targets", "domains"), [(15, 3), (110, 5), (300, 1)])
+def test_the_own_cell_is_heard_by_all_within_a_second(targets: int, domains: int) -> None:
+    fleet = Fleet(targets, domains)
+    for _ in range(4):
+        fleet.step()
+    for host, peers in fleet.peers.items():
+        cell = fleet.plans[host].cell
+        others = set(fleet.cells.members(cell)) - {host}
+        assert {each for each in others if peers.is_heard(each, fleet.now)} == others
+
+
+@pytest.mark.parametrize(("targets", "domains"), [(15, 3), (110, 5), (1_300, 7)])
+def test_what_a_process_sends_does_not_grow_with_the_fleet(targets: int, domains: int) -> None:
+    fleet = Fleet(targets, domains)
+    for _ in range(8):
+        fleet.step()
+    fleet.sent.clear()
+    for _ in range(4):
+        fleet.step()
+    plain = [host for host in fleet.hosts if not fleet.plans[host].is_hub(fleet.now)]
+    assert max(fleet.sent[host] for host in plain) <= 4 * HUBS
+    # A hub tells its cell, and the hubs of some other cells.
+    assert max(fleet.sent.values()) <= 4 * (2 * 48 + HUBS * (TOLD_CELLS + 10))
+
+
+@pytest.mark.parametrize("count", [pytest.param(1, id="one hub"), pytest.param(2, id="both hubs")])
+def test_hubs_that_die_are_replaced_within_a_second_or_so(count: int) -> None:
+    fleet = Fleet(42, 3)
+    for _ in range(8):
+        fleet.step()
+    host = next(each for each in fleet.hosts if not fleet.plans[each].is_hub(fleet.now))
+    before = fleet.hubs_of(host)
+    fleet.dead.update(before[:count])
+    died_at = fleet.now
+    while fleet.now < died_at + HUB_SILENT_SECONDS + 2 * HEARTBEAT_SECONDS:
+        fleet.step()
+    chosen = fleet.plans[host].hubs(fleet.now)
+    assert len(chosen) == HUBS
+    assert not fleet.dead & set(chosen)
+    fleet.step()
+    living = set(fleet.cells.members(fleet.plans[host].cell)) - fleet.dead - {host}
+    assert all(fleet.peers[host].is_heard(each, fleet.now) for each in living)
+    assert not any(fleet.peers[host].is_silent(each) for each in living)
+
+
+def test_a_dead_process_is_silent_for_its_cell_within_the_bound() -> None:
+    fleet = Fleet(42, 3)
+    for _ in range(8):
+        fleet.step()
+    victim = next(each for each in fleet.hosts if not fleet.plans[each].is_hub(fleet.now))
+    fleet.dead.add(victim)
+    for _ in range(5):
+        fleet.step()
+    near = set(fleet.cells.members(fleet.plans[victim].cell)) - {victim}
+    assert all(fleet.peers[host].is_silent(victim) for host in near)
+
+
+def test_a_hub_that_answers_nothing_is_asked_again_after_a_while() -> None:
+    fleet = Fleet(15, 3)
+    plan = next(iter(fleet.plans.values()))
+    first = tuple(plan.hubs(0.0))
+    plan.note_told(first, 0.0)
+    assert set(plan.tick(HUB_SILENT_SECONDS)) == set(first)
+    assert not set(first) & set(plan.hubs(HUB_SILENT_SECONDS))
+    plan.tick(HUB_SILENT_SECONDS + FAILED_SECONDS + 0.1)
+    assert tuple(plan.hubs(HUB_SILENT_SECONDS + FAILED_SECONDS + 0.1)) == first
+
+
+def test_own_sleep_is_not_the_hubs_silence() -> None:
+    fleet = Fleet(15, 3)
+    plan = next(iter(fleet.plans.values()))
+    plan.note_told(plan.hubs(0.0), 0.0)
+    plan.note_wake(60.0)
+    assert plan.tick(60.1) == []
--- a/egretsill/fleet/tests/test_peers.py
+++ b/egretsill/fleet/tests/test_peers.py
@@ -1,26 +1,53 @@
-"""The processes that one exchanges heartbeats with."""
+"""What is known of the other processes."""
 
 from __future__ import annotations
 
-from dataclasses import replace
+from typing import Any
 
 import pytest
 
-from .. import SILENT_SECONDS, Heartbeat, PeerTable
-from .._peers import FORGET_SECONDS, MAXIMUM_RECIPIENTS, TOLD_BALANCERS
+from .. import SILENT_SECONDS, HeartbeatHead, PeerReport, PeerTable
+from .._peers import FORGET_SECONDS, UNCERTAIN_SECONDS
 
-OWN = 1
-BEAT = Heartbeat(2, 100, 1, True, "a", False, True, 7, 20, 0, 0, 0, 0, False, ())
+OWN, PEER, HUB = 1, 2, 3
+HEAD = HeartbeatHead(HUB, 100, 1, 7, 20, 0, "a/0")
 
 
-def test_a_peer_is_heard_until_it_has_been_silent() -> None:
-    table = PeerTable(OWN, ())
-    assert not table.is_silent(2, 0.0), "a peer that never spoke isn't silent"
-    table.receive(BEAT, 0.0)
-    assert table.is_heard(2, SILENT_SECONDS - 0.01)
-    assert table.is_silent(2, SILENT_SECONDS)
-    table.receive(replace(BEAT, sequence=2), 5.0)
-    assert table.is_heard(2, 5.1)
+def told(table: PeerTable, now: float, silence: float = 0.0, host: int = PEER) -> None:
+    """Let a hub tell when it heard a process."""
+    report = PeerReport(host, silence_milliseconds=round(silence * 1000))
+    table.receive_reports([report], now)
+
+
+def test_a_peer_is_heard_until_somebody_tells_of_its_silence() -> None:
+    table = PeerTable(OWN)
+    assert not table.is_silent(PEER), "a peer that never spoke isn't silent"
+    told(table, 0.0)
+    assert table.is_heard(PEER, 0.1)
+    told(table, SILENT_SECONDS - 0.01, SILENT_SECONDS - 0.01)
+    assert table.is_heard(PEER, SILENT_SECONDS)
+    told(table, SILENT_SECONDS, SILENT_SECONDS)
+    assert table.is_silent(PEER)
+    assert not table.is_heard(PEER, SILENT_SECONDS)
+    told(table, 5.0)
+    assert table.is_heard(PEER, 5.1)
+
+
+def test_a_peer_that_nobody_tells_of_is_not_held_for_silent() -> None:
+    table = PeerTable(OWN)
+    told(table, 0.0)
+    assert not table.is_silent(PEER)
+    assert table.is_heard(PEER, UNCERTAIN_SECONDS - 0.1)
+    assert not table.is_heard(PEER, UNCERTAIN_SECONDS + 0.1)
+
+
+def test_one_hub_that_hears_a_peer_outweighs_one_that_does_not() -> None:
+    table = PeerTable(OWN)
+    for step in range(20):
+        now = step * 0.25
+        told(table, now)
+        told(table, now + 0.01, now + 0.01)
+        assert not table.is_silent(PEER)
 
 
 @pytest.mark.parametrize(
@@ -33,52 +60,58 @@
         pytest.param({"host": OWN}, False, id="own"),
     ],
 )
-def test_only_news_is_taken(change: dict[str, int], is_news: bool) -> None:
-    table = PeerTable(OWN, ())
-    table.receive(BEAT, 0.0)
-    assert table.receive(replace(BEAT, **change), 1.0) is is_news  # type: ignore[arg-type]
+def test_only_news_is_taken(change: dict[str, Any], is_news: bool) -> None:
+    table = PeerTable(OWN)
+    table.receive_head(HEAD, 0.0)
+    assert table.receive_head(HEAD._replace(**change), 1.0) is is_news
+
+
+def test_an_older_report_changes_nothing_but_when_it_was_told() -> None:
+    table = PeerTable(OWN)
+    table.receive_reports([PeerReport(PEER, pending=3)], 1.0)
+    table.receive_reports([PeerReport(PEER, pending=9, silence_milliseconds=500)], 1.1)
+    assert table.peers[PEER].report.pending == 3
+    assert table.peers[PEER].news == 0
+
+
+@pytest.mark.parametrize(
+    ("report", "can_read"),
+    [
+        pytest.param(PeerReport(PEER), True, id="healthy"),
+        pytest.param(PeerReport(PEER, can_read=False), False, id="the store refuses it"),
+        pytest.param(PeerReport(PEER, is_leaving=True), False, id="leaving"),
+        pytest.param(PeerReport(PEER, silence_milliseconds=900), False, id="silent"),
+    ],
+)
+def test_readers_reach_the_store_and_stay(report: PeerReport, can_read: bool) -> None:
+    table = PeerTable(OWN)
+    assert table.can_read(PEER), "nothing is known against it"
+    table.receive_reports([report], 0.0)
+    assert table.can_read(PEER) is can_read
 
 
-def test_readers_are_heard_reach_the_store_and_stay() -> None:
-    table = PeerTable(OWN, ())
-    table.receive(BEAT, 0.0)
-    table.receive(replace(BEAT, host=3, can_read=False), 0.0)
-    table.receive(replace(BEAT, host=4, is_leaving=True), 0.0)
-    assert table.readers(0.1) == {2}
-    assert table.readers(SILENT_SECONDS) == set()
+def test_a_hub_tells_how_long_it_has_not_heard_a_process() -> None:
+    table = PeerTable(OWN)
+    told(table, 0.0)
+    (report,) = table.reports_of([PEER, 99], 0.9)
+    assert report.silence_milliseconds == 900
+    assert table.is_silent(PEER), "it would have heard it itself"
 
 
 def test_own_sleep_is_not_the_others_silence() -> None:
-    table = PeerTable(OWN, ())
-    table.receive(BEAT, 0.0)
+    table = PeerTable(OWN)
+    told(table, 0.0)
     table.note_wake(10.0)
-    assert table.is_heard(2, 10.1)
-    assert table.is_silent(2, 10.001 + SILENT_SECONDS)
+    assert table.is_heard(PEER, 10.1)
+    (report,) = table.reports_of([PEER], 10.2)
+    assert report.silence_milliseconds == 199 or report.silence_milliseconds == 200
+    assert not table.is_silent(PEER)
 
 
-def test_balancers_become_known_from_others() -> None:
-    table = PeerTable(OWN, [9])
-    table.receive(replace(BEAT, balancers=(OWN, 5, 6)), 0.0)
-    assert set(table.recipients([20, 21], 0.1)) == {2, 5, 6, 9, 20, 21}
+def test_what_is_silent_for_long_is_forgotten() -> None:
+    table = PeerTable(OWN)
+    told(table, 0.0)
+    table.receive_head(HEAD, 0.0)
     table.tick(FORGET_SECONDS + 1)
-    assert set(table.recipients([20], 30.0)) == {9, 20}
-
-
-def test_recipients_are_bounded_and_every_process_is_somebodys() -> None:
-    hosts = range(1, 301)
-    reached: set[int] = set()
-    for host in hosts:
-        recipients = PeerTable(host, ()).recipients(hosts, 0.0)
-        assert len(recipients) == MAXIMUM_RECIPIENTS
-        assert host not in recipients
-        reached.update(recipients)
-    assert reached == set(hosts)
-
-
-def test_heartbeats_name_all_balancers_in_turn() -> None:
-    table = PeerTable(OWN, ())
-    for host in range(2, 22):
-        table.receive(replace(BEAT, host=host), 0.0)
-    told = {host for sequence in range(4) for host in table.told_balancers(0.1, sequence)}
-    assert told == set(range(2, 22))
-    assert len(table.told_balancers(0.1, 0)) == TOLD_BALANCERS
+    assert not table.peers
+    assert table.receive_head(HEAD, FORGET_SECONDS + 1)
--- a/egretsill/measurements/_address_fleet.py
+++ b/egretsill/measurements/_address_fleet.py
@@ -12,8 +12,10 @@
 from ..address_steering import (
     AgentSteering,
     BalancerSteering,
+    Candidates,
     FlowKey,
     FlowPacket,
+    FlowPlacement,
     Forward,
     HandToTarget,
     PacketKind,
@@ -46,6 +48,12 @@
 
     directory: Directory = field(default_factory=lambda: Directory(RETENTION_SECONDS))
     pending: list[tuple[float, Snapshot]] = field(default_factory=list)
+    peers: PeerTable = field(default_factory=lambda: PeerTable(0))
+
+    @property
+    def placement(self) -> FlowPlacement:
+        """Return a placement by what is known here."""
+        return FlowPlacement(self.directory, self.peers, Candidates(self.directory))
 
     def catch_up(self, now: float) -> None:
         """Apply what has arrived by now."""
@@ -113,7 +121,13 @@
         self.entries[host] = target
         view = View()
         steering = AgentSteering(
-            host, SERVICE, view.directory, PeerTable(host, ()), RETENTION_SECONDS, self.now
+            host,
+            SERVICE,
+            view.directory,
+            view.peers,
+            view.placement,
+            RETENTION_SECONDS,
+            self.now,
         )
         self.targets[host] = FleetTarget(view, steering)
         self._publish(lag_seconds)
@@ -135,7 +149,13 @@
         """Let an agent lose all that it knows while its target goes on."""
         view = View()
         steering = AgentSteering(
-            host, SERVICE, view.directory, PeerTable(host, ()), RETENTION_SECONDS, self.now
+            host,
+            SERVICE,
+            view.directory,
+            view.peers,
+            view.placement,
+            RETENTION_SECONDS,
+            self.now,
         )
         self.targets[host].view, self.targets[host].steering = view, steering
         view.pending.append((self.now, self._snapshot()))
@@ -145,7 +165,7 @@
         host = FIRST_BALANCER + self._revision * 100 + len(self.balancers)
         view = View(pending=[(self.now, self._snapshot())])
         steering = BalancerSteering(
-            host, "a", view.directory, PeerTable(host, ()), RETENTION_SECONDS
+            host, "a", view.directory, view.peers, view.placement, RETENTION_SECONDS
         )
         self.balancers[host] = FleetBalancer(view, steering)
 
--- a/egretsill/node/_agent_node.py
+++ b/egretsill/node/_agent_node.py
@@ -7,6 +7,7 @@
 import trio
 
 from ..address_steering import (
+    TELL_SECONDS,
     AgentEffect,
     AgentSteering,
     Answered,
@@ -16,16 +17,19 @@
     Expire,
     Forward,
     HandToTarget,
+    HomeNotice,
     MalformedFlowPacket,
     MalformedTunnelMessage,
     OwnerNotice,
     PacketCodec,
     Refuse,
     SendToCaller,
+    TellHome,
     TellOwner,
     Wait,
     decode_tunnel,
     encode_carried,
+    encode_home_notice,
     encode_owner_notice,
 )
 from ..boot import NodeSockets
@@ -74,6 +78,7 @@
     async def run(self) -> None:
         """Forward until cancelled."""
         self._timer.subscribe(RELEASE_SECONDS, self._release)
+        self._timer.subscribe(TELL_SECONDS, self._tell_homes)
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._tunnel.run)
@@ -86,6 +91,9 @@
         if len(self._steering.queue):
             self._apply(self._steering.release(now))
 
+    def _tell_homes(self, now: float) -> None:
+        self._apply(self._steering.tell_homes(now))
+
     def _take_peer(self, data: bytes, now: float) -> None:
         try:
             message = decode_tunnel(data)
@@ -100,6 +108,8 @@
                     self._log.dropped(Drop(NO_FLOW, DropReason.MALFORMED))
                     return
                 self._apply(self._steering.take_from_peer(envelope, packet, now))
+            case HomeNotice():
+                self._steering.learn_home(message, now)
             case OwnerNotice():
                 self._log.dropped(Drop(message.flow, DropReason.UNEXPECTED))
 
@@ -129,6 +139,8 @@
                 case TellOwner(balancer, notice):
                     told = encode_owner_notice(notice)
                     self._tunnel.send(told, balancer, self._tunnel_port, notice.flow)
+                case TellHome(home, home_notice):
+                    self._tunnel.send(encode_home_notice(home_notice), home, self._tunnel_port)
                 case Drop():
                     self._log.dropped(effect)
                 case Answered():
--- a/egretsill/node/_balancer_node.py
+++ b/egretsill/node/_balancer_node.py
@@ -10,6 +10,7 @@
     Drop,
     DropReason,
     Forward,
+    HomeNotice,
     MalformedFlowPacket,
     MalformedTunnelMessage,
     OwnerNotice,
@@ -99,5 +100,5 @@
             case OwnerNotice():
                 if not self._steering.learn_owner(message, now):
                     self._log.dropped(Drop(message.flow, DropReason.UNEXPECTED))
-            case CarriedPacket():
+            case CarriedPacket() | HomeNotice():
                 self._log.dropped(Drop(NO_FLOW, DropReason.UNEXPECTED))
--- a/egretsill/node/_content_exchange.py
+++ b/egretsill/node/_content_exchange.py
@@ -9,13 +9,16 @@
 
 from ..directory import (
     DIRECTORY_TYPES,
+    ContentChanged,
     ContentFound,
     ContentWanted,
     Directory,
     DirectoryMessage,
     MalformedContent,
+    pack_changes,
     pack_table,
     pack_targets,
+    unpack_changes,
     unpack_table,
     unpack_targets,
 )
@@ -25,6 +28,9 @@
 EXCHANGE_SECONDS = 0.6  # three round trips between failure domains and a busy peer
 READ_BYTES = 65_536
 MAXIMUM_CONNECTIONS = 64  # questions answered at once; the others ask somebody else
+MAXIMUM_PUSHED = 16  # entries or routes; more than fit in a datagram
+MAXIMUM_PUSH_BYTES = 1_200  # as a packet of a flow
+LONGEST_AGE_SECONDS = 1e6
 MILLISECONDS = 1000
 
 
@@ -85,7 +91,9 @@
             with trio.fail_after(EXCHANGE_SECONDS):
                 stream = await trio.open_tcp_stream(host, self._listen.port)
                 async with stream:
-                    question = ContentWanted(self._directory.version)
+                    question = ContentWanted(
+                        self._directory.version, self._directory.content_revision
+                    )
                     await stream.send_all(self._codec.encode(question))
                     answer = await self._next_message(stream)
             return self._merge(answer)
@@ -97,20 +105,62 @@
             self._count_malformed(str(error))
             raise PeerContentUnavailable(host, "malformed") from error
 
-    def answer(self, question: ContentWanted) -> ContentFound:
-        """Return the content for a peer that has a version already."""
+    def answer(self, question: ContentWanted) -> ContentFound | ContentChanged:
+        """Return the content for a peer that has some already: what came after it, or all."""
         directory = self._directory
+        changes = directory.changes_since(question.revision)
+        if changes is not None:
+            return pack_changes(changes, self._age_milliseconds)
         table = directory.table
         is_wanted = table is not None and table.version > question.version
-        age = min(max(self._timer.now - directory.confirmed_at, 0.0), 1e6)
         return ContentFound(
             directory.content_revision,
-            int(age * MILLISECONDS),
+            self._age_milliseconds,
             pack_table(table) if table is not None and is_wanted else None,
             pack_targets(directory.targets),
         )
 
+    def push(self, revision: int) -> bytes | None:
+        """Return what came after a revision as one datagram, None if it can't be one."""
+        changes = self._directory.changes_since(revision)
+        if changes is None or len(changes.targets) + len(changes.removed) > MAXIMUM_PUSHED:
+            return None
+        if changes.routes is not None and len(changes.routes.changed) > MAXIMUM_PUSHED:
+            return None
+        data = self._codec.encode(pack_changes(changes, self._age_milliseconds))
+        return data if len(data) <= MAXIMUM_PUSH_BYTES else None
+
+    def take_push(self, data: bytes) -> bool | None:
+        """Merge a datagram of changes.
+
+        Returns:
+            Whether anything changed; None if the changes build on content that isn't here.
+        """
+        try:
+            message = self._codec.decode(data)
+            if not isinstance(message, ContentChanged):
+                raise MalformedContent("push")
+            return self._merge_changes(message)
+        except (MalformedMessage, MalformedContent) as error:
+            self._count_malformed(str(error))
+            return False
+
+    @property
+    def _age_milliseconds(self) -> int:
+        age = min(max(self._timer.now - self._directory.confirmed_at, 0.0), LONGEST_AGE_SECONDS)
+        return int(age * MILLISECONDS)
+
+    def _merge_changes(self, message: ContentChanged) -> bool | None:
+        return self._directory.apply_peer_changes(
+            unpack_changes(message), message.age_milliseconds / MILLISECONDS, self._timer.now
+        )
+
     def _merge(self, answer: DirectoryMessage | None) -> bool:
+        if isinstance(answer, ContentChanged):
+            changed = self._merge_changes(answer)
+            if changed is None:
+                raise MalformedContent("changes")
+            return changed
         if not isinstance(answer, ContentFound):
             raise MalformedContent("answer")
         return self._directory.apply_peer_content(
--- a/egretsill/node/_fleet_link.py
+++ b/egretsill/node/_fleet_link.py
@@ -3,30 +3,48 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
 import trio
 
+from ..address_steering import Candidates
 from ..directory import Directory, ReadPlan
 from ..endpoints import dotted, numbered
-from ..fleet import FLEET_TYPES, HEARTBEAT_SECONDS, Heartbeat, PeerTable
+from ..fleet import (
+    HEARTBEAT_SECONDS,
+    MAXIMUM_REPORTS,
+    Heartbeat,
+    HeartbeatHead,
+    HubPlan,
+    MalformedHeartbeat,
+    PeerReport,
+    PeerTable,
+    decode_head,
+    decode_reports,
+    encode_heartbeat,
+)
 from ..observation import Journal, Metrics
 from ..timing import ClockJump, TimerService
-from ..wire import (
-    BATCH_DATAGRAMS,
-    Codec,
-    MalformedMessage,
-    close_datagram_socket,
-    read_batches,
-)
+from ..wire import BATCH_DATAGRAMS, close_datagram_socket, read_batches
 from ._content_exchange import ContentExchange, PeerContentUnavailable
 
-MAXIMUM_HEARTBEAT_BYTES = 1_024
+MAXIMUM_DATAGRAM_BYTES = 1_500
 MAXIMUM_AGE_MILLISECONDS = 1_000_000
+FAR_HEARTBEAT_PERIODS = 2  # bytes between failure domains are dear
+REST_SECONDS = 0.05  # between two looks at the socket, so that many heartbeats cost one wake-up
+FORWARD_SECONDS = 0.4  # heartbeats of another cell come from two hubs; one of them is passed on
+TAKE_SECONDS = 0.3  # two own hubs pass on the same; reading the reports of one is enough
+MAXIMUM_CELLS = 64  # other cells that are remembered; hubs tell of eight
+CONFIRM_SECONDS = 0.6  # content confirmed so much later is worth a heartbeat of its own
+PUSH_GRACE_SECONDS = 0.15  # changes are pushed at the same moment as they are announced
 RETRY_SECONDS = 0.1  # before the next peer is asked for content
+MAXIMUM_SOURCES = 8  # peers with newer content that are remembered
 MILLISECONDS = 1000
 
+_FORWARDED = 0xB2  # then a heartbeat, as its sender packed it
+_PUSHED = 0xB3  # then changes of content
+
 
 @dataclass(frozen=True, slots=True)
 class Load:
@@ -51,6 +69,8 @@
     Args:
         host: IPv4 address of this process.
         bound: UDP socket of heartbeats, closed in the end; their port is the same on all VMs.
+        hubs: decides whom this process tells.
+        candidates: knows the cells of the directory's targets.
         load: returns what to tell of the target.
         on_change: called after content in force changed.
     """
@@ -59,10 +79,11 @@
         self,
         host: str,
         bound: socket.socket,
-        failure_domain: str,
         is_balancer: bool,
         directory: Directory,
         peers: PeerTable,
+        hubs: HubPlan,
+        candidates: Candidates,
         plan: ReadPlan,
         exchange: ContentExchange,
         timer: TimerService,
@@ -73,10 +94,11 @@
     ) -> None:
         self._host = numbered(host)
         self._port: int = bound.getsockname()[1]
-        self._failure_domain = failure_domain
         self._is_balancer = is_balancer
         self._directory = directory
         self._peers = peers
+        self._hubs = hubs
+        self._candidates = candidates
         self._plan = plan
         self._exchange = exchange
         self._timer = timer
@@ -84,12 +106,17 @@
         self._journal = journal
         self._load = load
         self._on_change = on_change
-        self._codec: Codec[Heartbeat] = Codec("fleet", FLEET_TYPES)
         self._socket = bound
         self._incarnation = timer.epoch_milliseconds
         self._sequence = 0
+        self._period = 0
         self._is_leaving = False
         self._silent: set[int] = set()
+        self._forwarded_at: dict[str, float] = {}
+        self._taken_at: dict[str, float] = {}
+        self._pushed_revision = 0
+        self._told_confirmed_at = float("-inf")
+        self._sources: dict[int, int] = {}
         self._behind = trio.Event()
 
     async def run(self) -> None:
@@ -99,7 +126,7 @@
         self.send_heartbeats()
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(read_batches, self._socket, self._take_batch)
+                nursery.start_soon(self._take_all)
                 nursery.start_soon(self._catch_up)
         finally:
             subscription.cancel()
@@ -115,102 +142,216 @@
         self.send_heartbeats()
 
     def send_heartbeats(self) -> None:
-        """Tell every peer the state of this process now."""
+        """Tell hubs, and those that this process is a hub of, what it knows now."""
         now = self._timer.now
-        self._sequence += 1
-        data = self._codec.encode(self._heartbeat(now))
-        for host in self._peers.recipients(self._directory.hosts(), now):
+        self._hubs.replace_cells(self._candidates.cells)
+        self._tell_hubs(now)
+        subscribers = self._hubs.subscribers()
+        if subscribers:
+            self._tell(subscribers, self._reports(subscribers, now), now)
+
+    def announce_content(self, is_from_store: bool) -> None:
+        """Tell a change of content, and that it was confirmed, to those who rely on this process.
+
+        Args:
+            is_from_store: whether this process read it itself, so that its hubs don't know it yet.
+        """
+        now = self._timer.now
+        revision = self._directory.content_revision
+        is_changed = revision > self._pushed_revision
+        is_confirmed = self._directory.confirmed_at - self._told_confirmed_at >= CONFIRM_SECONDS
+        if not is_changed and not is_confirmed:
+            return
+        self._hubs.replace_cells(self._candidates.cells)
+        hubs = self._hubs.hubs(now)
+        told = dict.fromkeys((*self._hubs.subscribers(), *self._hubs.far_hubs(now)))
+        if is_from_store:
+            told.update(dict.fromkeys(hubs))
+        if is_changed:
+            changes = self._exchange.push(self._pushed_revision) if self._pushed_revision else None
+            if changes is not None:
+                self._send(bytes((_PUSHED,)) + changes, told)
+            self._pushed_revision = revision
+        self._told_confirmed_at = self._directory.confirmed_at
+        self._tell(tuple(told), (self._own_report(),), now)
+
+    def _tell_hubs(self, now: float) -> None:
+        hubs = self._hubs.hubs(now)
+        self._tell(hubs, (self._own_report(),), now, is_asking=True)
+        self._hubs.note_told(hubs, now)
+
+    def _tell_far(self, now: float) -> None:
+        """Exchange with the hubs of other cells what each of them hears."""
+        far = self._hubs.far_hubs(now)
+        if far:
+            reports = self._reports(self._hubs.subscribers(), now)
+            self._tell(far, reports, now, is_asking=True)
+            self._tell(self._hubs.far_subscribers(now), reports, now)
+        self._hubs.note_told(far, now)
+        self._hubs.stop_telling((*self._hubs.hubs(now), *far))
+
+    def _tell(
+        self,
+        hosts: Sequence[int],
+        reports: Sequence[PeerReport],
+        now: float,
+        is_asking: bool = False,
+    ) -> None:
+        if not hosts:
+            return
+        for start in range(0, len(reports), MAXIMUM_REPORTS):
+            self._sequence += 1
+            part = reports[start : start + MAXIMUM_REPORTS]
+            head = self._head(now, is_asking)
+            self._send(encode_heartbeat(Heartbeat(head, part)), hosts)
+
+    def _send(self, data: bytes, hosts: Iterable[int]) -> None:
+        for host in hosts:
             try:
                 self._socket.sendto(data, (dotted(host), self._port))
             except OSError:
                 self._metrics.datagrams_dropped.increment("gossip", "send-failed")
 
-    def _heartbeat(self, now: float) -> Heartbeat:
+    def _head(self, now: float, is_asking: bool) -> HeartbeatHead:
         directory = self._directory
-        load = self._load()
         age = min(max(now - directory.confirmed_at, 0.0) * MILLISECONDS, MAXIMUM_AGE_MILLISECONDS)
-        return Heartbeat(
-            host=self._host,
-            incarnation=self._incarnation,
-            sequence=self._sequence,
-            is_balancer=self._is_balancer,
-            failure_domain=self._failure_domain,
-            is_leaving=self._is_leaving,
-            can_read=self._plan.can_read(now),
-            version=directory.version,
-            revision=directory.content_revision,
-            age_milliseconds=int(age),
-            pending=load.pending,
-            flows=load.flows,
-            delay_milliseconds=int(load.delay_seconds * MILLISECONDS),
-            is_target_silent=load.is_target_silent,
-            balancers=self._peers.told_balancers(now, self._sequence),
+        return HeartbeatHead(
+            self._host,
+            self._incarnation,
+            self._sequence,
+            directory.version,
+            directory.content_revision,
+            int(age),
+            self._hubs.cell,
+            is_asking,
+        )
+
+    def _reports(self, subscribers: Sequence[int], now: float) -> Sequence[PeerReport]:
+        return (self._own_report(), *self._peers.reports_of(subscribers, now))
+
+    def _own_report(self) -> PeerReport:
+        load = self._load()
+        return PeerReport(
+            self._host,
+            self._is_balancer,
+            self._is_leaving,
+            self._plan.can_read(self._timer.now),
+            load.is_target_silent,
+            load.pending,
+            load.flows,
+            int(load.delay_seconds * MILLISECONDS),
         )
 
+    async def _take_all(self) -> None:
+        await read_batches(self._socket, self._take_batch, REST_SECONDS)
+
     def _take_batch(self) -> bool:
         for _ in range(BATCH_DATAGRAMS):
             try:
-                data, sender = self._socket.recvfrom(MAXIMUM_HEARTBEAT_BYTES + 1)
+                data, sender = self._socket.recvfrom(MAXIMUM_DATAGRAM_BYTES)
             except BlockingIOError:
+                self.announce_content(is_from_store=False)
                 return False
             self._take(data, sender[0])
         return True
 
     def _take(self, data: bytes, sender: str) -> None:
+        mark = data[0] if data else 0
+        if mark == _PUSHED:
+            self._take_push(data[1:], sender)
+            return
+        is_forwarded = mark == _FORWARDED
+        heartbeat = data[1:] if is_forwarded else data
         try:
-            heartbeat = self._codec.decode(data)
-        except MalformedMessage as error:
-            self._metrics.messages_malformed.increment(error.protocol, error.reason)
+            head = decode_head(heartbeat)
+            if not is_forwarded and dotted(head.host) != sender:
+                self._metrics.datagrams_dropped.increment("gossip", "foreign-host")
+                return
+            now = self._timer.now
+            if not self._peers.receive_head(head, now):
+                return
+            if not is_forwarded or self._is_due(self._taken_at, head.cell, TAKE_SECONDS, now):
+                self._peers.receive_reports(decode_reports(heartbeat), now)
+        except MalformedHeartbeat as error:
+            self._metrics.messages_malformed.increment("fleet", error.reason)
             return
-        if dotted(heartbeat.host & 0xFFFFFFFF) != sender:
-            self._metrics.datagrams_dropped.increment("gossip", "foreign-host")
+        if not is_forwarded:
+            self._hubs.receive(head, now)
+            self._forward(head, heartbeat, now)
+        self._compare(head, sender, now)
+
+    def _compare(self, head: HeartbeatHead, sender: str, now: float) -> None:
+        """Take a peer's word on the content that this process has, or note that it has newer."""
+        if head.revision <= self._directory.content_revision:
+            self._directory.confirm(head.revision, head.age_milliseconds / MILLISECONDS, now)
             return
-        now = self._timer.now
-        if not self._peers.receive(heartbeat, now):
+        # Who passed a heartbeat on is near, and has what it announces or will have it soon.
+        source = numbered(sender)
+        if source in self._sources or len(self._sources) < MAXIMUM_SOURCES:
+            self._sources[source] = max(head.revision, self._sources.get(source, 0))
+        self._behind.set()
+
+    def _forward(self, head: HeartbeatHead, data: bytes, now: float) -> None:
+        """Pass a heartbeat of another cell's hub on to the own cell."""
+        if not head.cell or head.cell == self._hubs.cell:
             return
-        if heartbeat.host in self._silent:
-            self._silent.discard(heartbeat.host)
-            self._journal.record("peer-heard", peer=sender)
-        if heartbeat.revision > self._directory.content_revision:
-            self._behind.set()
-        else:
-            self._directory.confirm(
-                heartbeat.revision, heartbeat.age_milliseconds / MILLISECONDS, now
-            )
+        if not self._is_due(self._forwarded_at, head.cell, FORWARD_SECONDS, now):
+            return
+        near = [host for host in self._hubs.subscribers() if host != head.host]
+        self._send(bytes((_FORWARDED,)) + data, near)
+
+    def _is_due(self, done_at: dict[str, float], cell: str, seconds: float, now: float) -> bool:
+        """Return whether something was not done for a cell lately, and note that it is now."""
+        if now - done_at.get(cell, float("-inf")) < seconds:
+            return False
+        if len(done_at) >= MAXIMUM_CELLS:
+            done_at.clear()
+        done_at[cell] = now
+        return True
+
+    def _take_push(self, data: bytes, sender: str) -> None:
+        if self._exchange.take_push(data):
+            self._on_change(sender)
 
     def _tick(self, now: float) -> None:
         self.send_heartbeats()
+        self._period += 1
+        if self._period % FAR_HEARTBEAT_PERIODS == 0:
+            self._tell_far(now)
         self._peers.tick(now)
+        for host in self._hubs.tick(now):
+            self._journal.record("hub-silent", peer=dotted(host), cell=self._hubs.cell)
+        self._note_silence(now)
+
+    def _note_silence(self, now: float) -> None:
         for host, peer in self._peers.peers.items():
-            if host not in self._silent and self._peers.is_silent(host, now):
+            is_silent = self._peers.is_silent(host)
+            if is_silent == (host in self._silent):
+                continue
+            if is_silent:
                 self._silent.add(host)
-                self._journal.record(
-                    "peer-silent", peer=dotted(host), silence=round(now - peer.heard_at, 3)
-                )
+                silence = round(now - peer.heard_at, 3)
+                self._journal.record("peer-silent", peer=dotted(host), silence=silence)
+            else:
+                self._silent.discard(host)
+                self._journal.record("peer-heard", peer=dotted(host))
         self._silent &= self._peers.peers.keys()
 
     async def _catch_up(self) -> None:
         while True:
             await self._behind.wait()
+            if self._directory.has_content:
+                await trio.sleep(PUSH_GRACE_SECONDS)
             self._behind = trio.Event()
-            await self._fetch_newest()
+            sources, self._sources = self._sources, {}
+            await self._fetch_newest(sources)
 
-    async def _fetch_newest(self) -> None:
+    async def _fetch_newest(self, sources: dict[int, int]) -> None:
         """Ask the peers with newer content one after the other, the newest first."""
-        now = self._timer.now
-        ahead = sorted(
-            (
-                each.heartbeat
-                for each in self._peers.heard(now)
-                if each.heartbeat.revision > self._directory.content_revision
-            ),
-            key=lambda each: each.revision,
-            reverse=True,
-        )
-        for heartbeat in ahead:
-            if heartbeat.revision <= self._directory.content_revision:
+        for source in sorted(sources, key=sources.__getitem__, reverse=True):
+            if sources[source] <= self._directory.content_revision:
                 return
-            host = dotted(heartbeat.host)
+            host = dotted(source)
             try:
                 changed = await self._exchange.fetch(host)
             except PeerContentUnavailable as error:
@@ -222,5 +363,6 @@
 
     def _note_jump(self, jump: ClockJump) -> None:
         self._peers.note_wake(jump.after)
+        self._hubs.note_wake(jump.after)
         self._journal.record("woke", seconds=round(jump.seconds, 3))
         self._metrics.clock_jumps.increment()
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -11,6 +11,7 @@
 from ..address_steering import (
     AgentSteering,
     BalancerSteering,
+    Candidates,
     FlowKey,
     FlowPlacement,
     PacketCodec,
@@ -18,7 +19,7 @@
 from ..boot import AgentSettings, NodeSettings, NodeSockets
 from ..directory import Directory, ReadPlan, Store
 from ..endpoints import Address, numbered
-from ..fleet import PeerTable
+from ..fleet import HubPlan, PeerTable
 from ..observation import (
     JSON,
     AdminServer,
@@ -33,8 +34,9 @@
 from ._content_exchange import ContentExchange
 from ._decision_log import DecisionLog
 from ._fleet_link import FleetLink, Load
+from ._reader_choice import ReaderChoice
 from ._shutdown import ShutdownPlan
-from ._store_reading import StoreReading
+from ._store_reading import STORE_SOURCE, StoreReading
 
 LOG_SECONDS = 0.25  # how long a line waits at most before it is written
 LOG_START_SECONDS = (2.0, 6.0)  # when the log library is loaded, spread over the fleet
@@ -79,8 +81,11 @@
         )
         self._host = numbered(settings.host)
         self._directory = Directory(settings.flow_seconds)
-        self._peers = PeerTable(self._host, [numbered(each) for each in settings.seeds])
-        self._placement = FlowPlacement(self._directory, self._peers)
+        seeds = [numbered(each) for each in settings.seeds]
+        self._peers = PeerTable(self._host)
+        self._hubs = HubPlan(self._host, settings.failure_domain, seeds, self._peers)
+        self._candidates = Candidates(self._directory)
+        self._placement = FlowPlacement(self._directory, self._peers, self._candidates)
         self._plan = ReadPlan(self._host, settings.is_first_start)
         self._shutdown = ShutdownPlan(settings.grace_seconds)
         self._stopped = trio.Event()
@@ -94,15 +99,19 @@
             lambda reason: self._metrics.messages_malformed.increment("directory", reason),
         )
         self._link = self._make_link()
+        self._choice = ReaderChoice(
+            self._host, seeds, self._directory, self._peers, self._is_able_to_read
+        )
         self._reading = StoreReading(
             make_store(settings.store),
             self._plan,
             self._directory,
-            self._peers,
+            self._choice.readers,
             self._timer,
             self._metrics,
             self._journal,
             self._on_content,
+            lambda: self._link.announce_content(is_from_store=True),
         )
 
     @property
@@ -169,7 +178,9 @@
 
     def replace_settings(self, settings: NodeSettings) -> None:
         """Take over the seeds; what else differs takes effect at the next start."""
-        self._peers.replace_seeds([numbered(each) for each in settings.seeds])
+        seeds = [numbered(each) for each in settings.seeds]
+        self._hubs.replace_seeds(seeds)
+        self._choice.replace_seeds(seeds)
         self._journal.record("settings-reloaded", seeds=",".join(settings.seeds))
 
     def reject_settings(self, problem: str) -> None:
@@ -193,6 +204,7 @@
             settings.failure_domain,
             self._directory,
             self._peers,
+            self._placement,
             settings.flow_seconds,
         )
         self._timer.subscribe(SWEEP_SECONDS, steering.tick)
@@ -214,6 +226,7 @@
             agent.service,
             self._directory,
             self._peers,
+            self._placement,
             settings.flow_seconds,
             self._timer.now,
         )
@@ -236,10 +249,11 @@
         return FleetLink(
             settings.host,
             self._sockets.heartbeats,
-            settings.failure_domain,
             settings.agent is None,
             self._directory,
             self._peers,
+            self._hubs,
+            self._candidates,
             self._plan,
             self._exchange,
             self._timer,
@@ -274,6 +288,8 @@
 
     def _on_content(self, source: str) -> None:
         directory = self._directory
+        if not self._hubs.cell:
+            self._link.send_heartbeats()
         if directory.is_known:
             self._content_known.set()
         self._metrics.revision_in_force.set(directory.version)
@@ -284,7 +300,11 @@
             revision=directory.content_revision,
             targets=len(directory.targets),
         )
-        self._link.send_heartbeats()
+        if source != STORE_SOURCE:
+            self._link.announce_content(is_from_store=False)
+
+    def _is_able_to_read(self) -> bool:
+        return self._plan.can_read(self._timer.now) and not self._shutdown.is_leaving
 
     def _sweep(self, now: float) -> None:
         self._directory.tick(now)
--- a/egretsill/node/_store_reading.py
+++ b/egretsill/node/_store_reading.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import trio
 
@@ -16,16 +16,19 @@
     StoreUnavailable,
     WatchChanges,
 )
-from ..fleet import PeerTable
 from ..observation import Journal, Metrics
 from ..timing import TimerService
 
+STORE_SOURCE = "store"  # of a change that this process read itself
+
 
 class StoreReading:
     """Keeps the directory up to date from the store.
 
     Args:
+        readers: returns the processes that hold a watch.
         on_change: called after content in force changed.
+        on_answer: called after each answer of the store.
     """
 
     def __init__(
@@ -33,20 +36,22 @@
         store: Store,
         plan: ReadPlan,
         directory: Directory,
-        peers: PeerTable,
+        readers: Callable[[], Sequence[int]],
         timer: TimerService,
         metrics: Metrics,
         journal: Journal,
         on_change: Callable[[str], None],
+        on_answer: Callable[[], None],
     ) -> None:
         self._store = store
         self._plan = plan
         self._directory = directory
-        self._peers = peers
+        self._readers = readers
         self._timer = timer
         self._metrics = metrics
         self._journal = journal
         self._on_change = on_change
+        self._on_answer = on_answer
         self._cursor = 0
         self._was_reached = True
 
@@ -63,7 +68,7 @@
         now = self._timer.now
         directory = self._directory
         step = self._plan.next_step(
-            now, directory.confirmed_at, directory.is_known, self._peers.readers(now)
+            now, directory.confirmed_at, directory.has_content, self._readers()
         )
         if isinstance(step, Pause):
             await trio.sleep(step.seconds)
@@ -83,6 +88,7 @@
             self._journal.record("store-history-lost", after=error.after)
         else:
             self._note_success()
+            self._on_answer()
 
     async def _read(self, timeout_seconds: float) -> None:
         snapshot = await self._store.read(timeout_seconds)
@@ -90,14 +96,14 @@
         self._cursor = snapshot.at
         self._count_unreadable(snapshot.unreadable)
         if self._directory.apply_snapshot(snapshot, self._timer.now):
-            self._on_change("store")
+            self._on_change(STORE_SOURCE)
 
     async def _watch(self, wait_seconds: float, timeout_seconds: float) -> None:
         changes = await self._store.watch(self._cursor, wait_seconds, timeout_seconds)
         self._cursor = max(self._cursor, changes.at)
         self._count_unreadable(changes.unreadable)
         if self._directory.apply_changes(changes, self._timer.now):
-            self._on_change("store")
+            self._on_change(STORE_SOURCE)
 
     def _count_unreadable(self, count: int) -> None:
         if count:
--- a/egretsill/tracing/_conclusion.py
+++ b/egretsill/tracing/_conclusion.py
@@ -17,6 +17,10 @@
     RefuseReason.NOWHERE_OPEN.value: (
         "no target has the flow any more: it ended, or its target restarted"
     ),
+    RefuseReason.OWNER_GONE.value: "the target that had the flow has left with its VM",
+    RefuseReason.LOST_BY_TARGET.value: (
+        "the target that had the flow gave a packet of it back: it came up anew without it"
+    ),
 }
 
 
