Choose the near cell by the flow, not by the balancer's own cell

Cause: in a failure domain of several cells two balancers are in different cells, so a flow too young to be told to its homes was searched in a cell where it can't be; at 1,000 targets it was dropped at the twelfth hop.

Change: the domain's first cell for the flow; packets carry the balancer's domain instead of its cell.

--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -188,7 +188,7 @@
     ) -> Sequence[AgentEffect]:
         entry.seen_at = now
         entry.balancer = envelope.balancer
-        entry.cell_mark = envelope.cell_mark
+        entry.domain_mark = envelope.domain_mark
         entry.visited = envelope.visited
         effects: list[AgentEffect] = []
         if packet.payload_bytes and self._must_wait(entry, packet, now):
@@ -279,7 +279,7 @@
         if entry is None:
             return (Drop(packet.flow, DropReason.UNEXPECTED),)
         envelope = Envelope(
-            entry.balancer, self._directory.version, self._mark, entry.visited, entry.cell_mark
+            entry.balancer, self._directory.version, self._mark, entry.visited, entry.domain_mark
         )
         if packet.kind is PacketKind.OPENING:
             return self._pass_opening(
@@ -331,8 +331,8 @@
         if len(envelope.visited) >= MAXIMUM_VISITED:
             return None
         excluded = {*envelope.visited, self._host}
-        cell = self._placement.candidates.cells.named_by(envelope.cell_mark)
-        return self._placement.choose(packet.flow, service, excluded, cell, now)
+        domain = self._placement.candidates.domain_marked(envelope.domain_mark)
+        return self._placement.choose(packet.flow, service, excluded, domain, now)
 
     def _note_handed(self, now: float) -> None:
         """Note that the target was sent something that it answers."""
@@ -353,8 +353,8 @@
                 return self._pass_to(owner, envelope, packet, ForwardReason.TOLD_BY_OWNER)
             self._homes.forget(flow)
             return self._refuse(packet, RefuseReason.OWNER_GONE)
-        cell = self._placement.candidates.cells.named_by(envelope.cell_mark)
-        for host in self._placement.search(flow, route.services, cell):
+        domain = self._placement.candidates.domain_marked(envelope.domain_mark)
+        for host in self._placement.search(flow, route.services, domain):
             if host in visited or self._is_empty(host, route, now):
                 continue
             return self._pass_to(host, envelope, packet, ForwardReason.NOT_HERE)
@@ -399,4 +399,4 @@
         return self._directory.target_at(self._host, self._service)
 
     def _entry(self, state: FlowState, envelope: Envelope, now: float) -> FlowEntry:
-        return FlowEntry(state, envelope.balancer, envelope.cell_mark, envelope.visited, now, now)
+        return FlowEntry(state, envelope.balancer, envelope.domain_mark, envelope.visited, now, now)
--- a/egretsill/address_steering/_balancer_steering.py
+++ b/egretsill/address_steering/_balancer_steering.py
@@ -12,7 +12,7 @@
 from itertools import islice
 
 from ..directory import Directory
-from ..fleet import Cells, PeerTable, cell_mark
+from ..fleet import PeerTable
 from ._candidates import CHOICES, has_departed
 from ._decisions import (
     BalancerDecision,
@@ -25,7 +25,7 @@
 )
 from ._packet import FlowKey, FlowPacket, PacketKind
 from ._placement import FlowPlacement
-from ._tunnel import Envelope, OwnerNotice, service_mark
+from ._tunnel import Envelope, OwnerNotice, domain_mark, service_mark
 
 MAXIMUM_OWNERS = 20_000  # some 6 MB; what is forgotten costs its next packet a hop
 CERTAIN_SECONDS = 2.0  # content confirmed longer ago may lack a new route
@@ -66,8 +66,7 @@
         self._peers = peers
         self._retention_seconds = retention_seconds
         self._placement = placement
-        self._cells: Cells | None = None
-        self._cell, self._cell_mark = "", 0
+        self._domain_mark = domain_mark(failure_domain)
         self._owners: OrderedDict[FlowKey, _Owner] = OrderedDict()
         self._marks: dict[str, int] = {}
 
@@ -115,18 +114,10 @@
                 break
             del self._owners[flow]
 
-    def _own_cell(self) -> str:
-        cells = self._placement.candidates.cells
-        if cells is not self._cells:
-            self._cells = cells
-            self._cell = cells.cell_of(self._host, self._domain)
-            self._cell_mark = cell_mark(self._cell)
-        return self._cell
-
     def _likeliest(self, flow: FlowKey, services: Sequence[str]) -> int | None:
         """Return the VM on which a flow is looked for first, None if there are no targets."""
         first = None
-        for host in self._placement.search(flow, services, self._own_cell()):
+        for host in self._placement.search(flow, services, self._domain):
             if not self._peers.is_silent(host):
                 return host
             first = host if first is None else first
@@ -142,9 +133,9 @@
     def _place(self, packet: FlowPacket, service: str, now: float) -> BalancerDecision:
         flow = packet.flow
         excluded = self._tried(packet, service)
-        host = self._placement.choose(flow, service, excluded, self._own_cell(), now)
+        host = self._placement.choose(flow, service, excluded, self._domain, now)
         if host is None and excluded:
-            host = self._placement.choose(flow, service, (), self._own_cell(), now)
+            host = self._placement.choose(flow, service, (), self._domain, now)
         if host is None:
             if now - self._directory.confirmed_at > CERTAIN_SECONDS:
                 return Drop(flow, DropReason.NO_TARGET)
@@ -160,7 +151,7 @@
         owner = self._owners.get(packet.flow)
         if owner is not None and owner.service == service:
             return owner.tried
-        search = self._placement.search(packet.flow, (service,), self._own_cell())
+        search = self._placement.search(packet.flow, (service,), self._domain)
         return tuple(islice(search, CHOICES * packet.copy))
 
     def _is_gone(self, owner: _Owner, now: float) -> bool:
@@ -179,8 +170,7 @@
         mark = self._marks.get(service)
         if mark is None:
             mark = self._marks.setdefault(service, service_mark(service))
-        self._own_cell()
-        envelope = Envelope(self._host, self._directory.version, mark, (), self._cell_mark)
+        envelope = Envelope(self._host, self._directory.version, mark, (), self._domain_mark)
         return Forward(host, envelope, reason, packet.flow, packet.datagram)
 
     def _remember(self, flow: FlowKey, owner: _Owner) -> None:
--- a/egretsill/address_steering/_candidates.py
+++ b/egretsill/address_steering/_candidates.py
@@ -1,10 +1,11 @@
 """On which VMs a flow may be, as a function of the flow and the directory alone.
 
-New flows go to the first two targets of the rendezvous rank within the balancer's cell, or to the
-first of the two cells that rank first for the flow. The first of the two first cells are also the
-flow's homes, where the agent that has a flow tells so once the flow has lived for a while. So a
-packet whose owner isn't known is found from its flow alone, along five VMs at most, whatever the
-number of targets; only what was placed beyond them and not told yet needs a longer search.
+New flows go to the first two targets of the rendezvous rank within a cell of the balancer's failure
+domain, which is the domain's first for the flow, or to the first of the two other cells that rank
+first for the flow. The first of the two first cells are also the flow's homes, where the agent that
+has a flow tells so once the flow has lived for a while. So a packet whose owner isn't known is found
+from its flow alone, along five VMs at most, whatever the number of targets; only what was placed
+beyond them and not told yet needs a longer search.
 
 Ranking cells first and targets within a cell after it (two-level rendezvous hashing) costs the
 number of cells and the size of a cell, and not the number of targets.
@@ -20,6 +21,7 @@
 from ..fleet import Cells
 from ..ranking import bucket_of
 from ._packet import FlowKey
+from ._tunnel import domain_mark
 
 CHOICES = 2  # the power of two choices (Mitzenmacher, 2001), in the near cell and beyond
 HOMES = 2  # one may die unnoticed
@@ -38,6 +40,7 @@
         self._views: dict[int, TargetView] = {}
         departed: dict[int, None] = {}
         members: dict[str, list[int]] = {}
+        domains: dict[str, str] = {}
         for view in views:
             host = view.target.host
             if view.gone_at is not None and view.lapsed_until <= view.gone_at:
@@ -46,6 +49,7 @@
             if host not in self._views:
                 cell = cells.cell_of(host, view.target.failure_domain)
                 members.setdefault(cell, []).append(host)
+                domains[cell] = view.target.failure_domain
             self._views[host] = view
         self._departed = tuple(host for host in departed if host not in self._views)
         self._members = {
@@ -53,6 +57,9 @@
             for cell, hosts in sorted(members.items())
         }
         self._cells = tuple((cell, cell.encode()) for cell in self._members)
+        self._domain_cells: dict[str, list[str]] = {}
+        for cell in self._members:
+            self._domain_cells.setdefault(domains[cell], []).append(cell)
 
     @property
     def views(self) -> Mapping[int, TargetView]:
@@ -69,6 +76,13 @@
         ranked = sorted(self._cells, key=lambda each: xxh3_64_intdigest(each[1], bucket))
         return [cell for cell, _ in ranked]
 
+    def near_cell(self, domain: str, bucket: int) -> str:
+        """Return the first cell of a failure domain, empty if it has no targets of the service."""
+        cells = self._domain_cells.get(domain, ())
+        if len(cells) < 2:
+            return cells[0] if cells else ""
+        return min(cells, key=lambda cell: xxh3_64_intdigest(cell.encode(), bucket))
+
     def ranked(self, cell: str, bucket: int) -> Sequence[int]:
         """Return the VMs of a cell in the rank of a flow's bucket."""
         digest = xxh3_64_intdigest
@@ -90,21 +104,21 @@
         """Return the VMs whose agents are told where a flow is."""
         return self._homes(bucket_of(flow.hash_key), HOMES)
 
-    def search(self, flow: FlowKey, near_cell: str) -> Iterator[int]:
+    def search(self, flow: FlowKey, domain: str) -> Iterator[int]:
         """Yield the VMs on which a flow may be, the likeliest first, each once.
 
         Args:
             flow: the flow.
-            near_cell: cell of the balancer that took its packet.
+            domain: failure domain of the balancer that took its packet.
         """
         seen: set[int] = set()
-        for host in self._search(bucket_of(flow.hash_key), near_cell):
+        for host in self._search(bucket_of(flow.hash_key), domain):
             if host not in seen:
                 seen.add(host)
                 yield host
 
-    def _search(self, bucket: int, near_cell: str) -> Iterator[int]:
-        near = self.ranked(near_cell, bucket)
+    def _search(self, bucket: int, domain: str) -> Iterator[int]:
+        near = self.ranked(self.near_cell(domain, bucket), bucket)
         # One home more than are told: new flows go beyond the near cell to the first two others.
         homes = self._homes(bucket, HOMES + 1)
         yield from near[:1]
@@ -135,6 +149,7 @@
         self._directory = directory
         self._generation = -1
         self._cells = Cells({})
+        self._domains: dict[int, str] = {}
         self._ranks: dict[str, ServiceRank] = {}
 
     @property
@@ -143,6 +158,11 @@
         self._refresh()
         return self._cells
 
+    def domain_marked(self, mark: int) -> str:
+        """Return the failure domain that a mark stands for, empty if it has no targets."""
+        self._refresh()
+        return self._domains.get(mark, "")
+
     def of(self, service: str) -> ServiceRank:
         """Return the rank of a service's targets."""
         self._refresh()
@@ -160,6 +180,7 @@
         domains = self._directory.domains()
         if domains != self._cells.domains:
             self._cells = Cells(domains)
+            self._domains = {domain_mark(each): each for each in domains.values()}
 
 
 def has_departed(view: TargetView, now: float) -> bool:
--- a/egretsill/address_steering/_flow_table.py
+++ b/egretsill/address_steering/_flow_table.py
@@ -31,7 +31,7 @@
     Attributes:
         state: what is known.
         balancer: the balancer that sent its last packet here.
-        cell_mark: mark of that balancer's cell.
+        domain_mark: mark of that balancer's failure domain.
         visited: agents that passed its last packet on before this one.
         seen_at: when its last packet passed.
         opened_at: when its first packet passed.
@@ -48,7 +48,7 @@
 
     state: FlowState
     balancer: int
-    cell_mark: int
+    domain_mark: int
     visited: tuple[int, ...]
     seen_at: float
     opened_at: float
--- a/egretsill/address_steering/_placement.py
+++ b/egretsill/address_steering/_placement.py
@@ -57,26 +57,26 @@
                 return share.service
         return shares[0].service
 
-    def search(self, flow: FlowKey, services: Sequence[str], cell: str) -> Iterator[int]:
+    def search(self, flow: FlowKey, services: Sequence[str], domain: str) -> Iterator[int]:
         """Yield the VMs on which a flow may be open, the likeliest first, each once.
 
         Args:
             flow: the flow.
             services: the services that may have it.
-            cell: cell of the balancer that took its packet.
+            domain: failure domain of the balancer that took its packet.
         """
         if len(services) == 1:
-            yield from self._candidates.of(services[0]).search(flow, cell)
+            yield from self._candidates.of(services[0]).search(flow, domain)
             return
         seen: set[int] = set()
         for service in services:
-            for host in self._candidates.of(service).search(flow, cell):
+            for host in self._candidates.of(service).search(flow, domain):
                 if host not in seen:
                     seen.add(host)
                     yield host
 
     def choose(
-        self, flow: FlowKey, service: str, excluded: Collection[int], cell: str, now: float
+        self, flow: FlowKey, service: str, excluded: Collection[int], domain: str, now: float
     ) -> int | None:
         """Return the VM of the target that takes a new flow, or None if there is none.
 
@@ -84,11 +84,12 @@
             flow: the flow.
             service: the service that it goes to.
             excluded: VMs that were tried already.
-            cell: cell of the balancer that took its packet.
+            domain: failure domain of the balancer that took its packet.
             now: local time.
         """
         rank = self._candidates.of(service)
         bucket = bucket_of(flow.hash_key)
+        cell = rank.near_cell(domain, bucket)
         near = self._best(rank, rank.ranked(cell, bucket), excluded, CHOICES, now)
         costs = {host: self.load(rank.views[host], now) for host in near}
         extra = 0.0
--- a/egretsill/address_steering/_tunnel.py
+++ b/egretsill/address_steering/_tunnel.py
@@ -19,7 +19,7 @@
 _CARRY = 0xE1
 _OWNER = 0xE2
 _HOME = 0xE3
-_CARRY_HEAD = struct.Struct(">BBIQIH")  # mark, visited agents, balancer, version, service, cell
+_CARRY_HEAD = struct.Struct(">BBIQIH")  # mark, visited agents, balancer, version, service, domain
 _OWNER_NOTICE = struct.Struct(">BIHIHI")  # mark, four parts of the flow, owner
 _HOME_HEAD = struct.Struct(">BI")  # mark, owner
 _FLOW = struct.Struct(">IHIH")
@@ -33,14 +33,14 @@
         version: configuration version by which it was steered.
         service_mark: hash of the name of the service that it was steered to.
         visited: addresses of the agents that have passed it on.
-        cell_mark: hash of the name of the balancer's cell.
+        domain_mark: hash of the name of the balancer's failure domain.
     """
 
     balancer: int
     version: int
     service_mark: int
     visited: tuple[int, ...] = ()
-    cell_mark: int = 0
+    domain_mark: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +97,11 @@
     return xxh32_intdigest(service.encode())
 
 
+def domain_mark(domain: str) -> int:
+    """Return the 16-bit number that stands for a failure domain between processes."""
+    return xxh32_intdigest(domain.encode()) & 0xFFFF
+
+
 def encode_carried(envelope: Envelope, datagram: bytes) -> bytes:
     """Return the bytes of a carried packet."""
     visited = envelope.visited
@@ -106,7 +111,7 @@
         envelope.balancer,
         envelope.version,
         envelope.service_mark,
-        envelope.cell_mark,
+        envelope.domain_mark,
     )
     if not visited:
         return head + datagram
@@ -137,14 +142,14 @@
     if mark == _CARRY:
         if len(data) < _CARRY_HEAD.size:
             raise MalformedTunnelMessage("short head")
-        _, count, balancer, version, service, cell = _CARRY_HEAD.unpack_from(data)
+        _, count, balancer, version, service, domain = _CARRY_HEAD.unpack_from(data)
         start = _CARRY_HEAD.size + 4 * count
         if count > MAXIMUM_VISITED or len(data) < start:
             raise MalformedTunnelMessage("visited agents")
         visited: tuple[int, ...] = ()
         if count:
             visited = struct.unpack_from(f">{count}I", data, _CARRY_HEAD.size)
-        return CarriedPacket(Envelope(balancer, version, service, visited, cell), data[start:])
+        return CarriedPacket(Envelope(balancer, version, service, visited, domain), data[start:])
     if mark == _OWNER:
         if len(data) != _OWNER_NOTICE.size:
             raise MalformedTunnelMessage("notice length")
--- a/egretsill/address_steering/tests/scene.py
+++ b/egretsill/address_steering/tests/scene.py
@@ -15,7 +15,7 @@
     Target,
     TargetPhase,
 )
-from ...fleet import PeerReport, PeerTable, cell_mark
+from ...fleet import PeerReport, PeerTable
 from .. import (
     Candidates,
     Envelope,
@@ -25,6 +25,7 @@
     PacketKind,
     service_mark,
 )
+from .._tunnel import domain_mark
 
 BALANCER = 0x0A010001
 AGENTS = tuple(0x0A020001 + number for number in range(5))
@@ -38,7 +39,6 @@
 IDLE = 15.0
 AIM = 0.2
 LIMIT = 1.5
-CELL = f"{DOMAIN}/0"
 
 
 def target(host: int, service: str = SERVICE, **fields: object) -> Target:
@@ -125,4 +125,4 @@
 
 def envelope(visited: Sequence[int] = (), version: int = 7, service: str = SERVICE) -> Envelope:
     """Return how a packet came to an agent."""
-    return Envelope(BALANCER, version, service_mark(service), tuple(visited), cell_mark(CELL))
+    return Envelope(BALANCER, version, service_mark(service), tuple(visited), domain_mark(DOMAIN))
--- /dev/null
+++ b/egretsill/directory/tests/test_change_log.py
@@ -0,0 +1,163 @@
+"""What peers with an earlier revision get: changes, and nothing that they have."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from random import Random
+
+import msgpack
+import pytest
+
+from .. import (
+    Changes,
+    ContentChanged,
+    Directory,
+    MalformedContent,
+    Route,
+    RouteTable,
+    ServiceShare,
+    Snapshot,
+    Target,
+    TargetPhase,
+    pack_changes,
+    pack_table,
+    pack_targets,
+    unpack_changes,
+)
+from .._change_log import MAXIMUM_STEPS
+
+ONE = Target("one", 1, 80, "lookup", "a", TargetPhase.READY, 4, 0.0, 5, 11)
+
+
+def make_table(version: int, ports: range = range(443, 446)) -> RouteTable:
+    routes = [Route(f"r{port}", 9, port, (ServiceShare("lookup", 1),)) for port in ports]
+    return RouteTable(version, {(each.host, each.port): each for each in routes}, 15.0)
+
+
+def make_directory(at: int = 20) -> Directory:
+    directory = Directory()
+    directory.apply_snapshot(Snapshot(at, make_table(7), (ONE,)), 0.0)
+    return directory
+
+
+def give(sender: Directory, receiver: Directory, now: float = 1.0) -> bool | None:
+    """Let one directory take over what came after its revision at another, over the wire."""
+    changes = sender.changes_since(receiver.content_revision)
+    assert changes is not None
+    return receiver.apply_peer_changes(unpack_changes(pack_changes(changes, 0)), 0.0, now)
+
+
+def state(directory: Directory) -> object:
+    targets = {each.name: each for each in directory.targets}
+    return directory.content_revision, directory.version, directory.table, targets
+
+
+def test_a_peer_gets_what_came_after_its_revision() -> None:
+    ahead, behind = make_directory(), make_directory()
+    two = replace(ONE, name="two", host=2, revision=21)
+    ahead.apply_changes(Changes(21, None, (two,)), 1.0)
+    ahead.apply_changes(Changes(25, make_table(9, range(444, 448)), (), ("one",)), 1.0)
+    assert give(ahead, behind) is True
+    assert state(behind) == state(ahead)
+    assert give_nothing(ahead, behind)
+
+
+def give_nothing(sender: Directory, receiver: Directory) -> bool:
+    return sender.changes_since(receiver.content_revision) is None
+
+
+def test_changes_are_small_where_the_content_is_large() -> None:
+    """136 targets and 1,400 routes, of which a release changes one entry at a time."""
+    targets = [
+        replace(ONE, name=f"target-{each}", host=0x0A000000 + each, revision=each + 1)
+        for each in range(136)
+    ]
+    routes = make_table(7, range(1_000, 2_400))
+    directory = Directory()
+    directory.apply_snapshot(Snapshot(500, routes, targets), 0.0)
+    changed = replace(targets[5], phase=TargetPhase.DRAINING, revision=501)
+    directory.apply_changes(Changes(501, None, (changed,)), 1.0)
+    changes = directory.changes_since(500)
+    assert changes is not None
+    message = pack_changes(changes, 0)
+    whole = (pack_table(routes), pack_targets(directory.targets))
+    assert len(msgpack.packb(message.targets)) < 200
+    assert len(msgpack.packb(whole)) > 50 * 1_200
+
+
+def test_random_histories_are_the_same_by_changes_and_at_once() -> None:
+    for seed in range(60):
+        source = Random(seed)
+        ahead, behind = make_directory(), make_directory()
+        revision, version = 20, 7
+        for _ in range(source.randrange(1, 40)):
+            revision += source.randrange(1, 4)
+            name = f"t{source.randrange(6)}"
+            if source.random() < 0.3:
+                changes = Changes(revision, removed=(name,))
+            elif source.random() < 0.3:
+                version += 1
+                first = source.randrange(440, 446)
+                changes = Changes(revision, make_table(version, range(first, first + 3)))
+            else:
+                host = source.randrange(4)
+                changes = Changes(
+                    revision, changed=(replace(ONE, name=name, host=host, revision=revision),)
+                )
+            ahead.apply_changes(changes, 1.0)
+            if source.random() < 0.2 and ahead.content_revision > behind.content_revision:
+                give(ahead, behind)
+        if ahead.content_revision > behind.content_revision:
+            give(ahead, behind)
+        assert state(behind) == state(ahead), seed
+
+
+@pytest.mark.parametrize("lag", [MAXIMUM_STEPS - 1, MAXIMUM_STEPS + 1], ids=["kept", "forgotten"])
+def test_the_log_is_bounded(lag: int) -> None:
+    directory = make_directory()
+    for step in range(1, MAXIMUM_STEPS + 5):
+        changed = replace(ONE, cold_seconds=float(step), revision=20 + step)
+        directory.apply_changes(Changes(20 + step, None, (changed,)), 1.0)
+    changes = directory.changes_since(directory.content_revision - lag)
+    assert (changes is not None) is (lag < MAXIMUM_STEPS)
+
+
+def test_changes_that_build_on_unknown_content_are_left() -> None:
+    ahead, behind = make_directory(30), make_directory(20)
+    ahead.apply_changes(Changes(31, None, (replace(ONE, revision=31),)), 1.0)
+    changes = ahead.changes_since(30)
+    assert changes is not None
+    before = state(behind)
+    assert behind.apply_peer_changes(changes, 0.0, 1.0) is None
+    assert Directory().apply_peer_changes(changes, 0.0, 1.0) is None
+    assert state(behind) == before
+
+
+def test_a_withdrawn_route_does_not_come_back_with_late_changes() -> None:
+    ahead, behind = make_directory(), make_directory()
+    ahead.apply_changes(Changes(21, make_table(8, range(443, 446))), 1.0)
+    early = ahead.changes_since(20)
+    ahead.apply_changes(Changes(22, make_table(9, range(444, 446))), 1.0)
+    give(ahead, behind)
+    assert early is not None
+    assert behind.apply_peer_changes(early, 0.0, 2.0) is False
+    assert behind.route(9, 443) is None
+    assert behind.version == 9
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        pytest.param(ContentChanged(21, 0, 20, (1, 2), (), ()), id="routes cut"),
+        pytest.param(ContentChanged(21, 0, 20, ("a", 2, 1.0, (), ()), (), ()), id="version"),
+        pytest.param(
+            ContentChanged(21, 0, 20, (1, 2, 1.0, (("r", 1, 2, (), 0.0, 0.0, 0),), ()), (), ()),
+            id="no service",
+        ),
+        pytest.param(ContentChanged(21, 0, 20, None, ((1,),), ()), id="targets"),
+        pytest.param(ContentChanged(21, 0, 20, None, (), (7,)), id="removed"),  # type: ignore[arg-type]
+    ],
+)
+def test_malformed_changes_are_rejected(message: ContentChanged) -> None:
+    with pytest.raises(MalformedContent):
+        unpack_changes(message)
--- a/egretsill/fleet/__init__.py
+++ b/egretsill/fleet/__init__.py
@@ -1,6 +1,6 @@
 """Heartbeats between the processes of a fleet that steers by address."""
 
-from ._cells import CELL_TARGETS, Cells, cell_mark
+from ._cells import CELL_TARGETS, Cells
 from ._heartbeat import (
     MAXIMUM_REPORTS,
     Heartbeat,
@@ -28,7 +28,6 @@
     "PeerReport",
     "PeerTable",
     "SILENT_SECONDS",
-    "cell_mark",
     "decode_head",
     "decode_reports",
     "encode_heartbeat",
--- a/egretsill/fleet/_cells.py
+++ b/egretsill/fleet/_cells.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Mapping, Sequence
 
-from xxhash import xxh3_64_intdigest, xxh32_intdigest
+from xxhash import xxh3_64_intdigest
 
 from ..ranking import rank
 
@@ -33,7 +33,6 @@
         for host, domain in sorted(self._domains.items()):
             members.setdefault(self._place(host, domain), []).append(host)
         self._members = {name: tuple(hosts) for name, hosts in sorted(members.items())}
-        self._marks = {cell_mark(name): name for name in self._members}
 
     @property
     def names(self) -> Sequence[str]:
@@ -61,17 +60,8 @@
         names = self.names
         return names[xxh3_64_intdigest(host.to_bytes(4, "big")) % len(names)]
 
-    def named_by(self, mark: int) -> str:
-        """Return the cell that a mark stands for, empty if it isn't known here."""
-        return self._marks.get(mark, "")
-
     def _place(self, host: int, domain: str) -> str:
         count = self._counts[domain]
         # Rendezvous, so that one cell more moves only the share that goes there.
         number = rank(host.to_bytes(4, "big"), range(count))[0] if count > 1 else 0
         return f"{domain}/{number}"
-
-
-def cell_mark(cell: str) -> int:
-    """Return the 16-bit number that stands for a cell in packets between processes."""
-    return xxh32_intdigest(cell.encode()) & 0xFFFF
--- a/egretsill/fleet/tests/test_cells.py
+++ b/egretsill/fleet/tests/test_cells.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from .. import CELL_TARGETS, Cells, cell_mark
+from .. import CELL_TARGETS, Cells
 
 
 def domains(targets: int, count: int) -> dict[int, str]:
@@ -21,7 +21,6 @@
     assert sorted(members) == sorted(known)
     sizes = [len(cells.members(name)) for name in cells.names]
     assert max(sizes) <= 2 * CELL_TARGETS
-    assert all(cells.named_by(cell_mark(name)) == name for name in cells.names)
 
 
 def test_a_small_domain_is_one_cell() -> None:
