Tell other cells of content only what the own cell learned; measure larger fleets

Change: what came from another cell is told on within the own cell only. The measure address_steering plays 15, 42 and 110 targets in 3 to 5 failure domains with mod routers.

Routers keep to the caller's domain, so it plays that, and the acknowledgement at once.

--- a/egretsill/address_steering/_candidates.py
+++ b/egretsill/address_steering/_candidates.py
@@ -3,9 +3,9 @@
 New flows go to the first two targets of the rendezvous rank within a cell of the balancer's failure
 domain, which is the domain's first for the flow, or to the first of the two other cells that rank
 first for the flow. The first of the two first cells are also the flow's homes, where the agent that
-has a flow tells so once the flow has lived for a while. So a packet whose owner isn't known is found
-from its flow alone, along five VMs at most, whatever the number of targets; only what was placed
-beyond them and not told yet needs a longer search.
+has a flow tells so once the flow has lived for a while. So a packet whose owner isn't known is
+found from its flow alone, along five VMs at most, whatever the number of targets; only what was
+placed beyond them and not told yet needs a longer search.
 
 Ranking cells first and targets within a cell after it (two-level rendezvous hashing) costs the
 number of cells and the size of a cell, and not the number of targets.
--- a/egretsill/fleet/_hubs.py
+++ b/egretsill/fleet/_hubs.py
@@ -56,6 +56,11 @@
         """Return the cell that this process belongs to, empty while it knows none."""
         return self._cell
 
+    def is_far(self, host: int) -> bool:
+        """Return whether a process is known to be of another cell."""
+        members = self._cells.members(self._cell)
+        return host in self._cells.domains and host not in members
+
     def replace_seeds(self, seeds: Iterable[int]) -> None:
         """Use other seeds from now on."""
         self._seeds = tuple(each for each in seeds if each != self._host)
--- a/egretsill/measurements/_address_fleet.py
+++ b/egretsill/measurements/_address_fleet.py
@@ -20,6 +20,7 @@
     HandToTarget,
     PacketKind,
     Refuse,
+    TellHome,
     TellOwner,
 )
 from ..directory import (
@@ -32,6 +33,7 @@
     TargetPhase,
 )
 from ..fleet import PeerTable
+from ..ranking import bucket_of
 
 LAG_SECONDS = 2.0  # longest time until a process knows of a change
 RETENTION_SECONDS = 60.0
@@ -77,6 +79,7 @@
 
     view: View
     steering: BalancerSteering
+    domain: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,13 +102,15 @@
 class AddressFleet:
     """Hands packets to balancers and agents until a target takes them."""
 
-    def __init__(self, random: Random, targets: int, balancers: int) -> None:
+    def __init__(self, random: Random, targets: int, balancers: int, domains: int = 1) -> None:
         self.random = random
+        self.domains = [f"domain-{number}" for number in range(domains)]
         self.now = 0.0
         self.entries: dict[int, Target] = {}
         self.targets: dict[int, FleetTarget] = {}
         self.balancers: dict[int, FleetBalancer] = {}
         self.notices = 0
+        self.home_notices = 0
         self._revision = 0
         for _ in range(targets):
             self.add_target(lag_seconds=0.0)
@@ -115,8 +120,9 @@
     def add_target(self, lag_seconds: float = LAG_SECONDS) -> None:
         """Start a target with its agent."""
         host = FIRST_AGENT + self._revision
+        domain = self.domains[self._revision % len(self.domains)]
         target = Target(
-            f"t{host}", host, 80, SERVICE, "a", TargetPhase.READY, 4, 0.0, 1, self._revision
+            f"t{host}", host, 80, SERVICE, domain, TargetPhase.READY, 4, 0.0, 1, self._revision
         )
         self.entries[host] = target
         view = View()
@@ -164,10 +170,16 @@
         """Start a balancer that has just read the store."""
         host = FIRST_BALANCER + self._revision * 100 + len(self.balancers)
         view = View(pending=[(self.now, self._snapshot())])
+        domain = self.domains[len(self.balancers) % len(self.domains)]
         steering = BalancerSteering(
-            host, "a", view.directory, view.peers, view.placement, RETENTION_SECONDS
+            host,
+            domain,
+            view.directory,
+            view.peers,
+            view.placement,
+            RETENTION_SECONDS,
         )
-        self.balancers[host] = FleetBalancer(view, steering)
+        self.balancers[host] = FleetBalancer(view, steering, domain)
 
     def stop_balancer(self) -> None:
         """End a balancer without warning."""
@@ -177,9 +189,15 @@
         """Return the VMs of the targets that take new flows."""
         return [h for h, each in self.entries.items() if each.phase is TargetPhase.READY]
 
+    def tell_homes(self) -> None:
+        """Let every agent tell the homes of its flows, as it does from time to time."""
+        for host in tuple(self.targets):
+            for effect in self._agent(host).tell_homes(self.now):
+                self._tell([effect])
+
     def deliver(self, key: FlowKey, kind: PacketKind) -> Delivery:
-        """Hand a packet to a random balancer and follow it to its end."""
-        balancer = self.balancers[self.random.choice(list(self.balancers))]
+        """Hand a packet to a balancer and follow it to its end."""
+        balancer = self._routed(key)
         balancer.view.catch_up(self.now)
         packet = FlowPacket(key, kind, False, 0, 1, 1, 0, b"")
         effects: list[object] = [balancer.steering.steer(packet, self.now)]
@@ -208,14 +226,32 @@
                     return Delivery(None, hops, astray, True)
         return Delivery(None, hops, astray, False)
 
+    def _routed(self, key: FlowKey) -> FleetBalancer:
+        """Return the balancer that the routers choose.
+
+        In one failure domain it is a random one for each packet, the worst that routers can do. In
+        several it is one of the caller's domain by `mod`, so each balancer more or less moves most
+        flows.
+        """
+        balancers = list(self.balancers.values())
+        if len(self.domains) == 1:
+            return self.random.choice(balancers)
+        domain = self.domains[key.caller_port % len(self.domains)]
+        near = [each for each in balancers if each.domain == domain] or balancers
+        return near[bucket_of(key.hash_key) % len(near)]
+
     def _take(self, host: int, key: FlowKey, kind: PacketKind) -> None:
         if kind is PacketKind.OPENING:
             self.targets[host].flows.add(key)
-            answer = FlowPacket(key, PacketKind.OPENING_ANSWER, False, 0, 1, 1, 0, b"")
-            self._agent(host).take_from_target(answer, self.now)
+        answers = PacketKind.OPENING_ANSWER if kind is PacketKind.OPENING else PacketKind.PLAIN
+        answer = FlowPacket(key, answers, False, 0, 1, 1, 0, b"")
+        self._agent(host).take_from_target(answer, self.now)
 
     def _tell(self, effects: Sequence[object]) -> None:
         for effect in effects:
+            if isinstance(effect, TellHome) and effect.home in self.targets:
+                self.home_notices += 1
+                self._agent(effect.home).learn_home(effect.notice, self.now)
             if isinstance(effect, TellOwner) and effect.balancer in self.balancers:
                 self.notices += 1
                 balancer = self.balancers[effect.balancer]
--- a/egretsill/measurements/address_steering.py
+++ b/egretsill/measurements/address_steering.py
@@ -26,9 +26,11 @@
 PACKETS = 8
 TARGETS, BALANCERS = 10, 7
 LEAST_TARGETS, LEAST_BALANCERS = 5, 3
+LARGER = ((15, 9, 3), (42, 12, 3), (110, 45, 5))  # targets, balancers, failure domains
 LEAVING_SECONDS = 55.0  # a target that drains waits for its flows
 MOST_HOPS_A_PACKET = 0.25
 WRONG_TARGETS = 3
+TELLING_SECONDS = 2.0  # between two looks at what homes are to be told, four times the real one
 RETRY_SECONDS = (0.2, 0.4, 0.8, 1.6, 1.6)  # when callers send an unanswered packet again
 MOST_NOTICES = 200.0  # 32 bytes each: a third of the 18 KB a second that control may take
 FLEET_DAEMONS, FLEET_FLOWS_A_SECOND = 1_300, 110_000  # the size that the users expect
@@ -36,9 +38,11 @@
 
 def measure() -> Sequence[Measurement]:
     """Return all values of steering by address."""
-    run = _Run(Random(SEED))
+    run = _Run(Random(SEED), TARGETS, BALANCERS, 1)
     run.play()
+    larger = [each for size in LARGER for each in _larger(*size)]
     return [
+        *larger,
         _counted("flows with a packet lost for good, against a hash alone", run, "hash"),
         _counted("flows with a packet lost for good, against a hash with bounces", run, "chain"),
         _at_most("packets at a wrong target three times", run.wrong, 0),
@@ -50,9 +54,9 @@
 class _Run:
     """The same packets for the fleet and the baselines."""
 
-    def __init__(self, random: Random) -> None:
+    def __init__(self, random: Random, targets: int, balancers: int, domains: int) -> None:
         self.random = random
-        self.fleet = AddressFleet(random, TARGETS, BALANCERS)
+        self.fleet = AddressFleet(random, targets, balancers, domains)
         self.lost: dict[str, set[int]] = {"steered": set(), "hash": set(), "chain": set()}
         self.wrong = self.hops = self.packets = 0
         self._owners: dict[int, int] = {}
@@ -69,10 +73,14 @@
             events.append((begin, 0, flow, 0))
             events += [(begin + length * n / PACKETS, n, flow, 0) for n in range(1, PACKETS)]
         events += [(n * SECONDS_BETWEEN_CHANGES, -1, n, 0) for n in range(1, CHANGES + 1)]
+        events += [(n * TELLING_SECONDS, -2, n, 0) for n in range(1, int(end / TELLING_SECONDS))]
         heapq.heapify(events)
         while events:
             when, number, flow, tries = heapq.heappop(events)
             self.fleet.now = when
+            if number == -2:
+                self.fleet.tell_homes()
+                continue
             if number < 0:
                 self._change()
                 continue
@@ -90,6 +98,9 @@
             0x0A000000 + flow // 50_000, 10_000 + flow % 50_000, SERVICE_HOST, SERVICE_PORT
         )
         delivery = self.fleet.deliver(key, kind)
+        if kind is PacketKind.OPENING:
+            # The caller acknowledges the target's answer at once, and the target that.
+            self.fleet.deliver(key, PacketKind.PLAIN)
         self.packets += 1
         self.hops += delivery.hops
         self.wrong += delivery.astray >= WRONG_TARGETS and delivery.reached is None
@@ -136,6 +147,24 @@
         self.fleet.drain_target(host)
 
 
+def _larger(targets: int, balancers: int, domains: int) -> Sequence[Measurement]:
+    """Return what large fleets must keep: no flow lost, few hops."""
+    run = _Run(Random(SEED), targets, balancers, domains)
+    run.play()
+    size = f"{targets} targets"
+    told = run.fleet.home_notices / run.fleet.now / targets
+    return [
+        _counted(f"flows with a packet lost for good, against a hash alone, {size}", run, "hash"),
+        _at_most(f"packets at a wrong target three times, {size}", run.wrong, 0),
+        _at_most(
+            f"hops from agent to agent, a packet, {size}",
+            run.hops / run.packets,
+            MOST_HOPS_A_PACKET,
+        ),
+        _at_most(f"messages to homes a second, an agent, {size}", told, MOST_NOTICES),
+    ]
+
+
 def _counted(case: str, run: _Run, baseline: str) -> Measurement:
     lost = Counter({name: len(flows) for name, flows in run.lost.items()})
     return Measurement(
--- a/egretsill/node/_fleet_link.py
+++ b/egretsill/node/_fleet_link.py
@@ -116,6 +116,7 @@
         self._taken_at: dict[str, float] = {}
         self._pushed_revision = 0
         self._told_confirmed_at = float("-inf")
+        self._confirmed_by: int | None = None
         self._sources: dict[int, int] = {}
         self._behind = trio.Event()
 
@@ -150,11 +151,12 @@
         if subscribers:
             self._tell(subscribers, self._reports(subscribers, now), now)
 
-    def announce_content(self, is_from_store: bool) -> None:
+    def announce_content(self, source: int | None) -> None:
         """Tell a change of content, and that it was confirmed, to those who rely on this process.
 
         Args:
-            is_from_store: whether this process read it itself, so that its hubs don't know it yet.
+            source: the peer that it is from; None if this process read it itself, so that its hubs
+                don't know it yet. What comes from another cell is known in all others.
         """
         now = self._timer.now
         revision = self._directory.content_revision
@@ -163,10 +165,11 @@
         if not is_changed and not is_confirmed:
             return
         self._hubs.replace_cells(self._candidates.cells)
-        hubs = self._hubs.hubs(now)
-        told = dict.fromkeys((*self._hubs.subscribers(), *self._hubs.far_hubs(now)))
-        if is_from_store:
-            told.update(dict.fromkeys(hubs))
+        told = dict.fromkeys(self._hubs.subscribers())
+        if source is None:
+            told.update(dict.fromkeys(self._hubs.hubs(now)))
+        if source is None or not self._hubs.is_far(source):
+            told.update(dict.fromkeys(self._hubs.far_hubs(now)))
         if is_changed:
             changes = self._exchange.push(self._pushed_revision) if self._pushed_revision else None
             if changes is not None:
@@ -250,7 +253,7 @@
             try:
                 data, sender = self._socket.recvfrom(MAXIMUM_DATAGRAM_BYTES)
             except BlockingIOError:
-                self.announce_content(is_from_store=False)
+                self.announce_content(self._confirmed_by)
                 return False
             self._take(data, sender[0])
         return True
@@ -282,8 +285,12 @@
 
     def _compare(self, head: HeartbeatHead, sender: str, now: float) -> None:
         """Take a peer's word on the content that this process has, or note that it has newer."""
-        if head.revision <= self._directory.content_revision:
-            self._directory.confirm(head.revision, head.age_milliseconds / MILLISECONDS, now)
+        directory = self._directory
+        if head.revision <= directory.content_revision:
+            before = directory.confirmed_at
+            directory.confirm(head.revision, head.age_milliseconds / MILLISECONDS, now)
+            if directory.confirmed_at > before:
+                self._confirmed_by = head.host
             return
         # Who passed a heartbeat on is near, and has what it announces or will have it soon.
         source = numbered(sender)
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -111,7 +111,7 @@
             self._metrics,
             self._journal,
             self._on_content,
-            lambda: self._link.announce_content(is_from_store=True),
+            lambda: self._link.announce_content(None),
         )
 
     @property
@@ -301,7 +301,7 @@
             targets=len(directory.targets),
         )
         if source != STORE_SOURCE:
-            self._link.announce_content(is_from_store=False)
+            self._link.announce_content(numbered(source))
 
     def _is_able_to_read(self) -> bool:
         return self._plan.can_read(self._timer.now) and not self._shutdown.is_leaving
--- /dev/null
+++ b/egretsill/node/tests/test_reader_choice.py
@@ -0,0 +1,77 @@
+"""Everybody knows the same two readers, at any size of the fleet."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from ...directory import (
+    READERS,
+    Directory,
+    RouteTable,
+    Snapshot,
+    Target,
+    TargetPhase,
+    reader_order,
+)
+from ...fleet import PeerReport, PeerTable
+from .._reader_choice import ReaderChoice
+
+SEEDS = (901, 902, 903)
+
+
+def targets(count: int) -> list[Target]:
+    ready = Target("", 0, 80, "lookup", "a", TargetPhase.READY, 1, 0.0, 1, 5)
+    return [replace(ready, name=f"t{host}", host=host) for host in range(1, count + 1)]
+
+
+def make_directory(entries: list[Target]) -> Directory:
+    directory = Directory()
+    directory.apply_snapshot(Snapshot(20, RouteTable(1, {}, 15.0), entries), 0.0)
+    return directory
+
+
+@pytest.mark.parametrize("count", [15, 195, 1_300])
+def test_all_processes_choose_the_same_two(count: int) -> None:
+    directory = make_directory(targets(count))
+    chosen = {
+        tuple(ReaderChoice(host, SEEDS, directory, PeerTable(host), lambda: True).readers())
+        for host in range(1, 2 * count, 7)
+    }
+    assert chosen == {tuple(reader_order(range(1, count + 1))[:READERS])}
+
+
+def test_seeds_read_before_any_target_is_known() -> None:
+    choice = ReaderChoice(901, SEEDS, Directory(), PeerTable(901), lambda: True)
+    assert set(choice.readers()) <= set(SEEDS)
+    choice.replace_seeds([7])
+    assert choice.readers() == [7]
+
+
+@pytest.mark.parametrize(
+    "report",
+    [
+        pytest.param(PeerReport(0, can_read=False), id="the store turns it away"),
+        pytest.param(PeerReport(0, is_leaving=True), id="leaving"),
+        pytest.param(PeerReport(0, silence_milliseconds=2_000), id="silent"),
+    ],
+)
+def test_the_next_in_rank_takes_the_place_of_one_that_cannot(report: PeerReport) -> None:
+    order = reader_order(range(1, 16))
+    peers = PeerTable(99)
+    peers.receive_reports([report._replace(host=order[0])], 1.0)
+    choice = ReaderChoice(99, SEEDS, make_directory(targets(15)), peers, lambda: True)
+    assert choice.readers() == list(order[1:3])
+
+
+def test_targets_that_leave_are_no_readers_and_a_process_knows_itself() -> None:
+    entries = targets(15)
+    order = reader_order(range(1, 16))
+    entries = [
+        replace(each, phase=TargetPhase.DRAINING) if each.host == order[0] else each
+        for each in entries
+    ]
+    own = order[1]
+    choice = ReaderChoice(own, SEEDS, make_directory(entries), PeerTable(own), lambda: False)
+    assert choice.readers() == list(order[2:4])
