--- a/egretsill/address_steering/_homes.py
+++ b/egretsill/address_steering/_homes.py
@@ -17,7 +17,7 @@
 
 TELL_SECONDS = 0.5  # how often flows are looked at; ten times a usual request's work
 TOLD_AGE_SECONDS = 0.4  # younger flows are found at their candidates, and most end before
-REPEAT_SECONDS = 4.0  # a home that started anew knows its flows by then
+REPEAT_SECONDS = 10.0  # a home that started anew knows its flows by then; the other one does before
 MAXIMUM_HELD = 20_000  # flows, some 5 MB; of too many, those told longest ago are forgotten
 HELD_SECONDS = 3 * REPEAT_SECONDS  # two repeats may be lost
 
