--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -1,9 +1,8 @@
 """What an agent does with packets of callers and of its target.
 
 The agent sees every packet of its target's flows in both directions, so it knows them exactly. A
-packet of a flow that isn't here goes to its owner, if the owner told this agent as the flow's home,
-or else on to the next candidate, in the manner of Beamer's daisy chaining (Olteanu and others,
-2018), with the visited agents listed so that none sees it twice.
+packet of a flow that isn't here is passed on, with the visited agents listed so that none sees it
+twice.
 """
 
 from __future__ import annotations
@@ -11,9 +10,9 @@
 import math
 from collections.abc import Sequence
 
-from ..directory import Directory, Route, TargetPhase, TargetView
+from ..directory import Directory, TargetPhase, TargetView
 from ..fleet import PeerTable
-from ._candidates import ServiceRank, has_departed
+from ._candidates import ServiceRank
 from ._decisions import (
     AgentEffect,
     Answered,
@@ -30,8 +29,9 @@
     TellOwner,
     Wait,
 )
+from ._flow_search import FlowSearch, SearchHop
 from ._flow_table import MAXIMUM_FLOWS, FlowEntry, FlowState, FlowTable
-from ._homes import HomeTable, notices_due
+from ._homes import notices_due
 from ._packet import FlowPacket, PacketKind, opening_delay
 from ._placement import FlowPlacement
 from ._request_queue import RequestQueue, WaitingRequest
@@ -69,9 +69,8 @@
         self._service = service
         self._mark = service_mark(service)
         self._directory = directory
-        self._peers = peers
         self._placement = placement
-        self._homes = HomeTable()
+        self._search = FlowSearch(host, directory, peers, placement)
         self._told_rank: ServiceRank | None = None
         self._flows = FlowTable(retention_seconds)
         self._queue = RequestQueue()
@@ -92,11 +91,11 @@
     @property
     def homed(self) -> int:
         """Return how many flows of others this agent was told of."""
-        return len(self._homes)
+        return len(self._search.homes)
 
     def learn_home(self, notice: HomeNotice, now: float) -> None:
         """Remember which agent has some flows, as their home."""
-        self._homes.learn(notice, now)
+        self._search.homes.learn(notice, now)
 
     def tell_homes(self, now: float) -> Sequence[TellHome]:
         """Return what to tell the homes of the flows that are open here."""
@@ -180,7 +179,7 @@
         """Forget what is over or too old."""
         table = self._directory.table
         self._flows.sweep(now, table.idle_seconds if table else 0.0)
-        self._homes.sweep(now)
+        self._search.homes.sweep(now)
         self._placement.tick(now)
 
     def _take_owned(
@@ -342,23 +341,13 @@
 
     def _pass_on(self, envelope: Envelope, packet: FlowPacket, now: float) -> Sequence[AgentEffect]:
         """Send a packet of a flow that isn't here to the next VM where it may be."""
-        flow = packet.flow
-        route = self._directory.route(flow.service_host, flow.service_port)
-        if route is None:
-            return (Drop(flow, DropReason.NO_TARGET),)
-        visited = {*envelope.visited, self._host}
-        owner = self._homes.owner(flow)
-        if owner is not None and owner not in visited:
-            if not self._is_gone(owner, route, now):
-                return self._pass_to(owner, envelope, packet, ForwardReason.TOLD_BY_OWNER)
-            self._homes.forget(flow)
-            return self._refuse(packet, RefuseReason.OWNER_GONE)
-        domain = self._placement.candidates.domain_marked(envelope.domain_mark)
-        for host in self._placement.search(flow, route.services, domain):
-            if host in visited or self._is_empty(host, route, now):
-                continue
-            return self._pass_to(host, envelope, packet, ForwardReason.NOT_HERE)
-        return self._refuse(packet, RefuseReason.NOWHERE_OPEN)
+        match self._search.next_step(packet.flow, envelope, now):
+            case SearchHop(host, reason):
+                return self._pass_to(host, envelope, packet, reason)
+            case RefuseReason() as refusal:
+                return self._refuse(packet, refusal)
+            case DropReason() as drop:
+                return (Drop(packet.flow, drop),)
 
     def _refuse(self, packet: FlowPacket, reason: RefuseReason) -> Sequence[AgentEffect]:
         """Reset a flow that is known to be open nowhere."""
@@ -366,19 +355,6 @@
             return (Drop(packet.flow, DropReason.NO_TARGET),)
         return (Refuse(packet.flow, packet.acknowledged, reason),)
 
-    def _is_gone(self, host: int, route: Route, now: float) -> bool:
-        """Return whether a flow's owner is known to have left with its VM.
-
-        An owner that isn't known here may be newer than this agent's directory.
-        """
-        views = [self._directory.target_at(host, service) for service in route.services]
-        known = [each for each in views if each is not None]
-        return (
-            bool(known)
-            and all(has_departed(each, now) for each in known)
-            and not self._peers.is_heard(host, now)
-        )
-
     def _pass_to(
         self, host: int, envelope: Envelope, packet: FlowPacket, reason: ForwardReason
     ) -> Sequence[AgentEffect]:
@@ -387,14 +363,6 @@
         onward = envelope._replace(visited=(*envelope.visited, self._host))
         return (Forward(host, onward, reason, packet.flow, packet.datagram),)
 
-    def _is_empty(self, host: int, route: Route, now: float) -> bool:
-        """Return whether no flow can be open on a VM, as its target has left."""
-        views = [self._directory.target_at(host, service) for service in route.services]
-        return all(
-            view is None or (view.gone_at is not None and view.lapsed_until <= now)
-            for view in views
-        )
-
     def _own_view(self) -> TargetView | None:
         return self._directory.target_at(self._host, self._service)
 
