--- a/egretsill/directory/_directory.py
+++ b/egretsill/directory/_directory.py
@@ -56,6 +56,7 @@
         self._confirmed_at = NEVER
         self._grace_until = NEVER
         self._generation = 0
+        self._changed_at: float | None = None
         self._log = ChangeLog()
 
     @property
@@ -104,10 +105,12 @@
 
     def targets_of(self, service: str) -> Sequence[TargetView]:
         """Return a service's targets, with those that left while their flows may be open."""
+        self._refresh_index()
         return self._by_service.get(service, ())
 
     def target_at(self, host: int, service: str) -> TargetView | None:
         """Return the newest target of a service on a VM."""
+        self._refresh_index()
         found = [each for each in self._by_host.get(host, ()) if each.target.service == service]
         return max(found, key=_recency, default=None)
 
@@ -115,10 +118,6 @@
         """Return the failure domain of each VM that has a target in force."""
         return {each.target.host: each.target.failure_domain for each in self._targets.values()}
 
-    def services(self) -> Iterable[str]:
-        """Return the names of the services that have targets, departed ones too."""
-        return self._by_service.keys()
-
     def changes_since(self, revision: int) -> ContentChanges | None:
         """Return what came after a revision, or None if only the whole content will do."""
         return self._log.since(revision)
@@ -280,7 +279,14 @@
         self._departed[name] = TargetView(known.target, known.cold_until, now)
 
     def _index(self, now: float) -> None:
+        """Let the index be made anew when it is asked next, as changes often come in bursts."""
         self._generation += 1
+        self._changed_at = now
+
+    def _refresh_index(self) -> None:
+        if self._changed_at is None:
+            return
+        now, self._changed_at = self._changed_at, None
         by_service: dict[str, list[TargetView]] = {}
         by_host: dict[int, list[TargetView]] = {}
         for view in (*self._in_place(now), *self._departed.values()):
--- a/egretsill/directory/_reading.py
+++ b/egretsill/directory/_reading.py
@@ -31,7 +31,7 @@
 FIRST_TURN_SECONDS = 0.25  # likewise before the fleet's first configuration, in four seconds
 FAILED_SECONDS = 2.0  # for how long a failed read keeps a process from being a reader
 SHORTEST_PAUSE_SECONDS = 0.005  # a wait that rounds to nothing would spin
-POLL_SECONDS = 0.2  # how soon a change of the fleet or of ages is noticed
+POLL_SECONDS = 0.4  # how soon a change of the fleet or of ages is noticed
 
 _READERS_KEY = b"store readers"
 
--- a/egretsill/node/_agent_node.py
+++ b/egretsill/node/_agent_node.py
@@ -71,13 +71,13 @@
         self._log = log
         self._caller_port = caller_port
         self._tunnel_port = tunnel_port
+        self._is_release_due = False
         self._target = (numbered(target.host), target.port)
         self._tunnel = PacketSocket(sockets.tunnel, timer, log, self._take_peer)
         self._outbound = PacketSocket(sockets.packets, timer, log, self._take_target)
 
     async def run(self) -> None:
         """Forward until cancelled."""
-        self._timer.subscribe(RELEASE_SECONDS, self._release)
         self._timer.subscribe(TELL_SECONDS, self._tell_homes)
         try:
             async with trio.open_nursery() as nursery:
@@ -88,6 +88,7 @@
             self._outbound.close()
 
     def _release(self, now: float) -> None:
+        self._is_release_due = False
         if len(self._steering.queue):
             self._apply(self._steering.release(now))
 
@@ -122,6 +123,10 @@
         self._apply(self._steering.take_from_target(packet, now))
 
     def _apply(self, effects: Sequence[AgentEffect]) -> None:
+        # An idle agent wakes for nothing; most of its processor time would be wake-ups.
+        if len(self._steering.queue) and not self._is_release_due:
+            self._is_release_due = True
+            self._timer.call_later(RELEASE_SECONDS, self._release)
         for effect in effects:
             match effect:
                 case HandToTarget(datagram):
