Show cell, hub and homed flows on the status page

An operator who follows a flow through a large fleet needs to know which agents pass heartbeats on and which know owners; only logs told it. Fields only, with a check in the whole path.

--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -139,6 +139,9 @@
             "peers_heard": len(self._peers.heard(now)),
             "flows": load.flows,
             "pending": load.pending,
+            "flows_homed": self._agent_steering.homed if self._agent_steering else 0,
+            "cell": self._hubs.cell,
+            "is_hub": self._hubs.is_hub(now),
             "is_leaving": self._shutdown.is_leaving,
         }
 
