Pass on what another cell hears, not its announcements; decide that without sockets

Cause, found by reading: a hub's announcement of content has its own report alone, and took the turn of the next full heartbeat of its cell, which then was not passed on for 0.4 s.

Change: HubPlan decides what is passed on and what is read twice; announcements aren't passed on. Its state is bounded by the cells that are known. Test first: test_hubs.

--- a/egretsill/fleet/_hubs.py
+++ b/egretsill/fleet/_hubs.py
@@ -21,6 +21,8 @@
 FAILED_SECONDS = 3.0  # for how long a hub that answered nothing is passed over
 SUBSCRIPTION_SECONDS = 3.0  # who told this process lately is told, and is told of
 TOLD_CELLS = 8  # other cells that a hub tells, whatever their number
+FORWARD_SECONDS = 0.4  # heartbeats of another cell come from two hubs; one of them is passed on
+TAKE_SECONDS = 0.3  # and come from two own hubs; reading the reports of one is enough
 MAXIMUM_SUBSCRIBERS = 300  # three times a full cell; a newcomer more finds another hub
 
 _HUBS_KEY = b"hubs of "
@@ -50,6 +52,8 @@
         self._heard_at: dict[int, float] = {}
         self._failed_until: dict[int, float] = {}
         self._subscribers: dict[int, tuple[str, float]] = {}
+        self._forwarded_at: dict[str, float] = {}
+        self._taken_at: dict[str, float] = {}
 
     @property
     def cell(self) -> str:
@@ -72,6 +76,8 @@
         self._cells = cells
         self._cell = cells.cell_of(self._host, self._domain)
         self._ranks = {}
+        self._forwarded_at = {}
+        self._taken_at = {}
 
     def receive(self, head: HeartbeatHead, now: float) -> None:
         """Note who told this process itself, and whether it wants to be told."""
@@ -118,6 +124,25 @@
             if cell not in ("", self._cell) and host not in asked
         )
 
+    def onward(self, head: HeartbeatHead, reports: int, now: float) -> Sequence[int]:
+        """Return the own cell's processes to pass a heartbeat of another cell's hub on to.
+
+        Args:
+            head: of the heartbeat, which came from its sender.
+            reports: how many it has. One that only announces content has the sender's alone.
+            now: local time.
+        """
+        is_digest = head.is_asking or reports > 1
+        if not is_digest or not head.cell or head.cell == self._cell:
+            return ()
+        if not self._is_due(self._forwarded_at, head.cell, FORWARD_SECONDS, now):
+            return ()
+        return [host for host in self.subscribers() if host != head.host]
+
+    def is_news(self, head: HeartbeatHead, now: float) -> bool:
+        """Return whether the reports of a heartbeat that was passed on are worth reading."""
+        return self._is_due(self._taken_at, head.cell, TAKE_SECONDS, now)
+
     def note_told(self, hosts: Iterable[int], now: float) -> None:
         """Note that processes are being told, and will be as long as they answer."""
         for host in hosts:
@@ -154,6 +179,16 @@
         kept = set(told)
         self._told_since = {h: since for h, since in self._told_since.items() if h in kept}
 
+    def _is_due(self, done_at: dict[str, float], cell: str, seconds: float, now: float) -> bool:
+        """Return whether something was not done for a cell lately, and note that it is now."""
+        if not self._cells.members(cell):
+            # Not known here yet, so not noted either: names come from the network.
+            return True
+        if now - done_at.get(cell, float("-inf")) < seconds:
+            return False
+        done_at[cell] = now
+        return True
+
     def _chosen(self, cell: str, now: float) -> Sequence[int]:
         ranked = self._ranks.get(cell)
         if ranked is None:
--- a/egretsill/fleet/tests/test_hubs.py
+++ b/egretsill/fleet/tests/test_hubs.py
@@ -145,3 +145,29 @@
     plan.note_told(plan.hubs(0.0), 0.0)
     plan.note_wake(60.0)
     assert plan.tick(60.1) == []
+
+
+def test_what_another_cell_tells_is_passed_on_once_and_announcements_are_not() -> None:
+    fleet = Fleet(42, 3)
+    for _ in range(4):
+        fleet.step()
+    host = next(each for each in fleet.hosts if fleet.plans[each].is_hub(fleet.now))
+    plan, now = fleet.plans[host], fleet.now
+    far = next(name for name in fleet.cells.names if name != plan.cell)
+    announcement = HeartbeatHead(1, 1, 1, 1, 1, 0, far)
+    assert plan.onward(announcement, 1, now) == ()
+    digest = announcement._replace(sequence=2)
+    near = plan.onward(digest, 14, now + 0.01)
+    assert set(near) == set(plan.subscribers()), "an announcement before it doesn't hold it back"
+    assert plan.onward(announcement._replace(host=2), 14, now + 0.1) == (), "the second hub's"
+    assert plan.onward(digest._replace(sequence=3), 14, now + 0.6) != ()
+    assert plan.onward(digest._replace(cell=plan.cell), 14, now + 2.0) == ()
+
+
+def test_the_second_copy_of_what_was_passed_on_is_left_unread() -> None:
+    plan = next(iter(Fleet(42, 3).plans.values()))
+    digest = HeartbeatHead(1, 1, 1, 1, 1, 0, "d1/0")
+    assert plan.is_news(digest, 1.0)
+    assert not plan.is_news(digest, 1.1)
+    assert plan.is_news(digest._replace(cell="d2/0"), 1.1)
+    assert plan.is_news(digest, 1.5)
--- a/egretsill/node/_fleet_link.py
+++ b/egretsill/node/_fleet_link.py
@@ -33,9 +33,6 @@
 MAXIMUM_AGE_MILLISECONDS = 1_000_000
 FAR_HEARTBEAT_PERIODS = 2  # bytes between failure domains are dear
 REST_SECONDS = 0.05  # between two looks at the socket, so that many heartbeats cost one wake-up
-FORWARD_SECONDS = 0.4  # heartbeats of another cell come from two hubs; one of them is passed on
-TAKE_SECONDS = 0.3  # two own hubs pass on the same; reading the reports of one is enough
-MAXIMUM_CELLS = 64  # other cells that are remembered; hubs tell of eight
 CONFIRM_SECONDS = 0.6  # content confirmed so much later is worth a heartbeat of its own
 PUSH_GRACE_SECONDS = 0.15  # changes are pushed at the same moment as they are announced
 RETRY_SECONDS = 0.1  # before the next peer is asked for content
@@ -112,8 +109,6 @@
         self._period = 0
         self._is_leaving = False
         self._silent: set[int] = set()
-        self._forwarded_at: dict[str, float] = {}
-        self._taken_at: dict[str, float] = {}
         self._pushed_revision = 0
         self._told_confirmed_at = float("-inf")
         self._confirmed_by: int | None = None
@@ -273,16 +268,23 @@
             now = self._timer.now
             if not self._peers.receive_head(head, now):
                 return
-            if not is_forwarded or self._is_due(self._taken_at, head.cell, TAKE_SECONDS, now):
-                self._peers.receive_reports(decode_reports(heartbeat), now)
+            if is_forwarded:
+                if self._hubs.is_news(head, now):
+                    self._peers.receive_reports(decode_reports(heartbeat), now)
+            else:
+                self._take_from_sender(head, heartbeat, now)
         except MalformedHeartbeat as error:
             self._metrics.messages_malformed.increment("fleet", error.reason)
             return
-        if not is_forwarded:
-            self._hubs.receive(head, now)
-            self._forward(head, heartbeat, now)
         self._compare(head, sender, now)
 
+    def _take_from_sender(self, head: HeartbeatHead, heartbeat: bytes, now: float) -> None:
+        """Take a heartbeat that nobody passed on, and pass it on if it is another cell's."""
+        reports = decode_reports(heartbeat)
+        self._peers.receive_reports(reports, now)
+        self._hubs.receive(head, now)
+        self._send(bytes((_FORWARDED,)) + heartbeat, self._hubs.onward(head, len(reports), now))
+
     def _compare(self, head: HeartbeatHead, sender: str, now: float) -> None:
         """Take a peer's word on the content that this process has, or note that it has newer."""
         directory = self._directory
@@ -298,24 +300,6 @@
             self._sources[source] = max(head.revision, self._sources.get(source, 0))
         self._behind.set()
 
-    def _forward(self, head: HeartbeatHead, data: bytes, now: float) -> None:
-        """Pass a heartbeat of another cell's hub on to the own cell."""
-        if not head.cell or head.cell == self._hubs.cell:
-            return
-        if not self._is_due(self._forwarded_at, head.cell, FORWARD_SECONDS, now):
-            return
-        near = [host for host in self._hubs.subscribers() if host != head.host]
-        self._send(bytes((_FORWARDED,)) + data, near)
-
-    def _is_due(self, done_at: dict[str, float], cell: str, seconds: float, now: float) -> bool:
-        """Return whether something was not done for a cell lately, and note that it is now."""
-        if now - done_at.get(cell, float("-inf")) < seconds:
-            return False
-        if len(done_at) >= MAXIMUM_CELLS:
-            done_at.clear()
-        done_at[cell] = now
-        return True
-
     def _take_push(self, data: bytes, sender: str) -> None:
         if self._exchange.take_push(data):
             self._on_change(sender)
