--- a/egretsill/address_steering/_placement.py
+++ b/egretsill/address_steering/_placement.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import enum
 from collections.abc import Collection, Iterable, Iterator, Sequence
 
 from ..directory import Directory, Route, TargetPhase, TargetView
@@ -24,7 +25,14 @@
 USUAL_DELAY_SECONDS = 0.5  # for how long a service's usual delay is kept; heartbeats bring more
 FORGET_SENT_SECONDS = 5.0  # a count of flows is outdated by then, as heartbeats tell them
 
-HEALTHY, UNCERTAIN, UNWILLING, SILENT = range(4)
+
+class Readiness(enum.IntEnum):
+    """How well a VM can take a new flow, as far as heartbeats tell; the lower the better."""
+
+    HEALTHY = 0
+    UNCERTAIN = 1
+    UNWILLING = 2
+    SILENT = 3
 
 
 class FlowPlacement:
@@ -91,7 +99,7 @@
         near = self._best(rank, rank.ranked(cell, bucket), excluded, CHOICES, now)
         costs = {host: self.load(rank.views[host], now) for host in near}
         extra = 0.0
-        if near and self._level(near[0], now) == HEALTHY:
+        if near and self._readiness(near[0], now) is Readiness.HEALTHY:
             best = min(costs, key=costs.__getitem__)
             extra = REMOTE_REQUESTS / _capacity(rank.views[best])
             # No other cell's target of the same capacity can have less to do.
@@ -101,13 +109,12 @@
         for other in rank.cells(bucket):
             if other != cell:
                 far += self._best(rank, rank.ranked(other, bucket), excluded, 1, now)
-            if len(far) >= CHOICES and any(self._level(each, now) == HEALTHY for each in far):
+            if len(far) >= CHOICES and self._has_healthy(far, now):
                 break
         costs |= {host: self.load(rank.views[host], now) + extra for host in far}
         if not costs:
             return None
-        levels = {host: self._level(host, now) for host in costs}
-        return min(costs, key=lambda host: (levels[host], costs[host]))
+        return min(costs, key=lambda host: (self._readiness(host, now), costs[host]))
 
     def note_sent(self, host: int, now: float) -> None:
         """Count a flow that was placed since the target's last report."""
@@ -150,33 +157,35 @@
         now: float,
     ) -> list[int]:
         """Return the first VMs of a rank that take new flows, healthy ones before others."""
-        others: list[tuple[int, int]] = []
-        found: list[int] = []
-        for place, host in enumerate(ranked):
+        healthy: list[int] = []
+        others: list[tuple[Readiness, int]] = []
+        for host in ranked:
             if host in excluded or not _is_open(rank.views[host], now):
                 continue
-            level = self._level(host, now)
-            if level == HEALTHY:
-                found.append(host)
-                if len(found) == count:
-                    return found
-            else:
-                others.append((level * len(rank.views) + place, host))
-        if found or not others:
-            return found
-        least = min(others)[0] // len(rank.views)
-        return [host for order, host in sorted(others) if order // len(rank.views) == least][:count]
-
-    def _level(self, host: int, now: float) -> int:
-        """Return how well a VM can take a new flow, as far as heartbeats tell."""
+            readiness = self._readiness(host, now)
+            if readiness is not Readiness.HEALTHY:
+                others.append((readiness, host))
+                continue
+            healthy.append(host)
+            if len(healthy) == count:
+                break
+        if healthy or not others:
+            return healthy
+        best = min(readiness for readiness, _ in others)
+        return [host for readiness, host in others if readiness is best][:count]
+
+    def _has_healthy(self, hosts: Iterable[int], now: float) -> bool:
+        return any(self._readiness(each, now) is Readiness.HEALTHY for each in hosts)
+
+    def _readiness(self, host: int, now: float) -> Readiness:
         peer = self._peers.peers.get(host)
         if peer is None:
-            return UNCERTAIN
+            return Readiness.UNCERTAIN
         if self._peers.is_silent(host):
-            return SILENT
+            return Readiness.SILENT
         if peer.report.is_leaving or peer.report.is_target_silent:
-            return UNWILLING
-        return HEALTHY if self._peers.is_heard(host, now) else UNCERTAIN
+            return Readiness.UNWILLING
+        return Readiness.HEALTHY if self._peers.is_heard(host, now) else Readiness.UNCERTAIN
 
     def _slowness(self, delay_milliseconds: int, service: str, now: float) -> float:
         usual, found_at = self._usual_delays.get(service, (0.0, float("-inf")))
--- a/egretsill/measurements/_address_fleet.py
+++ b/egretsill/measurements/_address_fleet.py
@@ -126,16 +126,7 @@
         )
         self.entries[host] = target
         view = View()
-        steering = AgentSteering(
-            host,
-            SERVICE,
-            view.directory,
-            view.peers,
-            view.placement,
-            RETENTION_SECONDS,
-            self.now,
-        )
-        self.targets[host] = FleetTarget(view, steering)
+        self.targets[host] = FleetTarget(view, self._make_agent(host, view))
         self._publish(lag_seconds)
 
     def drain_target(self, host: int) -> None:
@@ -154,16 +145,8 @@
     def restart_agent(self, host: int) -> None:
         """Let an agent lose all that it knows while its target goes on."""
         view = View()
-        steering = AgentSteering(
-            host,
-            SERVICE,
-            view.directory,
-            view.peers,
-            view.placement,
-            RETENTION_SECONDS,
-            self.now,
-        )
-        self.targets[host].view, self.targets[host].steering = view, steering
+        self.targets[host].view = view
+        self.targets[host].steering = self._make_agent(host, view)
         view.pending.append((self.now, self._snapshot()))
 
     def start_balancer(self) -> None:
@@ -261,6 +244,17 @@
         self.targets[host].view.catch_up(self.now)
         return self.targets[host].steering
 
+    def _make_agent(self, host: int, view: View) -> AgentSteering:
+        return AgentSteering(
+            host,
+            SERVICE,
+            view.directory,
+            view.peers,
+            view.placement,
+            RETENTION_SECONDS,
+            self.now,
+        )
+
     def _snapshot(self) -> Snapshot:
         return Snapshot(max(self._revision, 1), TABLE, tuple(self.entries.values()))
 
