--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -297,8 +297,7 @@
         if view is None:
             # Balancers learn of a target from its entry, so it exists if they send packets here.
             return None
-        is_gone = view.gone_at is not None and view.lapsed_until <= now
-        if is_gone or view.target.phase is TargetPhase.DRAINING:
+        if view.is_gone(now) or view.target.phase is TargetPhase.DRAINING:
             return ForwardReason.TARGET_LEAVING
         return None
 
--- a/egretsill/address_steering/_candidates.py
+++ b/egretsill/address_steering/_candidates.py
@@ -66,11 +66,6 @@
         """Return the targets that have not departed, by VM."""
         return self._views
 
-    @property
-    def departed(self) -> Sequence[int]:
-        """Return the VMs of targets that left while their flows may be open."""
-        return self._departed
-
     def cells(self, bucket: int) -> Sequence[str]:
         """Return the cells in the rank of a flow's bucket."""
         ranked = sorted(self._cells, key=lambda each: xxh3_64_intdigest(each[1], bucket))
@@ -185,6 +180,6 @@
 
 def has_departed(view: TargetView, now: float) -> bool:
     """Return whether a target's entry vanished and its last packets have been answered."""
-    if view.gone_at is None or view.lapsed_until > now:
+    if view.gone_at is None or not view.is_gone(now):
         return False
     return now - view.gone_at > DEPARTED_SECONDS
--- a/egretsill/address_steering/_flow_search.py
+++ b/egretsill/address_steering/_flow_search.py
@@ -94,7 +94,4 @@
     def _is_empty(self, host: int, route: Route, now: float) -> bool:
         """Return whether no flow can be open on a VM, as its target has left."""
         views = [self._directory.target_at(host, service) for service in route.services]
-        return all(
-            view is None or (view.gone_at is not None and view.lapsed_until <= now)
-            for view in views
-        )
+        return all(view is None or view.is_gone(now) for view in views)
--- a/egretsill/address_steering/_placement.py
+++ b/egretsill/address_steering/_placement.py
@@ -209,9 +209,7 @@
 
 def _is_open(view: TargetView, now: float) -> bool:
     """Return whether a target takes new flows by its entry."""
-    return view.target.phase is TargetPhase.READY and (
-        view.gone_at is None or view.lapsed_until > now
-    )
+    return view.target.phase is TargetPhase.READY and not view.is_gone(now)
 
 
 def _capacity(view: TargetView) -> int:
--- a/egretsill/directory/__init__.py
+++ b/egretsill/directory/__init__.py
@@ -1,6 +1,6 @@
 """Routes and targets that a process steers by, read from the store or learned from peers."""
 
-from ._change_log import ChangeLog, ContentChanges, RouteChanges
+from ._change_log import ContentChanges
 from ._directory import RETENTION_SECONDS, Directory, TargetView
 from ._messages import (
     DIRECTORY_TYPES,
@@ -21,7 +21,6 @@
 from ._store import HistoryLost, Store, StoreFailure, StoreUnavailable
 
 __all__ = [
-    "ChangeLog",
     "Changes",
     "ContentChanged",
     "ContentChanges",
@@ -39,7 +38,6 @@
     "ReadPlan",
     "ReadStep",
     "Route",
-    "RouteChanges",
     "RouteTable",
     "ServiceShare",
     "Snapshot",
--- a/egretsill/directory/_directory.py
+++ b/egretsill/directory/_directory.py
@@ -40,6 +40,10 @@
     gone_at: float | None = None
     lapsed_until: float = NEVER
 
+    def is_gone(self, now: float) -> bool:
+        """Return whether its entry vanished and is not expected to come back."""
+        return self.gone_at is not None and self.lapsed_until <= now
+
 
 class Directory:
     """Routes and targets in force at one process."""
@@ -197,11 +201,7 @@
 
     def tick(self, now: float) -> bool:
         """Drop what is too old; return whether what is in force changed."""
-        over = [
-            name
-            for name, each in self._targets.items()
-            if each.gone_at is not None and each.lapsed_until <= now
-        ]
+        over = [name for name, each in self._targets.items() if each.is_gone(now)]
         for name in over:
             self._depart(name, now)
         while self._departed:
--- a/egretsill/fleet/_hubs.py
+++ b/egretsill/fleet/_hubs.py
@@ -13,10 +13,10 @@
 from ..ranking import rank
 from ._cells import Cells
 from ._heartbeat import HeartbeatHead
-from ._peers import PeerTable
+from ._peers import SILENT_SECONDS, PeerTable
 
 HUBS = 2  # one may fail without anybody missing a heartbeat
-HUB_SILENT_SECONDS = 0.85  # as for any peer
+HUB_SILENT_SECONDS = SILENT_SECONDS  # as for any peer
 FAR_HUB_SILENT_SECONDS = 2.0  # four of the rarer heartbeats between cells
 FAILED_SECONDS = 3.0  # for how long a hub that answered nothing is passed over
 SUBSCRIPTION_SECONDS = 3.0  # who told this process lately is told, and is told of
@@ -113,15 +113,17 @@
             others = [others[number] for number in numbers]
         return tuple(dict.fromkeys(host for name in others for host in self._chosen(name, now)))
 
-    def far_subscribers(self, now: float) -> Sequence[int]:
-        """Return the other processes of other cells that ask this one, if it is a hub itself."""
-        if not self.is_hub(now):
-            return ()
-        asked = set(self.far_hubs(now))
+    def far_subscribers(self, asked: Iterable[int]) -> Sequence[int]:
+        """Return the processes of other cells that ask this one, but for some that it asks.
+
+        Args:
+            asked: the hubs of other cells that this process, a hub itself, is telling now.
+        """
+        told = set(asked)
         return tuple(
             host
             for host, (cell, _) in self._subscribers.items()
-            if cell not in ("", self._cell) and host not in asked
+            if cell not in ("", self._cell) and host not in told
         )
 
     def onward(self, head: HeartbeatHead, reports: int, now: float) -> Sequence[int]:
--- a/egretsill/fleet/_peers.py
+++ b/egretsill/fleet/_peers.py
@@ -30,6 +30,11 @@
     reported_at: float
     news: int = 0
 
+    @property
+    def is_silent(self) -> bool:
+        """Return whether somebody who would have heard the process says that it is silent."""
+        return self.reported_at - self.heard_at >= SILENT_SECONDS
+
 
 class PeerTable:
     """The other processes.
@@ -83,14 +88,14 @@
     def is_heard(self, host: int, now: float) -> bool:
         """Return whether a peer is alive as far as this process can tell."""
         peer = self._peers.get(host)
-        if peer is None or peer.reported_at - peer.heard_at >= SILENT_SECONDS:
+        if peer is None or peer.is_silent:
             return False
         return now - max(peer.heard_at, self._woken_at) < UNCERTAIN_SECONDS
 
     def is_silent(self, host: int) -> bool:
         """Return whether somebody who would have heard a peer says that it is silent."""
         peer = self._peers.get(host)
-        return peer is not None and peer.reported_at - peer.heard_at >= SILENT_SECONDS
+        return peer is not None and peer.is_silent
 
     def heard(self, now: float) -> Sequence[Peer]:
         """Return the peers that are alive."""
@@ -101,7 +106,7 @@
         peer = self._peers.get(host)
         if peer is None:
             return True
-        return peer.report.can_read and not peer.report.is_leaving and not self.is_silent(host)
+        return peer.report.can_read and not peer.report.is_leaving and not peer.is_silent
 
     def reports_of(self, hosts: Iterable[int], now: float) -> Sequence[PeerReport]:
         """Return what to tell of processes that tell this one.
--- a/egretsill/fleet/tests/test_hubs.py
+++ b/egretsill/fleet/tests/test_hubs.py
@@ -43,7 +43,8 @@
                 self._deliver(host, told, own, True)
             for told in far:
                 self._deliver(host, told, digest, True)
-            for told in (*plan.subscribers(), *plan.far_subscribers(self.now)):
+            far_subscribers = plan.far_subscribers(far) if far else ()
+            for told in (*plan.subscribers(), *far_subscribers):
                 self._deliver(host, told, digest, False)
             plan.note_told((*hubs, *far), self.now)
             plan.stop_telling((*hubs, *far))
--- a/egretsill/node/_fleet_link.py
+++ b/egretsill/node/_fleet_link.py
@@ -184,7 +184,7 @@
         if far:
             reports = self._reports(self._hubs.subscribers(), now)
             self._tell(far, reports, now, is_asking=True)
-            self._tell(self._hubs.far_subscribers(now), reports, now)
+            self._tell(self._hubs.far_subscribers(far), reports, now)
         self._hubs.note_told(far, now)
         self._hubs.stop_telling((*self._hubs.hubs(now), *far))
 
@@ -316,7 +316,7 @@
 
     def _note_silence(self, now: float) -> None:
         for host, peer in self._peers.peers.items():
-            is_silent = self._peers.is_silent(host)
+            is_silent = peer.is_silent
             if is_silent == (host in self._silent):
                 continue
             if is_silent:
