Tell whom a reset rests on, and whether the VM of a hop is heard

The logs couldn't tell the hypotheses of the incident apart: a reset after every VM denied the flow, one on an old view, and a search that ends at a VM that is down look the same.

A reset now tells the VMs that were asked and which of them are heard, beside reason, version, revision and age. A hop tells whether its VM is heard. No decision changes.

Tests: test_decision_log.

--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -245,7 +245,7 @@
         route = self._directory.route(packet.flow.service_host, packet.flow.service_port)
         is_newer_here = self._directory.version >= envelope.version
         if route is None and is_newer_here and self._directory.version:
-            return (Refuse(packet.flow, packet.acknowledged, RefuseReason.NO_ROUTE),)
+            return self._refuse(envelope, packet, RefuseReason.NO_ROUTE)
         service = self._service
         if route is not None and is_newer_here and service not in route.services:
             service = self._placement.service_of(route, packet.flow)
@@ -288,7 +288,7 @@
         self._queue.remove(packet.flow)
         if entry.is_established:
             # The flow was open here and nowhere else, so its target has lost it.
-            return self._refuse(packet, RefuseReason.LOST_BY_TARGET)
+            return self._refuse(envelope, packet, RefuseReason.LOST_BY_TARGET)
         return self._pass_on(envelope, packet, now)
 
     def _reason_to_pass(self, now: float) -> ForwardReason | None:
@@ -314,7 +314,7 @@
             self._flows.remove(packet.flow)
             is_full = reason is ForwardReason.TARGET_FULL
             refusal = RefuseReason.ALL_FULL if is_full else RefuseReason.NO_TARGET
-            return (Refuse(packet.flow, packet.acknowledged, refusal),)
+            return self._refuse(envelope, packet, refusal)
         entry = self._entry(FlowState.PASSED, envelope, now)
         entry.passed_to = host
         self._flows.put(packet.flow, entry)
@@ -344,15 +344,18 @@
             case SearchHop(host, reason):
                 return self._pass_to(host, envelope, packet, reason)
             case RefuseReason() as refusal:
-                return self._refuse(packet, refusal)
+                return self._refuse(envelope, packet, refusal)
             case DropReason() as drop:
                 return (Drop(packet.flow, drop),)
 
-    def _refuse(self, packet: FlowPacket, reason: RefuseReason) -> Sequence[AgentEffect]:
+    def _refuse(
+        self, envelope: Envelope, packet: FlowPacket, reason: RefuseReason
+    ) -> Sequence[AgentEffect]:
         """Reset a flow that is known to be open nowhere."""
         if packet.kind is PacketKind.RESET:
             return (Drop(packet.flow, DropReason.NO_TARGET),)
-        return (Refuse(packet.flow, packet.acknowledged, reason),)
+        asked = (*envelope.visited, self._host)
+        return (Refuse(packet.flow, packet.acknowledged, reason, asked),)
 
     def _pass_to(
         self, host: int, envelope: Envelope, packet: FlowPacket, reason: ForwardReason
--- a/egretsill/address_steering/_decisions.py
+++ b/egretsill/address_steering/_decisions.py
@@ -89,11 +89,13 @@
     Attributes:
         acknowledged: the caller's last acknowledgement number.
         reason: why.
+        asked: VMs whose agents the packet came to, the one that decides last; empty at a balancer.
     """
 
     flow: FlowKey
     acknowledged: int
     reason: RefuseReason
+    asked: tuple[int, ...] = ()
 
 
 class TellOwner(NamedTuple):
--- a/egretsill/node/_decision_log.py
+++ b/egretsill/node/_decision_log.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from ..address_steering import (
     Answered,
@@ -16,6 +16,7 @@
 )
 from ..directory import Directory
 from ..endpoints import dotted
+from ..fleet import PeerTable
 from ..observation import Journal, Metrics
 from ..timing import TimerService
 
@@ -27,6 +28,7 @@
 
     Args:
         role: name of the role, for counters.
+        peers: heartbeats of the others.
         load_of: returns a target's load as placement sees it, or None if it is unknown.
     """
 
@@ -34,6 +36,7 @@
         self,
         role: str,
         directory: Directory,
+        peers: PeerTable,
         timer: TimerService,
         metrics: Metrics,
         journal: Journal,
@@ -41,6 +44,7 @@
     ) -> None:
         self._role = role
         self._directory = directory
+        self._peers = peers
         self._timer = timer
         self._metrics = metrics
         self._journal = journal
@@ -59,18 +63,23 @@
                 "flow": str(decision.flow),
                 "agent": dotted(decision.host),
                 "load": None if load is None else round(load, 3),
-                "visited": ",".join(dotted(each) for each in decision.envelope.visited),
+                "heard": self._peers.is_heard(decision.host, self._timer.now),
+                "visited": _listed(decision.envelope.visited),
                 **self._belief(),
             },
         )
 
     def refused(self, decision: Refuse) -> None:
-        """Note that a flow was reset."""
+        """Note that a flow was reset, and whom that rests on."""
         self._metrics.flow_packets.increment(self._role, decision.reason)
+        now = self._timer.now
+        heard = [each for each in decision.asked[:-1] if self._peers.is_heard(each, now)]
         self._journal.record(
             "flow-refused",
             flow=str(decision.flow),
             reason=decision.reason.value,
+            asked=_listed(decision.asked),
+            heard=_listed(heard),
             **self._belief(),
         )
 
@@ -118,3 +127,7 @@
             "revision": directory.content_revision,
             "age": round(age, 3),
         }
+
+
+def _listed(hosts: Iterable[int]) -> str:
+    return ",".join(dotted(each) for each in hosts)
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -195,6 +195,7 @@
         log = DecisionLog(
             settings.role.value,
             self._directory,
+            self._peers,
             self._timer,
             self._metrics,
             self._journal,
--- /dev/null
+++ b/egretsill/node/tests/test_decision_log.py
@@ -0,0 +1,69 @@
+"""What the log tells of a decision about a packet."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+import pytest
+
+from ...address_steering import Envelope, FlowKey, Forward, ForwardReason, Refuse, RefuseReason
+from ...directory import Directory, RouteTable, Snapshot
+from ...fleet import PeerReport, PeerTable
+from ...observation import Journal, Metrics
+from ...timing import VirtualTimerService
+from .._decision_log import DecisionLog
+
+FLOW = FlowKey(0x64400001, 1024, 0xC6120001, 443)
+SELF, HEARD, SILENT = 0x0A020001, 0x0A020002, 0x0A020003
+
+
+class RecordingJournal(Journal):
+    """Keeps lines in place of writing them."""
+
+    def __init__(self) -> None:
+        super().__init__("agent-1", lambda: 0.0, lambda: 0.0)
+        self.lines: list[tuple[str, Mapping[str, Any]]] = []
+
+    def write(self, kind: str, fields: Mapping[str, Any]) -> None:
+        self.lines.append((kind, fields))
+
+
+@pytest.fixture
+def journal() -> RecordingJournal:
+    return RecordingJournal()
+
+
+@pytest.fixture
+def log(journal: RecordingJournal) -> DecisionLog:
+    timer = VirtualTimerService()
+    directory = Directory()
+    directory.apply_snapshot(Snapshot(20, RouteTable(3, {}, 15.0), ()), timer.now - 0.4)
+    peers = PeerTable(SELF)
+    reports = [PeerReport(HEARD), PeerReport(SILENT, silence_milliseconds=2_000)]
+    peers.receive_reports(reports, timer.now)
+    return DecisionLog("agent", directory, peers, timer, Metrics(), journal, lambda *_: None)
+
+
+def test_a_reset_tells_whom_it_rests_on(log: DecisionLog, journal: RecordingJournal) -> None:
+    """Without it, a flow that was reset on a guess can't be told from one that was over."""
+    log.refused(Refuse(FLOW, 9, RefuseReason.NOWHERE_OPEN, (HEARD, SILENT, SELF)))
+    ((kind, fields),) = journal.lines
+    assert kind == "flow-refused"
+    assert fields["reason"] == "nowhere-open"
+    assert fields["asked"] == "10.2.0.2,10.2.0.3,10.2.0.1"
+    assert fields["heard"] == "10.2.0.2"
+    assert (fields["version"], fields["revision"], fields["age"]) == (3, 20, 0.4)
+
+
+@pytest.mark.parametrize(
+    ("host", "heard"), [pytest.param(HEARD, True, id="heard"), pytest.param(SILENT, False)]
+)
+def test_a_hop_tells_whether_the_vm_is_heard(
+    host: int, heard: bool, log: DecisionLog, journal: RecordingJournal
+) -> None:
+    """Without it, a search that breaks at a VM that is down looks like one that goes on."""
+    log.forwarded(Forward(host, Envelope(1, 3, 4, (SELF,)), ForwardReason.NOT_HERE, FLOW, b""))
+    ((kind, fields),) = journal.lines
+    assert kind == "flow-not-here"
+    assert fields["heard"] is heard
