Hold a vanished target for gone by evidence, not because it isn't heard of

What callers saw: an open flow reset as "nowhere-open" or "owner-gone" while its target served on.

Cause: a target whose entry vanished was passed over by the search, though entries also expire while their targets serve. And the owner that a home was told of counted as gone if its entry vanished and its VM wasn't heard; not being heard is also what a process sees just after its start, or while the hubs change.

Change: a VM has left if the entry vanished more than a second ago and either its agent is said to be silent by a hub that would hear it, or its address has another target. Until then it is asked like the others, after them. Agents that are heard though the directory knows no target there are asked last: a process that started after the entry vanished knows of it only by them.

Evidence: of test_lagging_views.py, five cases failed before (entry vanished at 3 and 13 targets, owner of which nobody told, owner whose address has another target, agent without a known target) and pass now.

test_flows_of_a_target_that_left_with_its_vm_are_reset_at_once gave no news of the VM at all, which is no evidence; it now has the hub's report, and the case without it must not be reset.

--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -34,6 +34,7 @@
 from ._homes import notices_due
 from ._packet import FlowPacket, PacketKind, opening_delay
 from ._placement import FlowPlacement
+from ._presence import Presence
 from ._request_queue import RequestQueue, WaitingRequest
 from ._tunnel import MAXIMUM_VISITED, Envelope, HomeNotice, OwnerNotice, service_mark
 
@@ -70,7 +71,7 @@
         self._mark = service_mark(service)
         self._directory = directory
         self._placement = placement
-        self._search = FlowSearch(host, directory, peers, placement)
+        self._search = FlowSearch(host, directory, Presence(directory, peers), placement)
         self._told_rank: ServiceRank | None = None
         self._flows = FlowTable(retention_seconds)
         self._queue = RequestQueue()
--- a/egretsill/address_steering/_balancer_steering.py
+++ b/egretsill/address_steering/_balancer_steering.py
@@ -13,7 +13,7 @@
 
 from ..directory import Directory
 from ..fleet import PeerTable
-from ._candidates import CHOICES, has_departed
+from ._candidates import CHOICES
 from ._decisions import (
     BalancerDecision,
     Drop,
@@ -25,6 +25,7 @@
 )
 from ._packet import FlowKey, FlowPacket, PacketKind
 from ._placement import FlowPlacement
+from ._presence import Presence
 from ._tunnel import Envelope, OwnerNotice, domain_mark, service_mark
 
 MAXIMUM_OWNERS = 20_000  # some 6 MB; what is forgotten costs its next packet a hop
@@ -63,7 +64,7 @@
         self._host = host
         self._domain = failure_domain
         self._directory = directory
-        self._peers = peers
+        self._presence = Presence(directory, peers)
         self._retention_seconds = retention_seconds
         self._placement = placement
         self._domain_mark = domain_mark(failure_domain)
@@ -118,7 +119,7 @@
         """Return the VM on which a flow is looked for first, None if there are no targets."""
         first = None
         for host in self._placement.search(flow, services, self._domain):
-            if not self._peers.is_silent(host):
+            if not self._presence.is_silent(host):
                 return host
             first = host if first is None else first
         return first
@@ -160,9 +161,7 @@
         That doesn't mean that the flow is over: an owner that this balancer chose may have had
         no part in it, as another copy of the opening packet may have been answered first.
         """
-        view = self._directory.target_at(owner.host, owner.service)
-        has_left = view is None or has_departed(view, now)
-        return has_left and not self._peers.is_heard(owner.host, now)
+        return self._presence.has_left(owner.host, (owner.service,), now)
 
     def _forward(
         self, packet: FlowPacket, host: int, service: str, reason: ForwardReason
--- a/egretsill/address_steering/_candidates.py
+++ b/egretsill/address_steering/_candidates.py
@@ -25,7 +25,6 @@
 
 CHOICES = 2  # the power of two choices (Mitzenmacher, 2001), in the near cell and beyond
 HOMES = 2  # one may die unnoticed
-DEPARTED_SECONDS = 1.0  # a target whose entry vanished may answer for that long
 
 
 class ServiceRank:
@@ -176,10 +175,3 @@
         if domains != self._cells.domains:
             self._cells = Cells(domains)
             self._domains = {domain_mark(each): each for each in domains.values()}
-
-
-def has_departed(view: TargetView, now: float) -> bool:
-    """Return whether a target's entry vanished and its last packets have been answered."""
-    if view.gone_at is None or not view.is_gone(now):
-        return False
-    return now - view.gone_at > DEPARTED_SECONDS
--- a/egretsill/address_steering/_flow_search.py
+++ b/egretsill/address_steering/_flow_search.py
@@ -6,16 +6,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection, Iterator
 from dataclasses import dataclass
 from typing import TypeAlias
 
 from ..directory import Directory, Route
-from ..fleet import PeerTable
-from ._candidates import has_departed
 from ._decisions import DropReason, ForwardReason, RefuseReason
 from ._homes import HomeTable
 from ._packet import FlowKey
 from ._placement import FlowPlacement
+from ._presence import Presence
 from ._tunnel import Envelope
 
 
@@ -36,16 +36,16 @@
     Args:
         host: IPv4 address of the agent, as a number.
         directory: routes and targets.
-        peers: heartbeats of the others.
+        presence: tells which VMs may still have flows.
         placement: knows the candidates of flows.
     """
 
     def __init__(
-        self, host: int, directory: Directory, peers: PeerTable, placement: FlowPlacement
+        self, host: int, directory: Directory, presence: Presence, placement: FlowPlacement
     ) -> None:
         self._host = host
         self._directory = directory
-        self._peers = peers
+        self._presence = presence
         self._placement = placement
         self._homes = HomeTable()
 
@@ -68,30 +68,27 @@
         visited = {*envelope.visited, self._host}
         owner = self._homes.owner(flow)
         if owner is not None and owner not in visited:
-            if not self._is_gone(owner, route, now):
+            if not self._presence.has_left(owner, route.services, now):
                 return SearchHop(owner, ForwardReason.TOLD_BY_OWNER)
             self._homes.forget(flow)
             return RefuseReason.OWNER_GONE
-        domain = self._placement.candidates.domain_marked(envelope.domain_mark)
-        for host in self._placement.search(flow, route.services, domain):
-            if host not in visited and not self._is_empty(host, route, now):
-                return SearchHop(host, ForwardReason.NOT_HERE)
+        for host in self._places(flow, route, envelope, visited, now):
+            return SearchHop(host, ForwardReason.NOT_HERE)
         return RefuseReason.NOWHERE_OPEN
 
-    def _is_gone(self, host: int, route: Route, now: float) -> bool:
-        """Return whether a flow's owner is known to have left with its VM.
-
-        An owner that isn't known here may be newer than this agent's directory.
-        """
-        views = [self._directory.target_at(host, service) for service in route.services]
-        known = [each for each in views if each is not None]
-        return (
-            bool(known)
-            and all(has_departed(each, now) for each in known)
-            and not self._peers.is_heard(host, now)
-        )
-
-    def _is_empty(self, host: int, route: Route, now: float) -> bool:
-        """Return whether no flow can be open on a VM, as its target has left."""
-        views = [self._directory.target_at(host, service) for service in route.services]
-        return all(view is None or view.is_gone(now) for view in views)
+    def _places(
+        self,
+        flow: FlowKey,
+        route: Route,
+        envelope: Envelope,
+        visited: Collection[int],
+        now: float,
+    ) -> Iterator[int]:
+        """Yield the VMs on which a flow may be and that were not asked, the likeliest first."""
+        domain = self._placement.candidates.domain_marked(envelope.domain_mark)
+        for host in self._placement.search(flow, route.services, domain):
+            if host not in visited and not self._presence.has_left(host, route.services, now):
+                yield host
+        for host in self._presence.unexplained(now):
+            if host not in visited:
+                yield host
--- a/egretsill/address_steering/tests/test_lagging_views.py
+++ b/egretsill/address_steering/tests/test_lagging_views.py
@@ -7,10 +7,21 @@
 
 import pytest
 
-from .. import AgentSteering, Forward, Refuse
+from ...fleet import PeerReport
+from .. import AgentSteering, Forward, ForwardReason, HomeNotice, Refuse, RefuseReason
 from .._decisions import AgentEffect
 from .._tunnel import MAXIMUM_VISITED
-from .scene import AGENTS, RETENTION, SERVICE, Scene, envelope, packet, target
+from .scene import (
+    AGENTS,
+    OTHER_SERVICE,
+    RETENTION,
+    SERVICE,
+    Scene,
+    envelope,
+    flow,
+    packet,
+    target,
+)
 
 SIZES = [pytest.param(count, id=f"{count}-targets") for count in (3, 13, 40)]
 AGES = (0.2, 0.5, 0.9, 2.0, 3.0, 5.0, 6.0, 30.0)  # seconds
@@ -62,3 +73,48 @@
         if len(others) < MAXIMUM_VISITED:
             assert isinstance(effect, Forward)
             assert effect.host == owner
+
+
+OWNER = AGENTS[1]
+SILENT = PeerReport(OWNER, silence_milliseconds=2_000)
+
+
+@pytest.mark.parametrize(
+    ("reports", "replacement", "is_reset"),
+    [
+        pytest.param([PeerReport(OWNER)], False, False, id="its VM is heard"),
+        pytest.param([], False, False, id="nobody told of its VM"),
+        pytest.param([SILENT], False, True, id="its VM is said to be silent"),
+        pytest.param([PeerReport(OWNER)], True, True, id="its address has another target"),
+    ],
+)
+def test_owner_whose_entry_vanished_is_gone_only_by_evidence(
+    reports: list[PeerReport], replacement: bool, is_reset: bool
+) -> None:
+    """Guards against resets of flows whose owner's VM is merely not heard of, as at a new hub."""
+    scene = Scene(FIRST)
+    agent = make_agent(scene, FIRST)
+    agent.learn_home(HomeNotice(OWNER, (flow(),)), 0.0)
+    scene.remove_target(OWNER, 1.0)
+    if replacement:
+        scene.targets["next"] = target(OWNER, OTHER_SERVICE, name="next", revision=500)
+        scene.publish(1.1)
+    scene.peers.receive_reports(reports, 2.4)
+    (effect,) = agent.take_from_peer(envelope(), packet(), 2.5)
+    if is_reset:
+        assert isinstance(effect, Refuse)
+        assert effect.reason is RefuseReason.OWNER_GONE
+    else:
+        assert isinstance(effect, Forward)
+        assert (effect.host, effect.reason) == (OWNER, ForwardReason.TOLD_BY_OWNER)
+
+
+def test_agent_that_is_heard_but_has_no_known_target_is_asked_too() -> None:
+    """Guards against resets by an agent that started after the owner's entry had vanished."""
+    others = service_of(3)
+    newcomer = FIRST + 50
+    scene = Scene(others[-1], [target(host) for host in others])
+    scene.hear(1.0, (*others, newcomer))
+    effect = last_asked(make_agent(scene, others[-1]), others[:-1], 1.0)
+    assert isinstance(effect, Forward)
+    assert effect.host == newcomer
--- a/egretsill/address_steering/tests/test_large_fleet.py
+++ b/egretsill/address_steering/tests/test_large_fleet.py
@@ -51,6 +51,7 @@
             for number in range(targets)
         ]
         self.agents: dict[int, AgentSteering] = {}
+        self.peers: dict[int, PeerTable] = {}
         self.directory = Directory(RETENTION)
         self.directory.apply_snapshot(Snapshot(100, table(), self.targets), 0.0)
         self.candidates = Candidates(self.directory)
@@ -60,7 +61,7 @@
 
     def balancer(self, number: int) -> BalancerSteering:
         """Return a balancer that knows nothing of any flow."""
-        peers = PeerTable(number)
+        peers = self.peers[number] = PeerTable(number)
         peers.receive_reports([PeerReport(each.host) for each in self.targets], 0.0)
         domain = self.domains[number % len(self.domains)]
         placement = self.placement(peers)
@@ -68,7 +69,7 @@
 
     def agent(self, host: int) -> AgentSteering:
         if host not in self.agents:
-            peers = PeerTable(host)
+            peers = self.peers[host] = PeerTable(host)
             placement = self.placement(peers)
             self.agents[host] = AgentSteering(
                 host, SERVICE, self.directory, peers, placement, RETENTION, -RETENTION
@@ -162,8 +163,8 @@
         now = number // 150 * 0.25
         if number % 150 == 0:
             reports = [PeerReport(each.host, flows=counts[each.host]) for each in fleet.targets]
-            for balancer in balancers:
-                balancer._peers.receive_reports(reports, now)
+            for peers in fleet.peers.values():
+                peers.receive_reports(reports, now)
         decision = balancers[number % 45].steer(packet(OPENING, flow(number)), now)
         assert isinstance(decision, Forward)
         counts[decision.host] += 1
@@ -235,6 +236,8 @@
     agent = fleet.agent(forward.host)
     agent.learn_home(HomeNotice(owner, (flow(1),)), 0.0)
     gone(fleet, owner, 1.0)
+    # Its heartbeats ended with it, and a hub that would have heard them says so.
+    fleet.peers[forward.host].receive_reports([PeerReport(owner, silence_milliseconds=900)], 1.9)
     (early,) = agent.take_from_peer(forward.envelope, packet(key=flow(1)), 1.5)
     assert isinstance(early, Forward), "its last answers may be on their way"
     (refused,) = agent.take_from_peer(forward.envelope, packet(key=flow(1)), 2.5)
--- a/egretsill/directory/_directory.py
+++ b/egretsill/directory/_directory.py
@@ -118,6 +118,21 @@
         found = [each for each in self._by_host.get(host, ()) if each.target.service == service]
         return max(found, key=_recency, default=None)
 
+    def knows_host(self, host: int) -> bool:
+        """Return whether there is a target on a VM, or was until lately."""
+        self._refresh_index()
+        return host in self._by_host
+
+    def is_replaced(self, view: TargetView) -> bool:
+        """Return whether a target's address has another one now."""
+        self._refresh_index()
+        return any(
+            each.gone_at is None
+            and each.target.port == view.target.port
+            and each.target.name != view.target.name
+            for each in self._by_host.get(view.target.host, ())
+        )
+
     def domains(self) -> Mapping[int, str]:
         """Return the failure domain of each VM that has a target in force."""
         return {each.target.host: each.target.failure_domain for each in self._targets.values()}
