Let only a view that is newer than the packet prove that a flow is open nowhere

What callers saw: an open flow reset as "nowhere-open", its target sound.

Cause: the agent that asks last took what its own directory doesn't hold for proof. A flow may be open at a target that was added after this directory was confirmed, 0.2 s or 30 s ago, and that balancers and other agents know.

Change: such a packet is kept. When content is confirmed that is newer than the packet, which is within a second as a rule, it goes to a VM that was not asked, if there is one, and else the flow is reset. The flow was opened before its packet came, so its target is in that content.

Weighed: the newest revision that any visited process acted on, carried in the envelope, with content confirmed lately (all visited processes may lag alike, and "lately" is before the packet); new targets that get no flows until every view has them (costs capacity at a release, and processes that start know no ages); no resets at all (callers wait until they give up after a restart of all).

test_packet_of_an_unknown_flow_visits_every_candidate_once_and_then_is_refused took the old decision for right. It now wants no reset before newer content, and the reset with it.

--- a/egretsill/address_steering/__init__.py
+++ b/egretsill/address_steering/__init__.py
@@ -18,6 +18,7 @@
     SendToCaller,
     TellHome,
     TellOwner,
+    Undecided,
     Wait,
 )
 from ._flow_table import FlowEntry, FlowState, FlowTable
@@ -79,6 +80,7 @@
     "TellHome",
     "TellOwner",
     "TunnelMessage",
+    "Undecided",
     "Wait",
     "decode_tunnel",
     "encode_carried",
--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -27,6 +27,7 @@
     SendToCaller,
     TellHome,
     TellOwner,
+    Undecided,
     Wait,
 )
 from ._flow_search import FlowSearch, SearchHop
@@ -37,6 +38,7 @@
 from ._presence import Presence
 from ._request_queue import RequestQueue, WaitingRequest
 from ._tunnel import MAXIMUM_VISITED, Envelope, HomeNotice, OwnerNotice, service_mark
+from ._undecided import UndecidedPackets
 
 SILENT_TARGET_SECONDS = 0.6  # a usual answer takes a tenth; two copies of an opening packet fit in
 SILENCE_MEMORY_SECONDS = 2.0  # for how long after the last packet a silent target is avoided
@@ -75,6 +77,7 @@
         self._told_rank: ServiceRank | None = None
         self._flows = FlowTable(retention_seconds)
         self._queue = RequestQueue()
+        self._undecided = UndecidedPackets()
         self._complete_at = started_at + retention_seconds
         self._unanswered_since: float | None = None
         self._handed_at = float("-inf")
@@ -89,6 +92,11 @@
         """Return the requests that wait for the target."""
         return self._queue
 
+    @property
+    def undecided(self) -> int:
+        """Return how many flows are reset unless somebody turns out to have them."""
+        return len(self._undecided)
+
     @property
     def homed(self) -> int:
         """Return how many flows of others this agent was told of."""
@@ -176,6 +184,15 @@
                 effects.extend(HandToTarget(each) for each in request.packets.values())
         return effects
 
+    def decide(self, now: float) -> Sequence[AgentEffect]:
+        """Return what to do with packets that came before the view was confirmed last."""
+        effects: list[AgentEffect] = []
+        for each in self._undecided.pop_confirmed(self._directory.confirmed_at):
+            effects.extend(self._pass_on(each.envelope, each.packet, now, is_confirmed=True))
+        for each in self._undecided.pop_expired(now):
+            effects.append(Drop(each.packet.flow, DropReason.UNDECIDED))
+        return effects
+
     def sweep(self, now: float) -> None:
         """Forget what is over or too old."""
         table = self._directory.table
@@ -339,24 +356,34 @@
         if self._unanswered_since is None:
             self._unanswered_since = now
 
-    def _pass_on(self, envelope: Envelope, packet: FlowPacket, now: float) -> Sequence[AgentEffect]:
-        """Send a packet of a flow that isn't here to the next VM where it may be."""
+    def _pass_on(
+        self, envelope: Envelope, packet: FlowPacket, now: float, is_confirmed: bool = False
+    ) -> Sequence[AgentEffect]:
+        """Send a packet of a flow that isn't here to the next VM where it may be.
+
+        If nobody is left to ask, only a view that was confirmed after the packet came is proof.
+        """
         match self._search.next_step(packet.flow, envelope, now):
             case SearchHop(host, reason):
                 return self._pass_to(host, envelope, packet, reason)
+            case RefuseReason.NOWHERE_OPEN if not is_confirmed:
+                is_first = self._undecided.keep(envelope, packet, now)
+                return (Undecided(packet.flow, self._asked(envelope)),) if is_first else ()
             case RefuseReason() as refusal:
                 return self._refuse(envelope, packet, refusal)
             case DropReason() as drop:
                 return (Drop(packet.flow, drop),)
 
+    def _asked(self, envelope: Envelope) -> tuple[int, ...]:
+        return (*envelope.visited, self._host)
+
     def _refuse(
         self, envelope: Envelope, packet: FlowPacket, reason: RefuseReason
     ) -> Sequence[AgentEffect]:
         """Reset a flow that is known to be open nowhere."""
         if packet.kind is PacketKind.RESET:
             return (Drop(packet.flow, DropReason.NO_TARGET),)
-        asked = (*envelope.visited, self._host)
-        return (Refuse(packet.flow, packet.acknowledged, reason, asked),)
+        return (Refuse(packet.flow, packet.acknowledged, reason, self._asked(envelope)),)
 
     def _pass_to(
         self, host: int, envelope: Envelope, packet: FlowPacket, reason: ForwardReason
--- a/egretsill/address_steering/_decisions.py
+++ b/egretsill/address_steering/_decisions.py
@@ -50,6 +50,7 @@
     NO_TARGET = "no-target"
     TOO_MANY_HOPS = "too-many-hops"
     UNEXPECTED = "unexpected"
+    UNDECIDED = "undecided"
     SEND_BLOCKED = "send-blocked"
     SEND_FAILED = "send-failed"
 
@@ -132,6 +133,17 @@
     pending: int
 
 
+class Undecided(NamedTuple):
+    """Keep a packet whose flow nobody has, as far as this view tells, until a newer one decides.
+
+    Attributes:
+        asked: VMs whose agents the packet came to.
+    """
+
+    flow: FlowKey
+    asked: tuple[int, ...]
+
+
 class Expire(NamedTuple):
     """Forget a request that waited until its caller gave up; it never ran."""
 
@@ -160,6 +172,7 @@
     | TellHome
     | Drop
     | Wait
+    | Undecided
     | Expire
     | Answered
 )
--- a/egretsill/address_steering/tests/test_agent_steering.py
+++ b/egretsill/address_steering/tests/test_agent_steering.py
@@ -22,6 +22,7 @@
     RefuseReason,
     SendToCaller,
     TellOwner,
+    Undecided,
     Wait,
 )
 from .._decisions import AgentEffect, Drop
@@ -151,6 +152,7 @@
 
 
 def test_packet_of_an_unknown_flow_visits_every_candidate_once_and_then_is_refused() -> None:
+    """By the last one, once content that is newer than the packet names no other candidate."""
     scene = Scene(HERE)
     scene.hear(0.0)
     agents = {host: make_agent(scene, host=host) for host in AGENTS}
@@ -160,13 +162,20 @@
     while True:
         visited.append(host)
         effect = only(agents[host].take_from_peer(came, packet(), 0.0))
-        if isinstance(effect, Refuse):
+        if isinstance(effect, Undecided):
             break
         assert isinstance(effect, Forward)
         assert effect.reason is ForwardReason.NOT_HERE
         host, came = effect.host, effect.envelope
     assert sorted(visited) == sorted(AGENTS)
-    assert effect.reason is RefuseReason.NOWHERE_OPEN
+    assert effect.asked == tuple(visited)
+    assert agents[host].decide(0.4) == []
+    scene.publish(0.4)
+    (refused,) = agents[host].decide(0.4)
+    assert isinstance(refused, Refuse)
+    assert refused.reason is RefuseReason.NOWHERE_OPEN
+    assert refused.asked == tuple(visited)
+    assert agents[host].undecided == 0
 
 
 def test_agent_that_may_have_lost_its_table_asks_the_target_first() -> None:
--- a/egretsill/address_steering/tests/test_lagging_views.py
+++ b/egretsill/address_steering/tests/test_lagging_views.py
@@ -8,9 +8,20 @@
 import pytest
 
 from ...fleet import PeerReport
-from .. import AgentSteering, Forward, ForwardReason, HomeNotice, Refuse, RefuseReason
+from .. import (
+    AgentSteering,
+    Drop,
+    DropReason,
+    Forward,
+    ForwardReason,
+    HomeNotice,
+    Refuse,
+    RefuseReason,
+    Undecided,
+)
 from .._decisions import AgentEffect
 from .._tunnel import MAXIMUM_VISITED
+from .._undecided import CONFIRMATION_SLACK_SECONDS, MAXIMUM_UNDECIDED, UNDECIDED_SECONDS
 from .scene import (
     AGENTS,
     OTHER_SERVICE,
@@ -118,3 +129,65 @@
     effect = last_asked(make_agent(scene, others[-1]), others[:-1], 1.0)
     assert isinstance(effect, Forward)
     assert effect.host == newcomer
+
+
+def undecided_packet(scene: Scene, agent: AgentSteering, now: float) -> None:
+    effect = last_asked(agent, list(AGENTS[1:]), now)
+    assert isinstance(effect, Undecided)
+    assert agent.undecided == 1
+
+
+def test_undecided_packet_goes_to_a_target_that_newer_content_names() -> None:
+    """Guards against resets and losses of flows at targets that were added a moment before."""
+    scene = Scene(FIRST)
+    scene.hear(1.0)
+    agent = make_agent(scene, FIRST)
+    undecided_packet(scene, agent, 1.0)
+    newcomer = target(FIRST + 50)
+    scene.targets[newcomer.name] = newcomer
+    scene.publish(1.5)
+    (forward,) = agent.decide(1.5)
+    assert isinstance(forward, Forward)
+    assert (forward.host, forward.datagram) == (newcomer.host, packet().datagram)
+    assert agent.undecided == 0
+
+
+@pytest.mark.parametrize(
+    ("confirmed_at", "is_reset"),
+    [
+        pytest.param(0.9, False, id="before the packet came"),
+        pytest.param(1.0 + CONFIRMATION_SLACK_SECONDS / 2, False, id="in an answer on its way"),
+        pytest.param(1.0 + CONFIRMATION_SLACK_SECONDS, True, id="after the packet came"),
+    ],
+)
+def test_only_a_view_that_was_confirmed_after_the_packet_came_is_proof(
+    confirmed_at: float, is_reset: bool
+) -> None:
+    scene = Scene(FIRST)
+    scene.hear(1.0)
+    agent = make_agent(scene, FIRST)
+    undecided_packet(scene, agent, 1.0)
+    scene.directory.confirm(scene.revision, 0.0, confirmed_at)
+    effects = agent.decide(1.6)
+    assert [type(each) for each in effects] == ([Refuse] if is_reset else [])
+    assert agent.undecided == (0 if is_reset else 1)
+
+
+def test_packet_that_stays_undecided_is_dropped_without_a_reset() -> None:
+    """An agent that is cut off from store and peers never resets what it can't find."""
+    scene = Scene(FIRST)
+    scene.hear(1.0)
+    agent = make_agent(scene, FIRST)
+    undecided_packet(scene, agent, 1.0)
+    assert agent.decide(1.0 + UNDECIDED_SECONDS) == [Drop(flow(), DropReason.UNDECIDED)]
+    assert agent.undecided == 0
+
+
+def test_undecided_packets_are_bounded_and_kept_once_a_flow() -> None:
+    scene = Scene(FIRST)
+    agent = make_agent(scene, FIRST)
+    came = envelope(AGENTS[1:])
+    for number in range(2 * MAXIMUM_UNDECIDED):
+        agent.take_from_peer(came, packet(key=flow(number)), 1.0)
+        assert agent.take_from_peer(came, packet(key=flow(number)), 1.1) == ()
+    assert agent.undecided == MAXIMUM_UNDECIDED
--- a/egretsill/node/_agent_node.py
+++ b/egretsill/node/_agent_node.py
@@ -26,6 +26,7 @@
     SendToCaller,
     TellHome,
     TellOwner,
+    Undecided,
     Wait,
     decode_tunnel,
     encode_carried,
@@ -39,7 +40,7 @@
 from ._decision_log import DecisionLog
 from ._packet_socket import NO_FLOW, PacketSocket
 
-RELEASE_SECONDS = 0.1  # how often waiting requests are looked at if the target answers nothing
+RELEASE_SECONDS = 0.1  # how often what waits is looked at if nothing else happens
 
 
 class AgentNode:
@@ -91,6 +92,8 @@
         self._is_release_due = False
         if len(self._steering.queue):
             self._apply(self._steering.release(now))
+        if self._steering.undecided:
+            self._apply(self._steering.decide(now))
 
     def _tell_homes(self, now: float) -> None:
         self._apply(self._steering.tell_homes(now))
@@ -123,10 +126,6 @@
         self._apply(self._steering.take_from_target(packet, now))
 
     def _apply(self, effects: Sequence[AgentEffect]) -> None:
-        # An idle agent wakes for nothing; most of its processor time would be wake-ups.
-        if len(self._steering.queue) and not self._is_release_due:
-            self._is_release_due = True
-            self._timer.call_later(RELEASE_SECONDS, self._release)
         for effect in effects:
             match effect:
                 case HandToTarget(datagram):
@@ -154,3 +153,10 @@
                     self._log.waits(effect)
                 case Expire():
                     self._log.expired(effect)
+                case Undecided():
+                    self._log.undecided(effect)
+        # An idle agent wakes for nothing; most of its processor time would be wake-ups.
+        is_waiting = len(self._steering.queue) or self._steering.undecided
+        if is_waiting and not self._is_release_due:
+            self._is_release_due = True
+            self._timer.call_later(RELEASE_SECONDS, self._release)
--- a/egretsill/node/_decision_log.py
+++ b/egretsill/node/_decision_log.py
@@ -12,6 +12,7 @@
     Forward,
     ForwardReason,
     Refuse,
+    Undecided,
     Wait,
 )
 from ..directory import Directory
@@ -83,6 +84,15 @@
             **self._belief(),
         )
 
+    def undecided(self, decision: Undecided) -> None:
+        """Note that a flow is reset once newer content shows no other place for it."""
+        self._journal.record(
+            "flow-undecided",
+            flow=str(decision.flow),
+            asked=_listed(decision.asked),
+            **self._belief(),
+        )
+
     def dropped(self, decision: Drop) -> None:
         """Note that a packet was not passed on."""
         self._metrics.datagrams_dropped.increment(self._role, decision.reason)
