Ask silent VMs last when a flow is searched

What callers saw: packets of an open flow went to other backend servers and never to its own while a home or candidate of the flow was down and the routers had moved it to another balancer.

Cause: the search went to the flow's candidates and homes in the order of their rank, whether they were heard or not, and ended at one that was down. Each copy of the packet ended there again. In the first minute of an agent's life the agents before it hand the packet to their targets, so these get it and its own doesn't.

Change: VMs that a hub says are silent are asked after all others. They are still asked, so a search that can't ask everybody ends in silence and not in a reset.

--- a/egretsill/address_steering/_flow_search.py
+++ b/egretsill/address_steering/_flow_search.py
@@ -84,11 +84,20 @@
         visited: Collection[int],
         now: float,
     ) -> Iterator[int]:
-        """Yield the VMs on which a flow may be and that were not asked, the likeliest first."""
+        """Yield the VMs on which a flow may be and that were not asked, the likeliest first.
+
+        The search ends at a VM that doesn't answer, so silent ones come last.
+        """
         domain = self._placement.candidates.domain_marked(envelope.domain_mark)
+        silent = []
         for host in self._placement.search(flow, route.services, domain):
-            if host not in visited and not self._presence.has_left(host, route.services, now):
+            if host in visited or self._presence.has_left(host, route.services, now):
+                continue
+            if self._presence.is_silent(host):
+                silent.append(host)
+            else:
                 yield host
         for host in self._presence.unexplained(now):
             if host not in visited:
                 yield host
+        yield from silent
--- a/egretsill/address_steering/tests/test_lagging_views.py
+++ b/egretsill/address_steering/tests/test_lagging_views.py
@@ -191,3 +191,21 @@
         agent.take_from_peer(came, packet(key=flow(number)), 1.0)
         assert agent.take_from_peer(came, packet(key=flow(number)), 1.1) == ()
     assert agent.undecided == MAXIMUM_UNDECIDED
+
+
+@pytest.mark.parametrize("count", SIZES)
+def test_search_does_not_end_at_a_vm_that_is_known_to_be_silent(count: int) -> None:
+    """Guards against open flows that are never found while a home or candidate is down."""
+    hosts = service_of(count)
+    scene = Scene(FIRST, [target(host) for host in hosts])
+    scene.hear(0.0, hosts)
+    agent = make_agent(scene, FIRST)
+    (first,) = agent.take_from_peer(envelope(), packet(), 0.1)
+    assert isinstance(first, Forward)
+    scene.hear(1.0, [host for host in hosts if host != first.host])
+    (second,) = agent.take_from_peer(envelope(), packet(), 1.1)
+    assert isinstance(second, Forward)
+    assert second.host != first.host
+    others = [host for host in hosts if host not in (FIRST, first.host)]
+    (last,) = agent.take_from_peer(envelope(others[: MAXIMUM_VISITED - 1]), packet(), 1.2)
+    assert isinstance(last, Forward), "the silent VM may have it, so nothing is reset"
