Let a home pass a flow on at once, and tell the balancer where it is

What callers saw: packets of an open flow at other backend servers for as long as the agent of its own was being restarted, if the routers had moved the flow to another balancer meanwhile.

Cause: only the owner told the balancer where the flow is, so while the owner didn't answer, each copy took the long way again. And in its first minute a home handed the packet to its own target before it looked at what the owner had told it.

Change: a home that was told of the flow by an owner that the packet hasn't visited passes it on at once, and tells the balancer the owner.

Evidence: test_a_home_neither_asks_its_own_target_nor_lets_the_balancer_ask_again failed before, with a whole table and with a new one. Three tests of test_large_fleet.py took the forward for the only effect; they now also want the notice.

--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -285,7 +285,8 @@
     def _take_unknown(
         self, envelope: Envelope, packet: FlowPacket, now: float
     ) -> Sequence[AgentEffect]:
-        if now >= self._complete_at:
+        is_complete = now >= self._complete_at
+        if is_complete or self._search.is_told_elsewhere(packet.flow, envelope):
             return self._pass_on(envelope, packet, now)
         entry = self._entry(FlowState.TRYING, envelope, now)
         self._flows.put(packet.flow, entry)
@@ -364,6 +365,11 @@
         If nobody is left to ask, only a view that was confirmed after the packet came is proof.
         """
         match self._search.next_step(packet.flow, envelope, now):
+            case SearchHop(host, ForwardReason.TOLD_BY_OWNER as reason):
+                # The balancer needn't ask again even if the owner doesn't answer now.
+                notice = OwnerNotice(packet.flow, host)
+                passed = self._pass_to(host, envelope, packet, reason)
+                return (*passed, TellOwner(envelope.balancer, notice))
             case SearchHop(host, reason):
                 return self._pass_to(host, envelope, packet, reason)
             case RefuseReason.NOWHERE_OPEN if not is_confirmed:
--- a/egretsill/address_steering/_flow_search.py
+++ b/egretsill/address_steering/_flow_search.py
@@ -76,6 +76,11 @@
             return SearchHop(host, ForwardReason.NOT_HERE)
         return RefuseReason.NOWHERE_OPEN
 
+    def is_told_elsewhere(self, flow: FlowKey, envelope: Envelope) -> bool:
+        """Return whether an owner that wasn't asked yet told this agent of a flow."""
+        owner = self._homes.owner(flow)
+        return owner not in (None, self._host) and owner not in envelope.visited
+
     def _places(
         self,
         flow: FlowKey,
--- a/egretsill/address_steering/tests/test_lagging_views.py
+++ b/egretsill/address_steering/tests/test_lagging_views.py
@@ -14,9 +14,12 @@
     DropReason,
     Forward,
     ForwardReason,
+    HandToTarget,
     HomeNotice,
+    OwnerNotice,
     Refuse,
     RefuseReason,
+    TellOwner,
     Undecided,
 )
 from .._decisions import AgentEffect
@@ -43,9 +46,9 @@
     return [FIRST + number for number in range(count)]
 
 
-def make_agent(scene: Scene, host: int) -> AgentSteering:
+def make_agent(scene: Scene, host: int, started_at: float = -RETENTION) -> AgentSteering:
     return AgentSteering(
-        host, SERVICE, scene.directory, scene.peers, scene.placement, RETENTION, -RETENTION
+        host, SERVICE, scene.directory, scene.peers, scene.placement, RETENTION, started_at
     )
 
 
@@ -111,7 +114,7 @@
         scene.targets["next"] = target(OWNER, OTHER_SERVICE, name="next", revision=500)
         scene.publish(1.1)
     scene.peers.receive_reports(reports, 2.4)
-    (effect,) = agent.take_from_peer(envelope(), packet(), 2.5)
+    effect = agent.take_from_peer(envelope(), packet(), 2.5)[0]
     if is_reset:
         assert isinstance(effect, Refuse)
         assert effect.reason is RefuseReason.OWNER_GONE
@@ -209,3 +212,29 @@
     others = [host for host in hosts if host not in (FIRST, first.host)]
     (last,) = agent.take_from_peer(envelope(others[: MAXIMUM_VISITED - 1]), packet(), 1.2)
     assert isinstance(last, Forward), "the silent VM may have it, so nothing is reset"
+
+
+@pytest.mark.parametrize(
+    "started_at", [pytest.param(-RETENTION, id="whole table"), pytest.param(0.0, id="new table")]
+)
+def test_a_home_neither_asks_its_own_target_nor_lets_the_balancer_ask_again(
+    started_at: float,
+) -> None:
+    """Guards against open flows at other targets while their agent is down and routers change."""
+    scene = Scene(FIRST)
+    scene.hear(0.0)
+    agent = make_agent(scene, FIRST, started_at)
+    agent.learn_home(HomeNotice(OWNER, (flow(),)), 0.0)
+    forward, told = agent.take_from_peer(envelope(), packet(), 0.1)
+    assert isinstance(forward, Forward)
+    assert (forward.host, forward.reason) == (OWNER, ForwardReason.TOLD_BY_OWNER)
+    assert told == TellOwner(envelope().balancer, OwnerNotice(flow(), OWNER))
+
+
+def test_a_home_that_the_owner_denied_asks_its_own_target() -> None:
+    """The notice may be of an earlier flow with the same addresses and ports."""
+    scene = Scene(FIRST)
+    agent = make_agent(scene, FIRST, started_at=0.0)
+    agent.learn_home(HomeNotice(OWNER, (flow(),)), 0.0)
+    (handed,) = agent.take_from_peer(envelope([OWNER]), packet(), 0.1)
+    assert isinstance(handed, HandToTarget)
--- a/egretsill/address_steering/tests/test_large_fleet.py
+++ b/egretsill/address_steering/tests/test_large_fleet.py
@@ -26,6 +26,7 @@
     PacketKind,
     Refuse,
     RefuseReason,
+    TellOwner,
 )
 from .._homes import HELD_SECONDS, REPEAT_SECONDS, TOLD_AGE_SECONDS
 from .._tunnel import domain_mark
@@ -219,9 +220,11 @@
     owner = next(each.host for each in fleet.targets if each.host != forward.host)
     agent = fleet.agent(forward.host)
     agent.learn_home(HomeNotice(owner, (flow(1),)), 0.0)
-    (passed,) = agent.take_from_peer(forward.envelope, packet(key=flow(1)), 0.1)
+    passed, told = agent.take_from_peer(forward.envelope, packet(key=flow(1)), 0.1)
     assert isinstance(passed, Forward)
     assert (passed.host, passed.reason) == (owner, ForwardReason.TOLD_BY_OWNER)
+    assert isinstance(told, TellOwner)
+    assert (told.balancer, told.notice.owner) == (forward.envelope.balancer, owner)
 
 
 def gone(fleet: Fleet, host: int, now: float) -> None:
@@ -238,7 +241,7 @@
     gone(fleet, owner, 1.0)
     # Its heartbeats ended with it, and a hub that would have heard them says so.
     fleet.peers[forward.host].receive_reports([PeerReport(owner, silence_milliseconds=900)], 1.9)
-    (early,) = agent.take_from_peer(forward.envelope, packet(key=flow(1)), 1.5)
+    early, _ = agent.take_from_peer(forward.envelope, packet(key=flow(1)), 1.5)
     assert isinstance(early, Forward), "its last answers may be on their way"
     (refused,) = agent.take_from_peer(forward.envelope, packet(key=flow(1)), 2.5)
     assert isinstance(refused, Refuse)
@@ -251,7 +254,7 @@
     newcomer = FIRST + 5_000
     agent = fleet.agent(forward.host)
     agent.learn_home(HomeNotice(newcomer, (flow(1),)), 0.0)
-    (passed,) = agent.take_from_peer(forward.envelope, packet(key=flow(1)), 30.0)
+    passed, _ = agent.take_from_peer(forward.envelope, packet(key=flow(1)), 30.0)
     assert isinstance(passed, Forward)
     assert passed.host == newcomer
 
