Tell a later flow with the same addresses from an earlier one by its numbers

What callers saw (by test, not in a record): an open flow reset by a target that isn't its own, or by us as "lost-by-target".

Cause: a stray packet of a flow whose caller used its port again can come to the agent of the earlier flow, as a candidate or along a home that remembers it for 30 s. The agent took it for the earlier flow: it handed it to its target, which answers data of an ended flow with a reset; or, if the target gave it back, it held that for a crash.

Change: sequence numbers more than 1 MiB apart are of two flows, as a caller has at most 16 packets on the way. Then the packet is passed on like any whose flow isn't here.

Evidence: two cases of test_lagging_views.py failed before.

Left: an agent that has seen none of the earlier flow's data, or has forgotten the flow (10 s after its end), can't tell.

--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -131,6 +131,9 @@
             if packet.kind is PacketKind.OPENING and entry.has_ended:
                 self._flows.remove(packet.flow)
                 return self._take_opening(envelope, packet, now)
+            if entry.has_ended and entry.is_other(packet.sequence):
+                # The target would answer data of a flow that has ended with a reset.
+                return self._pass_on(envelope, packet, now)
             return self._take_owned(entry, envelope, packet, now)
         if packet.kind is PacketKind.OPENING:
             return self._take_opening(envelope, packet, now)
@@ -305,7 +308,7 @@
             )
         self._flows.remove(packet.flow)
         self._queue.remove(packet.flow)
-        if entry.is_established:
+        if entry.is_established and not entry.is_other(packet.sequence):
             # The flow was open here and nowhere else, so its target has lost it.
             return self._refuse(envelope, packet, RefuseReason.LOST_BY_TARGET)
         return self._pass_on(envelope, packet, now)
--- a/egretsill/address_steering/_flow_table.py
+++ b/egretsill/address_steering/_flow_table.py
@@ -13,6 +13,7 @@
 ENDED_SECONDS = 10.0  # the target answers late packets of an ended flow for longer than that
 STUCK_SECONDS = 2.0  # a request at the target for longer no longer counts against its capacity
 SEQUENCE_NUMBERS = 2**32  # they wrap
+FLOW_BYTES = 2**20  # far more than the 16 packets that a caller sends ahead of what is acknowledged
 DELAY_SHARE = 0.2  # of a new measurement in the mean delay
 
 
@@ -67,6 +68,17 @@
         """Return whether both ends have closed the flow."""
         return self.caller_closed and self.target_closed
 
+    def is_other(self, sequence: int) -> bool:
+        """Return whether a caller's packet is surely of another flow with the same addresses.
+
+        Args:
+            sequence: number of the packet's first byte.
+        """
+        if self.next_sequence is None:
+            return False
+        ahead = (sequence - self.next_sequence) % SEQUENCE_NUMBERS
+        return min(ahead, SEQUENCE_NUMBERS - ahead) > FLOW_BYTES
+
 
 class FlowTable:
     """Flows by key, with the load that they are.
--- a/egretsill/address_steering/tests/test_lagging_views.py
+++ b/egretsill/address_steering/tests/test_lagging_views.py
@@ -17,6 +17,7 @@
     HandToTarget,
     HomeNotice,
     OwnerNotice,
+    PacketKind,
     Refuse,
     RefuseReason,
     TellOwner,
@@ -238,3 +239,48 @@
     agent.learn_home(HomeNotice(OWNER, (flow(),)), 0.0)
     (handed,) = agent.take_from_peer(envelope([OWNER]), packet(), 0.1)
     assert isinstance(handed, HandToTarget)
+
+
+def open_flow(agent: AgentSteering, sequence: int) -> None:
+    agent.take_from_peer(envelope(), packet(PacketKind.OPENING), 0.0)
+    agent.take_from_target(packet(PacketKind.OPENING_ANSWER), 0.0)
+    request = packet(payload_bytes=100, sequence=sequence)
+    agent.take_from_peer(envelope(), request, 0.1)
+    agent.take_from_target(packet(payload_bytes=100), 0.2)
+
+
+def end_flow(agent: AgentSteering, sequence: int) -> None:
+    agent.take_from_target(packet(PacketKind.CLOSING), 0.3)
+    agent.take_from_peer(envelope(), packet(PacketKind.CLOSING, sequence=sequence), 0.3)
+
+
+@pytest.mark.parametrize(
+    ("sequence", "is_passed_on"),
+    [
+        pytest.param(101, False, id="late packet of the flow that ended"),
+        pytest.param(0x80000000, True, id="packet of a later flow"),
+        pytest.param(2**32 - 1_000, False, id="late packet from before the numbers wrapped"),
+    ],
+)
+def test_target_of_an_ended_flow_gets_no_packets_of_a_later_one_with_its_addresses(
+    sequence: int, is_passed_on: bool
+) -> None:
+    """Guards against resets by a target that had an earlier flow with the same addresses."""
+    scene = Scene(FIRST)
+    agent = make_agent(scene, FIRST)
+    open_flow(agent, sequence=1)
+    end_flow(agent, sequence=101)
+    stray = packet(payload_bytes=100, sequence=sequence)
+    (effect,) = agent.take_from_peer(envelope(), stray, 1.0)
+    assert isinstance(effect, Forward if is_passed_on else HandToTarget)
+
+
+def test_packet_of_a_later_flow_that_the_target_gives_back_is_no_proof_of_a_crash() -> None:
+    """Guards against resets of flows whose caller used the ports of a vanished flow again."""
+    scene = Scene(FIRST)
+    agent = make_agent(scene, FIRST)
+    open_flow(agent, sequence=1)
+    given_back = packet(payload_bytes=100, sequence=0x80000000, is_bounced=True)
+    (effect,) = agent.take_from_target(given_back, 1.0)
+    assert isinstance(effect, Forward)
+    assert effect.reason is ForwardReason.NOT_HERE
