Keep an open flow whose target gives a late copy of its opening packet back

What callers saw (by test, not in a record): packets of an open flow passed on to another target by its own agent.

Cause: an opening packet that the target gave back was passed on and remembered as passed, also if it was a late copy and the flow was open here, so the agent forgot that it has the flow.

Change: the copy of a flow that is established here is dropped.

Evidence: test_late_copy_of_an_opening_packet_that_the_target_gives_back_moves_no_open_flow failed before.

--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -303,6 +303,9 @@
             entry.balancer, self._directory.version, self._mark, entry.visited, entry.domain_mark
         )
         if packet.kind is PacketKind.OPENING:
+            if entry.is_established and not entry.has_ended:
+                # A late copy; the flow stays here.
+                return (Drop(packet.flow, DropReason.UNEXPECTED),)
             return self._pass_opening(
                 envelope, packet, self._service, ForwardReason.TARGET_FULL, now
             )
--- a/egretsill/address_steering/tests/test_lagging_views.py
+++ b/egretsill/address_steering/tests/test_lagging_views.py
@@ -284,3 +284,16 @@
     (effect,) = agent.take_from_target(given_back, 1.0)
     assert isinstance(effect, Forward)
     assert effect.reason is ForwardReason.NOT_HERE
+
+
+def test_late_copy_of_an_opening_packet_that_the_target_gives_back_moves_no_open_flow() -> None:
+    """Guards against packets of an open flow at other targets after its agent forgot it."""
+    scene = Scene(FIRST)
+    scene.hear(0.0)
+    agent = make_agent(scene, FIRST)
+    open_flow(agent, sequence=1)
+    agent.take_from_peer(envelope(), packet(PacketKind.OPENING, copy=1), 0.3)
+    dropped = agent.take_from_target(packet(PacketKind.OPENING, copy=1, is_bounced=True), 0.3)
+    assert dropped == (Drop(flow(), DropReason.UNEXPECTED),)
+    later = agent.take_from_peer(envelope(), packet(payload_bytes=9, sequence=101), 0.4)
+    assert [type(each) for each in later] == [HandToTarget]
