Ask the target before denying a flow if the table had to forget one

What callers saw (by test, not in a record): an open flow denied by its own agent, and reset by the one that asked last.

Change: for a flow's lifetime after that the agent hands unknown packets to its target first, as after its own start.

Evidence: test_agent_whose_table_overflowed_asks_its_target_before_it_denies_a_flow failed before.

--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -78,7 +78,8 @@
         self._flows = FlowTable(retention_seconds)
         self._queue = RequestQueue()
         self._undecided = UndecidedPackets()
-        self._complete_at = started_at + retention_seconds
+        self._started_at = started_at
+        self._retention_seconds = retention_seconds
         self._unanswered_since: float | None = None
         self._handed_at = float("-inf")
 
@@ -288,8 +289,9 @@
     def _take_unknown(
         self, envelope: Envelope, packet: FlowPacket, now: float
     ) -> Sequence[AgentEffect]:
-        is_complete = now >= self._complete_at
-        if is_complete or self._search.is_told_elsewhere(packet.flow, envelope):
+        # Until then the target may have flows that aren't in the table.
+        complete_at = max(self._started_at, self._flows.forgot_at) + self._retention_seconds
+        if now >= complete_at or self._search.is_told_elsewhere(packet.flow, envelope):
             return self._pass_on(envelope, packet, now)
         entry = self._entry(FlowState.TRYING, envelope, now)
         self._flows.put(packet.flow, entry)
--- a/egretsill/address_steering/_flow_table.py
+++ b/egretsill/address_steering/_flow_table.py
@@ -94,6 +94,7 @@
         self._owned = 0
         self._delay_seconds = 0.0
         self._service_seconds = 0.0
+        self._forgot_at = float("-inf")
 
     def __len__(self) -> int:
         return len(self._flows)
@@ -118,6 +119,11 @@
         """Return the mean time to an answer's first byte lately, 0 if unknown."""
         return self._delay_seconds
 
+    @property
+    def forgot_at(self) -> float:
+        """Return when an open flow was last forgotten for want of room."""
+        return self._forgot_at
+
     def get(self, flow: FlowKey) -> FlowEntry | None:
         """Return a flow, or None if it isn't known."""
         return self._flows.get(flow)
@@ -132,7 +138,10 @@
         """Add or replace a flow; of too many, the oldest is forgotten."""
         self.remove(flow)
         if len(self._flows) >= MAXIMUM_FLOWS:
-            self.remove(next(iter(self._flows)))
+            oldest = next(iter(self._flows))
+            if self._flows[oldest].state is FlowState.OWNED:
+                self._forgot_at = entry.opened_at
+            self.remove(oldest)
         self._flows[flow] = entry
         self._owned += entry.state is FlowState.OWNED
 
--- a/egretsill/address_steering/tests/test_lagging_views.py
+++ b/egretsill/address_steering/tests/test_lagging_views.py
@@ -24,6 +24,7 @@
     Undecided,
 )
 from .._decisions import AgentEffect
+from .._flow_table import MAXIMUM_FLOWS
 from .._tunnel import MAXIMUM_VISITED
 from .._undecided import CONFIRMATION_SLACK_SECONDS, MAXIMUM_UNDECIDED, UNDECIDED_SECONDS
 from .scene import (
@@ -297,3 +298,14 @@
     assert dropped == (Drop(flow(), DropReason.UNEXPECTED),)
     later = agent.take_from_peer(envelope(), packet(payload_bytes=9, sequence=101), 0.4)
     assert [type(each) for each in later] == [HandToTarget]
+
+
+def test_agent_whose_table_overflowed_asks_its_target_before_it_denies_a_flow() -> None:
+    """Guards against resets of open flows that an agent had to forget."""
+    scene = Scene(FIRST)
+    agent = make_agent(scene, FIRST)
+    for number in range(MAXIMUM_FLOWS + 1):
+        agent.take_from_peer(envelope(), packet(PacketKind.OPENING, flow(number)), 0.0)
+        agent.take_from_target(packet(PacketKind.OPENING_ANSWER, flow(number)), 0.0)
+    (handed,) = agent.take_from_peer(envelope(AGENTS[1:]), packet(key=flow(0)), 1.0)
+    assert isinstance(handed, HandToTarget)
