Believe a flow's owner before what was guessed when it opened

What callers saw (by test, not in a record): packets of an open flow lost at an agent that is down, though a home knows the owner.

Cause: an agent that passed an opening packet on sent all later packets the same way, also if the caller had taken the answer to another copy and the owner had told this agent since, as the flow's home.

Change: what the owner told after that comes first.

Evidence: test_flow_that_opened_elsewhere_than_where_it_was_passed_on_is_found failed before.

--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -142,6 +142,9 @@
             return self._take_unknown(envelope, packet, now)
         if entry.state is FlowState.PASSED:
             entry.seen_at = now
+            # The caller may have taken the answer to another copy of its opening packet.
+            if self._search.is_told_elsewhere(packet.flow, envelope, entry.opened_at):
+                return self._pass_on(envelope, packet, now)
             return self._pass_to(entry.passed_to, envelope, packet, ForwardReason.PASSED_BEFORE)
         return self._take_owned(entry, envelope, packet, now)
 
--- a/egretsill/address_steering/_flow_search.py
+++ b/egretsill/address_steering/_flow_search.py
@@ -76,9 +76,17 @@
             return SearchHop(host, ForwardReason.NOT_HERE)
         return RefuseReason.NOWHERE_OPEN
 
-    def is_told_elsewhere(self, flow: FlowKey, envelope: Envelope) -> bool:
-        """Return whether an owner that wasn't asked yet told this agent of a flow."""
-        owner = self._homes.owner(flow)
+    def is_told_elsewhere(
+        self, flow: FlowKey, envelope: Envelope, since: float = float("-inf")
+    ) -> bool:
+        """Return whether an owner that wasn't asked yet told this agent of a flow.
+
+        Args:
+            flow: the flow.
+            envelope: how a packet of it came here.
+            since: what was told before counts for nothing.
+        """
+        owner = self._homes.owner(flow, since)
         return owner not in (None, self._host) and owner not in envelope.visited
 
     def _places(
--- a/egretsill/address_steering/_homes.py
+++ b/egretsill/address_steering/_homes.py
@@ -39,10 +39,15 @@
         while len(self._owners) > MAXIMUM_HELD:
             self._owners.popitem(last=False)
 
-    def owner(self, flow: FlowKey) -> int | None:
-        """Return the VM that has a flow, None if nobody told."""
-        found = self._owners.get(flow)
-        return found[0] if found else None
+    def owner(self, flow: FlowKey, since: float = float("-inf")) -> int | None:
+        """Return the VM that has a flow, None if nobody told.
+
+        Args:
+            flow: the flow.
+            since: what was told before counts for nothing.
+        """
+        owner, told_at = self._owners.get(flow, (None, since))
+        return owner if told_at >= since else None
 
     def forget(self, flow: FlowKey) -> None:
         """Forget a flow whose owner turned out to be gone."""
--- a/egretsill/address_steering/tests/test_lagging_views.py
+++ b/egretsill/address_steering/tests/test_lagging_views.py
@@ -309,3 +309,27 @@
         agent.take_from_target(packet(PacketKind.OPENING_ANSWER, flow(number)), 0.0)
     (handed,) = agent.take_from_peer(envelope(AGENTS[1:]), packet(key=flow(0)), 1.0)
     assert isinstance(handed, HandToTarget)
+
+
+@pytest.mark.parametrize(
+    ("told_at", "is_believed"),
+    [
+        pytest.param(1.0, True, id="owner told after the opening packet was passed on"),
+        pytest.param(-1.0, False, id="owner of an earlier flow told before"),
+    ],
+)
+def test_flow_that_opened_elsewhere_than_where_it_was_passed_on_is_found(
+    told_at: float, is_believed: bool
+) -> None:
+    """Guards against open flows that are never found behind an agent that is down."""
+    scene = Scene(FIRST)
+    scene.hear(0.0)
+    agent = make_agent(scene, FIRST)
+    agent.take_from_peer(envelope(), packet(PacketKind.OPENING), 0.0)
+    (passed,) = agent.take_from_target(packet(PacketKind.OPENING, is_bounced=True), 0.0)
+    assert isinstance(passed, Forward)
+    owner = next(host for host in AGENTS[1:] if host != passed.host)
+    agent.learn_home(HomeNotice(owner, (flow(),)), told_at)
+    effect = agent.take_from_peer(envelope(), packet(), 1.1)[0]
+    assert isinstance(effect, Forward)
+    assert effect.host == (owner if is_believed else passed.host)
