--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -37,11 +37,10 @@
 from ._placement import FlowPlacement
 from ._presence import Presence
 from ._request_queue import RequestQueue, WaitingRequest
+from ._target_silence import TargetSilence
 from ._tunnel import MAXIMUM_VISITED, Envelope, HomeNotice, OwnerNotice, service_mark
 from ._undecided import UndecidedPackets
 
-SILENT_TARGET_SECONDS = 0.6  # a usual answer takes a tenth; two copies of an opening packet fit in
-SILENCE_MEMORY_SECONDS = 2.0  # for how long after the last packet a silent target is avoided
 SPARE_SHARE = 0.5  # of the capacity is handed over beyond it, so that no slot waits for the agent
 
 
@@ -75,13 +74,10 @@
         self._placement = placement
         self._search = FlowSearch(host, directory, Presence(directory, peers), placement)
         self._told_rank: ServiceRank | None = None
-        self._flows = FlowTable(retention_seconds)
+        self._flows = FlowTable(retention_seconds, started_at)
         self._queue = RequestQueue()
         self._undecided = UndecidedPackets()
-        self._started_at = started_at
-        self._retention_seconds = retention_seconds
-        self._unanswered_since: float | None = None
-        self._handed_at = float("-inf")
+        self._silence = TargetSilence()
 
     @property
     def flows(self) -> FlowTable:
@@ -117,11 +113,7 @@
 
     def is_target_silent(self, now: float) -> bool:
         """Return whether the target has answered nothing for a while though it was sent work."""
-        if self._unanswered_since is None:
-            return False
-        # Without packets nothing can show that it is back, so it gets new flows again then.
-        is_current = now - self._handed_at < SILENCE_MEMORY_SECONDS
-        return is_current and now - self._unanswered_since > SILENT_TARGET_SECONDS
+        return self._silence.is_silent(now)
 
     def take_from_peer(
         self, envelope: Envelope, packet: FlowPacket, now: float
@@ -150,7 +142,7 @@
 
     def take_from_target(self, packet: FlowPacket, now: float) -> Sequence[AgentEffect]:
         """Return what to do with a packet that the target sent or gave back."""
-        self._unanswered_since = None
+        self._silence.note_answer()
         if packet.is_bounced:
             return self._take_bounced(packet, now)
         entry = self._flows.get(packet.flow)
@@ -187,7 +179,7 @@
             entry = self._flows.get(request.flow)
             if entry is not None:
                 self._flows.begin_request(entry, now)
-                self._note_handed(now)
+                self._silence.note_handed(now)
                 effects.extend(HandToTarget(each) for each in request.packets.values())
         return effects
 
@@ -196,9 +188,8 @@
         effects: list[AgentEffect] = []
         for each in self._undecided.pop_confirmed(self._directory.confirmed_at):
             effects.extend(self._pass_on(each.envelope, each.packet, now, is_confirmed=True))
-        for each in self._undecided.pop_expired(now):
-            effects.append(Drop(each.packet.flow, DropReason.UNDECIDED))
-        return effects
+        expired = self._undecided.pop_expired(now)
+        return effects + [Drop(each.packet.flow, DropReason.UNDECIDED) for each in expired]
 
     def sweep(self, now: float) -> None:
         """Forget what is over or too old."""
@@ -224,7 +215,7 @@
         else:
             effects.append(HandToTarget(packet.datagram))
             if packet.payload_bytes:
-                self._note_handed(now)
+                self._silence.note_handed(now)
         if packet.kind is PacketKind.CLOSING:
             entry.caller_closed = True
         elif packet.kind is PacketKind.RESET:
@@ -286,15 +277,13 @@
         entry = self._entry(FlowState.TRYING, envelope, now)
         entry.copy = packet.copy
         self._flows.put(packet.flow, entry)
-        self._note_handed(now)
+        self._silence.note_handed(now)
         return (HandToTarget(packet.datagram),)
 
     def _take_unknown(
         self, envelope: Envelope, packet: FlowPacket, now: float
     ) -> Sequence[AgentEffect]:
-        # Until then the target may have flows that aren't in the table.
-        complete_at = max(self._started_at, self._flows.forgot_at) + self._retention_seconds
-        if now >= complete_at or self._search.is_told_elsewhere(packet.flow, envelope):
+        if self._flows.is_complete(now) or self._search.is_told_elsewhere(packet.flow, envelope):
             return self._pass_on(envelope, packet, now)
         entry = self._entry(FlowState.TRYING, envelope, now)
         self._flows.put(packet.flow, entry)
@@ -362,12 +351,6 @@
         domain = self._placement.candidates.domain_marked(envelope.domain_mark)
         return self._placement.choose(packet.flow, service, excluded, domain, now)
 
-    def _note_handed(self, now: float) -> None:
-        """Note that the target was sent something that it answers."""
-        self._handed_at = now
-        if self._unanswered_since is None:
-            self._unanswered_since = now
-
     def _pass_on(
         self, envelope: Envelope, packet: FlowPacket, now: float, is_confirmed: bool = False
     ) -> Sequence[AgentEffect]:
--- a/egretsill/address_steering/_flow_table.py
+++ b/egretsill/address_steering/_flow_table.py
@@ -85,16 +85,17 @@
 
     Args:
         retention_seconds: age at which any flow may be forgotten.
+        started_at: local time since which every packet of the target has been seen.
     """
 
-    def __init__(self, retention_seconds: float) -> None:
+    def __init__(self, retention_seconds: float, started_at: float = float("-inf")) -> None:
+        self._complete_at = started_at + retention_seconds
         self._retention_seconds = retention_seconds
         self._flows: dict[FlowKey, FlowEntry] = {}
         self._pending = 0
         self._owned = 0
         self._delay_seconds = 0.0
         self._service_seconds = 0.0
-        self._forgot_at = float("-inf")
 
     def __len__(self) -> int:
         return len(self._flows)
@@ -119,10 +120,9 @@
         """Return the mean time to an answer's first byte lately, 0 if unknown."""
         return self._delay_seconds
 
-    @property
-    def forgot_at(self) -> float:
-        """Return when an open flow was last forgotten for want of room."""
-        return self._forgot_at
+    def is_complete(self, now: float) -> bool:
+        """Return whether the target has no flow that isn't here."""
+        return now >= self._complete_at
 
     def get(self, flow: FlowKey) -> FlowEntry | None:
         """Return a flow, or None if it isn't known."""
@@ -140,7 +140,7 @@
         if len(self._flows) >= MAXIMUM_FLOWS:
             oldest = next(iter(self._flows))
             if self._flows[oldest].state is FlowState.OWNED:
-                self._forgot_at = entry.opened_at
+                self._complete_at = entry.opened_at + self._retention_seconds
             self.remove(oldest)
         self._flows[flow] = entry
         self._owned += entry.state is FlowState.OWNED
