Don't reset an open flow whose route a balancer doesn't know yet

What callers saw (by test, not in a record): an open flow reset as "no-route" by a balancer whose configuration was older than the route.

A balancer that has no route for an address took that for proof if its content was confirmed within 2 s. A route may be newer; the flow was opened through another balancer and came here as the routers changed.

Change: a packet other than an opening one is answered with a reset only if this process saw a configuration take the address away; else it is dropped and comes again. Opening packets are refused as before: their flows aren't open.

Evidence: the new row of test_flows_without_a_route failed before.

Left: a route that is withdrawn and published again while a balancer lags between the two.

--- a/egretsill/address_steering/_balancer_steering.py
+++ b/egretsill/address_steering/_balancer_steering.py
@@ -129,6 +129,11 @@
             return Drop(packet.flow, DropReason.STALE_CONTENT)
         if packet.kind is PacketKind.RESET:
             return Drop(packet.flow, DropReason.UNEXPECTED)
+        if packet.kind is not PacketKind.OPENING and not self._directory.has_withdrawn(
+            packet.flow.service_host, packet.flow.service_port
+        ):
+            # The flow may have been opened along a route that is newer than this view.
+            return Drop(packet.flow, DropReason.NO_ROUTE)
         return Refuse(packet.flow, packet.acknowledged, RefuseReason.NO_ROUTE)
 
     def _place(self, packet: FlowPacket, service: str, now: float) -> BalancerDecision:
--- a/egretsill/address_steering/_decisions.py
+++ b/egretsill/address_steering/_decisions.py
@@ -47,6 +47,7 @@
 
     MALFORMED = "malformed"
     STALE_CONTENT = "stale-content"
+    NO_ROUTE = "no-route"
     NO_TARGET = "no-target"
     TOO_MANY_HOPS = "too-many-hops"
     UNEXPECTED = "unexpected"
--- a/egretsill/address_steering/tests/test_balancer_steering.py
+++ b/egretsill/address_steering/tests/test_balancer_steering.py
@@ -153,6 +153,12 @@
     [
         pytest.param(0.5, OPENING, Refuse(UNROUTED, 1000, RefuseReason.NO_ROUTE), id="refused"),
         pytest.param(5.0, OPENING, Drop(UNROUTED, DropReason.STALE_CONTENT), id="not sure"),
+        pytest.param(
+            0.5,
+            PacketKind.PLAIN,
+            Drop(UNROUTED, DropReason.NO_ROUTE),
+            id="open flow of a route that isn't known yet, not reset",
+        ),
         pytest.param(
             0.5, PacketKind.RESET, Drop(UNROUTED, DropReason.UNEXPECTED), id="never reset a reset"
         ),
@@ -172,6 +178,9 @@
     refused = balancer.steer(packet(), 1.1)
     assert isinstance(refused, Refuse)
     assert refused.reason is RefuseReason.NO_ROUTE
+    scene.publish(2.0, table(version=10))
+    assert isinstance(balancer.steer(packet(), 2.1), Forward), "the route is back"
+    assert not scene.directory.has_withdrawn(SERVICE_HOST, flow().service_port)
 
 
 def test_flows_of_a_target_that_is_gone_are_looked_for_elsewhere() -> None:
--- a/egretsill/directory/_directory.py
+++ b/egretsill/directory/_directory.py
@@ -18,6 +18,7 @@
 OUTAGE_SECONDS = 1.5  # unconfirmed for longer: entries may have lapsed while nobody could renew
 LAPSE_GRACE_SECONDS = 2.5  # live targets are back within 2 s of the store's return, plus lag
 RETENTION_SECONDS = 60.0  # default age at which a flow may be forgotten
+MAXIMUM_WITHDRAWN = 2_000  # addresses remembered; as many as a large configuration has routes
 MAXIMUM_RETAINED = 10_000  # departed targets remembered; two a second over the retention, and slack
 NEVER = float("-inf")
 
@@ -51,6 +52,7 @@
     def __init__(self, retention_seconds: float = RETENTION_SECONDS) -> None:
         self._retention_seconds = retention_seconds
         self._table: RouteTable | None = None
+        self._withdrawn: OrderedDict[tuple[int, int], None] = OrderedDict()
         self._targets: dict[str, TargetView] = {}
         self._departed: OrderedDict[str, TargetView] = OrderedDict()
         self._by_service: dict[str, tuple[TargetView, ...]] = {}
@@ -107,6 +109,10 @@
         """Return the route of a service address."""
         return self._table.routes.get((host, port)) if self._table else None
 
+    def has_withdrawn(self, host: int, port: int) -> bool:
+        """Return whether a configuration took a service address away that an earlier one had."""
+        return (host, port) in self._withdrawn
+
     def targets_of(self, service: str) -> Sequence[TargetView]:
         """Return a service's targets, with those that left while their flows may be open."""
         self._refresh_index()
@@ -239,6 +245,7 @@
         is_newer = changes.table is not None and changes.table.version > self.version
         if is_newer:
             self._table = changes.table
+            self._note_withdrawn(before)
         written = [each for each in changes.changed if self._merge_target(each, now)]
         removed = [name for name in changes.removed if self._remove(name, now)]
         if not is_newer and not written and not removed:
@@ -249,6 +256,15 @@
         self._content_revision = max(changes.at, self._content_revision)
         return True
 
+    def _note_withdrawn(self, before: RouteTable | None) -> None:
+        routes = self._table.routes if self._table else {}
+        for address in before.routes.keys() - routes.keys() if before else ():
+            self._withdrawn[address] = None
+        for address in [each for each in self._withdrawn if each in routes]:
+            del self._withdrawn[address]
+        while len(self._withdrawn) > MAXIMUM_WITHDRAWN:
+            self._withdrawn.popitem(last=False)
+
     def _log_changes(
         self,
         revision: int,
