Count content as confirmed when the store looked, not when its answer came

What callers saw: nothing yet. A reset rests on content that was confirmed after the packet came; a slow store's answer made content look newer than it is, by more than the slack for it (a read may take 0.8 s).

Change: a read confirms as of the question, an empty watch as of the moment at which the store stopped waiting. A watch with changes is answered at once and confirms as of its answer, as before; the slack of 0.3 s is for that and for the news between processes.

Evidence: test_content_is_confirmed_when_the_store_looked_and_not_when_its_answer_came failed before with answers that take 4, 240 and 600 ms.

--- a/egretsill/directory/_directory.py
+++ b/egretsill/directory/_directory.py
@@ -147,8 +147,16 @@
         """Return what came after a revision, or None if only the whole content will do."""
         return self._log.since(revision)
 
-    def apply_snapshot(self, snapshot: Snapshot, now: float) -> bool:
-        """Take over a linearizable read; return whether anything in force changed."""
+    def apply_snapshot(
+        self, snapshot: Snapshot, now: float, confirmed_at: float | None = None
+    ) -> bool:
+        """Take over a linearizable read; return whether anything in force changed.
+
+        Args:
+            snapshot: what was read.
+            now: local time.
+            confirmed_at: local time at which it surely was the store's content; now if not given.
+        """
         if snapshot.at < self._content_revision:
             return False
         self._note_return(now)
@@ -159,16 +167,24 @@
         changed = self._merge(changes, now)
         if is_first:
             self._content_revision = snapshot.at
-        self._confirmed_at = now
+        self._note_confirmation(now if confirmed_at is None else confirmed_at)
         return changed
 
-    def apply_changes(self, changes: Changes, now: float) -> bool:
-        """Take over a watch's answer; return whether anything in force changed."""
+    def apply_changes(
+        self, changes: Changes, now: float, confirmed_at: float | None = None
+    ) -> bool:
+        """Take over a watch's answer; return whether anything in force changed.
+
+        Args:
+            changes: the answer.
+            now: local time.
+            confirmed_at: as of a snapshot.
+        """
         if changes.at < self._content_revision:
             return False
         self._note_return(now)
         changed = self._merge(changes, now)
-        self._confirmed_at = now
+        self._note_confirmation(now if confirmed_at is None else confirmed_at)
         return changed
 
     def apply_peer_content(
@@ -218,7 +234,7 @@
     def confirm(self, revision: int, age_seconds: float, now: float) -> None:
         """Note that somebody's read confirmed a revision some seconds ago."""
         if revision == self._content_revision and revision > 0:
-            self._confirmed_at = max(self._confirmed_at, now - age_seconds)
+            self._note_confirmation(now - age_seconds)
 
     def tick(self, now: float) -> bool:
         """Drop what is too old; return whether what is in force changed."""
@@ -236,6 +252,9 @@
             self._index(now)
         return bool(over)
 
+    def _note_confirmation(self, confirmed_at: float) -> None:
+        self._confirmed_at = max(self._confirmed_at, confirmed_at)
+
     def _note_return(self, now: float) -> None:
         if self._confirmed_at != NEVER and now - self._confirmed_at > OUTAGE_SECONDS:
             self._grace_until = now + LAPSE_GRACE_SECONDS
--- a/egretsill/node/_store_reading.py
+++ b/egretsill/node/_store_reading.py
@@ -91,18 +91,24 @@
             self._on_answer()
 
     async def _read(self, timeout_seconds: float) -> None:
+        asked_at = self._timer.now
         snapshot = await self._store.read(timeout_seconds)
         self._plan.note_read()
         self._cursor = snapshot.at
         self._count_unreadable(snapshot.unreadable)
-        if self._directory.apply_snapshot(snapshot, self._timer.now):
+        # Its first page may be as old as the question.
+        if self._directory.apply_snapshot(snapshot, self._timer.now, asked_at):
             self._on_change(STORE_SOURCE)
 
     async def _watch(self, wait_seconds: float, timeout_seconds: float) -> None:
+        asked_at = self._timer.now
         changes = await self._store.watch(self._cursor, wait_seconds, timeout_seconds)
         self._cursor = max(self._cursor, changes.at)
         self._count_unreadable(changes.unreadable)
-        if self._directory.apply_changes(changes, self._timer.now):
+        now = self._timer.now
+        # Nothing changed until the store stopped waiting; the answer may have taken longer.
+        confirmed_at = min(now, asked_at + wait_seconds) if changes.is_empty else now
+        if self._directory.apply_changes(changes, now, confirmed_at):
             self._on_change(STORE_SOURCE)
 
     def _count_unreadable(self, count: int) -> None:
--- /dev/null
+++ b/egretsill/node/tests/test_store_reading.py
@@ -0,0 +1,67 @@
+"""When content counts as confirmed by the store."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from ...directory import Changes, Directory, ReadPlan, RouteTable, Snapshot
+from ...observation import Journal, Metrics
+from ...timing import VirtualTimerService
+from .._store_reading import StoreReading
+
+HOST = 0x0A020001
+TABLE = RouteTable(1, {}, 15.0)
+
+
+class SlowStore:
+    """Answers late: a read some time after it looked, a watch some time after it stopped waiting.
+
+    Args:
+        timer: advanced by what the answers take.
+        delay_seconds: between the answer's content and its arrival.
+    """
+
+    def __init__(self, timer: VirtualTimerService, delay_seconds: float) -> None:
+        self._timer = timer
+        self._delay_seconds = delay_seconds
+        self.looked_at = 0.0
+
+    async def read(self, timeout_seconds: float) -> Snapshot:
+        self.looked_at = self._timer.now
+        self._timer.advance(self._delay_seconds)
+        return Snapshot(10, TABLE, ())
+
+    async def watch(self, after: int, wait_seconds: float, timeout_seconds: float) -> Changes:
+        self._timer.advance(wait_seconds)
+        self.looked_at = self._timer.now
+        self._timer.advance(self._delay_seconds)
+        return Changes(after)
+
+    async def close(self) -> None:
+        """Nothing is open."""
+
+
+@pytest.mark.parametrize("delay", [0.004, 0.24, 0.6])
+def test_content_is_confirmed_when_the_store_looked_and_not_when_its_answer_came(
+    delay: float,
+) -> None:
+    """Guards against a slow store's answers that make old content look new."""
+    timer = VirtualTimerService()
+    directory = Directory()
+    plan = ReadPlan(HOST, is_first_start=False)
+    store = SlowStore(timer, delay)
+    reading = StoreReading(
+        store,
+        plan,
+        directory,
+        lambda: (HOST,),
+        timer,
+        Metrics(),
+        Journal("reader", lambda: timer.now, lambda: timer.now),
+        lambda _: None,
+        lambda: None,
+    )
+    for _ in range(3):
+        trio.run(reading._do_next_step)
+        assert directory.confirmed_at == pytest.approx(store.looked_at)
