Count a reading of the store once, and remember what routes led to

Now only what is newer by more than 0.25 s counts as another reading. A heartbeat that ends an outage of the store gives the entries that lapsed meanwhile the same grace as a reading does, so that views agree on who is there.

A configuration leaves open flows where they are, but the search looked only at the services that a route has now.

--- a/egretsill/directory/_directory.py
+++ b/egretsill/directory/_directory.py
@@ -13,12 +13,13 @@
 from typing import TypeVar
 
 from ._change_log import ChangeLog, ContentChanges, apply_route_changes, route_changes
+from ._former_routes import FormerRoutes
 from ._model import Changes, Route, RouteTable, Snapshot, Target, TargetPhase
 
 OUTAGE_SECONDS = 1.5  # unconfirmed for longer: entries may have lapsed while nobody could renew
 LAPSE_GRACE_SECONDS = 2.5  # live targets are back within 2 s of the store's return, plus lag
 RETENTION_SECONDS = 60.0  # default age at which a flow may be forgotten
-MAXIMUM_WITHDRAWN = 2_000  # addresses remembered; as many as a large configuration has routes
+NEWS_SECONDS = 0.25  # a reading told once more seems newer by what the detour took, some hundredths
 MAXIMUM_RETAINED = 10_000  # departed targets remembered; two a second over the retention, and slack
 NEVER = float("-inf")
 
@@ -52,7 +53,7 @@
     def __init__(self, retention_seconds: float = RETENTION_SECONDS) -> None:
         self._retention_seconds = retention_seconds
         self._table: RouteTable | None = None
-        self._withdrawn: OrderedDict[tuple[int, int], None] = OrderedDict()
+        self._former_routes = FormerRoutes(retention_seconds)
         self._targets: dict[str, TargetView] = {}
         self._departed: OrderedDict[str, TargetView] = OrderedDict()
         self._by_service: dict[str, tuple[TargetView, ...]] = {}
@@ -111,7 +112,15 @@
 
     def has_withdrawn(self, host: int, port: int) -> bool:
         """Return whether a configuration took a service address away that an earlier one had."""
-        return (host, port) in self._withdrawn
+        return self._former_routes.has_withdrawn((host, port))
+
+    def flow_services(self, route: Route) -> Sequence[str]:
+        """Return the services that may have open flows of a route, those in force first.
+
+        A configuration leaves open flows where they are.
+        """
+        former = self._former_routes.services((route.host, route.port))
+        return tuple(dict.fromkeys((*route.services, *former))) if former else route.services
 
     def targets_of(self, service: str) -> Sequence[TargetView]:
         """Return a service's targets, with those that left while their flows may be open."""
@@ -232,9 +241,16 @@
         return changed
 
     def confirm(self, revision: int, age_seconds: float, now: float) -> None:
-        """Note that somebody's read confirmed a revision some seconds ago."""
-        if revision == self._content_revision and revision > 0:
-            self._note_confirmation(now - age_seconds)
+        """Note that somebody's read confirmed a revision some seconds ago.
+
+        Processes tell each other, so a reading comes back by other ways and seems newer each time.
+        Only what is newer by more than that is another reading.
+        """
+        confirmed_at = now - age_seconds
+        is_known = revision == self._content_revision and revision > 0
+        if is_known and confirmed_at - self._confirmed_at > NEWS_SECONDS:
+            self._note_return(confirmed_at)
+            self._note_confirmation(confirmed_at)
 
     def tick(self, now: float) -> bool:
         """Drop what is too old; return whether what is in force changed."""
@@ -248,6 +264,7 @@
                 break
             del self._departed[name]
             over.append(name)
+        self._former_routes.sweep(now)
         if over:
             self._index(now)
         return bool(over)
@@ -264,7 +281,7 @@
         is_newer = changes.table is not None and changes.table.version > self.version
         if is_newer:
             self._table = changes.table
-            self._note_withdrawn(before)
+            self._former_routes.note_change(before, self._table, now)
         written = [each for each in changes.changed if self._merge_target(each, now)]
         removed = [name for name in changes.removed if self._remove(name, now)]
         if not is_newer and not written and not removed:
@@ -275,15 +292,6 @@
         self._content_revision = max(changes.at, self._content_revision)
         return True
 
-    def _note_withdrawn(self, before: RouteTable | None) -> None:
-        routes = self._table.routes if self._table else {}
-        for address in before.routes.keys() - routes.keys() if before else ():
-            self._withdrawn[address] = None
-        for address in [each for each in self._withdrawn if each in routes]:
-            del self._withdrawn[address]
-        while len(self._withdrawn) > MAXIMUM_WITHDRAWN:
-            self._withdrawn.popitem(last=False)
-
     def _log_changes(
         self,
         revision: int,
