Tell the fleet that an agent has just started, and steering that a VM stood still

A home that starts anew has lost what owners told it, and they tell it again only ten seconds later; if both homes of a flow start, nobody finds it until then. A heartbeat's report now says for 3 s that its agent has just started, in a spare bit of its flags.

After a jump of the clock steering is told, as it isn't the flows that were silent then.

--- a/egretsill/fleet/_heartbeat.py
+++ b/egretsill/fleet/_heartbeat.py
@@ -17,7 +17,7 @@
 _TOLD, _ASKING = 0xB1, 0xB4
 _HEAD = struct.Struct(">BIQIQQIB")  # mark, host, run, sequence, version, revision, age, cell
 _REPORT = struct.Struct(">IHHHBB")  # host, pending, flows, delay, silence, flags
-_IS_BALANCER, _IS_LEAVING, _CAN_READ, _IS_TARGET_SILENT = 1, 2, 4, 8
+_IS_BALANCER, _IS_LEAVING, _CAN_READ, _IS_TARGET_SILENT, _IS_NEW = 1, 2, 4, 8, 16
 _LARGEST_SHORT = 0xFFFF
 _LARGEST_LONG = 0xFFFFFFFF
 
@@ -35,6 +35,7 @@
         flows: open flows at its target.
         delay_milliseconds: how long answers began to take there lately; 0 if unknown.
         silence_milliseconds: how long ago the teller heard it.
+        is_new: whether it has just started, so that it knows no flows of others.
     """
 
     host: int
@@ -46,6 +47,7 @@
     flows: int = 0
     delay_milliseconds: int = 0
     silence_milliseconds: int = 0
+    is_new: bool = False
 
 
 class HeartbeatHead(NamedTuple):
@@ -145,6 +147,7 @@
             flows,
             delay,
             silence * SILENCE_UNIT_MILLISECONDS,
+            bool(flags & _IS_NEW),
         )
         for host, pending, flows, delay, silence, flags in _REPORT.iter_unpack(data[reports_at:])
     ]
@@ -156,6 +159,7 @@
         | (_IS_LEAVING if report.is_leaving else 0)
         | (_CAN_READ if report.can_read else 0)
         | (_IS_TARGET_SILENT if report.is_target_silent else 0)
+        | (_IS_NEW if report.is_new else 0)
     )
     return _REPORT.pack(
         report.host,
--- a/egretsill/fleet/_peers.py
+++ b/egretsill/fleet/_peers.py
@@ -92,6 +92,11 @@
             return False
         return now - max(peer.heard_at, self._woken_at) < UNCERTAIN_SECONDS
 
+    @property
+    def new_agents(self) -> frozenset[int]:
+        """Return the VMs of agents that say they have just started."""
+        return frozenset(host for host, each in self._peers.items() if each.report.is_new)
+
     def is_silent(self, host: int) -> bool:
         """Return whether somebody who would have heard a peer says that it is silent."""
         peer = self._peers.get(host)
--- a/egretsill/node/_fleet_link.py
+++ b/egretsill/node/_fleet_link.py
@@ -35,6 +35,7 @@
 REST_SECONDS = 0.05  # between two looks at the socket, so that many heartbeats cost one wake-up
 CONFIRM_SECONDS = 0.6  # content confirmed so much later is worth a heartbeat of its own
 PUSH_GRACE_SECONDS = 0.15  # changes are pushed at the same moment as they are announced
+NEW_SECONDS = 3.0  # as long as a subscription to a hub, so everybody is told of a start
 RETRY_SECONDS = 0.1  # before the next peer is asked for content
 MAXIMUM_SOURCES = 8  # peers with newer content that are remembered
 MILLISECONDS = 1000
@@ -105,6 +106,7 @@
         self._on_change = on_change
         self._socket = bound
         self._incarnation = timer.epoch_milliseconds
+        self._started_at = timer.now
         self._sequence = 0
         self._period = 0
         self._is_leaving = False
@@ -238,6 +240,7 @@
             load.pending,
             load.flows,
             int(load.delay_seconds * MILLISECONDS),
+            is_new=self._timer.now - self._started_at < NEW_SECONDS,
         )
 
     async def _take_all(self) -> None:
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -236,6 +236,7 @@
         )
         self._agent_steering = steering
         self._timer.subscribe(SWEEP_SECONDS, steering.sweep)
+        self._timer.subscribe_jumps(lambda jump: steering.note_wake(jump.after))
         return AgentNode(
             self._sockets,
             settings.packets.port,
