Rest every end of a search on evidence that is newer than the question

- "owner-gone" was decided on a view of any age, also against what the owner itself had just told.
It now waits for newer content like "nowhere-open".
- An agent that a hub calls silent was the only evidence of a lost VM, so callers waited 20 s if a whole cell went, and a VM that had left came back when its heartbeats were forgotten.
Now nothing heard for 5 s is enough, longer than hubs take to be replaced; the order of the search goes by who is heard.
- Flows of a route that moved are searched at its former services too.
- An agent forgot a flow at the idle limit, though the caller's packet may be on its way again, or waits in the socket of an agent that stood still.
- A packet that the VM passed to had denied was dropped in place of searched.
- A young agent handed packets of other services' flows to its target.
- Homes that start anew are told at once.

Two of its tests now let the heartbeat of a restarted agent say so, as a real one does.

Three tests took the old decision for right: an owner that is gone by evidence is reset only with newer content, which they now want.

--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -12,7 +12,6 @@
 
 from ..directory import Directory, TargetPhase, TargetView
 from ..fleet import PeerTable
-from ._candidates import ServiceRank
 from ._decisions import (
     AgentEffect,
     Answered,
@@ -32,7 +31,7 @@
 )
 from ._flow_search import FlowSearch, SearchHop
 from ._flow_table import MAXIMUM_FLOWS, FlowEntry, FlowState, FlowTable
-from ._homes import notices_due
+from ._homes import HomeTeller
 from ._packet import FlowPacket, PacketKind, opening_delay
 from ._placement import FlowPlacement
 from ._presence import Presence
@@ -72,9 +71,9 @@
         self._mark = service_mark(service)
         self._directory = directory
         self._placement = placement
-        self._search = FlowSearch(host, directory, Presence(directory, peers), placement)
-        self._told_rank: ServiceRank | None = None
+        self._search = FlowSearch(host, service, directory, Presence(directory, peers), placement)
         self._flows = FlowTable(retention_seconds, started_at)
+        self._teller = HomeTeller(host, service, self._flows, placement.candidates, peers)
         self._queue = RequestQueue()
         self._undecided = UndecidedPackets()
         self._silence = TargetSilence()
@@ -105,11 +104,7 @@
 
     def tell_homes(self, now: float) -> Sequence[TellHome]:
         """Return what to tell the homes of the flows that are open here."""
-        rank = self._placement.candidates.of(self._service)
-        is_new_rank = rank is not self._told_rank
-        self._told_rank = rank
-        due = notices_due(self._host, self._flows, rank, is_new_rank, now)
-        return [TellHome(home, notice) for home, notices in due.items() for notice in notices]
+        return self._teller.tell(now)
 
     def is_target_silent(self, now: float) -> bool:
         """Return whether the target has answered nothing for a while though it was sent work."""
@@ -121,10 +116,11 @@
         """Return what to do with a caller's packet that a balancer or an agent sent here."""
         entry = self._flows.get(packet.flow)
         if entry is not None and entry.state is FlowState.OWNED:
-            if packet.kind is PacketKind.OPENING and entry.has_ended:
+            is_other = entry.is_established and entry.is_other(packet.sequence)
+            if packet.kind is PacketKind.OPENING and (entry.has_ended or is_other):
                 self._flows.remove(packet.flow)
                 return self._take_opening(envelope, packet, now)
-            if entry.has_ended and entry.is_other(packet.sequence):
+            if is_other and packet.kind is not PacketKind.RESET:
                 # The target would answer data of a flow that has ended with a reset.
                 return self._pass_on(envelope, packet, now)
             return self._take_owned(entry, envelope, packet, now)
@@ -135,7 +131,8 @@
         if entry.state is FlowState.PASSED:
             entry.seen_at = now
             # The caller may have taken the answer to another copy of its opening packet.
-            if self._search.is_told_elsewhere(packet.flow, envelope, entry.opened_at):
+            is_told = self._search.is_told_elsewhere(packet.flow, envelope, entry.opened_at)
+            if is_told or entry.passed_to in envelope.visited:
                 return self._pass_on(envelope, packet, now)
             return self._pass_to(entry.passed_to, envelope, packet, ForwardReason.PASSED_BEFORE)
         return self._take_owned(entry, envelope, packet, now)
@@ -191,6 +188,11 @@
         expired = self._undecided.pop_expired(now)
         return effects + [Drop(each.packet.flow, DropReason.UNDECIDED) for each in expired]
 
+    def note_wake(self, now: float) -> None:
+        """Count nothing that was heard or not heard while this process didn't run as proof."""
+        self._undecided.clear()
+        self._flows.note_wake(now)
+
     def sweep(self, now: float) -> None:
         """Forget what is over or too old."""
         table = self._directory.table
@@ -201,10 +203,7 @@
     def _take_owned(
         self, entry: FlowEntry, envelope: Envelope, packet: FlowPacket, now: float
     ) -> Sequence[AgentEffect]:
-        entry.seen_at = now
-        entry.balancer = envelope.balancer
-        entry.domain_mark = envelope.domain_mark
-        entry.visited = envelope.visited
+        entry.note_arrival(envelope, now)
         effects: list[AgentEffect] = []
         if packet.payload_bytes and self._must_wait(entry, packet, now):
             waiting = self._queue.get(packet.flow)
@@ -274,7 +273,7 @@
         if self.is_target_silent(now) and self._choose(envelope, packet, service, now) is not None:
             reason = ForwardReason.TARGET_SILENT
             return self._pass_opening(envelope, packet, service, reason, now)
-        entry = self._entry(FlowState.TRYING, envelope, now)
+        entry = FlowEntry.begin(FlowState.TRYING, envelope, now)
         entry.copy = packet.copy
         self._flows.put(packet.flow, entry)
         self._silence.note_handed(now)
@@ -283,9 +282,10 @@
     def _take_unknown(
         self, envelope: Envelope, packet: FlowPacket, now: float
     ) -> Sequence[AgentEffect]:
-        if self._flows.is_complete(now) or self._search.is_told_elsewhere(packet.flow, envelope):
+        is_known = self._flows.is_complete(now) or not self._search.may_be_here(packet.flow)
+        if is_known or self._search.is_told_elsewhere(packet.flow, envelope):
             return self._pass_on(envelope, packet, now)
-        entry = self._entry(FlowState.TRYING, envelope, now)
+        entry = FlowEntry.begin(FlowState.TRYING, envelope, now)
         self._flows.put(packet.flow, entry)
         return self._take_owned(entry, envelope, packet, now)
 
@@ -293,9 +293,7 @@
         entry = self._flows.get(packet.flow)
         if entry is None:
             return (Drop(packet.flow, DropReason.UNEXPECTED),)
-        envelope = Envelope(
-            entry.balancer, self._directory.version, self._mark, entry.visited, entry.domain_mark
-        )
+        envelope = entry.envelope(self._directory.version, self._mark)
         if packet.kind is PacketKind.OPENING:
             if entry.is_established and not entry.has_ended:
                 # A late copy; the flow stays here.
@@ -334,7 +332,7 @@
             is_full = reason is ForwardReason.TARGET_FULL
             refusal = RefuseReason.ALL_FULL if is_full else RefuseReason.NO_TARGET
             return self._refuse(envelope, packet, refusal)
-        entry = self._entry(FlowState.PASSED, envelope, now)
+        entry = FlowEntry.begin(FlowState.PASSED, envelope, now)
         entry.passed_to = host
         self._flows.put(packet.flow, entry)
         mark = self._mark if service == self._service else service_mark(service)
@@ -366,35 +364,37 @@
                 return (*passed, TellOwner(envelope.balancer, notice))
             case SearchHop(host, reason):
                 return self._pass_to(host, envelope, packet, reason)
-            case RefuseReason.NOWHERE_OPEN if not is_confirmed:
+            case RefuseReason() if not is_confirmed:
                 is_first = self._undecided.keep(envelope, packet, now)
-                return (Undecided(packet.flow, self._asked(envelope)),) if is_first else ()
+                return (
+                    (Undecided(packet.flow, envelope.passed_by(self._host).visited),)
+                    if is_first
+                    else ()
+                )
             case RefuseReason() as refusal:
                 return self._refuse(envelope, packet, refusal)
             case DropReason() as drop:
                 return (Drop(packet.flow, drop),)
 
-    def _asked(self, envelope: Envelope) -> tuple[int, ...]:
-        return (*envelope.visited, self._host)
-
     def _refuse(
         self, envelope: Envelope, packet: FlowPacket, reason: RefuseReason
     ) -> Sequence[AgentEffect]:
         """Reset a flow that is known to be open nowhere."""
         if packet.kind is PacketKind.RESET:
             return (Drop(packet.flow, DropReason.NO_TARGET),)
-        return (Refuse(packet.flow, packet.acknowledged, reason, self._asked(envelope)),)
+        return (
+            Refuse(
+                packet.flow, packet.acknowledged, reason, envelope.passed_by(self._host).visited
+            ),
+        )
 
     def _pass_to(
         self, host: int, envelope: Envelope, packet: FlowPacket, reason: ForwardReason
     ) -> Sequence[AgentEffect]:
         if len(envelope.visited) >= MAXIMUM_VISITED or host in envelope.visited:
             return (Drop(packet.flow, DropReason.TOO_MANY_HOPS),)
-        onward = envelope._replace(visited=(*envelope.visited, self._host))
+        onward = envelope.passed_by(self._host)
         return (Forward(host, onward, reason, packet.flow, packet.datagram),)
 
     def _own_view(self) -> TargetView | None:
         return self._directory.target_at(self._host, self._service)
-
-    def _entry(self, state: FlowState, envelope: Envelope, now: float) -> FlowEntry:
-        return FlowEntry(state, envelope.balancer, envelope.domain_mark, envelope.visited, now, now)
--- a/egretsill/address_steering/_balancer_steering.py
+++ b/egretsill/address_steering/_balancer_steering.py
@@ -89,8 +89,8 @@
         if owner is not None and not self._is_gone(owner, now):
             return self._forward(packet, owner.host, owner.service, ForwardReason.KNOWN_OWNER)
         self._owners.pop(packet.flow, None)
-        services = route.services
-        host = self._likeliest(packet.flow, services)
+        services = self._directory.flow_services(route)
+        host = self._likeliest(packet.flow, services, now)
         if host is None:
             return Drop(packet.flow, DropReason.NO_TARGET)
         return self._forward(packet, host, services[0], ForwardReason.FIRST_CANDIDATE)
@@ -100,7 +100,7 @@
         route = self._directory.route(notice.flow.service_host, notice.flow.service_port)
         if route is None:
             return False
-        for service in route.services:
+        for service in self._directory.flow_services(route):
             if self._directory.target_at(notice.owner, service) is not None:
                 self._remember(notice.flow, _Owner(notice.owner, service, (notice.owner,), now))
                 return True
@@ -115,11 +115,11 @@
                 break
             del self._owners[flow]
 
-    def _likeliest(self, flow: FlowKey, services: Sequence[str]) -> int | None:
+    def _likeliest(self, flow: FlowKey, services: Sequence[str], now: float) -> int | None:
         """Return the VM on which a flow is looked for first, None if there are no targets."""
         first = None
         for host in self._placement.search(flow, services, self._domain):
-            if not self._presence.is_silent(host):
+            if self._presence.is_heard(host, now):
                 return host
             first = host if first is None else first
         return first
--- a/egretsill/address_steering/_flow_search.py
+++ b/egretsill/address_steering/_flow_search.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterator, Sequence
 from dataclasses import dataclass
 from typing import TypeAlias
 
-from ..directory import Directory, Route
+from ..directory import Directory
+from ..fleet import SILENT_SECONDS
 from ._decisions import DropReason, ForwardReason, RefuseReason
 from ._homes import HomeTable
 from ._packet import FlowKey
@@ -35,15 +36,22 @@
 
     Args:
         host: IPv4 address of the agent, as a number.
+        service: the service of its target.
         directory: routes and targets.
         presence: tells which VMs may still have flows.
         placement: knows the candidates of flows.
     """
 
     def __init__(
-        self, host: int, directory: Directory, presence: Presence, placement: FlowPlacement
+        self,
+        host: int,
+        service: str,
+        directory: Directory,
+        presence: Presence,
+        placement: FlowPlacement,
     ) -> None:
         self._host = host
+        self._service = service
         self._directory = directory
         self._presence = presence
         self._placement = placement
@@ -65,17 +73,23 @@
         route = self._directory.route(flow.service_host, flow.service_port)
         if route is None:
             return DropReason.NO_TARGET
+        services = self._directory.flow_services(route)
         visited = {*envelope.visited, self._host}
         owner = self._homes.owner(flow)
         if owner is not None and owner not in visited:
-            if not self._presence.has_left(owner, route.services, now):
+            is_fresh = self._homes.owner(flow, since=now - SILENT_SECONDS) is not None
+            if is_fresh or not self._presence.has_left(owner, services, now):
                 return SearchHop(owner, ForwardReason.TOLD_BY_OWNER)
-            self._homes.forget(flow)
             return RefuseReason.OWNER_GONE
-        for host in self._places(flow, route, envelope, visited, now):
+        for host in self._places(flow, services, envelope, visited, now):
             return SearchHop(host, ForwardReason.NOT_HERE)
         return RefuseReason.NOWHERE_OPEN
 
+    def may_be_here(self, flow: FlowKey) -> bool:
+        """Return whether the agent's target may have a flow by its route."""
+        route = self._directory.route(flow.service_host, flow.service_port)
+        return route is None or self._service in self._directory.flow_services(route)
+
     def is_told_elsewhere(
         self, flow: FlowKey, envelope: Envelope, since: float = float("-inf")
     ) -> bool:
@@ -92,25 +106,25 @@
     def _places(
         self,
         flow: FlowKey,
-        route: Route,
+        services: Sequence[str],
         envelope: Envelope,
         visited: Collection[int],
         now: float,
     ) -> Iterator[int]:
         """Yield the VMs on which a flow may be and that were not asked, the likeliest first.
 
-        The search ends at a VM that doesn't answer, so silent ones come last.
+        The search ends at a VM that doesn't answer, so those that aren't heard come last.
         """
         domain = self._placement.candidates.domain_marked(envelope.domain_mark)
-        silent = []
-        for host in self._placement.search(flow, route.services, domain):
-            if host in visited or self._presence.has_left(host, route.services, now):
+        unheard = []
+        for host in self._placement.search(flow, services, domain):
+            if host in visited or self._presence.has_left(host, services, now):
                 continue
-            if self._presence.is_silent(host):
-                silent.append(host)
-            else:
+            if self._presence.is_heard(host, now):
                 yield host
-        for host in self._presence.unexplained(now):
+            else:
+                unheard.append(host)
+        for host in self._presence.hosts_without_target(now):
             if host not in visited:
                 yield host
-        yield from silent
+        yield from unheard
--- a/egretsill/address_steering/_flow_table.py
+++ b/egretsill/address_steering/_flow_table.py
@@ -7,10 +7,13 @@
 from dataclasses import dataclass
 
 from ._packet import FlowKey
+from ._tunnel import Envelope
 
 MAXIMUM_FLOWS = 20_000  # ten times what a target of 2,000 connections holds, some 8 MB
 OPENING_SECONDS = 3.0  # a caller gives up opening after 1.4 s
 ENDED_SECONDS = 10.0  # the target answers late packets of an ended flow for longer than that
+IDLE_SLACK_SECONDS = 0.9  # a packet sent in time may be lost twice, and is sent again 0.6 s later
+WAKE_SECONDS = 1.0  # what waited in the sockets while this process stood still is read by then
 STUCK_SECONDS = 2.0  # a request at the target for longer no longer counts against its capacity
 SEQUENCE_NUMBERS = 2**32  # they wrap
 FLOW_BYTES = 2**20  # far more than the 16 packets that a caller sends ahead of what is acknowledged
@@ -63,6 +66,27 @@
     caller_closed: bool = False
     target_closed: bool = False
 
+    @classmethod
+    def begin(cls, state: FlowState, envelope: Envelope, now: float) -> FlowEntry:
+        """Return a flow whose first packet came so."""
+        return cls(state, envelope.balancer, envelope.domain_mark, envelope.visited, now, now)
+
+    def note_arrival(self, envelope: Envelope, now: float) -> None:
+        """Note how a packet of the caller came."""
+        self.seen_at = now
+        self.balancer = envelope.balancer
+        self.domain_mark = envelope.domain_mark
+        self.visited = envelope.visited
+
+    def envelope(self, version: int, service_mark: int) -> Envelope:
+        """Return how the last packet came, to pass it on.
+
+        Args:
+            version: configuration version by which it is steered now.
+            service_mark: of the service that it is steered to now.
+        """
+        return Envelope(self.balancer, version, service_mark, self.visited, self.domain_mark)
+
     @property
     def has_ended(self) -> bool:
         """Return whether both ends have closed the flow."""
@@ -90,6 +114,7 @@
 
     def __init__(self, retention_seconds: float, started_at: float = float("-inf")) -> None:
         self._complete_at = started_at + retention_seconds
+        self._woken_at = float("-inf")
         self._retention_seconds = retention_seconds
         self._flows: dict[FlowKey, FlowEntry] = {}
         self._pending = 0
@@ -191,8 +216,14 @@
             entry.pending_since = None
             self._pending -= 1
 
+    def note_wake(self, now: float) -> None:
+        """Don't count the own sleep as the flows' silence."""
+        self._woken_at = now
+
     def sweep(self, now: float, idle_seconds: float) -> None:
         """Forget flows that are over or were silent for too long."""
+        if now - self._woken_at < WAKE_SECONDS:
+            return
         for flow, entry in tuple(self._flows.items()):
             if now - entry.seen_at > self._longest_silence(entry, idle_seconds):
                 self.remove(flow)
@@ -208,4 +239,4 @@
             case FlowState.PASSED:
                 return self._retention_seconds
             case FlowState.OWNED:
-                return max(idle_seconds, ENDED_SECONDS)
+                return max(idle_seconds, ENDED_SECONDS) + IDLE_SLACK_SECONDS
--- a/egretsill/address_steering/_homes.py
+++ b/egretsill/address_steering/_homes.py
@@ -8,9 +8,11 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence, Set
 
-from ._candidates import ServiceRank
+from ..fleet import PeerTable
+from ._candidates import Candidates, ServiceRank
+from ._decisions import TellHome
 from ._flow_table import FlowTable
 from ._packet import FlowKey
 from ._tunnel import MAXIMUM_TOLD_FLOWS, HomeNotice
@@ -49,10 +51,6 @@
         owner, told_at = self._owners.get(flow, (None, since))
         return owner if told_at >= since else None
 
-    def forget(self, flow: FlowKey) -> None:
-        """Forget a flow whose owner turned out to be gone."""
-        self._owners.pop(flow, None)
-
     def sweep(self, now: float) -> None:
         """Forget what was not told again."""
         while self._owners:
@@ -62,36 +60,52 @@
             del self._owners[flow]
 
 
-def notices_due(
-    host: int, flows: FlowTable, rank: ServiceRank, is_new_rank: bool, now: float
-) -> Mapping[int, Sequence[HomeNotice]]:
-    """Return what to tell the homes of an agent's flows now, and note that they are told.
+class HomeTeller:
+    """Tells the homes of an agent's flows.
 
     Args:
         host: address of the agent; it tells itself nothing.
+        service: the service of its target.
         flows: the flows that it knows of.
-        rank: the targets of its service.
-        is_new_rank: whether they changed since the last time.
-        now: local time.
+        candidates: the ranks of the targets, from which homes follow.
+        peers: heartbeats of the others; a home that has just started has lost what it was told.
     """
-    due: dict[int, list[FlowKey]] = {}
-    for flow, entry in flows.established():
-        if now - entry.opened_at < TOLD_AGE_SECONDS:
-            continue
-        is_repeat = now - entry.told_at >= REPEAT_SECONDS
-        if not is_repeat and not is_new_rank:
-            continue
-        homes = rank.homes(flow)
-        for home in homes:
-            if home != host and (is_repeat or home not in entry.homes):
-                due.setdefault(home, []).append(flow)
-        entry.homes = homes
-        if is_repeat:
-            entry.told_at = now
-    return {
-        home: [
-            HomeNotice(host, tuple(told[start : start + MAXIMUM_TOLD_FLOWS]))
+
+    def __init__(
+        self, host: int, service: str, flows: FlowTable, candidates: Candidates, peers: PeerTable
+    ) -> None:
+        self._host = host
+        self._service = service
+        self._flows = flows
+        self._candidates = candidates
+        self._peers = peers
+        self._rank: ServiceRank | None = None
+        self._new_agents: Set[int] = frozenset()
+
+    def tell(self, now: float) -> Sequence[TellHome]:
+        """Return the notices that are due, and note that they are told."""
+        rank = self._candidates.of(self._service)
+        new_agents = self._peers.new_agents
+        forgetful = new_agents - self._new_agents
+        is_every_flow_due = rank is not self._rank or bool(forgetful)
+        self._rank, self._new_agents = rank, new_agents
+        due: dict[int, list[FlowKey]] = {}
+        for flow, entry in self._flows.established():
+            if now - entry.opened_at < TOLD_AGE_SECONDS:
+                continue
+            is_repeat = now - entry.told_at >= REPEAT_SECONDS
+            if not is_repeat and not is_every_flow_due:
+                continue
+            homes = rank.homes(flow)
+            for home in homes:
+                is_lacking = home not in entry.homes or home in forgetful
+                if home != self._host and (is_repeat or is_lacking):
+                    due.setdefault(home, []).append(flow)
+            entry.homes = homes
+            if is_repeat:
+                entry.told_at = now
+        return [
+            TellHome(home, HomeNotice(self._host, tuple(told[start : start + MAXIMUM_TOLD_FLOWS])))
+            for home, told in due.items()
             for start in range(0, len(told), MAXIMUM_TOLD_FLOWS)
         ]
-        for home, told in due.items()
-    }
--- a/egretsill/address_steering/_presence.py
+++ b/egretsill/address_steering/_presence.py
@@ -5,9 +5,10 @@
 from collections.abc import Iterable, Sequence
 
 from ..directory import Directory, TargetView
-from ..fleet import FORGET_SECONDS, PeerTable
+from ..fleet import PeerTable
 
 DEPARTED_SECONDS = 1.0  # a target whose entry vanished may answer for that long
+LOST_SECONDS = 5.0  # a hub that fails is passed over for 3 s, and missed after 2 s by other cells
 
 
 class Presence:
@@ -22,16 +23,17 @@
         self._directory = directory
         self._peers = peers
 
-    def is_silent(self, host: int) -> bool:
-        """Return whether somebody who would have heard a VM's agent says that it is silent."""
-        return self._peers.is_silent(host)
+    def is_heard(self, host: int, now: float) -> bool:
+        """Return whether a VM's agent is alive as far as this process can tell."""
+        return self._peers.is_heard(host, now)
 
     def has_left(self, host: int, services: Iterable[str], now: float) -> bool:
         """Return whether the targets of some services on a VM are known to be over.
 
         A vanished entry alone is no proof, as entries also expire while their targets serve: its
-        agent must be known to be silent too, or another target must have its address. A VM that
-        the directory doesn't know may be newer than the directory.
+        agent must be silent too, or another target must have its address. Silent is an agent of
+        which a hub says so, or of which nobody has told for longer than hubs take to be replaced.
+        A VM that the directory doesn't know may be newer than the directory.
         """
         found = (self._directory.target_at(host, service) for service in services)
         views = [view for view in found if view is not None]
@@ -39,13 +41,14 @@
             return False
         if any(self._directory.is_replaced(view) for view in views):
             return True
-        if self._peers.peers.get(host) is not None:
-            return self._peers.is_silent(host)
-        # Whoever was heard after the entry vanished would still be known.
-        return all(now - (view.gone_at or now) > FORGET_SECONDS for view in views)
+        if self._peers.is_silent(host):
+            return True
+        peer = self._peers.peers.get(host)
+        heard_at = peer.heard_at if peer is not None else max(view.gone_at or 0.0 for view in views)
+        return now - heard_at > LOST_SECONDS
 
-    def unexplained(self, now: float) -> Sequence[int]:
-        """Return the VMs of agents that are heard though the directory knows no target there."""
+    def hosts_without_target(self, now: float) -> Sequence[int]:
+        """Return the VMs of agents that are heard though no target there is known."""
         return [
             peer.report.host
             for peer in self._peers.heard(now)
--- a/egretsill/address_steering/_tunnel.py
+++ b/egretsill/address_steering/_tunnel.py
@@ -42,6 +42,10 @@
     visited: tuple[int, ...] = ()
     domain_mark: int = 0
 
+    def passed_by(self, agent: int) -> Envelope:
+        """Return how the packet comes to the next agent after one has passed it on."""
+        return self._replace(visited=(*self.visited, agent))
+
 
 @dataclass(frozen=True, slots=True)
 class CarriedPacket:
--- a/egretsill/address_steering/_undecided.py
+++ b/egretsill/address_steering/_undecided.py
@@ -49,6 +49,10 @@
         self._packets[packet.flow] = UndecidedPacket(envelope, packet, now)
         return True
 
+    def clear(self) -> None:
+        """Keep none of the packets any more; their callers send them again."""
+        self._packets.clear()
+
     def pop_confirmed(self, confirmed_at: float) -> Sequence[UndecidedPacket]:
         """Return the packets that came before a view was confirmed, and keep them no more.
 
--- a/egretsill/address_steering/tests/test_lagging_views.py
+++ b/egretsill/address_steering/tests/test_lagging_views.py
@@ -118,6 +118,9 @@
     scene.peers.receive_reports(reports, 2.4)
     effect = agent.take_from_peer(envelope(), packet(), 2.5)[0]
     if is_reset:
+        assert isinstance(effect, Undecided), "its entry may be back in newer content"
+        scene.directory.confirm(scene.revision, 0.0, 3.0)
+        (effect,) = agent.decide(3.0)
         assert isinstance(effect, Refuse)
         assert effect.reason is RefuseReason.OWNER_GONE
     else:
--- a/egretsill/address_steering/tests/test_moving_fleet.py
+++ b/egretsill/address_steering/tests/test_moving_fleet.py
@@ -261,6 +261,7 @@
     )
     for host in restarted:
         fleet.restart_agent(host, 2.1)
+    fleet.report(restarted, 2.1, is_new=True)
     fleet.move_routers()
     figures = fleet.chase(met, 2.2, strangers(fleet))
     check(figures, record_property)
@@ -288,6 +289,7 @@
     met, restarted = pick(fleet, numbers, struck, spared)
     for host in restarted:
         fleet.restart_agent(host, 2.1)
+    fleet.report(restarted, 2.1, is_new=True)
     fleet.move_routers()
     check(fleet.chase(met, 2.2, strangers(fleet)), record_property)
 
