Never call a request not run that was lost on a kept connection

What callers saw: 503 "not-run" for a lookup that the backend server had read, and maybe run, before it ended.

Cause: an idempotent request that is lost on a kept connection is sent again on a fresh one. If that was refused, shed or came too late, the second connection's "not run" was taken for the whole request.

Change: the loss of the first try decides, so the end is unknown (backend-lost). A request that is idempotent is still offered elsewhere.

Weighed: to call it not run where the server closed the kept connection while it was idle (can't be told from a crash after reading); to send nothing over kept connections (a connection for each lookup).

Evidence: the three cases of test_request_lost_on_a_kept_connection_is_never_called_not_run failed before (BackendUnreachable, BackendShed, StartVetoed) and pass now.

--- a/egretsill/requests/_backend_client.py
+++ b/egretsill/requests/_backend_client.py
@@ -22,7 +22,7 @@
 from ..timing import TimerService
 from ._backend_call import AnswerSink, BackendCall, BackendRequest, BodySource, Bounds
 from ._backend_connection import BackendConnection, connect
-from ._exceptions import BackendFailed, BackendUnreachable
+from ._exceptions import BackendFailed, BackendNotRun, BackendUnreachable
 from ._silence import bounded
 
 REAP_INTERVAL_SECONDS = 5.0
@@ -66,28 +66,42 @@
         `StartVetoed`.
 
         Raises:
-            BackendNotRun: it was not run, in one of the subclasses.
+            BackendNotRun: it was not run over any connection, in one of the subclasses.
             BackendFailed: it started and its end is unknown.
             CallerGone: the body source or the sink said so; the request is cancelled.
         """
-        if request.idempotent and not request.has_body:
-            kept = self._take_idle()
-            if kept is not None:
-                call = BackendCall(kept, request, body, sink, self._timer, self._bounds)
-                try:
-                    return await self._run(call, on_start)
-                except BackendFailed as error:
-                    if call.answer_begun or error.reason is not UnknownReason.BACKEND_LOST:
-                        raise
-        connection = await self._connect()
-        call = BackendCall(connection, request, body, sink, self._timer, self._bounds)
-        return await self._run(call, on_start)
+        kept = self._take_idle() if request.idempotent and not request.has_body else None
+        if kept is None:
+            return await self._call_on_fresh(request, body, sink, on_start)
+        call = BackendCall(kept, request, body, sink, self._timer, self._bounds)
+        try:
+            return await self._run(call, on_start)
+        except BackendFailed as error:
+            if call.answer_begun or error.reason is not UnknownReason.BACKEND_LOST:
+                raise
+            lost = error
+        try:
+            return await self._call_on_fresh(request, body, sink, on_start)
+        except BackendNotRun as error:
+            # That it was not run now says nothing of the kept connection, over which it may have.
+            raise lost from error
 
     def close_idle(self) -> None:
         """Close all idle connections."""
         while self._idle:
             self._idle.pop().close()
 
+    async def _call_on_fresh(
+        self,
+        request: BackendRequest,
+        body: BodySource,
+        sink: AnswerSink,
+        on_start: Callable[[], None],
+    ) -> int:
+        connection = await self._connect()
+        call = BackendCall(connection, request, body, sink, self._timer, self._bounds)
+        return await self._run(call, on_start)
+
     async def _run(self, call: BackendCall, on_start: Callable[[], None]) -> int:
         try:
             return await call.run(on_start)
--- a/egretsill/requests/tests/test_backend_client.py
+++ b/egretsill/requests/tests/test_backend_client.py
@@ -216,6 +216,57 @@
     trio.run(scenario)
 
 
+@pytest.mark.parametrize(
+    "second_try",
+    [
+        pytest.param("no connection", id="no connection any more"),
+        pytest.param("shed", id="shed on a fresh connection"),
+        pytest.param("vetoed", id="too late on a fresh connection"),
+    ],
+)
+def test_request_lost_on_a_kept_connection_is_never_called_not_run(second_try: str) -> None:
+    """Guards against "refused, not run" for a request that the server read, and maybe ran."""
+    read: list[bytes] = []
+    shed = b"HTTP/1.1 503 x\r\negretsill-not-run: 1\r\ncontent-length: 0\r\n\r\n"
+    whole = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+
+    async def serve(listener: trio.SocketListener) -> None:
+        stream = await listener.accept()
+        await stream.receive_some(65_536)
+        await stream.send_all(whole)
+        read.append(bytes(await stream.receive_some(65_536)))
+        if second_try == "no connection":
+            await listener.aclose()
+        await stream.aclose()
+        if second_try == "shed":
+            fresh = await listener.accept()
+            await fresh.receive_some(65_536)
+            await fresh.send_all(shed)
+
+    def veto_the_third_start() -> None:
+        starts.append(1)
+        if second_try == "vetoed" and len(starts) == 3:
+            raise StartVetoed(Refused(RefusalReason.DEADLINE))
+
+    async def scenario() -> None:
+        (listener,) = await trio.open_tcp_listeners(0, host=HOST)
+        address = Address(HOST, listener.socket.getsockname()[1])
+        client = BackendClient(address, VirtualTimerService())
+        caller = FakeExchange("GET", "/")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve, listener)
+            request = make_request(LOOKUP)
+            assert await client.call(request, caller, caller, veto_the_third_start) == 200
+            with pytest.raises(BackendFailed) as caught:
+                await client.call(request, caller, caller, veto_the_third_start)
+            nursery.cancel_scope.cancel()
+        assert caught.value.reason is UnknownReason.BACKEND_LOST
+
+    starts: list[int] = []
+    trio.run(scenario)
+    assert read[0].startswith(b"GET / ")
+
+
 @pytest.mark.parametrize(
     ("answer", "reason"),
     [
