Ask about a request where it was offered, whatever is declared now

What callers saw: an answer or subscription cut ("answer-cut", "relay-lost") though its backend server went on: its target had left the configuration, as those that drain do, and the relay link broke once.

Cause: the asker looked the gate's endpoint up in the configuration in force, and took a target that isn't declared, or is declared elsewhere, for one that can't be asked any more.

Change: a request is asked about at the endpoint where its gate was reached first. A gate of another run there says "not known" by its incarnation, as before. New offers go by the configuration as ever.

Weighed: to fall back on the last known endpoint of a target only if it isn't declared (asks the wrong gate if the number has moved, and keeps a table that must be bounded).

Evidence: both cases of test_answer_is_resumed_from_a_target_that_left_the_configuration failed before (Unknown, answer-cut) and pass now; all 273 tests of requests pass.

--- a/egretsill/measurements/link_silence.py
+++ b/egretsill/measurements/link_silence.py
@@ -124,13 +124,20 @@
     timer = VirtualTimerService()
     service = make_world_service(1)
     gate = Gate(1, "catalog", {"catalog": service}.get, Admission(2, 2, Limits(), Random(0)))
-    client = BackendClient(Address(HOST, 9), timer)
+    nowhere = Address(HOST, 9)
+    client = BackendClient(nowhere, timer)
     runner = GateRunner(gate, timer, client, SilentObserver())
     to_gate, from_asker = trio.open_memory_channel[RelayMessage](CHANNEL_MESSAGES)
     to_asker, from_gate = trio.open_memory_channel[RelayMessage](CHANNEL_MESSAGES)
     carriers = (_SwallowingLink(to_gate, from_gate), _SwallowingLink(to_asker, from_asker))
     asker = AskerLink(
-        1, carriers[0], timer, SilentObserver(), lambda: SHORTEST_QUIET_SECONDS, lambda _: None
+        1,
+        nowhere,
+        carriers[0],
+        timer,
+        SilentObserver(),
+        lambda: SHORTEST_QUIET_SECONDS,
+        lambda _: None,
     )
     return _Ends(timer, asker, carriers), runner
 
--- a/egretsill/requests/_asker.py
+++ b/egretsill/requests/_asker.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from ..configuration import Address
 from ..outcomes import Answered, Cancelled, Outcome
 from ..timing import Subscription, TimerService
 from ._asker_link import LinkPool
@@ -71,6 +72,7 @@
         self._closely = closely
         self._links: dict[int, RequestLink] = {}
         self._numbers: dict[RequestLink, int] = {}
+        self._gate_address: Address | None = None
         self._body_writer = BodyWriter(attempts.body)
         self._body_link: RequestLink | None = None
         self._deliveries: deque[DeliverHead | DeliverData] = deque()
@@ -196,11 +198,13 @@
             with bounded(self._timer, effect.delay_seconds):
                 await trio.sleep_forever()
         try:
-            link = await self._pool.open(effect.target_number, effect.fresh, self._closely)
+            again_at = self._gate_address if effect.fresh else None
+            link = await self._pool.open(effect.target_number, self._closely, again_at)
         except RelayClosed:
             self._feed(LinkFailed(effect.link))
             return
         link.user = self
+        self._gate_address = link.address
         self._links[effect.link] = link
         self._numbers[link] = effect.link
         self._feed(LinkReady(effect.link, link.mark, link.clock_offset))
--- a/egretsill/requests/_asker_link.py
+++ b/egretsill/requests/_asker_link.py
@@ -46,6 +46,7 @@
 
     Args:
         target_number: the gate's target.
+        address: where the gate was reached.
         link: what carries the messages.
         timer: the timer service.
         observer: is told of garbage.
@@ -61,6 +62,7 @@
     def __init__(
         self,
         target_number: int,
+        address: Address,
         link: MessageLink,
         timer: TimerService,
         observer: RequestObserver,
@@ -70,6 +72,7 @@
         self.target_number = target_number
         self.user: LinkUser | None = None
         self.idle_since = 0.0
+        self._address = address
         self._link = link
         self._timer = timer
         self._observer = observer
@@ -87,6 +90,11 @@
             timer, lambda seconds: self.send(Ping(seconds)), self._scope.cancel, quiet_seconds
         )
 
+    @property
+    def address(self) -> Address:
+        """Return where the gate was reached."""
+        return self._address
+
     @property
     def usable(self) -> bool:
         """Return whether the link is open and its gate has answered."""
@@ -255,22 +263,26 @@
         """Return how many links to other agents there are."""
         return len(self._links)
 
-    async def open(self, target_number: int, fresh: bool, closely: bool) -> RequestLink:
+    async def open(
+        self, target_number: int, closely: bool, again_at: Address | None = None
+    ) -> RequestLink:
         """Return a link to a target's gate that has answered a Ping.
 
         Args:
             target_number: the target.
-            fresh: whether an idle link will not do.
             closely: whether the request holds a slot, so that silence is to be noticed soon.
+            again_at: where its gate was reached before, to ask it over a fresh link, or None. The
+                gate may serve on though the configuration has another endpoint or none for it.
 
         Raises:
             RelayClosed: if there is none.
         """
         if target_number == self._own_target_number:
             return self._local_links.open()
-        link = None if fresh else self._take_idle(target_number)
+        link = self._take_idle(target_number) if again_at is None else None
         if link is None:
-            link = await self._open_greeted(target_number)
+            address = again_at or self._declared_address(target_number)
+            link = await self._open_greeted(target_number, address)
         link.attend(closely)
         return link
 
@@ -282,9 +294,9 @@
                 return link
         return None
 
-    async def _open_greeted(self, target_number: int) -> AskerLink:
+    async def _open_greeted(self, target_number: int, address: Address) -> AskerLink:
         with bounded(self._timer, OPEN_SECONDS):
-            link = await self._open_fresh(target_number)
+            link = await self._open_fresh(target_number, address)
             try:
                 await link.wait_until_greeted()
             except trio.Cancelled:
@@ -309,12 +321,18 @@
         link.idle_since = self._timer.now
         idle.append(link)
 
-    async def _open_fresh(self, target_number: int) -> AskerLink:
+    async def _open_fresh(self, target_number: int, address: Address) -> AskerLink:
         if self._nursery is None:
             raise RelayClosed(target_number, "stopped")
-        stream = StreamLink(await self._connect_to(target_number))
+        stream = StreamLink(await self._connect_to(target_number, address))
         link = AskerLink(
-            target_number, stream, self._timer, self._observer, self._quiet_seconds, self._on_lost
+            target_number,
+            address,
+            stream,
+            self._timer,
+            self._observer,
+            self._quiet_seconds,
+            self._on_lost,
         )
         self._nursery.start_soon(self._run, link)
         return link
@@ -335,10 +353,18 @@
             if link.target_number == lost.target_number and link is not lost:
                 link.ping_now()
 
-    async def _connect_to(self, target_number: int) -> trio.abc.Stream:
+    def _declared_address(self, target_number: int) -> Address:
+        """Return where the configuration says that a target's gate is.
+
+        Raises:
+            RelayClosed: if it says nothing of the target.
+        """
         address = self._addresses(target_number)
         if address is None:
             raise RelayClosed(target_number, "not declared")
+        return address
+
+    async def _connect_to(self, target_number: int, address: Address) -> trio.abc.Stream:
         try:
             return await self._connect(address)
         except OSError as error:
--- a/egretsill/requests/_attempt_events.py
+++ b/egretsill/requests/_attempt_events.py
@@ -82,7 +82,8 @@
     """Open a link to a target's gate; answered by LinkReady or LinkFailed.
 
     Attributes:
-        fresh: whether a kept link will not do.
+        fresh: whether it is to be a new link to the gate that was reached last, as a request is
+            asked about.
         delay_seconds: how long to wait before.
     """
 
--- a/egretsill/requests/_local_link.py
+++ b/egretsill/requests/_local_link.py
@@ -95,6 +95,10 @@
         self._closed = False
         self._number = gate.attach(_LocalGateEnd(self))
 
+    @property
+    def address(self) -> None:
+        """Return None: the gate is in this process."""
+
     @property
     def mark(self) -> GateMark:
         """Return when the link was made, by the gate's clock."""
--- a/egretsill/requests/_request_link.py
+++ b/egretsill/requests/_request_link.py
@@ -4,6 +4,7 @@
 
 from typing import Protocol
 
+from ..configuration import Address
 from ._gate_request import AnswerWriter, BodyWriter
 from ._messages import GateMark, RelayMessage
 
@@ -27,6 +28,10 @@
 
     user: LinkUser | None
 
+    @property
+    def address(self) -> Address | None:
+        """Return where the gate was reached, or None for the own one."""
+
     @property
     def mark(self) -> GateMark:
         """Return the gate's latest Pong."""
--- a/egretsill/requests/tests/test_relay.py
+++ b/egretsill/requests/tests/test_relay.py
@@ -4,7 +4,7 @@
 
 import hashlib
 import json
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from functools import partial
@@ -12,7 +12,7 @@
 import pytest
 import trio
 
-from ...configuration import Address, Service
+from ...configuration import Address, Service, Target
 from ...outcomes import Answered, Outcome, RefusalReason, Refused, Unknown, UnknownReason
 from ...stand_ins.backend_server import BackendBehaviour, BackendServer, Fault
 from ...timing import TimerService, VirtualTimerService
@@ -47,7 +47,11 @@
 
 @dataclass
 class Fleet:
-    """One asker without a backend server of use, and one gate behind a relay that may break."""
+    """One asker without a backend server of use, and one gate behind a relay that may break.
+
+    Attributes:
+        declared: services of the asker's configuration in force, by name.
+    """
 
     timer: VirtualTimerService
     asker: RequestService
@@ -55,6 +59,7 @@
     server: BackendServer
     observer: CountingObserver
     relay: Address
+    declared: dict[str, Service]
     streams: list[trio.SocketStream] = field(default_factory=list)
     broken: int = 0
 
@@ -76,11 +81,12 @@
     listeners = await trio.open_tcp_listeners(0, host=HOST)
     relay = Address(HOST, listeners[0].socket.getsockname()[1])
     service = make_service(make_target(1), make_target(2, relay=relay))
+    declared = {service.name: service}
     async with running_backend(behaviour) as (server, backend), trio.open_nursery() as nursery:
         own = backend if shared else NOWHERE
-        asker = _request_service(1, timer, service, own, SimplePlacement(order), observer)
-        gate = _request_service(2, timer, service, backend, SimplePlacement(()), observer)
-        fleet = Fleet(timer, asker, gate, server, observer, relay)
+        asker = _request_service(1, timer, declared, own, SimplePlacement(order), observer)
+        gate = _request_service(2, timer, dict(declared), backend, SimplePlacement(()), observer)
+        fleet = Fleet(timer, asker, gate, server, observer, relay, declared)
         await nursery.start(asker.run)
         await nursery.start(gate.run)
         nursery.start_soon(trio.serve_listeners, partial(_serve_relay, fleet), listeners)
@@ -91,15 +97,14 @@
 def _request_service(
     number: int,
     timer: TimerService,
-    service: Service,
+    services: Mapping[str, Service],
     backend: Address,
     placement: SimplePlacement,
     observer: RequestObserver,
 ) -> RequestService:
-    services = {service.name: service}
     client = BackendClient(backend, timer)
     return RequestService(
-        number, service.name, 7, timer, services.get, SimpleAdmission(), placement, client, observer
+        number, "catalog", 7, timer, services.get, SimpleAdmission(), placement, client, observer
     )
 
 
@@ -210,6 +215,36 @@
     trio.run(scenario)
 
 
+@pytest.mark.parametrize(
+    "left_to",
+    [
+        pytest.param((), id="target no longer declared"),
+        pytest.param((make_target(2),), id="declared at another endpoint"),
+    ],
+)
+def test_answer_is_resumed_from_a_target_that_left_the_configuration(
+    left_to: tuple[Target, ...],
+) -> None:
+    """Guards against an answer that is cut, as its gate serves on but is declared no more."""
+
+    async def scenario() -> None:
+        caller = FakeExchange("GET", "/subscriptions?from=0&count=2")
+        async with running_fleet() as fleet, trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.asker.serve, caller)
+            await until(lambda: fleet.server.counts.subscriptions)
+            fleet.server.publish()
+            await until(partial(_has_lines, caller, 1))
+            fleet.declared["catalog"] = make_service(make_target(1), *left_to)
+            fleet.break_links()
+            fleet.server.publish()
+            while caller.outcome is None:
+                fleet.timer.advance(0.5)
+                await trio.sleep(0.002)
+        assert caller.outcome == Answered(200)
+
+    trio.run(scenario)
+
+
 def test_upload_is_resumed_over_a_new_link() -> None:
     async def scenario() -> None:
         pieces = [bytes([n]) * 30_000 for n in range(100)]
