Let a body longer than its head says end its request, not the agent

What callers saw: all flows at an agent lost at once, after one caller sent more than its content-length. It is no lagging view; it was found while every way was followed in which the gate hears that a request isn't there any more.

Cause: writing such a body to the backend server raises CallerGone, which the gate's task did not expect from its own sources. It ended the gate's nursery and with it the process. The HTTP/3 library compares lengths only at the end of a body, so any caller can do this.

Change: the gate ends that request as unknown (relay-lost), as it has started. The backend server isn't held to have failed.

Weighed: "refused, caller-malformed" (it has started); to check lengths at the flow as well (the gate must stand it anyway, as relays come from elsewhere).

Evidence: both cases of test_a_body_longer_than_its_caller_said_ends_that_request_only failed before (the nursery ended with CallerGone) and pass now.

--- a/egretsill/requests/_gate_runner.py
+++ b/egretsill/requests/_gate_runner.py
@@ -22,6 +22,7 @@
     BackendUnreachable,
     StartVetoed,
 )
+from ._exchange import CallerGone
 from ._gate import Gate
 from ._gate_events import (
     Abort,
@@ -257,6 +258,9 @@
             if error.reason is UnknownReason.BACKEND_MALFORMED:
                 self._observer.on_malformed("http")
             return Failed(error.reason.value)
+        except CallerGone:
+            # Its body is not as long as its head says; the backend server is not to blame.
+            return Failed(UnknownReason.RELAY_LOST.value)
         self._observer.on_backend_answered()
         return End(call.request.answer.end)
 
--- a/egretsill/requests/tests/test_relay.py
+++ b/egretsill/requests/tests/test_relay.py
@@ -236,6 +236,22 @@
     trio.run(scenario)
 
 
+@pytest.mark.parametrize("order", [pytest.param((2,), id="relayed"), pytest.param((1,), id="own")])
+def test_a_body_longer_than_its_caller_said_ends_that_request_only(order: tuple[int, ...]) -> None:
+    """Guards against an agent that ends, and all its flows with it, by one caller's request."""
+
+    async def scenario() -> None:
+        too_long = FakeExchange("POST", "/order", [b"12 bolts"], ((b"content-length", b"4"),))
+        proper = FakeExchange("POST", "/order", [b"12 bolts"])
+        async with running_fleet(order=order, shared=True) as fleet:
+            for caller in (too_long, proper):
+                await fleet.asker.serve(caller)
+        assert too_long.outcome == Unknown(UnknownReason.RELAY_LOST)
+        assert proper.outcome == Answered(200)
+
+    trio.run(scenario)
+
+
 @pytest.mark.parametrize(
     "garbage",
     [
