Don't take trailers of an answered request for a new one

What callers saw: H3_REQUEST_REJECTED, "not processed, safe to repeat", for a request that ran: its answer came before its body's end, was lost on the way, and the trailers arrived meanwhile.

Cause: headers on a stream that isn't among the requests in progress counted as a new request, and trailers make a malformed one. That a stream isn't there says only that it isn't in progress any more.

Change: trailers are told by their content, as they have no pseudo-headers (the library refuses requests without, and trailers with them). They end the body of a request in progress and mean nothing otherwise.

Weighed: to remember the streams that were answered early (memory in each flow for what the headers say themselves).

Evidence: test_trailers_of_an_answered_request_are_not_taken_for_a_new_one failed before (reset 0x10b, no answer) and passes now.

--- a/egretsill/flows/_flow.py
+++ b/egretsill/flows/_flow.py
@@ -25,7 +25,7 @@
 from ._connection import Http3Connection, OwnedConnection, drain_events
 from ._datagram import IncomingDatagram, OutgoingDatagram
 from ._flow_exchange import FlowExchange
-from ._request_head import MalformedRequest, read_request_head
+from ._request_head import MalformedRequest, is_trailers, read_request_head
 from ._return_path import ReturnPath
 from .headers import HTTP3_NO_ERROR, HTTP3_REQUEST_CANCELLED, HTTP3_REQUEST_REJECTED
 
@@ -264,8 +264,9 @@
     def _begin_request(
         self, stream_id: int, headers: Sequence[tuple[bytes, bytes]], ended: bool
     ) -> None:
-        if stream_id in self._exchanges:
-            self._exchanges[stream_id].on_body(b"", ended)
+        if is_trailers(headers):
+            if stream_id in self._exchanges:
+                self._exchanges[stream_id].on_body(b"", ended)
             return
         self._next_request_stream = max(self._next_request_stream, stream_id + 4)
         if self._first_rejected_stream is not None and stream_id >= self._first_rejected_stream:
--- a/egretsill/flows/_request_head.py
+++ b/egretsill/flows/_request_head.py
@@ -20,6 +20,14 @@
         self.field = field
 
 
+def is_trailers(headers: Sequence[tuple[bytes, bytes]]) -> bool:
+    """Return whether headers end a request instead of beginning one.
+
+    The HTTP/3 library lets through no request without pseudo-headers and no trailers with one.
+    """
+    return not any(name.startswith(b":") for name, _ in headers)
+
+
 def read_request_head(
     service: str, headers: Sequence[tuple[bytes, bytes]], now: float
 ) -> RequestHead:
--- a/egretsill/flows/tests/test_flow_server.py
+++ b/egretsill/flows/tests/test_flow_server.py
@@ -106,14 +106,17 @@
     def exchange(self, rounds: int = 12) -> None:
         for _ in range(rounds):
             now = self.world.timer.now
-            for payload, _ in self.connection.datagrams_to_send(now):
-                self.world.deliver(payload)
+            self.send()
             replies, self.world.sent[:] = list(self.world.sent), []
             for reply in replies:
                 self.connection.receive_datagram(reply.payload, tuple(SERVICE_ADDRESS), now)
             self._take_events()
             self.world.timer.advance(0.002)
 
+    def send(self) -> None:
+        for payload, _ in self.connection.datagrams_to_send(self.world.timer.now):
+            self.world.deliver(payload)
+
     def ask(self, *extra: tuple[bytes, bytes], method: bytes = b"GET") -> None:
         self.exchange()
         if self.http3 is None:
@@ -206,6 +209,26 @@
     assert served == []
 
 
+def test_trailers_of_an_answered_request_are_not_taken_for_a_new_one(tmp_path: Path) -> None:
+    """Guards against "rejected, not processed" for a request that ran, so that it runs twice."""
+    world = World(tmp_path, concluding_with(Answered(200), True), 10)
+    caller = CallerEnd(world)
+    caller.exchange()
+    caller.http3 = H3Connection(caller.connection)
+    stream_id = caller.connection.get_next_available_stream_id()
+    pseudo = [(b":method", b"POST"), (b":scheme", b"https"), (b":authority", b"a")]
+    caller.http3.send_headers(stream_id, [*pseudo, (b":path", b"/x")])
+    caller.send()
+    world.sent.clear()
+    caller.http3.send_headers(stream_id, [(b"digest", b"0")], end_stream=True)
+    for _ in range(20):
+        caller.exchange(2)
+        world.timer.advance(0.1)
+    heads = [dict(event.headers) for event in caller.events if isinstance(event, HeadersReceived)]
+    assert caller.resets == []
+    assert [head[b":status"] for head in heads] == [b"200"]
+
+
 def test_a_packet_for_another_service_is_not_given_to_the_flow(tmp_path: Path) -> None:
     world = World(tmp_path, concluding_with(Answered(200), True), 10)
     caller = CallerEnd(world)
