Close a flow on a planned stop only when its caller has heard of it

What callers saw: a flow gone, and a request on it unknown, after they were cut off for some four seconds while the agent drained.

Cause: the agent sent its final GOAWAY and closed the flow two seconds later, "when the caller must have heard of that". That no request came since was taken for proof; a caller that is cut off sends none either.

Change: the flow is closed once the caller acknowledged the GOAWAY. Until then a request that arrives is rejected as not run, so it can go elsewhere at once.

Weighed: a longer wait (the same with a longer cut). The price: a draining agent keeps the flow of a caller that vanished until its idle time is over.

Evidence: test_a_flow_is_not_retired_before_its_caller_has_heard_of_that failed before (no flow open) and passes now.

--- a/egretsill/flows/_connection.py
+++ b/egretsill/flows/_connection.py
@@ -228,6 +228,11 @@
         """Return whether the peer asked for new requests to go elsewhere."""
         return self._goaway_received
 
+    @property
+    def control_stream_id(self) -> int | None:
+        """Return the stream that GOAWAY is sent on, or None before there is one."""
+        return self._local_control_stream_id
+
     def send_goaway(self, first_rejected_stream: int = GOAWAY_EVERY_STREAM) -> None:
         """Ask the peer to open no request stream from this ID on (RFC 9114, section 5.2)."""
         if self._local_control_stream_id is None:
--- a/egretsill/flows/_flow.py
+++ b/egretsill/flows/_flow.py
@@ -166,7 +166,7 @@
         """Close the flow in two steps once it has no request; call it every now and then.
 
         First further requests are ruled out, so that one on its way is refused as not run; then,
-        when the caller must have heard of that, the flow is closed.
+        when the caller has heard of that, the flow is closed.
         """
         if self._retire_at is None or now < self._retire_at or self._exchanges:
             return
@@ -177,7 +177,7 @@
             self._http3.send_goaway(self._first_rejected_stream)
             self._retire_at = now + RETIRE_SECONDS
             self.transmit()
-        else:
+        elif self._has_heard_goaway(self._http3):
             self.close()
 
     def close(self) -> None:
@@ -222,6 +222,10 @@
         """Return what the caller has not acknowledged of an answer."""
         return 0 if self._closed else self._connection.unacknowledged_bytes(stream_id)
 
+    def _has_heard_goaway(self, http3: Http3Connection) -> bool:
+        stream_id = http3.control_stream_id
+        return stream_id is not None and self.unacknowledged_bytes(stream_id) == 0
+
     def _handle_events(self) -> None:
         for event in drain_events(self._connection):
             self._handle_event(event)
--- a/egretsill/flows/tests/test_flow_server.py
+++ b/egretsill/flows/tests/test_flow_server.py
@@ -29,6 +29,7 @@
     headers,
     server_configuration,
 )
+from .._flow import RETIRE_SECONDS
 from .._flow_server import IDLE_SECONDS, KEEP_ALIVE_SECONDS
 
 CALLER = Address("192.0.2.1", 4000)
@@ -319,6 +320,24 @@
     assert world.server.counts.closed == {CloseReason.SILENCE: 1}
 
 
+def test_a_flow_is_not_retired_before_its_caller_has_heard_of_that(tmp_path: Path) -> None:
+    """Guards against a request that vanishes with its flow, as its caller was cut off a while."""
+    world = World(tmp_path, concluding_with(Answered(200), True), 10)
+    caller = CallerEnd(world)
+    caller.ask()
+    world.server.send_goaway()
+    for _ in range(4):
+        world.timer.advance(RETIRE_SECONDS + 0.1)
+        world.server.close_idle_flows()
+        world.sent.clear()
+    assert world.server.open_flows == 1
+    caller.ask()
+    assert caller.resets == [headers.HTTP3_REQUEST_REJECTED]
+    world.timer.advance(RETIRE_SECONDS + 0.1)
+    world.server.close_idle_flows()
+    assert world.server.counts.closed == {CloseReason.RETIRED: 1}
+
+
 @pytest.fixture(scope="module")
 def silent_world(tmp_path_factory: pytest.TempPathFactory) -> World:
     return World(tmp_path_factory.mktemp("tls"), concluding_with(Answered(200), True), 10)
