Don't call a class undeclared because a gate doesn't know it yet

What callers saw: 404 "undeclared", which says "correct your path", for a path that the newest revision declares, in the seconds in which it spreads.

Cause: the flow's agent has the class and offers the request, a gate whose configuration lags lacks it, and the gate's answer was passed on to the caller.

Change: the gate refuses it as "no-target" (503, not run, ask again). Only the flow's own agent says "undeclared".

Weighed: to map the reason at the asker (a special case there; the gate also says "undeclared" of a head that can't be written, which must stay).

Evidence: test_a_class_that_a_gate_does_not_know_yet_is_not_called_undeclared failed before and passes now.

--- a/egretsill/requests/_gate.py
+++ b/egretsill/requests/_gate.py
@@ -182,7 +182,8 @@
             return
         request_class = service.classify(message.method, message.path)
         if request_class is None or request_class.name != message.class_name:
-            self._refuse(link, RefusalReason.UNDECLARED)
+            # The asker's configuration declares it; which of the two is older can't be told here.
+            self._refuse(link, RefusalReason.NO_TARGET)
             return
         self._admit(link, message, service, request_class, now)
 
--- a/egretsill/requests/tests/test_relay.py
+++ b/egretsill/requests/tests/test_relay.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import json
+from dataclasses import replace
 from functools import partial
 
 import pytest
@@ -90,6 +91,21 @@
     trio.run(scenario)
 
 
+def test_a_class_that_a_gate_does_not_know_yet_is_not_called_undeclared() -> None:
+    """Guards against "404, correct your path" for a path that the newest revision declares."""
+
+    async def scenario() -> None:
+        caller = FakeExchange("POST", "/order", [b"12 bolts"])
+        async with running_fleet() as fleet:
+            known = fleet.declared_at_gate["catalog"]
+            classes = tuple(each for each in known.classes if each.name != "order")
+            fleet.declared_at_gate["catalog"] = replace(known, classes=classes)
+            await fleet.asker.serve(caller)
+        assert caller.outcome == Refused(RefusalReason.NO_TARGET)
+
+    trio.run(scenario)
+
+
 def test_answer_is_resumed_over_a_new_link() -> None:
     async def scenario() -> None:
         caller = FakeExchange("GET", "/subscriptions?from=0&count=6")
