Ask agents that take no new flows for an owner as well

What callers saw: packets of an open flow dropped for up to 10 s, until the next announcement, at balancers that started after its target had left.

Cause: an agent that doesn't know an owner passed its packet on only to agents that may get new flows. Those that drain, are new or weren't heard yet were taken for unable to know it; just after an agent's start that is all of them.

Change: for a packet with an owner these are asked too, after the others, as balancers do already. First packets keep away from them as before.

Evidence: both cases of test_agent_that_takes_no_new_flows_is_asked_for_an_owner failed before (unknown-owner) and pass now; all 178 tests of steering pass.

--- a/egretsill/steering/_agent_steering.py
+++ b/egretsill/steering/_agent_steering.py
@@ -169,7 +169,10 @@
             return Drop(DropReason.FOREIGN_OWNER)
         if self._routes is None or packet.hops >= MAXIMUM_HOPS:
             return Drop(DropReason.UNKNOWN_OWNER)
-        forward = self._routes.owners.get(owner) or self._next_in_rank(owner, now)
+        forward = self._routes.owners.get(owner)
+        if forward is None:
+            # Who takes no new flows, or was not heard yet, may know the owner all the same.
+            forward = self._next_in_rank(owner, self._avoidance(now))
         if forward is None:
             return Drop(DropReason.UNKNOWN_OWNER)
         return _pass_on(packet, sender, forward)
@@ -182,26 +185,33 @@
             return Keep()
         forward = None
         if packet.hops < MAXIMUM_HOPS:
-            forward = self._next_in_rank(key, now)
+            forward = self._next_in_rank(key, self._avoidance(now)[:1])
         if forward is not None:
             return _pass_on(packet, sender, forward)
         return Drop(DropReason.NO_TARGET) if is_draining else Keep()
 
-    def _next_in_rank(self, key: bytes, now: float) -> Forward | None:
+    def _next_in_rank(self, key: bytes, avoided: Sequence[frozenset[int]]) -> Forward | None:
         """Return the next usable agent after this one in rank, or None.
 
         Those before this one have been tried or were left out on purpose, so they come last.
+
+        Args:
+            key: ranks the agents.
+            avoided: numbers of targets to keep away from, the strictest set first; the next one
+                counts if a set leaves nobody.
         """
         if self._routes is None:
             return None
         ranked = rank(key, {*self._routes.first_packets, self._target_number})
         own_place = ranked.index(self._target_number)
         others = ranked[own_place + 1 :] + ranked[:own_place]
-        strictest, *_ = avoidance(
+        target_number = first_unavoided(others, avoided)
+        return None if target_number is None else self._routes.first_packets[target_number]
+
+    def _avoidance(self, now: float) -> Sequence[frozenset[int]]:
+        return avoidance(
             self._view, frozenset(), self._table.draining, self._table.new_targets(now)
         )
-        target_number = first_unavoided(others, [strictest])
-        return None if target_number is None else self._routes.first_packets[target_number]
 
 
 def _pass_on(packet: CallerPacket, sender: Address, forward: Forward) -> PassOn:
--- a/egretsill/steering/tests/test_agent_steering.py
+++ b/egretsill/steering/tests/test_agent_steering.py
@@ -151,6 +151,20 @@
     assert goes_to(later.decide(packet(owned(2)), BALANCER, MATURE)) == "pass to 2"
 
 
+@pytest.mark.parametrize(
+    "view",
+    [
+        pytest.param(SteeringView(draining=frozenset({2, 3})), id="all others drain"),
+        pytest.param(SteeringView(unresponsive=frozenset({2, 3})), id="none was heard yet"),
+    ],
+)
+def test_agent_that_takes_no_new_flows_is_asked_for_an_owner(view: SteeringView) -> None:
+    """Guards against packets of an open flow dropped, as who knows its owner drains itself."""
+    agent = make(1)
+    agent.update_view(view)
+    assert goes_to(agent.decide(packet(owned(99)), BALANCER, MATURE)) in ("pass to 2", "pass to 3")
+
+
 def test_notice_of_another_service_is_refused() -> None:
     assert not make(3).learn(OwnerNotice(7, 2, "10.1.0.7", 4000), 0.0)
 
