Show that a target that has left is not used again after a start on an old revision

Balancer and agent start with a revision in which it is still active; as its agent isn't heard, no flow and no request goes there.

--- /dev/null
+++ b/egretsill/daemon/tests/test_stale_start.py
@@ -0,0 +1,69 @@
+"""A process that starts on an old revision, in which a target that has left is still active.
+
+No such revision may bring the target back into use: its agent isn't heard, and only that decides.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from random import Random
+
+import pytest
+
+from ...configuration import Address, Bundle, RequestClass, Service, Target
+from ...membership import NO_TARGET, Member, Membership, MembershipView, Role
+from ...placement import Placement
+from ...steering import ConnectionIdCodec, ConnectionIdKey, Forward, Steering, SteeringView
+from .._members import agents_of
+
+SERVICE_ADDRESS = Address("10.0.0.1", 443)
+LISTING = RequestClass("listing", ("GET",), "/", idempotent=True)
+LEFT = 1
+SERVING = frozenset({2, 3})
+
+
+def make_target(number: int) -> Target:
+    host = f"10.1.0.{number}"
+    tunnel, relay, gossip, backend = (Address(host, 4000 + each) for each in range(4))
+    return Target(f"t{number}", number, "a", "zone", tunnel, relay, gossip, backend, slots=4)
+
+
+def old_bundle() -> Bundle:
+    targets = tuple(make_target(each) for each in (LEFT, *sorted(SERVING)))
+    service = Service("a", 1, "tenant", "a.example", (SERVICE_ADDRESS,), (LISTING,), targets)
+    return Bundle(1, "", {"a": service})
+
+
+def view_after_start(bundle: Bundle) -> MembershipView:
+    """Return the view once those that serve were heard."""
+    nowhere = Address("10.9.0.1", 1)
+    own = Member("entry", Role.BALANCER, NO_TARGET, nowhere, nowhere, nowhere, "zone")
+    membership = Membership(own, 1, Random(1), 0.0)
+    membership.on_targets(agents_of(bundle), 0.0)
+    view = membership.view
+    return replace(view, available=SERVING, unheard=view.unheard - SERVING)
+
+
+def test_balancer_gives_no_flow_to_a_target_that_has_left() -> None:
+    """Guards against flows that open at an agent which is gone, and time out there."""
+    bundle = old_bundle()
+    view = view_after_start(bundle)
+    steering = Steering(ConnectionIdCodec([ConnectionIdKey(0, bytes(16))]))
+    steering.apply_bundle(bundle, 0.0)
+    steering.update_view(SteeringView(draining=view.leaving, unresponsive=view.unresponsive))
+    chosen = set()
+    for number in range(200):
+        first = b"\xc0\0\0\0\1\x08" + number.to_bytes(8, "big")
+        decision = steering.steer(SERVICE_ADDRESS, "192.0.2.7", first.ljust(1200, b"\0"), 1.0)
+        chosen.add(decision.target_number if isinstance(decision, Forward) else decision.reason)
+    assert chosen == SERVING
+
+
+@pytest.mark.parametrize("own", sorted(SERVING))
+def test_agent_offers_no_request_to_a_target_that_has_left(own: int) -> None:
+    """Guards against work that waits for a target which is gone."""
+    bundle = old_bundle()
+    view = view_after_start(bundle)
+    placement = Placement(own, bundle.services["a"], Random(1))
+    placement.set_unavailable((view.leaving | view.dead | view.unheard) - {own})
+    assert {placement.choose(LISTING, (), 1.0) for _ in range(100)} <= SERVING
