Count an answer as in progress while its asker may come back for it

What callers saw: an answer cut, or its end unknown, at a planned stop: the backend server had ended it, the relay link broke at the gate's end, and the agent left before the asker noticed, which takes up to 45 s on a quiet link.

Cause: a request that had ended and had no link counted as over at once, as if an asker without a link wanted nothing any more. One that still ran was kept for 10 s and the next ping that the link had promised.

Change: the same time holds for an answer whose asker hasn't all of it.

Weighed: a longer linger (holds up every stop). The price: an agent that drains waits that long for an asker that died.

Evidence: both cases of test_answer_counts_as_in_progress_while_its_asker_may_come_back failed before (running 0) and pass now; 371 tests of requests, daemon and draining pass.

--- a/egretsill/requests/_gate.py
+++ b/egretsill/requests/_gate.py
@@ -96,8 +96,8 @@
 
     @property
     def running(self) -> int:
-        """Return how many requests wait, run, or have an asker that did not take all yet."""
-        return self._memory.running
+        """Return how many requests wait, run, or have an asker that may still take the rest."""
+        return self._memory.running(self._detached)
 
     @property
     def remembered(self) -> int:
@@ -348,7 +348,7 @@
         link, request.link = request.link, None
         if link is not None:
             del self._links[link]
-        if link is not None and request.verdict is None:
+        if link is not None and not request.finished:
             # The asker may see that the link is gone only at its next Ping.
             due = now + ORPHAN_SECONDS + self._promises.get(link, 0.0)
             self._detached[request.open.identifier] = due
@@ -360,7 +360,8 @@
             self._apply(self._admission.cancel(str(identifier), now), now)
         request.phase = Phase.ENDED
         request.verdict = verdict
-        self._detached.pop(identifier, None)
+        if request.finished:
+            self._detached.pop(identifier, None)
         self._memory.note_end(identifier, now)
         if request.launched:
             self._emit(Abort(identifier))
--- a/egretsill/requests/_gate_memory.py
+++ b/egretsill/requests/_gate_memory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Container
 
 from ._gate_request import GateRequest
 from ._messages import GateMark, RequestId
@@ -33,10 +34,17 @@
     def __len__(self) -> int:
         return len(self._requests) + len(self._withdrawn) + len(self._spent)
 
-    @property
-    def running(self) -> int:
-        """Return how many requests wait, run, or have an asker that did not take all yet."""
-        return sum(1 for each in self._requests.values() if not _is_over(each))
+    def running(self, awaited: Container[RequestId]) -> int:
+        """Return how many requests wait, run, or have an asker that may still take the rest.
+
+        Args:
+            awaited: requests without a link whose askers may come back.
+        """
+        return sum(
+            1
+            for identifier, each in self._requests.items()
+            if identifier in awaited or not _is_over(each)
+        )
 
     def get(self, identifier: RequestId) -> GateRequest | None:
         """Return a request, or None if it is not known."""
--- a/egretsill/requests/tests/test_gate.py
+++ b/egretsill/requests/tests/test_gate.py
@@ -12,6 +12,7 @@
     CloseLink,
     Follow,
     GateEffect,
+    GateEvent,
     Launch,
     LinkLost,
     MessageArrived,
@@ -215,6 +216,23 @@
     assert Launch(OTHER) in arrive(gate, 2, make_open(OTHER), 13.0)
 
 
+@pytest.mark.parametrize("lost_first", [True, False], ids=["lost, then ended", "ended, then lost"])
+def test_answer_counts_as_in_progress_while_its_asker_may_come_back(lost_first: bool) -> None:
+    """Guards against a draining agent that leaves with an answer whose asker lost its link."""
+    gate = started_gate()
+    request = gate.request(ID)
+    assert request is not None
+    request.answer.append(b"done")
+    events: list[GateEvent] = [LinkLost(1), BackendEnded(ID, End(4))]
+    for event in events if lost_first else reversed(events):
+        gate.handle(event, 2.0)
+    assert gate.running == 1
+    gate.handle(Ticked(), 2.0 + ORPHAN_SECONDS - 0.1)
+    assert gate.running == 1
+    gate.handle(Ticked(), 2.0 + ORPHAN_SECONDS)
+    assert gate.running == 0
+
+
 def test_memory_is_bounded_by_time() -> None:
     gate = make_gate(slots=1000)
     for number in range(500):
