--- a/egretsill/flows/tests/test_flow_server.py
+++ b/egretsill/flows/tests/test_flow_server.py
@@ -35,6 +35,7 @@
 CALLER = Address("192.0.2.1", 4000)
 SERVICE_ADDRESS = Address("198.51.100.1", 443)
 BALANCER = Address("10.0.0.1", 5000)
+OWN_ID = b"\x10" + bytes(16)
 
 
 class World:
@@ -343,6 +344,21 @@
     return World(tmp_path_factory.mktemp("tls"), concluding_with(Answered(200), True), 10)
 
 
+@pytest.mark.parametrize(
+    "header",
+    [
+        pytest.param(b"\x40" + OWN_ID, id="short header"),
+        pytest.param(b"\xe0\0\0\0\1\x11" + OWN_ID + b"\0", id="Handshake"),
+        pytest.param(b"\xc0\0\0\0\x09\x11" + OWN_ID + b"\0", id="unknown version"),
+    ],
+)
+def test_a_packet_of_no_open_flow_gets_no_answer(silent_world: World, header: bytes) -> None:
+    """Guards against a reset or close from an agent that doesn't hold a flow, or not any more."""
+    silent_world.deliver(header.ljust(1200, b"\0"))
+    assert silent_world.sent == []
+    assert silent_world.server.open_flows == 0
+
+
 @settings(derandomize=True, max_examples=300, deadline=None)
 @given(st.binary(max_size=1500))
 def test_random_datagrams_open_nothing(silent_world: World, payload: bytes) -> None:
