--- a/egretsill/membership/_membership.py
+++ b/egretsill/membership/_membership.py
@@ -235,7 +235,7 @@
             answer = Ack(relay.requester_sequence, message.sender, message.incarnation, True)
             self._send(relay.requester, answer)
             return
-        if not message.reached:
+        if not message.reached or self._prober.is_hearsay(message, sender):
             self._prober.note_unreached(message.sequence)
             return
         probe = self._prober.end(message.sequence)
--- a/egretsill/membership/_probing.py
+++ b/egretsill/membership/_probing.py
@@ -9,6 +9,7 @@
 
 from ..configuration import Address
 from ._member import MemberState
+from ._messages import Ack
 from ._roster import Roster
 
 PROBE_SECONDS = 0.5
@@ -154,6 +155,14 @@
             self.probes[sequence].helpers += len(helpers)
         return helpers
 
+    def is_hearsay(self, answer: Ack, source: Address) -> bool:
+        """Return whether a helper passed on the answer of another process than the one probed.
+
+        It may have asked at an earlier address of the member, so that proves nothing.
+        """
+        probe = self.probes.get(answer.sequence)
+        return probe is not None and answer.sender != probe.target and source != probe.address
+
     def note_unreached(self, sequence: int) -> None:
         """Note that a helper is there and did not reach the member either."""
         if sequence in self.probes:
--- a/egretsill/membership/tests/test_claims.py
+++ b/egretsill/membership/tests/test_claims.py
@@ -149,20 +149,36 @@
     assert MemberChanged(former, ALIVE, DEAD) in effects
 
 
+def first_ping(own: Membership) -> tuple[Ping, float]:
+    now = 0.0
+    while True:
+        now += 0.1
+        for each in sent(own.tick(now)):
+            if isinstance(each.message, Ping):
+                return each.message, now
+
+
 def test_answer_of_a_stranger_buries_the_member_probed() -> None:
     former, successor = member(2), member(2, "agent-2-b")
     own = membership(former)
-    pings: list[Ping] = []
-    now = 0.0
-    while not pings:
-        now += 0.1
-        messages = [each.message for each in sent(own.tick(now))]
-        pings = [each for each in messages if isinstance(each, Ping)]
-    ack = Ack(pings[0].sequence, successor.identifier, 60, True)
+    ping, now = first_ping(own)
+    ack = Ack(ping.sequence, successor.identifier, 60, True)
     own.on_message(ack, former.gossip, now + 0.01)
     assert own.state_of(former.name) is DEAD
 
 
+def test_stranger_that_a_helper_found_proves_nothing_of_the_member_probed() -> None:
+    """Guards against a live member held dead, as a helper knows an earlier address of it."""
+    moved, helper, stranger = member(2), member(3), member(4, "agent-4-b")
+    own = membership(moved)
+    ping, now = first_ping(own)
+    own.on_message(Ack(ping.sequence, stranger.identifier, 60, True), helper.gossip, now)
+    assert own.state_of(moved.name) is ALIVE
+    own.on_message(Ack(ping.sequence, moved.identifier, 50, True), moved.gossip, now)
+    own.tick(now + 2.0)
+    assert own.state_of(moved.name) is ALIVE
+
+
 def test_candidates_are_not_used_before_they_answer_and_unlisted_members_are() -> None:
     listed, unlisted = member(2), member(3)
     own = membership(unlisted)
