Add a test that fails: flows at a removed address, at a balancer started since

Callers' packets are lost at balancers that started after a service address was removed, for as long as a flow lives there. It isn't small to mend: the address must be told by the agents that have such flows, in a message that balancers and agents of both versions understand.

--- a/egretsill/steering/tests/test_steering.py
+++ b/egretsill/steering/tests/test_steering.py
@@ -225,6 +225,17 @@
     assert goes_to(steering, initial_packet(CLIENT_ID), old) is DropReason.RETIRED_ADDRESS
 
 
+def test_balancer_that_started_later_serves_flows_at_a_removed_address() -> None:
+    """Guards against flows that lose what arrives at balancers started since, for hours."""
+    old = Address("10.0.0.3", 443)
+    before, later = make(lookup_at=(LOOKUP, old)), make()
+    before.apply_bundle(bundle(2), 10.0)
+    later.retain(before.retained_targets, 20.0)
+    assert goes_to(before, short_packet(owned()), old) == 1
+    assert old in later.listening_addresses
+    assert goes_to(later, short_packet(owned()), old) == 1
+
+
 def test_a_woken_balancer_places_nothing_until_its_view_is_fresh() -> None:
     fresh = False
     steering = Steering(CODEC, may_place=lambda: fresh)
