Don't hold an agent's own sleep against its callers

What callers saw: open flows lost when their agent's process was paused for some 20 s, though callers had kept them up meanwhile.

Cause: at its waking an agent looked at the flows' idle times before it had read what the callers had sent. What it hadn't read counted as not sent. Relay links, probes and first packets allow for that; flows did not.

Change: a flow that is woken late by more than a jump of the clock (1 s) asks its caller, and isn't given up for silence for another 3 s.

Weighed: to read the sockets first (any number of packets may wait); a subscription to jumps (the flow's own late call tells the same).

Evidence: both cases of test_a_woken_agent_does_not_hold_its_own_sleep_against_a_caller failed before (flow ended at the waking) and pass now, the second with the end in the idle time; 56 tests of flows and timing pass.

--- a/egretsill/flows/_connection.py
+++ b/egretsill/flows/_connection.py
@@ -1,8 +1,9 @@
 """The one place that reaches into `aioquic` for what its public surface does not offer.
 
-Three things are added to its connection: the connection IDs that the peer is given are made by
-this system, receive windows follow what the application took instead of doubling, and the bytes
-that a stream still holds can be read. A contract test checks each against the installed version.
+Four things are added to its connection: the connection IDs that the peer is given are made by
+this system, receive windows follow what the application took instead of doubling, the bytes that
+a stream still holds can be read, and the end of its idle time can be put off. A contract test
+checks each against the installed version.
 """
 
 from __future__ import annotations
@@ -146,6 +147,11 @@
         """Return every ID by which the peer may address this connection now."""
         return tuple(each.cid for each in self._host_cids)
 
+    def put_off_silence(self, until: float) -> None:
+        """Give the connection up for silence no sooner than at `until`."""
+        if self._close_at is not None:
+            self._close_at = max(self._close_at, until)
+
     def release_handshake_state(self) -> None:
         """Drop what only the handshake needed; it is most of a quiet connection's memory.
 
--- a/egretsill/flows/_flow.py
+++ b/egretsill/flows/_flow.py
@@ -21,7 +21,7 @@
 from aioquic.quic.packet import QuicErrorCode
 
 from ..configuration import Address
-from ..timing import Subscription, TimerService
+from ..timing import JUMP_SECONDS, Subscription, TimerService
 from ._connection import Http3Connection, OwnedConnection, drain_events
 from ._datagram import IncomingDatagram, OutgoingDatagram
 from ._flow_exchange import FlowExchange
@@ -30,6 +30,8 @@
 from .headers import HTTP3_NO_ERROR, HTTP3_REQUEST_CANCELLED, HTTP3_REQUEST_REJECTED
 
 RETIRE_SECONDS = 2.0
+# In seconds; a caller's answer to a ping that is lost and sent again is here within it.
+ASKED_SECONDS = 3.0
 IDLE_TIMEOUT_PHRASE = "Idle timeout"
 
 
@@ -324,6 +326,10 @@
         self._wake = None
         if self._closed:
             return
+        if now - self._wake_at > JUMP_SECONDS:
+            # This process slept, so what the caller sent may be here unread: it is asked first.
+            self._connection.put_off_silence(now + ASKED_SECONDS)
+            self._keep_alive_at = now
         if now >= self._keep_alive_at:
             self._keep_alive_at = now + self._context.keep_alive_seconds
             self._connection.send_ping(0)
--- a/egretsill/flows/tests/test_connection.py
+++ b/egretsill/flows/tests/test_connection.py
@@ -12,8 +12,8 @@
 from aioquic.quic.packet import QuicErrorCode
 from aioquic.tls import Epoch
 
-from .._connection import HOST_CONNECTION_IDS, Http3Connection
-from .._flow_server import STREAM_WINDOW_BYTES
+from .._connection import HOST_CONNECTION_IDS, Http3Connection, drain_events
+from .._flow_server import IDLE_SECONDS, STREAM_WINDOW_BYTES
 from .pair import CALLER, make_pair
 
 UPLOAD_BYTES = 1_000_000
@@ -109,6 +109,23 @@
     assert [event.error_code for event in ends] == [QuicErrorCode.PROTOCOL_VIOLATION]
 
 
+@pytest.mark.parametrize(
+    ("waited", "is_over"),
+    [
+        pytest.param(2.9, False, id="before"),
+        pytest.param(3.0, True, id="at the time it was put to"),
+    ],
+)
+def test_the_end_of_the_idle_time_is_put_off(tmp_path: Path, waited: float, is_over: bool) -> None:
+    pair = make_pair(tmp_path)
+    pair.exchange()
+    woken_at = pair.now + 10 * IDLE_SECONDS
+    pair.agent.put_off_silence(woken_at + 3.0)
+    pair.agent.handle_timer(woken_at + waited)
+    ends = [each for each in drain_events(pair.agent) if isinstance(each, ConnectionTerminated)]
+    assert bool(ends) is is_over
+
+
 def test_goaway_reaches_the_caller(tmp_path: Path) -> None:
     pair = make_pair(tmp_path)
     pair.exchange()
--- a/egretsill/flows/tests/test_flow_server.py
+++ b/egretsill/flows/tests/test_flow_server.py
@@ -339,6 +339,26 @@
     assert world.server.counts.closed == {CloseReason.RETIRED: 1}
 
 
+@pytest.mark.parametrize("is_there", [True, False], ids=["caller is there", "caller is gone"])
+def test_a_woken_agent_does_not_hold_its_own_sleep_against_a_caller(
+    tmp_path: Path, is_there: bool
+) -> None:
+    """Guards against open flows that end as silent while their packets wait to be read."""
+    world = World(
+        tmp_path, concluding_with(Answered(200), True), 10, keep_alive_seconds=8.0, idle_seconds=20
+    )
+    caller = CallerEnd(world)
+    caller.ask()
+    world.timer.pause(21.0)
+    world.timer.fire_due()
+    assert world.server.open_flows == 1
+    for _ in range(60):
+        if is_there:
+            caller.exchange(1)
+        world.timer.advance(0.5)
+    assert world.server.open_flows == int(is_there)
+
+
 @pytest.fixture(scope="module")
 def silent_world(tmp_path_factory: pytest.TempPathFactory) -> World:
     return World(tmp_path_factory.mktemp("tls"), concluding_with(Answered(200), True), 10)
--- a/egretsill/timing/__init__.py
+++ b/egretsill/timing/__init__.py
@@ -1,6 +1,7 @@
 """The timer service: the only part of the system that reads a clock."""
 
 from ._timer_service import (
+    JUMP_SECONDS,
     ClockJump,
     Subscription,
     TimerService,
@@ -8,4 +9,11 @@
     VirtualTimerService,
 )
 
-__all__ = ["ClockJump", "Subscription", "TimerService", "TrioTimerService", "VirtualTimerService"]
+__all__ = [
+    "ClockJump",
+    "JUMP_SECONDS",
+    "Subscription",
+    "TimerService",
+    "TrioTimerService",
+    "VirtualTimerService",
+]
