--- a/egretsill/flows/_flow.py
+++ b/egretsill/flows/_flow.py
@@ -21,15 +21,17 @@
 from aioquic.quic.packet import QuicErrorCode
 
 from ..configuration import Address
-from ..timing import Subscription, TimerService
+from ..timing import JUMP_SECONDS, Subscription, TimerService
 from ._connection import Http3Connection, OwnedConnection, drain_events
 from ._datagram import IncomingDatagram, OutgoingDatagram
 from ._flow_exchange import FlowExchange
-from ._request_head import MalformedRequest, read_request_head
+from ._request_head import MalformedRequest, is_trailers, read_request_head
 from ._return_path import ReturnPath
 from .headers import HTTP3_NO_ERROR, HTTP3_REQUEST_CANCELLED, HTTP3_REQUEST_REJECTED
 
 RETIRE_SECONDS = 2.0
+# In seconds; a caller's answer to a ping that is lost and sent again is here within it.
+ASKED_SECONDS = 3.0
 IDLE_TIMEOUT_PHRASE = "Idle timeout"
 
 
@@ -166,7 +168,7 @@
         """Close the flow in two steps once it has no request; call it every now and then.
 
         First further requests are ruled out, so that one on its way is refused as not run; then,
-        when the caller must have heard of that, the flow is closed.
+        when the caller has heard of that, the flow is closed.
         """
         if self._retire_at is None or now < self._retire_at or self._exchanges:
             return
@@ -177,7 +179,7 @@
             self._http3.send_goaway(self._first_rejected_stream)
             self._retire_at = now + RETIRE_SECONDS
             self.transmit()
-        else:
+        elif self._has_heard_goaway(self._http3):
             self.close()
 
     def close(self) -> None:
@@ -222,6 +224,10 @@
         """Return what the caller has not acknowledged of an answer."""
         return 0 if self._closed else self._connection.unacknowledged_bytes(stream_id)
 
+    def _has_heard_goaway(self, http3: Http3Connection) -> bool:
+        stream_id = http3.control_stream_id
+        return stream_id is not None and self.unacknowledged_bytes(stream_id) == 0
+
     def _handle_events(self) -> None:
         for event in drain_events(self._connection):
             self._handle_event(event)
@@ -264,8 +270,9 @@
     def _begin_request(
         self, stream_id: int, headers: Sequence[tuple[bytes, bytes]], ended: bool
     ) -> None:
-        if stream_id in self._exchanges:
-            self._exchanges[stream_id].on_body(b"", ended)
+        if is_trailers(headers):
+            if stream_id in self._exchanges:
+                self._exchanges[stream_id].on_body(b"", ended)
             return
         self._next_request_stream = max(self._next_request_stream, stream_id + 4)
         if self._first_rejected_stream is not None and stream_id >= self._first_rejected_stream:
@@ -319,6 +326,10 @@
         self._wake = None
         if self._closed:
             return
+        if now - self._wake_at > JUMP_SECONDS:
+            # This process slept, so what the caller sent may be here unread: it is asked first.
+            self._connection.put_off_silence(now + ASKED_SECONDS)
+            self._keep_alive_at = now
         if now >= self._keep_alive_at:
             self._keep_alive_at = now + self._context.keep_alive_seconds
             self._connection.send_ping(0)
--- a/egretsill/flows/tests/test_flow_server.py
+++ b/egretsill/flows/tests/test_flow_server.py
@@ -29,11 +29,13 @@
     headers,
     server_configuration,
 )
+from .._flow import RETIRE_SECONDS
 from .._flow_server import IDLE_SECONDS, KEEP_ALIVE_SECONDS
 
 CALLER = Address("192.0.2.1", 4000)
 SERVICE_ADDRESS = Address("198.51.100.1", 443)
 BALANCER = Address("10.0.0.1", 5000)
+OWN_ID = b"\x10" + bytes(16)
 
 
 class World:
@@ -106,14 +108,17 @@
     def exchange(self, rounds: int = 12) -> None:
         for _ in range(rounds):
             now = self.world.timer.now
-            for payload, _ in self.connection.datagrams_to_send(now):
-                self.world.deliver(payload)
+            self.send()
             replies, self.world.sent[:] = list(self.world.sent), []
             for reply in replies:
                 self.connection.receive_datagram(reply.payload, tuple(SERVICE_ADDRESS), now)
             self._take_events()
             self.world.timer.advance(0.002)
 
+    def send(self) -> None:
+        for payload, _ in self.connection.datagrams_to_send(self.world.timer.now):
+            self.world.deliver(payload)
+
     def ask(self, *extra: tuple[bytes, bytes], method: bytes = b"GET") -> None:
         self.exchange()
         if self.http3 is None:
@@ -206,6 +211,26 @@
     assert served == []
 
 
+def test_trailers_of_an_answered_request_are_not_taken_for_a_new_one(tmp_path: Path) -> None:
+    """Guards against "rejected, not processed" for a request that ran, so that it runs twice."""
+    world = World(tmp_path, concluding_with(Answered(200), True), 10)
+    caller = CallerEnd(world)
+    caller.exchange()
+    caller.http3 = H3Connection(caller.connection)
+    stream_id = caller.connection.get_next_available_stream_id()
+    pseudo = [(b":method", b"POST"), (b":scheme", b"https"), (b":authority", b"a")]
+    caller.http3.send_headers(stream_id, [*pseudo, (b":path", b"/x")])
+    caller.send()
+    world.sent.clear()
+    caller.http3.send_headers(stream_id, [(b"digest", b"0")], end_stream=True)
+    for _ in range(20):
+        caller.exchange(2)
+        world.timer.advance(0.1)
+    heads = [dict(event.headers) for event in caller.events if isinstance(event, HeadersReceived)]
+    assert caller.resets == []
+    assert [head[b":status"] for head in heads] == [b"200"]
+
+
 def test_a_packet_for_another_service_is_not_given_to_the_flow(tmp_path: Path) -> None:
     world = World(tmp_path, concluding_with(Answered(200), True), 10)
     caller = CallerEnd(world)
@@ -296,11 +321,64 @@
     assert world.server.counts.closed == {CloseReason.SILENCE: 1}
 
 
+def test_a_flow_is_not_retired_before_its_caller_has_heard_of_that(tmp_path: Path) -> None:
+    """Guards against a request that vanishes with its flow, as its caller was cut off a while."""
+    world = World(tmp_path, concluding_with(Answered(200), True), 10)
+    caller = CallerEnd(world)
+    caller.ask()
+    world.server.send_goaway()
+    for _ in range(4):
+        world.timer.advance(RETIRE_SECONDS + 0.1)
+        world.server.close_idle_flows()
+        world.sent.clear()
+    assert world.server.open_flows == 1
+    caller.ask()
+    assert caller.resets == [headers.HTTP3_REQUEST_REJECTED]
+    world.timer.advance(RETIRE_SECONDS + 0.1)
+    world.server.close_idle_flows()
+    assert world.server.counts.closed == {CloseReason.RETIRED: 1}
+
+
+@pytest.mark.parametrize("is_there", [True, False], ids=["caller is there", "caller is gone"])
+def test_a_woken_agent_does_not_hold_its_own_sleep_against_a_caller(
+    tmp_path: Path, is_there: bool
+) -> None:
+    """Guards against open flows that end as silent while their packets wait to be read."""
+    world = World(
+        tmp_path, concluding_with(Answered(200), True), 10, keep_alive_seconds=8.0, idle_seconds=20
+    )
+    caller = CallerEnd(world)
+    caller.ask()
+    world.timer.pause(21.0)
+    world.timer.fire_due()
+    assert world.server.open_flows == 1
+    for _ in range(60):
+        if is_there:
+            caller.exchange(1)
+        world.timer.advance(0.5)
+    assert world.server.open_flows == int(is_there)
+
+
 @pytest.fixture(scope="module")
 def silent_world(tmp_path_factory: pytest.TempPathFactory) -> World:
     return World(tmp_path_factory.mktemp("tls"), concluding_with(Answered(200), True), 10)
 
 
+@pytest.mark.parametrize(
+    "header",
+    [
+        pytest.param(b"\x40" + OWN_ID, id="short header"),
+        pytest.param(b"\xe0\0\0\0\1\x11" + OWN_ID + b"\0", id="Handshake"),
+        pytest.param(b"\xc0\0\0\0\x09\x11" + OWN_ID + b"\0", id="unknown version"),
+    ],
+)
+def test_a_packet_of_no_open_flow_gets_no_answer(silent_world: World, header: bytes) -> None:
+    """Guards against a reset or close from an agent that doesn't hold a flow, or not any more."""
+    silent_world.deliver(header.ljust(1200, b"\0"))
+    assert silent_world.sent == []
+    assert silent_world.server.open_flows == 0
+
+
 @settings(derandomize=True, max_examples=300, deadline=None)
 @given(st.binary(max_size=1500))
 def test_random_datagrams_open_nothing(silent_world: World, payload: bytes) -> None:
--- a/egretsill/requests/tests/test_relay.py
+++ b/egretsill/requests/tests/test_relay.py
@@ -4,129 +4,29 @@
 
 import hashlib
 import json
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import replace
 from functools import partial
 
 import pytest
 import trio
 
-from ...configuration import Address, Service
+from ...configuration import Address, Target
 from ...outcomes import Answered, Outcome, RefusalReason, Refused, Unknown, UnknownReason
-from ...stand_ins.backend_server import BackendBehaviour, BackendServer, Fault
-from ...timing import TimerService, VirtualTimerService
-from ...wire import StreamDecoder
-from .. import BackendClient, RequestObserver, RequestService, SilentObserver
+from ...stand_ins.backend_server import BackendBehaviour, Fault
 from .._gate_runner import LINK_SILENCE_SECONDS
 from .._message_link import RELAY_CODEC
 from .._messages import Ping
 from .._ping_schedule import CLOSE_PING_SECONDS
-from ._fakes import (
-    HOST,
-    NOWHERE,
-    FakeExchange,
-    SimpleAdmission,
-    SimplePlacement,
-    make_service,
-    make_target,
-    running_backend,
-)
+from ._fakes import HOST, FakeExchange, make_service, make_target
+from ._relay_fleet import Fleet, running_fleet, until
 
-MAXIMUM_WAITS = 5_000
 PING = RELAY_CODEC.encode(Ping(CLOSE_PING_SECONDS))
 
 
-@dataclass
-class CountingObserver(SilentObserver):
-    malformed: list[str] = field(default_factory=list)
-
-    def on_malformed(self, protocol: str) -> None:
-        self.malformed.append(protocol)
-
-
-@dataclass
-class Fleet:
-    """One asker without a backend server of use, and one gate behind a relay that may break."""
-
-    timer: VirtualTimerService
-    asker: RequestService
-    gate: RequestService
-    server: BackendServer
-    observer: CountingObserver
-    relay: Address
-    streams: list[trio.SocketStream] = field(default_factory=list)
-    broken: int = 0
-
-    def break_links(self) -> None:
-        while self.streams:
-            self.broken += 1
-            self.streams.pop().socket.close()
-
-
-@asynccontextmanager
-async def running_fleet(
-    behaviour: BackendBehaviour | None = None,
-    order: tuple[int, ...] = (2,),
-    shared: bool = False,
-) -> AsyncIterator[Fleet]:
-    """Run a fleet; `shared` gives the asker's own gate the same backend server."""
-    timer = VirtualTimerService()
-    observer = CountingObserver()
-    listeners = await trio.open_tcp_listeners(0, host=HOST)
-    relay = Address(HOST, listeners[0].socket.getsockname()[1])
-    service = make_service(make_target(1), make_target(2, relay=relay))
-    async with running_backend(behaviour) as (server, backend), trio.open_nursery() as nursery:
-        own = backend if shared else NOWHERE
-        asker = _request_service(1, timer, service, own, SimplePlacement(order), observer)
-        gate = _request_service(2, timer, service, backend, SimplePlacement(()), observer)
-        fleet = Fleet(timer, asker, gate, server, observer, relay)
-        await nursery.start(asker.run)
-        await nursery.start(gate.run)
-        nursery.start_soon(trio.serve_listeners, partial(_serve_relay, fleet), listeners)
-        yield fleet
-        nursery.cancel_scope.cancel()
-
-
-def _request_service(
-    number: int,
-    timer: TimerService,
-    service: Service,
-    backend: Address,
-    placement: SimplePlacement,
-    observer: RequestObserver,
-) -> RequestService:
-    services = {service.name: service}
-    client = BackendClient(backend, timer)
-    return RequestService(
-        number, service.name, 7, timer, services.get, SimpleAdmission(), placement, client, observer
-    )
-
-
-async def _serve_relay(fleet: Fleet, stream: trio.SocketStream) -> None:
-    fleet.streams.append(stream)
-    decoder = StreamDecoder(RELAY_CODEC)
-    messages = decoder.feed(bytes(await stream.receive_some(65_536)))
-    try:
-        first = next(messages)
-    except Exception:
-        await stream.aclose()
-        return
-    await fleet.gate.serve_relay(stream, first, decoder)
-
-
 def _has_lines(caller: FakeExchange, count: int) -> bool:
     return caller.data.count(b"\n") >= count
 
 
-async def until(condition: Callable[[], object]) -> None:
-    for _ in range(MAXIMUM_WAITS):
-        if condition():
-            return
-        await trio.sleep(0.001)
-    raise AssertionError("condition never came true")
-
-
 @pytest.mark.parametrize(
     ("method", "path", "body"),
     [
@@ -191,6 +91,21 @@
     trio.run(scenario)
 
 
+def test_a_class_that_a_gate_does_not_know_yet_is_not_called_undeclared() -> None:
+    """Guards against "404, correct your path" for a path that the newest revision declares."""
+
+    async def scenario() -> None:
+        caller = FakeExchange("POST", "/order", [b"12 bolts"])
+        async with running_fleet() as fleet:
+            known = fleet.declared_at_gate["catalog"]
+            classes = tuple(each for each in known.classes if each.name != "order")
+            fleet.declared_at_gate["catalog"] = replace(known, classes=classes)
+            await fleet.asker.serve(caller)
+        assert caller.outcome == Refused(RefusalReason.NO_TARGET)
+
+    trio.run(scenario)
+
+
 def test_answer_is_resumed_over_a_new_link() -> None:
     async def scenario() -> None:
         caller = FakeExchange("GET", "/subscriptions?from=0&count=6")
@@ -210,6 +125,36 @@
     trio.run(scenario)
 
 
+@pytest.mark.parametrize(
+    "left_to",
+    [
+        pytest.param((), id="target no longer declared"),
+        pytest.param((make_target(2),), id="declared at another endpoint"),
+    ],
+)
+def test_answer_is_resumed_from_a_target_that_left_the_configuration(
+    left_to: tuple[Target, ...],
+) -> None:
+    """Guards against an answer that is cut, as its gate serves on but is declared no more."""
+
+    async def scenario() -> None:
+        caller = FakeExchange("GET", "/subscriptions?from=0&count=2")
+        async with running_fleet() as fleet, trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.asker.serve, caller)
+            await until(lambda: fleet.server.counts.subscriptions)
+            fleet.server.publish()
+            await until(partial(_has_lines, caller, 1))
+            fleet.declared["catalog"] = make_service(make_target(1), *left_to)
+            fleet.break_links()
+            fleet.server.publish()
+            while caller.outcome is None:
+                fleet.timer.advance(0.5)
+                await trio.sleep(0.002)
+        assert caller.outcome == Answered(200)
+
+    trio.run(scenario)
+
+
 def test_upload_is_resumed_over_a_new_link() -> None:
     async def scenario() -> None:
         pieces = [bytes([n]) * 30_000 for n in range(100)]
@@ -307,6 +252,22 @@
     trio.run(scenario)
 
 
+@pytest.mark.parametrize("order", [pytest.param((2,), id="relayed"), pytest.param((1,), id="own")])
+def test_a_body_longer_than_its_caller_said_ends_that_request_only(order: tuple[int, ...]) -> None:
+    """Guards against an agent that ends, and all its flows with it, by one caller's request."""
+
+    async def scenario() -> None:
+        too_long = FakeExchange("POST", "/order", [b"12 bolts"], ((b"content-length", b"4"),))
+        proper = FakeExchange("POST", "/order", [b"12 bolts"])
+        async with running_fleet(order=order, shared=True) as fleet:
+            for caller in (too_long, proper):
+                await fleet.asker.serve(caller)
+        assert too_long.outcome == Unknown(UnknownReason.RELAY_LOST)
+        assert proper.outcome == Answered(200)
+
+    trio.run(scenario)
+
+
 @pytest.mark.parametrize(
     "garbage",
     [
