Tell homes of a flow while its first request is at work

Cause: homes were told of a flow only after its target had sent more than its answer to the opening packet, so not while a request waits or is at work.

Change: a flow whose target took data and gave nothing back is told as well.

--- a/egretsill/address_steering/_flow_table.py
+++ b/egretsill/address_steering/_flow_table.py
@@ -153,10 +153,15 @@
         """Return a flow, or None if it isn't known."""
         return self._flows.get(flow)
 
-    def established(self) -> Iterator[tuple[FlowKey, FlowEntry]]:
-        """Yield the flows that are open at the target for sure."""
+    def opened(self) -> Iterator[tuple[FlowKey, FlowEntry]]:
+        """Yield the flows that are open at the target.
+
+        Either it has sent more than its answer to the opening packet, or it took data and gave
+        nothing back.
+        """
         for flow, entry in self._flows.items():
-            if entry.is_established and not entry.has_ended:
+            has_data = entry.state is FlowState.OWNED and entry.next_sequence is not None
+            if (entry.is_established or has_data) and not entry.has_ended:
                 yield flow, entry
 
     def put(self, flow: FlowKey, entry: FlowEntry) -> None:
--- a/egretsill/address_steering/_homes.py
+++ b/egretsill/address_steering/_homes.py
@@ -90,7 +90,7 @@
         is_every_flow_due = rank is not self._rank or bool(forgetful)
         self._rank, self._new_agents = rank, new_agents
         due: dict[int, list[FlowKey]] = {}
-        for flow, entry in self._flows.established():
+        for flow, entry in self._flows.opened():
             if now - entry.opened_at < TOLD_AGE_SECONDS:
                 continue
             is_repeat = now - entry.told_at >= REPEAT_SECONDS
