Let emulated targets be added, agents lag, and entries vanish

Targets were there from the beginning, no process was heard and yet behind, and an entry went only with its target.

Change: three kinds of events. `add-targets` adds targets with VMs and agents; `lag` keeps heartbeats and the store from processes that are still heard and take packets; `expire-entries` removes entries of targets that serve on. `store-refuses` ends only what it began, as a lagging VM is refused too.

--- a/egretsill/emulator/_day.py
+++ b/egretsill/emulator/_day.py
@@ -39,6 +39,13 @@
     ALL = "all"
 
 
+class Service(enum.Enum):
+    """The services of a day, by their names in routes and entries."""
+
+    LISTINGS = "catalog"
+    INTAKE = "intake"
+
+
 class _Model(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
@@ -109,6 +116,24 @@
     count: Count = 1
 
 
+class AddTargets(_Event):
+    """Targets are added one after the other, on VMs of their own."""
+
+    kind: Literal["add-targets"]
+    service: Service = Service.LISTINGS
+    count: Count = 1
+    gap: Seconds = 0.5
+
+
+class Lag(_Event):
+    """Processes hear no peers and are turned away by the store, but are heard and take packets."""
+
+    kind: Literal["lag"]
+    who: Who = Who.AGENTS
+    share: Share = 0.5
+    seconds: Seconds = 5.0
+
+
 class StoreDown(_Event):
     """The store answers nothing."""
 
@@ -160,6 +185,15 @@
     gap: Seconds = 2.0
 
 
+class ExpireEntries(_Event):
+    """Entries of targets vanish from the store while their targets serve on, and come back."""
+
+    kind: Literal["expire-entries"]
+    count: Count = 1
+    gap: Seconds = 0.5
+    seconds: Seconds = 4.0
+
+
 class CrashTarget(_Event):
     """Targets crash and start again under their names."""
 
@@ -200,6 +234,8 @@
     | Restart
     | ClockStep
     | AddBalancers
+    | AddTargets
+    | Lag
     | StoreDown
     | StoreSlow
     | StoreRefuses
@@ -207,6 +243,7 @@
     | Configure
     | MoveRoute
     | Drain
+    | ExpireEntries
     | CrashTarget
     | ReuseAddress
     | SlowTarget
--- a/egretsill/emulator/_events.py
+++ b/egretsill/emulator/_events.py
@@ -10,6 +10,7 @@
 from ..endpoints import dotted
 from ._day import (
     AddBalancers,
+    AddTargets,
     Burst,
     ClockStep,
     Configure,
@@ -17,7 +18,9 @@
     Cut,
     Drain,
     Event,
+    ExpireEntries,
     Kill,
+    Lag,
     Loss,
     MoveRoute,
     PowerLoss,
@@ -64,6 +67,12 @@
         case AddBalancers():
             for number in range(event.count):
                 world.add_balancer(DOMAINS[number % len(DOMAINS)])
+        case AddTargets():
+            _add_targets(world, event)
+        case Lag():
+            for machine in _machines(world, event.who, event.share):
+                world.let_lag(machine)
+                _until(world, event.seconds, machine, world.let_catch_up)
         case StoreDown():
             world.store.faults.is_down = True
             _later(world, event.seconds, lambda: setattr(world.store.faults, "is_down", False))
@@ -76,7 +85,11 @@
         case StoreRefuses():
             hosts = {each.host for each in _machines(world, Who.ALL, event.share)}
             world.store.faults.refused_hosts |= hosts
-            _later(world, event.seconds, lambda: world.store.faults.refused_hosts.clear())
+            _later(
+                world,
+                event.seconds,
+                lambda: world.store.faults.refused_hosts.difference_update(hosts),
+            )
         case StoreForgets():
             world.store.compact()
         case Configure():
@@ -92,6 +105,9 @@
                 world.scheduler.call_later(
                     number * event.gap, lambda t=target: _drain(world, t)  # type: ignore[misc]
                 )
+        case ExpireEntries():
+            for number, target in enumerate(_targets(world, LISTINGS, event.count)):
+                world.scheduler.call_later(number * event.gap, _expirer(world, target, event))
         case CrashTarget():
             for target in _targets(world, LISTINGS, event.count):
                 _crash(world, target, event.seconds)
@@ -193,6 +209,23 @@
         world.start_target(replace(target.entry, phase=TargetPhase.READY))
 
 
+def _add_targets(world: World, event: AddTargets) -> None:
+    def add(number: int) -> None:
+        world.add_target(event.service.value, DOMAINS[number % len(DOMAINS)])
+
+    for number in range(event.count):
+        world.scheduler.call_later(number * event.gap, lambda n=number: add(n))  # type: ignore[misc]
+
+
+def _expirer(world: World, target: EmulatedTarget, event: ExpireEntries) -> Callable[[], None]:
+    def expire() -> None:
+        if target.is_running:
+            world.expire_entry(target)
+            _later(world, event.seconds, lambda: world.register(target))
+
+    return expire
+
+
 def _drain(world: World, target: EmulatedTarget) -> None:
     if not target.is_running:
         return
--- a/egretsill/emulator/_network.py
+++ b/egretsill/emulator/_network.py
@@ -34,6 +34,7 @@
         self._receivers: dict[Address, DatagramReceiver] = {}
         self._cut: set[str] = set()
         self._dark: set[str] = set()
+        self._deaf: set[Address] = set()
         self._loss: dict[str, float] = {}
         self._counted: dict[Address, int] = {}
         self.carried = 0
@@ -71,6 +72,14 @@
         """Lose a share of the datagrams to and from a host; 0 ends that."""
         self._loss[host] = share
 
+    def deafen(self, address: Address) -> None:
+        """Lose every datagram to an address."""
+        self._deaf.add(address)
+
+    def undeafen(self, address: Address) -> None:
+        """End that."""
+        self._deaf.discard(address)
+
     def is_dark(self, host: str) -> bool:
         """Return whether a host has no power."""
         return host in self._dark
@@ -117,5 +126,7 @@
             receiver.deliver(data, source)
 
     def _is_lost(self, source: Address, destination: Address) -> bool:
+        if destination in self._deaf:
+            return True
         share = max(self._loss.get(source.host, 0.0), self._loss.get(destination.host, 0.0))
         return share > 0.0 and source.host != destination.host and self._random.random() < share
--- a/egretsill/emulator/_world.py
+++ b/egretsill/emulator/_world.py
@@ -15,7 +15,7 @@
 from ..endpoints import Address, dotted, numbered
 from ._adapter import Adapter
 from ._caller import EmulatedCaller
-from ._day import Day
+from ._day import Day, Service
 from ._judge import Judge
 from ._machine import EPOCH_SECONDS, Machine
 from ._network import Network
@@ -25,7 +25,7 @@
 from ._stream_socket import CURRENT_HOST, StreamFabric
 from ._target import COLD_SECONDS, EmulatedTarget
 
-LISTINGS, INTAKE = "catalog", "intake"
+LISTINGS, INTAKE = Service.LISTINGS.value, Service.INTAKE.value
 UPLOADS = 2  # index of their kind
 DOMAINS = ("a", "b", "c")
 CALLERS_A_DOMAIN = 3
@@ -215,6 +215,20 @@
         elif name not in self.targets or not self.targets[name].is_running:
             self.store.remove_target(name)
 
+    def expire_entry(self, target: EmulatedTarget) -> None:
+        """Remove the entry of a target that serves on."""
+        self.store.remove_target(target.entry.name)
+
+    def let_lag(self, machine: Machine) -> None:
+        """Keep heartbeats and the store's content from a VM; it is still heard."""
+        self.network.deafen(Address(machine.host, GOSSIP))
+        self.store.faults.refused_hosts.add(machine.host)
+
+    def let_catch_up(self, machine: Machine) -> None:
+        """End that."""
+        self.network.undeafen(Address(machine.host, GOSSIP))
+        self.store.faults.refused_hosts.discard(machine.host)
+
     def forget_machine(self, machine: Machine) -> None:
         """Take a VM away."""
         machine.kill()
--- a/egretsill/emulator/tests/test_network.py
+++ b/egretsill/emulator/tests/test_network.py
@@ -59,6 +59,7 @@
         pytest.param(lambda network: network.cut(NEAR.host), id="cut"),
         pytest.param(lambda network: network.darken(NEAR.host), id="no power"),
         pytest.param(lambda network: network.lose(NEAR.host, 1.0), id="all lost"),
+        pytest.param(lambda network: network.deafen(NEAR), id="deaf"),
     ],
 )
 def test_nothing_arrives(spoil: Callable[[Network], None]) -> None:
@@ -75,6 +76,24 @@
     run(scenario)
 
 
+def test_a_deaf_address_is_heard_and_hears_again() -> None:
+    async def scenario(network: Network, scheduler: Scheduler) -> None:
+        deaf, other = (EmulatedDatagramSocket(network, each) for each in (HERE, NEAR))
+        network.deafen(HERE)
+        deaf.sendto(b"from", NEAR)
+        other.sendto(b"lost", HERE)
+        await trio.sleep(1.0)
+        assert other.recv(10) == b"from"
+        network.undeafen(HERE)
+        other.sendto(b"again", HERE)
+        await trio.sleep(1.0)
+        assert deaf.recv(10) == b"again"
+        for each in (deaf, other):
+            each.close()
+
+    run(scenario)
+
+
 def test_connections_carry_bytes_and_their_end() -> None:
     async def scenario(network: Network, scheduler: Scheduler) -> None:
         trio.socket.set_custom_socket_factory(StreamFabric(network))
