Notice resets by an agent's own view, and targets held for gone by their entries

Change: two wrong decisions, nine in all: the end of a search is proof without newer content, as before the mend, and a vanished entry alone is proof that its target is over (wider than the old code, which also looked whether an owner was heard).

--- a/egretsill/measurements/_wrong_decisions.py
+++ b/egretsill/measurements/_wrong_decisions.py
@@ -11,6 +11,7 @@
 from ..address_steering import HandToTarget, Refuse, RefuseReason, SendToCaller
 from ..address_steering._agent_steering import AgentSteering
 from ..address_steering._placement import FlowPlacement
+from ..address_steering._presence import Presence
 from ..directory import Directory, Pause, ReadPlan, TargetPhase
 
 Method = Callable[..., Any]
@@ -130,6 +131,21 @@
     return route
 
 
+def _trust_own_view(right: Method) -> Method:
+    def pass_on(self: Any, envelope: Any, packet: Any, now: float, _: bool = False) -> Any:
+        return right(self, envelope, packet, now, is_confirmed=True)
+
+    return pass_on
+
+
+def _trust_vanished_entries(_: Method) -> Method:
+    def has_left(self: Any, host: int, services: Any, now: float) -> bool:
+        views = [self._directory.target_at(host, service) for service in services]
+        return all(view is None or view.is_gone(now) for view in views)
+
+    return has_left
+
+
 WRONG_DECISIONS = (
     WrongDecision(
         "targets that leave get new flows",
@@ -169,4 +185,14 @@
         "recovery",
         (Replacement(ReadPlan, "next_step", _never_read_again),),
     ),
+    WrongDecision(
+        "resets what its own view lacks",
+        "targets-added-while-agents-lag",
+        (Replacement(AgentSteering, "_pass_on", _trust_own_view),),
+    ),
+    WrongDecision(
+        "a target whose entry vanished is held for gone",
+        "entries-vanish",
+        (Replacement(Presence, "has_left", _trust_vanished_entries),),
+    ),
 )
