--- a/egretsill/address_steering/tests/test_search_evidence.py
+++ b/egretsill/address_steering/tests/test_search_evidence.py
@@ -250,3 +250,19 @@
     assert view is not None
     assert not view.is_gone(10.2)
     assert not any(isinstance(each, Refuse) for each in make_agent(scene).decide(10.2))
+
+
+def test_open_flow_of_a_route_that_moved_before_the_last_agent_started_is_not_reset() -> None:
+    """Guards against resets by an agent that never saw the configuration of the flow's time."""
+    old = [target(host) for host in AGENTS[:2]]
+    new = [target(host, OTHER_SERVICE) for host in AGENTS[2:]]
+    scene = Scene(AGENTS[2], [*old, *new])
+    scene.directory = Directory(RETENTION)
+    scene.publish(1.0, table(8, (OTHER_SERVICE,)))
+    scene.hear(1.0)
+    agent = make_agent(scene, AGENTS[2], OTHER_SERVICE)
+    came = envelope(AGENTS[3:], version=8, service=OTHER_SERVICE)
+    (undecided,) = agent.take_from_peer(came, packet(), 2.0)
+    assert isinstance(undecided, Undecided)
+    scene.directory.confirm(scene.revision, 0.0, 3.0)
+    assert not any(isinstance(each, Refuse) for each in agent.decide(3.0))
