Keep the order of a search while nobody has been heard; count what isn't kept

A balancer that has just started has heard nobody, so ordering the search by who is heard made it rank every cell for each packet. Only a VM that was heard before and isn't any more is asked last.

A packet that can't be kept until content is newer is counted and logged as dropped; a caller's own reset isn't kept, as it needs no answer. The lookup of a flow without a route ends as no-route.

--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -90,7 +90,7 @@
 
     @property
     def undecided(self) -> int:
-        """Return how many flows are reset unless somebody turns out to have them."""
+        """Return how many packets wait for newer content to tell where their flows are."""
         return len(self._undecided)
 
     @property
@@ -364,13 +364,10 @@
                 return (*passed, TellOwner(envelope.balancer, notice))
             case SearchHop(host, reason):
                 return self._pass_to(host, envelope, packet, reason)
-            case RefuseReason() if not is_confirmed:
-                is_first = self._undecided.keep(envelope, packet, now)
-                return (
-                    (Undecided(packet.flow, envelope.passed_by(self._host).visited),)
-                    if is_first
-                    else ()
-                )
+            case RefuseReason() if not is_confirmed and packet.kind is not PacketKind.RESET:
+                if not self._undecided.keep(envelope, packet, now):
+                    return (Drop(packet.flow, DropReason.UNDECIDED),)
+                return (Undecided(packet.flow, envelope.passed_by(self._host).visited),)
             case RefuseReason() as refusal:
                 return self._refuse(envelope, packet, refusal)
             case DropReason() as drop:
@@ -382,11 +379,8 @@
         """Reset a flow that is known to be open nowhere."""
         if packet.kind is PacketKind.RESET:
             return (Drop(packet.flow, DropReason.NO_TARGET),)
-        return (
-            Refuse(
-                packet.flow, packet.acknowledged, reason, envelope.passed_by(self._host).visited
-            ),
-        )
+        asked = envelope.passed_by(self._host).visited
+        return (Refuse(packet.flow, packet.acknowledged, reason, asked),)
 
     def _pass_to(
         self, host: int, envelope: Envelope, packet: FlowPacket, reason: ForwardReason
--- a/egretsill/address_steering/_balancer_steering.py
+++ b/egretsill/address_steering/_balancer_steering.py
@@ -119,7 +119,7 @@
         """Return the VM on which a flow is looked for first, None if there are no targets."""
         first = None
         for host in self._placement.search(flow, services, self._domain):
-            if self._presence.is_heard(host, now):
+            if not self._presence.is_missed(host, now):
                 return host
             first = host if first is None else first
         return first
--- a/egretsill/address_steering/_flow_search.py
+++ b/egretsill/address_steering/_flow_search.py
@@ -72,7 +72,7 @@
         """
         route = self._directory.route(flow.service_host, flow.service_port)
         if route is None:
-            return DropReason.NO_TARGET
+            return DropReason.NO_ROUTE
         services = self._directory.flow_services(route)
         visited = {*envelope.visited, self._host}
         owner = self._homes.owner(flow)
@@ -113,18 +113,18 @@
     ) -> Iterator[int]:
         """Yield the VMs on which a flow may be and that were not asked, the likeliest first.
 
-        The search ends at a VM that doesn't answer, so those that aren't heard come last.
+        The search ends at a VM that doesn't answer, so those that aren't heard any more come last.
         """
         domain = self._placement.candidates.domain_marked(envelope.domain_mark)
-        unheard = []
+        missed = []
         for host in self._placement.search(flow, services, domain):
             if host in visited or self._presence.has_left(host, services, now):
                 continue
-            if self._presence.is_heard(host, now):
-                yield host
+            if self._presence.is_missed(host, now):
+                missed.append(host)
             else:
-                unheard.append(host)
+                yield host
         for host in self._presence.hosts_without_target(now):
             if host not in visited:
                 yield host
-        yield from unheard
+        yield from missed
--- a/egretsill/address_steering/_homes.py
+++ b/egretsill/address_steering/_homes.py
@@ -87,14 +87,14 @@
         rank = self._candidates.of(self._service)
         new_agents = self._peers.new_agents
         forgetful = new_agents - self._new_agents
-        is_every_flow_due = rank is not self._rank or bool(forgetful)
+        is_new_rank = rank is not self._rank
         self._rank, self._new_agents = rank, new_agents
         due: dict[int, list[FlowKey]] = {}
         for flow, entry in self._flows.opened():
             if now - entry.opened_at < TOLD_AGE_SECONDS:
                 continue
             is_repeat = now - entry.told_at >= REPEAT_SECONDS
-            if not is_repeat and not is_every_flow_due:
+            if not is_repeat and not is_new_rank and forgetful.isdisjoint(entry.homes):
                 continue
             homes = rank.homes(flow)
             for home in homes:
--- a/egretsill/address_steering/_presence.py
+++ b/egretsill/address_steering/_presence.py
@@ -23,9 +23,9 @@
         self._directory = directory
         self._peers = peers
 
-    def is_heard(self, host: int, now: float) -> bool:
-        """Return whether a VM's agent is alive as far as this process can tell."""
-        return self._peers.is_heard(host, now)
+    def is_missed(self, host: int, now: float) -> bool:
+        """Return whether a VM's agent was heard before and isn't any more."""
+        return host in self._peers.peers and not self._peers.is_heard(host, now)
 
     def has_left(self, host: int, services: Iterable[str], now: float) -> bool:
         """Return whether the targets of some services on a VM are known to be over.
--- a/egretsill/address_steering/tests/test_lagging_views.py
+++ b/egretsill/address_steering/tests/test_lagging_views.py
@@ -197,7 +197,8 @@
     came = envelope(AGENTS[1:])
     for number in range(2 * MAXIMUM_UNDECIDED):
         agent.take_from_peer(came, packet(key=flow(number)), 1.0)
-        assert agent.take_from_peer(came, packet(key=flow(number)), 1.1) == ()
+        again = agent.take_from_peer(came, packet(key=flow(number)), 1.1)
+        assert again == (Drop(flow(number), DropReason.UNDECIDED),)
     assert agent.undecided == MAXIMUM_UNDECIDED
 
 
