--- a/egretsill/address_steering/tests/scene.py
+++ b/egretsill/address_steering/tests/scene.py
@@ -17,6 +17,7 @@
 )
 from ...fleet import PeerReport, PeerTable
 from .. import (
+    AgentSteering,
     Candidates,
     Envelope,
     FlowKey,
@@ -104,6 +105,15 @@
         self.peers.receive_reports(reports, now)
 
 
+def make_agent(
+    scene: Scene, host: int = AGENTS[0], service: str = SERVICE, started_at: float = -RETENTION
+) -> AgentSteering:
+    """Return the agent on a VM, which has seen every packet of its target unless it is new."""
+    return AgentSteering(
+        host, service, scene.directory, scene.peers, scene.placement, RETENTION, started_at
+    )
+
+
 def flow(number: int = 0) -> FlowKey:
     """Return one of many flows to the scene's route."""
     return FlowKey(0x64400001 + number // 20_000, 20_000 + number % 20_000, SERVICE_HOST, PORT)
--- a/egretsill/address_steering/tests/test_agent_steering.py
+++ b/egretsill/address_steering/tests/test_agent_steering.py
@@ -35,11 +35,10 @@
     LIMIT,
     OTHER_AGENT,
     OTHER_SERVICE,
-    RETENTION,
-    SERVICE,
     Scene,
     envelope,
     flow,
+    make_agent,
     packet,
     table,
     target,
@@ -49,12 +48,6 @@
 OPENING = PacketKind.OPENING
 
 
-def make_agent(scene: Scene, started_at: float = -RETENTION, host: int = HERE) -> AgentSteering:
-    return AgentSteering(
-        host, SERVICE, scene.directory, scene.peers, scene.placement, RETENTION, started_at
-    )
-
-
 def open_flow(agent: AgentSteering, number: int = 0, now: float = 0.0) -> None:
     agent.take_from_peer(envelope(), packet(OPENING, flow(number)), now)
     agent.take_from_target(packet(PacketKind.OPENING_ANSWER, flow(number)), now)
--- a/egretsill/address_steering/tests/test_lagging_views.py
+++ b/egretsill/address_steering/tests/test_lagging_views.py
@@ -31,10 +31,10 @@
     AGENTS,
     OTHER_SERVICE,
     RETENTION,
-    SERVICE,
     Scene,
     envelope,
     flow,
+    make_agent,
     packet,
     target,
 )
@@ -48,12 +48,6 @@
     return [FIRST + number for number in range(count)]
 
 
-def make_agent(scene: Scene, host: int, started_at: float = -RETENTION) -> AgentSteering:
-    return AgentSteering(
-        host, SERVICE, scene.directory, scene.peers, scene.placement, RETENTION, started_at
-    )
-
-
 def last_asked(agent: AgentSteering, others: list[int], now: float) -> AgentEffect:
     """Return what an agent decides about a packet that as many others as possible have denied."""
     came = envelope(others[:MAXIMUM_VISITED])
@@ -229,7 +223,7 @@
     """Guards against open flows at other targets while their agent is down and routers change."""
     scene = Scene(FIRST)
     scene.hear(0.0)
-    agent = make_agent(scene, FIRST, started_at)
+    agent = make_agent(scene, FIRST, started_at=started_at)
     agent.learn_home(HomeNotice(OWNER, (flow(),)), 0.0)
     forward, told = agent.take_from_peer(envelope(), packet(), 0.1)
     assert isinstance(forward, Forward)
--- a/egretsill/address_steering/tests/test_search_evidence.py
+++ b/egretsill/address_steering/tests/test_search_evidence.py
@@ -29,6 +29,7 @@
     Scene,
     envelope,
     flow,
+    make_agent,
     packet,
     table,
     target,
@@ -38,14 +39,6 @@
 FIRST, OWNER = AGENTS[:2]
 
 
-def make_agent(
-    scene: Scene, host: int = FIRST, service: str = SERVICE, started_at: float = -RETENTION
-) -> AgentSteering:
-    return AgentSteering(
-        host, service, scene.directory, scene.peers, scene.placement, RETENTION, started_at
-    )
-
-
 def open_flow(agent: AgentSteering) -> None:
     agent.take_from_peer(envelope(), packet(PacketKind.OPENING), 0.0)
     agent.take_from_target(packet(PacketKind.OPENING_ANSWER), 0.0)
--- a/egretsill/fleet/tests/test_heartbeat.py
+++ b/egretsill/fleet/tests/test_heartbeat.py
@@ -22,9 +22,15 @@
 
 
 def test_a_heartbeat_survives_the_wire() -> None:
-    data = encode_heartbeat(Heartbeat(HEAD, [REPORT, PeerReport(5, can_read=False)]))
+    data = encode_heartbeat(
+        Heartbeat(HEAD, [REPORT, PeerReport(5, can_read=False), PeerReport(6, is_new=True)])
+    )
     assert decode_head(data) == HEAD
-    assert decode_reports(data) == [REPORT, PeerReport(5, can_read=False)]
+    assert decode_reports(data) == [
+        REPORT,
+        PeerReport(5, can_read=False),
+        PeerReport(6, is_new=True),
+    ]
 
 
 def test_a_full_heartbeat_stays_within_a_packet() -> None:
