--- a/egretsill/address_steering/_flow_search.py
+++ b/egretsill/address_steering/_flow_search.py
@@ -77,8 +77,8 @@
         visited = {*envelope.visited, self._host}
         owner = self._homes.owner(flow)
         if owner is not None and owner not in visited:
-            is_fresh = self._homes.owner(flow, since=now - SILENT_SECONDS) is not None
-            if is_fresh or not self._presence.has_left(owner, services, now):
+            has_just_told = self._homes.owner(flow, since=now - SILENT_SECONDS) is not None
+            if has_just_told or not self._presence.has_left(owner, services, now):
                 return SearchHop(owner, ForwardReason.TOLD_BY_OWNER)
             return RefuseReason.OWNER_GONE
         for host in self._places(flow, services, envelope, visited, now):
--- a/egretsill/address_steering/_homes.py
+++ b/egretsill/address_steering/_homes.py
@@ -42,13 +42,16 @@
             self._owners.popitem(last=False)
 
     def owner(self, flow: FlowKey, since: float = float("-inf")) -> int | None:
-        """Return the VM that has a flow, None if nobody told.
+        """Return the VM that has a flow, None if nobody told of it.
 
         Args:
             flow: the flow.
             since: what was told before counts for nothing.
         """
-        owner, told_at = self._owners.get(flow, (None, since))
+        found = self._owners.get(flow)
+        if found is None:
+            return None
+        owner, told_at = found
         return owner if told_at >= since else None
 
     def sweep(self, now: float) -> None:
