--- a/egretsill/address_steering/_undecided.py
+++ b/egretsill/address_steering/_undecided.py
@@ -59,8 +59,7 @@
         Args:
             confirmed_at: local time at which the view was last known to be the store's.
         """
-        latest = confirmed_at - CONFIRMATION_SLACK_SECONDS
-        return self._pop(latest)
+        return self._pop(confirmed_at - CONFIRMATION_SLACK_SECONDS)
 
     def pop_expired(self, now: float) -> Sequence[UndecidedPacket]:
         """Return the packets that waited in vain, and keep them no more."""
