Don't count ended flows as load of a target

What callers saw: with a flow for each request, targets are chosen by the flows they had in the last 10 s, and a target that has just started attracts everything. Cause: the number of flows that an agent reports included ended flows, which the table keeps for late packets. They now leave the count when both ends have closed or one resets the flow.

--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -146,18 +146,18 @@
         if entry is None:
             entry = FlowEntry(FlowState.OWNED, 0, 0, (), now, now)
             self._flows.put(packet.flow, entry)
-        elif entry.state is not FlowState.OWNED:
-            self._flows.own(entry)
+        entry.state = FlowState.OWNED
         entry.last_packet_at = now
         if packet.kind is not PacketKind.SYN_ACK:
             entry.is_established = True
         delay = self._flows.answer_request(entry, now) if packet.payload_bytes else None
+        if packet.kind is PacketKind.FIN:
+            entry.target_closed = True
+            self._flows.end_request(entry)
+        self._flows.update_count(entry)
         if packet.kind is PacketKind.RST:
             self._flows.remove(packet.flow)
             self._queue.remove(packet.flow)
-        elif packet.kind is PacketKind.FIN:
-            entry.target_closed = True
-            self._flows.end_request(entry)
         answer = SendToCaller(packet.flow.caller_host, packet.datagram)
         if delay is None:
             return (answer, *self.release(now)) if len(self._queue) else (answer,)
@@ -221,6 +221,7 @@
             entry.caller_closed = entry.target_closed = True
             self._flows.end_request(entry)
             self._queue.remove(packet.flow)
+        self._flows.update_count(entry)
         if envelope.visited and entry.state is FlowState.OWNED:
             notice = OwnerNotice(packet.flow, self._host)
             effects.append(NotifyBalancer(envelope.balancer, notice))
--- a/egretsill/address_steering/_flow_table.py
+++ b/egretsill/address_steering/_flow_table.py
@@ -48,6 +48,7 @@
         announced_at: when all of them were notified last.
         caller_closed: whether the caller has closed its direction.
         target_closed: whether the target has closed its direction.
+        is_counted: whether it is included in the number of flows at the target.
     """
 
     state: FlowState
@@ -65,6 +66,7 @@
     announced_at: float = float("-inf")
     caller_closed: bool = False
     target_closed: bool = False
+    is_counted: bool = False
 
     @classmethod
     def begin(cls, state: FlowState, envelope: Envelope, now: float) -> FlowEntry:
@@ -127,7 +129,7 @@
 
     @property
     def owned(self) -> int:
-        """Return the number of open flows at the target."""
+        """Return the number of flows at the target that have not ended."""
         return self._owned
 
     @property
@@ -164,6 +166,13 @@
             if (entry.is_established or has_data) and not entry.has_ended:
                 yield flow, entry
 
+    def update_count(self, entry: FlowEntry) -> None:
+        """Update the number of flows at the target after a change of a flow's state."""
+        is_counted = entry.state is FlowState.OWNED and not entry.has_ended
+        if is_counted is not entry.is_counted:
+            self._owned += 1 if is_counted else -1
+            entry.is_counted = is_counted
+
     def put(self, flow: FlowKey, entry: FlowEntry) -> None:
         """Add or replace a flow; if the table is full, the oldest one is removed."""
         self.remove(flow)
@@ -173,20 +182,14 @@
                 self._complete_at = entry.first_packet_at + self._retention_seconds
             self.remove(oldest)
         self._flows[flow] = entry
-        self._owned += entry.state is FlowState.OWNED
-
-    def own(self, entry: FlowEntry) -> None:
-        """Record that the target has a flow."""
-        if entry.state is not FlowState.OWNED:
-            entry.state = FlowState.OWNED
-            self._owned += 1
 
     def remove(self, flow: FlowKey) -> None:
         """Remove a flow."""
         entry = self._flows.pop(flow, None)
         if entry is None:
             return
-        self._owned -= entry.state is FlowState.OWNED
+        self._owned -= entry.is_counted
+        entry.is_counted = False
         self.end_request(entry)
 
     def note_data(self, entry: FlowEntry, sequence: int, payload_bytes: int) -> bool:
