Forget requests for capacity that are too old, and transfers after the caller's time to open

Found by reading: an agent that leaves kept other agents' requests and woke up 40 times a second, and a caller that used its ports again within a minute was sent to the target that had been free then. Tests for both.

--- a/egretsill/address_steering/_capacity_exchange.py
+++ b/egretsill/address_steering/_capacity_exchange.py
@@ -94,7 +94,10 @@
         return offers
 
     def sweep(self, now: float) -> None:
-        """Remove the records of requests that were sent long ago."""
+        """Remove the records of requests that were sent or received too long ago."""
+        for asker, (_, asked_at) in tuple(self._askers.items()):
+            if now - asked_at > REQUEST_LIFETIME_SECONDS:
+                del self._askers[asker]
         for host, sent_at in tuple(self._requested_at.items()):
             if now - sent_at > REQUEST_INTERVAL_SECONDS:
                 del self._requested_at[host]
--- a/egretsill/address_steering/_flow_opening.py
+++ b/egretsill/address_steering/_flow_opening.py
@@ -18,7 +18,7 @@
 from ._flow_admission import FlowAdmission
 from ._flow_table import FlowEntry, FlowState, FlowTable
 from ._forwarding import pass_packet, refuse_packet
-from ._packet import FlowPacket, syn_copy_delay
+from ._packet import OPEN_TIMEOUT_SECONDS, FlowPacket, syn_copy_delay
 from ._placement import FlowPlacement
 from ._request_queue import WaitingRequest
 from ._target_silence import TargetSilence
@@ -61,7 +61,7 @@
         """Return what to do with a SYN packet that has arrived."""
         self._admission.note_arrival(envelope)
         known = self._flows.get(packet.flow)
-        if known is not None and known.is_transferred:
+        if known is not None and known.was_transferred_since(now - OPEN_TIMEOUT_SECONDS):
             reason = ForwardReason.PASSED_BEFORE
             return pass_packet(self._host, known.passed_to, envelope, packet, reason)
         passed = self._pass_if_unsuitable(envelope, packet, now)
--- a/egretsill/address_steering/_flow_table.py
+++ b/egretsill/address_steering/_flow_table.py
@@ -91,6 +91,10 @@
         """
         return Envelope(self.balancer, version, service_hash, self.visited, self.domain_hash)
 
+    def was_transferred_since(self, earliest: float) -> bool:
+        """Return whether its SYN packet was passed on because of an offer at a time or later."""
+        return self.is_transferred and self.first_packet_at >= earliest
+
     @property
     def has_ended(self) -> bool:
         """Return whether both ends have closed the flow."""
--- a/egretsill/address_steering/tests/test_flow_admission.py
+++ b/egretsill/address_steering/tests/test_flow_admission.py
@@ -22,7 +22,12 @@
     Wait,
     service_hash,
 )
-from .._capacity_exchange import MAXIMUM_ASKERS, REQUEST_INTERVAL_SECONDS, RESERVATION_SECONDS
+from .._capacity_exchange import (
+    MAXIMUM_ASKERS,
+    REQUEST_INTERVAL_SECONDS,
+    REQUEST_LIFETIME_SECONDS,
+    RESERVATION_SECONDS,
+)
 from .._request_queue import MAXIMUM_WAITING
 from .._target_capacity import OPENING_SECONDS
 from .scene import AGENTS, BALANCER, SERVICE, Scene, envelope, flow, make_agent, packet
@@ -172,6 +177,27 @@
     assert agent.take_capacity_request(CapacityRequest(OTHER, MARK, 2), 1.1) == []
 
 
+def test_new_flow_with_ports_of_transferred_one_is_placed_anew(scene: Scene) -> None:
+    """Guards against SYN packets that go to a target that was free a minute ago."""
+    agent = make_full_agent(scene)
+    effects = agent.take_from_peer(envelope(), packet(SYN, flow(9)), 1.0)
+    asked = next(each.host for each in effects if isinstance(each, RequestCapacity))
+    assert agent.take_capacity_offer(CapacityOffer(asked, MARK, 1), 1.01)
+    for number in range(LIMIT):
+        agent.take_from_target(packet(key=flow(number), payload_bytes=9), 1.1)
+    (effect,) = agent.take_from_peer(envelope(), packet(SYN, flow(9)), 3.0)
+    assert isinstance(effect, DeliverToTarget)
+
+
+def test_old_requests_are_forgotten_by_an_agent_that_leaves(scene: Scene) -> None:
+    agent = make_agent(scene)
+    scene.change_target(HERE, 1.0, phase=TargetPhase.DRAINING)
+    assert agent.take_capacity_request(CapacityRequest(OTHER, MARK, 2), 1.0) == []
+    assert agent.is_waiting
+    agent.sweep(1.0 + 1.01 * REQUEST_LIFETIME_SECONDS)
+    assert not agent.is_waiting
+
+
 def test_requests_are_repeated_at_intervals(scene: Scene) -> None:
     agent = make_full_agent(scene)
     first = agent.take_from_peer(envelope(), packet(SYN, flow(9)), 1.0)
