Open a flow at a slow target when no other offers capacity

Found by reading: a waiting SYN packet was dropped as hopeless if its caller would stop waiting for a SYN-ACK packet before an answer could come, judged by the target's mean time to answer. Callers wait for the answer itself until the deadline of the route, so at a target that takes longer than 1.4 s no flow was opened any more. SYN packets now expire only when their callers have stopped waiting. The new test failed before.

--- a/egretsill/address_steering/_flow_opening.py
+++ b/egretsill/address_steering/_flow_opening.py
@@ -130,7 +130,7 @@
         return effects
 
     def _expire(self, now: float) -> list[AgentEffect]:
-        expired = self._admission.queue.expire(now, self._flows.service_seconds)
+        expired = self._admission.queue.expire(now)
         return [Expire(each.flow, now - each.arrived_at) for each in expired]
 
     def _take_held(self, request: WaitingRequest, now: float) -> Sequence[AgentEffect]:
--- a/egretsill/address_steering/_request_queue.py
+++ b/egretsill/address_steering/_request_queue.py
@@ -134,21 +134,9 @@
         if waiting is not None and waiting.syn is not None:
             del self._waiting[flow]
 
-    def expire(self, now: float, service_seconds: float = 0.0) -> Sequence[WaitingRequest]:
-        """Remove and return what can no longer be answered.
-
-        These are the requests whose callers have given up, and the flows whose callers will have
-        before an answer to a request that has yet to come.
-
-        Args:
-            now: local time.
-            service_seconds: how long the target works on a request.
-        """
-        expired = [
-            each
-            for each in self._waiting.values()
-            if each.deadline_at <= now + (service_seconds if each.syn is not None else 0.0)
-        ]
+    def expire(self, now: float) -> Sequence[WaitingRequest]:
+        """Remove and return the requests whose callers have given up."""
+        expired = [each for each in self._waiting.values() if each.deadline_at <= now]
         for request in expired:
             del self._waiting[request.flow]
         self._expired += len(expired)
--- a/egretsill/address_steering/tests/test_flow_admission.py
+++ b/egretsill/address_steering/tests/test_flow_admission.py
@@ -234,6 +234,19 @@
     assert expired.waited_seconds == pytest.approx(1.5)
 
 
+def test_flow_is_opened_at_slow_target_if_no_other_offers_capacity(scene: Scene) -> None:
+    """Guards against callers that find no target because the answers of theirs take long."""
+    agent = make_full_agent(scene)
+    for number in range(LIMIT):
+        agent.take_from_target(packet(key=flow(number), payload_bytes=9), 3.0)
+        agent.take_from_peer(
+            envelope(), packet(key=flow(number), payload_bytes=9, sequence=51), 3.0
+        )
+    assert agent.flows.service_seconds > 1.4
+    agent.take_from_peer(envelope(), packet(SYN, flow(9)), 3.1)
+    assert _delivered(agent.release(3.1 + 1.01 * HOLD_SECONDS))
+
+
 def test_flow_opened_elsewhere_no_longer_waits(scene: Scene) -> None:
     agent = make_full_agent(scene)
     agent.take_from_peer(envelope(), packet(SYN, flow(9)), 1.0)
