--- a/egretsill/address_steering/tests/load_fleet.py
+++ b/egretsill/address_steering/tests/load_fleet.py
@@ -10,12 +10,10 @@
 import itertools
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field
 from functools import partial
 from random import Random
 
 from ...directory import (
-    Directory,
     Route,
     RouteTable,
     ServiceShare,
@@ -23,19 +21,17 @@
     Target,
     TargetPhase,
 )
-from ...fleet import HEARTBEAT_SECONDS, PeerReport, PeerTable
+from ...fleet import HEARTBEAT_SECONDS, PeerReport
 from ...ranking import bucket_of
 from .. import (
     AgentSteering,
     BalancerSteering,
-    Candidates,
     CapacityOffer,
     CapacityRequest,
     DeliverToTarget,
     Envelope,
     FlowKey,
     FlowPacket,
-    FlowPlacement,
     Forward,
     NotifyBalancer,
     OfferCapacity,
@@ -47,9 +43,9 @@
     SteeringPolicy,
     syn_copy_delay,
 )
+from .load_parts import OBJECTIVE, Attempt, LoadRecord, ModelTarget, Request, View
 from .scene import DEADLINE, IDLE, PORT, RETENTION, SERVICE, SERVICE_HOST
 
-OBJECTIVE = 0.3
 SYN_COPIES = 3
 OPEN_TIMEOUT = 1.4
 RETRIES = 2
@@ -64,60 +60,7 @@
 DOMAINS = ("a", "b", "c")
 
 
-@dataclass(slots=True, eq=False)
-class Request:
-    """One request over all its attempts."""
-
-    number: int
-    asked_at: float
-    work_seconds: float
-    domain: str
-    attempts: int = 0
-    answered_at: float | None = None
-    is_given_up: bool = False
-
-
-@dataclass(slots=True, eq=False)
-class Attempt:
-    """One flow of a request at its caller; `owner` is the target whose SYN-ACK came first."""
-
-    key: FlowKey
-    request: Request
-    owner: int | None = None
-    is_ended: bool = False
-
-
-class View:
-    """The directory and peers of one process."""
-
-    def __init__(self, host: int, snapshot: Snapshot) -> None:
-        self.directory = Directory(RETENTION)
-        self.directory.apply_snapshot(snapshot, 0.0)
-        self.peers = PeerTable(host)
-        self.placement = FlowPlacement(self.directory, self.peers, Candidates(self.directory))
-
-
-@dataclass(slots=True, eq=False)
-class ModelTarget:
-    """A target with slots and a queue, and its agent."""
-
-    host: int
-    domain: str
-    slots: int
-    started_at: float
-    view: View
-    agent: AgentSteering
-    slowness: float = 1.0
-    is_up: bool = True
-    half_open: set[FlowKey] = field(default_factory=set)
-    open: set[FlowKey] = field(default_factory=set)
-    working: int = 0
-    queue: list[Attempt] = field(default_factory=list)
-    served: list[float] = field(default_factory=list)
-    release_due: bool = False
-
-
-class LoadFleet:
+class LoadFleet(LoadRecord):
     """Plays callers against a fleet of real decisions and simulated targets.
 
     Args:
@@ -142,10 +85,10 @@
         are_cold: bool = False,
         policy: SteeringPolicy = SteeringPolicy(),  # noqa: B008, it is immutable
     ) -> None:
+        super().__init__()
         self.random = Random(seed)
         self.work_seconds = work_seconds
         self.now = 0.0
-        self.requests: list[Request] = []
         self.hops: Counter[str] = Counter()
         self.handshakes = 0
         self._order = itertools.count()
@@ -162,7 +105,6 @@
         route = Route("r", SERVICE_HOST, PORT, (ServiceShare(SERVICE, 1),), OBJECTIVE, DEADLINE)
         routes = RouteTable(7, {(SERVICE_HOST, PORT): route}, IDLE)
         snapshot = Snapshot(100, routes, tuple(entries))
-        self.targets: dict[int, ModelTarget] = {}
         for number, entry in enumerate(entries):
             up_at = start_at(number)
             started_at = up_at if are_cold else -10.0
@@ -224,27 +166,6 @@
             if self.now > max(each.asked_at for each in self.requests[-50:]) + 3.0:
                 return
 
-    def in_time(self, start: float = 0.0, end: float = float("inf")) -> float:
-        """Return the share of the requests of a span that were answered within the objective."""
-        asked = [each for each in self.requests if start <= each.asked_at < end]
-        answered = [each for each in asked if each.answered_at is not None]
-        return sum((e.answered_at or 0) - e.asked_at <= OBJECTIVE for e in answered) / len(asked)
-
-    def failed(self, start: float = 0.0, end: float = float("inf")) -> float:
-        """Return the share of the requests of a span that got no answer."""
-        asked = [each for each in self.requests if start <= each.asked_at < end]
-        return sum(each.answered_at is None for each in asked) / len(asked)
-
-    def earned(self, start: float = 0.0, end: float = float("inf")) -> float:
-        """Return the share of worth earned; a late answer is worth half."""
-        in_time = self.in_time(start, end)
-        return in_time + (1.0 - in_time - self.failed(start, end)) / 2
-
-    def imbalance(self, start: float, end: float) -> float:
-        """Return the busiest target's multiple of its even share of requests begun in a span."""
-        counts = [sum(start <= at < end for at in t.served) for t in self.targets.values()]
-        return max(counts) * len(counts) / max(sum(counts), 1)
-
     def _start(self, host: int) -> None:
         target = self.targets[host]
         target.is_up = True
--- /dev/null
+++ b/egretsill/address_steering/tests/load_parts.py
@@ -0,0 +1,94 @@
+"""Requests, targets and views of processes of the simulated fleet under load."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from ...directory import Directory, Snapshot
+from ...fleet import PeerTable
+from .. import AgentSteering, Candidates, FlowKey, FlowPlacement
+from .scene import RETENTION
+
+OBJECTIVE = 0.3
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    """One request over all its attempts."""
+
+    number: int
+    asked_at: float
+    work_seconds: float
+    domain: str
+    attempts: int = 0
+    answered_at: float | None = None
+    is_given_up: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One flow of a request at its caller; `owner` is the target whose SYN-ACK came first."""
+
+    key: FlowKey
+    request: Request
+    owner: int | None = None
+    is_ended: bool = False
+
+
+class View:
+    """The directory and peers of one process."""
+
+    def __init__(self, host: int, snapshot: Snapshot) -> None:
+        self.directory = Directory(RETENTION)
+        self.directory.apply_snapshot(snapshot, 0.0)
+        self.peers = PeerTable(host)
+        self.placement = FlowPlacement(self.directory, self.peers, Candidates(self.directory))
+
+
+@dataclass(slots=True, eq=False)
+class ModelTarget:
+    """A target with slots and a queue, and its agent."""
+
+    host: int
+    domain: str
+    slots: int
+    started_at: float
+    view: View
+    agent: AgentSteering
+    slowness: float = 1.0
+    is_up: bool = True
+    half_open: set[FlowKey] = field(default_factory=set)
+    open: set[FlowKey] = field(default_factory=set)
+    working: int = 0
+    queue: list[Attempt] = field(default_factory=list)
+    served: list[float] = field(default_factory=list)
+    release_due: bool = False
+
+
+class LoadRecord:
+    """The requests and targets of a fleet, and what became of the requests."""
+
+    def __init__(self) -> None:
+        self.requests: list[Request] = []
+        self.targets: dict[int, ModelTarget] = {}
+
+    def in_time(self, start: float = 0.0, end: float = float("inf")) -> float:
+        """Return the share of the requests of a span that were answered within the objective."""
+        asked = [each for each in self.requests if start <= each.asked_at < end]
+        answered = [each for each in asked if each.answered_at is not None]
+        return sum((e.answered_at or 0) - e.asked_at <= OBJECTIVE for e in answered) / len(asked)
+
+    def failed(self, start: float = 0.0, end: float = float("inf")) -> float:
+        """Return the share of the requests of a span that got no answer."""
+        asked = [each for each in self.requests if start <= each.asked_at < end]
+        return sum(each.answered_at is None for each in asked) / len(asked)
+
+    def earned(self, start: float = 0.0, end: float = float("inf")) -> float:
+        """Return the share of worth earned; a late answer is worth half."""
+        in_time = self.in_time(start, end)
+        return in_time + (1.0 - in_time - self.failed(start, end)) / 2
+
+    def imbalance(self, start: float, end: float) -> float:
+        """Return the busiest target's multiple of its even share of requests begun in a span."""
+        counts = [sum(start <= at < end for at in t.served) for t in self.targets.values()]
+        return max(counts) * len(counts) / max(sum(counts), 1)
