--- a/egretsill/directory/_directory.py
+++ b/egretsill/directory/_directory.py
@@ -66,6 +66,7 @@
         self._generation = 0
         self._changed_at: float | None = None
         self._log = ChangeLog()
+        self._outdated_entries = 0
 
     @property
     def generation(self) -> int:
@@ -102,6 +103,11 @@
         """Return whether any content of the store was read."""
         return self._content_revision > 0
 
+    @property
+    def outdated_entries(self) -> int:
+        """Return how many entries were passed over because a later one is known."""
+        return self._outdated_entries
+
     @property
     def targets(self) -> Sequence[Target]:
         """Return the entries in the store, without lapsed ones that only this process keeps."""
@@ -325,6 +331,7 @@
             and known.missing_since is None
             and target.revision <= known.target.revision
         ):
+            self._outdated_entries += target != known.target
             return False
         if known is not None and known.target.started_milliseconds != target.started_milliseconds:
             self._departed[target.name] = TargetView(known.target, known.warmup_ends_at, now)
--- a/egretsill/directory/_model.py
+++ b/egretsill/directory/_model.py
@@ -108,12 +108,14 @@
         table: None if the operators have published nothing yet.
         targets: every entry that names a usable target.
         unreadable: number of entries that were skipped.
+        era: the store's era, None if the response didn't state it.
     """
 
     at: int
     table: RouteTable | None
     targets: Sequence[Target]
     unreadable: int = 0
+    era: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,6 +128,7 @@
         changed: entries that were written.
         removed: names of entries that no longer exist or are no longer usable.
         unreadable: number of entries that were skipped.
+        era: the store's era, None if the response didn't state it.
     """
 
     at: int
@@ -133,6 +136,7 @@
     changed: Sequence[Target] = field(default_factory=tuple)
     removed: Sequence[str] = field(default_factory=tuple)
     unreadable: int = 0
+    era: int | None = None
 
     @property
     def is_empty(self) -> bool:
--- a/egretsill/node/_store_reading.py
+++ b/egretsill/node/_store_reading.py
@@ -12,6 +12,7 @@
     Pause,
     ReadAll,
     ReadPlan,
+    Snapshot,
     Store,
     StoreUnavailable,
     WatchChanges,
@@ -53,6 +54,7 @@
         self._on_change = on_change
         self._on_response = on_response
         self._watched_revision = 0
+        self._era: int | None = None
         self._is_reachable = True
 
     async def run(self) -> None:
@@ -96,9 +98,12 @@
         self._plan.note_read()
         self._watched_revision = snapshot.at
         self._count_unreadable(snapshot.unreadable)
+        before = self._directory.outdated_entries
+        self._note_response(snapshot.era, snapshot.at, snapshot)
         # The first page may be as old as the request.
         if self._directory.apply_snapshot(snapshot, self._timer.now, requested_at):
             self._on_change(STORE_SOURCE)
+        self._note_outdated_entries(before)
 
     async def _watch(self, wait_seconds: float, timeout_seconds: float) -> None:
         requested_at = self._timer.now
@@ -106,10 +111,46 @@
         self._watched_revision = max(self._watched_revision, changes.at)
         self._count_unreadable(changes.unreadable)
         now = self._timer.now
+        before = self._directory.outdated_entries
+        self._note_response(changes.era, changes.at, None)
         # Nothing changed until the store stopped waiting; the response may have arrived later.
         confirmed_at = min(now, requested_at + wait_seconds) if changes.is_empty else now
         if self._directory.apply_changes(changes, now, confirmed_at):
             self._on_change(STORE_SOURCE)
+        self._note_outdated_entries(before)
+
+    def _note_response(self, era: int | None, at: int, snapshot: Snapshot | None) -> None:
+        directory = self._directory
+        if at < directory.content_revision:
+            self._journal.record(
+                "store-response-outdated", era=era, at=at, revision=directory.content_revision
+            )
+        if era == self._era:
+            return
+        read = {each.name for each in snapshot.targets} if snapshot else set()
+        known = {each.name for each in directory.targets}
+        self._journal.record(
+            "store-era-changed",
+            before=self._era,
+            era=era,
+            at=at,
+            revision=directory.content_revision,
+            version=directory.version,
+            version_read=snapshot.table.version if snapshot and snapshot.table else None,
+            is_complete=snapshot is not None,
+            lacks=len(known - read),
+            gains=len(read - known),
+        )
+        if self._era is not None:
+            self._metrics.store_returns.increment()
+        self._era = era
+        self._metrics.store_era.set(era or 0)
+
+    def _note_outdated_entries(self, before: int) -> None:
+        count = self._directory.outdated_entries - before
+        if count:
+            self._metrics.entries_outdated.increment(amount=count)
+            self._journal.record("entries-outdated", source=STORE_SOURCE, count=count)
 
     def _count_unreadable(self, count: int) -> None:
         if count:
--- a/egretsill/observation/_definitions.py
+++ b/egretsill/observation/_definitions.py
@@ -179,6 +179,18 @@
         "Reads and watches of the platform's services.",
         "Failures in every failure domain: the platform is down; flows continue without it.",
     ),
+    _counter(
+        "store_returns",
+        (),
+        "Times that the store's era rose: it came back from a copy and lost recent changes.",
+        "Compare store_era of all processes; one that stays lower is behind.",
+    ),
+    _counter(
+        "entries_outdated",
+        (),
+        "Entries of targets that were passed over because a later one is known.",
+        "Expected for some seconds after the store came back from a copy, and not otherwise.",
+    ),
     _counter(
         "membership_changes",
         ("state",),
@@ -222,6 +234,13 @@
         "Revision number of the configuration in force.",
         "It must become the same at all processes within seconds; one that lags is isolated.",
     ),
+    _gauge(
+        "store_era",
+        (),
+        "Era of the store that the content in force was read in; it rises with each return from a "
+        "copy.",
+        "It must become the same at all processes within seconds; one that lags is isolated.",
+    ),
     _gauge("draining", (), "1 while this process takes no new work, else 0."),
     _gauge(
         "members",
--- a/egretsill/observation/_metrics.py
+++ b/egretsill/observation/_metrics.py
@@ -214,6 +214,8 @@
     configuration_conflicts: Counter
     configuration_ignored: Counter
     platform_reads: Counter
+    store_returns: Counter
+    entries_outdated: Counter
     membership_changes: Counter
     gossip_messages: Counter
     clock_jumps: Counter
@@ -227,6 +229,7 @@
     requests_queued: Gauge
     relay_links_open: Gauge
     revision_in_force: Gauge
+    store_era: Gauge
     draining: Gauge
     members: Gauge
     time_to_first_byte_seconds: Histogram
