--- a/egretsill/node/_store_reading.py
+++ b/egretsill/node/_store_reading.py
@@ -123,7 +123,7 @@
         directory = self._directory
         if at < directory.content_revision:
             self._journal.record(
-                "store-response-outdated", era=era, at=at, revision=directory.content_revision
+                "store-response-outdated", era=era, read=at, revision=directory.content_revision
             )
         if era == self._era:
             return
@@ -133,7 +133,7 @@
             "store-era-changed",
             before=self._era,
             era=era,
-            at=at,
+            read=at,
             revision=directory.content_revision,
             version=directory.version,
             version_read=snapshot.table.version if snapshot and snapshot.table else None,
