--- a/egretsill/emulator/_adapter.py
+++ b/egretsill/emulator/_adapter.py
@@ -4,7 +4,7 @@
 
 import enum
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import Any, Protocol
 
 import trio
 
@@ -84,6 +84,12 @@
     def compact(self) -> None:
         """Discard the history of changes."""
 
+    def copy(self) -> Any:
+        """Return a copy of the content, for `return_from`."""
+
+    def return_from(self, copy: Any) -> None:
+        """Replace the content by a copy; the era rises and later revisions are given out again."""
+
     async def serve_stream(self, stream: trio.SocketStream) -> None:
         """Serve the requests of one connection."""
 
--- a/egretsill/emulator/_day.py
+++ b/egretsill/emulator/_day.py
@@ -163,6 +163,17 @@
     kind: Literal["store-forgets"]
 
 
+class StoreReturns(_Event):
+    """Copies the store; later stops it for some seconds and brings it back from the copy.
+
+    Operators and targets write again what the store has lost.
+    """
+
+    kind: Literal["store-returns"]
+    lost: Seconds = 4.0
+    seconds: Seconds = 1.0
+
+
 class Configure(_Event):
     """Publishes configurations that add and remove unused routes."""
 
@@ -240,6 +251,7 @@
     | StoreSlow
     | StoreRefuses
     | StoreForgets
+    | StoreReturns
     | Configure
     | MoveRoute
     | Drain
--- a/egretsill/emulator/_events.py
+++ b/egretsill/emulator/_events.py
@@ -31,6 +31,7 @@
     StoreDown,
     StoreForgets,
     StoreRefuses,
+    StoreReturns,
     StoreSlow,
 )
 from ._machine import Machine
@@ -100,6 +101,8 @@
             )
         case StoreForgets():
             world.store.compact()
+        case StoreReturns():
+            _return_store(world, event)
         case Configure():
             for number in range(event.count):
                 world.scheduler.call_later(
@@ -131,6 +134,22 @@
             _end_fault_later(world, event.seconds, lambda: _end_burst(world, event.factor))
 
 
+def _return_store(world: World, event: StoreReturns) -> None:
+    copy = world.store.copy()
+
+    def stop() -> None:
+        world.store.faults.is_down = True
+
+    def come_back() -> None:
+        world.store.faults.is_down = False
+        world.store.return_from(copy)
+        world.write_again()
+        world.scheduler.call_later(EXPIRY_SECONDS, world.remove_stale_entries)
+
+    world.scheduler.call_later(event.lost, stop)
+    _end_fault_later(world, event.lost + event.seconds, come_back)
+
+
 def _machines(world: World, who: ProcessGroup, share: float) -> Sequence[Machine]:
     match who:
         case ProcessGroup.BALANCERS:
--- a/egretsill/emulator/_judge.py
+++ b/egretsill/emulator/_judge.py
@@ -109,7 +109,7 @@
 
     def note_draining(self, target: Target, now: float) -> None:
         """Record that the store confirmed that a target is draining."""
-        self._draining_since[target.name] = now
+        self._draining_since.setdefault(target.name, now)
 
     # Datagrams written and received by callers and targets.
 
--- a/egretsill/emulator/_world.py
+++ b/egretsill/emulator/_world.py
@@ -31,6 +31,7 @@
 CALLERS_A_DOMAIN = 3
 STORE = Address("10.200.0.1", 8169)
 STORE_WRITE_SECONDS = 0.005
+WRITTEN_AGAIN_SECONDS = 2.0  # after the store's return from a copy
 SERVICE_HOST = parse_ipv4("198.18.0.1")
 FIRST_SERVICE_PORT = 443
 UNUSED_SERVICE_PORT = 8_000
@@ -80,6 +81,7 @@
         self._numbers = itertools.count(1)
         self._names = itertools.count(1)
         self._version = 0
+        self._table: RouteTable | None = None
         self._fabric = StreamSocketFactory(self.network)
         self._routers = {
             domain: Router(f"10.201.0.{number}", PACKETS, HEALTH, day.hashing, self.network)
@@ -152,9 +154,33 @@
             port = UNUSED_SERVICE_PORT + number
             share = (ServiceShare(LISTINGS, 1),)
             routes[SERVICE_HOST, port] = Route(f"spare-{number}", SERVICE_HOST, port, share)
-        table = RouteTable(self._version, routes, IDLE_SECONDS)
-        self.store.publish(table)
-        self.judge.note_version(table, self.scheduler.now + STORE_WRITE_SECONDS)
+        self._table = RouteTable(self._version, routes, IDLE_SECONDS)
+        self.judge.note_version(self._table, self.scheduler.now + STORE_WRITE_SECONDS)
+        self._write_configuration()
+
+    def write_again(self) -> None:
+        """Write again what the store has lost, as operators and targets do within two seconds."""
+        self.scheduler.call_later(
+            self.random.uniform(0.0, WRITTEN_AGAIN_SECONDS), self._write_configuration
+        )
+        for target in self.targets.values():
+            if target.is_running:
+                self.scheduler.call_later(
+                    self.random.uniform(0.0, WRITTEN_AGAIN_SECONDS),
+                    lambda t=target: self.register(t),  # type: ignore[misc]
+                )
+
+    def remove_stale_entries(self) -> None:
+        """Remove the entries of stopped targets, which a copy may have brought back."""
+        for name, target in self.targets.items():
+            if not target.is_running:
+                self.remove_entry(name)
+
+    def _write_configuration(self) -> None:
+        if self.store.faults.is_down:
+            self.scheduler.call_later(0.5, self._write_configuration)
+        elif self._table is not None:
+            self.store.publish(self._table)
 
     def add_balancer(self, domain: str) -> Machine:
         """Add a VM with a balancer."""
