--- a/egretsill/directory/_revision.py
+++ b/egretsill/directory/_revision.py
@@ -13,7 +13,7 @@
     follow the copy's, so numbers of different eras must not be compared.
 
     Attributes:
-        era: how often the store has come back from a copy, by its own count.
+        era: rises each time that the store comes back from a copy; 0 if the store states none.
         number: the store's revision within the era.
     """
 
--- a/egretsill/node/tests/test_store_reading.py
+++ b/egretsill/node/tests/test_store_reading.py
@@ -5,7 +5,15 @@
 import pytest
 import trio
 
-from ...directory import Changes, Directory, ReadPlan, RouteTable, Snapshot, StoreRevision
+from ...directory import (
+    Changes,
+    Directory,
+    HistoryLost,
+    ReadPlan,
+    RouteTable,
+    Snapshot,
+    StoreRevision,
+)
 from ...directory.tests.revisions import rev
 from ...observation import Journal, Metrics
 from ...timing import VirtualTimerService
@@ -70,3 +78,47 @@
     for _ in range(3):
         trio.run(reading._do_next_step)
         assert directory.confirmed_at == pytest.approx(store.lookup_at)
+
+
+class ScriptedStore:
+    """A store that gives one prepared snapshot after the other; watches change nothing."""
+
+    def __init__(self, *revisions: StoreRevision) -> None:
+        self._revisions = list(revisions)
+
+    async def read(self, timeout_seconds: float) -> Snapshot:
+        return Snapshot(self._revisions.pop(0), TABLE, ())
+
+    async def watch(
+        self, after: StoreRevision, wait_seconds: float, timeout_seconds: float
+    ) -> Changes:
+        raise HistoryLost(after, after.era)
+
+    async def close(self) -> None:
+        """Nothing is open."""
+
+
+# Guards against content of an earlier era, or of an unstated one, once a later era is known.
+@pytest.mark.parametrize("late", [rev(50, era=1), rev(50, era=0)], ids=["earlier", "unstated"])
+def test_answer_of_an_earlier_era_is_a_typed_failure(late: StoreRevision) -> None:
+    timer = VirtualTimerService()
+    directory = Directory()
+    metrics = Metrics()
+    journal = Journal("reader", lambda: timer.now, lambda: timer.now)
+    plan = ReadPlan(HOST, is_first_start=False)
+    reading = StoreReading(
+        ScriptedStore(rev(10, era=2), late),
+        plan,
+        directory,
+        lambda: (HOST,),
+        timer,
+        metrics,
+        journal,
+        lambda _: None,
+        lambda: None,
+    )
+    for _ in range(3):
+        trio.run(reading._do_next_step)
+    assert directory.content_revision == rev(10, era=2)
+    assert not plan.can_read(timer.now)
+    assert metrics.platform_reads.value("failed") == 1
