--- a/egretsill/directory/_target_entries.py
+++ b/egretsill/directory/_target_entries.py
@@ -6,11 +6,10 @@
 from collections.abc import Mapping, Sequence
 
 from ._model import Target, TargetPhase
-from ._target_index import NEVER, TargetIndex, TargetView
+from ._target_index import COPY_SETTLING_SECONDS, NEVER, TargetIndex, TargetView
 from ._write_order import WriteOrder, compare_writes
 
 LAPSE_GRACE_SECONDS = 2.5  # running targets renew within 2 s of the store's return, plus lag
-COPY_SETTLING_SECONDS = 10.0  # by then entries that only a copy still had have expired
 MAXIMUM_RETAINED = 10_000  # departed targets kept; two a second over the retention, and slack
 
 
--- a/egretsill/directory/_target_index.py
+++ b/egretsill/directory/_target_index.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -10,6 +10,7 @@
 from ._write_order import is_successor
 
 NEVER = float("-inf")
+COPY_SETTLING_SECONDS = 10.0  # by then entries that only a copy still had have expired
 
 KeyT = TypeVar("KeyT")
 
@@ -57,7 +58,7 @@
         return self._by_host.get(host, ())
 
     def rebuild(
-        self, current: Mapping[str, TargetView], departed: Iterable[TargetView], now: float
+        self, current: Mapping[str, TargetView], departed: Collection[TargetView], now: float
     ) -> None:
         """Index all targets again.
 
@@ -68,27 +69,33 @@
         """
         by_service: dict[str, list[TargetView]] = {}
         by_host: dict[int, list[TargetView]] = {}
-        for view in (*self._without_replaced(current, now), *departed):
+        for view in (*self._without_replaced(current, departed, now), *departed):
             by_service.setdefault(view.target.service, []).append(view)
             by_host.setdefault(view.target.host, []).append(view)
         self._by_service = _as_tuples(by_service)
         self._by_host = _as_tuples(by_host)
 
     def _without_replaced(
-        self, current: Mapping[str, TargetView], now: float
+        self, current: Mapping[str, TargetView], departed: Iterable[TargetView], now: float
     ) -> Iterable[TargetView]:
         """Yield the targets; one whose address belongs to a newer target is yielded as departed.
 
         The entry of a crashed target stays in the store for a while, when the next target at its
-        address may already have its own entry. A copy of the store may have only the former.
+        address may already have its own entry. A copy of the store may have only the former, which
+        is replaced even if the next target's entry is missing for longer than it is awaited.
         """
         newest: dict[tuple[int, int], TargetView] = {}
-        for view in current.values():
+        recent = (each for each in departed if _has_recently_departed(each, now))
+        for view in (*current.values(), *recent):
             place = (view.target.host, view.target.port)
             known = newest.get(place)
             if known is None or is_successor(view.target, known.target):
                 newest[place] = view
-        kept = {each.target.name for each in newest.values()}
+        kept = {
+            name
+            for name, view in current.items()
+            if newest[view.target.host, view.target.port] is view
+        }
         self._replaced_at = {
             name: self._replaced_at.get(name, now) for name in current if name not in kept
         }
@@ -108,6 +115,10 @@
     return newest
 
 
+def _has_recently_departed(view: TargetView, now: float) -> bool:
+    return view.missing_since is not None and now - view.missing_since < COPY_SETTLING_SECONDS
+
+
 def _is_newer(view: TargetView, other: TargetView) -> bool:
     has_entry = view.missing_since is None
     if has_entry != (other.missing_since is None):
