--- a/egretsill/measurements/_wrong_decisions.py
+++ b/egretsill/measurements/_wrong_decisions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import operator
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
@@ -13,7 +14,9 @@
 from ..address_steering._placement import FlowPlacement
 from ..address_steering._presence import Presence
 from ..address_steering._target_capacity import TargetCapacity
-from ..directory import Directory, Pause, ReadPlan, TargetPhase
+from ..directory import Directory, Pause, ReadPlan, StoreRevision, TargetPhase
+from ..directory._target_entries import TargetEntries
+from ..node._fleet_link import FleetLink
 
 Method = Callable[..., Any]
 
@@ -147,6 +150,25 @@
     return has_left
 
 
+def _compare_numbers(operation: Callable[[int, int], bool]) -> Callable[[Method], Method]:
+    def make(_: Method) -> Method:
+        return lambda self, other: operation(self.number, other.number)
+
+    return make
+
+
+def _hide_era(original: Method) -> Method:
+    def make_head(self: Any, *rest: Any) -> Any:
+        head = original(self, *rest)
+        return head._replace(revision=StoreRevision(0, head.revision.number))
+
+    return make_head
+
+
+def _take_any_entry(_: Method) -> Method:
+    return lambda *_: True
+
+
 WRONG_DECISIONS = (
     WrongDecision(
         "targets that leave get new flows",
@@ -196,4 +218,22 @@
         "entries-vanish",
         (Replacement(Presence, "has_left", _trust_vanished_entries),),
     ),
+    WrongDecision(
+        "content is ordered by the store's revision alone",
+        "store-returns-before-a-route-moves",
+        tuple(
+            Replacement(StoreRevision, f"__{each.__name__}__", _compare_numbers(each))
+            for each in (operator.lt, operator.le, operator.gt, operator.ge)
+        ),
+    ),
+    WrongDecision(
+        "heartbeats don't tell the era",
+        "store-returns-while-it-refuses-some",
+        (Replacement(FleetLink, "_make_head", _hide_era),),
+    ),
+    WrongDecision(
+        "a copy's entry wins over a later write",
+        "store-returns-over-drains",
+        (Replacement(TargetEntries, "_is_taken", _take_any_entry),),
+    ),
 )
