--- a/egretsill/fleet/tests/test_heartbeat.py
+++ b/egretsill/fleet/tests/test_heartbeat.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import struct
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -67,3 +69,10 @@
 def test_malformed_heartbeat_is_rejected(data: bytes) -> None:
     with pytest.raises(MalformedHeartbeat):
         decode_head(data)
+
+
+# Guards against a heartbeat of an earlier build, without an era, that is read as one of this build.
+def test_heartbeat_without_an_era_is_malformed() -> None:
+    head = struct.Struct(">BIQIQQIB").pack(0xB1, 0x0A010001, 1, 77, 12, 3_456, 250, 0)
+    with pytest.raises(MalformedHeartbeat):
+        decode_head(head + bytes(24))
--- a/egretsill/node/tests/test_content_exchange.py
+++ b/egretsill/node/tests/test_content_exchange.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
+from dataclasses import astuple, replace
+
+import msgpack
+import pytest
 
 from ...directory import (
     Changes,
@@ -10,6 +13,7 @@
     ContentResponse,
     ContentUpdate,
     Directory,
+    MalformedContent,
     Route,
     RouteTable,
     ServiceShare,
@@ -91,3 +95,45 @@
     assert process.exchange.apply_push(b"\x00\x01") is False
     assert len(process.problems) == 1
     assert process.directory.content_revision == rev(20)
+
+
+# Guards against content that is taken from a peer's message with a malformed era.
+@pytest.mark.parametrize(
+    "revision",
+    [(21,), ("1", 21), (-1, 21), (1, 2**60), (1, 21, 0), (None, 21)],
+    ids=["absent", "text", "negative", "huge", "too long", "none"],
+)
+def test_malformed_era_is_counted_and_nothing_is_taken(revision: tuple[int, int]) -> None:
+    process = Process()
+    update = ContentUpdate(revision, 0, (1, 20), None, (), ("one",))
+    assert process.exchange.apply_push(msgpack.packb([45, *astuple(update)])) is False
+    assert len(process.problems) == 1
+    with pytest.raises(MalformedContent):
+        process.exchange._apply_response(ContentResponse(revision, 0, None, ()))
+    with pytest.raises(MalformedContent):
+        process.exchange.respond(ContentRequest(7, revision))
+    assert process.directory.content_revision == rev(20)
+    assert names(process) == {"one"}
+
+
+def test_changes_across_eras_are_malformed() -> None:
+    process = Process()
+    update = ContentUpdate((2, 21), 0, (1, 20), None, (), ("one",))
+    assert process.exchange.apply_push(msgpack.packb([45, *astuple(update)])) is False
+    assert (len(process.problems), names(process)) == (1, {"one"})
+
+
+# Guards against changes that are refused for ever by a peer with another configuration.
+def test_peer_with_another_configuration_at_the_same_revision_gets_all_content() -> None:
+    process, peer = Process(), Process()
+    process.directory.apply_peer_content(rev(20), make_table(9, range(1, 5)), (ONE,), 0.0, 1.0)
+    process.directory.apply_changes(Changes(rev(21), make_table(12, range(1, 6))), 1.0)
+    request = ContentRequest(peer.directory.version, (1, 20))
+    response = process.exchange.respond(request)
+    assert isinstance(response, ContentResponse)
+    assert peer.exchange._apply_response(response)
+    assert peer.directory.table == process.directory.table
+
+
+def names(process: Process) -> set[str]:
+    return {each.name for each in process.directory.targets}
