--- a/egretsill/configuration/_distributor.py
+++ b/egretsill/configuration/_distributor.py
@@ -21,7 +21,7 @@
 from ._ledger import PutInForce, RevisionConflict
 from ._messages import Announcement, ConfigurationRequest, ConfigurationResponse
 from ._model import Bundle
-from ._platform_client import Value, WatchAnswer
+from ._platform_client import Unchanged, Value, WatchAnswer
 from ._readers import ReadOnce, Wait, Watch
 from ._sources import PeerSource, PlatformSource, answer_request, read_publication
 from ._vms import VMS_KEY, Vm, decode_vms
@@ -31,6 +31,7 @@
 LONGEST_WAIT_SECONDS = 5.0
 FIRST_VM_LIST_BACKOFF_SECONDS = 1.0
 LONGEST_VM_LIST_BACKOFF_SECONDS = 30.0
+NO_VERSION = 0  # before all versions that the platform gives to values
 
 SendAnnouncement: TypeAlias = Callable[[Address, Announcement], object]
 Fetch: TypeAlias = Callable[[Address, ConfigurationRequest], Awaitable[ConfigurationResponse]]
@@ -119,11 +120,11 @@
         self._conflict_subscribers: list[Callable[[RevisionConflict], None]] = []
         self._vms: Sequence[Vm] = ()
         self._vms_bytes = 0
-        self._vms_version = 0
+        self._vms_version = NO_VERSION
         self._counters = DistributionCounters()
         self._fetch_sender, self._fetch_receiver = trio.open_memory_channel[FetchFrom](8)
         self._schedule_changed = trio.Event()
-        self._head_version = 0
+        self._head_version = NO_VERSION
 
     @property
     def bundle(self) -> Bundle | None:
@@ -275,8 +276,9 @@
             self._read_scheduler.note_success(self._timer.now)
             if isinstance(answer, Value):
                 await self._read_content(answer)
-            self._head_version = answer.version
+            self._head_version = _next_watched_version(answer, self._head_version)
         except PlatformFailure:
+            self._head_version = NO_VERSION
             self._counters.platform_failures += 1
             self._read_scheduler.note_failure(self._timer.now)
         except ConfigurationError as error:
@@ -325,8 +327,9 @@
             answer = await self._vm_platform.watch(VMS_KEY, self._vms_version, 0.0)
             if isinstance(answer, Value):
                 self._apply_vms(answer)
-            self._vms_version = answer.version
+            self._vms_version = _next_watched_version(answer, self._vms_version)
         except PlatformFailure:
+            self._vms_version = NO_VERSION
             self._counters.platform_failures += 1
             return False
         except ConfigurationError as error:
@@ -341,3 +344,13 @@
         self._notify_schedule_changed()
         for subscriber in self._vm_subscribers:
             subscriber(self._vms)
+
+
+def _next_watched_version(answer: WatchAnswer, watched: int) -> int:
+    """Return the version after which to watch next.
+
+    A platform that came back from a copy gives versions out again, so after a failure, or an answer
+    with a lower version, the content is read again whatever its version.
+    """
+    is_older = isinstance(answer, Unchanged) and answer.version < watched
+    return NO_VERSION if is_older else answer.version
--- a/egretsill/configuration/tests/test_distributor.py
+++ b/egretsill/configuration/tests/test_distributor.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 from random import Random
 
+import pytest
 import trio
 
 from ...stand_ins.platform import Failing, PlatformStandIn, Well
@@ -96,6 +97,37 @@
     run(scenario)
 
 
+# Guards against a revision that is missed as the platform came back from a copy and gave its
+# version to other content.
+@pytest.mark.parametrize("unrelated_writes", [0, 1, 40])
+def test_revision_after_the_platform_returned_from_a_copy_takes_force(
+    unrelated_writes: int,
+) -> None:
+    history = make_history(3)
+
+    async def scenario(stand_in: PlatformStandIn, service: ConfigurationService) -> None:
+        stand_in.publish_vms(encode_vms([Vm(NAME, "agent", "turnisor")]))
+        stand_in.publish(encode_publication(history[0]))
+        await wait_for(lambda: service.revision == 1)
+        copy = stand_in.store.copy()
+        for number in range(20):
+            stand_in.store.put("unrelated", str(number).encode())
+        stand_in.publish(encode_publication(history[1]))
+        await wait_for(lambda: service.revision == 2)
+        failures = service.counters.platform_failures
+        stand_in.set_fault(Failing())
+        await wait_for(lambda: service.counters.platform_failures > failures)
+        stand_in.store.return_from(copy)
+        for number in range(unrelated_writes):
+            stand_in.store.put("unrelated", str(number).encode())
+        stand_in.publish(encode_publication(history[2]))
+        stand_in.set_fault(Well())
+        with trio.fail_after(10):
+            await wait_for(lambda: service.revision == 3)
+
+    run(scenario)
+
+
 def test_process_without_peers_reads_platform_directly() -> None:
     history = make_history(1)
 
--- a/egretsill/stand_ins/_platform_store.py
+++ b/egretsill/stand_ins/_platform_store.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter, deque
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import TypeAlias
 
@@ -70,6 +70,19 @@
     content: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class PlatformCopy:
+    """A copy of a store's content.
+
+    Attributes:
+        version: the latest version when it was made.
+        values: the latest versions of each value.
+    """
+
+    version: int
+    values: Mapping[str, Sequence[StoredValue]]
+
+
 class PlatformStore:
     """Keeps the latest versions of each value and counts the reads of each second."""
 
@@ -114,6 +127,18 @@
         for key, content in values.items():
             self.put(key, content)
 
+    def copy(self) -> PlatformCopy:
+        """Return a copy of the content."""
+        values = {key: tuple(versions) for key, versions in self._values.items()}
+        return PlatformCopy(self._version, values)
+
+    def return_from(self, copy: PlatformCopy) -> None:
+        """Replace the content by a copy; later versions are given out again."""
+        self._version = copy.version
+        self._values = {
+            key: deque(versions, maxlen=MAXIMUM_VERSIONS) for key, versions in copy.values.items()
+        }
+
     def remove(self, key: str) -> None:
         """Remove a value with all its versions."""
         self._values.pop(key, None)
