--- a/egretsill/directory/_write_order.py
+++ b/egretsill/directory/_write_order.py
@@ -21,14 +21,17 @@
 
 
 def compare_writes(entry: Target, known: Target) -> WriteOrder:
-    """Compare two writes of the entry of one name."""
+    """Compare a write of an entry with a known write of the entry of the same name.
+
+    A write that is found again in a copy of the store is the same, whatever its revision.
+    """
     if entry.revision.era == known.revision.era:
-        return _order(entry.revision.number, known.revision.number)
+        return _order((entry.revision.number,), (known.revision.number,))
     if replace(entry, revision=known.revision) == known:
         return WriteOrder.SAME
     if entry.write_number == known.write_number:
         # The writer doesn't number its writes.
-        return _order(entry.revision.era, known.revision.era)
+        return _order((entry.revision.era,), (known.revision.era,))
     return _order(entry.write_number, known.write_number)
 
 
@@ -41,7 +44,7 @@
     return target.started_milliseconds > other.started_milliseconds
 
 
-def _order(one: int | tuple[int, int], other: int | tuple[int, int]) -> WriteOrder:
+def _order(one: tuple[int, ...], other: tuple[int, ...]) -> WriteOrder:
     if one == other:
         return WriteOrder.SAME
-    return WriteOrder.LATER if one > other else WriteOrder.EARLIER  # type: ignore[operator]
+    return WriteOrder.LATER if one > other else WriteOrder.EARLIER
