--- a/egretsill/directory/__init__.py
+++ b/egretsill/directory/__init__.py
@@ -20,7 +20,7 @@
 )
 from ._model import Changes, Route, RouteTable, ServiceShare, Snapshot, Target, TargetPhase
 from ._reading import READERS, Pause, ReadAll, ReadPlan, ReadStep, WatchChanges, reader_order
-from ._revision import NO_REVISION, StoreRevision
+from ._revision import NO_REVISION, REVISION_LIMIT, StoreRevision
 from ._store import HistoryLost, Store, StoreFailure, StoreUnavailable
 from ._target_index import TargetView
 
@@ -38,6 +38,7 @@
     "NO_REVISION",
     "Pause",
     "READERS",
+    "REVISION_LIMIT",
     "RETENTION_SECONDS",
     "ReadAll",
     "ReadPlan",
--- a/egretsill/directory/_messages.py
+++ b/egretsill/directory/_messages.py
@@ -8,7 +8,7 @@
 
 from ._change_log import ContentChanges, RouteChanges
 from ._model import Route, RouteTable, ServiceShare, Target, TargetPhase
-from ._revision import StoreRevision
+from ._revision import REVISION_LIMIT, StoreRevision
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,8 +64,6 @@
     removed: tuple[str, ...]
 
 
-REVISION_LIMIT = 2**53  # numbers below this are exact in JSON
-
 DIRECTORY_TYPES: Mapping[int, type] = {43: ContentRequest, 44: ContentResponse, 45: ContentUpdate}
 DirectoryMessage: TypeAlias = ContentRequest | ContentResponse | ContentUpdate
 
--- a/egretsill/fleet/_heartbeat.py
+++ b/egretsill/fleet/_heartbeat.py
@@ -9,7 +9,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from ..directory import StoreRevision
+from ..directory import REVISION_LIMIT, StoreRevision
 
 MAXIMUM_REPORTS = 89  # per datagram, so that it fits in a packet of 1,200 bytes
 MAXIMUM_CELL_BYTES = 80
@@ -130,6 +130,8 @@
     if len(data) < _HEAD.size or data[0] not in (_PLAIN_MARK, _SUBSCRIBING_MARK):
         raise MalformedHeartbeat("head")
     mark, host, incarnation, sequence, version, era, number, age, size = _HEAD.unpack_from(data)
+    if era >= REVISION_LIMIT or number >= REVISION_LIMIT:
+        raise MalformedHeartbeat("revision")
     reports_at = _HEAD.size + size
     if len(data) < reports_at or (len(data) - reports_at) % _REPORT.size:
         raise MalformedHeartbeat("length")
--- a/egretsill/fleet/tests/test_heartbeat.py
+++ b/egretsill/fleet/tests/test_heartbeat.py
@@ -76,3 +76,10 @@
     head = struct.Struct(">BIQIQQIB").pack(0xB1, 0x0A010001, 1, 77, 12, 3_456, 250, 0)
     with pytest.raises(MalformedHeartbeat):
         decode_head(head + bytes(24))
+
+
+def test_heartbeat_with_an_era_out_of_range_is_malformed() -> None:
+    data = encode_heartbeat(Heartbeat(HEAD._replace(revision=rev(1, era=2**60)), []))
+    with pytest.raises(MalformedHeartbeat) as caught:
+        decode_head(data)
+    assert caught.value.reason == "revision"
