--- a/egretsill/emulator/_world.py
+++ b/egretsill/emulator/_world.py
@@ -82,6 +82,7 @@
         self._names = itertools.count(1)
         self._version = 0
         self._table: RouteTable | None = None
+        self._confirmed_version = 0
         self._fabric = StreamSocketFactory(self.network)
         self._routers = {
             domain: Router(f"10.201.0.{number}", PACKETS, HEALTH, day.hashing, self.network)
@@ -155,7 +156,6 @@
             share = (ServiceShare(LISTINGS, 1),)
             routes[SERVICE_HOST, port] = Route(f"spare-{number}", SERVICE_HOST, port, share)
         self._table = RouteTable(self._version, routes, IDLE_SECONDS)
-        self.judge.note_version(self._table, self.scheduler.now + STORE_WRITE_SECONDS)
         self._write_configuration()
 
     def write_again(self) -> None:
@@ -181,6 +181,9 @@
             self.scheduler.call_later(0.5, self._write_configuration)
         elif self._table is not None:
             self.store.publish(self._table)
+            if self._table.version > self._confirmed_version:
+                self._confirmed_version = self._table.version
+                self.judge.note_version(self._table, self.scheduler.now + STORE_WRITE_SECONDS)
 
     def add_balancer(self, domain: str) -> Machine:
         """Add a VM with a balancer."""
