--- a/egretsill/directory/_target_entries.py
+++ b/egretsill/directory/_target_entries.py
@@ -129,6 +129,7 @@
         is_same_era = target.revision.era == former.target.revision.era
         order = compare_writes(target, former.target)
         if is_settled and not is_same_era and order is not WriteOrder.SAME:
+            # What the copy lacked is written again, so the store's own order counts.
             is_later = target.revision > former.target.revision
             order = WriteOrder.LATER if is_later else WriteOrder.EARLIER
         if known is None:
