Compare writes and revisions in one place each; drop state that others hold

Change: compare_revisions is the store's order, called by compare_writes and once a copy has settled.

--- a/egretsill/directory/_directory.py
+++ b/egretsill/directory/_directory.py
@@ -289,12 +289,11 @@
         now: float,
     ) -> bool:
         """Merge complete content, which may be of a later era."""
-        before = self._content_revision
-        is_first, is_return = before == NO_REVISION, revision.era > before.era
+        before, is_first = self._content_revision, not self.has_content
+        is_return = not is_first and revision.era > before.era
         if is_first or is_return:
             self._content_revision = revision
             self._log.clear()
-        is_return = is_return and not is_first
         if is_return:
             self._entries.start_settling(now)
         self._entries.forget_outdated()
--- a/egretsill/directory/_target_entries.py
+++ b/egretsill/directory/_target_entries.py
@@ -7,7 +7,7 @@
 
 from ._model import Target, TargetPhase
 from ._target_index import COPY_SETTLING_SECONDS, NEVER, TargetIndex, TargetView
-from ._write_order import WriteOrder, compare_writes
+from ._write_order import WriteOrder, compare_revisions, compare_writes
 
 LAPSE_GRACE_SECONDS = 2.5  # running targets renew within 2 s of the store's return, plus lag
 MAXIMUM_RETAINED = 10_000  # departed targets kept; two a second over the retention, and slack
@@ -126,15 +126,14 @@
         if former is None:
             return True
         is_settled = self.is_settled(now)
-        is_same_era = target.revision.era == former.target.revision.era
         order = compare_writes(target, former.target)
-        if is_settled and not is_same_era and order is not WriteOrder.SAME:
+        if is_settled and order is not WriteOrder.SAME:
             # What the copy lacked is written again, so the store's own order counts.
-            is_later = target.revision > former.target.revision
-            order = WriteOrder.LATER if is_later else WriteOrder.EARLIER
+            order = compare_revisions(target, former.target)
         if known is None:
             is_taken = is_settled or order is WriteOrder.LATER
         elif known.missing_since is not None:
+            is_same_era = target.revision.era == known.target.revision.era
             is_taken = is_same_era or order is not WriteOrder.EARLIER
         else:
             is_taken = order is WriteOrder.LATER
--- a/egretsill/directory/_write_order.py
+++ b/egretsill/directory/_write_order.py
@@ -26,25 +26,25 @@
     A write that is found again in a copy of the store is the same, whatever its revision.
     """
     if entry.revision.era == known.revision.era:
-        return _order((entry.revision.number,), (known.revision.number,))
+        return compare_revisions(entry, known)
     if replace(entry, revision=known.revision) == known:
         return WriteOrder.SAME
     if entry.write_number == known.write_number:
         # The writer doesn't number its writes.
-        return _order((entry.revision.era,), (known.revision.era,))
-    return _order(entry.write_number, known.write_number)
+        return compare_revisions(entry, known)
+    return WriteOrder.LATER if entry.write_number > known.write_number else WriteOrder.EARLIER
+
+
+def compare_revisions(entry: Target, known: Target) -> WriteOrder:
+    """Compare two writes by the store's order alone."""
+    if entry.revision == known.revision:
+        return WriteOrder.SAME
+    return WriteOrder.LATER if entry.revision > known.revision else WriteOrder.EARLIER
 
 
 def is_successor(target: Target, other: Target) -> bool:
     """Return whether a target got an address after another target that had it."""
-    if target.revision.era == other.revision.era:
-        return target.revision > other.revision
-    if target.started_milliseconds == other.started_milliseconds:
+    is_same_era = target.revision.era == other.revision.era
+    if is_same_era or target.started_milliseconds == other.started_milliseconds:
         return target.revision > other.revision
     return target.started_milliseconds > other.started_milliseconds
-
-
-def _order(one: tuple[int, ...], other: tuple[int, ...]) -> WriteOrder:
-    if one == other:
-        return WriteOrder.SAME
-    return WriteOrder.LATER if one > other else WriteOrder.EARLIER
--- a/egretsill/node/_fleet_link.py
+++ b/egretsill/node/_fleet_link.py
@@ -184,11 +184,7 @@
         if source is None or not self._hubs.is_far(source):
             recipients.update(dict.fromkeys(self._hubs.far_hubs(now)))
         if is_changed:
-            changes = (
-                self._exchange.encode_push(self._pushed_revision)
-                if self._pushed_revision != NO_REVISION
-                else None
-            )
+            changes = self._exchange.encode_push(self._pushed_revision)
             if changes is not None:
                 self._send(bytes((_PUSHED,)) + changes, recipients)
             self._pushed_revision = revision
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -87,7 +87,6 @@
         self._candidates = Candidates(self._directory)
         self._placement = FlowPlacement(self._directory, self._peers, self._candidates)
         self._store_return: StoreReturn | None = None
-        self._outdated_noted = 0
         self._plan = ReadPlan(self._host, settings.is_first_start)
         self._shutdown = ShutdownPlan(settings.grace_seconds)
         self._stopped = trio.Event()
@@ -329,11 +328,11 @@
         )
 
     def _note_outdated_entries(self) -> None:
-        count = self._directory.outdated_entries - self._outdated_noted
+        counter = self._metrics.entries_outdated
+        count = self._directory.outdated_entries - int(counter.value())
         if not count:
             return
-        self._outdated_noted += count
-        self._metrics.entries_outdated.increment(amount=count)
+        counter.increment(amount=count)
         self._journal.record(
             "entries-outdated", count=count, revision=str(self._directory.content_revision)
         )
