--- a/egretsill/address_steering/tests/load_fleet.py
+++ b/egretsill/address_steering/tests/load_fleet.py
@@ -18,8 +18,6 @@
     RouteTable,
     ServiceShare,
     Snapshot,
-    Target,
-    TargetPhase,
 )
 from ...directory.tests.revisions import rev
 from ...fleet import HEARTBEAT_SECONDS, PeerReport
@@ -45,7 +43,7 @@
     syn_copy_delay,
 )
 from .load_parts import OBJECTIVE, Attempt, LoadRecord, ModelTarget, Request, View
-from .scene import DEADLINE, IDLE, PORT, RETENTION, SERVICE, SERVICE_HOST
+from .scene import DEADLINE, IDLE, PORT, RETENTION, SERVICE, SERVICE_HOST, target
 
 SYN_COPIES = 3
 OPEN_TIMEOUT = 1.4
@@ -98,18 +96,7 @@
         self._attempts: dict[FlowKey, Attempt] = {}
         self._port = 1024
         entries = [
-            Target(
-                f"t{n}",
-                1000 + n,
-                80,
-                SERVICE,
-                DOMAINS[n % 3],
-                TargetPhase.READY,
-                slots,
-                0.0,
-                1,
-                rev(10),
-            )
+            target(1000 + n, SERVICE, failure_domain=DOMAINS[n % 3], capacity=slots)
             for n in range(targets)
         ]
         route = Route("r", SERVICE_HOST, PORT, (ServiceShare(SERVICE, 1),), OBJECTIVE, DEADLINE)
