Make the readings under test in one place

Both tests of test_store_reading.py built the same StoreReading of nine arguments. The assertions are as they were; egretsill/node: 38 passed.

--- a/egretsill/node/tests/test_store_reading.py
+++ b/egretsill/node/tests/test_store_reading.py
@@ -12,6 +12,7 @@
     ReadPlan,
     RouteTable,
     Snapshot,
+    Store,
     StoreRevision,
 )
 from ...directory.tests.revisions import rev
@@ -55,26 +56,36 @@
         """Nothing is open."""
 
 
-@pytest.mark.parametrize("delay", [0.004, 0.24, 0.6])
-def test_content_is_confirmed_as_of_the_store_lookup(
-    delay: float,
-) -> None:
-    """Guards against late responses of a slow store that make old content look new."""
-    timer = VirtualTimerService()
-    directory = Directory()
-    plan = ReadPlan(HOST, is_first_start=False)
-    store = SlowStore(timer, delay)
-    reading = StoreReading(
+def make_reading(
+    store: Store,
+    plan: ReadPlan,
+    directory: Directory,
+    timer: VirtualTimerService,
+    metrics: Metrics,
+) -> StoreReading:
+    return StoreReading(
         store,
         plan,
         directory,
         lambda: (HOST,),
         timer,
-        Metrics(),
+        metrics,
         Journal("reader", lambda: timer.now, lambda: timer.now),
         lambda _: None,
         lambda: None,
     )
+
+
+@pytest.mark.parametrize("delay", [0.004, 0.24, 0.6])
+def test_content_is_confirmed_as_of_the_store_lookup(
+    delay: float,
+) -> None:
+    """Guards against late responses of a slow store that make old content look new."""
+    timer = VirtualTimerService()
+    directory = Directory()
+    plan = ReadPlan(HOST, is_first_start=False)
+    store = SlowStore(timer, delay)
+    reading = make_reading(store, plan, directory, timer, Metrics())
     for _ in range(3):
         trio.run(reading._do_next_step)
         assert directory.confirmed_at == pytest.approx(store.lookup_at)
@@ -104,19 +115,9 @@
     timer = VirtualTimerService()
     directory = Directory()
     metrics = Metrics()
-    journal = Journal("reader", lambda: timer.now, lambda: timer.now)
     plan = ReadPlan(HOST, is_first_start=False)
-    reading = StoreReading(
-        ScriptedStore(rev(10, era=2), late),
-        plan,
-        directory,
-        lambda: (HOST,),
-        timer,
-        metrics,
-        journal,
-        lambda _: None,
-        lambda: None,
-    )
+    store = ScriptedStore(rev(10, era=2), late)
+    reading = make_reading(store, plan, directory, timer, metrics)
     for _ in range(3):
         trio.run(reading._do_next_step)
     assert directory.content_revision == rev(10, era=2)
