--- a/review/5/check.py
+++ b/review/5/check.py
@@ -1,101 +1,72 @@
-"""Case 5: entries of another product's servers keep the processes from finding each other."""
+"""Case 5: open flows at a service that a route no longer uses are reset after a rolling restart."""
 
 import asyncio
-import random
+import os
+import signal
 import sys
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "harness"))
 
-from client import ClientHost, Flow  # noqa: E402
-from deployment import BOUNDS, READ_SERVICE, ZONES, Site  # noqa: E402
+from deployment import READ_SERVICE, WRITE_SERVICE, Site, keep_long_flow  # noqa: E402
 from record import Record  # noqa: E402
 from verdict import BROKEN, HELD, NOT_RUN, run_case, with_trouble  # noqa: E402
 
-# Whether a process reads late follows from a hash of its address; see claim.txt.
-NETWORK = "127.47.6"
-BALANCERS, READERS, WRITERS = 6, 6, 2
-FOREIGN_ENTRIES = 80
-SETTLE_SECONDS = 10.0
-CHANGES = 18
-FIRST_PORT = 9_000
-APPLY_SECONDS = BOUNDS["config_apply_ms"] / 1000
-FLOWS_PER_BALANCER = 20
-SPREAD_SECONDS = 0.7
+FLOWS = 24
+OPENING_SECONDS = 6.0
+APPLIED_SECONDS = 4.0
+GAP_SECONDS = 2.0  # between two machines that are stopped and started in turn
+AFTER_SECONDS = 20.0
+ROUTE_PORT = 9_000
 
 
-async def ask_dropped_route(
-    host: ClientHost, service: tuple[int, int], via: tuple[str, int], delay: float
-) -> str | None:
-    """Send a request on a route that was dropped; return the attempt's id if the flow opened."""
-    await asyncio.sleep(delay)
-    flow = Flow(host, service, via)
-    sent_at = host.record.now
-    if not await flow.open() or flow.reset_by is not None:
-        flow.forget()
-        return None
-    host.record.write("opened-on-dropped-route", flow=flow.key, syn_sent_at=round(sent_at, 3))
-    attempt, _ = await flow.request("GET /entry", 2.0)
-    flow.close()
-    return attempt
-
-
-def publish(site: Site, number: int) -> None:
-    """Write the next configuration, which drops the route before and adds another one."""
-    address = site.further_address(FIRST_PORT + number)
-    site.publish([site.route(f"r-{number}", address, "idempotent", READ_SERVICE)])
+def publish(site: Site, weights: dict[str, int]) -> None:
+    """Write a configuration whose third route is shared by services with these weights."""
+    address = site.further_address(ROUTE_PORT)
+    route = site.route("r-shared", address, "idempotent", READ_SERVICE)
+    del route["service"]
+    route["backends"] = [{"service": name, "weight": each} for name, each in weights.items()]
+    site.publish([route])
 
 
 async def play(record: Record) -> int:
-    async with Site(record, BALANCERS, READERS, WRITERS, NETWORK) as site:
-        publish(site, 0)
+    is_only_restart = os.environ.get("TROUBLE") == "restart"
+    async with Site(record, balancers=2, readers=3, writers=2) as site:
+        publish(site, {READ_SERVICE: 50, WRITE_SERVICE: 50})
         if not await site.wait_until_ready():
             return NOT_RUN
-        hosts = [await site.client_host(number) for number in range(4)]
+        restart_seconds = GAP_SECONDS * len(site.machines)
+        until = record.now + OPENING_SECONDS + APPLIED_SECONDS + restart_seconds + AFTER_SECONDS
+        hosts = [await site.client_host(number) for number in range(2)]
+        address = site.further_address(ROUTE_PORT)
+        tasks = [
+            asyncio.create_task(keep_long_flow(hosts[each % 2], address, until, each * 0.1))
+            for each in range(FLOWS)
+        ]
+        await asyncio.sleep(OPENING_SECONDS)
+        opened = [each for host in hosts for each in host.flows.values() if each.is_open]
+        if len(opened) < FLOWS or any(each.reset_by for each in opened):
+            record.write("not-run", why="flows not open", opened=len(opened))
+            return NOT_RUN
+        if with_trouble() and not is_only_restart:
+            publish(site, {READ_SERVICE: 100})
+        await asyncio.sleep(APPLIED_SECONDS)
         if with_trouble():
-            for number in range(FOREIGN_ENTRIES):
-                entry = {
-                    "service": "archive",
-                    "address": f"127.{230 + number % 2}.7.{number + 1}:8080",
-                    "zone": ZONES[number % 2],
-                    "version": "v1",
-                    "capacity": 4,
-                    "phase": "ready",
-                    "warmup_remaining_ms": 0,
-                    "sequence": 1,
-                    "born": site.sides[0].target.started_ms,
-                }
-                site.write_foreign_entry(f"archive-{number}", entry)
-        await asyncio.sleep(SETTLE_SECONDS)
-        for number in range(1, CHANGES + 1):
-            publish(site, number)
-            confirmed_at = record.now
-            dropped = site.further_address(FIRST_PORT + number - 1)
-            tasks = [
-                ask_dropped_route(
-                    hosts[each % len(hosts)],
-                    dropped,
-                    site.packets_address(balancer),
-                    APPLY_SECONDS + 0.01 + SPREAD_SECONDS * each / FLOWS_PER_BALANCER,
-                )
-                for balancer in site.balancers
-                for each in range(FLOWS_PER_BALANCER)
-            ]
-            attempts = [each for each in await asyncio.gather(*tasks) if each is not None]
-            ran = [
-                each
-                for each in attempts
-                if any(machine.target.runs.get(each) for machine in site.sides)
-            ]
-            record.write(
-                "change", number=number, confirmed_at=round(confirmed_at, 3), ran_late=ran
-            )
-            if ran:
-                print(f"change {number}: {len(ran)} requests ran on the dropped route")
-                return BROKEN
-            await asyncio.sleep(random.uniform(0.0, 0.5))
-        return HELD
+            for machine in site.machines:
+                machine.process.send_signal(signal.SIGTERM)
+                await asyncio.sleep(GAP_SECONDS)
+        await asyncio.gather(*tasks)
+        broken = 0
+        for flow in opened:
+            if flow.reset_by != "system":
+                continue
+            holders = [each.target.service for each in site.sides if each.target.holds(flow.key)]
+            record.write("flow-reset-by-system", flow=flow.key, still_open_at=holders)
+            broken += bool(holders)
+        record.write("result", flows=FLOWS, broken=broken)
+        print(f"{broken} of {FLOWS} open flows were reset by the system; their target lives")
+        return BROKEN if broken else HELD
 
 
 run_case(FOLDER, play)
