--- a/review/harness/verdict.py
+++ b/review/harness/verdict.py
@@ -25,7 +25,7 @@
         try:
             async with asyncio.timeout(LIMIT_SECONDS):
                 return await play(record)
-        except (TimeoutError, OSError) as error:
+        except Exception as error:  # a fault of the stand-ins is no verdict
             record.write("not-run", why=repr(error))
             return NOT_RUN
 
