--- a/egretsill/node/_main.py
+++ b/egretsill/node/_main.py
@@ -11,20 +11,23 @@
 from ..address_steering import PacketCodec
 from ..boot import NodeBoot, NodeSettingsRejected, load_node_settings
 from ..observation import log_to_standard_output
+from ..startup import EXIT_STOPPED, HANDLED_SIGNALS, StartupSignals
 from ..timing import TrioTimerService
 from ._node import Node, StoreFactory
 
-EXIT_STOPPED = 0
 SETTINGS_POLL_SECONDS = 1.0  # settings may change without a signal
 
 
-def run(started: NodeBoot, codec: PacketCodec, make_store: StoreFactory) -> int:
+def run(
+    started: NodeBoot, codec: PacketCodec, make_store: StoreFactory, signals: StartupSignals
+) -> int:
     """Run a process until a signal stops it, and return its exit code, 0.
 
     Args:
         started: settings and sockets.
         codec: decodes and encodes the packets of flows.
         make_store: opens the store at an address.
+        signals: handles signals while the event loop doesn't run.
 
     Raises:
         OSError: if a TCP endpoint can't be bound.
@@ -40,20 +43,27 @@
         log_to_standard_output,
         random_source,
     )
-    trio.run(_run, node, started.settings_path)
+    trio.run(_run, node, started.settings_path, signals)
     return EXIT_STOPPED
 
 
-async def _run(node: Node, settings_path: Path) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(_run_until_stopped, node, nursery.cancel_scope)
-            nursery.start_soon(_poll_settings, node, settings_path)
-            async for number in signals:
-                if number == signal.SIGHUP:
+async def _run(node: Node, settings_path: Path, startup_signals: StartupSignals) -> None:
+    try:
+        with trio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
+            is_reload_pending = startup_signals.hand_over()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_run_until_stopped, node, nursery.cancel_scope)
+                nursery.start_soon(_poll_settings, node, settings_path)
+                if is_reload_pending:
                     _reload(node, settings_path)
-                else:
-                    node.shut_down()
+                async for number in signals:
+                    if number == signal.SIGHUP:
+                        _reload(node, settings_path)
+                    else:
+                        node.shut_down()
+    finally:
+        # Not later: trio reports a signal that comes while it closes its own sockets as an error.
+        startup_signals.block()
 
 
 async def _run_until_stopped(node: Node, scope: trio.CancelScope) -> None:
--- /dev/null
+++ b/egretsill/startup/__init__.py
@@ -0,0 +1,5 @@
+"""First statements of a process; imports as little of the standard library as possible."""
+
+from ._startup_signals import EXIT_STOPPED, HANDLED_SIGNALS, StartupSignals
+
+__all__ = ["EXIT_STOPPED", "HANDLED_SIGNALS", "StartupSignals"]
