Addresses and ports: take only the spellings that every program means

A settings file with a port of more than 4,300 digits ended the start with a ValueError instead of the message that names the key. Cause: addresses and ports were read with int(), each place with bounds of its own or none. Change: parse_ipv4 asks the C library (inet_pton), parse_port is the one reader of ports, and is_port and is_unicast_ipv4 say what can be sent to. Settings use them; spaces around an address of the settings stay allowed, as before. Evidence: test_error_names_the_key[other digits, port of 5,000 digits, signed part of an address] failed before (no NodeSettingsRejected, and a ValueError).

--- a/egretsill/boot/_settings.py
+++ b/egretsill/boot/_settings.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from ..endpoints import Address, parse_ipv4
+from ..endpoints import Address, parse_ipv4, parse_port
 
 _BOOLEANS = {"true": True, "false": False}
 
@@ -166,20 +166,22 @@
             ) from error
 
     def _host(self, section: str, key: str, text: str) -> str:
+        host = text.strip()
         try:
-            parse_ipv4(text)
+            parse_ipv4(host)
         except ValueError as error:
             raise NodeSettingsRejected(
                 self._path, section, key, "an IPv4 address is expected"
             ) from error
-        return text
+        return host
 
     def _port(self, section: str, key: str, text: str) -> int:
-        if not text.isdecimal() or not 0 < int(text) < 65536:
+        try:
+            return parse_port(text)
+        except ValueError as error:
             raise NodeSettingsRejected(
                 self._path, section, key, "a port from 1 to 65535 is expected"
-            )
-        return int(text)
+            ) from error
 
 
 def load_node_settings(path: Path) -> NodeSettings:
--- a/egretsill/boot/tests/test_settings.py
+++ b/egretsill/boot/tests/test_settings.py
@@ -72,6 +72,10 @@
         pytest.param("flow_seconds = 60", "flow_seconds = inf", "flow_seconds", id="infinite"),
         pytest.param("grace_seconds = 6", "grace_seconds = -1", "grace_seconds", id="negative"),
         pytest.param("10.2.0.40:8166", "seed:1", "seeds", id="seed without address"),
+        # Guards against numbers that Python parses but that no other program means as ports.
+        pytest.param("= 7720", "= \uff17\uff17\uff12\uff10", "tunnel_port", id="other digits"),
+        pytest.param("= 7720", "= " + "9" * 5_000, "tunnel_port", id="port of 5,000 digits"),
+        pytest.param("= 10.1.0.12", "= 10.1.0.+12", "host", id="signed part of an address"),
     ],
 )
 def test_error_names_the_key(tmp_path: Path, before: str, after: str, key: str) -> None:
--- a/egretsill/endpoints/_address.py
+++ b/egretsill/endpoints/_address.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
+import socket
 from typing import NamedTuple
 
+LARGEST_PORT = 65_535
+MAXIMUM_PORT_DIGITS = 5
+
+_FIRST_MULTICAST = 224 << 24
+
 
 class Address(NamedTuple):
     """A UDP or TCP endpoint by IP number."""
@@ -21,12 +27,37 @@
 
 
 def parse_ipv4(host: str) -> int:
-    """Parse a dotted-decimal IPv4 address into a number.
+    """Parse a dotted-decimal IPv4 address, without leading zeros or spaces, into a number.
 
     Raises:
         ValueError: if the text is not an IPv4 address.
     """
-    parts = [int(part) for part in host.split(".")]
-    if len(parts) != 4 or not all(0 <= part <= 255 for part in parts):
-        raise ValueError(host)
-    return parts[0] << 24 | parts[1] << 16 | parts[2] << 8 | parts[3]
+    try:
+        return int.from_bytes(socket.inet_pton(socket.AF_INET, host), "big")
+    except OSError as error:
+        raise ValueError(host) from error
+
+
+def parse_port(text: str) -> int:
+    """Parse a port from 1 to 65535, at most five ASCII digits without a sign or spaces.
+
+    Raises:
+        ValueError: if the text is not a port.
+    """
+    is_number = text.isascii() and text.isdecimal() and len(text) <= MAXIMUM_PORT_DIGITS
+    if not is_number or not is_port(int(text)):
+        raise ValueError(text[: MAXIMUM_PORT_DIGITS + 1])
+    return int(text)
+
+
+def is_port(number: int) -> bool:
+    """Return whether a number is a port that packets can be sent to."""
+    return 0 < number <= LARGEST_PORT
+
+
+def is_unicast_ipv4(host: int) -> bool:
+    """Return whether a number is the IPv4 address of one VM.
+
+    The unspecified address, multicast addresses and the reserved ones above them are not.
+    """
+    return 0 < host < _FIRST_MULTICAST
