Cells: a long name of a failure domain no longer makes heartbeats unusable

What callers saw: none reported. Cause: encode_heartbeat cut the name of the sender's cell at 80 bytes, wherever that was, while receivers compare it with the whole name. Evidence: test_cell_of_a_domain_with_a_long_name_is_known_to_its_peers failed before in its six cases, four with MalformedHeartbeat (invalid cell), two as the cell in the heartbeat had no members. Change: Cells names a cell of such a domain by the domain's first characters and a hash, at most 80 bytes; heartbeats carry names of cells whole. Names of up to 72 bytes stay as they are.

--- a/egretsill/fleet/_cells.py
+++ b/egretsill/fleet/_cells.py
@@ -9,11 +9,14 @@
 
 from collections.abc import Mapping, Sequence
 
-from xxhash import xxh3_64_intdigest
+from xxhash import xxh3_64_hexdigest, xxh3_64_intdigest
 
 from ..ranking import rank
 
 CELL_TARGETS = 48  # larger domains are split; about a hundred processes with the balancers
+MAXIMUM_CELL_BYTES = 80  # of a cell's name in UTF-8, which every heartbeat carries
+MAXIMUM_NUMBER_CHARACTERS = 8  # of the number with its slash; ten million cells of a domain
+MAXIMUM_DOMAIN_BYTES = MAXIMUM_CELL_BYTES - MAXIMUM_NUMBER_CHARACTERS
 
 
 class Cells:
@@ -29,6 +32,7 @@
         for domain in self._domains.values():
             sizes[domain] = sizes.get(domain, 0) + 1
         self._cell_counts = {domain: -(-size // CELL_TARGETS) for domain, size in sizes.items()}
+        self._short_names = {domain: _shorten(domain) for domain in sizes}
         members: dict[str, list[int]] = {}
         for host, domain in sorted(self._domains.items()):
             members.setdefault(self._cell_name(host, domain), []).append(host)
@@ -64,4 +68,13 @@
         count = self._cell_counts[domain]
         # Rendezvous hashing: an added cell moves only the VMs that it takes over.
         number = rank(host.to_bytes(4, "big"), range(count))[0] if count > 1 else 0
-        return f"{domain}/{number}"
+        return f"{self._short_names[domain]}/{number}"
+
+
+def _shorten(domain: str) -> str:
+    """Return a name of a failure domain that fits in a heartbeat and tells it from others."""
+    encoded = domain.encode()
+    if len(encoded) <= MAXIMUM_DOMAIN_BYTES:
+        return domain
+    mark = "~" + xxh3_64_hexdigest(encoded)
+    return encoded[: MAXIMUM_DOMAIN_BYTES - len(mark)].decode(errors="ignore") + mark
--- a/egretsill/fleet/_heartbeat.py
+++ b/egretsill/fleet/_heartbeat.py
@@ -12,7 +12,6 @@
 from ..directory import REVISION_LIMIT, StoreRevision
 
 MAXIMUM_REPORTS = 89  # per datagram, so that it fits in a packet of 1,200 bytes
-MAXIMUM_CELL_BYTES = 80
 SILENCE_UNIT_MILLISECONDS = 10
 LONGEST_SILENCE_MILLISECONDS = 0xFF * SILENCE_UNIT_MILLISECONDS
 
@@ -102,7 +101,7 @@
 def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
     """Encode a heartbeat; reports beyond `MAXIMUM_REPORTS` are left out."""
     head = heartbeat.head
-    cell = head.cell.encode()[:MAXIMUM_CELL_BYTES]
+    cell = head.cell.encode()
     parts = [
         _HEAD.pack(
             _SUBSCRIBING_MARK if head.is_subscribing else _PLAIN_MARK,
--- a/egretsill/fleet/tests/test_cells.py
+++ b/egretsill/fleet/tests/test_cells.py
@@ -6,7 +6,17 @@
 
 import pytest
 
-from .. import CELL_TARGETS, Cells
+from ...directory.tests.revisions import rev
+from .. import (
+    CELL_TARGETS,
+    MAXIMUM_REPORTS,
+    Cells,
+    Heartbeat,
+    HeartbeatHead,
+    PeerReport,
+    decode_head,
+    encode_heartbeat,
+)
 
 
 def domains(targets: int, count: int) -> dict[int, str]:
@@ -38,3 +48,26 @@
     joined = Counter(cells.cell_of(host, "elsewhere") for host in range(500))
     assert set(joined) == set(cells.names)
     assert Cells({}).cell_of(1, "a") == ""
+
+
+LONG_DOMAINS = {
+    "ascii": "d" * 200,
+    "cut in a character": "d" + "\u0437" * 100,
+    "cut in a long character": "d" * 78 + "\U0001f3ed",
+}
+
+
+# Guards against heartbeats that every peer rejects or attributes to another cell, as the name of
+# the sender's cell was cut, possibly in the middle of a character.
+@pytest.mark.parametrize("domain", LONG_DOMAINS.values(), ids=LONG_DOMAINS)
+@pytest.mark.parametrize("targets", [3, 3 * CELL_TARGETS])
+def test_cell_of_a_domain_with_a_long_name_is_known_to_its_peers(domain: str, targets: int) -> None:
+    similar = domain[:-1] + "e"
+    known = {number: domain if number % 2 else similar for number in range(1, 2 * targets + 1)}
+    cells = Cells(known)
+    for host, its_domain in known.items():
+        cell = cells.cell_of(host, its_domain)
+        head = HeartbeatHead(host, 1, 1, 1, rev(1), 0, cell)
+        data = encode_heartbeat(Heartbeat(head, [PeerReport(host)] * MAXIMUM_REPORTS))
+        assert len(data) <= 1_200
+        assert host in cells.members(decode_head(data).cell)
