--- a/egretsill/boot/__init__.py
+++ b/egretsill/boot/__init__.py
@@ -5,9 +5,9 @@
     AgentSettings,
     NodeRole,
     NodeSettings,
-    NodeSettingsRejected,
     load_node_settings,
 )
+from ._settings_reader import NodeSettingsRejected, SettingsFault
 from ._sockets import NodeSockets, bind_node_sockets
 
 __all__ = [
@@ -18,6 +18,7 @@
     "NodeSettings",
     "NodeSettingsRejected",
     "NodeSockets",
+    "SettingsFault",
     "bind_node_sockets",
     "boot",
     "load_node_settings",
--- a/egretsill/boot/_boot.py
+++ b/egretsill/boot/_boot.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from ._settings import NodeSettings, NodeSettingsRejected, load_node_settings
+from ._settings import NodeSettings, load_node_settings
+from ._settings_reader import NodeSettingsRejected
 from ._sockets import NodeSockets, bind_node_sockets
 
 EXIT_SETTINGS = 2
--- a/egretsill/boot/_settings.py
+++ b/egretsill/boot/_settings.py
@@ -5,15 +5,21 @@
 
 from __future__ import annotations
 
-import configparser
 import enum
 from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
 from ..endpoints import Address, parse_ipv4
+from ._settings_reader import SettingsReader
+
+DEFAULT_FIRST_START = False  # content is read at once, by each process for itself
+DEFAULT_FAILURE_DOMAIN = ""  # near to no target; an agent is in the domain of its target's entry
+DEFAULT_FLOW_SECONDS = 60.0
+DEFAULT_GRACE_SECONDS = 6.0
 
 _BOOLEANS = {"true": True, "false": False}
+_NO_ADDRESS = Address("", 0)
 
 
 class NodeRole(enum.Enum):
@@ -23,25 +29,6 @@
     AGENT = "agent"
 
 
-class NodeSettingsRejected(Exception):
-    """The settings file can't be read or is invalid.
-
-    Attributes:
-        path: the file.
-        section: section of the error, empty if it concerns the whole file.
-        key: key of the error, empty if it concerns the whole section.
-        problem: what is wrong.
-    """
-
-    def __init__(self, path: Path, section: str, key: str, problem: str) -> None:
-        location = f"[{section}] {key}".strip() if section else "file"
-        super().__init__(f"{path}: {location}: {problem}")
-        self.path = path
-        self.section = section
-        self.key = key
-        self.problem = problem
-
-
 @dataclass(frozen=True, slots=True)
 class AgentSettings:
     """Settings that only an agent has.
@@ -65,12 +52,12 @@
         role: role of the process.
         name: name of the process in logs.
         host: IPv4 address of its VM.
-        failure_domain: failure domain of its VM.
+        failure_domain: failure domain of its VM; empty if it isn't known.
         is_first_start: whether the whole fleet starts for the first time.
         packets: endpoint at which a balancer receives callers' packets from the network; balancers
             and agents send packets for callers to its port.
         health: TCP endpoint of the health page.
-        metrics: TCP endpoint of the metrics page.
+        metrics: TCP endpoint of the metrics page; None for no such page.
         tunnel_port: UDP port of tunneled packets and TCP port of content, the same on all VMs.
         gossip_port: UDP port of heartbeats, the same on all VMs.
         store: endpoint of the store.
@@ -80,6 +67,7 @@
             of a flow, and both departed targets and former routes.
         grace_seconds: time between the stop signal and the end of the process.
         agent: settings of an agent; None for a balancer.
+        defaulted: keys that have their default, as they are missing or empty.
     """
 
     role: NodeRole
@@ -89,7 +77,7 @@
     is_first_start: bool
     packets: Address
     health: Address
-    metrics: Address
+    metrics: Address | None
     tunnel_port: int
     gossip_port: int
     store: Address
@@ -97,89 +85,7 @@
     flow_seconds: float
     grace_seconds: float
     agent: AgentSettings | None = None
-
-
-class _Reader:
-    def __init__(self, path: Path) -> None:
-        self._path = path
-        self._parser = configparser.ConfigParser(interpolation=None)
-        try:
-            self._parser.read_string(path.read_text(encoding="utf-8"))
-        except (OSError, UnicodeError) as error:
-            raise NodeSettingsRejected(path, "", "", type(error).__name__) from error
-        except configparser.Error as error:
-            raise NodeSettingsRejected(path, "", "", error.message) from error
-
-    def text(self, section: str, key: str) -> str:
-        """Return a non-empty value."""
-        value = self._parser.get(section, key, fallback="").strip()
-        if not value:
-            raise NodeSettingsRejected(self._path, section, key, "missing or empty")
-        return value
-
-    def flag(self, section: str, key: str) -> bool:
-        """Return a boolean."""
-        value = _BOOLEANS.get(self.text(section, key).lower())
-        if value is None:
-            raise NodeSettingsRejected(self._path, section, key, "true or false is expected")
-        return value
-
-    def seconds(self, section: str, key: str) -> float:
-        """Return a positive duration."""
-        try:
-            value = float(self.text(section, key))
-        except ValueError:
-            value = 0.0
-        if not 0.0 < value < float("inf"):
-            raise NodeSettingsRejected(
-                self._path, section, key, "a finite number of seconds above 0 is expected"
-            )
-        return value
-
-    def port(self, section: str, key: str) -> int:
-        """Return a port number."""
-        return self._port(section, key, self.text(section, key))
-
-    def host(self, section: str, key: str) -> str:
-        """Return an IPv4 address."""
-        return self._host(section, key, self.text(section, key))
-
-    def address(self, section: str, key: str) -> Address:
-        """Return an IPv4 address with a port."""
-        host, _, port = self.text(section, key).rpartition(":")
-        return Address(self._host(section, key, host), self._port(section, key, port))
-
-    def hosts(self, section: str, key: str) -> Sequence[str]:
-        """Return the IPv4 addresses of a list of endpoints, which may be empty."""
-        entries = self._parser.get(section, key, fallback="").split(",")
-        hosts = [each.strip().partition(":")[0] for each in entries if each.strip()]
-        return tuple(self._host(section, key, each) for each in hosts)
-
-    def role(self, section: str, key: str) -> NodeRole:
-        """Return a role."""
-        try:
-            return NodeRole(self.text(section, key))
-        except ValueError as error:
-            expected = " or ".join(each.value for each in NodeRole)
-            raise NodeSettingsRejected(
-                self._path, section, key, f"{expected} is expected"
-            ) from error
-
-    def _host(self, section: str, key: str, text: str) -> str:
-        try:
-            parse_ipv4(text)
-        except ValueError as error:
-            raise NodeSettingsRejected(
-                self._path, section, key, "an IPv4 address is expected"
-            ) from error
-        return text
-
-    def _port(self, section: str, key: str, text: str) -> int:
-        if not text.isdecimal() or not 0 < int(text) < 65536:
-            raise NodeSettingsRejected(
-                self._path, section, key, "a port from 1 to 65535 is expected"
-            )
-        return int(text)
+    defaulted: Sequence[str] = ()
 
 
 def load_node_settings(path: Path) -> NodeSettings:
@@ -188,29 +94,85 @@
     Raises:
         NodeSettingsRejected: if the file can't be read or is invalid.
     """
-    reader = _Reader(path)
-    role = reader.role("node", "role")
-    agent = None
-    if role is NodeRole.AGENT:
-        agent = AgentSettings(
-            reader.text("node", "service"),
-            reader.address("addresses", "target"),
-            reader.address("addresses", "outbound"),
-        )
-    return NodeSettings(
+    reader = SettingsReader(path)
+    role = reader.required("node", "role", _parse_role, NodeRole.BALANCER)
+    agent = _load_agent_settings(reader) if role is NodeRole.AGENT else None
+    settings = NodeSettings(
         role=role,
-        name=reader.text("node", "name"),
-        host=reader.host("node", "host"),
-        failure_domain=reader.text("node", "failure_domain"),
-        is_first_start=reader.flag("node", "first_start"),
-        packets=reader.address("addresses", "packets"),
-        health=reader.address("addresses", "health"),
-        metrics=reader.address("addresses", "metrics"),
-        tunnel_port=reader.port("addresses", "tunnel_port"),
-        gossip_port=reader.port("addresses", "gossip_port"),
-        store=reader.address("addresses", "store"),
-        seeds=reader.hosts("addresses", "seeds"),
-        flow_seconds=reader.seconds("bounds", "flow_seconds"),
-        grace_seconds=reader.seconds("bounds", "grace_seconds"),
+        name=reader.required("node", "name", str, ""),
+        host=reader.required("node", "host", _parse_host, ""),
+        failure_domain=reader.optional("node", "failure_domain", str, DEFAULT_FAILURE_DOMAIN),
+        is_first_start=reader.optional("node", "first_start", _parse_flag, DEFAULT_FIRST_START),
+        packets=reader.required("addresses", "packets", _parse_address, _NO_ADDRESS),
+        health=reader.required("addresses", "health", _parse_address, _NO_ADDRESS),
+        metrics=reader.optional("addresses", "metrics", _parse_address, None),
+        tunnel_port=reader.required("addresses", "tunnel_port", _parse_port, 0),
+        gossip_port=reader.required("addresses", "gossip_port", _parse_port, 0),
+        store=reader.required("addresses", "store", _parse_address, _NO_ADDRESS),
+        seeds=reader.listed("addresses", "seeds", _parse_seed),
+        flow_seconds=reader.optional(
+            "bounds", "flow_seconds", _parse_seconds, DEFAULT_FLOW_SECONDS
+        ),
+        grace_seconds=reader.optional(
+            "bounds", "grace_seconds", _parse_seconds, DEFAULT_GRACE_SECONDS
+        ),
         agent=agent,
+        defaulted=reader.defaulted,
+    )
+    reader.raise_if_faulty()
+    return settings
+
+
+def _load_agent_settings(reader: SettingsReader) -> AgentSettings:
+    return AgentSettings(
+        reader.required("node", "service", str, ""),
+        reader.required("addresses", "target", _parse_address, _NO_ADDRESS),
+        reader.required("addresses", "outbound", _parse_address, _NO_ADDRESS),
     )
+
+
+def _parse_role(text: str) -> NodeRole:
+    try:
+        return NodeRole(text)
+    except ValueError as error:
+        expected = " or ".join(each.value for each in NodeRole)
+        raise ValueError(f"{expected} is expected") from error
+
+
+def _parse_flag(text: str) -> bool:
+    if text.lower() not in _BOOLEANS:
+        raise ValueError("true or false is expected")
+    return _BOOLEANS[text.lower()]
+
+
+def _parse_seconds(text: str) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        value = 0.0
+    if not 0.0 < value < float("inf"):
+        raise ValueError("a finite number of seconds above 0 is expected")
+    return value
+
+
+def _parse_address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    return Address(_parse_host(host), _parse_port(port))
+
+
+def _parse_seed(text: str) -> str:
+    return _parse_host(text.partition(":")[0])
+
+
+def _parse_host(text: str) -> str:
+    try:
+        parse_ipv4(text)
+    except ValueError as error:
+        raise ValueError("an IPv4 address is expected") from error
+    return text
+
+
+def _parse_port(text: str) -> int:
+    if not text.isdecimal() or not 0 < int(text) < 65536:
+        raise ValueError("a port from 1 to 65535 is expected")
+    return int(text)
--- a/egretsill/boot/tests/test_settings.py
+++ b/egretsill/boot/tests/test_settings.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import os
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
+from hypothesis import HealthCheck, given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
 
 from ...endpoints import Address
 from .. import NodeRole, NodeSettingsRejected, load_node_settings
@@ -97,3 +102,133 @@
 def test_missing_file_is_rejected(tmp_path: Path) -> None:
     with pytest.raises(NodeSettingsRejected):
         load_node_settings(tmp_path / "absent.ini")
+
+
+def without(text: str, key: str, value: str | None) -> str:
+    """Return a settings file in which a key is empty, or is missing if the value is None."""
+    lines = [
+        (None if value is None else f"{key} = {value}") if each.startswith(f"{key} =") else each
+        for each in text.splitlines()
+    ]
+    return "\n".join(each for each in lines if each is not None)
+
+
+# Guards against a process that ends because of a field that it can do without.
+@pytest.mark.parametrize("value", [pytest.param(None, id="missing"), pytest.param("", id="empty")])
+@pytest.mark.parametrize(
+    ("section", "key", "attribute", "default"),
+    [
+        pytest.param("node", "first_start", "is_first_start", False, id="first start"),
+        pytest.param("node", "failure_domain", "failure_domain", "", id="failure domain"),
+        pytest.param("addresses", "metrics", "metrics", None, id="metrics"),
+        pytest.param("bounds", "flow_seconds", "flow_seconds", 60.0, id="flow lifetime"),
+        pytest.param("bounds", "grace_seconds", "grace_seconds", 6.0, id="grace period"),
+    ],
+)
+def test_default_is_used_and_named(
+    tmp_path: Path, section: str, key: str, attribute: str, default: object, value: str | None
+) -> None:
+    changed = AGENT.replace("= 60", "= 61").replace("grace_seconds = 6", "grace_seconds = 7")
+    settings = load_node_settings(write(tmp_path, without(changed, key, value)))
+    assert getattr(settings, attribute) == default
+    assert settings.defaulted == (f"{section}.{key}",)
+
+
+def test_complete_file_uses_no_default(tmp_path: Path) -> None:
+    assert load_node_settings(write(tmp_path, AGENT)).defaulted == ()
+
+
+def test_section_without_required_keys_may_be_missing(tmp_path: Path) -> None:
+    text = AGENT.partition("[bounds]")[0]
+    assert load_node_settings(write(tmp_path, text)).defaulted == (
+        "bounds.flow_seconds",
+        "bounds.grace_seconds",
+    )
+
+
+@pytest.mark.parametrize("value", [pytest.param(None, id="missing"), pytest.param("", id="empty")])
+@pytest.mark.parametrize(
+    "key",
+    [
+        "role",
+        "name",
+        "host",
+        "service",
+        "packets",
+        "outbound",
+        "target",
+        "health",
+        "tunnel_port",
+        "gossip_port",
+        "store",
+    ],
+)
+def test_required_key_has_no_default(tmp_path: Path, key: str, value: str | None) -> None:
+    text = without(AGENT, key, value)
+    if key == "role":
+        text = text.replace("service = lookup", "")
+    with pytest.raises(NodeSettingsRejected) as caught:
+        load_node_settings(write(tmp_path, text))
+    assert [each.key for each in caught.value.faults] == [key]
+
+
+# Guards against a file that is mended and rejected again, fault by fault.
+def test_all_faults_are_named_at_once(tmp_path: Path) -> None:
+    text = without(AGENT, "host", "10.1.0").replace("flow_seconds = 60", "flow_seconds = long")
+    text = without(text, "store", "").replace("10.2.0.40:8166", "seed-1,seed-2")
+    with pytest.raises(NodeSettingsRejected) as caught:
+        load_node_settings(write(tmp_path, text))
+    keys = ["host", "store", "seeds", "seeds", "flow_seconds"]
+    assert [each.key for each in caught.value.faults] == keys
+    assert all(f"{each}:" in str(caught.value) for each in keys)
+
+
+# Guards against a reload that ends the process with an error of another type, or never returns.
+@pytest.mark.parametrize(
+    "content",
+    [
+        pytest.param(b"\xff\xfe", id="not UTF-8"),
+        pytest.param(b"\0" * 100, id="NUL characters"),
+        pytest.param(AGENT.encode().replace(b"= 7720", b"= " + b"9" * 5_000), id="huge number"),
+        pytest.param(AGENT.encode().replace(b"= 60", b"= " + b"9" * 5_000), id="huge duration"),
+        pytest.param(AGENT.encode().replace(b"10.1.0.12", b"10.1.0.1\0"), id="NUL in address"),
+        pytest.param(b"[node]\n" + b"x" * 2_000_000, id="too large"),
+        pytest.param(b"[node\n" * 10_000, id="many faulty lines"),
+        pytest.param(b"  continued\n[node]\n", id="continued nothing"),
+    ],
+)
+def test_unusable_content_is_rejected_briefly(tmp_path: Path, content: bytes) -> None:
+    path = tmp_path / "settings.ini"
+    path.write_bytes(content)
+    with pytest.raises(NodeSettingsRejected) as caught:
+        load_node_settings(path)
+    assert len(str(caught.value)) < 2_000
+
+
+def test_other_kinds_of_files_are_rejected(tmp_path: Path) -> None:
+    os.mkfifo(tmp_path / "pipe")
+    for path in (tmp_path, tmp_path / "pipe", Path("/dev/zero")):
+        with pytest.raises(NodeSettingsRejected):
+            load_node_settings(path)
+
+
+@hypothesis_settings(
+    derandomize=True,
+    max_examples=300,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+@given(
+    at=st.integers(0, len(AGENT)),
+    removed=st.integers(0, 40),
+    inserted=st.one_of(
+        st.binary(max_size=20), st.text("\n[]=:;# \t0\0", max_size=8).map(str.encode)
+    ),
+)
+def test_any_file_is_loaded_or_rejected(
+    tmp_path: Path, at: int, removed: int, inserted: bytes
+) -> None:
+    text = AGENT.encode()
+    path = tmp_path / "settings.ini"
+    path.write_bytes(text[:at] + inserted + text[at + removed :])
+    with suppress(NodeSettingsRejected):
+        load_node_settings(path)
--- a/egretsill/fleet/_hubs.py
+++ b/egretsill/fleet/_hubs.py
@@ -35,7 +35,7 @@
 
     Args:
         host: IPv4 address of this process, as a number.
-        failure_domain: failure domain of its VM.
+        failure_domain: failure domain of its VM; if empty, that of the target on it, if any.
         seeds: processes to contact before the directory is known.
     """
 
@@ -75,7 +75,8 @@
         if cells is self._cells:
             return
         self._cells = cells
-        self._cell = cells.cell_of(self._host, self._domain)
+        domain = self._domain or cells.domains.get(self._host, "")
+        self._cell = cells.cell_of(self._host, domain)
         self._ranks = {}
         self._forwarded_at = {}
         self._read_at = {}
--- a/egretsill/fleet/tests/test_hubs.py
+++ b/egretsill/fleet/tests/test_hubs.py
@@ -75,6 +75,18 @@
     assert plan.hubs(0.0) == (7,)
 
 
+# Guards against an agent that joins another cell than its target when it isn't told its domain.
+def test_agent_without_failure_domain_is_in_its_targets_cell() -> None:
+    cells = Cells({1: "d0", 2: "d0", 3: "d1", 4: "d2"})
+    for host, cell in ((1, "d0/0"), (3, "d1/0"), (4, "d2/0")):
+        plan = HubPlan(host, "", [SEED], PeerTable(host))
+        plan.replace_cells(cells)
+        assert plan.cell == cell
+    balancer = HubPlan(9, "", [SEED], PeerTable(9))
+    balancer.replace_cells(cells)
+    assert balancer.cell in cells.names
+
+
 @pytest.mark.parametrize(("targets", "domains"), [(15, 3), (110, 5), (300, 1)])
 def test_heartbeats_reach_the_cell_within_a_second(targets: int, domains: int) -> None:
     fleet = Fleet(targets, domains)
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -154,6 +154,7 @@
         """
         settings = self._settings
         self._journal.record("started", role=settings.role.value, host=settings.host)
+        self._note_defaults(settings)
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._timer.run)
@@ -162,7 +163,8 @@
                 await nursery.start(self._exchange.run)
                 nursery.start_soon(self._link.run)
                 for listen in (settings.health, settings.metrics):
-                    await nursery.start(self._make_admin(listen).run)
+                    if listen is not None:
+                        await nursery.start(self._make_admin(listen).run)
                 self._timer.subscribe(SWEEP_SECONDS, self._sweep)
                 nursery.start_soon(self._write_log)
                 await self._stopped.wait()
@@ -186,11 +188,16 @@
         self._hubs.replace_seeds(seeds)
         self._readers.replace_seeds(seeds)
         self._journal.record("settings-reloaded", seeds=",".join(settings.seeds))
+        self._note_defaults(settings)
 
     def reject_settings(self, problem: str) -> None:
         """Record that the settings file is invalid; the old settings stay in force."""
         self._journal.record("settings-rejected", problem=problem)
 
+    def _note_defaults(self, settings: NodeSettings) -> None:
+        if settings.defaulted:
+            self._journal.record("settings-defaulted", keys=",".join(settings.defaulted))
+
     def _make_role(self, codec: PacketCodec) -> BalancerNode | AgentNode:
         settings = self._settings
         log = DecisionLog(
