--- a/egretsill/boot/_settings_reader.py
+++ b/egretsill/boot/_settings_reader.py
@@ -70,8 +70,10 @@
         self._defaulted: list[str] = []
         try:
             self._parser.read_string(_read_text(path))
-        except (OSError, UnicodeError) as error:
-            raise self._rejected(f"{type(error).__name__}: {error}") from error
+        except OSError as error:
+            raise self._rejected(error.strerror or str(error)) from error
+        except UnicodeError as error:
+            raise self._rejected(str(error)) from error
         except configparser.Error as error:
             raise self._rejected(error.message) from error
 
@@ -150,6 +152,15 @@
         )
 
 
+def settings_version(path: Path) -> tuple[int, int, int]:
+    """Return a value that changes when the file is written or replaced; zeros if there is none."""
+    try:
+        status = path.stat()
+    except OSError:
+        return 0, 0, 0
+    return status.st_mtime_ns, status.st_size, status.st_ino
+
+
 def _read_text(path: Path) -> str:
     # Reading from any other kind of file might block or never end.
     if not stat.S_ISREG(path.stat().st_mode):
--- a/egretsill/boot/tests/test_boot.py
+++ b/egretsill/boot/tests/test_boot.py
@@ -5,11 +5,13 @@
 import os
 import subprocess
 import sys
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
 
-from .. import BootFailed, boot
+from .. import SETTINGS_WAIT_SECONDS, BootFailed, boot
+from .. import _boot as boot_module
 from .test_settings import AGENT, write
 
 LIBRARIES = ("trio", "msgpack", "h11", "attr")
@@ -50,6 +52,75 @@
     assert caught.value.exit_code == 2
 
 
+class Clock:
+    """Stands in for the time module: a wait advances it and runs what is due.
+
+    Args:
+        steps: what happens while `boot` waits, by the time at which it does.
+    """
+
+    def __init__(self, steps: dict[float, Callable[[], object]]) -> None:
+        self.now = 100.0
+        self._started_at = self.now
+        self._steps = sorted(steps.items())
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def sleep(self, seconds: float) -> None:
+        self.now += seconds
+        while self._steps and self._started_at + self._steps[0][0] <= self.now:
+            self._steps.pop(0)[1]()
+
+
+COMPLETE = on_loopback(AGENT, 4)
+
+
+# Guards against an end because the settings are being placed while the process starts.
+@pytest.mark.parametrize(
+    "before",
+    [
+        pytest.param(None, id="absent"),
+        pytest.param("", id="empty"),
+        pytest.param(COMPLETE[:200], id="without required keys"),
+        pytest.param(COMPLETE[: COMPLETE.index("[bounds]")], id="without optional keys"),
+        pytest.param(COMPLETE[: COMPLETE.index("grace") + 3], id="cut in a key"),
+    ],
+)
+def test_settings_that_are_being_written_are_read_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, before: str | None
+) -> None:
+    path = tmp_path / "settings.ini" if before is None else write(tmp_path, before)
+    monkeypatch.setattr(boot_module, "time", Clock({0.2: lambda: write(tmp_path, COMPLETE)}))
+    started = boot(path, SETTINGS_WAIT_SECONDS)
+    for each in (started.sockets.packets, started.sockets.tunnel, started.sockets.heartbeats):
+        each.close()
+    assert started.settings.grace_seconds == 6.0
+    assert started.settings.defaulted == ()
+
+
+def test_settings_without_optional_keys_are_taken_once_they_are_settled(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path = write(tmp_path, COMPLETE[: COMPLETE.index("[bounds]")])
+    clock = Clock({})
+    monkeypatch.setattr(boot_module, "time", clock)
+    started = boot(path, SETTINGS_WAIT_SECONDS)
+    for each in (started.sockets.packets, started.sockets.tunnel, started.sockets.heartbeats):
+        each.close()
+    assert len(started.settings.defaulted) == 2
+    assert clock.now <= 100.5
+
+
+def test_wait_for_settings_is_bounded(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    clock = Clock({})
+    monkeypatch.setattr(boot_module, "time", clock)
+    with pytest.raises(BootFailed) as caught:
+        boot(tmp_path / "absent.ini", SETTINGS_WAIT_SECONDS)
+    assert caught.value.exit_code == 2
+    assert SETTINGS_WAIT_SECONDS <= clock.now - 100.0 <= SETTINGS_WAIT_SECONDS + 0.1
+
+
 def test_address_in_use_leaves_no_socket_open(tmp_path: Path) -> None:
     path = write(tmp_path, on_loopback(AGENT, 3))
     first = boot(path).sockets
--- a/egretsill/node/_main.py
+++ b/egretsill/node/_main.py
@@ -9,7 +9,7 @@
 import trio
 
 from ..address_steering import PacketCodec
-from ..boot import NodeBoot, NodeSettingsRejected, load_node_settings
+from ..boot import NodeBoot, NodeSettingsRejected, load_node_settings, settings_version
 from ..observation import log_to_standard_output
 from ..startup import EXIT_STOPPED, HANDLED_SIGNALS, StartupSignals
 from ..timing import TrioTimerService
@@ -43,22 +43,22 @@
         log_to_standard_output,
         random_source,
     )
-    trio.run(_run, node, started.settings_path, signals)
+    trio.run(_run, node, started, signals)
     return EXIT_STOPPED
 
 
-async def _run(node: Node, settings_path: Path, startup_signals: StartupSignals) -> None:
+async def _run(node: Node, started: NodeBoot, startup_signals: StartupSignals) -> None:
     try:
         with trio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
             is_reload_pending = startup_signals.hand_over()
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_run_until_stopped, node, nursery.cancel_scope)
-                nursery.start_soon(_poll_settings, node, settings_path)
+                nursery.start_soon(_poll_settings, node, started)
                 if is_reload_pending:
-                    _reload(node, settings_path)
+                    _reload(node, started.settings_path)
                 async for number in signals:
                     if number == signal.SIGHUP:
-                        _reload(node, settings_path)
+                        _reload(node, started.settings_path)
                     else:
                         node.shut_down()
     finally:
@@ -71,23 +71,14 @@
     scope.cancel()
 
 
-async def _poll_settings(node: Node, settings_path: Path) -> None:
-    before = _file_version(settings_path)
+async def _poll_settings(node: Node, started: NodeBoot) -> None:
+    before = started.settings_version
     while True:
+        version = settings_version(started.settings_path)
+        if version != before:
+            before = version
+            _reload(node, started.settings_path)
         await trio.sleep(SETTINGS_POLL_SECONDS)
-        mark = _file_version(settings_path)
-        if mark != before:
-            before = mark
-            _reload(node, settings_path)
-
-
-def _file_version(settings_path: Path) -> tuple[int, int]:
-    try:
-        status = settings_path.stat()
-    except OSError:
-        # The file is being replaced; the next poll finds the new one.
-        return 0, 0
-    return status.st_mtime_ns, status.st_size
 
 
 def _reload(node: Node, settings_path: Path) -> None:
