--- /dev/null
+++ b/egretsill/installation/__init__.py
@@ -0,0 +1,18 @@
+"""Installation of the libraries that a process needs; uses only the standard library and pip."""
+
+from ._checks import check_imports
+from ._exceptions import InstallationFailed
+from ._installer import Installer
+from ._pip import install_with_pip
+from ._record import RECORD_NAME, InstallationRecord, make_record, read_record
+
+__all__ = [
+    "InstallationFailed",
+    "InstallationRecord",
+    "Installer",
+    "RECORD_NAME",
+    "check_imports",
+    "install_with_pip",
+    "make_record",
+    "read_record",
+]
