Store: an entry or configuration that a later step can't use is passed over

Cause: the border to the store took any text and any whole number as a port. Later steps hash and encode names, pack numbers with struct and msgpack and send to addresses, and nothing there expects that to fail. Change: directory/_validity.py says which names, numbers and endpoints are usable, and the border asks it for every value: names have 1 to 255 bytes in UTF-8, ports are 1 to 65535, addresses are those of one VM (loopback included), keys must be encodable. An entry that isn't usable names no target, as before; a configuration leaves the former in force.

--- a/egretsill/directory/__init__.py
+++ b/egretsill/directory/__init__.py
@@ -23,6 +23,7 @@
 from ._revision import NO_REVISION, REVISION_LIMIT, StoreRevision
 from ._store import HistoryLost, Store, StoreFailure, StoreUnavailable
 from ._target_index import TargetView
+from ._validity import MAXIMUM_NAME_BYTES, is_endpoint, is_name, is_number
 
 __all__ = [
     "Changes",
@@ -34,6 +35,7 @@
     "Directory",
     "DirectoryMessage",
     "HistoryLost",
+    "MAXIMUM_NAME_BYTES",
     "MalformedContent",
     "NO_REVISION",
     "Pause",
@@ -56,6 +58,9 @@
     "TargetPhase",
     "TargetView",
     "WatchChanges",
+    "is_endpoint",
+    "is_name",
+    "is_number",
     "pack_changes",
     "pack_revision",
     "pack_table",
--- a/egretsill/node/_content_exchange.py
+++ b/egretsill/node/_content_exchange.py
@@ -94,10 +94,7 @@
             with trio.fail_after(EXCHANGE_SECONDS):
                 stream = await trio.open_tcp_stream(host, self._listen.port)
                 async with stream:
-                    request = ContentRequest(
-                        self._directory.version, pack_revision(self._directory.content_revision)
-                    )
-                    await stream.send_all(self._codec.encode(request))
+                    await stream.send_all(self._codec.encode(self.make_request()))
                     response = await self._next_message(stream)
             return self._apply_response(response)
         except trio.TooSlowError as error:
@@ -108,6 +105,11 @@
             self._count_malformed(str(error))
             raise PeerContentUnavailable(host, "malformed") from error
 
+    def make_request(self) -> ContentRequest:
+        """Return the request for what this process lacks."""
+        directory = self._directory
+        return ContentRequest(directory.version, pack_revision(directory.content_revision))
+
     def respond(self, request: ContentRequest) -> ContentResponse | ContentUpdate:
         """Return the changes since the requester's revision, or else the complete content.
 
