--- a/egretsill/directory/__init__.py
+++ b/egretsill/directory/__init__.py
@@ -23,6 +23,7 @@
 from ._revision import NO_REVISION, REVISION_LIMIT, StoreRevision
 from ._store import HistoryLost, Store, StoreFailure, StoreUnavailable
 from ._target_index import TargetView
+from ._unusable_entries import UnusableEntry, describe_entries
 from ._validity import MAXIMUM_NAME_BYTES, is_endpoint, is_name, is_number
 
 __all__ = [
@@ -57,7 +58,9 @@
     "Target",
     "TargetPhase",
     "TargetView",
+    "UnusableEntry",
     "WatchChanges",
+    "describe_entries",
     "is_endpoint",
     "is_name",
     "is_number",
--- a/egretsill/directory/_model.py
+++ b/egretsill/directory/_model.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from ._revision import StoreRevision
+from ._unusable_entries import UnusableEntry
 
 
 class TargetPhase(enum.Enum):
@@ -116,13 +117,13 @@
         at: the store's revision.
         table: None if the operators have published nothing yet.
         targets: every entry that names a usable target.
-        unreadable: number of entries that were skipped.
+        unusable: entries and configurations that were passed over.
     """
 
     at: StoreRevision
     table: RouteTable | None
     targets: Sequence[Target]
-    unreadable: int = 0
+    unusable: Sequence[UnusableEntry] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,14 +135,14 @@
         table: the newest configuration, or None if it didn't change.
         changed: entries that were written.
         removed: names of entries that no longer exist or are no longer usable.
-        unreadable: number of entries that were skipped.
+        unusable: entries and configurations that were passed over.
     """
 
     at: StoreRevision
     table: RouteTable | None = None
     changed: Sequence[Target] = field(default_factory=tuple)
     removed: Sequence[str] = field(default_factory=tuple)
-    unreadable: int = 0
+    unusable: Sequence[UnusableEntry] = ()
 
     @property
     def is_empty(self) -> bool:
--- a/egretsill/node/_store_reading.py
+++ b/egretsill/node/_store_reading.py
@@ -16,7 +16,9 @@
     Store,
     StoreFailure,
     StoreUnavailable,
+    UnusableEntry,
     WatchChanges,
+    describe_entries,
 )
 from ..observation import Journal, Metrics
 from ..timing import TimerService
@@ -102,7 +104,7 @@
             raise StoreUnavailable(StoreFailure.OUTDATED, f"{snapshot.at} before {known}")
         self._plan.note_read()
         self._watched_revision = snapshot.at
-        self._count_unreadable(snapshot.unreadable)
+        self._note_unusable(snapshot.unusable)
         # The first page may be as old as the request.
         if self._directory.apply_snapshot(snapshot, self._timer.now, requested_at):
             self._on_change(STORE_SOURCE)
@@ -111,17 +113,19 @@
         requested_at = self._timer.now
         changes = await self._store.watch(self._watched_revision, wait_seconds, timeout_seconds)
         self._watched_revision = max(self._watched_revision, changes.at)
-        self._count_unreadable(changes.unreadable)
+        self._note_unusable(changes.unusable)
         now = self._timer.now
         # Nothing changed until the store stopped waiting; the response may have arrived later.
         confirmed_at = min(now, requested_at + wait_seconds) if changes.is_empty else now
         if self._directory.apply_changes(changes, now, confirmed_at):
             self._on_change(STORE_SOURCE)
 
-    def _count_unreadable(self, count: int) -> None:
-        if count:
-            self._metrics.configuration_ignored.increment("unreadable", amount=count)
-            self._journal.record("store-entries-unreadable", count=count)
+    def _note_unusable(self, entries: Sequence[UnusableEntry]) -> None:
+        if entries:
+            self._metrics.configuration_ignored.increment("unreadable", amount=len(entries))
+            self._journal.record(
+                "store-entries-unreadable", count=len(entries), entries=describe_entries(entries)
+            )
 
     def _note_failure(self, error: StoreUnavailable) -> None:
         self._metrics.platform_reads.increment("failed")
--- a/egretsill/node/tests/test_store_reading.py
+++ b/egretsill/node/tests/test_store_reading.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
+import eliot
 import pytest
 import trio
 
@@ -14,6 +17,7 @@
     Snapshot,
     Store,
     StoreRevision,
+    UnusableEntry,
 )
 from ...directory.tests.revisions import rev
 from ...observation import Journal, Metrics
@@ -62,6 +66,7 @@
     directory: Directory,
     timer: VirtualTimerService,
     metrics: Metrics,
+    journal: Journal | None = None,
 ) -> StoreReading:
     return StoreReading(
         store,
@@ -70,7 +75,7 @@
         lambda: (HOST,),
         timer,
         metrics,
-        Journal("reader", lambda: timer.now, lambda: timer.now),
+        journal or Journal("reader", lambda: timer.now, lambda: timer.now),
         lambda _: None,
         lambda: None,
     )
@@ -123,3 +128,43 @@
     assert directory.content_revision == rev(10, era=2)
     assert not plan.can_read(timer.now)
     assert metrics.platform_reads.value("failed") == 1
+
+
+class ForeignEntries(ScriptedStore):
+    """A store with entries of another writer."""
+
+    def __init__(self, unusable: Sequence[UnusableEntry]) -> None:
+        super().__init__()
+        self._unusable = unusable
+
+    async def read(self, timeout_seconds: float) -> Snapshot:
+        return Snapshot(rev(10), TABLE, (), self._unusable)
+
+    async def watch(
+        self, after: StoreRevision, wait_seconds: float, timeout_seconds: float
+    ) -> Changes:
+        return Changes(rev(11), unusable=self._unusable)
+
+
+# Guards against entries of another writer that are only counted, so that nobody finds the writer.
+def test_entries_that_were_passed_over_are_counted_and_named() -> None:
+    timer = VirtualTimerService()
+    metrics = Metrics()
+    journal = Journal("reader", lambda: timer.now, lambda: timer.now)
+    store = ForeignEntries([UnusableEntry("servers/a\ud83d", "key"), UnusableEntry("b", "zone")])
+    reading = make_reading(
+        store, ReadPlan(HOST, is_first_start=False), Directory(), timer, metrics, journal
+    )
+    logged: list[dict[str, object]] = []
+    destination = logged.append
+    eliot.add_destinations(destination)
+    try:
+        for _ in range(2):
+            trio.run(reading._do_next_step)
+        journal.flush()
+    finally:
+        eliot.remove_destination(destination)
+    lines = [e for e in logged if e["message_type"] == "egretsill:store-entries-unreadable"]
+    described = "servers/a\\ud83d: key; b: zone"
+    assert [(each["count"], each["entries"]) for each in lines] == [(2, described)] * 2
+    assert metrics.configuration_ignored.value("unreadable") == 4
--- a/egretsill/observation/_definitions.py
+++ b/egretsill/observation/_definitions.py
@@ -171,7 +171,8 @@
         "configuration_ignored",
         ("reason",),
         "Configurations that were offered and not taken.",
-        "older: the platform or a peer is stale. invalid: publish only what check accepts.",
+        "older: the platform or a peer is stale. invalid: publish only what check accepts. "
+        "unreadable: find the writer of the entries that store-entries-unreadable names.",
     ),
     _counter(
         "platform_reads",
