--- /dev/null
+++ b/egretsill/supervision/_supervisor.py
@@ -0,0 +1,131 @@
+"""Boundaries of failure within one process.
+
+A piece of work, such as one datagram or one connection, is enclosed in `contain`; an unexpected
+exception ends that piece only. A task that has to run as long as the process is given to `run`,
+which starts it again after a failure. Each failure is reported. Exceptions that a part expects keep
+their own handling within the piece of work.
+"""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Awaitable, Callable, Collection, Iterator
+from typing import TypeAlias
+
+import trio
+
+from ._failure import leaves
+from ._parts import Part
+
+FIRST_RESTART_SECONDS = 0.1  # pause before a failed task is started again
+LONGEST_RESTART_SECONDS = 5.0
+RESTART_GROWTH = 2.0  # factor from one pause to the next
+STABLE_SECONDS = 30.0  # a task that ran for longer is restarted after the first pause again
+
+FailureReport: TypeAlias = Callable[[Part, BaseException], None]
+Task: TypeAlias = Callable[[], Awaitable[None]]
+StartingTask: TypeAlias = Callable[["trio.TaskStatus[object]"], Awaitable[None]]
+
+
+class Supervisor:
+    """Contains unexpected exceptions and runs tasks again that failed.
+
+    Exceptions that aren't subclasses of `Exception`, such as `trio.Cancelled`, pass through.
+
+    Args:
+        report: called with each unexpected exception; the members of groups are reported singly.
+    """
+
+    def __init__(self, report: FailureReport) -> None:
+        self._report = report
+        self._stopped: dict[Part, int] = {}
+        self._unreported = 0
+
+    @property
+    def stopped(self) -> Collection[Part]:
+        """Return the parts with a task that has failed and isn't running again yet."""
+        return tuple(self._stopped)
+
+    @property
+    def unreported(self) -> int:
+        """Return the number of failures for which the report itself failed."""
+        return self._unreported
+
+    def note_failure(self, part: Part, error: BaseException) -> None:
+        """Report an unexpected exception that was caught by the caller."""
+        for each in leaves(error):
+            try:
+                self._report(part, each)
+            except Exception:  # There is no one left to tell, and the work has to go on.
+                self._unreported += 1
+
+    @contextlib.contextmanager
+    def contain(self, part: Part) -> Iterator[None]:
+        """Report and suppress an unexpected exception of the enclosed piece of work."""
+        try:
+            yield
+        except* Exception as group:
+            self.note_failure(part, group)
+
+    async def run(self, part: Part, task: Task) -> None:
+        """Run a task until it returns; run it again, after a pause, each time that it fails."""
+        pause_seconds = FIRST_RESTART_SECONDS
+        while True:
+            started_at = trio.current_time()
+            try:
+                await task()
+                return
+            except* Exception as group:
+                self.note_failure(part, group)
+            if trio.current_time() - started_at > STABLE_SECONDS:
+                pause_seconds = FIRST_RESTART_SECONDS
+            with self._mark_stopped(part):
+                await trio.sleep(pause_seconds)
+            pause_seconds = min(pause_seconds * RESTART_GROWTH, LONGEST_RESTART_SECONDS)
+
+    async def start(
+        self,
+        part: Part,
+        task: StartingTask,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Run a task as `run` does; for `trio.Nursery.start`.
+
+        Args:
+            part: the part that it belongs to.
+            task: takes a task status, to which it reports that it has started.
+            task_status: is told once, when the task has started or has failed for the first time.
+        """
+        first_start = _FirstStart(task_status)
+
+        async def run_once() -> None:
+            try:
+                await task(first_start)
+            finally:
+                first_start.started()
+
+        await self.run(part, run_once)
+
+    @contextlib.contextmanager
+    def _mark_stopped(self, part: Part) -> Iterator[None]:
+        self._stopped[part] = self._stopped.get(part, 0) + 1
+        try:
+            yield
+        finally:
+            self._stopped[part] -= 1
+            if not self._stopped[part]:
+                del self._stopped[part]
+
+
+class _FirstStart(trio.TaskStatus[object]):
+    """Passes on only the first report of a start."""
+
+    def __init__(self, task_status: trio.TaskStatus[None]) -> None:
+        self._task_status = task_status
+        self._is_reported = False
+
+    def started(self, value: object = None) -> None:
+        """Report that the task has started."""
+        if not self._is_reported:
+            self._is_reported = True
+            self._task_status.started()
