--- a/egretsill/timing/_timer_service.py
+++ b/egretsill/timing/_timer_service.py
@@ -13,6 +13,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import TypeVar
 
 import trio
 
@@ -21,6 +22,8 @@
 NANOSECONDS_PER_MILLISECOND = 1_000_000
 MILLISECONDS_PER_SECOND = 1000
 
+ArgumentT = TypeVar("ArgumentT")
+
 
 @dataclass(frozen=True, slots=True)
 class ClockJump:
@@ -61,6 +64,7 @@
         self._order = itertools.count()
         self._jump_subscribers: list[Callable[[ClockJump], None]] = []
         self._last_reading: float | None = None
+        self._on_failure: Callable[[Exception], None] | None = None
 
     @property
     def now(self) -> float:
@@ -75,7 +79,7 @@
         if before is not None and reading - before > CLOCK_JUMP_SECONDS:
             jump = ClockJump(before, reading)
             for subscriber in self._jump_subscribers:
-                subscriber(jump)
+                self._call(subscriber, jump)
         return reading
 
     @property
@@ -90,6 +94,14 @@
     def epoch_milliseconds(self) -> int:
         """Return the milliseconds since 1970; use them only to order the runs of processes."""
 
+    def contain_failures(self, on_failure: Callable[[Exception], None]) -> None:
+        """Pass unexpected exceptions of subscribers to `on_failure` instead of raising them.
+
+        A subscriber that fails stays subscribed, and the others are called. Without this, `now`,
+        `fire_due` and `run` raise the first exception of a subscriber.
+        """
+        self._on_failure = on_failure
+
     def subscribe(self, interval: float, callback: Callable[[float], None]) -> Subscription:
         """Call `callback(now)` every `interval` seconds, first after one interval."""
         subscription = Subscription(callback, interval)
@@ -124,7 +136,7 @@
                 continue
             if subscription.interval is not None:
                 self._push(max(when + subscription.interval, now), subscription)
-            subscription.callback(now)
+            self._call(subscription.callback, now)
             fired += 1
         return fired
 
@@ -132,6 +144,14 @@
     def _read_clock(self) -> float:
         """Return the current reading in seconds."""
 
+    def _call(self, callback: Callable[[ArgumentT], None], argument: ArgumentT) -> None:
+        try:
+            callback(argument)
+        except Exception as error:
+            if self._on_failure is None:
+                raise
+            self._on_failure(error)
+
     def _push(self, when: float, subscription: Subscription) -> None:
         heapq.heappush(self._queue, (when, next(self._order), subscription))
 
