--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -43,6 +43,7 @@
 from ..requests import RELAY_TYPES
 from ..settings import DaemonSettings, Role, SettingsRejected
 from ..steering import ConnectionIdCodec
+from ..supervision import Part, Supervisor, describe_failure
 from ..timing import TrioTimerService
 from ..wire import StreamDecoder
 from ._agent_role import AgentRole
@@ -76,6 +77,7 @@
         self._timer = TrioTimerService()
         self._metrics = Metrics()
         self._state_log = StateLog(settings.name)
+        self._supervisor = Supervisor(self._record_failure)
         self._stopped = trio.Event()
         self._backend_state = BackendState.HEALTHY
         self._role = self._make_role()
@@ -257,6 +259,19 @@
             self._metrics,
             lambda: self._pages.status,
             lambda: self._pages.health,
+            self._supervisor,
+        )
+
+    def _record_failure(self, part: Part, error: BaseException) -> None:
+        described = describe_failure(error)
+        self._metrics.failures_contained.increment(part, described.error)
+        self._state_log.record(
+            StateChange(
+                StateKind.FAILURE,
+                part.value,
+                f"{described.error} at {described.location}",
+                {"detail": described.detail},
+            )
         )
 
     def _make_health_poller(self) -> HealthPoller:
--- a/egretsill/node/_agent_node.py
+++ b/egretsill/node/_agent_node.py
@@ -42,6 +42,7 @@
 from ..boot import NodeSockets
 from ..endpoints import Address, parse_ipv4
 from ..observation import Metrics
+from ..supervision import Part, Supervisor
 from ..timing import TimerService
 from ._decision_log import DecisionLog
 from ._packet_socket import NO_FLOW, PacketSocket
@@ -53,7 +54,7 @@
     """Receives packets from balancers, from other agents and from the target on its VM.
 
     Args:
-        sockets: bound sockets; `run` closes those of packets and tunnel when it ends.
+        sockets: bound sockets; `close` closes those of packets and tunnel.
         caller_port: port on which callers receive packets.
         tunnel_port: port on which other agents receive encapsulated packets.
         target: address on which the target receives packets.
@@ -70,6 +71,7 @@
         timer: TimerService,
         metrics: Metrics,
         log: DecisionLog,
+        supervisor: Supervisor,
     ) -> None:
         self._codec = codec
         self._steering = steering
@@ -80,26 +82,38 @@
         self._tunnel_port = tunnel_port
         self._is_release_due = False
         self._target = (parse_ipv4(target.host), target.port)
-        self._tunnel = PacketSocket(sockets.tunnel, timer, log, self._receive_from_peer)
-        self._outbound = PacketSocket(sockets.packets, timer, log, self._receive_from_target)
+        self._supervisor = supervisor
+        self._tunnel = PacketSocket(
+            Part.TUNNEL, sockets.tunnel, timer, log, supervisor, self._receive_from_peer
+        )
+        self._outbound = PacketSocket(
+            Part.PACKETS, sockets.packets, timer, log, supervisor, self._receive_from_target
+        )
 
     async def run(self) -> None:
         """Forward packets until cancelled."""
-        self._timer.subscribe(HOME_NOTICE_INTERVAL_SECONDS, self._notify_homes)
+        notices = self._timer.subscribe(HOME_NOTICE_INTERVAL_SECONDS, self._notify_homes)
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._tunnel.run)
-                nursery.start_soon(self._outbound.run)
+                nursery.start_soon(self._supervisor.run, Part.TUNNEL, self._tunnel.run)
+                nursery.start_soon(self._supervisor.run, Part.PACKETS, self._outbound.run)
         finally:
-            self._tunnel.close()
-            self._outbound.close()
+            notices.cancel()
+
+    def close(self) -> None:
+        """Close the sockets."""
+        self._tunnel.close()
+        self._outbound.close()
 
     def _release_waiting(self, now: float) -> None:
         self._is_release_due = False
-        if self._steering.is_waiting:
-            self._apply(self._steering.release(now))
-        if self._steering.undecided:
-            self._apply(self._steering.decide(now))
+        with self._supervisor.contain(Part.PACKETS):
+            if self._steering.is_waiting:
+                self._apply(self._steering.release(now))
+        with self._supervisor.contain(Part.PACKETS):
+            if self._steering.undecided:
+                self._apply(self._steering.decide(now))
+        self._schedule_release()
 
     def _notify_homes(self, now: float) -> None:
         self._apply(self._steering.due_home_notices(now))
@@ -137,38 +151,47 @@
 
     def _apply(self, effects: Sequence[AgentEffect]) -> None:
         for effect in effects:
-            match effect:
-                case DeliverToTarget(datagram):
-                    self._outbound.send(datagram, *self._target)
-                case SendToCaller(host, datagram):
-                    self._tunnel.send(datagram, host, self._caller_port)
-                case Forward(host, envelope, _, flow, datagram):
-                    self._log.forwarded(effect)
-                    carried = encode_tunneled_packet(envelope, datagram)
-                    self._tunnel.send(carried, host, self._tunnel_port, flow)
-                case Refuse(flow, acknowledged):
-                    self._log.refused(effect)
-                    reset = self._codec.encode_reset(flow, acknowledged)
-                    self._tunnel.send(reset, flow.caller_host, self._caller_port, flow)
-                case NotifyBalancer(balancer, notice):
-                    data = encode_owner_notice(notice)
-                    self._tunnel.send(data, balancer, self._tunnel_port, notice.flow)
-                case NotifyHome(home, home_notice):
-                    self._tunnel.send(encode_home_notice(home_notice), home, self._tunnel_port)
-                case RequestCapacity(host, request):
-                    self._tunnel.send(encode_capacity_request(request), host, self._tunnel_port)
-                case OfferCapacity(host, offer):
-                    self._tunnel.send(encode_capacity_offer(offer), host, self._tunnel_port)
-                case Drop():
-                    self._log.dropped(effect)
-                case Answered():
-                    self._log.answered(effect)
-                case Wait():
-                    self._log.waits(effect)
-                case Expire():
-                    self._log.expired(effect)
-                case Undecided():
-                    self._log.undecided(effect)
+            try:
+                self._apply_effect(effect)
+            except Exception as error:  # The other effects are for other packets as well.
+                self._supervisor.note_failure(Part.PACKETS, error)
+        self._schedule_release()
+
+    def _apply_effect(self, effect: AgentEffect) -> None:
+        match effect:
+            case DeliverToTarget(datagram):
+                self._outbound.send(datagram, *self._target)
+            case SendToCaller(host, datagram):
+                self._tunnel.send(datagram, host, self._caller_port)
+            case Forward(host, envelope, _, flow, datagram):
+                carried = encode_tunneled_packet(envelope, datagram)
+                self._tunnel.send(carried, host, self._tunnel_port, flow)
+                self._log.forwarded(effect)
+            case Refuse(flow, acknowledged):
+                reset = self._codec.encode_reset(flow, acknowledged)
+                self._tunnel.send(reset, flow.caller_host, self._caller_port, flow)
+                self._log.refused(effect)
+            case NotifyBalancer(balancer, notice):
+                data = encode_owner_notice(notice)
+                self._tunnel.send(data, balancer, self._tunnel_port, notice.flow)
+            case NotifyHome(home, home_notice):
+                self._tunnel.send(encode_home_notice(home_notice), home, self._tunnel_port)
+            case RequestCapacity(host, request):
+                self._tunnel.send(encode_capacity_request(request), host, self._tunnel_port)
+            case OfferCapacity(host, offer):
+                self._tunnel.send(encode_capacity_offer(offer), host, self._tunnel_port)
+            case Drop():
+                self._log.dropped(effect)
+            case Answered():
+                self._log.answered(effect)
+            case Wait():
+                self._log.waits(effect)
+            case Expire():
+                self._log.expired(effect)
+            case Undecided():
+                self._log.undecided(effect)
+
+    def _schedule_release(self) -> None:
         # No timer runs while nothing waits; wake-ups would take most of an idle agent's CPU time.
         is_waiting = self._steering.is_waiting or self._steering.undecided
         if is_waiting and not self._is_release_due:
--- a/egretsill/node/_balancer_node.py
+++ b/egretsill/node/_balancer_node.py
@@ -23,6 +23,7 @@
 )
 from ..boot import NodeSockets
 from ..observation import Metrics
+from ..supervision import Part, Supervisor
 from ..timing import TimerService
 from ._decision_log import DecisionLog
 from ._packet_socket import NO_FLOW, PacketSocket
@@ -32,7 +33,7 @@
     """Receives callers' packets from the fabric and sends them to agents.
 
     Args:
-        sockets: bound sockets; `run` closes those of packets and tunnel when it ends.
+        sockets: bound sockets; `close` closes those of packets and tunnel.
         caller_port: port on which callers receive packets.
         tunnel_port: port on which agents receive encapsulated packets.
     """
@@ -47,6 +48,7 @@
         timer: TimerService,
         metrics: Metrics,
         log: DecisionLog,
+        supervisor: Supervisor,
     ) -> None:
         self._codec = codec
         self._steering = steering
@@ -54,8 +56,13 @@
         self._log = log
         self._caller_port = caller_port
         self._tunnel_port = tunnel_port
-        self._packets = PacketSocket(sockets.packets, timer, log, self._receive_from_caller)
-        self._tunnel = PacketSocket(sockets.tunnel, timer, log, self._receive_from_agent)
+        self._supervisor = supervisor
+        self._packets = PacketSocket(
+            Part.PACKETS, sockets.packets, timer, log, supervisor, self._receive_from_caller
+        )
+        self._tunnel = PacketSocket(
+            Part.TUNNEL, sockets.tunnel, timer, log, supervisor, self._receive_from_agent
+        )
         self._last_packet_at = float("-inf")
 
     @property
@@ -65,13 +72,14 @@
 
     async def run(self) -> None:
         """Forward packets until cancelled."""
-        try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._packets.run)
-                nursery.start_soon(self._tunnel.run)
-        finally:
-            self._packets.close()
-            self._tunnel.close()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._supervisor.run, Part.PACKETS, self._packets.run)
+            nursery.start_soon(self._supervisor.run, Part.TUNNEL, self._tunnel.run)
+
+    def close(self) -> None:
+        """Close the sockets."""
+        self._packets.close()
+        self._tunnel.close()
 
     def _receive_from_caller(self, datagram: bytes, now: float) -> None:
         self._last_packet_at = now
@@ -83,14 +91,14 @@
         decision = self._steering.steer(packet, now)
         match decision:
             case Forward(host, envelope, _, flow, carried):
-                self._log.forwarded(decision)
                 self._tunnel.send(
                     encode_tunneled_packet(envelope, carried), host, self._tunnel_port, flow
                 )
+                self._log.forwarded(decision)
             case Refuse(flow, acknowledged):
-                self._log.refused(decision)
                 reset = self._codec.encode_reset(flow, acknowledged)
                 self._packets.send(reset, flow.caller_host, self._caller_port, flow)
+                self._log.refused(decision)
             case Drop():
                 self._log.dropped(decision)
 
--- a/egretsill/node/_content_exchange.py
+++ b/egretsill/node/_content_exchange.py
@@ -25,6 +25,7 @@
     unpack_table,
     unpack_targets,
 )
+from ..supervision import Part, Supervisor
 from ..timing import TimerService
 from ..wire import Address, Codec, MalformedMessage, StreamDecoder
 
@@ -65,11 +66,13 @@
         listen: Address,
         directory: Directory,
         timer: TimerService,
+        supervisor: Supervisor,
         count_malformed: Callable[[str], None],
     ) -> None:
         self._listen = listen
         self._directory = directory
         self._timer = timer
+        self._supervisor = supervisor
         self._count_malformed = count_malformed
         self._codec: Codec[DirectoryMessage] = Codec("directory", DIRECTORY_TYPES)
         self._open_connections = 0
@@ -189,6 +192,14 @@
             await trio.aclose_forcefully(stream)
             return
         self._open_connections += 1
+        try:
+            with self._supervisor.contain(Part.CONTENT_SERVING):
+                await self._serve_request(stream)
+        finally:
+            self._open_connections -= 1
+            await trio.aclose_forcefully(stream)
+
+    async def _serve_request(self, stream: trio.abc.Stream) -> None:
         try:
             with trio.move_on_after(EXCHANGE_SECONDS):
                 request = await self._next_message(stream)
@@ -200,9 +211,6 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # The requester closed the connection; it retries here or at another peer.
             return
-        finally:
-            self._open_connections -= 1
-            await trio.aclose_forcefully(stream)
 
     async def _next_message(self, stream: trio.abc.Stream) -> DirectoryMessage | None:
         decoder: StreamDecoder[Any] = StreamDecoder(self._codec)
--- a/egretsill/node/_fleet_link.py
+++ b/egretsill/node/_fleet_link.py
@@ -25,6 +25,7 @@
     encode_heartbeat,
 )
 from ..observation import Journal, Metrics
+from ..supervision import Part, Supervisor
 from ..timing import ClockJump, TimerService
 from ..wire import BATCH_DATAGRAMS, close_datagram_socket, read_batches
 from ._content_exchange import ContentExchange, PeerContentUnavailable
@@ -79,7 +80,7 @@
 
     Args:
         host: IPv4 address of this process.
-        bound: UDP socket for heartbeats, which `run` closes when it ends; all VMs use its port.
+        bound: UDP socket for heartbeats, which `close` closes; all VMs use its port.
         hubs: decides where this process sends its heartbeats.
         candidates: provides the cells of the directory's targets.
         load: returns the load of the target.
@@ -100,6 +101,7 @@
         timer: TimerService,
         metrics: Metrics,
         journal: Journal,
+        supervisor: Supervisor,
         load: Callable[[], TargetLoad],
         on_change: Callable[[str], None],
     ) -> None:
@@ -115,6 +117,7 @@
         self._timer = timer
         self._metrics = metrics
         self._journal = journal
+        self._supervisor = supervisor
         self._load = load
         self._on_change = on_change
         self._socket = bound
@@ -129,19 +132,20 @@
         self._confirmed_by: int | None = None
         self._content_sources: dict[int, _Offer] = {}
         self._newer_content_known = trio.Event()
+        timer.subscribe_jumps(self._note_scheduling_pause)
 
     async def run(self) -> None:
         """Exchange heartbeats until cancelled."""
-        self._timer.subscribe_jumps(self._note_scheduling_pause)
         subscription = self._timer.subscribe(HEARTBEAT_SECONDS, self._tick)
-        self.send_heartbeats()
+        with self._supervisor.contain(Part.HEARTBEATS):
+            self.send_heartbeats()
+        run = self._supervisor.run
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._receive_all)
-                nursery.start_soon(self._fetch_when_behind)
+                nursery.start_soon(run, Part.HEARTBEATS, self._receive_all)
+                nursery.start_soon(run, Part.CONTENT_FETCHING, self._fetch_when_behind)
         finally:
             subscription.cancel()
-            self.close()
 
     def close(self) -> None:
         """Close the socket."""
@@ -184,13 +188,18 @@
         if source is None or not self._hubs.is_far(source):
             recipients.update(dict.fromkeys(self._hubs.far_hubs(now)))
         if is_changed:
-            changes = self._exchange.encode_push(self._pushed_revision)
-            if changes is not None:
-                self._send(bytes((_PUSHED,)) + changes, recipients)
+            # Peers that get no push fetch the changes.
+            with self._supervisor.contain(Part.HEARTBEATS):
+                self._push_changes(recipients)
             self._pushed_revision = revision
         self._announced_confirmed_at = self._directory.confirmed_at
         self._send_reports(tuple(recipients), (self._own_report(),), now)
 
+    def _push_changes(self, recipients: Iterable[int]) -> None:
+        changes = self._exchange.encode_push(self._pushed_revision)
+        if changes is not None:
+            self._send(bytes((_PUSHED,)) + changes, recipients)
+
     def _contact_hubs(self, now: float) -> None:
         hubs = self._hubs.hubs(now)
         self._send_reports(hubs, (self._own_report(),), now, is_subscribing=True)
@@ -227,6 +236,8 @@
                 self._socket.sendto(data, (format_ipv4(host), self._port))
             except OSError:
                 self._metrics.datagrams_dropped.increment("gossip", "send-failed")
+            except Exception as error:  # The other hosts get theirs.
+                self._note_failure(error)
 
     def _make_head(self, now: float, is_subscribing: bool) -> HeartbeatHead:
         directory = self._directory
@@ -260,18 +271,27 @@
         )
 
     async def _receive_all(self) -> None:
-        await read_batches(self._socket, self._receive_batch, READ_PAUSE_SECONDS)
+        await read_batches(
+            self._socket, self._receive_batch, READ_PAUSE_SECONDS, self._note_failure
+        )
 
     def _receive_batch(self) -> bool:
         for _ in range(BATCH_DATAGRAMS):
             try:
                 data, sender = self._socket.recvfrom(MAXIMUM_DATAGRAM_BYTES)
             except BlockingIOError:
-                self.announce_content(self._confirmed_by)
+                with self._supervisor.contain(Part.HEARTBEATS):
+                    self.announce_content(self._confirmed_by)
                 return False
-            self._receive(data, sender[0])
+            try:
+                self._receive(data, sender[0])
+            except Exception as error:  # It costs this datagram only.
+                self._note_failure(error)
         return True
 
+    def _note_failure(self, error: Exception) -> None:
+        self._supervisor.note_failure(Part.HEARTBEATS, error)
+
     def _receive(self, data: bytes, sender: str) -> None:
         mark = data[0] if data else 0
         if mark == _PUSHED:
@@ -329,10 +349,12 @@
             self._on_change(sender)
 
     def _tick(self, now: float) -> None:
-        self.send_heartbeats()
+        with self._supervisor.contain(Part.HEARTBEATS):
+            self.send_heartbeats()
         self._period_count += 1
         if self._period_count % FAR_HEARTBEAT_PERIODS == 0:
-            self._contact_far_hubs(now)
+            with self._supervisor.contain(Part.HEARTBEATS):
+                self._contact_far_hubs(now)
         self._peers.tick(now)
         for host in self._hubs.tick(now):
             self._journal.record("hub-silent", peer=format_ipv4(host), cell=self._hubs.cell)
@@ -359,7 +381,8 @@
                 await trio.sleep(PUSH_GRACE_SECONDS)
             self._newer_content_known = trio.Event()
             sources, self._content_sources = self._content_sources, {}
-            await self._fetch_newest(sources)
+            with self._supervisor.contain(Part.CONTENT_FETCHING):
+                await self._fetch_newest(sources)
 
     async def _fetch_newest(self, sources: dict[int, _Offer]) -> None:
         """Fetch content from the peers with newer content, one by one, the newest first."""
@@ -373,8 +396,13 @@
                 self._journal.record("content-unavailable", peer=host, reason=error.reason)
                 await trio.sleep(RETRY_SECONDS)
                 continue
+            except Exception as error:  # Content that one peer has may be the cause.
+                self._supervisor.note_failure(Part.CONTENT_FETCHING, error)
+                await trio.sleep(RETRY_SECONDS)
+                continue
             if changed:
-                self._on_change(host)
+                with self._supervisor.contain(Part.CONTENT_FETCHING):
+                    self._on_change(host)
 
     def _note_scheduling_pause(self, jump: ClockJump) -> None:
         self._peers.note_scheduling_pause(jump.after)
--- a/egretsill/node/_main.py
+++ b/egretsill/node/_main.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import signal
+import traceback
+from functools import partial
 from pathlib import Path
 from random import SystemRandom
 
@@ -11,23 +14,25 @@
 from ..address_steering import PacketCodec
 from ..boot import NodeBoot, NodeSettingsRejected, load_node_settings
 from ..observation import log_to_standard_output
+from ..supervision import Part
 from ..timing import TrioTimerService
 from ._node import Node, StoreFactory
 
 EXIT_STOPPED = 0
+EXIT_FAILED = 4
 SETTINGS_POLL_SECONDS = 1.0  # settings may change without a signal
 
 
 def run(started: NodeBoot, codec: PacketCodec, make_store: StoreFactory) -> int:
-    """Run a process until a signal stops it, and return its exit code, 0.
+    """Run a process until a signal stops it, and return its exit code.
+
+    It is 0 if a signal stopped the process, and 4 if a failure ended it, whose traceback is then
+    written to standard error.
 
     Args:
         started: settings and sockets.
         codec: decodes and encodes the packets of flows.
         make_store: opens the store at an address.
-
-    Raises:
-        OSError: if a TCP endpoint can't be bound.
     """
     timer = TrioTimerService()
     random_source = SystemRandom()
@@ -40,7 +45,12 @@
         log_to_standard_output,
         random_source,
     )
-    trio.run(_run, node, started.settings_path)
+    try:
+        trio.run(_run, node, started.settings_path)
+    except Exception:
+        with contextlib.suppress(OSError):  # Standard error may have no reader.
+            traceback.print_exc()
+        return EXIT_FAILED
     return EXIT_STOPPED
 
 
@@ -48,12 +58,15 @@
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_run_until_stopped, node, nursery.cancel_scope)
-            nursery.start_soon(_poll_settings, node, settings_path)
+            nursery.start_soon(
+                node.supervisor.run, Part.SETTINGS, partial(_poll_settings, node, settings_path)
+            )
             async for number in signals:
                 if number == signal.SIGHUP:
                     _reload(node, settings_path)
                 else:
-                    node.shut_down()
+                    with node.supervisor.contain(Part.SHUTDOWN):
+                        node.shut_down()
 
 
 async def _run_until_stopped(node: Node, scope: trio.CancelScope) -> None:
@@ -81,7 +94,8 @@
 
 
 def _reload(node: Node, settings_path: Path) -> None:
-    try:
-        node.replace_settings(load_node_settings(settings_path))
-    except NodeSettingsRejected as error:
-        node.reject_settings(str(error))
+    with node.supervisor.contain(Part.SETTINGS):
+        try:
+            node.replace_settings(load_node_settings(settings_path))
+        except NodeSettingsRejected as error:
+            node.reject_settings(str(error))
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -28,21 +28,25 @@
     Journal,
     Metrics,
 )
+from ..supervision import Part, Supervisor, leaves
 from ..timing import TrioTimerService
 from ._agent_node import AgentNode
 from ._balancer_node import BalancerNode
 from ._content_exchange import ContentExchange
 from ._decision_log import DecisionLog
+from ._failure_log import FailureLog
 from ._fleet_link import FleetLink, TargetLoad
+from ._log_writer import LogWriter
 from ._reader_choice import ReaderChoice
 from ._shutdown import ShutdownPlan
 from ._store_reading import STORE_SOURCE, StoreReading
 
-LOG_SECONDS = 0.25  # longest time until a line is written
-LOG_START_SECONDS = (2.0, 6.0)  # when the log library is loaded, spread over the fleet
 SWEEP_SECONDS = 1.0
 CONTENT_SECONDS = 1.0  # longest wait for content at startup; callers stop sending SYNs after 1.4 s
 
+# Without these the process can't serve; routers take it out of rotation while one isn't running.
+_ESSENTIAL_PARTS = frozenset({Part.PACKETS, Part.TUNNEL, Part.SERVING, Part.TIMERS})
+
 StoreFactory: TypeAlias = Callable[[Address], Store]
 
 
@@ -71,14 +75,15 @@
     ) -> None:
         self._settings = settings
         self._sockets = sockets
-        self._random = random
-        self._open_log = open_log
-        self._is_log_open = False
         self._timer = timer
         self._metrics = Metrics()
         self._journal = Journal(
             settings.name, lambda: self._timer.now, lambda: self._timer.epoch_milliseconds / 1000
         )
+        self._failures = FailureLog(self._metrics, self._journal)
+        self._supervisor = Supervisor(self._failures.record)
+        timer.contain_failures(lambda error: self._supervisor.note_failure(Part.TIMERS, error))
+        self._log_writer = LogWriter(self._journal, open_log, random, self._supervisor)
         self._host = parse_ipv4(settings.host)
         self._directory = Directory(settings.flow_seconds)
         seeds = [parse_ipv4(each) for each in settings.seeds]
@@ -97,6 +102,7 @@
             Address(settings.host, settings.tunnel_port),
             self._directory,
             self._timer,
+            self._supervisor,
             lambda reason: self._metrics.messages_malformed.increment("directory", reason),
         )
         self._link = self._make_link()
@@ -111,10 +117,16 @@
             self._timer,
             self._metrics,
             self._journal,
+            self._supervisor,
             self._note_content_change,
             lambda: self._link.announce_content(None),
         )
 
+    @property
+    def supervisor(self) -> Supervisor:
+        """Return the supervisor of this process, for work beside the node's own."""
+        return self._supervisor
+
     @property
     def health(self) -> HealthState:
         """Return the health state: whether this process takes packets of new flows."""
@@ -123,6 +135,8 @@
             problems.append(HealthProblem.NO_CONFIGURATION)
         if self._shutdown.is_leaving:
             problems.append(HealthProblem.DRAINING)
+        if _ESSENTIAL_PARTS.intersection(self._supervisor.stopped):
+            problems.append(HealthProblem.PART_STOPPED)
         return HealthState(tuple(problems))
 
     @property
@@ -144,41 +158,39 @@
             "cell": self._hubs.cell,
             "is_hub": self._hubs.is_hub(now),
             "is_leaving": self._shutdown.is_leaving,
+            "parts_stopped": sorted(each.value for each in self._supervisor.stopped),
         }
 
     async def run(self) -> None:
-        """Run until shut down or cancelled.
+        """Run until shut down or cancelled; a part that fails is started again.
 
-        Raises:
-            OSError: if a TCP endpoint can't be bound.
+        An exception is recorded before it is raised.
         """
-        settings = self._settings
-        self._journal.record("started", role=settings.role.value, host=settings.host)
+        self._journal.record("started", role=self._settings.role.value, host=self._settings.host)
         try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._timer.run)
-                nursery.start_soon(self._serve)
-                nursery.start_soon(self._reading.run)
-                await nursery.start(self._exchange.run)
-                nursery.start_soon(self._link.run)
-                for listen in (settings.health, settings.metrics):
-                    await nursery.start(self._make_admin(listen).run)
-                self._timer.subscribe(SWEEP_SECONDS, self._sweep)
-                nursery.start_soon(self._write_log)
-                await self._stopped.wait()
-                nursery.cancel_scope.cancel()
+            await self._run_parts()
+        except* Exception as group:
+            for each in leaves(group):
+                self._failures.record_end(each)
+            raise
         finally:
+            await self._reading.close()
+            self._role.close()
+            self._link.close()
             self._journal.record("stopped", **self._shutdown.outcome)
-            self._flush_log()
+            self._log_writer.flush()
 
     def shut_down(self) -> None:
         """Start to leave: take no new flows, and end once routers and open work permit."""
         if self._shutdown.is_leaving:
             return
         self._shutdown.begin(self._timer.now)
-        self._journal.record("leaving", flows=self._load().flows, pending=self._load().pending)
-        self._link.leave()
         self._timer.subscribe(ShutdownPlan.POLL_SECONDS, self._check_shutdown)
+        with self._supervisor.contain(Part.SHUTDOWN):
+            load = self._load()
+            self._journal.record("leaving", flows=load.flows, pending=load.pending)
+        with self._supervisor.contain(Part.SHUTDOWN):
+            self._link.leave()
 
     def replace_settings(self, settings: NodeSettings) -> None:
         """Apply the seeds of new settings; other differences take effect at the next start."""
@@ -191,6 +203,21 @@
         """Record that the settings file is invalid; the old settings stay in force."""
         self._journal.record("settings-rejected", problem=problem)
 
+    async def _run_parts(self) -> None:
+        run, start = self._supervisor.run, self._supervisor.start
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run, Part.TIMERS, self._timer.run)
+            nursery.start_soon(run, Part.SERVING, self._serve)
+            nursery.start_soon(run, Part.STORE_READING, self._reading.run)
+            await nursery.start(start, Part.CONTENT_SERVING, self._exchange.run)
+            nursery.start_soon(run, Part.HEARTBEATS, self._link.run)
+            for listen in (self._settings.health, self._settings.metrics):
+                await nursery.start(start, Part.ADMIN, self._make_admin(listen).run)
+            self._timer.subscribe(SWEEP_SECONDS, self._sweep)
+            nursery.start_soon(run, Part.LOG, self._log_writer.run)
+            await self._stopped.wait()
+            nursery.cancel_scope.cancel()
+
     def _make_role(self, codec: PacketCodec) -> BalancerNode | AgentNode:
         settings = self._settings
         log = DecisionLog(
@@ -222,6 +249,7 @@
             self._timer,
             self._metrics,
             log,
+            self._supervisor,
         )
 
     def _make_agent(self, agent: AgentSettings, codec: PacketCodec, log: DecisionLog) -> AgentNode:
@@ -248,6 +276,7 @@
             self._timer,
             self._metrics,
             log,
+            self._supervisor,
         )
 
     def _make_link(self) -> FleetLink:
@@ -265,12 +294,15 @@
             self._timer,
             self._metrics,
             self._journal,
+            self._supervisor,
             self._load,
             self._note_content_change,
         )
 
     def _make_admin(self, listen: Address) -> AdminServer:
-        return AdminServer(listen, self._metrics, lambda: self.status, lambda: self.health)
+        return AdminServer(
+            listen, self._metrics, lambda: self.status, lambda: self.health, self._supervisor
+        )
 
     def _load(self) -> TargetLoad:
         if self._agent_steering is None:
@@ -293,10 +325,11 @@
 
     def _note_content_change(self, source: str) -> None:
         directory = self._directory
-        if not self._hubs.cell:
-            self._link.send_heartbeats()
         if directory.is_known:
             self._content_known.set()
+        if not self._hubs.cell:
+            with self._supervisor.contain(Part.HEARTBEATS):
+                self._link.send_heartbeats()
         self._metrics.revision_in_force.set(directory.version)
         self._metrics.store_era.set(directory.content_revision.era)
         self._note_store_return(source)
@@ -347,11 +380,13 @@
         self._metrics.flows_open.set(load.flows)
 
     def _check_shutdown(self, now: float) -> None:
-        is_idle = (
-            now - self._role.last_packet_at > ShutdownPlan.IDLE_SECONDS
-            if isinstance(self._role, BalancerNode)
-            else self._load().pending == 0
-        )
+        is_idle = False
+        with self._supervisor.contain(Part.SHUTDOWN):
+            is_idle = (
+                now - self._role.last_packet_at > ShutdownPlan.IDLE_SECONDS
+                if isinstance(self._role, BalancerNode)
+                else self._load().pending == 0
+            )
         if self._shutdown.should_end(now, is_idle):
             self._stopped.set()
 
@@ -360,15 +395,3 @@
         with trio.move_on_after(CONTENT_SECONDS):
             await self._content_known.wait()
         await self._role.run()
-
-    async def _write_log(self) -> None:
-        await trio.sleep(self._random.uniform(*LOG_START_SECONDS))
-        while True:
-            self._flush_log()
-            await trio.sleep(LOG_SECONDS)
-
-    def _flush_log(self) -> None:
-        if not self._is_log_open:
-            self._is_log_open = True
-            self._open_log()
-        self._journal.flush()
--- a/egretsill/node/_packet_socket.py
+++ b/egretsill/node/_packet_socket.py
@@ -7,6 +7,7 @@
 
 from ..address_steering import Drop, DropReason, FlowKey
 from ..endpoints import format_ipv4
+from ..supervision import Part, Supervisor
 from ..timing import TimerService
 from ..wire import (
     BATCH_DATAGRAMS,
@@ -23,25 +24,30 @@
     """One bound endpoint.
 
     Args:
+        part: the part that failures with a datagram are reported for.
         bound: its socket, which `close` closes.
         on_datagram: called with each datagram and the local time at which its batch began.
     """
 
     def __init__(
         self,
+        part: Part,
         bound: socket.socket,
         timer: TimerService,
         log: DecisionLog,
+        supervisor: Supervisor,
         on_datagram: Callable[[bytes, float], None],
     ) -> None:
+        self._part = part
         self._timer = timer
         self._log = log
+        self._supervisor = supervisor
         self._on_datagram = on_datagram
         self._socket = bound
 
     async def run(self) -> None:
         """Receive datagrams until the socket is closed."""
-        await read_batches(self._socket, self._receive_batch)
+        await read_batches(self._socket, self._receive_batch, note_error=self._note_failure)
 
     def close(self) -> None:
         """Close the socket."""
@@ -63,5 +69,11 @@
                 datagram = self._socket.recv(MAXIMUM_DATAGRAM_BYTES)
             except BlockingIOError:
                 return False
-            self._on_datagram(datagram, now)
+            try:
+                self._on_datagram(datagram, now)
+            except Exception as error:  # It costs this datagram only.
+                self._note_failure(error)
         return True
+
+    def _note_failure(self, error: Exception) -> None:
+        self._supervisor.note_failure(self._part, error)
--- a/egretsill/node/_store_reading.py
+++ b/egretsill/node/_store_reading.py
@@ -19,8 +19,10 @@
     WatchChanges,
 )
 from ..observation import Journal, Metrics
+from ..supervision import Part, Supervisor
 from ..timing import TimerService
 
+FAILURE_PAUSE_SECONDS = 0.2  # after a step that failed unexpectedly
 STORE_SOURCE = "store"  # source of a change that this process read from the store itself
 
 
@@ -42,6 +44,7 @@
         timer: TimerService,
         metrics: Metrics,
         journal: Journal,
+        supervisor: Supervisor,
         on_change: Callable[[str], None],
         on_response: Callable[[], None],
     ) -> None:
@@ -52,6 +55,7 @@
         self._timer = timer
         self._metrics = metrics
         self._journal = journal
+        self._supervisor = supervisor
         self._on_change = on_change
         self._on_response = on_response
         self._watched_revision = NO_REVISION
@@ -59,12 +63,19 @@
 
     async def run(self) -> None:
         """Read until cancelled."""
-        try:
-            while True:
+        while True:
+            try:
                 await self._do_next_step()
-        finally:
-            with trio.CancelScope(shield=True):
-                await self._store.close()
+            except Exception as error:
+                self._supervisor.note_failure(Part.STORE_READING, error)
+                # What was merged is unknown, so everything is read again.
+                self._plan.note_failure(self._timer.now)
+                await trio.sleep(FAILURE_PAUSE_SECONDS)
+
+    async def close(self) -> None:
+        """Close the connections to the store."""
+        with trio.CancelScope(shield=True), self._supervisor.contain(Part.STORE_READING):
+            await self._store.close()
 
     async def _do_next_step(self) -> None:
         now = self._timer.now
@@ -92,7 +103,8 @@
             self._journal.record("store-history-lost", after=str(error.after), era=error.era)
         else:
             self._note_success()
-            self._on_response()
+            with self._supervisor.contain(Part.STORE_READING):
+                self._on_response()
 
     async def _read(self, timeout_seconds: float) -> None:
         requested_at = self._timer.now
@@ -105,7 +117,7 @@
         self._count_unreadable(snapshot.unreadable)
         # The first page may be as old as the request.
         if self._directory.apply_snapshot(snapshot, self._timer.now, requested_at):
-            self._on_change(STORE_SOURCE)
+            self._note_change()
 
     async def _watch(self, wait_seconds: float, timeout_seconds: float) -> None:
         requested_at = self._timer.now
@@ -116,6 +128,11 @@
         # Nothing changed until the store stopped waiting; the response may have arrived later.
         confirmed_at = min(now, requested_at + wait_seconds) if changes.is_empty else now
         if self._directory.apply_changes(changes, now, confirmed_at):
+            self._note_change()
+
+    def _note_change(self) -> None:
+        # The content is in force already, so a failure here is none of the read.
+        with self._supervisor.contain(Part.STORE_READING):
             self._on_change(STORE_SOURCE)
 
     def _count_unreadable(self, count: int) -> None:
--- a/egretsill/node/tests/returning_store.py
+++ b/egretsill/node/tests/returning_store.py
@@ -18,6 +18,7 @@
     TargetPhase,
     pack_revision,
 )
+from ...supervision.tests.supervisors import PropagatingSupervisor
 from ...timing import VirtualTimerService
 from ...wire import Address
 from .._content_exchange import ContentExchange
@@ -190,7 +191,11 @@
         self._timer = timer
         self.directory = Directory()
         self._exchange = ContentExchange(
-            Address("127.0.0.1", 1), self.directory, timer, self.malformed.append
+            Address("127.0.0.1", 1),
+            self.directory,
+            timer,
+            PropagatingSupervisor(),
+            self.malformed.append,
         )
         self._watched: StoreRevision | None = None
         self._pushed = StoreRevision(0, 0)
--- a/egretsill/node/tests/test_content_exchange.py
+++ b/egretsill/node/tests/test_content_exchange.py
@@ -22,6 +22,7 @@
     TargetPhase,
 )
 from ...directory.tests.revisions import rev
+from ...supervision.tests.supervisors import PropagatingSupervisor
 from ...timing import VirtualTimerService
 from ...wire import Address
 from .._content_exchange import MAXIMUM_PUSH_BYTES, ContentExchange
@@ -44,7 +45,11 @@
             Snapshot(rev(20), make_table(7, range(1, 1_400)), (ONE,)), 0.0
         )
         self.exchange = ContentExchange(
-            Address("127.0.0.1", 1), self.directory, VirtualTimerService(), self.problems.append
+            Address("127.0.0.1", 1),
+            self.directory,
+            VirtualTimerService(),
+            PropagatingSupervisor(),
+            self.problems.append,
         )
 
     def drain(self, revision: int) -> None:
--- a/egretsill/node/tests/test_decision_log.py
+++ b/egretsill/node/tests/test_decision_log.py
@@ -26,7 +26,7 @@
         super().__init__("agent-1", lambda: 0.0, lambda: 0.0)
         self.lines: list[tuple[str, Mapping[str, Any]]] = []
 
-    def write(self, kind: str, fields: Mapping[str, Any]) -> None:
+    def write(self, kind: str, fields: Mapping[str, Any], budget: str | None = None) -> None:
         self.lines.append((kind, fields))
 
 
--- a/egretsill/node/tests/test_store_reading.py
+++ b/egretsill/node/tests/test_store_reading.py
@@ -17,6 +17,7 @@
 )
 from ...directory.tests.revisions import rev
 from ...observation import Journal, Metrics
+from ...supervision.tests.supervisors import PropagatingSupervisor
 from ...timing import VirtualTimerService
 from .._store_reading import StoreReading
 
@@ -71,6 +72,7 @@
         timer,
         metrics,
         Journal("reader", lambda: timer.now, lambda: timer.now),
+        PropagatingSupervisor(),
         lambda _: None,
         lambda: None,
     )
--- a/egretsill/observation/_admin_server.py
+++ b/egretsill/observation/_admin_server.py
@@ -15,6 +15,7 @@
 import h11
 import trio
 
+from ..supervision import Part, Supervisor
 from ..wire import Address
 from ._health import HealthState
 from ._metrics import Metrics
@@ -55,6 +56,7 @@
         listen: TCP endpoint; port 0 selects any free port.
         status: returns the state of this process for `/status`.
         health: returns the health of this process for `/health`.
+        supervisor: contains unexpected exceptions of connections and pages.
     """
 
     def __init__(
@@ -63,11 +65,13 @@
         metrics: Metrics,
         status: Callable[[], Mapping[str, JSON]],
         health: Callable[[], HealthState],
+        supervisor: Supervisor,
     ) -> None:
         self._listen = listen
         self._metrics = metrics
         self._status = status
         self._health = health
+        self._supervisor = supervisor
         self._connections = 0
 
     async def run(self, task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED) -> None:
@@ -87,15 +91,20 @@
             await trio.aclose_forcefully(stream)
             return
         self._connections += 1
+        try:
+            with self._supervisor.contain(Part.ADMIN):
+                await self._serve_connection(stream)
+        finally:
+            self._connections -= 1
+            await trio.aclose_forcefully(stream)
+
+    async def _serve_connection(self, stream: trio.abc.HalfCloseableStream) -> None:
         try:
             await self._serve_request(stream)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             self._count_refusal(AdminRefusal.DISCONNECTED)
         except h11.ProtocolError:
             self._count_refusal(AdminRefusal.MALFORMED)
-        finally:
-            self._connections -= 1
-            await trio.aclose_forcefully(stream)
 
     async def _serve_request(self, stream: trio.abc.HalfCloseableStream) -> None:
         connection = h11.Connection(h11.SERVER, max_incomplete_event_size=MAXIMUM_REQUEST_BYTES)
@@ -155,7 +164,8 @@
             return _json_response(405, {"error": "only GET and HEAD"})
         try:
             return self._render_page(request, path)
-        except Exception as error:  # A page that fails must not end the process.
+        except Exception as error:
+            self._supervisor.note_failure(Part.ADMIN, error)
             return _json_response(500, {"error": type(error).__name__})
 
     def _render_page(self, request: h11.Request, path: str) -> _Response:
--- a/egretsill/observation/_definitions.py
+++ b/egretsill/observation/_definitions.py
@@ -209,6 +209,14 @@
         "Times that this process did not run for over a second.",
         "Ask the platform why the VM was paused.",
     ),
+    _counter(
+        "failures_contained",
+        ("part", "error"),
+        "Unexpected exceptions that ended one piece of work, such as a datagram, a connection or "
+        "a read of the store; the process went on.",
+        "Each is a fault of egretsill: look up the part-failed lines for its location, and report "
+        "it.",
+    ),
     _counter(
         "admin_requests",
         ("path", "status"),
--- a/egretsill/observation/_health.py
+++ b/egretsill/observation/_health.py
@@ -14,6 +14,7 @@
     DRAINING = "draining"
     BACKEND_DOWN = "backend-down"
     VIEW_STALE = "view-stale"
+    PART_STOPPED = "part-stopped"
 
 
 @dataclass(frozen=True, slots=True)
--- a/egretsill/observation/_journal.py
+++ b/egretsill/observation/_journal.py
@@ -79,12 +79,18 @@
         if self.consume_budget(kind):
             self.write(kind, fields)
 
-    def write(self, kind: str, fields: Mapping[str, LogValue]) -> None:
-        """Queue a line for which `consume_budget` returned True."""
-        budget = self._budgets.get(kind)
-        if budget is not None and budget.omitted:
-            fields = {**fields, "omitted": budget.omitted}
-            budget.omitted = 0
+    def write(self, kind: str, fields: Mapping[str, LogValue], budget: str | None = None) -> None:
+        """Queue a line for which `consume_budget` returned True.
+
+        Args:
+            kind: kind of the line.
+            fields: what it says.
+            budget: the name that `consume_budget` was called with, if it isn't the kind.
+        """
+        account = self._budgets.get(kind if budget is None else budget)
+        if account is not None and account.omitted:
+            fields = {**fields, "omitted": account.omitted}
+            account.omitted = 0
         if len(self._waiting) >= MAXIMUM_WAITING:
             self._waiting.popleft()
             self._lost_lines += 1
--- a/egretsill/observation/_logging.py
+++ b/egretsill/observation/_logging.py
@@ -71,6 +71,12 @@
         "Nothing, if they were rotated.",
     )
 
+    FAILURE = (
+        "failure",
+        "An unexpected exception ended one piece of work of a part; the process went on.",
+        "Report it: it is a fault of egretsill. The state names the error and its location.",
+    )
+
     def __init__(self, label: str, meaning: str, action: str) -> None:
         self.label = label
         self.meaning = meaning
--- a/egretsill/observation/_metrics.py
+++ b/egretsill/observation/_metrics.py
@@ -219,6 +219,7 @@
     membership_changes: Counter
     gossip_messages: Counter
     clock_jumps: Counter
+    failures_contained: Counter
     admin_requests: Counter
     admin_connections_refused: Counter
     flows_open: Gauge
--- a/egretsill/observation/tests/test_admin_garbage.py
+++ b/egretsill/observation/tests/test_admin_garbage.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from ...configuration import Address
+from ...supervision.tests.supervisors import PropagatingSupervisor
 from .. import AdminServer, HealthState, Metrics
 from .._admin_server import MAXIMUM_REQUEST_BYTES, READ_BYTES
 
@@ -37,7 +38,13 @@
 
 async def _exchange(data: bytes, pieces: int) -> tuple[bytes, Metrics, AdminServer]:
     metrics = Metrics()
-    server = AdminServer(Address("127.0.0.1", 0), metrics, lambda: {"revision": 1}, HealthState)
+    server = AdminServer(
+        Address("127.0.0.1", 0),
+        metrics,
+        lambda: {"revision": 1},
+        HealthState,
+        PropagatingSupervisor(),
+    )
     client, served = trio.testing.memory_stream_pair()
     response = b""
 
--- a/egretsill/observation/tests/test_admin_server.py
+++ b/egretsill/observation/tests/test_admin_server.py
@@ -10,6 +10,7 @@
 import trio.testing
 
 from ...configuration import Address
+from ...supervision.tests.supervisors import PropagatingSupervisor, RecordingSupervisor
 from .. import JSON, AdminServer, HealthProblem, HealthState, Metrics
 from .._admin_server import MAXIMUM_CONNECTIONS
 
@@ -21,7 +22,13 @@
         self.metrics = Metrics()
         self.health = HealthState()
         self.address = Address("127.0.0.1", 0)
-        self.server = AdminServer(self.address, self.metrics, self._status, lambda: self.health)
+        self.server = AdminServer(
+            self.address,
+            self.metrics,
+            self._status,
+            lambda: self.health,
+            PropagatingSupervisor(),
+        )
 
     def refused(self, reason: str) -> float:
         counter = self.metrics.admin_connections_refused
@@ -110,10 +117,12 @@
 
     async def main() -> None:
         admin = _Admin()
-        admin.server = AdminServer(admin.address, admin.metrics, admin._status, fail)
+        supervisor = RecordingSupervisor()
+        admin.server = AdminServer(admin.address, admin.metrics, admin._status, fail, supervisor)
         async with trio.open_nursery() as nursery:
             admin.address = await nursery.start(admin.server.run)
             assert await admin.request(_request("/health")) == (500, b'{"error": "KeyError"}\n')
+            assert supervisor.names == [("admin", "KeyError")]
             assert (await admin.request(_request("/status")))[0] == 200
             nursery.cancel_scope.cancel()
 
