--- a/egretsill/address_steering/_candidates.py
+++ b/egretsill/address_steering/_candidates.py
@@ -178,11 +178,14 @@
         return found
 
     def _refresh(self) -> None:
-        if self._generation == self._directory.generation:
+        generation = self._directory.generation
+        if self._generation == generation:
             return
-        self._generation = self._directory.generation
-        self._ranks = {}
         domains = self._directory.domains()
         if domains != self._cells.domains:
-            self._cells = Cells(domains)
-            self._domains = {domain_hash(each): each for each in domains.values()}
+            cells = Cells(domains)
+            hashed = {domain_hash(each): each for each in domains.values()}
+            self._cells, self._domains = cells, hashed
+        self._ranks = {}
+        # Assigned last: if a step fails, the next query fails too instead of using old ranks.
+        self._generation = generation
--- a/egretsill/directory/_directory.py
+++ b/egretsill/directory/_directory.py
@@ -291,9 +291,6 @@
         """Merge complete content, which may be of a later era."""
         before, is_first = self._content_revision, not self.has_content
         is_return = not is_first and revision.era > before.era
-        if is_first or is_return:
-            self._content_revision = revision
-            self._log.clear()
         if is_return:
             self._entries.start_settling(now)
         self._entries.forget_outdated()
@@ -302,6 +299,9 @@
         changed = self._merge(
             Changes(revision, table, tuple(current.values()), tuple(removed)), now
         )
+        if is_first or is_return:
+            self._content_revision = revision
+            self._log.clear()
         if is_return:
             version = table.version if table is not None else 0
             self._last_return = StoreReturn(
@@ -310,34 +310,29 @@
         return changed or is_return
 
     def _merge(self, changes: Changes, now: float) -> bool:
-        before = self._table
-        is_newer = changes.table is not None and changes.table.version > self.version
-        if is_newer:
-            self._table = changes.table
-            self._former_routes.record_change(before, self._table, now)
+        """Merge changes; an exception leaves the content, its revision and the log as they were.
+
+        Otherwise entries would be in force that this process's peers never learn of.
+        """
+        before, after = self._table, self._table
+        if changes.table is not None and changes.table.version > self.version:
+            after = changes.table
+        is_newer = after is not before
+        routes = None
+        if is_newer and before is not None and after is not None:
+            routes = route_changes(before, after)
+            # Only asked about for addresses without a route, and repeated if the next step fails.
+            self._former_routes.record_change(before, after, now)
         written, removed = self._entries.merge(changes.changed, changes.removed, now)
         if not is_newer and not written and not removed:
             return False
-        self._log_changes(changes.at, before, written, removed)
-        self._content_revision = max(changes.at, self._content_revision)
-        return True
-
-    def _log_changes(
-        self,
-        revision: StoreRevision,
-        table_before: RouteTable | None,
-        written: Sequence[Target],
-        removed: Sequence[str],
-    ) -> None:
-        """Log a change for peers, if it has a base revision."""
+        self._table = after
         base = self._content_revision
-        if base == NO_REVISION or revision <= base:
+        if base == NO_REVISION or changes.at <= base or (is_newer and before is None):
             self._log.clear()
-            return
-        routes = None
-        if self._table is not table_before and self._table is not None:
-            if table_before is None:
-                self._log.clear()
-                return
-            routes = route_changes(table_before, self._table)
-        self._log.append(ContentChanges(base, revision, routes, tuple(written), tuple(removed)))
+        else:
+            self._log.append(
+                ContentChanges(base, changes.at, routes, tuple(written), tuple(removed))
+            )
+        self._content_revision = max(changes.at, base)
+        return True
--- a/egretsill/directory/_former_routes.py
+++ b/egretsill/directory/_former_routes.py
@@ -39,14 +39,18 @@
         """Record the routes that a newer configuration changed or withdrew."""
         if before is None or after is None:
             return
+        withdrawn = [address for address in before.routes if address not in after.routes]
+        restored = [address for address in self._withdrawn if address in after.routes]
+        former: dict[ServiceAddress, tuple[str, ...]] = {}
         for address, route in before.routes.items():
             current = after.routes.get(address)
-            if current is None:
-                self._withdrawn[address] = None
             if current is None or current.services != route.services:
-                known = self._services.setdefault(address, {})
-                known.update(dict.fromkeys(route.services, now + self._retention_seconds))
-        for address in [each for each in self._withdrawn if each in after.routes]:
+                former[address] = route.services
+        for address, services in former.items():
+            known = self._services.setdefault(address, {})
+            known.update(dict.fromkeys(services, now + self._retention_seconds))
+        self._withdrawn.update(dict.fromkeys(withdrawn))
+        for address in restored:
             del self._withdrawn[address]
         while len(self._withdrawn) > MAXIMUM_WITHDRAWN:
             self._withdrawn.popitem(last=False)
--- a/egretsill/directory/_target_entries.py
+++ b/egretsill/directory/_target_entries.py
@@ -45,8 +45,8 @@
     def index(self) -> TargetIndex:
         """Return all targets by service and by VM."""
         if self._changed_at is not None:
-            now, self._changed_at = self._changed_at, None
-            self._index.rebuild(self._current, self._departed.values(), now)
+            self._index.rebuild(self._current, self._departed.values(), self._changed_at)
+            self._changed_at = None
         return self._index
 
     @property
@@ -84,12 +84,24 @@
     def merge(
         self, changed: Sequence[Target], removed: Sequence[str], now: float
     ) -> tuple[Sequence[Target], Sequence[str]]:
-        """Merge entries; return those that were taken, and the names of those that were removed."""
-        written = [each for each in changed if self._write(each, now)]
-        gone = [name for name in removed if self._remove(name, now)]
-        if written or gone:
+        """Merge entries; return those that were taken, and the names of those that were removed.
+
+        All of them are merged, or none if one of them raises an exception.
+        """
+        names = dict.fromkeys(removed)
+        taken: list[TargetView] = []
+        views: dict[str, TargetView] = {}
+        for target in changed:
+            known = views.get(target.name) or self._current.get(target.name)
+            if self._is_taken(target, known, now):
+                view = views[target.name] = TargetView(target, now + target.warmup_seconds)
+                taken.append(view)
+        for view in taken:
+            self._write(view, now)
+        gone = [name for name in names if self._remove(name, now)]
+        if taken or gone:
             self._note_change(now)
-        return written, gone
+        return [each.target for each in taken], gone
 
     def tick(self, now: float) -> bool:
         """Drop expired targets; return whether any was dropped."""
@@ -110,15 +122,13 @@
             self._note_change(now)
         return bool(expired)
 
-    def _write(self, target: Target, now: float) -> bool:
+    def _write(self, view: TargetView, now: float) -> None:
+        target = view.target
         known = self._current.get(target.name)
-        if not self._is_taken(target, known, now):
-            return False
         self._outdated.discard(target.name)
         if known is not None and known.target.started_milliseconds != target.started_milliseconds:
             self._departed[target.name] = TargetView(known.target, known.warmup_ends_at, now)
-        self._current[target.name] = TargetView(target, now + target.warmup_seconds)
-        return True
+        self._current[target.name] = view
 
     def _is_taken(self, target: Target, known: TargetView | None, now: float) -> bool:
         """Return whether to take an entry; note one that a copy of the store has brought back."""
--- a/egretsill/directory/_target_index.py
+++ b/egretsill/directory/_target_index.py
@@ -72,8 +72,7 @@
         for view in (*self._without_replaced(current, departed, now), *departed):
             by_service.setdefault(view.target.service, []).append(view)
             by_host.setdefault(view.target.host, []).append(view)
-        self._by_service = _as_tuples(by_service)
-        self._by_host = _as_tuples(by_host)
+        self._by_service, self._by_host = _as_tuples(by_service), _as_tuples(by_host)
 
     def _without_replaced(
         self, current: Mapping[str, TargetView], departed: Iterable[TargetView], now: float
--- a/egretsill/fleet/_hubs.py
+++ b/egretsill/fleet/_hubs.py
@@ -74,8 +74,8 @@
         """Replace the cells by those of a newer directory."""
         if cells is self._cells:
             return
-        self._cells = cells
         self._cell = cells.cell_of(self._host, self._domain)
+        self._cells = cells
         self._ranks = {}
         self._forwarded_at = {}
         self._read_at = {}
--- a/egretsill/fleet/tests/test_hubs.py
+++ b/egretsill/fleet/tests/test_hubs.py
@@ -177,3 +177,19 @@
     assert not plan.should_read_reports(digest, 1.1)
     assert plan.should_read_reports(digest._replace(cell="d2/0"), 1.1)
     assert plan.should_read_reports(digest, 1.5)
+
+
+# Guards against a process that keeps the name of its former cell after a failure to find the new.
+def test_failed_change_of_cells_is_repeated(monkeypatch: pytest.MonkeyPatch) -> None:
+    plan = HubPlan(1, "d0", [SEED], PeerTable(1))
+    cells = Cells({1: "d0", 2: "d0"})
+
+    def fail(*_: object) -> str:
+        raise RuntimeError("unexpected")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(Cells, "cell_of", fail)
+        with pytest.raises(RuntimeError):
+            plan.replace_cells(cells)
+    plan.replace_cells(cells)
+    assert plan.cell == "d0/0"
--- a/egretsill/node/_reader_choice.py
+++ b/egretsill/node/_reader_choice.py
@@ -42,12 +42,13 @@
 
     def readers(self) -> Sequence[int]:
         """Return the addresses of the readers in order of rank."""
-        if self._generation != self._directory.generation:
-            self._generation = self._directory.generation
+        generation = self._directory.generation
+        if self._generation != generation:
             hosts = {
                 each.host for each in self._directory.targets if each.phase is TargetPhase.READY
             }
             self._order = reader_order(hosts or self._seeds)
+            self._generation = generation
         chosen: list[int] = []
         for host in self._order:
             if self._can_read_itself() if host == self._host else self._peers.can_read(host):
--- a/egretsill/node/tests/test_reader_choice.py
+++ b/egretsill/node/tests/test_reader_choice.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import replace
 
 import pytest
 
 from ...directory import (
     READERS,
+    Changes,
     Directory,
     RouteTable,
     Snapshot,
@@ -17,6 +19,7 @@
 )
 from ...directory.tests.revisions import rev
 from ...fleet import PeerReport, PeerTable
+from .. import _reader_choice as reader_choice_module
 from .._reader_choice import ReaderChoice
 
 SEEDS = (901, 902, 903)
@@ -76,3 +79,23 @@
     own = order[1]
     choice = ReaderChoice(own, SEEDS, make_directory(entries), PeerTable(own), lambda: False)
     assert choice.readers() == list(order[2:4])
+
+
+# Guards against readers of earlier content that stay chosen after a failure to rank the new ones.
+def test_failed_ranking_is_repeated(monkeypatch: pytest.MonkeyPatch) -> None:
+    directory = make_directory(targets(5))
+    choice = ReaderChoice(901, SEEDS, directory, PeerTable(901), lambda: True)
+    choice.readers()
+    entry = replace(targets(9)[8], revision=rev(30))
+    removed = tuple(f"t{host}" for host in range(1, 6))
+    directory.apply_changes(Changes(rev(30), None, (entry,), removed), 1.0)
+
+    def fail(_: object) -> Sequence[int]:
+        raise RuntimeError("unexpected")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(reader_choice_module, "reader_order", fail)
+        for _ in range(2):
+            with pytest.raises(RuntimeError):
+                choice.readers()
+    assert choice.readers() == [9]
