--- a/egretsill/address_steering/_homes.py
+++ b/egretsill/address_steering/_homes.py
@@ -13,7 +13,7 @@
 from ..fleet import PeerTable
 from ._candidates import Candidates, ServiceRank
 from ._decisions import NotifyHome
-from ._flow_table import FlowTable
+from ._flow_table import FlowEntry, FlowTable
 from ._packet import FlowKey
 from ._tunnel import MAXIMUM_NOTICE_FLOWS, HomeNotice
 
@@ -92,7 +92,7 @@
         new_agents = self._peers.new_agents
         restarted_agents = new_agents - self._new_agents
         is_new_rank = rank is not self._rank
-        self._rank, self._new_agents = rank, new_agents
+        announced: list[tuple[FlowEntry, Sequence[int], bool]] = []
         due: dict[int, list[FlowKey]] = {}
         for flow, entry in self._flows.open_flows():
             if now - entry.first_packet_at < ANNOUNCEMENT_AGE_SECONDS:
@@ -105,10 +105,8 @@
                 is_uninformed = home not in entry.homes or home in restarted_agents
                 if home != self._host and (is_repeat or is_uninformed):
                     due.setdefault(home, []).append(flow)
-            entry.homes = homes
-            if is_repeat:
-                entry.announced_at = now
-        return [
+            announced.append((entry, homes, is_repeat))
+        notices = [
             NotifyHome(
                 home,
                 HomeNotice(
@@ -118,3 +116,10 @@
             for home, announced_flows in due.items()
             for start in range(0, len(announced_flows), MAXIMUM_NOTICE_FLOWS)
         ]
+        # Assigned last: if a step fails, the notices stay due.
+        self._rank, self._new_agents = rank, new_agents
+        for entry, homes, is_repeat in announced:
+            entry.homes = homes
+            if is_repeat:
+                entry.announced_at = now
+        return notices
--- a/egretsill/address_steering/tests/test_large_fleet.py
+++ b/egretsill/address_steering/tests/test_large_fleet.py
@@ -21,6 +21,7 @@
     BalancerSteering,
     Candidates,
     DeliverToTarget,
+    FlowKey,
     FlowPlacement,
     Forward,
     ForwardReason,
@@ -31,6 +32,7 @@
     RefuseReason,
     Undecided,
 )
+from .._candidates import ServiceRank
 from .._homes import ANNOUNCEMENT_AGE_SECONDS, RECORD_LIFETIME_SECONDS, REPEAT_SECONDS
 from .._tunnel import domain_hash
 from .scene import RETENTION, SERVICE, flow, packet, table, target
@@ -322,3 +324,26 @@
     newer = RouteTable(8, table().routes, 15.0)
     fleet.directory.apply_snapshot(Snapshot(rev(101), newer, fleet.targets), 1.0)
     assert fleet.candidates.of(SERVICE) is before
+
+
+# Guards against flows that count as announced to their homes after a failure to make the notices.
+def test_notices_stay_due_after_a_failure(monkeypatch: pytest.MonkeyPatch) -> None:
+    fleet = Fleet(110, 5)
+    balancer = fleet.balancer(0)
+    host = fleet.open(balancer, 1, 0.0)
+    others = (number for number in range(2, 100_000) if fleet.open(balancer, number, 0.0) == host)
+    second = next(others)
+    agent = fleet.agent(host)
+    original = ServiceRank.homes
+
+    def fail_for_second(rank: ServiceRank, key: FlowKey) -> Sequence[int]:
+        if key == flow(second):
+            raise RuntimeError("unexpected")
+        return original(rank, key)
+
+    with monkeypatch.context() as patch:
+        patch.setattr(ServiceRank, "homes", fail_for_second)
+        with pytest.raises(RuntimeError):
+            agent.due_home_notices(1.0)
+    announced = {each for notice in agent.due_home_notices(1.5) for each in notice.notice.flows}
+    assert announced == {flow(1), flow(second)}
