--- a/egretsill/node/_agent_node.py
+++ b/egretsill/node/_agent_node.py
@@ -147,7 +147,14 @@
         except MalformedFlowPacket:
             self._log.dropped(Drop(NO_FLOW, DropReason.MALFORMED))
             return
-        self._apply(self._steering.take_from_target(packet, now))
+        try:
+            effects = self._steering.take_from_target(packet, now)
+        except Exception as error:
+            self._supervisor.note_failure(Part.PACKETS, error)
+            # An answer goes to its caller whatever else depends on it.
+            answer = SendToCaller(packet.flow.caller_host, packet.datagram)
+            effects = () if packet.is_bounced else (answer,)
+        self._apply(effects)
 
     def _apply(self, effects: Sequence[AgentEffect]) -> None:
         for effect in effects:
