--- a/egretsill/node/_store_reading.py
+++ b/egretsill/node/_store_reading.py
@@ -21,8 +21,10 @@
     describe_entries,
 )
 from ..observation import Journal, Metrics
+from ..supervision import Part, Supervisor
 from ..timing import TimerService
 
+FAILURE_PAUSE_SECONDS = 0.2  # after a step that failed unexpectedly
 STORE_SOURCE = "store"  # source of a change that this process read from the store itself
 
 
@@ -44,6 +46,7 @@
         timer: TimerService,
         metrics: Metrics,
         journal: Journal,
+        supervisor: Supervisor,
         on_change: Callable[[str], None],
         on_response: Callable[[], None],
     ) -> None:
@@ -54,6 +57,7 @@
         self._timer = timer
         self._metrics = metrics
         self._journal = journal
+        self._supervisor = supervisor
         self._on_change = on_change
         self._on_response = on_response
         self._watched_revision = NO_REVISION
@@ -61,12 +65,19 @@
 
     async def run(self) -> None:
         """Read until cancelled."""
-        try:
-            while True:
+        while True:
+            try:
                 await self._do_next_step()
-        finally:
-            with trio.CancelScope(shield=True):
-                await self._store.close()
+            except Exception as error:
+                self._supervisor.note_failure(Part.STORE_READING, error)
+                # What was merged is unknown, so everything is read again.
+                self._plan.note_failure(self._timer.now)
+                await trio.sleep(FAILURE_PAUSE_SECONDS)
+
+    async def close(self) -> None:
+        """Close the connections to the store."""
+        with trio.CancelScope(shield=True), self._supervisor.contain(Part.STORE_READING):
+            await self._store.close()
 
     async def _do_next_step(self) -> None:
         now = self._timer.now
@@ -94,7 +105,8 @@
             self._journal.record("store-history-lost", after=str(error.after), era=error.era)
         else:
             self._note_success()
-            self._on_response()
+            with self._supervisor.contain(Part.STORE_READING):
+                self._on_response()
 
     async def _read(self, timeout_seconds: float) -> None:
         requested_at = self._timer.now
@@ -107,7 +119,7 @@
         self._note_unusable(snapshot.unusable)
         # The first page may be as old as the request.
         if self._directory.apply_snapshot(snapshot, self._timer.now, requested_at):
-            self._on_change(STORE_SOURCE)
+            self._note_change()
 
     async def _watch(self, wait_seconds: float, timeout_seconds: float) -> None:
         requested_at = self._timer.now
@@ -118,6 +130,11 @@
         # Nothing changed until the store stopped waiting; the response may have arrived later.
         confirmed_at = min(now, requested_at + wait_seconds) if changes.is_empty else now
         if self._directory.apply_changes(changes, now, confirmed_at):
+            self._note_change()
+
+    def _note_change(self) -> None:
+        # The content is in force already, so a failure here is none of the read.
+        with self._supervisor.contain(Part.STORE_READING):
             self._on_change(STORE_SOURCE)
 
     def _note_unusable(self, entries: Sequence[UnusableEntry]) -> None:
--- a/egretsill/node/tests/later_steps.py
+++ b/egretsill/node/tests/later_steps.py
@@ -21,6 +21,7 @@
     encode_heartbeat,
 )
 from ...observation import Metrics
+from ...supervision.tests.supervisors import PropagatingSupervisor
 from ...timing import VirtualTimerService
 from .._content_exchange import ContentExchange
 
@@ -55,7 +56,11 @@
         self.problems: list[str] = []
         self.directory = Directory()
         self.exchange = ContentExchange(
-            Address("127.0.0.1", 1), self.directory, VirtualTimerService(), self.problems.append
+            Address("127.0.0.1", 1),
+            self.directory,
+            VirtualTimerService(),
+            PropagatingSupervisor(),
+            self.problems.append,
         )
 
     @property
