--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 
 SEED ?= 1
 
-.PHONY: env quickstart test check measure bench days format
+.PHONY: env quickstart test check measure bench days soak format
 
 env: $(VENV)/.installed
 
@@ -34,5 +34,8 @@
 days: env
 	PYTHONPATH=platform $(PYTHON) -m egretsill.measurements.emulated_days --seed=$(SEED)
 
+soak: env
+	PYTHONPATH=platform $(PYTHON) -m egretsill_platform.soak --seed=$(SEED)
+
 bench: env
 	$(PYTHON) -m egretsill.benchmarks
