--- a/egretsill/boot/_settings.py
+++ b/egretsill/boot/_settings.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from ..endpoints import Address, parse_ipv4
+from ..endpoints import Address, parse_ipv4, parse_port
 from ._settings_reader import SettingsReader
 
 DEFAULT_FIRST_START = False  # content is read at once, by each process for itself
@@ -165,14 +165,16 @@
 
 
 def _parse_host(text: str) -> str:
+    host = text.strip()
     try:
-        parse_ipv4(text)
+        parse_ipv4(host)
     except ValueError as error:
         raise ValueError("an IPv4 address is expected") from error
-    return text
+    return host
 
 
 def _parse_port(text: str) -> int:
-    if not text.isdecimal() or not 0 < int(text) < 65536:
-        raise ValueError("a port from 1 to 65535 is expected")
-    return int(text)
+    try:
+        return parse_port(text)
+    except ValueError as error:
+        raise ValueError("a port from 1 to 65535 is expected") from error
