--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -36,7 +36,7 @@
 from ._decision_log import DecisionLog
 from ._failure_log import FailureLog
 from ._fleet_link import FleetLink, TargetLoad
-from ._log_writer import LogWriter
+from ._log_writer import LogWriter, OpenLog
 from ._reader_choice import ReaderChoice
 from ._shutdown import ShutdownPlan
 from ._store_reading import STORE_SOURCE, StoreReading
@@ -59,7 +59,7 @@
         codec: decodes and encodes the packets of flows.
         make_store: opens the store at an address.
         timer: the only clock of the node, which runs it.
-        open_log: called once before the first lines are written.
+        open_log: called once before the first lines are written; see `LogWriter`.
         random: spreads actions that the whole fleet would otherwise do at the same time.
     """
 
@@ -70,7 +70,7 @@
         codec: PacketCodec,
         make_store: StoreFactory,
         timer: TrioTimerService,
-        open_log: Callable[[], None],
+        open_log: OpenLog,
         random: Random,
     ) -> None:
         self._settings = settings
--- a/egretsill/observation/_journal.py
+++ b/egretsill/observation/_journal.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
+from ._log_values import printable
 from ._logging import LogValue
 
 LINES_PER_SECOND = 5.0  # sustained rate of one kind; a process has about 20 kinds
@@ -50,6 +51,7 @@
         self._budgets: dict[str, _Budget] = {}
         self._waiting: deque[_Line] = deque()
         self._lost_lines = 0
+        self._reported_losses = 0
 
     @property
     def waiting(self) -> int:
@@ -96,27 +98,46 @@
             self._lost_lines += 1
         self._waiting.append(_Line(kind, self._wall_seconds(), fields))
 
-    def flush(self) -> None:
-        """Pass the waiting lines to eliot."""
+    def flush(self, dropped: Callable[[], int] = lambda: 0) -> None:
+        """Pass the waiting lines to eliot, after a line about those that were lost, if any.
+
+        Args:
+            dropped: returns how many lines the output has dropped since the start.
+        """
         import eliot  # Imported lazily: it takes 0.1 s, too long for process start.
 
-        if self._lost_lines:
-            eliot.log_message(
-                message_type="egretsill:log-lost", process=self._process, lines=self._lost_lines
-            )
-            self._lost_lines = 0
+        self._report_losses(eliot.log_message, dropped)
         while self._waiting:
             line = self._waiting.popleft()
-            eliot.log_message(
-                message_type=f"egretsill:{line.kind}",
-                process=self._process,
-                at=round(line.at, 3),
-                **line.fields,
-            )
+            try:
+                fields = {name: printable(value) for name, value in line.fields.items()}
+                eliot.log_message(
+                    **{
+                        **fields,
+                        "message_type": f"egretsill:{line.kind}",
+                        "process": self._process,
+                        "at": round(line.at, 3),
+                    }
+                )
+            except Exception:  # It costs this line only.
+                self._lost_lines += 1
+
+    def _report_losses(self, log_message: Callable[..., None], dropped: Callable[[], int]) -> None:
+        lost, before = self._lost_lines, dropped()
+        lines = lost + before - self._reported_losses
+        if lines <= 0:
+            return
+        log_message(message_type="egretsill:log-lost", process=self._process, lines=lines)
+        after = dropped()
+        if after == before:
+            self._reported_losses = lost + before
+        else:
+            # The report was dropped itself; it doesn't count as one of the lines.
+            self._reported_losses += after - before
 
 
 class NonBlockingStream:
-    """A file-like object that drops lines instead of waiting for a slow reader.
+    """A file-like object that drops lines instead of waiting for a slow reader or raising errors.
 
     Args:
         descriptor: file descriptor to write to; it is made non-blocking.
@@ -124,8 +145,14 @@
 
     def __init__(self, descriptor: int) -> None:
         self._descriptor = descriptor
-        os.set_blocking(descriptor, False)
         self._dropped = 0
+        self._is_line_cut = False
+        try:
+            os.set_blocking(descriptor, False)
+            self._is_usable = True
+        except OSError:
+            # The descriptor is closed; another file may get its number later.
+            self._is_usable = False
 
     @property
     def dropped(self) -> int:
@@ -133,23 +160,34 @@
         return self._dropped
 
     def write(self, data: bytes) -> int:
-        """Write as much as possible without blocking and drop the rest."""
+        """Write as much of a line as possible without blocking and drop the rest."""
         if not data:
             return 0
-        try:
-            written = os.write(self._descriptor, data)
-        except (BlockingIOError, BrokenPipeError):
-            self._dropped += 1
-            return 0
-        self._dropped += written < len(data)
-        return len(data)
+        # The next line after a truncated one begins on a line of its own.
+        separator = b"\n" if self._is_line_cut else b""
+        written = self._write(separator + data)
+        is_truncated = written < len(separator) + len(data)
+        self._dropped += is_truncated
+        if written:
+            self._is_line_cut = is_truncated and written > len(separator)
+        return len(data) if written else 0
 
     def flush(self) -> None:
         """Do nothing: writes are not buffered."""
 
+    def _write(self, data: bytes) -> int:
+        if not self._is_usable:
+            return 0
+        try:
+            return os.write(self._descriptor, data)
+        except OSError:
+            return 0
+
 
-def log_to_standard_output() -> None:
-    """Send eliot's lines to standard output without blocking on it."""
+def log_to_standard_output() -> NonBlockingStream:
+    """Send eliot's lines to standard output without blocking on it, and return the stream."""
     import eliot
 
-    eliot.to_file(NonBlockingStream(1))
+    stream = NonBlockingStream(1)
+    eliot.to_file(stream)
+    return stream
--- a/egretsill/observation/tests/test_journal.py
+++ b/egretsill/observation/tests/test_journal.py
@@ -2,15 +2,24 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import os
 from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
 
 import eliot
 import pytest
 
 from .. import Journal, NonBlockingStream
 from .._journal import BURST_LINES, LINES_PER_SECOND, MAXIMUM_WAITING
+from .._log_values import MAXIMUM_TEXT_CHARACTERS
+
+
+class Unprintable:
+    def __repr__(self) -> str:
+        raise RuntimeError("no text")
 
 
 class Clock:
@@ -85,3 +94,125 @@
     os.close(reader)
     assert stream.write(line) == 0
     os.close(writer)
+
+
+@contextmanager
+def eliot_writes_to(stream: NonBlockingStream) -> Iterator[None]:
+    before = list(eliot.Logger._destinations._destinations)
+    eliot.to_file(stream)
+    (added,) = [each for each in eliot.Logger._destinations._destinations if each not in before]
+    yield
+    eliot.remove_destination(added)
+
+
+def read_lines(descriptor: int) -> list[dict[str, object]]:
+    return [json.loads(line) for line in os.read(descriptor, 1 << 20).splitlines()]
+
+
+# Guards against a line that is missing, or that takes others with it, as a field can't be encoded.
+@pytest.mark.parametrize(
+    ("value", "written"),
+    [
+        pytest.param("store room \ud83d", "store room \\ud83d", id="half of a surrogate pair"),
+        pytest.param("зона", "зона", id="not ASCII"),
+        pytest.param(10**30, hex(10**30), id="large integer"),
+        pytest.param(-(10**5000), hex(-(10**5000))[:MAXIMUM_TEXT_CHARACTERS], id="huge integer"),
+        pytest.param(2**63 - 1, 2**63 - 1, id="largest integer"),
+        pytest.param(True, True, id="boolean"),
+        pytest.param(float("nan"), "nan", id="not a number"),
+        pytest.param(float("inf"), "inf", id="infinity"),
+        pytest.param("x" * 10**6, "x" * MAXIMUM_TEXT_CHARACTERS, id="long text"),
+        pytest.param(b"\xff", "b'\\xff'", id="bytes"),
+        pytest.param({1: object}, "{1: <class 'object'>}", id="object"),
+        pytest.param(Unprintable(), "unprintable Unprintable", id="unprintable object"),
+    ],
+)
+def test_any_field_is_written_in_a_safe_form(value: Any, written: object) -> None:
+    reader, writer = os.pipe()
+    journal = make_journal()
+    with eliot_writes_to(NonBlockingStream(writer)):
+        journal.record("before")
+        journal.record("strange", value=value)
+        journal.record("after")
+        journal.flush()
+    lines = read_lines(reader)
+    assert [each["message_type"] for each in lines] == [
+        "egretsill:before",
+        "egretsill:strange",
+        "egretsill:after",
+    ]
+    assert lines[1]["value"] == written
+    os.close(reader)
+    os.close(writer)
+
+
+# Guards against a line whose field has the name of one that every line has.
+def test_field_with_a_reserved_name_does_not_stop_the_lines(
+    lines: list[dict[str, object]],
+) -> None:
+    journal = make_journal()
+    journal.write("strange", {"process": "p", "at": 1, "message_type": "m", "own": 2})
+    journal.record("after")
+    journal.flush()
+    assert [line["message_type"] for line in lines] == ["egretsill:strange", "egretsill:after"]
+    assert (lines[0]["process"], lines[0]["own"]) == ("node-1", 2)
+
+
+# Guards against an output whose failure ends the process, or is kept quiet.
+@pytest.mark.parametrize(
+    "error",
+    [errno.EPIPE, errno.EIO, errno.ENOSPC, errno.EBADF, errno.EAGAIN],
+    ids=errno.errorcode.get,
+)
+def test_lines_that_the_output_refused_are_told_when_it_works_again(
+    error: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def refuse(descriptor: int, data: bytes) -> int:
+        raise OSError(error, os.strerror(error))
+
+    reader, writer = os.pipe()
+    journal = make_journal()
+    stream = NonBlockingStream(writer)
+    with eliot_writes_to(stream):
+        with monkeypatch.context() as patch:
+            patch.setattr(os, "write", refuse)
+            for number in range(3):
+                journal.write("lost", {"number": number})
+            for _ in range(10):
+                journal.flush(lambda: stream.dropped)
+        journal.record("after")
+        for _ in range(3):
+            journal.flush(lambda: stream.dropped)
+    lines = read_lines(reader)
+    assert [each["message_type"] for each in lines] == ["egretsill:log-lost", "egretsill:after"]
+    assert lines[0]["lines"] == 3
+    os.close(reader)
+    os.close(writer)
+
+
+# Guards against a truncated line that garbles the one after it.
+def test_line_after_a_truncated_one_is_whole() -> None:
+    reader, writer = os.pipe()
+    stream = NonBlockingStream(writer)
+    long, short = b'{"text": "' + b"x" * 100_000 + b'"}\n', b'{"text": "short"}\n'
+    stream.write(long)
+    assert stream.dropped == 1
+    os.read(reader, 1 << 20)
+    stream.write(short)
+    stream.write(short)
+    assert os.read(reader, 1 << 20) == b"\n" + short + short
+    assert stream.dropped == 1
+    os.close(reader)
+    os.close(writer)
+
+
+# Guards against log lines in a socket that gets the number of a descriptor closed at the start.
+def test_descriptor_that_was_closed_is_never_written_to() -> None:
+    reader, writer = os.pipe()
+    os.close(writer)
+    stream = NonBlockingStream(writer)
+    reopened = os.dup2(reader, writer)
+    assert stream.write(b"line\n") == 0
+    assert stream.dropped == 1
+    os.close(reopened)
+    os.close(reader)
