--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -34,6 +34,9 @@
 from ..observation import (
     JSON,
     AdminServer,
+    EndpointOpened,
+    EndpointStates,
+    EndpointUnavailable,
     Metrics,
     StateChange,
     StateKind,
@@ -76,6 +79,7 @@
         self._timer = TrioTimerService()
         self._metrics = Metrics()
         self._state_log = StateLog(settings.name)
+        self._endpoints = EndpointStates(self._metrics, self._note_endpoint_change)
         self._stopped = trio.Event()
         self._backend_state = BackendState.HEALTHY
         self._role = self._make_role()
@@ -126,8 +130,10 @@
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Run until shut down or cancelled; report as started once every endpoint is bound.
 
+        The admin endpoint isn't waited for: it is opened as soon as its address is free.
+
         Raises:
-            AddressUnavailable: if an endpoint can't be bound.
+            AddressUnavailable: if another endpoint can't be bound.
         """
         try:
             await self._run(task_status)
@@ -164,7 +170,7 @@
             nursery.start_soon(self._timer.run)
             await nursery.start(self._gossip.run)
             await self._start(nursery, "relay", self._settings.relay, self._streams.run)
-            await self._start(nursery, "admin", self._settings.admin, self._make_admin().run)
+            await nursery.start(self._make_admin().run)
             self._membership.start()
             nursery.start_soon(self._configuration.run)
             nursery.start_soon(self._role.run)
@@ -257,6 +263,7 @@
             self._metrics,
             lambda: self._pages.status,
             lambda: self._pages.health,
+            self._endpoints.observer("admin", self._settings.admin),
         )
 
     def _make_health_poller(self) -> HealthPoller:
@@ -325,6 +332,16 @@
         self._metrics.configuration_conflicts.increment()
         self._record(StateKind.CONFIGURATION_CONFLICT, conflict.revision)
 
+    def _note_endpoint_change(self, change: EndpointUnavailable | EndpointOpened) -> None:
+        match change:
+            case EndpointUnavailable(endpoint, address, error):
+                details = {"address": str(address), "error": error}
+                state = StateChange(StateKind.ENDPOINT, endpoint, "unavailable", details)
+            case EndpointOpened(endpoint, address):
+                details = {"address": str(address)}
+                state = StateChange(StateKind.ENDPOINT, endpoint, "open", details)
+        self._state_log.record(state)
+
     def _on_backend_request(self, answered: bool) -> None:
         self._health.note_request(answered)
 
--- a/egretsill/daemon/_exceptions.py
+++ b/egretsill/daemon/_exceptions.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import errno
 from pathlib import Path
 
 from ..configuration import Address
+from ..endpoints import error_name
 
 
 class AddressUnavailable(Exception):
@@ -26,7 +26,7 @@
     @classmethod
     def caused_by(cls, error: OSError, purpose: str, address: Address) -> AddressUnavailable:
         """Return the exception for an error of the operating system."""
-        return cls(purpose, address, errno.errorcode.get(error.errno or 0, "OSError"))
+        return cls(purpose, address, error_name(error))
 
 
 class TlsUnusable(Exception):
--- a/egretsill/endpoints/__init__.py
+++ b/egretsill/endpoints/__init__.py
@@ -2,10 +2,12 @@
 
 from ._address import Address, format_ipv4, parse_ipv4
 from ._datagram_socket import SOCKET_BUFFER_BYTES, open_datagram_socket
+from ._errors import error_name
 
 __all__ = [
     "Address",
     "SOCKET_BUFFER_BYTES",
+    "error_name",
     "format_ipv4",
     "parse_ipv4",
     "open_datagram_socket",
--- a/egretsill/node/_content_exchange.py
+++ b/egretsill/node/_content_exchange.py
@@ -26,7 +26,14 @@
     unpack_targets,
 )
 from ..timing import TimerService
-from ..wire import Address, Codec, MalformedMessage, StreamDecoder
+from ..wire import (
+    Address,
+    Codec,
+    EndpointObserver,
+    MalformedMessage,
+    StreamDecoder,
+    StreamServer,
+)
 
 EXCHANGE_SECONDS = 0.6  # three round trips between failure domains, with a busy peer
 READ_BYTES = 65_536
@@ -58,6 +65,7 @@
         listen: TCP endpoint; peers use the same port.
         directory: the content that is served, and into which responses are merged.
         count_malformed: called with a description of each malformed message.
+        observe: called when the endpoint becomes unavailable, and when it is open.
     """
 
     def __init__(
@@ -66,23 +74,19 @@
         directory: Directory,
         timer: TimerService,
         count_malformed: Callable[[str], None],
+        observe: EndpointObserver,
     ) -> None:
-        self._listen = listen
+        self._port = listen.port
+        self._server = StreamServer(listen, observe)
         self._directory = directory
         self._timer = timer
         self._count_malformed = count_malformed
         self._codec: Codec[DirectoryMessage] = Codec("directory", DIRECTORY_TYPES)
         self._open_connections = 0
 
-    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
-        """Serve requests until cancelled; reports as started once the endpoint is bound.
-
-        Raises:
-            OSError: if the endpoint can't be bound.
-        """
-        listeners = await trio.open_tcp_listeners(self._listen.port, host=self._listen.host)
-        task_status.started()
-        await trio.serve_listeners(self._serve, listeners)
+    async def run(self, task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve requests until cancelled; `task_status` reports the endpoint after one attempt."""
+        await self._server.run(self._serve, task_status)
 
     async def fetch(self, host: str) -> bool:
         """Fetch and merge a peer's content; return whether anything in force changed.
@@ -92,7 +96,7 @@
         """
         try:
             with trio.fail_after(EXCHANGE_SECONDS):
-                stream = await trio.open_tcp_stream(host, self._listen.port)
+                stream = await trio.open_tcp_stream(host, self._port)
                 async with stream:
                     request = ContentRequest(
                         self._directory.version, pack_revision(self._directory.content_revision)
--- a/egretsill/node/_main.py
+++ b/egretsill/node/_main.py
@@ -25,9 +25,6 @@
         started: settings and sockets.
         codec: decodes and encodes the packets of flows.
         make_store: opens the store at an address.
-
-    Raises:
-        OSError: if a TCP endpoint can't be bound.
     """
     timer = TrioTimerService()
     random_source = SystemRandom()
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -23,6 +23,9 @@
 from ..observation import (
     JSON,
     AdminServer,
+    EndpointOpened,
+    EndpointStates,
+    EndpointUnavailable,
     HealthProblem,
     HealthState,
     Journal,
@@ -79,6 +82,7 @@
         self._journal = Journal(
             settings.name, lambda: self._timer.now, lambda: self._timer.epoch_milliseconds / 1000
         )
+        self._endpoints = EndpointStates(self._metrics, self._note_endpoint_change)
         self._host = parse_ipv4(settings.host)
         self._directory = Directory(settings.flow_seconds)
         seeds = [parse_ipv4(each) for each in settings.seeds]
@@ -93,11 +97,13 @@
         self._content_known = trio.Event()
         self._agent_steering: AgentSteering | None = None
         self._role = self._make_role(codec)
+        content = Address(settings.host, settings.tunnel_port)
         self._exchange = ContentExchange(
-            Address(settings.host, settings.tunnel_port),
+            content,
             self._directory,
             self._timer,
             lambda reason: self._metrics.messages_malformed.increment("directory", reason),
+            self._endpoints.observer("content", content),
         )
         self._link = self._make_link()
         self._readers = ReaderChoice(
@@ -144,14 +150,11 @@
             "cell": self._hubs.cell,
             "is_hub": self._hubs.is_hub(now),
             "is_leaving": self._shutdown.is_leaving,
+            "endpoints": self._endpoints.page,
         }
 
     async def run(self) -> None:
-        """Run until shut down or cancelled.
-
-        Raises:
-            OSError: if a TCP endpoint can't be bound.
-        """
+        """Run until shut down or cancelled."""
         settings = self._settings
         self._journal.record("started", role=settings.role.value, host=settings.host)
         try:
@@ -161,8 +164,11 @@
                 nursery.start_soon(self._reading.run)
                 await nursery.start(self._exchange.run)
                 nursery.start_soon(self._link.run)
-                for listen in (settings.health, settings.metrics):
-                    await nursery.start(self._make_admin(listen).run)
+                for endpoint, listen in (
+                    ("health", settings.health),
+                    ("metrics", settings.metrics),
+                ):
+                    await nursery.start(self._make_admin(endpoint, listen).run)
                 self._timer.subscribe(SWEEP_SECONDS, self._sweep)
                 nursery.start_soon(self._write_log)
                 await self._stopped.wait()
@@ -269,8 +275,14 @@
             self._note_content_change,
         )
 
-    def _make_admin(self, listen: Address) -> AdminServer:
-        return AdminServer(listen, self._metrics, lambda: self.status, lambda: self.health)
+    def _make_admin(self, endpoint: str, listen: Address) -> AdminServer:
+        return AdminServer(
+            listen,
+            self._metrics,
+            lambda: self.status,
+            lambda: self.health,
+            self._endpoints.observer(endpoint, listen),
+        )
 
     def _load(self) -> TargetLoad:
         if self._agent_steering is None:
@@ -310,6 +322,15 @@
         if source != STORE_SOURCE:
             self._link.announce_content(parse_ipv4(source))
 
+    def _note_endpoint_change(self, change: EndpointUnavailable | EndpointOpened) -> None:
+        match change:
+            case EndpointUnavailable(endpoint, address, error):
+                self._journal.record(
+                    "endpoint-unavailable", endpoint=endpoint, address=str(address), error=error
+                )
+            case EndpointOpened(endpoint, address):
+                self._journal.record("endpoint-opened", endpoint=endpoint, address=str(address))
+
     def _note_store_return(self, source: str) -> None:
         found = self._directory.last_return
         if found is None or found is self._store_return:
--- a/egretsill/observation/__init__.py
+++ b/egretsill/observation/__init__.py
@@ -2,6 +2,7 @@
 
 from ._admin_server import JSON, AdminRefusal, AdminServer
 from ._definitions import METRIC_DEFINITIONS, MetricDefinition, MetricKind
+from ._endpoint_states import EndpointOpened, EndpointStates, EndpointUnavailable
 from ._exceptions import LabelMismatch, LogFileUnavailable
 from ._health import HealthProblem, HealthState
 from ._journal import Journal, NonBlockingStream, log_to_standard_output
@@ -13,6 +14,9 @@
     "AdminRefusal",
     "AdminServer",
     "Counter",
+    "EndpointOpened",
+    "EndpointStates",
+    "EndpointUnavailable",
     "Gauge",
     "HealthProblem",
     "HealthState",
--- a/egretsill/observation/_admin_server.py
+++ b/egretsill/observation/_admin_server.py
@@ -15,7 +15,7 @@
 import h11
 import trio
 
-from ..wire import Address
+from ..wire import Address, EndpointObserver, StreamServer
 from ._health import HealthState
 from ._metrics import Metrics
 
@@ -55,6 +55,7 @@
         listen: TCP endpoint; port 0 selects any free port.
         status: returns the state of this process for `/status`.
         health: returns the health of this process for `/health`.
+        observe: called when the endpoint becomes unavailable, and when it is open.
     """
 
     def __init__(
@@ -63,23 +64,17 @@
         metrics: Metrics,
         status: Callable[[], Mapping[str, JSON]],
         health: Callable[[], HealthState],
+        observe: EndpointObserver,
     ) -> None:
-        self._listen = listen
+        self._server = StreamServer(listen, observe)
         self._metrics = metrics
         self._status = status
         self._health = health
         self._connections = 0
 
     async def run(self, task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED) -> None:
-        """Serve until cancelled; `task_status` reports the bound endpoint.
-
-        Raises:
-            OSError: if listening on the endpoint fails.
-        """
-        listeners = await trio.open_tcp_listeners(self._listen.port, host=self._listen.host)
-        bound = listeners[0].socket.getsockname()
-        task_status.started(Address(bound[0], bound[1]))
-        await trio.serve_listeners(self._serve, listeners)
+        """Serve until cancelled; `task_status` reports the endpoint after one attempt."""
+        await self._server.run(self._serve, task_status)
 
     async def _serve(self, stream: trio.abc.HalfCloseableStream) -> None:
         if self._connections >= MAXIMUM_CONNECTIONS:
--- a/egretsill/observation/_definitions.py
+++ b/egretsill/observation/_definitions.py
@@ -242,6 +242,12 @@
         "It must become the same at all processes within seconds; one that lags is isolated.",
     ),
     _gauge("draining", (), "1 while this process takes no new work, else 0."),
+    _gauge(
+        "endpoint_open",
+        ("endpoint",),
+        "1 while a TCP endpoint accepts connections, 0 while it can't be opened or has failed.",
+        "See the endpoint-unavailable line for address and error; it opens by itself once it can.",
+    ),
     _gauge(
         "members",
         ("role", "state"),
--- a/egretsill/observation/_logging.py
+++ b/egretsill/observation/_logging.py
@@ -65,6 +65,11 @@
         "A target began or ended draining.",
         "Nothing, if it was intended.",
     )
+    ENDPOINT = (
+        "endpoint",
+        "A TCP endpoint that this process can do without is unavailable, or open again.",
+        "Find what holds the address; the endpoint is opened once it is free.",
+    )
     KEYS = (
         "keys",
         "The connection-ID keys or the certificate changed.",
--- a/egretsill/observation/_metrics.py
+++ b/egretsill/observation/_metrics.py
@@ -231,6 +231,7 @@
     revision_in_force: Gauge
     store_era: Gauge
     draining: Gauge
+    endpoint_open: Gauge
     members: Gauge
     time_to_first_byte_seconds: Histogram
     answer_seconds: Histogram
--- a/egretsill/wire/__init__.py
+++ b/egretsill/wire/__init__.py
@@ -10,6 +10,7 @@
 from ._datagram_socket import close_datagram_socket
 from ._http_connection import HttpResponse, PersistentHttpConnection
 from ._http_get import HttpPage, PageUnavailable, get_page
+from ._stream_server import EndpointObserver, StreamServer
 
 __all__ = [
     "BATCH_DATAGRAMS",
@@ -20,10 +21,12 @@
     "read_batches",
     "Address",
     "Codec",
+    "EndpointObserver",
     "HttpPage",
     "MalformedMessage",
     "PageUnavailable",
     "StreamDecoder",
+    "StreamServer",
     "close_datagram_socket",
     "get_page",
     "open_datagram_socket",
--- /dev/null
+++ b/egretsill/wire/_stream_server.py
@@ -0,0 +1,120 @@
+"""A TCP endpoint that is opened again for as long as it can't be used."""
+
+from __future__ import annotations
+
+import errno
+import math
+from collections.abc import Awaitable, Callable
+from typing import TypeAlias
+
+import trio
+
+from ..endpoints import Address
+
+RETRY_SECONDS = 0.25
+MAXIMUM_BACKLOG = 65_535  # connections; the operating system lowers it to its own limit
+
+StreamHandler: TypeAlias = Callable[[trio.SocketStream], Awaitable[object]]
+EndpointObserver: TypeAlias = Callable[[OSError | None], None]
+
+# The process has no capacity for another connection now; the listener itself is intact.
+_CAPACITY_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+
+
+class StreamServer:
+    """Serves a TCP endpoint, and keeps trying to open it while it is unavailable.
+
+    Args:
+        address: the endpoint; port 0 selects any free port.
+        observe: called with None when connections can be accepted, and with the error when the
+            endpoint can't be opened or fails; repeatedly while that lasts.
+    """
+
+    def __init__(self, address: Address, observe: EndpointObserver) -> None:
+        self._address = address
+        self._observe = observe
+        self._is_open = False
+
+    async def run(
+        self,
+        handle: StreamHandler,
+        task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until cancelled.
+
+        Args:
+            handle: called in a task of its own with each connection, which is closed after it.
+            task_status: reports the endpoint after the first attempt to open it, as it is bound,
+                or as configured if that failed.
+        """
+        async with trio.open_nursery() as connections:
+            listener = await self._open()
+            task_status.started(self._address if listener is None else _bound_address(listener))
+            while True:
+                if listener is not None:
+                    await self._accept_all(listener, handle, connections)
+                await trio.sleep(RETRY_SECONDS)
+                listener = await self._open()
+
+    async def _open(self) -> trio.SocketListener | None:
+        address = self._address
+        try:
+            (listener,) = await trio.open_tcp_listeners(
+                address.port, host=address.host, backlog=MAXIMUM_BACKLOG
+            )
+        except OSError as error:
+            self._note(error)
+            return None
+        self._note(None)
+        return listener
+
+    async def _accept_all(
+        self, listener: trio.SocketListener, handle: StreamHandler, connections: trio.Nursery
+    ) -> None:
+        """Accept connections until the listener fails, and close it."""
+        async with listener:
+            try:
+                while True:
+                    connections.start_soon(_run, handle, await self._accept(listener))
+            except OSError as error:
+                self._note(error)
+            except trio.ClosedResourceError:
+                self._note(OSError(errno.EBADF, "listener closed"))
+
+    async def _accept(self, listener: trio.SocketListener) -> trio.SocketStream:
+        """Return the next connection; wait while the process has no capacity for one.
+
+        Raises:
+            OSError: if the listener failed.
+        """
+        while True:
+            stream = None
+            try:
+                # Waiting in vain shows that there is capacity again.
+                with trio.move_on_after(math.inf if self._is_open else RETRY_SECONDS):
+                    stream = await listener.accept()
+            except OSError as error:
+                if error.errno not in _CAPACITY_ERRORS:
+                    raise
+                self._note(error)
+                await trio.sleep(RETRY_SECONDS)
+                continue
+            self._note(None)
+            if stream is not None:
+                return stream
+
+    def _note(self, error: OSError | None) -> None:
+        self._is_open = error is None
+        self._observe(error)
+
+
+def _bound_address(listener: trio.SocketListener) -> Address:
+    name = listener.socket.getsockname()
+    return Address(name[0], name[1])
+
+
+async def _run(handle: StreamHandler, stream: trio.SocketStream) -> None:
+    try:
+        await handle(stream)
+    finally:
+        await trio.aclose_forcefully(stream)
