--- a/egretsill/endpoints/__init__.py
+++ b/egretsill/endpoints/__init__.py
@@ -1,6 +1,13 @@
 """Addresses and UDP sockets; depends only on the standard library."""
 
-from ._address import Address, format_ipv4, parse_ipv4
+from ._address import (
+    Address,
+    format_ipv4,
+    is_port,
+    is_unicast_ipv4,
+    parse_ipv4,
+    parse_port,
+)
 from ._datagram_socket import SOCKET_BUFFER_BYTES, open_datagram_socket
 from ._errors import error_name
 
@@ -9,6 +16,9 @@
     "SOCKET_BUFFER_BYTES",
     "error_name",
     "format_ipv4",
-    "parse_ipv4",
+    "is_port",
+    "is_unicast_ipv4",
     "open_datagram_socket",
+    "parse_ipv4",
+    "parse_port",
 ]
