--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -47,7 +47,7 @@
 from ..settings import DaemonSettings, Role, SettingsRejected
 from ..steering import ConnectionIdCodec
 from ..timing import TrioTimerService
-from ..wire import StreamDecoder
+from ..wire import StreamDecoder, StreamServer
 from ._agent_role import AgentRole
 from ._balancer_role import BalancerRole
 from ._configuration_link import fetch_configuration, serve_requests
@@ -258,12 +258,12 @@
         return PlatformClient(platform.addresses, platform.read_seconds)
 
     def _make_admin(self) -> AdminServer:
+        listen = self._settings.admin
         return AdminServer(
-            self._settings.admin,
+            StreamServer(listen, self._endpoints.observer("admin", listen)),
             self._metrics,
             lambda: self._pages.status,
             lambda: self._pages.health,
-            self._endpoints.observer("admin", self._settings.admin),
         )
 
     def _make_health_poller(self) -> HealthPoller:
--- a/egretsill/node/_content_exchange.py
+++ b/egretsill/node/_content_exchange.py
@@ -29,7 +29,6 @@
 from ..wire import (
     Address,
     Codec,
-    EndpointObserver,
     MalformedMessage,
     StreamDecoder,
     StreamServer,
@@ -62,22 +61,19 @@
     """Serves directory content to peers and fetches theirs.
 
     Args:
-        listen: TCP endpoint; peers use the same port.
+        server: serves the TCP endpoint; peers use the same port.
         directory: the content that is served, and into which responses are merged.
         count_malformed: called with a description of each malformed message.
-        observe: called when the endpoint becomes unavailable, and when it is open.
     """
 
     def __init__(
         self,
-        listen: Address,
+        server: StreamServer,
         directory: Directory,
         timer: TimerService,
         count_malformed: Callable[[str], None],
-        observe: EndpointObserver,
     ) -> None:
-        self._port = listen.port
-        self._server = StreamServer(listen, observe)
+        self._server = server
         self._directory = directory
         self._timer = timer
         self._count_malformed = count_malformed
@@ -96,7 +92,7 @@
         """
         try:
             with trio.fail_after(EXCHANGE_SECONDS):
-                stream = await trio.open_tcp_stream(host, self._port)
+                stream = await trio.open_tcp_stream(host, self._server.address.port)
                 async with stream:
                     request = ContentRequest(
                         self._directory.version, pack_revision(self._directory.content_revision)
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+import socket
+from collections.abc import Callable, Mapping, Sequence
 from random import Random
 from typing import TypeAlias
 
@@ -32,6 +33,7 @@
     Metrics,
 )
 from ..timing import TrioTimerService
+from ..wire import StreamServer
 from ._agent_node import AgentNode
 from ._balancer_node import BalancerNode
 from ._content_exchange import ContentExchange
@@ -97,13 +99,13 @@
         self._content_known = trio.Event()
         self._agent_steering: AgentSteering | None = None
         self._role = self._make_role(codec)
-        content = Address(settings.host, settings.tunnel_port)
         self._exchange = ContentExchange(
-            content,
+            self._make_server(
+                "content", Address(settings.host, settings.tunnel_port), sockets.content
+            ),
             self._directory,
             self._timer,
             lambda reason: self._metrics.messages_malformed.increment("directory", reason),
-            self._endpoints.observer("content", content),
         )
         self._link = self._make_link()
         self._readers = ReaderChoice(
@@ -164,11 +166,8 @@
                 nursery.start_soon(self._reading.run)
                 await nursery.start(self._exchange.run)
                 nursery.start_soon(self._link.run)
-                for endpoint, listen in (
-                    ("health", settings.health),
-                    ("metrics", settings.metrics),
-                ):
-                    await nursery.start(self._make_admin(endpoint, listen).run)
+                for server in self._make_admin_servers():
+                    await nursery.start(server.run)
                 self._timer.subscribe(SWEEP_SECONDS, self._sweep)
                 nursery.start_soon(self._write_log)
                 await self._stopped.wait()
@@ -275,14 +274,25 @@
             self._note_content_change,
         )
 
-    def _make_admin(self, endpoint: str, listen: Address) -> AdminServer:
-        return AdminServer(
-            listen,
-            self._metrics,
-            lambda: self.status,
-            lambda: self.health,
-            self._endpoints.observer(endpoint, listen),
-        )
+    def _make_admin_servers(self) -> Sequence[AdminServer]:
+        settings, sockets = self._settings, self._sockets
+        return [
+            AdminServer(
+                self._make_server(endpoint, listen, reserved),
+                self._metrics,
+                lambda: self.status,
+                lambda: self.health,
+            )
+            for endpoint, listen, reserved in (
+                ("health", settings.health, sockets.health),
+                ("metrics", settings.metrics, sockets.metrics),
+            )
+        ]
+
+    def _make_server(
+        self, endpoint: str, listen: Address, reserved: socket.socket | None
+    ) -> StreamServer:
+        return StreamServer(listen, self._endpoints.observer(endpoint, listen), reserved)
 
     def _load(self) -> TargetLoad:
         if self._agent_steering is None:
--- a/egretsill/node/tests/returning_store.py
+++ b/egretsill/node/tests/returning_store.py
@@ -19,7 +19,7 @@
     pack_revision,
 )
 from ...timing import VirtualTimerService
-from ...wire import Address
+from ...wire import Address, StreamServer
 from .._content_exchange import ContentExchange
 
 NAMES = ("a", "b", "c")
@@ -191,11 +191,10 @@
         self.directory = Directory()
         self._endpoint_errors: list[OSError | None] = []
         self._exchange = ContentExchange(
-            Address("127.0.0.1", 1),
+            StreamServer(Address("127.0.0.1", 1), self._endpoint_errors.append),
             self.directory,
             timer,
             self.malformed.append,
-            self._endpoint_errors.append,
         )
         self._watched: StoreRevision | None = None
         self._pushed = StoreRevision(0, 0)
--- a/egretsill/node/tests/test_content_exchange.py
+++ b/egretsill/node/tests/test_content_exchange.py
@@ -23,7 +23,7 @@
 )
 from ...directory.tests.revisions import rev
 from ...timing import VirtualTimerService
-from ...wire import Address
+from ...wire import Address, StreamServer
 from .._content_exchange import MAXIMUM_PUSH_BYTES, ContentExchange
 
 ONE = Target("one", 1, 80, "lookup", "a", TargetPhase.READY, 4, 0.0, 5, rev(11))
@@ -45,11 +45,10 @@
         )
         self.errors: list[OSError | None] = []
         self.exchange = ContentExchange(
-            Address("127.0.0.1", 1),
+            StreamServer(Address("127.0.0.1", 1), self.errors.append),
             self.directory,
             VirtualTimerService(),
             self.problems.append,
-            self.errors.append,
         )
 
     def drain(self, revision: int) -> None:
--- a/egretsill/observation/_admin_server.py
+++ b/egretsill/observation/_admin_server.py
@@ -15,7 +15,7 @@
 import h11
 import trio
 
-from ..wire import Address, EndpointObserver, StreamServer
+from ..wire import Address, StreamServer
 from ._health import HealthState
 from ._metrics import Metrics
 
@@ -52,21 +52,19 @@
     """Serves `/metrics`, `/status` and `/health`.
 
     Args:
-        listen: TCP endpoint; port 0 selects any free port.
+        server: serves the TCP endpoint.
         status: returns the state of this process for `/status`.
         health: returns the health of this process for `/health`.
-        observe: called when the endpoint becomes unavailable, and when it is open.
     """
 
     def __init__(
         self,
-        listen: Address,
+        server: StreamServer,
         metrics: Metrics,
         status: Callable[[], Mapping[str, JSON]],
         health: Callable[[], HealthState],
-        observe: EndpointObserver,
     ) -> None:
-        self._server = StreamServer(listen, observe)
+        self._server = server
         self._metrics = metrics
         self._status = status
         self._health = health
--- a/egretsill/observation/tests/test_admin_garbage.py
+++ b/egretsill/observation/tests/test_admin_garbage.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from ...configuration import Address
+from ...wire import StreamServer
 from .. import AdminServer, HealthState, Metrics
 from .._admin_server import MAXIMUM_REQUEST_BYTES, READ_BYTES
 
@@ -38,9 +39,8 @@
 async def _exchange(data: bytes, pieces: int) -> tuple[bytes, Metrics, AdminServer]:
     metrics = Metrics()
     errors: list[OSError | None] = []
-    server = AdminServer(
-        Address("127.0.0.1", 0), metrics, lambda: {"revision": 1}, HealthState, errors.append
-    )
+    stream_server = StreamServer(Address("127.0.0.1", 0), errors.append)
+    server = AdminServer(stream_server, metrics, lambda: {"revision": 1}, HealthState)
     client, served = trio.testing.memory_stream_pair()
     response = b""
 
--- a/egretsill/observation/tests/test_admin_server.py
+++ b/egretsill/observation/tests/test_admin_server.py
@@ -10,6 +10,7 @@
 import trio.testing
 
 from ...configuration import Address
+from ...wire import StreamServer
 from .. import JSON, AdminServer, HealthProblem, HealthState, Metrics
 from .._admin_server import MAXIMUM_CONNECTIONS
 
@@ -22,8 +23,9 @@
         self.health = HealthState()
         self.address = Address("127.0.0.1", 0)
         self.errors: list[OSError | None] = []
+        self.stream_server = StreamServer(self.address, self.errors.append)
         self.server = AdminServer(
-            self.address, self.metrics, self._status, lambda: self.health, self.errors.append
+            self.stream_server, self.metrics, self._status, lambda: self.health
         )
 
     def refused(self, reason: str) -> float:
@@ -113,9 +115,7 @@
 
     async def main() -> None:
         admin = _Admin()
-        admin.server = AdminServer(
-            admin.address, admin.metrics, admin._status, fail, admin.errors.append
-        )
+        admin.server = AdminServer(admin.stream_server, admin.metrics, admin._status, fail)
         async with trio.open_nursery() as nursery:
             admin.address = await nursery.start(admin.server.run)
             assert await admin.request(_request("/health")) == (500, b'{"error": "KeyError"}\n')
--- a/egretsill/wire/_stream_server.py
+++ b/egretsill/wire/_stream_server.py
@@ -4,6 +4,7 @@
 
 import errno
 import math
+import socket
 from collections.abc import Awaitable, Callable
 from typing import TypeAlias
 
@@ -28,13 +29,25 @@
         address: the endpoint; port 0 selects any free port.
         observe: called with None when connections can be accepted, and with the error when the
             endpoint can't be opened or fails; repeatedly while that lasts.
+        reserved: socket bound to the endpoint that doesn't listen yet, used for the first attempt.
     """
 
-    def __init__(self, address: Address, observe: EndpointObserver) -> None:
+    def __init__(
+        self,
+        address: Address,
+        observe: EndpointObserver,
+        reserved: socket.socket | None = None,
+    ) -> None:
         self._address = address
         self._observe = observe
+        self._reserved = reserved
         self._is_open = False
 
+    @property
+    def address(self) -> Address:
+        """Return the endpoint as configured."""
+        return self._address
+
     async def run(
         self,
         handle: StreamHandler,
@@ -57,17 +70,28 @@
                 listener = await self._open()
 
     async def _open(self) -> trio.SocketListener | None:
-        address = self._address
         try:
-            (listener,) = await trio.open_tcp_listeners(
-                address.port, host=address.host, backlog=MAXIMUM_BACKLOG
-            )
+            listener = await self._listen()
         except OSError as error:
             self._note(error)
             return None
         self._note(None)
         return listener
 
+    async def _listen(self) -> trio.SocketListener:
+        reserved, self._reserved = self._reserved, None
+        if reserved is None:
+            (listener,) = await trio.open_tcp_listeners(
+                self._address.port, host=self._address.host, backlog=MAXIMUM_BACKLOG
+            )
+            return listener
+        try:
+            reserved.listen(MAXIMUM_BACKLOG)
+        except BaseException:
+            reserved.close()
+            raise
+        return trio.SocketListener(trio.socket.from_stdlib_socket(reserved))
+
     async def _accept_all(
         self, listener: trio.SocketListener, handle: StreamHandler, connections: trio.Nursery
     ) -> None:
--- a/egretsill/wire/tests/test_stream_server.py
+++ b/egretsill/wire/tests/test_stream_server.py
@@ -11,7 +11,7 @@
 import trio
 import trio.testing
 
-from ...endpoints import Address
+from ...endpoints import Address, bind_stream_socket
 from .. import StreamServer
 from .._stream_server import RETRY_SECONDS
 from .holders import HOLDERS, held, own_host
@@ -40,6 +40,11 @@
         self.server = StreamServer(self.address, self._observe)
         self._changed = trio.Event()
 
+    def reserve(self) -> None:
+        """Reserve the endpoint for the server."""
+        reserved = bind_stream_socket(self.address)
+        self.server = StreamServer(self.address, self._observe, reserved)
+
     async def wait_for(self, error: int | None) -> None:
         """Wait until the last report is this error, or None."""
         while not self.errors or self.errors[-1] != error:
@@ -75,6 +80,32 @@
     run(scenario)
 
 
+def test_reserved_socket_refuses_connections_until_it_is_served() -> None:
+    async def scenario(served: Served, nursery: trio.Nursery) -> None:
+        served.reserve()
+        with pytest.raises(OSError, match="connect"):
+            await ask(served.address)
+        await nursery.start(served.server.run, echo)
+        assert served.errors == [None]
+        assert await ask(served.address) == b"hello"
+
+    run(scenario)
+
+
+# Guards against an end of the process because another one bound the address, too, and listens.
+def test_reserved_address_on_which_another_process_listens_is_opened_later() -> None:
+    async def scenario(served: Served, nursery: trio.Nursery) -> None:
+        served.reserve()
+        with held("listener", served.address) as release:
+            await nursery.start(served.server.run, echo)
+            assert served.errors == [errno.EADDRINUSE]
+            release()
+            await served.wait_for(None)
+        assert await ask(served.address) == b"hello"
+
+    run(scenario)
+
+
 # Guards against an end of the process because an address isn't configured on the interface yet.
 def test_absent_address_is_reported_and_tried_again() -> None:
     async def main() -> None:
