--- a/egretsill/boot/_sockets.py
+++ b/egretsill/boot/_sockets.py
@@ -30,8 +30,8 @@
         tunnel: receives tunneled packets from other processes.
         heartbeats: receives heartbeats from other processes.
         content: TCP, serves content to other processes; None if its address can't be bound yet.
-        health: TCP, serves the health page; None as for `content`.
-        metrics: TCP, serves the metrics page; None as for `content`.
+        health: TCP, serves the health page; None as for `content`, or if it isn't configured.
+        metrics: TCP, serves the metrics page; None as for `health`.
     """
 
     packets: socket.socket
@@ -53,7 +53,8 @@
     heartbeats = Address(settings.host, settings.gossip_port)
     bound = _bind_all((packets, tunnel, heartbeats))
     # Content is served on the TCP port of the tunnel's number.
-    reserved = [_reserve(each) for each in (tunnel, settings.health, settings.metrics)]
+    listening = (tunnel, settings.health, settings.metrics)
+    reserved = [None if each is None else _reserve(each) for each in listening]
     return NodeSockets(*bound, *reserved)
 
 
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -159,6 +159,7 @@
         """Run until shut down or cancelled."""
         settings = self._settings
         self._journal.record("started", role=settings.role.value, host=settings.host)
+        self._note_defaults(settings)
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._timer.run)
@@ -191,11 +192,16 @@
         self._hubs.replace_seeds(seeds)
         self._readers.replace_seeds(seeds)
         self._journal.record("settings-reloaded", seeds=",".join(settings.seeds))
+        self._note_defaults(settings)
 
     def reject_settings(self, problem: str) -> None:
         """Record that the settings file is invalid; the old settings stay in force."""
         self._journal.record("settings-rejected", problem=problem)
 
+    def _note_defaults(self, settings: NodeSettings) -> None:
+        if settings.defaulted:
+            self._journal.record("settings-defaulted", keys=",".join(settings.defaulted))
+
     def _make_role(self, codec: PacketCodec) -> BalancerNode | AgentNode:
         settings = self._settings
         log = DecisionLog(
@@ -287,6 +293,7 @@
                 ("health", settings.health, sockets.health),
                 ("metrics", settings.metrics, sockets.metrics),
             )
+            if listen is not None
         ]
 
     def _make_server(
