--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -34,6 +34,9 @@
 from ..observation import (
     JSON,
     AdminServer,
+    EndpointOpened,
+    EndpointStates,
+    EndpointUnavailable,
     Metrics,
     StateChange,
     StateKind,
@@ -45,7 +48,7 @@
 from ..steering import ConnectionIdCodec
 from ..supervision import Part, Supervisor, describe_failure
 from ..timing import TrioTimerService
-from ..wire import StreamDecoder
+from ..wire import StreamDecoder, StreamServer
 from ._agent_role import AgentRole
 from ._balancer_role import BalancerRole
 from ._configuration_link import fetch_configuration, serve_requests
@@ -78,6 +81,7 @@
         self._metrics = Metrics()
         self._state_log = StateLog(settings.name)
         self._supervisor = Supervisor(self._record_failure)
+        self._endpoints = EndpointStates(self._metrics, self._note_endpoint_change)
         self._stopped = trio.Event()
         self._backend_state = BackendState.HEALTHY
         self._role = self._make_role()
@@ -128,8 +132,10 @@
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Run until shut down or cancelled; report as started once every endpoint is bound.
 
+        The admin endpoint isn't waited for: it is opened as soon as its address is free.
+
         Raises:
-            AddressUnavailable: if an endpoint can't be bound.
+            AddressUnavailable: if another endpoint can't be bound.
         """
         try:
             await self._run(task_status)
@@ -166,7 +172,7 @@
             nursery.start_soon(self._timer.run)
             await nursery.start(self._gossip.run)
             await self._start(nursery, "relay", self._settings.relay, self._streams.run)
-            await self._start(nursery, "admin", self._settings.admin, self._make_admin().run)
+            await nursery.start(self._make_admin().run)
             self._membership.start()
             nursery.start_soon(self._configuration.run)
             nursery.start_soon(self._role.run)
@@ -254,8 +260,9 @@
         return PlatformClient(platform.addresses, platform.read_seconds)
 
     def _make_admin(self) -> AdminServer:
+        listen = self._settings.admin
         return AdminServer(
-            self._settings.admin,
+            StreamServer(listen, self._endpoints.observer("admin", listen)),
             self._metrics,
             lambda: self._pages.status,
             lambda: self._pages.health,
@@ -340,6 +347,16 @@
         self._metrics.configuration_conflicts.increment()
         self._record(StateKind.CONFIGURATION_CONFLICT, conflict.revision)
 
+    def _note_endpoint_change(self, change: EndpointUnavailable | EndpointOpened) -> None:
+        match change:
+            case EndpointUnavailable(endpoint, address, error):
+                details = {"address": str(address), "error": error}
+                state = StateChange(StateKind.ENDPOINT, endpoint, "unavailable", details)
+            case EndpointOpened(endpoint, address):
+                details = {"address": str(address)}
+                state = StateChange(StateKind.ENDPOINT, endpoint, "open", details)
+        self._state_log.record(state)
+
     def _on_backend_request(self, answered: bool) -> None:
         self._health.note_request(answered)
 
--- a/egretsill/node/_content_exchange.py
+++ b/egretsill/node/_content_exchange.py
@@ -27,7 +27,13 @@
 )
 from ..supervision import Part, Supervisor
 from ..timing import TimerService
-from ..wire import Address, Codec, MalformedMessage, StreamDecoder
+from ..wire import (
+    Address,
+    Codec,
+    MalformedMessage,
+    StreamDecoder,
+    StreamServer,
+)
 
 EXCHANGE_SECONDS = 0.6  # three round trips between failure domains, with a busy peer
 READ_BYTES = 65_536
@@ -56,20 +62,20 @@
     """Serves directory content to peers and fetches theirs.
 
     Args:
-        listen: TCP endpoint; peers use the same port.
+        server: serves the TCP endpoint; peers use the same port.
         directory: the content that is served, and into which responses are merged.
         count_malformed: called with a description of each malformed message.
     """
 
     def __init__(
         self,
-        listen: Address,
+        server: StreamServer,
         directory: Directory,
         timer: TimerService,
         supervisor: Supervisor,
         count_malformed: Callable[[str], None],
     ) -> None:
-        self._listen = listen
+        self._server = server
         self._directory = directory
         self._timer = timer
         self._supervisor = supervisor
@@ -77,15 +83,9 @@
         self._codec: Codec[DirectoryMessage] = Codec("directory", DIRECTORY_TYPES)
         self._open_connections = 0
 
-    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
-        """Serve requests until cancelled; reports as started once the endpoint is bound.
-
-        Raises:
-            OSError: if the endpoint can't be bound.
-        """
-        listeners = await trio.open_tcp_listeners(self._listen.port, host=self._listen.host)
-        task_status.started()
-        await trio.serve_listeners(self._serve, listeners)
+    async def run(self, task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve requests until cancelled; `task_status` reports the endpoint after one attempt."""
+        await self._server.run(self._serve, task_status)
 
     async def fetch(self, host: str) -> bool:
         """Fetch and merge a peer's content; return whether anything in force changed.
@@ -95,7 +95,7 @@
         """
         try:
             with trio.fail_after(EXCHANGE_SECONDS):
-                stream = await trio.open_tcp_stream(host, self._listen.port)
+                stream = await trio.open_tcp_stream(host, self._server.address.port)
                 async with stream:
                     await stream.send_all(self._codec.encode(self.make_request()))
                     response = await self._next_message(stream)
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+import socket
+from collections.abc import Callable, Mapping, Sequence
 from random import Random
 from typing import TypeAlias
 
@@ -23,6 +24,9 @@
 from ..observation import (
     JSON,
     AdminServer,
+    EndpointOpened,
+    EndpointStates,
+    EndpointUnavailable,
     HealthProblem,
     HealthState,
     Journal,
@@ -30,6 +34,7 @@
 )
 from ..supervision import Part, Supervisor, leaves
 from ..timing import TrioTimerService
+from ..wire import StreamServer
 from ._agent_node import AgentNode
 from ._balancer_node import BalancerNode
 from ._content_exchange import ContentExchange
@@ -80,6 +85,7 @@
         self._journal = Journal(
             settings.name, lambda: self._timer.now, lambda: self._timer.epoch_milliseconds / 1000
         )
+        self._endpoints = EndpointStates(self._metrics, self._note_endpoint_change)
         self._failures = FailureLog(self._metrics, self._journal)
         self._supervisor = Supervisor(self._failures.record)
         timer.contain_failures(lambda error: self._supervisor.note_failure(Part.TIMERS, error))
@@ -99,7 +105,9 @@
         self._agent_steering: AgentSteering | None = None
         self._role = self._make_role(codec)
         self._exchange = ContentExchange(
-            Address(settings.host, settings.tunnel_port),
+            self._make_server(
+                "content", Address(settings.host, settings.tunnel_port), sockets.content
+            ),
             self._directory,
             self._timer,
             self._supervisor,
@@ -159,6 +167,7 @@
             "is_hub": self._hubs.is_hub(now),
             "is_leaving": self._shutdown.is_leaving,
             "parts_stopped": sorted(each.value for each in self._supervisor.stopped),
+            "endpoints": self._endpoints.page,
         }
 
     async def run(self) -> None:
@@ -217,9 +226,8 @@
             nursery.start_soon(run, Part.STORE_READING, self._reading.run)
             await nursery.start(start, Part.CONTENT_SERVING, self._exchange.run)
             nursery.start_soon(run, Part.HEARTBEATS, self._link.run)
-            for listen in (self._settings.health, self._settings.metrics):
-                if listen is not None:
-                    await nursery.start(start, Part.ADMIN, self._make_admin(listen).run)
+            for server in self._make_admin_servers():
+                await nursery.start(start, Part.ADMIN, server.run)
             self._timer.subscribe(SWEEP_SECONDS, self._sweep)
             nursery.start_soon(run, Part.LOG, self._log_writer.run)
             await self._stopped.wait()
@@ -306,10 +314,27 @@
             self._note_content_change,
         )
 
-    def _make_admin(self, listen: Address) -> AdminServer:
-        return AdminServer(
-            listen, self._metrics, lambda: self.status, lambda: self.health, self._supervisor
-        )
+    def _make_admin_servers(self) -> Sequence[AdminServer]:
+        settings, sockets = self._settings, self._sockets
+        return [
+            AdminServer(
+                self._make_server(endpoint, listen, reserved),
+                self._metrics,
+                lambda: self.status,
+                lambda: self.health,
+                self._supervisor,
+            )
+            for endpoint, listen, reserved in (
+                ("health", settings.health, sockets.health),
+                ("metrics", settings.metrics, sockets.metrics),
+            )
+            if listen is not None
+        ]
+
+    def _make_server(
+        self, endpoint: str, listen: Address, reserved: socket.socket | None
+    ) -> StreamServer:
+        return StreamServer(listen, self._endpoints.observer(endpoint, listen), reserved)
 
     def _load(self) -> TargetLoad:
         if self._agent_steering is None:
@@ -350,6 +375,15 @@
         if source != STORE_SOURCE:
             self._link.announce_content(parse_ipv4(source))
 
+    def _note_endpoint_change(self, change: EndpointUnavailable | EndpointOpened) -> None:
+        match change:
+            case EndpointUnavailable(endpoint, address, error):
+                self._journal.record(
+                    "endpoint-unavailable", endpoint=endpoint, address=str(address), error=error
+                )
+            case EndpointOpened(endpoint, address):
+                self._journal.record("endpoint-opened", endpoint=endpoint, address=str(address))
+
     def _note_store_return(self, source: str) -> None:
         found = self._directory.last_return
         if found is None or found is self._store_return:
--- a/egretsill/node/tests/later_steps.py
+++ b/egretsill/node/tests/later_steps.py
@@ -23,6 +23,7 @@
 from ...observation import Metrics
 from ...supervision.tests.supervisors import PropagatingSupervisor
 from ...timing import VirtualTimerService
+from ...wire import StreamServer
 from .._content_exchange import ContentExchange
 
 HOST = 0x0A010001
@@ -54,9 +55,10 @@
 class _Process:
     def __init__(self) -> None:
         self.problems: list[str] = []
+        self.errors: list[OSError | None] = []
         self.directory = Directory()
         self.exchange = ContentExchange(
-            Address("127.0.0.1", 1),
+            StreamServer(Address("127.0.0.1", 1), self.errors.append),
             self.directory,
             VirtualTimerService(),
             PropagatingSupervisor(),
