--- a/egretsill/boot/__init__.py
+++ b/egretsill/boot/__init__.py
@@ -1,6 +1,7 @@
 """First start-up step of an address-steering process, before its libraries are loaded."""
 
 from ._boot import SETTINGS_WAIT_SECONDS, BootFailed, NodeBoot, boot
+from ._notices import write_notice
 from ._settings import (
     AgentSettings,
     NodeRole,
@@ -8,10 +9,11 @@
     load_node_settings,
 )
 from ._settings_reader import NodeSettingsRejected, SettingsFault, settings_version
-from ._sockets import NodeSockets, bind_node_sockets
+from ._sockets import BindFailed, NodeSockets, bind_node_sockets
 
 __all__ = [
     "AgentSettings",
+    "BindFailed",
     "BootFailed",
     "NodeBoot",
     "NodeRole",
@@ -24,4 +26,5 @@
     "boot",
     "load_node_settings",
     "settings_version",
+    "write_notice",
 ]
--- a/egretsill/boot/_sockets.py
+++ b/egretsill/boot/_sockets.py
@@ -8,8 +8,9 @@
 
 from __future__ import annotations
 
+import errno
 import socket
-from collections.abc import Iterable
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from ..endpoints import (
@@ -20,6 +21,27 @@
 )
 from ._settings import NodeSettings
 
+# The address is held by someone else, isn't configured yet, or the system is short of resources.
+_TEMPORARY_ERRORS = frozenset(
+    {errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
+)
+
+
+class BindFailed(Exception):
+    """A UDP endpoint, without which a process can't serve, could not be bound.
+
+    Attributes:
+        endpoint: what it is used for.
+        address: its address.
+        is_temporary: whether it may be possible later.
+    """
+
+    def __init__(self, endpoint: str, address: Address, error: OSError) -> None:
+        super().__init__(f"{endpoint} address {address} can't be bound: {error.strerror}")
+        self.endpoint = endpoint
+        self.address = address
+        self.is_temporary = error.errno in _TEMPORARY_ERRORS
+
 
 @dataclass(frozen=True, slots=True)
 class NodeSockets:
@@ -46,12 +68,12 @@
     """Bind the endpoints of a process.
 
     Raises:
-        OSError: if a UDP endpoint can't be bound; no socket is left open then.
+        BindFailed: if a UDP endpoint can't be bound; no socket is left open then.
     """
     packets = settings.packets if settings.agent is None else settings.agent.outbound
     tunnel = Address(settings.host, settings.tunnel_port)
     heartbeats = Address(settings.host, settings.gossip_port)
-    bound = _bind_all((packets, tunnel, heartbeats))
+    bound = _bind_all({"packets": packets, "tunnel": tunnel, "heartbeats": heartbeats})
     # Content is served on the TCP port of the tunnel's number.
     listening = (tunnel, settings.health, settings.metrics)
     reserved = [None if each is None else _reserve(each) for each in listening]
@@ -66,13 +88,20 @@
         return None
 
 
-def _bind_all(addresses: Iterable[Address]) -> list[socket.socket]:
+def _bind_all(addresses: Mapping[str, Address]) -> list[socket.socket]:
     bound: list[socket.socket] = []
     try:
-        for address in addresses:
-            bound.append(open_datagram_socket(address, SOCKET_BUFFER_BYTES, SOCKET_BUFFER_BYTES))
+        for endpoint, address in addresses.items():
+            bound.append(_bind(endpoint, address))
     except BaseException:
         for each in bound:
             each.close()
         raise
     return bound
+
+
+def _bind(endpoint: str, address: Address) -> socket.socket:
+    try:
+        return open_datagram_socket(address, SOCKET_BUFFER_BYTES, SOCKET_BUFFER_BYTES)
+    except OSError as error:
+        raise BindFailed(endpoint, address, error) from error
