--- a/egretsill/startup/__init__.py
+++ b/egretsill/startup/__init__.py
@@ -1,6 +1,13 @@
 """First statements of a process; imports as little of the standard library as possible."""
 
+from ._exit_codes import EXIT_LIBRARIES, EXIT_STOPPED
 from ._standard_descriptors import open_missing_descriptors
-from ._startup_signals import EXIT_STOPPED, HANDLED_SIGNALS, StartupSignals
+from ._startup_signals import HANDLED_SIGNALS, StartupSignals
 
-__all__ = ["EXIT_STOPPED", "HANDLED_SIGNALS", "StartupSignals", "open_missing_descriptors"]
+__all__ = [
+    "EXIT_LIBRARIES",
+    "EXIT_STOPPED",
+    "HANDLED_SIGNALS",
+    "StartupSignals",
+    "open_missing_descriptors",
+]
--- a/egretsill/startup/_startup_signals.py
+++ b/egretsill/startup/_startup_signals.py
@@ -5,7 +5,8 @@
 import os
 import signal
 
-EXIT_STOPPED = 0
+from ._exit_codes import EXIT_STOPPED
+
 HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
