--- a/egretsill/boot/__init__.py
+++ b/egretsill/boot/__init__.py
@@ -1,6 +1,6 @@
 """First start-up step of an address-steering process, before its libraries are loaded."""
 
-from ._boot import SETTINGS_WAIT_SECONDS, BootFailed, NodeBoot, boot
+from ._boot import EXIT_SETTINGS, SETTINGS_WAIT_SECONDS, BootFailed, NodeBoot, boot
 from ._settings import (
     AgentSettings,
     NodeRole,
@@ -13,6 +13,7 @@
 __all__ = [
     "AgentSettings",
     "BootFailed",
+    "EXIT_SETTINGS",
     "NodeBoot",
     "NodeRole",
     "NodeSettings",
