--- a/egretsill/boot/__init__.py
+++ b/egretsill/boot/__init__.py
@@ -1,7 +1,6 @@
 """First start-up step of an address-steering process, before its libraries are loaded."""
 
 from ._boot import SETTINGS_WAIT_SECONDS, BootFailed, NodeBoot, boot
-from ._notices import write_notice
 from ._settings import (
     AgentSettings,
     NodeRole,
@@ -26,5 +25,4 @@
     "boot",
     "load_node_settings",
     "settings_version",
-    "write_notice",
 ]
--- a/egretsill/boot/_boot.py
+++ b/egretsill/boot/_boot.py
@@ -7,13 +7,11 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from ..startup import EXIT_ADDRESS, EXIT_SETTINGS
 from ._settings import NodeSettings, load_node_settings
 from ._settings_reader import NodeSettingsRejected, settings_version
 from ._sockets import BindFailed, NodeSockets, bind_node_sockets
 
-EXIT_SETTINGS = 2
-EXIT_ADDRESS = 3
-
 SETTINGS_WAIT_SECONDS = 5.0  # the file may be absent or half written while it is placed
 SETTINGS_SETTLE_SECONDS = 0.25  # a file that lacks optional keys may be half written, too
 SETTINGS_POLL_SECONDS = 0.05
--- a/egretsill/node/_main.py
+++ b/egretsill/node/_main.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import signal
 import traceback
 from functools import partial
@@ -14,12 +13,11 @@
 from ..address_steering import PacketCodec
 from ..boot import NodeBoot, NodeSettingsRejected, load_node_settings, settings_version
 from ..observation import log_to_standard_output
-from ..startup import EXIT_STOPPED, HANDLED_SIGNALS, StartupSignals
+from ..startup import EXIT_FAILED, EXIT_STOPPED, HANDLED_SIGNALS, StartupSignals, write_notice
 from ..supervision import Part
 from ..timing import TrioTimerService
 from ._node import Node, StoreFactory
 
-EXIT_FAILED = 4
 SETTINGS_POLL_SECONDS = 1.0  # settings may change without a signal
 
 
@@ -51,8 +49,7 @@
     try:
         trio.run(_run, node, started, signals)
     except Exception:
-        with contextlib.suppress(OSError):  # Standard error may have no reader.
-            traceback.print_exc()
+        write_notice(traceback.format_exc())
         return EXIT_FAILED
     return EXIT_STOPPED
 
--- a/egretsill/boot/tests/test_notices.py
+++ b/egretsill/startup/tests/test_notices.py
@@ -8,7 +8,9 @@
 
 import pytest
 
-PROGRAM = "from egretsill.boot import write_notice; [write_notice('x' * 99) for _ in range(2000)]"
+PROGRAM = (
+    "from egretsill.startup import write_notice; [write_notice('x' * 99) for _ in range(2000)]"
+)
 
 
 # Guards against a process that hangs at its start, or ends, because nobody reads its errors.
@@ -27,6 +29,6 @@
 
 
 def test_notice_is_a_line() -> None:
-    program = "from egretsill.boot import write_notice; write_notice('address \\ud83d')"
+    program = "from egretsill.startup import write_notice; write_notice('address \\ud83d')"
     result = subprocess.run([sys.executable, "-c", program], capture_output=True, check=True)
     assert result.stderr == b"address \\ud83d\n"
