Flows: a deadline of thousands of digits is a malformed request

In the daemon that steers by connection ID a request whose deadline header had more than 4,300 digits raised ValueError out of the handling of a datagram, instead of being rejected. Cause: the header was read with int() before its range was checked. Evidence: test_malformed_request_is_rejected[deadline of 5,000 digits] failed before with that ValueError. Change: more digits than the largest deadline has are rejected first.

--- a/egretsill/flows/_request_head.py
+++ b/egretsill/flows/_request_head.py
@@ -7,6 +7,8 @@
 from ..requests import RequestHead
 from .headers import DEADLINE_HEADER, HOP_BY_HOP_HEADERS, MAXIMUM_DEADLINE_MILLISECONDS
 
+MAXIMUM_DEADLINE_DIGITS = len(str(MAXIMUM_DEADLINE_MILLISECONDS))
+
 
 class MalformedRequest(Exception):
     """The headers do not form a valid request.
@@ -65,7 +67,8 @@
 def _deadline(headers: Sequence[tuple[bytes, bytes]], now: float) -> float | None:
     for name, value in headers:
         if name == DEADLINE_HEADER:
-            if not value.isdigit() or not 0 < int(value) <= MAXIMUM_DEADLINE_MILLISECONDS:
+            is_number = value.isdigit() and len(value) <= MAXIMUM_DEADLINE_DIGITS
+            if not is_number or not 0 < int(value) <= MAXIMUM_DEADLINE_MILLISECONDS:
                 raise MalformedRequest(name)
             return now + int(value) / 1000
     return None
--- a/egretsill/flows/tests/test_flow_server.py
+++ b/egretsill/flows/tests/test_flow_server.py
@@ -198,6 +198,8 @@
         pytest.param((headers.DEADLINE_HEADER, b"soon"), id="deadline is not a number"),
         pytest.param((headers.DEADLINE_HEADER, b"0"), id="deadline has passed"),
         pytest.param((headers.DEADLINE_HEADER, b"9" * 30), id="deadline out of range"),
+        # Guards against a number that Python refuses to parse.
+        pytest.param((headers.DEADLINE_HEADER, b"9" * 5_000), id="deadline of 5,000 digits"),
     ],
 )
 def test_malformed_request_is_rejected(tmp_path: Path, extra: tuple[bytes, bytes]) -> None:
