--- a/egretsill/fleet/tests/test_hubs.py
+++ b/egretsill/fleet/tests/test_hubs.py
@@ -75,6 +75,18 @@
     assert plan.hubs(0.0) == (7,)
 
 
+# Guards against an agent that joins another cell than its target when it isn't told its domain.
+def test_agent_without_failure_domain_is_in_its_targets_cell() -> None:
+    cells = Cells({1: "d0", 2: "d0", 3: "d1", 4: "d2"})
+    for host, cell in ((1, "d0/0"), (3, "d1/0"), (4, "d2/0")):
+        plan = HubPlan(host, "", [SEED], PeerTable(host))
+        plan.replace_cells(cells)
+        assert plan.cell == cell
+    balancer = HubPlan(9, "", [SEED], PeerTable(9))
+    balancer.replace_cells(cells)
+    assert balancer.cell in cells.names
+
+
 @pytest.mark.parametrize(("targets", "domains"), [(15, 3), (110, 5), (300, 1)])
 def test_heartbeats_reach_the_cell_within_a_second(targets: int, domains: int) -> None:
     fleet = Fleet(targets, domains)
@@ -177,3 +189,19 @@
     assert not plan.should_read_reports(digest, 1.1)
     assert plan.should_read_reports(digest._replace(cell="d2/0"), 1.1)
     assert plan.should_read_reports(digest, 1.5)
+
+
+# Guards against a process that keeps the name of its former cell after a failure to find the new.
+def test_failed_change_of_cells_is_repeated(monkeypatch: pytest.MonkeyPatch) -> None:
+    plan = HubPlan(1, "d0", [SEED], PeerTable(1))
+    cells = Cells({1: "d0", 2: "d0"})
+
+    def fail(*_: object) -> str:
+        raise RuntimeError("unexpected")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(Cells, "cell_of", fail)
+        with pytest.raises(RuntimeError):
+            plan.replace_cells(cells)
+    plan.replace_cells(cells)
+    assert plan.cell == "d0/0"
--- a/egretsill/node/_main.py
+++ b/egretsill/node/_main.py
@@ -2,35 +2,40 @@
 
 from __future__ import annotations
 
+import contextlib
 import signal
+import traceback
+from functools import partial
 from pathlib import Path
 from random import SystemRandom
 
 import trio
 
 from ..address_steering import PacketCodec
-from ..boot import NodeBoot, NodeSettingsRejected, load_node_settings
+from ..boot import NodeBoot, NodeSettingsRejected, load_node_settings, settings_version
 from ..observation import log_to_standard_output
 from ..startup import EXIT_STOPPED, HANDLED_SIGNALS, StartupSignals
+from ..supervision import Part
 from ..timing import TrioTimerService
 from ._node import Node, StoreFactory
 
+EXIT_FAILED = 4
 SETTINGS_POLL_SECONDS = 1.0  # settings may change without a signal
 
 
 def run(
     started: NodeBoot, codec: PacketCodec, make_store: StoreFactory, signals: StartupSignals
 ) -> int:
-    """Run a process until a signal stops it, and return its exit code, 0.
+    """Run a process until a signal stops it, and return its exit code.
+
+    It is 0 if a signal stopped the process, and 4 if a failure ended it, whose traceback is then
+    written to standard error.
 
     Args:
         started: settings and sockets.
         codec: decodes and encodes the packets of flows.
         make_store: opens the store at an address.
         signals: handles signals while the event loop doesn't run.
-
-    Raises:
-        OSError: if a TCP endpoint can't be bound.
     """
     timer = TrioTimerService()
     random_source = SystemRandom()
@@ -43,24 +48,32 @@
         log_to_standard_output,
         random_source,
     )
-    trio.run(_run, node, started.settings_path, signals)
+    try:
+        trio.run(_run, node, started, signals)
+    except Exception:
+        with contextlib.suppress(OSError):  # Standard error may have no reader.
+            traceback.print_exc()
+        return EXIT_FAILED
     return EXIT_STOPPED
 
 
-async def _run(node: Node, settings_path: Path, startup_signals: StartupSignals) -> None:
+async def _run(node: Node, started: NodeBoot, startup_signals: StartupSignals) -> None:
     try:
         with trio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
             is_reload_pending = startup_signals.hand_over()
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_run_until_stopped, node, nursery.cancel_scope)
-                nursery.start_soon(_poll_settings, node, settings_path)
+                nursery.start_soon(
+                    node.supervisor.run, Part.SETTINGS, partial(_poll_settings, node, started)
+                )
                 if is_reload_pending:
-                    _reload(node, settings_path)
+                    _reload(node, started.settings_path)
                 async for number in signals:
                     if number == signal.SIGHUP:
-                        _reload(node, settings_path)
+                        _reload(node, started.settings_path)
                     else:
-                        node.shut_down()
+                        with node.supervisor.contain(Part.SHUTDOWN):
+                            node.shut_down()
     finally:
         # Not later: trio reports a signal that comes while it closes its own sockets as an error.
         startup_signals.block()
@@ -71,27 +84,19 @@
     scope.cancel()
 
 
-async def _poll_settings(node: Node, settings_path: Path) -> None:
-    before = _file_version(settings_path)
+async def _poll_settings(node: Node, started: NodeBoot) -> None:
+    before = started.settings_version
     while True:
+        version = settings_version(started.settings_path)
+        if version != before:
+            before = version
+            _reload(node, started.settings_path)
         await trio.sleep(SETTINGS_POLL_SECONDS)
-        mark = _file_version(settings_path)
-        if mark != before:
-            before = mark
-            _reload(node, settings_path)
-
-
-def _file_version(settings_path: Path) -> tuple[int, int]:
-    try:
-        status = settings_path.stat()
-    except OSError:
-        # The file is being replaced; the next poll finds the new one.
-        return 0, 0
-    return status.st_mtime_ns, status.st_size
 
 
 def _reload(node: Node, settings_path: Path) -> None:
-    try:
-        node.replace_settings(load_node_settings(settings_path))
-    except NodeSettingsRejected as error:
-        node.reject_settings(str(error))
+    with node.supervisor.contain(Part.SETTINGS):
+        try:
+            node.replace_settings(load_node_settings(settings_path))
+        except NodeSettingsRejected as error:
+            node.reject_settings(str(error))
