Log: name the peer whose heartbeat or content is malformed, and the part

Change: heartbeat-malformed has the peer and the part, and content-unavailable names the part as its reason. The budget of each kind of line bounds them. Pushes and requests of a peer that are malformed are still counted without a sender; the fetch that follows a malformed push names it. Evidence: test_malformed_heartbeat_is_logged_with_its_sender and the five cases of test_peer_with_malformed_content_is_named_with_the_part failed before. Any datagram to the port of heartbeats is taken or recorded; that property test held before.

--- a/egretsill/node/_content_exchange.py
+++ b/egretsill/node/_content_exchange.py
@@ -46,7 +46,7 @@
 
     Attributes:
         host: the peer's address.
-        reason: one word for the cause.
+        reason: the cause in a few words.
     """
 
     def __init__(self, host: str, reason: str) -> None:
@@ -112,7 +112,7 @@
             raise PeerContentUnavailable(host, type(error).__name__) from error
         except (MalformedMessage, MalformedContent) as error:
             self._count_malformed(str(error))
-            raise PeerContentUnavailable(host, "malformed") from error
+            raise PeerContentUnavailable(host, str(error)) from error
 
     def respond(self, request: ContentRequest) -> ContentResponse | ContentUpdate:
         """Return the changes since the requester's revision, or else the complete content.
--- a/egretsill/node/_fleet_link.py
+++ b/egretsill/node/_fleet_link.py
@@ -314,6 +314,7 @@
                 self._process_direct_heartbeat(head, heartbeat, now)
         except MalformedHeartbeat as error:
             self._metrics.messages_malformed.increment("fleet", error.reason)
+            self._journal.record("heartbeat-malformed", peer=sender, part=error.reason)
             return
         self._compare_revisions(head, sender, now)
 
