--- a/egretsill/node/_main.py
+++ b/egretsill/node/_main.py
@@ -14,16 +14,18 @@
 from ..address_steering import PacketCodec
 from ..boot import NodeBoot, NodeSettingsRejected, load_node_settings
 from ..observation import log_to_standard_output
+from ..startup import EXIT_STOPPED, HANDLED_SIGNALS, StartupSignals
 from ..supervision import Part
 from ..timing import TrioTimerService
 from ._node import Node, StoreFactory
 
-EXIT_STOPPED = 0
 EXIT_FAILED = 4
 SETTINGS_POLL_SECONDS = 1.0  # settings may change without a signal
 
 
-def run(started: NodeBoot, codec: PacketCodec, make_store: StoreFactory) -> int:
+def run(
+    started: NodeBoot, codec: PacketCodec, make_store: StoreFactory, signals: StartupSignals
+) -> int:
     """Run a process until a signal stops it, and return its exit code.
 
     It is 0 if a signal stopped the process, and 4 if a failure ended it, whose traceback is then
@@ -33,6 +35,7 @@
         started: settings and sockets.
         codec: decodes and encodes the packets of flows.
         make_store: opens the store at an address.
+        signals: handles signals while the event loop doesn't run.
     """
     timer = TrioTimerService()
     random_source = SystemRandom()
@@ -46,7 +49,7 @@
         random_source,
     )
     try:
-        trio.run(_run, node, started.settings_path)
+        trio.run(_run, node, started.settings_path, signals)
     except Exception:
         with contextlib.suppress(OSError):  # Standard error may have no reader.
             traceback.print_exc()
@@ -54,19 +57,28 @@
     return EXIT_STOPPED
 
 
-async def _run(node: Node, settings_path: Path) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(_run_until_stopped, node, nursery.cancel_scope)
-            nursery.start_soon(
-                node.supervisor.run, Part.SETTINGS, partial(_poll_settings, node, settings_path)
-            )
-            async for number in signals:
-                if number == signal.SIGHUP:
+async def _run(node: Node, settings_path: Path, startup_signals: StartupSignals) -> None:
+    try:
+        with trio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
+            is_reload_pending = startup_signals.hand_over()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_run_until_stopped, node, nursery.cancel_scope)
+                nursery.start_soon(
+                    node.supervisor.run,
+                    Part.SETTINGS,
+                    partial(_poll_settings, node, settings_path),
+                )
+                if is_reload_pending:
                     _reload(node, settings_path)
-                else:
-                    with node.supervisor.contain(Part.SHUTDOWN):
-                        node.shut_down()
+                async for number in signals:
+                    if number == signal.SIGHUP:
+                        _reload(node, settings_path)
+                    else:
+                        with node.supervisor.contain(Part.SHUTDOWN):
+                            node.shut_down()
+    finally:
+        # Not later: trio reports a signal that comes while it closes its own sockets as an error.
+        startup_signals.block()
 
 
 async def _run_until_stopped(node: Node, scope: trio.CancelScope) -> None:
