--- a/egretsill/node/_fleet_link.py
+++ b/egretsill/node/_fleet_link.py
@@ -9,7 +9,7 @@
 import trio
 
 from ..address_steering import Candidates
-from ..directory import NO_REVISION, Directory, ReadPlan, StoreRevision
+from ..directory import NO_REVISION, Directory, ReadPlan
 from ..endpoints import format_ipv4, parse_ipv4
 from ..fleet import (
     HEARTBEAT_SECONDS,
@@ -28,17 +28,15 @@
 from ..supervision import Part, Supervisor
 from ..timing import ClockJump, TimerService
 from ..wire import BATCH_DATAGRAMS, close_datagram_socket, read_batches
-from ._content_exchange import ContentExchange, PeerContentUnavailable
+from ._content_exchange import ContentExchange
+from ._content_fetching import ContentFetching
 
 MAXIMUM_DATAGRAM_BYTES = 1_500
 MAXIMUM_AGE_MILLISECONDS = 1_000_000
 FAR_HEARTBEAT_PERIODS = 2  # less often, since traffic between failure domains is expensive
 READ_PAUSE_SECONDS = 0.05  # between reads of the socket, so that one wake-up reads many heartbeats
 CONFIRMATION_INTERVAL_SECONDS = 0.6  # a confirmation newer by this is announced between heartbeats
-PUSH_GRACE_SECONDS = 0.15  # wait for pushed changes, which are sent along with the announcement
 STARTUP_SECONDS = 3.0  # lifetime of a subscription to a hub, so that all processes learn of a start
-RETRY_SECONDS = 0.1  # before content is requested from the next peer
-MAXIMUM_SOURCES = 8  # number of peers with newer content that are kept
 MILLISECONDS = 1000
 
 _FORWARDED = 0xB2  # followed by a heartbeat as its sender encoded it
@@ -62,19 +60,6 @@
     is_target_silent: bool = False
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class _Offer:
-    """Content that a peer is known to have or to get soon.
-
-    Attributes:
-        revision: store revision of the content.
-        version: configuration version in force with it.
-    """
-
-    revision: StoreRevision
-    version: int
-
-
 class FleetLink:
     """Sends and receives heartbeats, and keeps content up to date with that of peers.
 
@@ -130,8 +115,7 @@
         self._pushed_revision = NO_REVISION
         self._announced_confirmed_at = float("-inf")
         self._confirmed_by: int | None = None
-        self._content_sources: dict[int, _Offer] = {}
-        self._newer_content_known = trio.Event()
+        self._fetching = ContentFetching(directory, exchange, journal, supervisor, on_change)
         timer.subscribe_jumps(self._note_scheduling_pause)
 
     async def run(self) -> None:
@@ -143,7 +127,7 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(run, Part.HEARTBEATS, self._receive_all)
-                nursery.start_soon(run, Part.CONTENT_FETCHING, self._fetch_when_behind)
+                nursery.start_soon(run, Part.CONTENT_FETCHING, self._fetching.run)
         finally:
             subscription.cancel()
 
@@ -336,13 +320,7 @@
                 self._confirmed_by = head.host
             return
         # The process that forwarded the heartbeat is near and has the content, or will soon.
-        source = parse_ipv4(sender)
-        if source in self._content_sources or len(self._content_sources) < MAXIMUM_SOURCES:
-            known = self._content_sources.get(source, _Offer(NO_REVISION, 0))
-            self._content_sources[source] = _Offer(
-                max(head.revision, known.revision), max(head.version, known.version)
-            )
-        self._newer_content_known.set()
+        self._fetching.note_offer(parse_ipv4(sender), head.revision, head.version)
 
     def _apply_push(self, data: bytes, sender: str) -> None:
         if self._exchange.apply_push(data):
@@ -374,36 +352,6 @@
                 self._journal.record("peer-heard", peer=format_ipv4(host))
         self._silent_peers &= self._peers.peers.keys()
 
-    async def _fetch_when_behind(self) -> None:
-        while True:
-            await self._newer_content_known.wait()
-            if self._directory.has_content:
-                await trio.sleep(PUSH_GRACE_SECONDS)
-            self._newer_content_known = trio.Event()
-            sources, self._content_sources = self._content_sources, {}
-            with self._supervisor.contain(Part.CONTENT_FETCHING):
-                await self._fetch_newest(sources)
-
-    async def _fetch_newest(self, sources: dict[int, _Offer]) -> None:
-        """Fetch content from the peers with newer content, one by one, the newest first."""
-        for source in sorted(sources, key=sources.__getitem__, reverse=True):
-            if not self._directory.lacks(sources[source].revision, sources[source].version):
-                continue
-            host = format_ipv4(source)
-            try:
-                changed = await self._exchange.fetch(host)
-            except PeerContentUnavailable as error:
-                self._journal.record("content-unavailable", peer=host, reason=error.reason)
-                await trio.sleep(RETRY_SECONDS)
-                continue
-            except Exception as error:  # Content that one peer has may be the cause.
-                self._supervisor.note_failure(Part.CONTENT_FETCHING, error)
-                await trio.sleep(RETRY_SECONDS)
-                continue
-            if changed:
-                with self._supervisor.contain(Part.CONTENT_FETCHING):
-                    self._on_change(host)
-
     def _note_scheduling_pause(self, jump: ClockJump) -> None:
         self._peers.note_scheduling_pause(jump.after)
         self._hubs.note_scheduling_pause(jump.after)
