--- a/egretsill/node/tests/returning_store.py
+++ b/egretsill/node/tests/returning_store.py
@@ -18,7 +18,7 @@
     TargetPhase,
     pack_revision,
 )
-from ...supervision.tests.supervisors import PropagatingSupervisor
+from ...supervision import PropagatingSupervisor
 from ...timing import VirtualTimerService
 from ...wire import Address
 from .._content_exchange import ContentExchange
--- a/egretsill/node/tests/test_content_exchange.py
+++ b/egretsill/node/tests/test_content_exchange.py
@@ -22,7 +22,7 @@
     TargetPhase,
 )
 from ...directory.tests.revisions import rev
-from ...supervision.tests.supervisors import PropagatingSupervisor
+from ...supervision import PropagatingSupervisor
 from ...timing import VirtualTimerService
 from ...wire import Address
 from .._content_exchange import MAXIMUM_PUSH_BYTES, ContentExchange
--- a/egretsill/node/tests/test_store_reading.py
+++ b/egretsill/node/tests/test_store_reading.py
@@ -17,7 +17,7 @@
 )
 from ...directory.tests.revisions import rev
 from ...observation import Journal, Metrics
-from ...supervision.tests.supervisors import PropagatingSupervisor
+from ...supervision import PropagatingSupervisor
 from ...timing import VirtualTimerService
 from .._store_reading import StoreReading
 
--- a/egretsill/observation/tests/test_admin_garbage.py
+++ b/egretsill/observation/tests/test_admin_garbage.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from ...configuration import Address
-from ...supervision.tests.supervisors import PropagatingSupervisor
+from ...supervision import PropagatingSupervisor
 from .. import AdminServer, HealthState, Metrics
 from .._admin_server import MAXIMUM_REQUEST_BYTES, READ_BYTES
 
--- a/egretsill/observation/tests/test_admin_server.py
+++ b/egretsill/observation/tests/test_admin_server.py
@@ -10,7 +10,8 @@
 import trio.testing
 
 from ...configuration import Address
-from ...supervision.tests.supervisors import PropagatingSupervisor, RecordingSupervisor
+from ...supervision import PropagatingSupervisor
+from ...supervision.tests.supervisors import RecordingSupervisor
 from .. import JSON, AdminServer, HealthProblem, HealthState, Metrics
 from .._admin_server import MAXIMUM_CONNECTIONS
 
--- a/egretsill/supervision/__init__.py
+++ b/egretsill/supervision/__init__.py
@@ -2,6 +2,15 @@
 
 from ._failure import FailureDescription, describe_failure, leaves
 from ._parts import Part
-from ._supervisor import Supervisor
+from ._propagating import PropagatingSupervisor
+from ._supervisor import StartingTask, Supervisor
 
-__all__ = ["FailureDescription", "Part", "Supervisor", "describe_failure", "leaves"]
+__all__ = [
+    "FailureDescription",
+    "Part",
+    "PropagatingSupervisor",
+    "StartingTask",
+    "Supervisor",
+    "describe_failure",
+    "leaves",
+]
--- a/egretsill/supervision/_supervisor.py
+++ b/egretsill/supervision/_supervisor.py
@@ -64,19 +64,33 @@
         """Report and suppress an unexpected exception of the enclosed piece of work."""
         try:
             yield
-        except* Exception as group:
-            self.note_failure(part, group)
+        except Exception as error:
+            self.note_failure(part, error)
+        except BaseExceptionGroup as group:
+            self._note_failures_of(part, group)
 
-    async def run(self, part: Part, task: Task) -> None:
-        """Run a task until it returns; run it again, after a pause, each time that it fails."""
+    async def run(
+        self, part: Part, task: Task, is_fatal: Callable[[Exception], bool] = lambda _: False
+    ) -> None:
+        """Run a task until it returns; run it again, after a pause, each time that it fails.
+
+        Args:
+            part: the part that it belongs to.
+            task: can be run again after it has failed.
+            is_fatal: returns whether an exception is to be raised instead.
+        """
         pause_seconds = FIRST_RESTART_SECONDS
         while True:
             started_at = trio.current_time()
             try:
                 await task()
                 return
-            except* Exception as group:
-                self.note_failure(part, group)
+            except Exception as error:
+                if is_fatal(error):
+                    raise
+                self.note_failure(part, error)
+            except BaseExceptionGroup as group:
+                self._note_failures_of(part, group)
             if trio.current_time() - started_at > STABLE_SECONDS:
                 pause_seconds = FIRST_RESTART_SECONDS
             with self._mark_stopped(part):
@@ -87,6 +101,8 @@
         self,
         part: Part,
         task: StartingTask,
+        must_start: bool = False,
+        *,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Run a task as `run` does; for `trio.Nursery.start`.
@@ -94,7 +110,9 @@
         Args:
             part: the part that it belongs to.
             task: takes a task status, to which it reports that it has started.
-            task_status: is told once, when the task has started or has failed for the first time.
+            must_start: whether a failure before the task has started for the first time is raised.
+                Otherwise the start is reported then, and the task is run again.
+            task_status: is told once that the task has started.
         """
         first_start = _FirstStart(task_status)
 
@@ -102,9 +120,18 @@
             try:
                 await task(first_start)
             finally:
-                first_start.started()
+                if not must_start:
+                    first_start.started()
+
+        await self.run(part, run_once, lambda _: must_start and not first_start.is_reported)
 
-        await self.run(part, run_once)
+    def _note_failures_of(self, part: Part, group: BaseExceptionGroup[BaseException]) -> None:
+        """Report the failures of a group and raise the rest, which is a cancellation usually."""
+        failures, rest = group.split(Exception)
+        if failures is not None:
+            self.note_failure(part, failures)
+        if rest is not None:
+            raise rest
 
     @contextlib.contextmanager
     def _mark_stopped(self, part: Part) -> Iterator[None]:
@@ -124,6 +151,11 @@
         self._task_status = task_status
         self._is_reported = False
 
+    @property
+    def is_reported(self) -> bool:
+        """Return whether a start was reported."""
+        return self._is_reported
+
     def started(self, value: object = None) -> None:
         """Report that the task has started."""
         if not self._is_reported:
--- a/egretsill/supervision/tests/supervisors.py
+++ b/egretsill/supervision/tests/supervisors.py
@@ -16,13 +16,3 @@
     def names(self) -> list[tuple[str, str]]:
         """Return part and error type of the failures."""
         return [(part.value, type(error).__name__) for part, error in self.failures]
-
-
-class PropagatingSupervisor(Supervisor):
-    """Raises the failures that another supervisor would contain, so that a test fails."""
-
-    def __init__(self) -> None:
-        super().__init__(lambda part, error: None)
-
-    def note_failure(self, part: Part, error: BaseException) -> None:
-        raise error
--- a/egretsill/supervision/tests/test_supervisor.py
+++ b/egretsill/supervision/tests/test_supervisor.py
@@ -169,3 +169,43 @@
             nursery.cancel_scope.cancel()
 
     run(main)
+
+
+def test_fatal_failure_is_raised() -> None:
+    supervisor = RecordingSupervisor()
+
+    async def task() -> None:
+        raise OSError("address in use")
+
+    async def main() -> None:
+        await supervisor.run(Part.ROLE, task, lambda error: isinstance(error, OSError))
+
+    with pytest.raises(OSError, match="in use"):
+        run(main)
+    assert supervisor.failures == []
+
+
+@pytest.mark.parametrize("has_started", [False, True])
+def test_only_the_first_start_of_a_task_that_must_start_is_fatal(has_started: bool) -> None:
+    supervisor = RecordingSupervisor()
+
+    async def task(task_status: trio.TaskStatus[object]) -> None:
+        if has_started:
+            task_status.started()
+        raise OSError("address in use")
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            await nursery.start(supervisor.start, Part.RELAY, task, True)
+            await trio.sleep(FIRST_RESTART_SECONDS / 2)
+            assert set(supervisor.stopped) == {Part.RELAY}
+            nursery.cancel_scope.cancel()
+
+    if has_started:
+        run(main)
+        assert supervisor.names == [("relay", "OSError")]
+    else:
+        with pytest.raises(ExceptionGroup) as raised:
+            run(main)
+        assert raised.group_contains(OSError, match="in use")
+        assert supervisor.failures == []
