--- a/egretsill/benchmarks/_flow_fleet.py
+++ b/egretsill/benchmarks/_flow_fleet.py
@@ -18,6 +18,7 @@
 from ..flows import FlowServer, IncomingDatagram, OutgoingDatagram, server_configuration
 from ..requests import Exchange
 from ..stand_ins.certificates import write_certificate
+from ..supervision import PropagatingSupervisor
 from ..timing import VirtualTimerService
 
 SERVICE = "lookup"
@@ -171,6 +172,7 @@
             self.sent.append,
             lambda: [BALANCER],
             self.nursery,
+            PropagatingSupervisor(),
         )
 
     def _issue_connection_id(self, service: str) -> bytes:
--- a/egretsill/benchmarks/requests.py
+++ b/egretsill/benchmarks/requests.py
@@ -20,6 +20,7 @@
 from ..outcomes import Answered, Outcome, RefusalReason
 from ..requests import RELAY_TYPES, BackendClient, RequestHead, RequestService
 from ..requests._backend_call import BackendRequest
+from ..supervision import PropagatingSupervisor
 from ..timing import TimerService, TrioTimerService
 from ..wire import Codec, StreamDecoder
 from ._backend_process import HOST, backend_process
@@ -248,6 +249,7 @@
         admission,
         FixedPlacement(chosen_target),
         BackendClient(backend, timer),
+        PropagatingSupervisor(),
     )
 
 
--- a/egretsill/benchmarks/steering.py
+++ b/egretsill/benchmarks/steering.py
@@ -21,6 +21,7 @@
     Steering,
     make_tunnel_codec,
 )
+from ..supervision import PropagatingSupervisor
 from ..timing import TrioTimerService
 from ._result import BenchmarkResult
 from ._saturation import LOOPBACK, Forwarder, Throughput, address_of, open_socket, saturate
@@ -184,7 +185,12 @@
     """Return a complete balancer, addressed for callers' packets or for agents' replies."""
     timer = TrioTimerService()
     balancer = Balancer(
-        timer, LOOPBACK, CODEC, listen=lambda _: LOOPBACK, source_limit=SourceLimit(NO_LIMIT)
+        timer,
+        LOOPBACK,
+        CODEC,
+        PropagatingSupervisor(),
+        listen=lambda _: LOOPBACK,
+        source_limit=SourceLimit(NO_LIMIT),
     )
     balancer.apply_bundle(bundle)
 
--- a/egretsill/configuration/__init__.py
+++ b/egretsill/configuration/__init__.py
@@ -12,7 +12,12 @@
 )
 from ._core import DistributionTimes
 from ._declaration import load_declaration
-from ._distributor import ConfigurationService, DistributionCounters, PlatformReader
+from ._distributor import (
+    ConfigurationService,
+    DistributionCounters,
+    PlatformReader,
+    SendAnnouncement,
+)
 from ._exceptions import (
     ConfigurationError,
     DeclarationRejected,
@@ -96,6 +101,7 @@
     "RequestClass",
     "RequestShape",
     "RevisionConflict",
+    "SendAnnouncement",
     "Service",
     "ServicesResponse",
     "ServicesRequest",
--- a/egretsill/configuration/_distributor.py
+++ b/egretsill/configuration/_distributor.py
@@ -12,6 +12,7 @@
 
 import trio
 
+from ..supervision import Part, Supervisor
 from ..timing import ClockJump, TimerService
 from ..wire import Address
 from ._bundle_codec import HEAD_KEY, Publication, decode_head
@@ -31,6 +32,7 @@
 LONGEST_WAIT_SECONDS = 5.0
 FIRST_VM_LIST_BACKOFF_SECONDS = 1.0
 LONGEST_VM_LIST_BACKOFF_SECONDS = 30.0
+FAILURE_PAUSE_SECONDS = 1.0  # after a step that failed unexpectedly
 NO_VERSION = 0  # before all versions that the platform gives to values
 
 SendAnnouncement: TypeAlias = Callable[[Address, Announcement], object]
@@ -78,6 +80,7 @@
         seeds: gossip endpoints to which announcements are sent at the start.
         send: sends an announcement to a gossip endpoint.
         fetch: sends a request to a relay endpoint; raises `PeerFailure`.
+        supervisor: contains unexpected exceptions of subscribers and of single reads.
     """
 
     def __init__(
@@ -93,6 +96,7 @@
         peers: Callable[[], Sequence[Peer]],
         send: SendAnnouncement,
         fetch: Fetch,
+        supervisor: Supervisor,
         seeds: Sequence[Address] = (),
         times: DistributionTimes | None = None,
     ) -> None:
@@ -104,6 +108,7 @@
         self._peers = peers
         self._send = send
         self._fetch = fetch
+        self._supervisor = supervisor
         self._core = DistributionCore(
             name=name,
             failure_domain=failure_domain,
@@ -200,11 +205,12 @@
         """Keep the configuration current until cancelled."""
         self._timer.subscribe_jumps(self._on_jump)
         tick = self._timer.subscribe(TICK_SECONDS, self._on_tick)
+        run = self._supervisor.run
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._read_platform)
-                nursery.start_soon(self._read_vms)
-                nursery.start_soon(self._fetch_from_peers)
+                nursery.start_soon(run, Part.PLATFORM_READING, self._read_platform)
+                nursery.start_soon(run, Part.PLATFORM_READING, self._read_vms)
+                nursery.start_soon(run, Part.CONFIGURATION, self._fetch_from_peers)
         finally:
             tick.cancel()
 
@@ -219,22 +225,29 @@
 
     def _apply_effects(self, effects: Sequence[CoreEffect]) -> None:
         for effect in effects:
-            match effect:
-                case PutInForce(publication):
-                    for subscriber in self._subscribers:
+            with self._supervisor.contain(Part.CONFIGURATION):
+                self._apply_effect(effect)
+
+    def _apply_effect(self, effect: CoreEffect) -> None:
+        match effect:
+            case PutInForce(publication):
+                for subscriber in self._subscribers:
+                    with self._supervisor.contain(Part.CONFIGURATION):
                         subscriber(publication.bundle)
-                case RevisionConflict():
-                    for alarm in self._conflict_subscribers:
+            case RevisionConflict():
+                for alarm in self._conflict_subscribers:
+                    with self._supervisor.contain(Part.CONFIGURATION):
                         alarm(effect)
-                case Announce(to, message):
-                    self._counters.announcements_sent += 1
-                    self._send(to, message)
-                case FetchFrom():
-                    self._fetch_sender.send_nowait(effect)
+            case Announce(to, message):
+                self._counters.announcements_sent += 1
+                self._send(to, message)
+            case FetchFrom():
+                self._fetch_sender.send_nowait(effect)
 
     async def _fetch_from_peers(self) -> None:
         async for effect in self._fetch_receiver:
-            await self._fetch_from_peer(effect.relay)
+            with self._supervisor.contain(Part.CONFIGURATION):
+                await self._fetch_from_peer(effect.relay)
             self._apply_effects(self._core.fetch_ended(effect.relay, self._timer.now))
 
     async def _fetch_from_peer(self, relay: Address) -> None:
@@ -253,13 +266,22 @@
 
     async def _read_platform(self) -> None:
         while True:
-            match self._read_scheduler.decide(self._timer.now):
-                case Wait(seconds):
-                    await self._wait_for_schedule(seconds)
-                case Watch():
-                    await self._read_head(self._times.watch)
-                case ReadOnce():
-                    await self._read_head(0.0)
+            try:
+                await self._do_next_read()
+            except Exception as error:
+                self._supervisor.note_failure(Part.PLATFORM_READING, error)
+                # What was read is unknown, so the head is read again whatever its version.
+                self._head_version = NO_VERSION
+                await trio.sleep(FAILURE_PAUSE_SECONDS)
+
+    async def _do_next_read(self) -> None:
+        match self._read_scheduler.decide(self._timer.now):
+            case Wait(seconds):
+                await self._wait_for_schedule(seconds)
+            case Watch():
+                await self._read_head(self._times.watch)
+            case ReadOnce():
+                await self._read_head(0.0)
 
     async def _wait_for_schedule(self, seconds: float) -> None:
         with trio.move_on_after(min(seconds, LONGEST_WAIT_SECONDS)):
@@ -335,15 +357,21 @@
         except ConfigurationError as error:
             self._count_bad_content(error)
             return False
+        except Exception as error:
+            self._supervisor.note_failure(Part.PLATFORM_READING, error)
+            self._vms_version = NO_VERSION
+            return False
         return True
 
     def _apply_vms(self, value: Value) -> None:
-        self._vms = decode_vms(value.content)
+        vms = decode_vms(value.content)
+        self._read_scheduler.set_vms(vms, self._timer.now)
+        self._vms = vms
         self._vms_bytes = len(value.content)
-        self._read_scheduler.set_vms(self._vms, self._timer.now)
         self._notify_schedule_changed()
         for subscriber in self._vm_subscribers:
-            subscriber(self._vms)
+            with self._supervisor.contain(Part.CONFIGURATION):
+                subscriber(vms)
 
 
 def _next_watched_version(answer: WatchAnswer, watched: int) -> int:
--- a/egretsill/configuration/tests/service_fleet.py
+++ b/egretsill/configuration/tests/service_fleet.py
@@ -8,6 +8,7 @@
 import trio
 
 from ...stand_ins.platform import Down, PlatformStore, Silent
+from ...supervision import PropagatingSupervisor
 from ...timing import TimerService
 from .. import (
     Address,
@@ -142,6 +143,7 @@
             peers=lambda: list(self._peers.values()),
             send=lambda to, message: self._send(peer.gossip, to, message),
             fetch=self._fetch,
+            supervisor=PropagatingSupervisor(),
         )
         self.services[name] = service
         revisions = self.in_force[name] = []
--- a/egretsill/configuration/tests/test_distributor.py
+++ b/egretsill/configuration/tests/test_distributor.py
@@ -7,6 +7,7 @@
 import trio
 
 from ...stand_ins.platform import Failing, PlatformStandIn, Well
+from ...supervision import PropagatingSupervisor
 from ...timing import TrioTimerService
 from .. import (
     Address,
@@ -56,6 +57,7 @@
                     peers=lambda: [],
                     send=lambda to, message: (sent if sent is not None else []).append(message),
                     fetch=no_peer,
+                    supervisor=PropagatingSupervisor(),
                     seeds=[Address("127.0.0.1", 8)],
                     times=TIMES,
                 )
--- a/egretsill/daemon/_agent_core.py
+++ b/egretsill/daemon/_agent_core.py
@@ -28,6 +28,7 @@
     PassOn,
     SteeringView,
 )
+from ..supervision import Part, Supervisor
 from ..timing import TrioTimerService
 from ._load_sampler import LoadSampler
 from ._request_metrics import RequestMetrics
@@ -49,6 +50,8 @@
         is_view_fresh: returns whether the membership view is fresh enough to place new work.
         on_backend_result: called after each request to the backend server with whether it
             answered.
+        nursery: runs the tasks that serve requests.
+        supervisor: contains unexpected exceptions of single pieces of work.
     """
 
     def __init__(
@@ -66,12 +69,14 @@
         is_view_fresh: Callable[[], bool],
         on_backend_result: Callable[[bool], None],
         nursery: trio.Nursery,
+        supervisor: Supervisor,
     ) -> None:
         self._bundle = bundle
         self._target = target
         self._timer = timer
         self._metrics = metrics
         self._random = random
+        self._supervisor = supervisor
         self._codec = codec
         self._send_report = send_report
         self._is_view_fresh = is_view_fresh
@@ -98,7 +103,7 @@
         )
         self._steering.apply_bundle(bundle, timer.now)
         self._tunnel = AgentTunnel(
-            settings.tunnel, target.number, self._services, lambda: self._draining
+            settings.tunnel, target.number, self._services, lambda: self._draining, supervisor
         )
         self._flows = FlowServer(
             configuration=self._make_configuration(tls),
@@ -108,6 +113,7 @@
             send=self._tunnel.send,
             balancers=balancers,
             nursery=nursery,
+            supervisor=supervisor,
             maximum_flows=settings.flows.maximum_flows,
             flows_per_second=settings.flows.handshakes_per_second,
             keep_alive_seconds=settings.flows.keep_alive_seconds,
@@ -140,12 +146,19 @@
         return self._requests.running
 
     async def run(self) -> None:
-        """Serve packets and requests until cancelled."""
-        self._timer.subscribe(REPORT_POLL_SECONDS, self._poll_report)
-        self._timer.subscribe(ANNOUNCEMENT_INTERVAL_SECONDS, self._announce_target)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._requests.run)
-            nursery.start_soon(self._tunnel.run)
+        """Serve packets and requests until cancelled, then close the tunnel; runs only once."""
+        subscriptions = (
+            self._timer.subscribe(REPORT_POLL_SECONDS, self._poll_report),
+            self._timer.subscribe(ANNOUNCEMENT_INTERVAL_SECONDS, self._announce_target),
+        )
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._requests.run)
+                nursery.start_soon(self._supervisor.run, Part.TUNNEL, self._tunnel.run)
+        finally:
+            for subscription in subscriptions:
+                subscription.cancel()
+            self._tunnel.close()
 
     def apply_bundle(self, bundle: Bundle) -> None:
         """Apply a new configuration revision."""
@@ -255,6 +268,7 @@
             admission=self._admission,
             placement=self._placement,
             backend=BackendClient(self._target.backend, self._timer, bounds),
+            supervisor=self._supervisor,
             observer=self._observer,
         )
 
--- a/egretsill/daemon/_agent_role.py
+++ b/egretsill/daemon/_agent_role.py
@@ -15,6 +15,7 @@
 from ..requests import RelayMessage
 from ..settings import DaemonSettings, TlsSettings
 from ..steering import ConnectionIdCodec
+from ..supervision import Supervisor
 from ..timing import TrioTimerService
 from ..wire import StreamDecoder
 from ._agent_core import AgentCore
@@ -35,6 +36,7 @@
         is_view_fresh: Callable[[], bool],
         on_backend_result: Callable[[bool], None],
         random: Random,
+        supervisor: Supervisor,
     ) -> None:
         self._settings = settings
         self._tls = tls
@@ -45,6 +47,7 @@
         self._is_view_fresh = is_view_fresh
         self._on_backend_result = on_backend_result
         self._random = random
+        self._supervisor = supervisor
         self._codec = ConnectionIdCodec(settings.connection_id_keys)
         self._balancers: tuple[Address, ...] = ()
         self._view = MembershipView()
@@ -94,11 +97,14 @@
         target = None if bundle is None else find_target(bundle, self._target_number)
         if bundle is None or target is None:
             return
-        async with trio.open_nursery() as nursery:
-            self._core = self._make_core(bundle, target, nursery)
-            self._core.update_view(self._view)
-            self._core_started.set()
-            await self._core.run()
+        try:
+            async with trio.open_nursery() as nursery:
+                self._core = self._make_core(bundle, target, nursery)
+                self._core.update_view(self._view)
+                self._core_started.set()
+                await self._core.run()
+        finally:
+            self._core = None
 
     async def serve_relay(
         self, stream: trio.abc.Stream, first: RelayMessage, decoder: StreamDecoder[Any]
@@ -118,11 +124,11 @@
 
     def apply_bundle(self, bundle: Bundle) -> None:
         """Apply a new configuration revision."""
-        if self._core is not None:
-            self._core.apply_bundle(bundle)
-        elif find_target(bundle, self._target_number) is not None:
+        if find_target(bundle, self._target_number) is not None:
             self._bundle = bundle
             self._target_known.set()
+        if self._core is not None:
+            self._core.apply_bundle(bundle)
 
     def update_view(self, view: MembershipView) -> None:
         """Apply a new membership view: balancers for replies and agents for requests."""
@@ -188,6 +194,7 @@
                 is_view_fresh=self._is_view_fresh,
                 on_backend_result=self._on_backend_result,
                 nursery=nursery,
+                supervisor=self._supervisor,
             )
         except OSError as error:
             tunnel = self._settings.tunnel
--- a/egretsill/daemon/_balancer_role.py
+++ b/egretsill/daemon/_balancer_role.py
@@ -9,6 +9,7 @@
 from ..observation import JSON, Metrics
 from ..settings import DaemonSettings
 from ..steering import Balancer, ConnectionIdCodec, SteeringView
+from ..supervision import Supervisor
 from ..timing import TimerService
 
 
@@ -25,6 +26,7 @@
         timer: TimerService,
         metrics: Metrics,
         is_view_fresh: Callable[[], bool],
+        supervisor: Supervisor,
     ) -> None:
         self._settings = settings
         self._metrics = metrics
@@ -32,6 +34,7 @@
             timer,
             settings.tunnel,
             ConnectionIdCodec(settings.connection_id_keys),
+            supervisor,
             self._listener,
             placement_delay_seconds=settings.flows.placement_delay_seconds,
             may_place=is_view_fresh,
--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
+from functools import partial
 from random import Random
 from typing import Any, TypeAlias, TypeVar
 
@@ -15,10 +16,8 @@
     Bundle,
     ConfigurationMessage,
     ConfigurationService,
-    DistributionTimes,
     HeadRequest,
     IndexRequest,
-    PlatformClient,
     RevisionConflict,
     ServicesRequest,
     Vm,
@@ -43,14 +42,21 @@
 from ..requests import RELAY_TYPES
 from ..settings import DaemonSettings, Role, SettingsRejected
 from ..steering import ConnectionIdCodec
-from ..supervision import Part, Supervisor, describe_failure
+from ..supervision import Part, StartingTask, Supervisor, leaves
 from ..timing import TrioTimerService
 from ..wire import StreamDecoder
 from ._agent_role import AgentRole
 from ._balancer_role import BalancerRole
-from ._configuration_link import fetch_configuration, serve_requests
+from ._configuration_link import serve_requests
+from ._configuration_service import make_configuration_service
 from ._drain_control import DrainControl, HealthPoller
-from ._exceptions import AddressUnavailable, AgentSettingsIncomplete, TlsUnusable
+from ._exceptions import (
+    AddressUnavailable,
+    AgentSettingsIncomplete,
+    TlsUnusable,
+    is_address_unavailable,
+)
+from ._failure_log import FailureLog
 from ._members import agents_of, balancers_of, own_member, peers_of
 from ._pages import Pages
 from ._stream_endpoint import StreamEndpoint
@@ -77,7 +83,9 @@
         self._timer = TrioTimerService()
         self._metrics = Metrics()
         self._state_log = StateLog(settings.name)
-        self._supervisor = Supervisor(self._record_failure)
+        self._failures = FailureLog(self._metrics, self._state_log)
+        self._supervisor = Supervisor(self._failures.record)
+        self._timer.contain_failures(partial(self._supervisor.note_failure, Part.TIMERS))
         self._stopped = trio.Event()
         self._backend_state = BackendState.HEALTHY
         self._role = self._make_role()
@@ -87,7 +95,10 @@
             self._role.close()
             raise
         self._streams = StreamEndpoint(
-            settings.relay, {**RELAY_TYPES, **CONFIGURATION_TYPES}, self._metrics
+            settings.relay,
+            {**RELAY_TYPES, **CONFIGURATION_TYPES},
+            self._metrics,
+            self._supervisor,
         )
         self._membership = self._make_membership()
         self._configuration = self._make_configuration()
@@ -108,8 +119,14 @@
             self._configuration,
             self._drain,
             lambda: self._backend_state,
+            self._supervisor,
         )
 
+    @property
+    def supervisor(self) -> Supervisor:
+        """Return the supervisor of this process, for work beside the daemon's own."""
+        return self._supervisor
+
     @property
     def settings(self) -> DaemonSettings:
         """Return the settings in use."""
@@ -133,13 +150,21 @@
         """
         try:
             await self._run(task_status)
+        except Exception as error:
+            for each in leaves(error):
+                self._failures.record_end(each)
+            raise
         finally:
             self._role.close()
             self._gossip.close()
 
     def shut_down(self) -> None:
         """Shut down gracefully: refuse new work, and end once the work in progress is done."""
-        self._drain.terminate()
+        try:
+            self._drain.terminate()
+        except Exception as error:
+            self._supervisor.note_failure(Part.SHUTDOWN, error)
+            self._stopped.set()
 
     def replace_settings(self, settings: DaemonSettings) -> None:
         """Apply the settings that may change at run time: connection-ID keys and certificate.
@@ -163,14 +188,16 @@
     async def _run(self, task_status: trio.TaskStatus[None]) -> None:
         self._connect_parts()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._timer.run)
-            await nursery.start(self._gossip.run)
-            await self._start(nursery, "relay", self._settings.relay, self._streams.run)
-            await self._start(nursery, "admin", self._settings.admin, self._make_admin().run)
+            run = self._supervisor.run
+            nursery.start_soon(run, Part.TIMERS, self._timer.run)
+            nursery.start_soon(run, Part.GOSSIP, self._gossip.run)
+            settings, admin = self._settings, self._make_admin()
+            await self._start(nursery, Part.RELAY, "relay", settings.relay, self._streams.run)
+            await self._start(nursery, Part.ADMIN, "admin", settings.admin, admin.run)
             self._membership.start()
-            nursery.start_soon(self._configuration.run)
-            nursery.start_soon(self._role.run)
-            nursery.start_soon(self._health.run)
+            nursery.start_soon(run, Part.CONFIGURATION, self._configuration.run)
+            nursery.start_soon(run, Part.ROLE, self._role.run, is_address_unavailable)
+            nursery.start_soon(run, Part.BACKEND_HEALTH, self._health.run)
             self._drain.start()
             self._record(StateKind.PROCESS, "ready")
             task_status.started()
@@ -198,18 +225,27 @@
                     lambda: self._membership.is_fresh,
                     self._on_backend_request,
                     self._random,
+                    self._supervisor,
                 )
 
     def _make_balancer(self) -> BalancerRole:
         return BalancerRole(
-            self._settings, self._timer, self._metrics, lambda: self._membership.is_fresh
+            self._settings,
+            self._timer,
+            self._metrics,
+            lambda: self._membership.is_fresh,
+            self._supervisor,
         )
 
     def _bind_gossip(self) -> GossipSocket:
         types = {**MEMBERSHIP_TYPES, **LOAD_TYPES, **CONFIGURATION_TYPES, **DRAINING_TYPES}
         listen = self._settings.gossip
         fleet = self._settings.fleet
-        return _bind("gossip", listen, lambda: GossipSocket(listen, types, self._metrics, fleet))
+        return _bind(
+            "gossip",
+            listen,
+            lambda: GossipSocket(listen, types, self._metrics, self._supervisor, fleet),
+        )
 
     def _make_membership(self) -> MembershipService:
         membership = Membership(
@@ -220,39 +256,19 @@
             self._settings.seeds,
         )
         return MembershipService(
-            membership, self._gossip, self._timer, self._metrics, self._state_log
+            membership, self._gossip, self._timer, self._metrics, self._state_log, self._supervisor
         )
 
     def _make_configuration(self) -> ConfigurationService:
-        settings = self._settings
-        exchange = settings.exchange
-        return ConfigurationService(
-            name=settings.name,
-            failure_domain=settings.failure_domain,
-            relay=settings.relay,
-            platform=self._make_platform_client(),
-            vm_platform=self._make_platform_client(),
-            timer=self._timer,
-            random=self._random,
-            peers=lambda: peers_of(self._membership.view),
-            send=self._gossip.send,
-            fetch=fetch_configuration,
-            seeds=settings.seeds,
-            times=DistributionTimes(
-                period=exchange.period_seconds,
-                fetch=exchange.fetch_seconds,
-                start=exchange.start_seconds,
-                start_spread=exchange.start_spread_seconds,
-                silence=exchange.silence_seconds,
-                watch=settings.platform.watch_seconds,
-                vm_list=settings.membership.vm_list_seconds,
-            ),
+        return make_configuration_service(
+            self._settings,
+            self._timer,
+            self._random,
+            lambda: peers_of(self._membership.view),
+            self._gossip.send,
+            self._supervisor,
         )
 
-    def _make_platform_client(self) -> PlatformClient:
-        platform = self._settings.platform
-        return PlatformClient(platform.addresses, platform.read_seconds)
-
     def _make_admin(self) -> AdminServer:
         return AdminServer(
             self._settings.admin,
@@ -262,21 +278,13 @@
             self._supervisor,
         )
 
-    def _record_failure(self, part: Part, error: BaseException) -> None:
-        described = describe_failure(error)
-        self._metrics.failures_contained.increment(part, described.error)
-        self._state_log.record(
-            StateChange(
-                StateKind.FAILURE,
-                part.value,
-                f"{described.error} at {described.location}",
-                {"detail": described.detail},
-            )
-        )
-
     def _make_health_poller(self) -> HealthPoller:
         return HealthPoller(
-            self._backend, self._settings.backend, self._timer, self._on_backend_state
+            self._backend,
+            self._settings.backend,
+            self._timer,
+            self._on_backend_state,
+            self._supervisor,
         )
 
     def _connect_parts(self) -> None:
@@ -302,18 +310,21 @@
     async def _start(
         self,
         nursery: trio.Nursery,
+        part: Part,
         purpose: str,
         address: Address,
-        run: Callable[..., Awaitable[object]],
+        run: StartingTask,
     ) -> None:
         try:
-            await nursery.start(run)
+            await nursery.start(self._supervisor.start, part, run, True)
         except OSError as error:
             raise AddressUnavailable.caused_by(error, purpose, address) from error
 
     def _on_bundle(self, bundle: Bundle) -> None:
-        self._role.apply_bundle(bundle)
-        self._membership.on_targets(agents_of(bundle))
+        with self._supervisor.contain(Part.CONFIGURATION):
+            self._role.apply_bundle(bundle)
+        with self._supervisor.contain(Part.CONFIGURATION):
+            self._membership.on_targets(agents_of(bundle))
         number = self._role.target_number
         if number is not None:
             self._drain.on_bundle(bundle, number)
@@ -333,7 +344,8 @@
             self._drain.on_leaving_notice()
 
     def _on_view(self, view: MembershipView) -> None:
-        self._role.update_view(view)
+        with self._supervisor.contain(Part.MEMBERSHIP):
+            self._role.update_view(view)
         self._configuration.set_unreachable(view.unreachable_names)
 
     def _on_conflict(self, conflict: RevisionConflict) -> None:
--- a/egretsill/daemon/_drain_control.py
+++ b/egretsill/daemon/_drain_control.py
@@ -22,6 +22,7 @@
 )
 from ..observation import StateKind
 from ..settings import BackendSettings
+from ..supervision import Part, Supervisor
 from ..timing import TimerService, TrioTimerService
 from ..wire import PageUnavailable, get_page
 
@@ -189,6 +190,7 @@
     Args:
         backend: returns its HTTP/1.1 endpoint, or None while it is not known.
         on_state: called with the state after each read and each request.
+        supervisor: contains unexpected exceptions of single reads.
     """
 
     def __init__(
@@ -197,11 +199,13 @@
         settings: BackendSettings,
         timer: TrioTimerService,
         on_state: Callable[[BackendState], None],
+        supervisor: Supervisor,
     ) -> None:
         self._backend = backend
         self._settings = settings
         self._timer = timer
         self._on_state = on_state
+        self._supervisor = supervisor
         self._health = BackendHealth()
 
     def note_request(self, answered: bool) -> None:
@@ -213,10 +217,14 @@
         """Read the health page at regular intervals until cancelled."""
         while True:
             await self._timer.sleep(self._settings.health_seconds)
-            backend = self._backend()
-            if backend is not None:
-                page = await read_health(backend, self._settings.health_path)
-                self._on_state(self._health.page(page, self._timer.now))
+            with self._supervisor.contain(Part.BACKEND_HEALTH):
+                await self._read_page()
+
+    async def _read_page(self) -> None:
+        backend = self._backend()
+        if backend is not None:
+            page = await read_health(backend, self._settings.health_path)
+            self._on_state(self._health.page(page, self._timer.now))
 
 
 async def read_health(backend: Address, path: str) -> HealthPage:
--- a/egretsill/daemon/_exceptions.py
+++ b/egretsill/daemon/_exceptions.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from ..configuration import Address
+from ..supervision import leaves
 
 
 class AddressUnavailable(Exception):
@@ -29,6 +30,11 @@
         return cls(purpose, address, errno.errorcode.get(error.errno or 0, "OSError"))
 
 
+def is_address_unavailable(error: Exception) -> bool:
+    """Return whether an exception, or each one of a group, is `AddressUnavailable`."""
+    return all(isinstance(each, AddressUnavailable) for each in leaves(error))
+
+
 class TlsUnusable(Exception):
     """A certificate or private key could not be read.
 
--- /dev/null
+++ b/egretsill/daemon/_failure_log.py
@@ -0,0 +1,32 @@
+"""Counts unexpected exceptions and logs them."""
+
+from __future__ import annotations
+
+from ..observation import Metrics, StateChange, StateKind, StateLog
+from ..supervision import Part, describe_failure
+
+PROCESS = "process"  # subject of the failure that ends the process
+
+
+class FailureLog:
+    """Records the failures that a supervisor contained, and the one that ends the process."""
+
+    def __init__(self, metrics: Metrics, state_log: StateLog) -> None:
+        self._metrics = metrics
+        self._state_log = state_log
+
+    def record(self, part: Part, error: BaseException) -> None:
+        """Count a contained failure; write a line if it isn't the same as the part's last one."""
+        self._metrics.failures_contained.increment(part, type(error).__name__)
+        self._write(part.value, error)
+
+    def record_end(self, error: BaseException) -> None:
+        """Write the line about the failure that ends the process."""
+        self._write(PROCESS, error)
+
+    def _write(self, subject: str, error: BaseException) -> None:
+        described = describe_failure(error)
+        state = f"{described.error} at {described.location}"
+        self._state_log.record(
+            StateChange(StateKind.FAILURE, subject, state, {"detail": described.detail})
+        )
--- a/egretsill/daemon/_main.py
+++ b/egretsill/daemon/_main.py
@@ -15,6 +15,7 @@
 
 from ..observation import LogFileUnavailable, open_log
 from ..settings import SettingsRejected, load_daemon_settings
+from ..supervision import Part
 from ._daemon import Daemon
 from ._exceptions import AddressUnavailable, AgentSettingsIncomplete, TlsUnusable
 
@@ -119,10 +120,11 @@
 
 
 def _reload(daemon: Daemon, path: Path) -> None:
-    try:
-        daemon.replace_settings(load_daemon_settings(path))
-    except (SettingsRejected, TlsUnusable) as error:
-        daemon.reject_settings(error)
+    with daemon.supervisor.contain(Part.SETTINGS):
+        try:
+            daemon.replace_settings(load_daemon_settings(path))
+        except (SettingsRejected, TlsUnusable) as error:
+            daemon.reject_settings(error)
 
 
 def leaf_exceptions(group: BaseExceptionGroup[BaseException]) -> Iterator[BaseException]:
--- a/egretsill/daemon/_pages.py
+++ b/egretsill/daemon/_pages.py
@@ -10,11 +10,17 @@
 from ..membership import MembershipService
 from ..observation import JSON, HealthProblem, HealthState
 from ..settings import DaemonSettings
+from ..supervision import Part, Supervisor
 from ._drain_control import DrainControl
 
 PLATFORM_ANSWERS = "answers"
 PLATFORM_SILENT = "silent"
 
+# Without these the process can't serve.
+_ESSENTIAL_PARTS = frozenset(
+    {Part.ROLE, Part.PACKETS, Part.TUNNEL, Part.RELAY, Part.GOSSIP, Part.TIMERS}
+)
+
 
 class ReportingRole(Protocol):
     """The properties of a daemon's role that the pages show."""
@@ -37,6 +43,7 @@
     Args:
         settings: the settings as read at the start.
         backend_state: returns the last assessed state of the backend server.
+        supervisor: knows the parts that aren't running.
     """
 
     def __init__(
@@ -47,6 +54,7 @@
         configuration: ConfigurationService,
         drain: DrainControl,
         backend_state: Callable[[], BackendState],
+        supervisor: Supervisor,
     ) -> None:
         self._settings = settings
         self._role = role
@@ -54,6 +62,7 @@
         self._configuration = configuration
         self._drain = drain
         self._backend_state = backend_state
+        self._supervisor = supervisor
 
     @property
     def status(self) -> Mapping[str, JSON]:
@@ -73,6 +82,7 @@
             "platform_age_seconds": self._configuration.platform_age_seconds,
             "older_revisions_ignored": self._configuration.older_ignored,
             "revision_conflicts": self._configuration.conflicts,
+            "parts_stopped": sorted(each.value for each in self._supervisor.stopped),
             **self._role.status(),
         }
 
@@ -88,6 +98,8 @@
             problems.append(HealthProblem.BACKEND_DOWN)
         if not self._membership.is_fresh:
             problems.append(HealthProblem.VIEW_STALE)
+        if _ESSENTIAL_PARTS.intersection(self._supervisor.stopped):
+            problems.append(HealthProblem.PART_STOPPED)
         return HealthState(tuple(problems))
 
     @property
--- a/egretsill/daemon/_stream_endpoint.py
+++ b/egretsill/daemon/_stream_endpoint.py
@@ -9,6 +9,7 @@
 
 from ..configuration import Address
 from ..observation import Metrics
+from ..supervision import Part, Supervisor
 from ..wire import Codec, MalformedMessage, StreamDecoder
 from ._configuration_link import next_message
 
@@ -24,12 +25,20 @@
     Args:
         listen: TCP endpoint.
         types: message class by tag, of all parts that use streams.
+        supervisor: contains unexpected exceptions of streams.
     """
 
-    def __init__(self, listen: Address, types: Mapping[int, type], metrics: Metrics) -> None:
+    def __init__(
+        self,
+        listen: Address,
+        types: Mapping[int, type],
+        metrics: Metrics,
+        supervisor: Supervisor,
+    ) -> None:
         self._listen = listen
         self._codec: Codec[Any] = Codec("relay", types)
         self._metrics = metrics
+        self._supervisor = supervisor
         self._handlers: dict[type, StreamHandler] = {}
         self._open_streams = 0
 
@@ -54,15 +63,20 @@
             await trio.aclose_forcefully(stream)
             return
         self._open_streams += 1
+        try:
+            with self._supervisor.contain(Part.RELAY):
+                await self._serve_open(stream)
+        finally:
+            self._open_streams -= 1
+            await trio.aclose_forcefully(stream)
+
+    async def _serve_open(self, stream: trio.abc.Stream) -> None:
         try:
             await self._dispatch(stream)
         except MalformedMessage as error:
             self._metrics.messages_malformed.increment(error.protocol, error.reason)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
-        finally:
-            self._open_streams -= 1
-            await trio.aclose_forcefully(stream)
 
     async def _dispatch(self, stream: trio.abc.Stream) -> None:
         decoder: StreamDecoder[Any] = StreamDecoder(self._codec)
--- a/egretsill/daemon/tests/test_agent_role.py
+++ b/egretsill/daemon/tests/test_agent_role.py
@@ -11,6 +11,7 @@
 from ...configuration import Address, Bundle
 from ...observation import Metrics
 from ...quickstart import load_plan
+from ...supervision import PropagatingSupervisor
 from ...timing import TrioTimerService
 from .._agent_role import AgentRole
 from .._exceptions import AddressUnavailable
@@ -35,6 +36,7 @@
                 lambda: True,
                 lambda answered: None,
                 Random(1),
+                PropagatingSupervisor(),
             )
             role.apply_bundle(Bundle(1, "", plan.services))
             await role.run()
--- a/egretsill/daemon/tests/test_pages.py
+++ b/egretsill/daemon/tests/test_pages.py
@@ -10,6 +10,7 @@
 from ...draining import BackendState
 from ...observation import HealthProblem
 from ...settings import load_daemon_settings
+from ...supervision import Part
 from .._pages import Pages
 
 SETTINGS = load_daemon_settings(
@@ -23,6 +24,7 @@
     backend: BackendState = BackendState.HEALTHY,
     fresh: bool = True,
     platform_age: float | None = 1.0,
+    stopped: tuple[Part, ...] = (),
 ) -> Pages:
     role: Any = SimpleNamespace(flows_open=3, requests_running=2, status=lambda: {"own": 1})
     view = SimpleNamespace(alive=("a", "b"))
@@ -36,7 +38,8 @@
         conflicts=0,
     )
     drain: Any = SimpleNamespace(draining=draining, signals=("termination",) if draining else ())
-    return Pages(SETTINGS, role, membership, configuration, drain, lambda: backend)
+    supervisor: Any = SimpleNamespace(stopped=stopped)
+    return Pages(SETTINGS, role, membership, configuration, drain, lambda: backend, supervisor)
 
 
 @pytest.mark.parametrize(
@@ -53,6 +56,14 @@
             id="backend",
         ),
         pytest.param(make_pages(fresh=False), (HealthProblem.VIEW_STALE,), id="stale view"),
+        pytest.param(
+            make_pages(stopped=(Part.ADMIN, Part.TUNNEL)),
+            (HealthProblem.PART_STOPPED,),
+            id="stopped part",
+        ),
+        pytest.param(
+            make_pages(stopped=(Part.BACKEND_HEALTH, Part.LOG)), (), id="stopped lesser part"
+        ),
         pytest.param(
             make_pages(revision=None, fresh=False),
             (HealthProblem.NO_CONFIGURATION, HealthProblem.VIEW_STALE),
--- a/egretsill/daemon/tests/test_stream_endpoint.py
+++ b/egretsill/daemon/tests/test_stream_endpoint.py
@@ -11,6 +11,7 @@
 from ...configuration import CONFIGURATION_TYPES, Address, HeadRequest, NoConfiguration
 from ...observation import Metrics
 from ...requests import RELAY_TYPES
+from ...supervision import PropagatingSupervisor
 from ...wire import StreamDecoder
 from .._configuration_link import CONFIGURATION_CODEC, serve_requests
 from .._stream_endpoint import StreamEndpoint
@@ -21,7 +22,10 @@
 
 def _endpoint(metrics: Metrics) -> StreamEndpoint:
     endpoint = StreamEndpoint(
-        Address("127.0.0.1", 0), {**RELAY_TYPES, **CONFIGURATION_TYPES}, metrics
+        Address("127.0.0.1", 0),
+        {**RELAY_TYPES, **CONFIGURATION_TYPES},
+        metrics,
+        PropagatingSupervisor(),
     )
 
     async def respond(stream: trio.abc.Stream, first: Any, decoder: StreamDecoder[Any]) -> None:
--- a/egretsill/flows/_agent_tunnel.py
+++ b/egretsill/flows/_agent_tunnel.py
@@ -6,8 +6,6 @@
 from collections.abc import Callable, Mapping
 from typing import Protocol
 
-import trio
-
 from ..configuration import Address
 from ..steering import (
     AgentProbe,
@@ -18,12 +16,18 @@
     TunnelMessage,
     make_tunnel_codec,
 )
-from ..wire import MalformedMessage, close_datagram_socket, open_datagram_socket
+from ..supervision import Part, Supervisor
+from ..wire import (
+    BATCH_DATAGRAMS,
+    MalformedMessage,
+    close_datagram_socket,
+    open_datagram_socket,
+    read_batches,
+)
 from ._datagram import IncomingDatagram, OutgoingDatagram
 from ._drops import FlowDrop
 
 LARGEST_DATAGRAM_BYTES = 65_536
-BATCH_DATAGRAMS = 64
 RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
 
 
@@ -43,6 +47,7 @@
         services: returns the names of the services that this agent serves, by number; datagrams
             for other services are dropped and counted.
         draining: returns whether this agent accepts no new flows.
+        supervisor: contains unexpected exceptions of single datagrams.
     """
 
     def __init__(
@@ -51,10 +56,12 @@
         target_number: int,
         services: Callable[[], Mapping[int, str]],
         draining: Callable[[], bool],
+        supervisor: Supervisor,
     ) -> None:
         self._target_number = target_number
         self._services = services
         self._draining = draining
+        self._supervisor = supervisor
         self._codec = make_tunnel_codec()
         self._drops: Counter[FlowDrop] = Counter()
         self._receive: DatagramReceiver | None = None
@@ -89,23 +96,27 @@
         self._send(self._codec.encode(message), address)
 
     async def run(self) -> None:
-        """Receive datagrams until cancelled, then close the socket."""
-        try:
-            while True:
-                await trio.lowlevel.wait_readable(self._socket)
-                self._read_batch()
-        finally:
-            close_datagram_socket(self._socket)
+        """Receive datagrams until the socket is closed."""
+        await read_batches(self._socket, self._read_batch, note_error=self._note_failure)
 
-    def _read_batch(self) -> None:
+    def close(self) -> None:
+        """Close the socket."""
+        close_datagram_socket(self._socket)
+
+    def _read_batch(self) -> bool:
         for _ in range(BATCH_DATAGRAMS):
             try:
                 data, sender = self._socket.recvfrom(LARGEST_DATAGRAM_BYTES)
             except BlockingIOError:
-                return
-            except OSError:
-                continue
-            self._handle_datagram(data, Address(*sender[:2]))
+                return False
+            try:
+                self._handle_datagram(data, Address(*sender[:2]))
+            except Exception as error:  # It costs this datagram only.
+                self._note_failure(error)
+        return True
+
+    def _note_failure(self, error: Exception) -> None:
+        self._supervisor.note_failure(Part.TUNNEL, error)
 
     def _handle_datagram(self, data: bytes, sender: Address) -> None:
         try:
--- a/egretsill/flows/_flow.py
+++ b/egretsill/flows/_flow.py
@@ -30,6 +30,7 @@
 from .headers import HTTP3_NO_ERROR, HTTP3_REQUEST_CANCELLED, HTTP3_REQUEST_REJECTED
 
 RETIRE_SECONDS = 2.0
+FAILURE_PAUSE_SECONDS = 0.1  # before the next timer of a flow for which one has failed
 # A caller's answer to a ping arrives within this time even if the ping is lost and sent again.
 PING_ANSWER_SECONDS = 3.0
 IDLE_TIMEOUT_PHRASE = "Idle timeout"
@@ -143,9 +144,13 @@
         now = self._context.timer.now
         self._return_path.on_received(datagram.balancer, now)
         self._keep_alive_time = now + self._context.keep_alive_seconds
-        self._connection.receive_datagram(datagram.payload, tuple(datagram.caller), now)
-        self._handle_events()
-        self.transmit()
+        try:
+            self._connection.receive_datagram(datagram.payload, tuple(datagram.caller), now)
+            self._handle_events()
+            self.transmit()
+        except Exception:
+            self._schedule_wake_after_failure(now)
+            raise
         if not self._handshake_state_released and self._connection.handshake_confirmed:
             self._handshake_state_released = True
             self._connection.release_handshake_state()
@@ -323,10 +328,24 @@
         self._wake_time = due
         self._wake_timer = self._context.timer.call_at(due, self._on_wake)
 
+    def _schedule_wake_after_failure(self, now: float) -> None:
+        """Keep the flow's timers going, so that it ends at the latest by silence."""
+        if self._closed or self._wake_timer is not None:
+            return
+        self._wake_time = now + FAILURE_PAUSE_SECONDS
+        self._wake_timer = self._context.timer.call_at(self._wake_time, self._on_wake)
+
     def _on_wake(self, now: float) -> None:
         self._wake_timer = None
         if self._closed:
             return
+        try:
+            self._handle_wake(now)
+        except Exception:
+            self._schedule_wake_after_failure(now)
+            raise
+
+    def _handle_wake(self, now: float) -> None:
         if now - self._wake_time > CLOCK_JUMP_SECONDS:
             # After a scheduling pause, datagrams of the caller may still be unread in the socket.
             # Ping the caller and wait for the answer before closing the flow as idle.
--- a/egretsill/flows/_flow_server.py
+++ b/egretsill/flows/_flow_server.py
@@ -16,6 +16,7 @@
 
 from ..configuration import Address
 from ..requests import Exchange
+from ..supervision import Part, Supervisor
 from ..timing import TimerService
 from ._connection import OwnedConnection
 from ._datagram import IncomingDatagram, OutgoingDatagram
@@ -80,6 +81,8 @@
         serve: serves one request; runs in `nursery` and is cancelled if the request is withdrawn.
         send: sends one datagram through a balancer.
         balancers: returns the tunnel endpoints of the reachable balancers.
+        nursery: runs the tasks that serve requests.
+        supervisor: contains unexpected exceptions of single flows and requests.
         maximum_flows: Initial packets beyond this number of open flows are dropped.
         flows_per_second: Initial packets that would open more flows per second are dropped.
         keep_alive_seconds: time without a datagram from a caller after which a ping is sent.
@@ -94,6 +97,7 @@
         send: Callable[[OutgoingDatagram], None],
         balancers: Callable[[], Sequence[Address]],
         nursery: trio.Nursery,
+        supervisor: Supervisor,
         maximum_flows: int = 20_000,
         flows_per_second: int = 20_000,
         keep_alive_seconds: float = KEEP_ALIVE_SECONDS,
@@ -104,6 +108,7 @@
         self._serve = serve
         self._balancers = balancers
         self._nursery = nursery
+        self._supervisor = supervisor
         self._maximum_flows = maximum_flows
         self._rate = FlowRate(flows_per_second)
         self._context = FlowContext(
@@ -168,18 +173,21 @@
     def send_goaway(self) -> None:
         """Send GOAWAY on every flow, so that callers open further requests on other flows."""
         for flow in list(self._open_flows):
-            flow.send_goaway()
+            with self._supervisor.contain(Part.FLOWS):
+                flow.send_goaway()
 
     def close_idle_flows(self) -> None:
         """Close, in two steps, the flows that sent GOAWAY and have no request in progress."""
         now = self._timer.now
         for flow in list(self._open_flows):
-            flow.retire(now)
+            with self._supervisor.contain(Part.FLOWS):
+                flow.retire(now)
 
     def close(self) -> None:
         """Close every flow."""
         for flow in list(self._open_flows):
-            flow.close()
+            with self._supervisor.contain(Part.FLOWS):
+                flow.close()
 
     def _open(self, datagram: IncomingDatagram, original_connection_id: bytes) -> Flow | None:
         if len(self._open_flows) >= self._maximum_flows:
@@ -218,6 +226,6 @@
         self._nursery.start_soon(self._serve_one, exchange)
 
     async def _serve_one(self, exchange: FlowExchange) -> None:
-        with trio.CancelScope() as scope:
+        with trio.CancelScope() as scope, self._supervisor.contain(Part.REQUESTS):
             exchange.cancel_with(scope.cancel)
             await self._serve(exchange)
--- a/egretsill/flows/tests/test_agent_tunnel.py
+++ b/egretsill/flows/tests/test_agent_tunnel.py
@@ -18,6 +18,7 @@
     TunnelMessage,
     make_tunnel_codec,
 )
+from ...supervision import PropagatingSupervisor
 from ...wire import MalformedMessage
 from .. import AgentTunnel, FlowDrop, IncomingDatagram
 
@@ -40,7 +41,13 @@
     def __init__(self) -> None:
         self.datagrams: list[IncomingDatagram] = []
         self.notices: list[OwnerNotice] = []
-        self.tunnel = AgentTunnel(Address("127.0.0.1", 0), 7, lambda: {1: "lookup"}, lambda: True)
+        self.tunnel = AgentTunnel(
+            Address("127.0.0.1", 0),
+            7,
+            lambda: {1: "lookup"},
+            lambda: True,
+            PropagatingSupervisor(),
+        )
         self.tunnel.set_receivers(
             lambda datagram, packet, sender: self.datagrams.append(datagram), self.notices.append
         )
--- a/egretsill/flows/tests/test_flow_server.py
+++ b/egretsill/flows/tests/test_flow_server.py
@@ -19,6 +19,7 @@
 from ...outcomes import Answered, Outcome, RefusalReason, Refused, Unknown, UnknownReason
 from ...requests import Exchange
 from ...stand_ins.certificates import write_certificate
+from ...supervision import PropagatingSupervisor
 from ...timing import VirtualTimerService
 from .. import (
     CloseReason,
@@ -63,6 +64,7 @@
             self.sent.append,
             lambda: [BALANCER],
             self.nursery,  # type: ignore[arg-type]
+            PropagatingSupervisor(),
             maximum,
             flows_per_second,
             keep_alive_seconds,
--- a/egretsill/measurements/link_silence.py
+++ b/egretsill/measurements/link_silence.py
@@ -26,6 +26,7 @@
 )
 from ..requests._requester_link import RequesterLink
 from ..stand_ins.backend_server import BackendBehaviour, BackendServer, Fault
+from ..supervision import PropagatingSupervisor
 from ..timing import VirtualTimerService
 from ._measurement import Measurement
 from ._relay_parties import ORDER, RotatingPlacement, make_world_service
@@ -135,7 +136,7 @@
     gate = Gate(1, "catalog", {"catalog": service}.get, Admission(2, 2, Limits(), Random(0)))
     nowhere = Address(HOST, 9)
     client = BackendClient(nowhere, timer)
-    runner = GateRunner(gate, timer, client, NullObserver())
+    runner = GateRunner(gate, timer, client, NullObserver(), PropagatingSupervisor())
     to_gate, from_requester = trio.open_memory_channel[RelayMessage](CHANNEL_MESSAGES)
     to_requester, from_gate = trio.open_memory_channel[RelayMessage](CHANNEL_MESSAGES)
     carriers = (_SwallowingLink(to_gate, from_gate), _SwallowingLink(to_requester, from_requester))
@@ -192,6 +193,7 @@
             admission,
             RotatingPlacement(1, 0),
             BackendClient(Address(HOST, port), timer, bounds),
+            PropagatingSupervisor(),
         )
         await nursery.start(service.run)
         nursery.start_soon(service.serve, caller)
--- a/egretsill/membership/_gossip_socket.py
+++ b/egretsill/membership/_gossip_socket.py
@@ -11,10 +11,17 @@
 
 from ..configuration import Address
 from ..observation import Metrics
-from ..wire import Codec, MalformedMessage, open_datagram_socket
+from ..supervision import Part, Supervisor
+from ..wire import (
+    BATCH_DATAGRAMS,
+    Codec,
+    MalformedMessage,
+    close_datagram_socket,
+    open_datagram_socket,
+    read_batches,
+)
 from ._messages import MAXIMUM_DATAGRAM_BYTES
 
-BATCH_DATAGRAMS = 64
 RECEIVE_BUFFER_BYTES = 1_048_576
 FLEET_MARK_BYTES = 4
 
@@ -41,6 +48,7 @@
     Args:
         listen: UDP endpoint; port 0 selects any free port.
         types: message data class for each tag, of all slices that use the socket.
+        supervisor: contains unexpected exceptions of handlers.
         fleet: name of the fleet; datagrams of other fleets are dropped, which separates two fleets
             that can reach each other. The mark does not protect against forged datagrams.
 
@@ -49,10 +57,16 @@
     """
 
     def __init__(
-        self, listen: Address, types: Mapping[int, type], metrics: Metrics, fleet: str = ""
+        self,
+        listen: Address,
+        types: Mapping[int, type],
+        metrics: Metrics,
+        supervisor: Supervisor,
+        fleet: str = "",
     ) -> None:
         self._codec: Codec[Any] = Codec("gossip", types)
         self._metrics = metrics
+        self._supervisor = supervisor
         self._mark = fleet_mark(fleet)
         self._handlers: dict[type, Callable[[Any, Address], None]] = {}
         self._socket = open_datagram_socket(listen, RECEIVE_BUFFER_BYTES)
@@ -88,27 +102,29 @@
         return True
 
     async def run(self, task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED) -> None:
-        """Receive until cancelled, then close the socket; reports the endpoint as started value."""
-        with self._socket:
-            task_status.started(self.address)
-            while True:
-                await trio.lowlevel.wait_readable(self._socket)
-                self._receive_batch()
+        """Receive until the socket is closed; reports the endpoint as started value."""
+        task_status.started(self.address)
+        await read_batches(
+            self._socket,
+            self._receive_batch,
+            note_error=lambda _: self._drop(GossipDrop.RECEIVE_FAILED),
+        )
 
     def close(self) -> None:
-        """Close the socket; needed only if `run` is never called."""
-        self._socket.close()
+        """Close the socket."""
+        close_datagram_socket(self._socket)
 
-    def _receive_batch(self) -> None:
+    def _receive_batch(self) -> bool:
         for _ in range(BATCH_DATAGRAMS):
             try:
                 data, name = self._socket.recvfrom(FLEET_MARK_BYTES + MAXIMUM_DATAGRAM_BYTES + 1)
             except BlockingIOError:
-                return
-            except OSError:
-                self._drop(GossipDrop.RECEIVE_FAILED)
-                return
-            self._receive(data, Address(name[0], name[1]))
+                return False
+            try:
+                self._receive(data, Address(name[0], name[1]))
+            except Exception as error:  # It costs this datagram only.
+                self._supervisor.note_failure(Part.GOSSIP, error)
+        return True
 
     def _receive(self, data: bytes, sender: Address) -> None:
         if len(data) > FLEET_MARK_BYTES + MAXIMUM_DATAGRAM_BYTES:
--- a/egretsill/membership/_membership_service.py
+++ b/egretsill/membership/_membership_service.py
@@ -7,6 +7,7 @@
 
 from ..configuration import Address
 from ..observation import Metrics, StateChange, StateKind, StateLog
+from ..supervision import Part, Supervisor
 from ..timing import ClockJump, Subscription, TimerService
 from ._effects import Effect, MemberChanged, Send
 from ._member import Member, MembershipView, MemberState
@@ -39,12 +40,14 @@
         timers: TimerService,
         metrics: Metrics,
         state_log: StateLog,
+        supervisor: Supervisor,
     ) -> None:
         self._membership = membership
         self._gossip = gossip
         self._timers = timers
         self._metrics = metrics
         self._state_log = state_log
+        self._supervisor = supervisor
         self._subscribers: list[Callable[[MembershipView], None]] = []
         self._announced_version = membership.view.version
         self._tick: Subscription | None = None
@@ -92,7 +95,8 @@
 
     def stop(self) -> None:
         """Announce that this process ends, and stop running the protocol."""
-        self._perform(self._membership.announce_stopping(self._timers.now))
+        with self._supervisor.contain(Part.MEMBERSHIP):
+            self._perform(self._membership.announce_stopping(self._timers.now))
         if self._tick is not None:
             self._tick.cancel()
             self._tick = None
@@ -116,11 +120,12 @@
 
     def _perform(self, effects: Iterable[Effect]) -> None:
         for effect in effects:
-            match effect:
-                case Send(address, message):
-                    self._gossip.send(address, message)
-                case MemberChanged(member, before, after):
-                    self._note_change(member, before, after)
+            with self._supervisor.contain(Part.MEMBERSHIP):
+                match effect:
+                    case Send(address, message):
+                        self._gossip.send(address, message)
+                    case MemberChanged(member, before, after):
+                        self._note_change(member, before, after)
 
     def _note_change(self, member: Member, before: MemberState, after: MemberState) -> None:
         state = after.name.lower()
@@ -136,7 +141,8 @@
         for (role, state), count in self._membership.counts.items():
             self._metrics.members.set(count, role, state.name.lower())
         for subscriber in self._subscribers:
-            subscriber(view)
+            with self._supervisor.contain(Part.MEMBERSHIP):
+                subscriber(view)
 
     def _log_freshness(self, now: float) -> None:
         state = "fresh" if self._membership.is_fresh(now) else "stale"
--- a/egretsill/membership/tests/test_gossip_socket.py
+++ b/egretsill/membership/tests/test_gossip_socket.py
@@ -12,6 +12,7 @@
 
 from ...configuration import Address
 from ...observation import Metrics
+from ...supervision import PropagatingSupervisor
 from ...wire import Codec
 from .. import (
     MAXIMUM_DATAGRAM_BYTES,
@@ -37,7 +38,7 @@
 async def _receive(datagrams: list[bytes], metrics: Metrics, expected: int) -> list[object]:
     """Send the datagrams and one valid message; return the messages that the handler received."""
     received: list[object] = []
-    gossip = GossipSocket(LOOPBACK, MEMBERSHIP_TYPES, metrics)
+    gossip = GossipSocket(LOOPBACK, MEMBERSHIP_TYPES, metrics, PropagatingSupervisor())
     gossip.register([Gossip], lambda message, sender: received.append(message))
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
         async with trio.open_nursery() as nursery:
@@ -98,7 +99,7 @@
 def test_any_datagram_is_handled_or_counted_once(data: bytes) -> None:
     metrics = Metrics()
     handled: list[object] = []
-    gossip = GossipSocket(LOOPBACK, MEMBERSHIP_TYPES, metrics)
+    gossip = GossipSocket(LOOPBACK, MEMBERSHIP_TYPES, metrics, PropagatingSupervisor())
     gossip.register(MEMBERSHIP_TYPES.values(), lambda message, sender: handled.append(message))
     with gossip._socket:
         gossip._receive(MARK + data, LOOPBACK)
@@ -108,7 +109,7 @@
 
 def test_messages_too_large_are_not_sent() -> None:
     metrics = Metrics()
-    gossip = GossipSocket(LOOPBACK, {1: MemberQuery, 2: _Large}, metrics)
+    gossip = GossipSocket(LOOPBACK, {1: MemberQuery, 2: _Large}, metrics, PropagatingSupervisor())
     with gossip._socket:
         assert not gossip.send(gossip.address, _Large("x" * MAXIMUM_DATAGRAM_BYTES))
     assert metrics.datagrams_dropped.value("gossip", "oversized") == 1
@@ -117,7 +118,7 @@
 
 def test_unreachable_network_is_counted() -> None:
     metrics = Metrics()
-    gossip = GossipSocket(LOOPBACK, MEMBERSHIP_TYPES, metrics)
+    gossip = GossipSocket(LOOPBACK, MEMBERSHIP_TYPES, metrics, PropagatingSupervisor())
     with gossip._socket:
         assert not gossip.send(Address("240.0.0.1", 9), MESSAGE)
     assert metrics.datagrams_dropped.value("gossip", "unreachable") == 1
--- a/egretsill/membership/tests/test_membership_service.py
+++ b/egretsill/membership/tests/test_membership_service.py
@@ -7,6 +7,8 @@
 
 from ...configuration import Address
 from ...observation import Metrics, StateLog
+from ...supervision import PropagatingSupervisor
+from ...supervision.tests.supervisors import RecordingSupervisor
 from ...timing import VirtualTimerService
 from .. import (
     Member,
@@ -59,6 +61,7 @@
                 self.timers,
                 self.metrics[index],
                 StateLog(member.name),
+                PropagatingSupervisor(),
             )
             for index, member in enumerate(self.members)
         ]
@@ -132,3 +135,21 @@
     pair.timers.advance(4.0)
     assert pair.services[1].is_fresh
     assert pair.services[1].view.available == {1}
+
+
+# Guards against a subscriber of the view whose failure keeps it from the others.
+def test_failing_subscriber_stops_no_others() -> None:
+    pair = _Pair()
+    supervisor = RecordingSupervisor()
+    service, views = pair.services[0], list[MembershipView]()
+    service._supervisor = supervisor
+
+    def fail(_: MembershipView) -> None:
+        raise RuntimeError("unexpected")
+
+    service.subscribe(fail)
+    service.subscribe(views.append)
+    pair.services[0].on_vm_list(pair.members)
+    pair.timers.advance(5.0)
+    assert views
+    assert set(supervisor.names) == {("membership", "RuntimeError")}
--- a/egretsill/requests/_gate_runner.py
+++ b/egretsill/requests/_gate_runner.py
@@ -10,6 +10,7 @@
 
 from ..configuration import Limits
 from ..outcomes import RefusalReason, Refused, UnknownReason
+from ..supervision import Part, Supervisor
 from ..timing import ClockJump, TimerService
 from ._backend_call import BackendRequest
 from ._backend_client import BackendClient
@@ -63,15 +64,22 @@
         timer: the timer service.
         backend: client of the backend server.
         observer: notified of starts, backend results and malformed data.
+        supervisor: contains unexpected exceptions of single calls and effects.
     """
 
     def __init__(
-        self, gate: Gate, timer: TimerService, backend: BackendClient, observer: RequestObserver
+        self,
+        gate: Gate,
+        timer: TimerService,
+        backend: BackendClient,
+        observer: RequestObserver,
+        supervisor: Supervisor,
     ) -> None:
         self._gate = gate
         self._timer = timer
         self._backend = backend
         self._observer = observer
+        self._supervisor = supervisor
         self._links: dict[int, GateEnd] = {}
         self._calls: dict[RequestId, _Call] = {}
         self._link_number = 0
@@ -195,16 +203,21 @@
 
     def _apply(self, effects: Sequence[GateEffect]) -> None:
         for effect in effects:
-            match effect:
-                case Launch(identifier):
-                    self._launch(identifier)
-                case Abort(identifier):
-                    if identifier in self._calls:
-                        self._calls[identifier].scope.cancel()
-                case Progress(identifier):
-                    self.wake(identifier)
-                case _:
-                    self._apply_to_link(effect)
+            # The gate has recorded all of them, so one that fails must not cost the others.
+            with self._supervisor.contain(Part.REQUESTS):
+                self._apply_effect(effect)
+
+    def _apply_effect(self, effect: GateEffect) -> None:
+        match effect:
+            case Launch(identifier):
+                self._launch(identifier)
+            case Abort(identifier):
+                if identifier in self._calls:
+                    self._calls[identifier].scope.cancel()
+            case Progress(identifier):
+                self.wake(identifier)
+            case _:
+                self._apply_to_link(effect)
 
     def _apply_to_link(self, effect: Send | Follow | CloseLink) -> None:
         link = self._links.get(effect.link)
@@ -232,11 +245,13 @@
         identifier = call.request.open.identifier
         verdict: Verdict = Failed(UnknownReason.RELAY_LOST.value)
         try:
-            with call.scope:
+            # After a failure it isn't known whether the request ran.
+            with self._supervisor.contain(Part.REQUESTS), call.scope:
                 verdict = await self._verdict(call)
         finally:
             del self._calls[identifier]
-            self._handle(BackendEnded(identifier, verdict))
+            with self._supervisor.contain(Part.REQUESTS):
+                self._handle(BackendEnded(identifier, verdict))
 
     async def _verdict(self, call: _Call) -> Verdict:
         request = call.request
--- a/egretsill/requests/_local_link.py
+++ b/egretsill/requests/_local_link.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from ..supervision import Part, Supervisor
 from ..timing import TimerService
 from ._byte_window import WindowGap
 from ._gate_request import AnswerWriter, BodyWriter
@@ -40,11 +41,13 @@
     Args:
         gate: the gate in this process.
         timer: the timer service.
+        supervisor: contains unexpected exceptions of single links.
     """
 
-    def __init__(self, gate: LocalGate, timer: TimerService) -> None:
+    def __init__(self, gate: LocalGate, timer: TimerService, supervisor: Supervisor) -> None:
         self._gate = gate
         self._timer = timer
+        self._supervisor = supervisor
         self._scheduled: deque[LocalLink] = deque()
         self._wakeup = Wakeup()
 
@@ -67,11 +70,20 @@
             for _ in range(len(self._scheduled)):
                 link = self._scheduled.popleft()
                 link.scheduled = False
-                link.transfer()
+                self._transfer(link)
             if self._scheduled:
                 self._wakeup.set()
             await trio.lowlevel.checkpoint()
 
+    def _transfer(self, link: LocalLink) -> None:
+        try:
+            link.transfer()
+        except Exception as error:
+            self._supervisor.note_failure(Part.REQUESTS, error)
+            # Both ends resume the request on another link, or learn that its result is unknown.
+            with self._supervisor.contain(Part.REQUESTS):
+                link.close()
+
 
 class LocalLink:
     """One local link, with both of its ends.
--- a/egretsill/requests/_request_service.py
+++ b/egretsill/requests/_request_service.py
@@ -8,7 +8,8 @@
 import trio
 
 from ..configuration import Address, Limits, RequestClass, RequestShape, Service
-from ..outcomes import Outcome, RefusalReason, Refused
+from ..outcomes import Outcome, RefusalReason, Refused, Unknown, UnknownReason
+from ..supervision import Part, Supervisor
 from ..timing import TimerService
 from ..wire import StreamDecoder
 from ._attempts import Attempts
@@ -44,6 +45,7 @@
         admission: slots, connections and queue of the own target.
         placement: chooses targets of the own service.
         backend: client of the own backend server.
+        supervisor: contains unexpected exceptions of single requests and links.
         observer: notified of starts and outcomes.
         connect: opens a stream to another agent; may raise OSError.
     """
@@ -58,6 +60,7 @@
         admission: GateAdmission,
         placement: TargetPlacement,
         backend: BackendClient,
+        supervisor: Supervisor,
         observer: RequestObserver | None = None,
         connect: Connector = connect_tcp,
     ) -> None:
@@ -67,12 +70,19 @@
         self._timer = timer
         self._services = services
         self._placement = placement
+        self._supervisor = supervisor
         self._observer = observer or NullObserver()
         gate = Gate(incarnation, own_service, services, admission)
-        self._gate_runner = GateRunner(gate, timer, backend, self._observer)
-        self._local_links = LocalLinks(self._gate_runner, timer)
+        self._gate_runner = GateRunner(gate, timer, backend, self._observer, supervisor)
+        self._local_links = LocalLinks(self._gate_runner, timer, supervisor)
         self._pool = LinkPool(
-            own_target_number, timer, self._local_links, self._address, self._observer, connect
+            own_target_number,
+            timer,
+            self._local_links,
+            self._address,
+            self._observer,
+            supervisor,
+            connect,
         )
         self._sequence = itertools.count(1)
         self._budget = RetryBudget(0.0)
@@ -118,7 +128,7 @@
         await self._ready.wait()
         self._serving += 1
         try:
-            await exchange.conclude(await self._outcome(exchange))
+            await exchange.conclude(await self._known_outcome(exchange))
         except CallerGone:
             return
         finally:
@@ -140,6 +150,16 @@
         await self._ready.wait()
         await self._gate_runner.serve_link(StreamLink(stream, decoder, [first_message]))
 
+    async def _known_outcome(self, exchange: Exchange) -> Outcome:
+        """Return the outcome; after an unexpected exception it isn't known whether it ran."""
+        try:
+            return await self._outcome(exchange)
+        except CallerGone:
+            raise
+        except Exception as error:
+            self._supervisor.note_failure(Part.REQUESTS, error)
+            return Unknown(UnknownReason.RELAY_LOST)
+
     async def _outcome(self, exchange: Exchange) -> Outcome:
         head = exchange.head
         service = self._services(head.service)
@@ -177,7 +197,8 @@
         try:
             return await requester.run()
         finally:
-            self._report_end(service, request_class, attempts, requester, started_at)
+            with self._supervisor.contain(Part.REQUESTS):
+                self._report_end(service, request_class, attempts, requester, started_at)
 
     def _report_end(
         self,
--- a/egretsill/requests/_requester_link.py
+++ b/egretsill/requests/_requester_link.py
@@ -8,6 +8,7 @@
 import trio
 
 from ..configuration import Address
+from ..supervision import Part, Supervisor
 from ..timing import ClockJump, TimerService
 from ._byte_window import WindowGap
 from ._collaborators import RequestObserver
@@ -224,6 +225,7 @@
         local_links: creates links to the gate in this process.
         addresses: returns the relay endpoint of a target.
         observer: notified of lost links and malformed data.
+        supervisor: contains unexpected exceptions of single links.
         connect: opens a stream to an agent; may raise OSError.
     """
 
@@ -234,6 +236,7 @@
         local_links: LocalLinks,
         addresses: AddressLookup,
         observer: RequestObserver,
+        supervisor: Supervisor,
         connect: Connector = connect_tcp,
     ) -> None:
         self._own_target_number = own_target_number
@@ -241,6 +244,7 @@
         self._local_links = local_links
         self._addresses = addresses
         self._observer = observer
+        self._supervisor = supervisor
         self._connect = connect
         self._idle: dict[int, list[RequesterLink]] = {}
         self._links: set[RequesterLink] = set()
@@ -342,7 +346,8 @@
     async def _run(self, link: RequesterLink) -> None:
         self._links.add(link)
         try:
-            await link.run()
+            with self._supervisor.contain(Part.REQUESTS):
+                await link.run()
         finally:
             self._links.discard(link)
 
--- a/egretsill/requests/tests/_relay_fleet.py
+++ b/egretsill/requests/tests/_relay_fleet.py
@@ -11,6 +11,7 @@
 
 from ...configuration import Address, Service
 from ...stand_ins.backend_server import BackendBehaviour, BackendServer
+from ...supervision import PropagatingSupervisor
 from ...timing import TimerService, VirtualTimerService
 from ...wire import StreamDecoder
 from .. import BackendClient, NullObserver, RequestObserver, RequestService
@@ -97,7 +98,16 @@
 ) -> RequestService:
     client = BackendClient(backend, timer)
     return RequestService(
-        number, "catalog", 7, timer, services.get, SimpleAdmission(), placement, client, observer
+        number,
+        "catalog",
+        7,
+        timer,
+        services.get,
+        SimpleAdmission(),
+        placement,
+        client,
+        PropagatingSupervisor(),
+        observer,
     )
 
 
--- a/egretsill/requests/tests/test_request_service.py
+++ b/egretsill/requests/tests/test_request_service.py
@@ -10,6 +10,7 @@
 from ...configuration import Address
 from ...outcomes import Answered, Outcome, RefusalReason, Refused, Unknown, UnknownReason
 from ...stand_ins.backend_server import BackendBehaviour, Fault
+from ...supervision import PropagatingSupervisor
 from ...timing import TimerService, VirtualTimerService
 from .. import BackendClient, RequestService
 from ._fakes import FakeExchange, SimpleAdmission, SimplePlacement, make_service, running_backend
@@ -28,6 +29,7 @@
         admission,
         SimplePlacement((1,)),
         BackendClient(address, timer),
+        PropagatingSupervisor(),
     )
     async with trio.open_nursery() as nursery:
         await nursery.start(service.run)
--- a/egretsill/steering/_balancer.py
+++ b/egretsill/steering/_balancer.py
@@ -5,10 +5,12 @@
 import socket
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
+from functools import partial
 
 import trio
 
 from ..configuration import Address, Bundle
+from ..supervision import Part, Supervisor
 from ..timing import ClockJump, TimerService
 from ..wire import (
     BATCH_DATAGRAMS,
@@ -69,6 +71,7 @@
         timer: the process's timer service.
         tunnel_address: local endpoint for traffic with agents; port 0 picks a free port.
         codec: reads owner IDs.
+        supervisor: contains unexpected exceptions of single datagrams.
         listen: returns the local address to bind for a service address, for fabrics that deliver
             packets at another address than the published one.
         source_limit: limit on first packets for each source.
@@ -82,12 +85,14 @@
         timer: TimerService,
         tunnel_address: Address,
         codec: ConnectionIdCodec,
+        supervisor: Supervisor,
         listen: Callable[[Address], Address] | None = None,
         source_limit: SourceLimit | None = None,
         placement_delay_seconds: float = PLACEMENT_DELAY_SECONDS,
         may_place: Callable[[], bool] = always_true,
     ) -> None:
         self._timer = timer
+        self._supervisor = supervisor
         self._listen = listen or (lambda service_address: service_address)
         self._steering = Steering(codec, source_limit, placement_delay_seconds, may_place)
         self._watch = FirstPacketWatch()
@@ -162,7 +167,16 @@
         try:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
-                nursery.start_soon(read_batches, self._tunnel, self._handle_tunnel_batch)
+                nursery.start_soon(
+                    self._supervisor.run,
+                    Part.TUNNEL,
+                    partial(
+                        read_batches,
+                        self._tunnel,
+                        self._handle_tunnel_batch,
+                        note_error=partial(self._supervisor.note_failure, Part.TUNNEL),
+                    ),
+                )
                 for listener in self._listeners.values():
                     self._start_reading(listener)
         finally:
@@ -199,6 +213,10 @@
             self._counters.bind_failures += 1
             self._unbound.add(service_address)
             return
+        except Exception as error:  # The other addresses are opened all the same.
+            self._supervisor.note_failure(Part.PACKETS, error)
+            self._unbound.add(service_address)
+            return
         listener = _Listener(service_address, opened)
         self._listeners[service_address] = listener
         if self._nursery is not None:
@@ -207,7 +225,14 @@
     def _start_reading(self, listener: _Listener) -> None:
         if self._nursery is not None:
             self._nursery.start_soon(
-                read_batches, listener.socket, lambda: self._forward_service_batch(listener)
+                self._supervisor.run,
+                Part.PACKETS,
+                partial(
+                    read_batches,
+                    listener.socket,
+                    partial(self._forward_service_batch, listener),
+                    note_error=partial(self._supervisor.note_failure, Part.PACKETS),
+                ),
             )
 
     def _forward_service_batch(self, listener: _Listener) -> bool:
@@ -219,7 +244,10 @@
                 datagram, caller = receive(MAXIMUM_DATAGRAM_BYTES + 1)
             except BlockingIOError:
                 return False
-            self._forward_caller_datagram(listener.service_address, caller, datagram, now)
+            try:
+                self._forward_caller_datagram(listener.service_address, caller, datagram, now)
+            except Exception as error:  # It costs this datagram only.
+                self._supervisor.note_failure(Part.PACKETS, error)
         return True
 
     def _forward_caller_datagram(
@@ -261,7 +289,10 @@
                 data, source = receive(MAXIMUM_DATAGRAM_BYTES + _TUNNEL_OVERHEAD_BYTES + 1)
             except BlockingIOError:
                 return False
-            self._handle_agent_datagram(data, source[:2])
+            try:
+                self._handle_agent_datagram(data, source[:2])
+            except Exception as error:  # It costs this datagram only.
+                self._supervisor.note_failure(Part.TUNNEL, error)
         return True
 
     def _handle_agent_datagram(self, data: bytes, source: tuple[str, int]) -> None:
--- a/egretsill/steering/tests/test_balancer.py
+++ b/egretsill/steering/tests/test_balancer.py
@@ -7,6 +7,7 @@
 import trio.testing
 
 from ...configuration import Address, Bundle
+from ...supervision import PropagatingSupervisor
 from ...timing import VirtualTimerService
 from .. import (
     AgentProbe,
@@ -34,7 +35,9 @@
         self.listen_at: dict[Address, Address] = {}
         self.agents = {number: self._socket() for number in (1, 11)}
         self.caller = self._socket()
-        self.balancer = Balancer(self.timer, LOCALHOST, CODEC, listen=self._listen)
+        self.balancer = Balancer(
+            self.timer, LOCALHOST, CODEC, PropagatingSupervisor(), listen=self._listen
+        )
         self.balancer.apply_bundle(self.bundle())
 
     def bundle(self, revision: int = 1, extra_addresses: Sequence[Address] = ()) -> Bundle:
