--- a/egretsill/node/_main.py
+++ b/egretsill/node/_main.py
@@ -12,7 +12,7 @@
 import trio
 
 from ..address_steering import PacketCodec
-from ..boot import NodeBoot, NodeSettingsRejected, load_node_settings
+from ..boot import NodeBoot, NodeSettingsRejected, load_node_settings, settings_version
 from ..observation import log_to_standard_output
 from ..startup import EXIT_STOPPED, HANDLED_SIGNALS, StartupSignals
 from ..supervision import Part
@@ -49,7 +49,7 @@
         random_source,
     )
     try:
-        trio.run(_run, node, started.settings_path, signals)
+        trio.run(_run, node, started, signals)
     except Exception:
         with contextlib.suppress(OSError):  # Standard error may have no reader.
             traceback.print_exc()
@@ -57,22 +57,20 @@
     return EXIT_STOPPED
 
 
-async def _run(node: Node, settings_path: Path, startup_signals: StartupSignals) -> None:
+async def _run(node: Node, started: NodeBoot, startup_signals: StartupSignals) -> None:
     try:
         with trio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
             is_reload_pending = startup_signals.hand_over()
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_run_until_stopped, node, nursery.cancel_scope)
                 nursery.start_soon(
-                    node.supervisor.run,
-                    Part.SETTINGS,
-                    partial(_poll_settings, node, settings_path),
+                    node.supervisor.run, Part.SETTINGS, partial(_poll_settings, node, started)
                 )
                 if is_reload_pending:
-                    _reload(node, settings_path)
+                    _reload(node, started.settings_path)
                 async for number in signals:
                     if number == signal.SIGHUP:
-                        _reload(node, settings_path)
+                        _reload(node, started.settings_path)
                     else:
                         with node.supervisor.contain(Part.SHUTDOWN):
                             node.shut_down()
@@ -86,23 +84,14 @@
     scope.cancel()
 
 
-async def _poll_settings(node: Node, settings_path: Path) -> None:
-    before = _file_version(settings_path)
+async def _poll_settings(node: Node, started: NodeBoot) -> None:
+    before = started.settings_version
     while True:
+        version = settings_version(started.settings_path)
+        if version != before:
+            before = version
+            _reload(node, started.settings_path)
         await trio.sleep(SETTINGS_POLL_SECONDS)
-        mark = _file_version(settings_path)
-        if mark != before:
-            before = mark
-            _reload(node, settings_path)
-
-
-def _file_version(settings_path: Path) -> tuple[int, int]:
-    try:
-        status = settings_path.stat()
-    except OSError:
-        # The file is being replaced; the next poll finds the new one.
-        return 0, 0
-    return status.st_mtime_ns, status.st_size
 
 
 def _reload(node: Node, settings_path: Path) -> None:
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -167,6 +167,7 @@
         An exception is recorded before it is raised.
         """
         self._journal.record("started", role=self._settings.role.value, host=self._settings.host)
+        self._note_defaults(self._settings)
         try:
             await self._run_parts()
         except* Exception as group:
@@ -198,11 +199,16 @@
         self._hubs.replace_seeds(seeds)
         self._readers.replace_seeds(seeds)
         self._journal.record("settings-reloaded", seeds=",".join(settings.seeds))
+        self._note_defaults(settings)
 
     def reject_settings(self, problem: str) -> None:
         """Record that the settings file is invalid; the old settings stay in force."""
         self._journal.record("settings-rejected", problem=problem)
 
+    def _note_defaults(self, settings: NodeSettings) -> None:
+        if settings.defaulted:
+            self._journal.record("settings-defaulted", keys=",".join(settings.defaulted))
+
     async def _run_parts(self) -> None:
         run, start = self._supervisor.run, self._supervisor.start
         async with trio.open_nursery() as nursery:
@@ -212,7 +218,8 @@
             await nursery.start(start, Part.CONTENT_SERVING, self._exchange.run)
             nursery.start_soon(run, Part.HEARTBEATS, self._link.run)
             for listen in (self._settings.health, self._settings.metrics):
-                await nursery.start(start, Part.ADMIN, self._make_admin(listen).run)
+                if listen is not None:
+                    await nursery.start(start, Part.ADMIN, self._make_admin(listen).run)
             self._timer.subscribe(SWEEP_SECONDS, self._sweep)
             nursery.start_soon(run, Part.LOG, self._log_writer.run)
             await self._stopped.wait()
