--- a/egretsill/node/tests/test_peer_faults.py
+++ b/egretsill/node/tests/test_peer_faults.py
@@ -26,7 +26,7 @@
     encode_heartbeat,
 )
 from ...observation import Journal, Metrics
-from ...supervision.tests.supervisors import PropagatingSupervisor
+from ...supervision import PropagatingSupervisor
 from ...timing import VirtualTimerService
 from .._content_exchange import PeerContentUnavailable
 from .._fleet_link import FleetLink, TargetLoad
