--- a/egretsill/node/_main.py
+++ b/egretsill/node/_main.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import signal
+import traceback
+from functools import partial
 from pathlib import Path
 from random import SystemRandom
 
@@ -12,25 +15,27 @@
 from ..boot import NodeBoot, NodeSettingsRejected, load_node_settings, settings_version
 from ..observation import log_to_standard_output
 from ..startup import EXIT_STOPPED, HANDLED_SIGNALS, StartupSignals
+from ..supervision import Part
 from ..timing import TrioTimerService
 from ._node import Node, StoreFactory
 
+EXIT_FAILED = 4
 SETTINGS_POLL_SECONDS = 1.0  # settings may change without a signal
 
 
 def run(
     started: NodeBoot, codec: PacketCodec, make_store: StoreFactory, signals: StartupSignals
 ) -> int:
-    """Run a process until a signal stops it, and return its exit code, 0.
+    """Run a process until a signal stops it, and return its exit code.
+
+    It is 0 if a signal stopped the process, and 4 if a failure ended it, whose traceback is then
+    written to standard error.
 
     Args:
         started: settings and sockets.
         codec: decodes and encodes the packets of flows.
         make_store: opens the store at an address.
         signals: handles signals while the event loop doesn't run.
-
-    Raises:
-        OSError: if a TCP endpoint can't be bound.
     """
     timer = TrioTimerService()
     random_source = SystemRandom()
@@ -43,7 +48,12 @@
         log_to_standard_output,
         random_source,
     )
-    trio.run(_run, node, started, signals)
+    try:
+        trio.run(_run, node, started, signals)
+    except Exception:
+        with contextlib.suppress(OSError):  # Standard error may have no reader.
+            traceback.print_exc()
+        return EXIT_FAILED
     return EXIT_STOPPED
 
 
@@ -53,14 +63,17 @@
             is_reload_pending = startup_signals.hand_over()
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_run_until_stopped, node, nursery.cancel_scope)
-                nursery.start_soon(_poll_settings, node, started)
+                nursery.start_soon(
+                    node.supervisor.run, Part.SETTINGS, partial(_poll_settings, node, started)
+                )
                 if is_reload_pending:
                     _reload(node, started.settings_path)
                 async for number in signals:
                     if number == signal.SIGHUP:
                         _reload(node, started.settings_path)
                     else:
-                        node.shut_down()
+                        with node.supervisor.contain(Part.SHUTDOWN):
+                            node.shut_down()
     finally:
         # Not later: trio reports a signal that comes while it closes its own sockets as an error.
         startup_signals.block()
@@ -82,7 +95,8 @@
 
 
 def _reload(node: Node, settings_path: Path) -> None:
-    try:
-        node.replace_settings(load_node_settings(settings_path))
-    except NodeSettingsRejected as error:
-        node.reject_settings(str(error))
+    with node.supervisor.contain(Part.SETTINGS):
+        try:
+            node.replace_settings(load_node_settings(settings_path))
+        except NodeSettingsRejected as error:
+            node.reject_settings(str(error))
