--- a/egretsill/node/_content_exchange.py
+++ b/egretsill/node/_content_exchange.py
@@ -25,6 +25,7 @@
     unpack_table,
     unpack_targets,
 )
+from ..supervision import Part, Supervisor
 from ..timing import TimerService
 from ..wire import Address, Codec, MalformedMessage, StreamDecoder
 
@@ -65,11 +66,13 @@
         listen: Address,
         directory: Directory,
         timer: TimerService,
+        supervisor: Supervisor,
         count_malformed: Callable[[str], None],
     ) -> None:
         self._listen = listen
         self._directory = directory
         self._timer = timer
+        self._supervisor = supervisor
         self._count_malformed = count_malformed
         self._codec: Codec[DirectoryMessage] = Codec("directory", DIRECTORY_TYPES)
         self._open_connections = 0
@@ -94,10 +97,7 @@
             with trio.fail_after(EXCHANGE_SECONDS):
                 stream = await trio.open_tcp_stream(host, self._listen.port)
                 async with stream:
-                    request = ContentRequest(
-                        self._directory.version, pack_revision(self._directory.content_revision)
-                    )
-                    await stream.send_all(self._codec.encode(request))
+                    await stream.send_all(self._codec.encode(self.make_request()))
                     response = await self._next_message(stream)
             return self._apply_response(response)
         except trio.TooSlowError as error:
@@ -108,6 +108,11 @@
             self._count_malformed(str(error))
             raise PeerContentUnavailable(host, "malformed") from error
 
+    def make_request(self) -> ContentRequest:
+        """Return the request for what this process lacks."""
+        directory = self._directory
+        return ContentRequest(directory.version, pack_revision(directory.content_revision))
+
     def respond(self, request: ContentRequest) -> ContentResponse | ContentUpdate:
         """Return the changes since the requester's revision, or else the complete content.
 
@@ -189,6 +194,14 @@
             await trio.aclose_forcefully(stream)
             return
         self._open_connections += 1
+        try:
+            with self._supervisor.contain(Part.CONTENT_SERVING):
+                await self._serve_request(stream)
+        finally:
+            self._open_connections -= 1
+            await trio.aclose_forcefully(stream)
+
+    async def _serve_request(self, stream: trio.abc.Stream) -> None:
         try:
             with trio.move_on_after(EXCHANGE_SECONDS):
                 request = await self._next_message(stream)
@@ -200,9 +213,6 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # The requester closed the connection; it retries here or at another peer.
             return
-        finally:
-            self._open_connections -= 1
-            await trio.aclose_forcefully(stream)
 
     async def _next_message(self, stream: trio.abc.Stream) -> DirectoryMessage | None:
         decoder: StreamDecoder[Any] = StreamDecoder(self._codec)
