--- a/egretsill/boot/__init__.py
+++ b/egretsill/boot/__init__.py
@@ -8,10 +8,11 @@
     load_node_settings,
 )
 from ._settings_reader import NodeSettingsRejected, SettingsFault, settings_version
-from ._sockets import NodeSockets, bind_node_sockets
+from ._sockets import BindFailed, NodeSockets, bind_node_sockets
 
 __all__ = [
     "AgentSettings",
+    "BindFailed",
     "BootFailed",
     "NodeBoot",
     "NodeRole",
--- a/egretsill/node/tests/returning_store.py
+++ b/egretsill/node/tests/returning_store.py
@@ -20,7 +20,7 @@
 )
 from ...supervision.tests.supervisors import PropagatingSupervisor
 from ...timing import VirtualTimerService
-from ...wire import Address
+from ...wire import Address, StreamServer
 from .._content_exchange import ContentExchange
 
 NAMES = ("a", "b", "c")
@@ -81,7 +81,7 @@
         self._write(
             Target(
                 name,
-                NAMES.index(name),
+                1 + NAMES.index(name),
                 80,
                 "lookup",
                 "a",
@@ -190,8 +190,9 @@
         self._store = store
         self._timer = timer
         self.directory = Directory()
+        self._endpoint_errors: list[OSError | None] = []
         self._exchange = ContentExchange(
-            Address("127.0.0.1", 1),
+            StreamServer(Address("127.0.0.1", 1), self._endpoint_errors.append),
             self.directory,
             timer,
             PropagatingSupervisor(),
--- a/egretsill/node/tests/test_content_exchange.py
+++ b/egretsill/node/tests/test_content_exchange.py
@@ -24,7 +24,7 @@
 from ...directory.tests.revisions import rev
 from ...supervision.tests.supervisors import PropagatingSupervisor
 from ...timing import VirtualTimerService
-from ...wire import Address
+from ...wire import Address, StreamServer
 from .._content_exchange import MAXIMUM_PUSH_BYTES, ContentExchange
 
 ONE = Target("one", 1, 80, "lookup", "a", TargetPhase.READY, 4, 0.0, 5, rev(11))
@@ -44,8 +44,9 @@
         self.directory.apply_snapshot(
             Snapshot(rev(20), make_table(7, range(1, 1_400)), (ONE,)), 0.0
         )
+        self.errors: list[OSError | None] = []
         self.exchange = ContentExchange(
-            Address("127.0.0.1", 1),
+            StreamServer(Address("127.0.0.1", 1), self.errors.append),
             self.directory,
             VirtualTimerService(),
             PropagatingSupervisor(),
