--- a/egretsill/fleet/_hubs.py
+++ b/egretsill/fleet/_hubs.py
@@ -74,9 +74,9 @@
         """Replace the cells by those of a newer directory."""
         if cells is self._cells:
             return
-        self._cells = cells
         domain = self._domain or cells.domains.get(self._host, "")
         self._cell = cells.cell_of(self._host, domain)
+        self._cells = cells
         self._ranks = {}
         self._forwarded_at = {}
         self._read_at = {}
--- a/egretsill/node/tests/returning_store.py
+++ b/egretsill/node/tests/returning_store.py
@@ -18,6 +18,7 @@
     TargetPhase,
     pack_revision,
 )
+from ...supervision.tests.supervisors import PropagatingSupervisor
 from ...timing import VirtualTimerService
 from ...wire import Address, StreamServer
 from .._content_exchange import ContentExchange
@@ -194,6 +195,7 @@
             StreamServer(Address("127.0.0.1", 1), self._endpoint_errors.append),
             self.directory,
             timer,
+            PropagatingSupervisor(),
             self.malformed.append,
         )
         self._watched: StoreRevision | None = None
--- a/egretsill/node/tests/test_content_exchange.py
+++ b/egretsill/node/tests/test_content_exchange.py
@@ -22,6 +22,7 @@
     TargetPhase,
 )
 from ...directory.tests.revisions import rev
+from ...supervision.tests.supervisors import PropagatingSupervisor
 from ...timing import VirtualTimerService
 from ...wire import Address, StreamServer
 from .._content_exchange import MAXIMUM_PUSH_BYTES, ContentExchange
@@ -48,6 +49,7 @@
             StreamServer(Address("127.0.0.1", 1), self.errors.append),
             self.directory,
             VirtualTimerService(),
+            PropagatingSupervisor(),
             self.problems.append,
         )
 
--- a/egretsill/observation/tests/test_admin_garbage.py
+++ b/egretsill/observation/tests/test_admin_garbage.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from ...configuration import Address
+from ...supervision.tests.supervisors import PropagatingSupervisor
 from ...wire import StreamServer
 from .. import AdminServer, HealthState, Metrics
 from .._admin_server import MAXIMUM_REQUEST_BYTES, READ_BYTES
@@ -40,7 +41,13 @@
     metrics = Metrics()
     errors: list[OSError | None] = []
     stream_server = StreamServer(Address("127.0.0.1", 0), errors.append)
-    server = AdminServer(stream_server, metrics, lambda: {"revision": 1}, HealthState)
+    server = AdminServer(
+        stream_server,
+        metrics,
+        lambda: {"revision": 1},
+        HealthState,
+        PropagatingSupervisor(),
+    )
     client, served = trio.testing.memory_stream_pair()
     response = b""
 
--- a/egretsill/observation/tests/test_admin_server.py
+++ b/egretsill/observation/tests/test_admin_server.py
@@ -10,6 +10,7 @@
 import trio.testing
 
 from ...configuration import Address
+from ...supervision.tests.supervisors import PropagatingSupervisor, RecordingSupervisor
 from ...wire import StreamServer
 from .. import JSON, AdminServer, HealthProblem, HealthState, Metrics
 from .._admin_server import MAXIMUM_CONNECTIONS
@@ -25,7 +26,11 @@
         self.errors: list[OSError | None] = []
         self.stream_server = StreamServer(self.address, self.errors.append)
         self.server = AdminServer(
-            self.stream_server, self.metrics, self._status, lambda: self.health
+            self.stream_server,
+            self.metrics,
+            self._status,
+            lambda: self.health,
+            PropagatingSupervisor(),
         )
 
     def refused(self, reason: str) -> float:
@@ -115,10 +120,14 @@
 
     async def main() -> None:
         admin = _Admin()
-        admin.server = AdminServer(admin.stream_server, admin.metrics, admin._status, fail)
+        supervisor = RecordingSupervisor()
+        admin.server = AdminServer(
+            admin.stream_server, admin.metrics, admin._status, fail, supervisor
+        )
         async with trio.open_nursery() as nursery:
             admin.address = await nursery.start(admin.server.run)
             assert await admin.request(_request("/health")) == (500, b'{"error": "KeyError"}\n')
+            assert supervisor.names == [("admin", "KeyError")]
             assert (await admin.request(_request("/status")))[0] == 200
             nursery.cancel_scope.cancel()
 
--- a/egretsill/wire/_stream_server.py
+++ b/egretsill/wire/_stream_server.py
@@ -41,7 +41,6 @@
         self._address = address
         self._observe = observe
         self._reserved = reserved
-        self._is_open = False
 
     @property
     def address(self) -> Address:
@@ -73,9 +72,9 @@
         try:
             listener = await self._listen()
         except OSError as error:
-            self._note(error)
+            self._observe(error)
             return None
-        self._note(None)
+        self._observe(None)
         return listener
 
     async def _listen(self) -> trio.SocketListener:
@@ -96,17 +95,29 @@
         self, listener: trio.SocketListener, handle: StreamHandler, connections: trio.Nursery
     ) -> None:
         """Accept connections until the listener fails, and close it."""
-        async with listener:
-            try:
-                while True:
-                    connections.start_soon(_run, handle, await self._accept(listener))
-            except OSError as error:
-                self._note(error)
-            except trio.ClosedResourceError:
-                self._note(OSError(errno.EBADF, "listener closed"))
+        patient = _PatientListener(listener, self._observe)
+        try:
+            await trio.serve_listeners(handle, [patient], handler_nursery=connections)
+        except* OSError as group:
+            self._observe(next(leaf for leaf in group.exceptions if isinstance(leaf, OSError)))
+        except* trio.ClosedResourceError:
+            self._observe(OSError(errno.EBADF, "listener closed"))
 
-    async def _accept(self, listener: trio.SocketListener) -> trio.SocketStream:
-        """Return the next connection; wait while the process has no capacity for one.
+
+class _PatientListener(trio.abc.Listener[trio.SocketStream]):
+    """Waits while the process has no capacity for another connection.
+
+    trio would write a traceback to standard error for each attempt, which blocks the process if
+    nobody reads that.
+    """
+
+    def __init__(self, listener: trio.SocketListener, observe: EndpointObserver) -> None:
+        self._listener = listener
+        self._observe = observe
+        self._has_capacity = True
+
+    async def accept(self) -> trio.SocketStream:
+        """Return the next connection.
 
         Raises:
             OSError: if the listener failed.
@@ -115,30 +126,28 @@
             stream = None
             try:
                 # Waiting in vain shows that there is capacity again.
-                with trio.move_on_after(math.inf if self._is_open else RETRY_SECONDS):
-                    stream = await listener.accept()
+                with trio.move_on_after(math.inf if self._has_capacity else RETRY_SECONDS):
+                    stream = await self._listener.accept()
             except OSError as error:
                 if error.errno not in _CAPACITY_ERRORS:
                     raise
                 self._note(error)
                 await trio.sleep(RETRY_SECONDS)
                 continue
-            self._note(None)
+            if not self._has_capacity:
+                self._note(None)
             if stream is not None:
                 return stream
 
+    async def aclose(self) -> None:
+        """Close the listener."""
+        await self._listener.aclose()
+
     def _note(self, error: OSError | None) -> None:
-        self._is_open = error is None
+        self._has_capacity = error is None
         self._observe(error)
 
 
 def _bound_address(listener: trio.SocketListener) -> Address:
     name = listener.socket.getsockname()
     return Address(name[0], name[1])
-
-
-async def _run(handle: StreamHandler, stream: trio.SocketStream) -> None:
-    try:
-        await handle(stream)
-    finally:
-        await trio.aclose_forcefully(stream)
--- a/egretsill/wire/tests/test_stream_server.py
+++ b/egretsill/wire/tests/test_stream_server.py
@@ -13,7 +13,7 @@
 
 from ...endpoints import Address, bind_stream_socket
 from .. import StreamServer
-from .._stream_server import RETRY_SECONDS
+from .._stream_server import RETRY_SECONDS, _PatientListener
 from .holders import HOLDERS, held, own_host
 
 PORT = 20_300
@@ -160,14 +160,17 @@
         await trio.sleep_forever()
         raise AssertionError
 
+    async def aclose(self) -> None:
+        await trio.lowlevel.checkpoint()
+
 
 # Guards against a traceback on standard error for each attempt while descriptors are used up.
 def test_listener_waits_for_capacity_and_writes_nothing(caplog: pytest.LogCaptureFixture) -> None:
     async def main() -> None:
         errors: list[OSError | None] = []
-        server = StreamServer(Address("127.0.0.1", PORT), errors.append)
+        listener = _PatientListener(_Listener(3), errors.append)  # type: ignore[arg-type]
         with caplog.at_level(logging.DEBUG), trio.move_on_after(10 * RETRY_SECONDS):
-            await server._accept(_Listener(3))  # type: ignore[arg-type]
+            await trio.serve_listeners(echo, [listener])
         assert [each and each.errno for each in errors][:3] == [errno.EMFILE] * 3
         assert errors[3:] == [None]
 
