--- a/egretsill/wire/_stream_server.py
+++ b/egretsill/wire/_stream_server.py
@@ -13,6 +13,7 @@
 from ..endpoints import Address
 
 RETRY_SECONDS = 0.25
+CALM_SECONDS = 5.0  # without an error after one for lack of capacity, since these come in bursts
 MAXIMUM_BACKLOG = 65_535  # connections; the operating system lowers it to its own limit
 
 StreamHandler: TypeAlias = Callable[[trio.SocketStream], Awaitable[object]]
@@ -114,7 +115,7 @@
     def __init__(self, listener: trio.SocketListener, observe: EndpointObserver) -> None:
         self._listener = listener
         self._observe = observe
-        self._has_capacity = True
+        self._calm_at = math.inf  # when a lack of capacity counts as over; never if there is none
 
     async def accept(self) -> trio.SocketStream:
         """Return the next connection.
@@ -125,17 +126,18 @@
         while True:
             stream = None
             try:
-                # Waiting in vain shows that there is capacity again.
-                with trio.move_on_after(math.inf if self._has_capacity else RETRY_SECONDS):
+                with trio.move_on_at(self._calm_at):
                     stream = await self._listener.accept()
             except OSError as error:
                 if error.errno not in _CAPACITY_ERRORS:
                     raise
-                self._note(error)
+                self._calm_at = trio.current_time() + CALM_SECONDS
+                self._observe(error)
                 await trio.sleep(RETRY_SECONDS)
                 continue
-            if not self._has_capacity:
-                self._note(None)
+            if trio.current_time() >= self._calm_at:
+                self._calm_at = math.inf
+                self._observe(None)
             if stream is not None:
                 return stream
 
@@ -143,10 +145,6 @@
         """Close the listener."""
         await self._listener.aclose()
 
-    def _note(self, error: OSError | None) -> None:
-        self._has_capacity = error is None
-        self._observe(error)
-
 
 def _bound_address(listener: trio.SocketListener) -> Address:
     name = listener.socket.getsockname()
--- a/egretsill/wire/tests/test_stream_server.py
+++ b/egretsill/wire/tests/test_stream_server.py
@@ -13,7 +13,7 @@
 
 from ...endpoints import Address, bind_stream_socket
 from .. import StreamServer
-from .._stream_server import RETRY_SECONDS, _PatientListener
+from .._stream_server import CALM_SECONDS, RETRY_SECONDS, _PatientListener
 from .holders import HOLDERS, held, own_host
 
 PORT = 20_300
@@ -147,32 +147,38 @@
 
 
 class _Listener:
-    """A listener without capacity for connections for the first few attempts."""
+    """A listener with capacity for every other connection at first, and without any to accept then.
+
+    Args:
+        failures: number of attempts that fail.
+    """
 
     def __init__(self, failures: int) -> None:
-        self.left = failures
+        self.left = 2 * failures
 
-    async def accept(self) -> trio.SocketStream:
+    async def accept(self) -> trio.abc.Stream:
         await trio.lowlevel.checkpoint()
-        if self.left:
-            self.left -= 1
+        if not self.left:
+            await trio.sleep_forever()
+        self.left -= 1
+        if self.left % 2:
             raise OSError(errno.EMFILE, "too many open files")
-        await trio.sleep_forever()
-        raise AssertionError
+        return trio.testing.memory_stream_pair()[0]
 
     async def aclose(self) -> None:
         await trio.lowlevel.checkpoint()
 
 
-# Guards against a traceback on standard error for each attempt while descriptors are used up.
-def test_listener_waits_for_capacity_and_writes_nothing(caplog: pytest.LogCaptureFixture) -> None:
+# Guards against a traceback, or a change of state, for each attempt while descriptors are used up.
+def test_lack_of_capacity_is_reported_until_it_is_over_and_writes_nothing(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
     async def main() -> None:
         errors: list[OSError | None] = []
         listener = _PatientListener(_Listener(3), errors.append)  # type: ignore[arg-type]
-        with caplog.at_level(logging.DEBUG), trio.move_on_after(10 * RETRY_SECONDS):
-            await trio.serve_listeners(echo, [listener])
-        assert [each and each.errno for each in errors][:3] == [errno.EMFILE] * 3
-        assert errors[3:] == [None]
+        with caplog.at_level(logging.DEBUG), trio.move_on_after(4 * CALM_SECONDS):
+            await trio.serve_listeners(trio.aclose_forcefully, [listener])
+        assert [each and each.errno for each in errors] == [errno.EMFILE] * 3 + [None]
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
     assert not caplog.records
