--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import socket
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping
 from random import Random
 from typing import TypeAlias
 
@@ -24,9 +23,6 @@
 from ..observation import (
     JSON,
     AdminServer,
-    EndpointOpened,
-    EndpointStates,
-    EndpointUnavailable,
     HealthProblem,
     HealthState,
     Journal,
@@ -45,6 +41,7 @@
 from ._reader_choice import ReaderChoice
 from ._shutdown import ShutdownPlan
 from ._store_reading import STORE_SOURCE, StoreReading
+from ._tcp_endpoints import TcpEndpoints
 
 SWEEP_SECONDS = 1.0
 CONTENT_SECONDS = 1.0  # longest wait for content at startup; callers stop sending SYNs after 1.4 s
@@ -85,7 +82,7 @@
         self._journal = Journal(
             settings.name, lambda: self._timer.now, lambda: self._timer.epoch_milliseconds / 1000
         )
-        self._endpoints = EndpointStates(self._metrics, self._note_endpoint_change)
+        self._endpoints = TcpEndpoints(settings, sockets, self._metrics, self._journal)
         self._failures = FailureLog(self._metrics, self._journal)
         self._supervisor = Supervisor(self._failures.record)
         timer.contain_failures(lambda error: self._supervisor.note_failure(Part.TIMERS, error))
@@ -105,9 +102,7 @@
         self._agent_steering: AgentSteering | None = None
         self._role = self._make_role(codec)
         self._exchange = ContentExchange(
-            self._make_server(
-                "content", Address(settings.host, settings.tunnel_port), sockets.content
-            ),
+            self._endpoints.content,
             self._directory,
             self._timer,
             self._supervisor,
@@ -166,8 +161,8 @@
             "cell": self._hubs.cell,
             "is_hub": self._hubs.is_hub(now),
             "is_leaving": self._shutdown.is_leaving,
+            "endpoints": self._endpoints.states,
             "parts_stopped": sorted(each.value for each in self._supervisor.stopped),
-            "endpoints": self._endpoints.page,
         }
 
     async def run(self) -> None:
@@ -226,8 +221,8 @@
             nursery.start_soon(run, Part.STORE_READING, self._reading.run)
             await nursery.start(start, Part.CONTENT_SERVING, self._exchange.run)
             nursery.start_soon(run, Part.HEARTBEATS, self._link.run)
-            for server in self._make_admin_servers():
-                await nursery.start(start, Part.ADMIN, server.run)
+            for server in self._endpoints.pages:
+                await nursery.start(start, Part.ADMIN, self._make_admin(server).run)
             self._timer.subscribe(SWEEP_SECONDS, self._sweep)
             nursery.start_soon(run, Part.LOG, self._log_writer.run)
             await self._stopped.wait()
@@ -314,27 +309,10 @@
             self._note_content_change,
         )
 
-    def _make_admin_servers(self) -> Sequence[AdminServer]:
-        settings, sockets = self._settings, self._sockets
-        return [
-            AdminServer(
-                self._make_server(endpoint, listen, reserved),
-                self._metrics,
-                lambda: self.status,
-                lambda: self.health,
-                self._supervisor,
-            )
-            for endpoint, listen, reserved in (
-                ("health", settings.health, sockets.health),
-                ("metrics", settings.metrics, sockets.metrics),
-            )
-            if listen is not None
-        ]
-
-    def _make_server(
-        self, endpoint: str, listen: Address, reserved: socket.socket | None
-    ) -> StreamServer:
-        return StreamServer(listen, self._endpoints.observer(endpoint, listen), reserved)
+    def _make_admin(self, server: StreamServer) -> AdminServer:
+        return AdminServer(
+            server, self._metrics, lambda: self.status, lambda: self.health, self._supervisor
+        )
 
     def _load(self) -> TargetLoad:
         if self._agent_steering is None:
@@ -375,15 +353,6 @@
         if source != STORE_SOURCE:
             self._link.announce_content(parse_ipv4(source))
 
-    def _note_endpoint_change(self, change: EndpointUnavailable | EndpointOpened) -> None:
-        match change:
-            case EndpointUnavailable(endpoint, address, error):
-                self._journal.record(
-                    "endpoint-unavailable", endpoint=endpoint, address=str(address), error=error
-                )
-            case EndpointOpened(endpoint, address):
-                self._journal.record("endpoint-opened", endpoint=endpoint, address=str(address))
-
     def _note_store_return(self, source: str) -> None:
         found = self._directory.last_return
         if found is None or found is self._store_return:
