--- a/egretsill/daemon/_configuration_service.py
+++ b/egretsill/daemon/_configuration_service.py
@@ -1,4 +1,4 @@
-"""Construction of a daemon's configuration service from its settings."""
+"""Construction of a daemon's configuration service from its settings, and its metrics."""
 
 from __future__ import annotations
 
@@ -12,6 +12,7 @@
     PlatformClient,
     SendAnnouncement,
 )
+from ..observation import Metrics
 from ..settings import DaemonSettings
 from ..supervision import Supervisor
 from ..timing import TimerService
@@ -53,6 +54,18 @@
     )
 
 
+def update_configuration_metrics(service: ConfigurationService, metrics: Metrics) -> None:
+    """Update the metrics from the counters of the configuration service."""
+    counters = service.counters
+    reads = metrics.platform_reads
+    reads.raise_to(counters.platform_reads - counters.platform_failures, "answered")
+    reads.raise_to(counters.platform_failures, "failed")
+    ignored = metrics.configuration_ignored
+    ignored.raise_to(service.older_ignored, "older")
+    ignored.raise_to(counters.torn, "torn")
+    ignored.raise_to(counters.malformed, "invalid")
+
+
 def _make_platform_client(settings: DaemonSettings) -> PlatformClient:
     platform = settings.platform
     return PlatformClient(platform.addresses, platform.read_seconds)
--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -42,13 +42,13 @@
 from ..requests import RELAY_TYPES
 from ..settings import DaemonSettings, Role, SettingsRejected
 from ..steering import ConnectionIdCodec
-from ..supervision import Part, StartingTask, Supervisor, leaves
+from ..supervision import Part, StartingTask, Supervisor, SupervisorFactory, leaves
 from ..timing import TrioTimerService
 from ..wire import StreamDecoder
 from ._agent_role import AgentRole
 from ._balancer_role import BalancerRole
 from ._configuration_link import serve_requests
-from ._configuration_service import make_configuration_service
+from ._configuration_service import make_configuration_service, update_configuration_metrics
 from ._drain_control import DrainControl, HealthPoller
 from ._exceptions import (
     AddressUnavailable,
@@ -77,14 +77,19 @@
         TlsUnusable: if an agent's certificate or private key can't be read.
     """
 
-    def __init__(self, settings: DaemonSettings, random: Random) -> None:
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        random: Random,
+        make_supervisor: SupervisorFactory = Supervisor,
+    ) -> None:
         self._settings = settings
         self._random = random
         self._timer = TrioTimerService()
         self._metrics = Metrics()
         self._state_log = StateLog(settings.name)
         self._failures = FailureLog(self._metrics, self._state_log)
-        self._supervisor = Supervisor(self._failures.record)
+        self._supervisor = make_supervisor(self._failures.record)
         self._timer.contain_failures(partial(self._supervisor.note_failure, Part.TIMERS))
         self._stopped = trio.Event()
         self._backend_state = BackendState.HEALTHY
@@ -375,15 +380,8 @@
 
     def _update_gauges(self, now: float) -> None:
         self._role.update_gauges()
-        counters = self._configuration.counters
-        reads = self._metrics.platform_reads
-        reads.raise_to(counters.platform_reads - counters.platform_failures, "answered")
-        reads.raise_to(counters.platform_failures, "failed")
+        update_configuration_metrics(self._configuration, self._metrics)
         self._record(StateKind.PLATFORM, self._pages.platform_state)
-        ignored = self._metrics.configuration_ignored
-        ignored.raise_to(self._configuration.older_ignored, "older")
-        ignored.raise_to(counters.torn, "torn")
-        ignored.raise_to(counters.malformed, "invalid")
 
     def _record(
         self, kind: StateKind, state: str | int, details: Mapping[str, str] | None = None
--- a/egretsill/daemon/tests/test_containment.py
+++ b/egretsill/daemon/tests/test_containment.py
@@ -21,6 +21,7 @@
 from ...requests._local_link import LocalLink
 from ...requests._requester_link import RequesterLink
 from ...steering import AgentSteering, Balancer
+from ...supervision import Supervisor
 from .._agent_core import AgentCore
 from .._stream_endpoint import StreamEndpoint
 
@@ -90,7 +91,7 @@
 ) -> None:
     async def main() -> None:
         with trio.fail_after(TEST_SECONDS):
-            async with open_site(user) as site:
+            async with open_site(user, Supervisor) as site:
                 service, authorities = site.plan.services[service_name], site.plan.tls.certificate
                 async with open_caller(
                     service.addresses[0], service.authority, authorities
--- a/egretsill/emulator/_machine.py
+++ b/egretsill/emulator/_machine.py
@@ -12,6 +12,7 @@
 from ..boot import NodeSettings, NodeSockets
 from ..endpoints import Address
 from ..node import Node
+from ..supervision import PropagatingSupervisor
 from ..timing import TrioTimerService
 from ._adapter import Adapter
 from ._datagram_socket import EmulatedDatagramSocket
@@ -114,6 +115,7 @@
                 EmulatedTimerService(lambda: self.wall_offset),
                 lambda: None,
                 Random(self._random.random()),
+                PropagatingSupervisor,
             )
             self._node = node
             self.starts += 1
--- /dev/null
+++ b/egretsill/node/_directory_log.py
@@ -0,0 +1,58 @@
+"""Log lines and metrics about the content in force."""
+
+from __future__ import annotations
+
+from ..directory import Directory, StoreReturn
+from ..observation import Journal, Metrics
+
+
+class DirectoryLog:
+    """Records what changes in a directory."""
+
+    def __init__(self, directory: Directory, metrics: Metrics, journal: Journal) -> None:
+        self._directory = directory
+        self._metrics = metrics
+        self._journal = journal
+        self._store_return: StoreReturn | None = None
+
+    def note_change(self, source: str) -> None:
+        """Record content that was read by this process or fetched from the peer `source`."""
+        directory = self._directory
+        self._metrics.revision_in_force.set(directory.version)
+        self._metrics.store_era.set(directory.content_revision.era)
+        self._note_store_return(source)
+        self._journal.record(
+            "content-changed",
+            source=source,
+            version=directory.version,
+            revision=str(directory.content_revision),
+            targets=len(directory.targets),
+        )
+
+    def note_outdated_entries(self) -> None:
+        """Record entries that were passed over since the last call."""
+        counter = self._metrics.entries_outdated
+        count = self._directory.outdated_entries - int(counter.value())
+        if not count:
+            return
+        counter.increment(amount=count)
+        self._journal.record(
+            "entries-outdated", count=count, revision=str(self._directory.content_revision)
+        )
+
+    def _note_store_return(self, source: str) -> None:
+        found = self._directory.last_return
+        if found is None or found is self._store_return:
+            return
+        self._store_return = found
+        self._metrics.store_returns.increment()
+        self._journal.record(
+            "store-returned",
+            source=source,
+            before=str(found.before),
+            revision=str(found.after),
+            version=self._directory.version,
+            version_read=found.version_read,
+            lacking=found.lacking,
+            outdated=found.outdated,
+        )
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -17,7 +17,7 @@
     PacketCodec,
 )
 from ..boot import AgentSettings, NodeSettings, NodeSockets
-from ..directory import Directory, ReadPlan, Store, StoreReturn
+from ..directory import Directory, ReadPlan, Store
 from ..endpoints import Address, parse_ipv4
 from ..fleet import HubPlan, PeerTable
 from ..observation import (
@@ -28,12 +28,13 @@
     Journal,
     Metrics,
 )
-from ..supervision import Part, Supervisor, leaves
+from ..supervision import Part, Supervisor, SupervisorFactory, leaves
 from ..timing import TrioTimerService
 from ._agent_node import AgentNode
 from ._balancer_node import BalancerNode
 from ._content_exchange import ContentExchange
 from ._decision_log import DecisionLog
+from ._directory_log import DirectoryLog
 from ._failure_log import FailureLog
 from ._fleet_link import FleetLink, TargetLoad
 from ._log_writer import LogWriter, OpenLog
@@ -61,6 +62,7 @@
         timer: the only clock of the node, which runs it.
         open_log: called once before the first lines are written; see `LogWriter`.
         random: spreads actions that the whole fleet would otherwise do at the same time.
+        make_supervisor: takes what failures are reported to.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         timer: TrioTimerService,
         open_log: OpenLog,
         random: Random,
+        make_supervisor: SupervisorFactory = Supervisor,
     ) -> None:
         self._settings = settings
         self._sockets = sockets
@@ -81,7 +84,7 @@
             settings.name, lambda: self._timer.now, lambda: self._timer.epoch_milliseconds / 1000
         )
         self._failures = FailureLog(self._metrics, self._journal)
-        self._supervisor = Supervisor(self._failures.record)
+        self._supervisor = make_supervisor(self._failures.record)
         timer.contain_failures(lambda error: self._supervisor.note_failure(Part.TIMERS, error))
         self._log_writer = LogWriter(self._journal, open_log, random, self._supervisor)
         self._host = parse_ipv4(settings.host)
@@ -91,7 +94,7 @@
         self._hubs = HubPlan(self._host, settings.failure_domain, seeds, self._peers)
         self._candidates = Candidates(self._directory)
         self._placement = FlowPlacement(self._directory, self._peers, self._candidates)
-        self._store_return: StoreReturn | None = None
+        self._directory_log = DirectoryLog(self._directory, self._metrics, self._journal)
         self._plan = ReadPlan(self._host, settings.is_first_start)
         self._shutdown = ShutdownPlan(settings.grace_seconds)
         self._stopped = trio.Event()
@@ -331,58 +334,21 @@
         return None
 
     def _note_content_change(self, source: str) -> None:
-        directory = self._directory
-        if directory.is_known:
+        if self._directory.is_known:
             self._content_known.set()
         if not self._hubs.cell:
             with self._supervisor.contain(Part.HEARTBEATS):
                 self._link.send_heartbeats()
-        self._metrics.revision_in_force.set(directory.version)
-        self._metrics.store_era.set(directory.content_revision.era)
-        self._note_store_return(source)
-        self._journal.record(
-            "content-changed",
-            source=source,
-            version=directory.version,
-            revision=str(directory.content_revision),
-            targets=len(directory.targets),
-        )
+        self._directory_log.note_change(source)
         if source != STORE_SOURCE:
             self._link.announce_content(parse_ipv4(source))
 
-    def _note_store_return(self, source: str) -> None:
-        found = self._directory.last_return
-        if found is None or found is self._store_return:
-            return
-        self._store_return = found
-        self._metrics.store_returns.increment()
-        self._journal.record(
-            "store-returned",
-            source=source,
-            before=str(found.before),
-            revision=str(found.after),
-            version=self._directory.version,
-            version_read=found.version_read,
-            lacking=found.lacking,
-            outdated=found.outdated,
-        )
-
-    def _note_outdated_entries(self) -> None:
-        counter = self._metrics.entries_outdated
-        count = self._directory.outdated_entries - int(counter.value())
-        if not count:
-            return
-        counter.increment(amount=count)
-        self._journal.record(
-            "entries-outdated", count=count, revision=str(self._directory.content_revision)
-        )
-
     def _can_read_store(self) -> bool:
         return self._plan.can_read(self._timer.now) and not self._shutdown.is_leaving
 
     def _sweep(self, now: float) -> None:
         self._directory.tick(now)
-        self._note_outdated_entries()
+        self._directory_log.note_outdated_entries()
         load = self._load()
         self._metrics.flows_open.set(load.flows)
 
--- a/egretsill/quickstart/_site.py
+++ b/egretsill/quickstart/_site.py
@@ -21,6 +21,7 @@
 from ..stand_ins.fabric import Fabric
 from ..stand_ins.platform import PlatformStandIn
 from ..steering import ConnectionIdKey
+from ..supervision import PropagatingSupervisor, SupervisorFactory
 from ._site_plan import SitePlan
 
 REVISION_SECONDS = 0.5
@@ -30,12 +31,24 @@
 
 
 class Site:
-    """Starts, changes and stops the processes of one site."""
+    """Starts, changes and stops the processes of one site.
 
-    def __init__(self, plan: SitePlan, nursery: trio.Nursery, seed: int) -> None:
+    Args:
+        make_supervisor: makes the supervisors of the daemons; by default an unexpected exception of
+            one daemon ends the site.
+    """
+
+    def __init__(
+        self,
+        plan: SitePlan,
+        nursery: trio.Nursery,
+        seed: int,
+        make_supervisor: SupervisorFactory = PropagatingSupervisor,
+    ) -> None:
         self._plan = plan
         self._nursery = nursery
         self._seed = seed
+        self._make_supervisor = make_supervisor
         self._daemons: dict[str, Daemon] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
         self._backends: dict[str, BackendServer] = {}
@@ -172,7 +185,7 @@
         await self._nursery.start(backend.serve, target.backend.host, target.backend.port)
 
     async def _start_daemon(self, settings: DaemonSettings) -> None:
-        daemon = Daemon(settings, SystemRandom())
+        daemon = Daemon(settings, SystemRandom(), self._make_supervisor)
         scope = trio.CancelScope()
         self._daemons[settings.name] = daemon
         self._scopes[settings.name] = scope
--- a/egretsill/supervision/__init__.py
+++ b/egretsill/supervision/__init__.py
@@ -3,7 +3,7 @@
 from ._failure import FailureDescription, describe_failure, leaves
 from ._parts import Part
 from ._propagating import PropagatingSupervisor
-from ._supervisor import StartingTask, Supervisor
+from ._supervisor import StartingTask, Supervisor, SupervisorFactory
 
 __all__ = [
     "FailureDescription",
@@ -11,6 +11,7 @@
     "PropagatingSupervisor",
     "StartingTask",
     "Supervisor",
+    "SupervisorFactory",
     "describe_failure",
     "leaves",
 ]
--- a/egretsill/supervision/_propagating.py
+++ b/egretsill/supervision/_propagating.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 from ._parts import Part
-from ._supervisor import Supervisor
+from ._supervisor import FailureReport, Supervisor
+
+
+def _ignore(part: Part, error: BaseException) -> None:
+    """Report nothing: the failure is raised."""
 
 
 class PropagatingSupervisor(Supervisor):
     """Raises the failures that another supervisor would contain."""
 
-    def __init__(self) -> None:
-        super().__init__(lambda part, error: None)
+    def __init__(self, report: FailureReport = _ignore) -> None:
+        super().__init__(report)
 
     def note_failure(self, part: Part, error: BaseException) -> None:
         """Raise the failure.
--- a/egretsill/supervision/_supervisor.py
+++ b/egretsill/supervision/_supervisor.py
@@ -23,6 +23,7 @@
 STABLE_SECONDS = 30.0  # a task that ran for longer is restarted after the first pause again
 
 FailureReport: TypeAlias = Callable[[Part, BaseException], None]
+SupervisorFactory: TypeAlias = "Callable[[FailureReport], Supervisor]"
 Task: TypeAlias = Callable[[], Awaitable[None]]
 StartingTask: TypeAlias = Callable[["trio.TaskStatus[object]"], Awaitable[None]]
 
