--- a/egretsill/node/tests/test_store_reading.py
+++ b/egretsill/node/tests/test_store_reading.py
@@ -7,6 +7,7 @@
 import eliot
 import pytest
 import trio
+import trio.testing
 
 from ...directory import (
     Changes,
@@ -22,8 +23,9 @@
 from ...directory.tests.revisions import rev
 from ...observation import Journal, Metrics
 from ...supervision import PropagatingSupervisor
+from ...supervision.tests.supervisors import RecordingSupervisor
 from ...timing import VirtualTimerService
-from .._store_reading import StoreReading
+from .._store_reading import FAILURE_PAUSE_SECONDS, StoreReading
 
 HOST = 0x0A020001
 TABLE = RouteTable(1, {}, 15.0)
@@ -170,3 +172,44 @@
     described = "servers/a\\ud83d: key; b: zone"
     assert [(each["count"], each["entries"]) for each in lines] == [(2, described)] * 2
     assert metrics.configuration_ignored.value("unreadable") == 4
+
+
+class BrokenStore:
+    """A store whose client fails with an exception that nothing expects."""
+
+    async def read(self, timeout_seconds: float) -> Snapshot:
+        raise KeyError("unexpected")
+
+    async def watch(
+        self, after: StoreRevision, wait_seconds: float, timeout_seconds: float
+    ) -> Changes:
+        raise KeyError("unexpected")
+
+    async def close(self) -> None:
+        raise KeyError("unexpected")
+
+
+# Guards against a failure that persists and takes all of the process's time.
+@pytest.mark.parametrize("step", ["store", "plan"])
+def test_persistent_failure_is_repeated_at_a_limited_rate(
+    step: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def fail(*_: object) -> object:
+        raise KeyError("unexpected")
+
+    async def main() -> None:
+        with trio.move_on_after(10.0):
+            await reading.run()
+        # The first failure is at once, and the last one may be just at the end.
+        assert 2 <= len(supervisor.failures) <= 10.0 / FAILURE_PAUSE_SECONDS + 1
+        await reading.close()
+
+    timer = VirtualTimerService()
+    monkeypatch.setattr(timer, "_read_clock", trio.current_time)
+    plan = ReadPlan(HOST, is_first_start=False)
+    if step == "plan":
+        monkeypatch.setattr(ReadPlan, "next_step", fail)
+    reading = make_reading(BrokenStore(), plan, Directory(), timer, Metrics())
+    reading._supervisor = supervisor = RecordingSupervisor()
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert set(supervisor.names) == {("store-reading", "KeyError")}
