--- a/egretsill/daemon/_pages.py
+++ b/egretsill/daemon/_pages.py
@@ -83,6 +83,7 @@
             "older_revisions_ignored": self._configuration.older_ignored,
             "revision_conflicts": self._configuration.conflicts,
             "parts_stopped": sorted(each.value for each in self._supervisor.stopped),
+            "failures_unreported": self._supervisor.unreported,
             **self._role.status(),
         }
 
--- a/egretsill/daemon/tests/test_pages.py
+++ b/egretsill/daemon/tests/test_pages.py
@@ -38,7 +38,7 @@
         conflicts=0,
     )
     drain: Any = SimpleNamespace(draining=draining, signals=("termination",) if draining else ())
-    supervisor: Any = SimpleNamespace(stopped=stopped)
+    supervisor: Any = SimpleNamespace(stopped=stopped, unreported=0)
     return Pages(SETTINGS, role, membership, configuration, drain, lambda: backend, supervisor)
 
 
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -162,6 +162,7 @@
             "is_hub": self._hubs.is_hub(now),
             "is_leaving": self._shutdown.is_leaving,
             "parts_stopped": sorted(each.value for each in self._supervisor.stopped),
+            "failures_unreported": self._supervisor.unreported,
         }
 
     async def run(self) -> None:
--- a/egretsill/observation/__init__.py
+++ b/egretsill/observation/__init__.py
@@ -5,7 +5,8 @@
 from ._exceptions import LabelMismatch, LogFileUnavailable
 from ._health import HealthProblem, HealthState
 from ._journal import Journal, NonBlockingStream, log_to_standard_output
-from ._logging import LogValue, StateChange, StateKind, StateLog, open_log
+from ._log_values import LogValue
+from ._logging import StateChange, StateKind, StateLog, open_log
 from ._metrics import Counter, Gauge, Histogram, LabelValue, Metrics
 from ._reference import log_reference, metric_reference
 
--- a/egretsill/observation/_journal.py
+++ b/egretsill/observation/_journal.py
@@ -11,8 +11,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-from ._log_values import printable
-from ._logging import LogValue
+from ._log_values import LogValue, printable
 
 LINES_PER_SECOND = 5.0  # sustained rate of one kind; a process has about 20 kinds
 BURST_LINES = 40.0  # burst of one kind
--- a/egretsill/observation/_log_values.py
+++ b/egretsill/observation/_log_values.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import math
-
-from ._logging import LogValue
+from typing import TypeAlias
 
 MAXIMUM_TEXT_CHARACTERS = 4_000
 LARGEST_INTEGER = 2**63 - 1  # of the JSON encoder
 UNPRINTABLE = "unprintable"
 
+LogValue: TypeAlias = str | int | float | bool | None
+
 
 def printable(value: object) -> LogValue:
     """Return a value as it is if the JSON encoder can write it, else a bounded text for it."""
--- a/egretsill/observation/_logging.py
+++ b/egretsill/observation/_logging.py
@@ -8,14 +8,13 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import TextIO, TypeAlias
+from typing import TextIO
 
 from ._exceptions import LogFileUnavailable
+from ._log_values import LogValue, printable
 
 MAXIMUM_SUBJECTS = 20_000
 
-LogValue: TypeAlias = str | int | float | bool | None
-
 
 class StateKind(enum.Enum):
     """Kind of subject whose state changed.
@@ -126,10 +125,10 @@
         eliot.log_message(
             message_type=f"egretsill:{change.kind.label}",
             process=self._process,
-            subject=change.subject,
-            before=before,
-            state=change.state,
-            details=dict(change.details),
+            subject=printable(change.subject),
+            before=printable(before),
+            state=printable(change.state),
+            details={name: printable(value) for name, value in change.details.items()},
         )
         return True
 
