--- a/egretsill/boot/__init__.py
+++ b/egretsill/boot/__init__.py
@@ -1,6 +1,6 @@
 """First start-up step of an address-steering process, before its libraries are loaded."""
 
-from ._boot import SETTINGS_WAIT_SECONDS, BootFailed, NodeBoot, boot
+from ._boot import EXIT_SETTINGS, SETTINGS_WAIT_SECONDS, BootFailed, NodeBoot, boot
 from ._notices import write_notice
 from ._settings import (
     AgentSettings,
@@ -15,6 +15,7 @@
     "AgentSettings",
     "BindFailed",
     "BootFailed",
+    "EXIT_SETTINGS",
     "NodeBoot",
     "NodeRole",
     "NodeSettings",
--- a/egretsill/boot/_notices.py
+++ b/egretsill/boot/_notices.py
@@ -12,6 +12,7 @@
     """Write a line to standard error; it is dropped if that would block or isn't possible."""
     line = f"{text}\n".encode(errors="backslashreplace")
     try:
+        # Not through sys.stderr: the interpreter changes the exit code if that can't be flushed.
         if select.select((), (_STANDARD_ERROR,), (), 0)[1]:
             os.write(_STANDARD_ERROR, line)
     except OSError:
