--- a/egretsill/node/tests/later_steps.py
+++ b/egretsill/node/tests/later_steps.py
@@ -21,7 +21,7 @@
     encode_heartbeat,
 )
 from ...observation import Metrics
-from ...supervision.tests.supervisors import PropagatingSupervisor
+from ...supervision import PropagatingSupervisor
 from ...timing import VirtualTimerService
 from ...wire import StreamServer
 from .._content_exchange import ContentExchange
