--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -33,9 +33,7 @@
 from ..observation import (
     JSON,
     AdminServer,
-    EndpointOpened,
     EndpointStates,
-    EndpointUnavailable,
     Metrics,
     StateChange,
     StateKind,
@@ -53,6 +51,7 @@
 from ._configuration_link import serve_requests
 from ._configuration_service import make_configuration_service, update_configuration_metrics
 from ._drain_control import DrainControl, HealthPoller
+from ._endpoint_log import EndpointLog
 from ._exceptions import (
     AddressUnavailable,
     AgentSettingsIncomplete,
@@ -91,10 +90,10 @@
         self._timer = TrioTimerService()
         self._metrics = Metrics()
         self._state_log = StateLog(settings.name)
+        self._endpoints = EndpointStates(self._metrics, EndpointLog(self._state_log).record)
         self._failures = FailureLog(self._metrics, self._state_log)
         self._supervisor = make_supervisor(self._failures.record)
         self._timer.contain_failures(partial(self._supervisor.note_failure, Part.TIMERS))
-        self._endpoints = EndpointStates(self._metrics, self._note_endpoint_change)
         self._stopped = trio.Event()
         self._backend_state = BackendState.HEALTHY
         self._role = self._make_role()
@@ -202,9 +201,9 @@
             run = self._supervisor.run
             nursery.start_soon(run, Part.TIMERS, self._timer.run)
             nursery.start_soon(run, Part.GOSSIP, self._gossip.run)
-            relay = self._settings.relay
+            relay, admin = self._settings.relay, self._make_admin()
             await self._start(nursery, Part.RELAY, "relay", relay, self._streams.run)
-            await nursery.start(self._supervisor.start, Part.ADMIN, self._make_admin().run)
+            await nursery.start(self._supervisor.start, Part.ADMIN, admin.run)
             self._membership.start()
             nursery.start_soon(run, Part.CONFIGURATION, self._configuration.run)
             nursery.start_soon(run, Part.ROLE, self._role.run, is_address_unavailable)
@@ -364,16 +363,6 @@
         self._metrics.configuration_conflicts.increment()
         self._record(StateKind.CONFIGURATION_CONFLICT, conflict.revision)
 
-    def _note_endpoint_change(self, change: EndpointUnavailable | EndpointOpened) -> None:
-        match change:
-            case EndpointUnavailable(endpoint, address, error):
-                details = {"address": str(address), "error": error}
-                state = StateChange(StateKind.ENDPOINT, endpoint, "unavailable", details)
-            case EndpointOpened(endpoint, address):
-                details = {"address": str(address)}
-                state = StateChange(StateKind.ENDPOINT, endpoint, "open", details)
-        self._state_log.record(state)
-
     def _on_backend_request(self, answered: bool) -> None:
         self._health.note_request(answered)
 
