--- a/egretsill/directory/_store.py
+++ b/egretsill/directory/_store.py
@@ -55,6 +55,9 @@
     async def read(self, timeout_seconds: float) -> Snapshot:
         """Return the complete content of the store, all of it read in one era.
 
+        Args:
+            timeout_seconds: longest time in which nothing of the content arrives.
+
         Raises:
             StoreUnavailable: if there is no usable response in time.
         """
@@ -64,6 +67,11 @@
     ) -> Changes:
         """Return the changes since a revision, or empty changes if there are none within the wait.
 
+        Args:
+            after: the revision.
+            wait_seconds: how long the store may wait for a change.
+            timeout_seconds: longest time in which nothing arrives.
+
         Raises:
             StoreUnavailable: if there is no usable response in time.
             HistoryLost: if the revision is too old or of another era; read everything again.
--- a/egretsill/wire/_http_connection.py
+++ b/egretsill/wire/_http_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -38,6 +39,7 @@
         self._maximum_body_bytes = maximum_body_bytes
         self._stream: trio.abc.Stream | None = None
         self._connection = h11.Connection(h11.CLIENT)
+        self._silence_seconds = math.inf
         self._requests = 0
 
     @property
@@ -45,15 +47,25 @@
         """Return how many requests were sent."""
         return self._requests
 
-    async def get(self, address: Address, target: str) -> HttpResponse:
+    async def get(
+        self, address: Address, target: str, silence_seconds: float = math.inf
+    ) -> HttpResponse:
         """Return the response; a request on a reused connection that was closed is retried once.
 
+        Args:
+            address: the server's endpoint.
+            target: path and query.
+            silence_seconds: longest wait for the connection, and for each next part of the
+                response, however long all of it takes.
+
         Raises:
+            trio.TooSlowError: if the server was silent for longer.
             OSError: if the server can't be reached.
             trio.BrokenResourceError: if the connection broke.
             h11.ProtocolError: if the response is malformed or too large.
         """
         reused = self._stream is not None
+        self._silence_seconds = silence_seconds
         try:
             return await self._request_once(address, target)
         except _ConnectionClosed as error:
@@ -80,7 +92,8 @@
         data = self._connection.send(request)
         data = (data or b"") + (self._connection.send(h11.EndOfMessage()) or b"")
         try:
-            await stream.send_all(data)
+            with trio.fail_after(self._silence_seconds):
+                await stream.send_all(data)
         except trio.BrokenResourceError as error:
             raise _ConnectionClosed from error
         head = await self._next_response(stream)
@@ -90,7 +103,8 @@
 
     async def _open(self, address: Address) -> trio.abc.Stream:
         if self._stream is None:
-            self._stream = await trio.open_tcp_stream(address.host, address.port)
+            with trio.fail_after(self._silence_seconds):
+                self._stream = await trio.open_tcp_stream(address.host, address.port)
             self._connection = h11.Connection(
                 h11.CLIENT, max_incomplete_event_size=MAXIMUM_HEAD_BYTES
             )
@@ -111,7 +125,7 @@
 
     async def _receive(self, stream: trio.abc.Stream, received: int) -> bytes:
         try:
-            data = bytes(await stream.receive_some(READ_BYTES))
+            data = await self._receive_part(stream)
         except trio.BrokenResourceError as error:
             if received:
                 raise
@@ -120,6 +134,10 @@
             raise _ConnectionClosed
         return data
 
+    async def _receive_part(self, stream: trio.abc.Stream) -> bytes:
+        with trio.fail_after(self._silence_seconds):
+            return bytes(await stream.receive_some(READ_BYTES))
+
     async def _read_body(self, stream: trio.abc.Stream) -> bytes:
         body = bytearray()
         while True:
@@ -127,7 +145,7 @@
             if isinstance(event, h11.EndOfMessage):
                 return bytes(body)
             if event is h11.NEED_DATA:
-                self._connection.receive_data(bytes(await stream.receive_some(READ_BYTES)))
+                self._connection.receive_data(await self._receive_part(stream))
             elif isinstance(event, h11.Data):
                 body += event.data
             else:
