--- a/egretsill/directory/_reading.py
+++ b/egretsill/directory/_reading.py
@@ -20,8 +20,10 @@
 STALE_SECONDS = 1.5  # leaves half of the 3 s within which changes must be in force for reading
 WATCH_SECONDS = 1.0  # confirms content before it is stale at other processes, heartbeats included
 WATCH_SLACK_SECONDS = 0.7  # responses may take 60 times the usual 4 ms, plus the network
-READ_TIMEOUT_SECONDS = 0.8  # likewise, for two or more pages
+READ_TIMEOUT_SECONDS = 0.8  # likewise
 STARTUP_TIMEOUT_SECONDS = 0.3  # short, so that a lost call costs little before anything is known
+TIMEOUT_GROWTH = 2.0  # factor after each read in succession that the store was too slow for
+LONGEST_TIMEOUT_SECONDS = 2.4
 STARTUP_PAUSE_SECONDS = 0.15  # between attempts of a process that can't serve until it has read
 FIRST_START_PAUSE_SECONDS = 1.0  # between attempts before the fleet's first configuration
 RETRY_PAUSE_SECONDS = 0.4  # between attempts of the first in rank while content is stale
@@ -46,7 +48,7 @@
     """Read everything.
 
     Attributes:
-        timeout_seconds: longest wait for the response.
+        timeout_seconds: longest wait for each next part of the response.
     """
 
     timeout_seconds: float
@@ -58,7 +60,7 @@
 
     Attributes:
         wait_seconds: how long the store may hold the call.
-        timeout_seconds: longest wait for the response.
+        timeout_seconds: longest wait for the response to begin, and for each next part.
     """
 
     wait_seconds: float
@@ -91,6 +93,7 @@
         self._failed_at = float("-inf")
         self._tried_at = float("-inf")
         self._needs_read = True
+        self._timeout_factor = 1.0
 
     def can_read(self, now: float) -> bool:
         """Return whether this process has had no failed read recently."""
@@ -112,7 +115,7 @@
             return self._step_without_content(now, turn)
         if self._host in readers and self.can_read(now):
             if self._needs_read:
-                return ReadAll(READ_TIMEOUT_SECONDS)
+                return self._read_all(READ_TIMEOUT_SECONDS)
             return WatchChanges(WATCH_SECONDS, WATCH_SECONDS + WATCH_SLACK_SECONDS)
         due_at = confirmed_at + STALE_SECONDS + TURN_SECONDS * turn
         if now < due_at:
@@ -127,12 +130,21 @@
         """Record that everything was read, so that changes can be watched from that revision."""
         self._needs_read = False
         self._failed_at = float("-inf")
+        self._timeout_factor = 1.0
 
     def note_failure(self, now: float) -> None:
         """Record that the store gave no usable response."""
         self._failed_at = now
         self._needs_read = True
 
+    def note_timeout(self, now: float) -> None:
+        """Record that the store was too slow; the next read waits longer.
+
+        A store that is slower than every time-out would never be read otherwise.
+        """
+        self.note_failure(now)
+        self._timeout_factor *= TIMEOUT_GROWTH
+
     def require_complete_read(self) -> None:
         """Record that watched changes don't suffice, so that everything must be read again."""
         self._needs_read = True
@@ -154,7 +166,10 @@
     ) -> ReadStep:
         if now - self._tried_at < pause_seconds:
             return _pause_until(self._tried_at + pause_seconds, now)
-        return ReadAll(timeout_seconds)
+        return self._read_all(timeout_seconds)
+
+    def _read_all(self, timeout_seconds: float) -> ReadAll:
+        return ReadAll(min(timeout_seconds * self._timeout_factor, LONGEST_TIMEOUT_SECONDS))
 
 
 def _pause_until(due_at: float, now: float) -> Pause:
--- a/egretsill/directory/tests/test_reading.py
+++ b/egretsill/directory/tests/test_reading.py
@@ -7,7 +7,15 @@
 import pytest
 
 from .. import READERS, Pause, ReadAll, ReadPlan, ReadStep, WatchChanges, reader_order
-from .._reading import FAILED_READ_SECONDS, STALE_SECONDS, TURN_SECONDS, TURNS
+from .._reading import (
+    FAILED_READ_SECONDS,
+    LONGEST_TIMEOUT_SECONDS,
+    READ_TIMEOUT_SECONDS,
+    STALE_SECONDS,
+    STARTUP_TIMEOUT_SECONDS,
+    TURN_SECONDS,
+    TURNS,
+)
 
 FLEET = frozenset(range(1, 18))
 ORDER = reader_order(FLEET)
@@ -101,3 +109,47 @@
                 case Pause(seconds):
                     now += seconds
     assert count < 17 * 10 / 0.4 + 17
+
+
+def read_timeouts(has_content: bool, attempts: int) -> list[float]:
+    """Return the time-outs of reads in succession that the store is too slow for."""
+    plan, now, found = ReadPlan(ORDER[-1], False), 10.0, list[float]()
+    while len(found) < attempts:
+        match plan.next_step(now, 0.0, has_content, CHOSEN):
+            case ReadAll(timeout_seconds):
+                found.append(timeout_seconds)
+                plan.note_attempt(now)
+                now += timeout_seconds
+                plan.note_timeout(now)
+            case Pause(seconds):
+                now += seconds
+    return found
+
+
+# Guards against a process that never has content from a store that is slow, or on a slow machine.
+@pytest.mark.parametrize(
+    ("has_content", "first"),
+    [
+        pytest.param(False, STARTUP_TIMEOUT_SECONDS, id="at the start"),
+        pytest.param(True, READ_TIMEOUT_SECONDS, id="with stale content"),
+    ],
+)
+def test_reads_that_time_out_wait_longer_up_to_a_limit(has_content: bool, first: float) -> None:
+    timeouts = read_timeouts(has_content, 6)
+    assert timeouts[:2] == [first, 2 * first]
+    assert timeouts == sorted(timeouts)
+    assert timeouts[-1] == LONGEST_TIMEOUT_SECONDS
+
+
+def test_read_that_succeeds_ends_the_longer_waits() -> None:
+    plan = ReadPlan(ORDER[-1], False)
+    plan.note_timeout(10.0)
+    plan.note_timeout(11.0)
+    plan.note_read()
+    assert plan.next_step(20.0, 10.0, True, CHOSEN) == ReadAll(READ_TIMEOUT_SECONDS)
+
+
+def test_store_that_refuses_is_not_waited_for_longer() -> None:
+    plan = ReadPlan(ORDER[-1], False)
+    plan.note_failure(10.0)
+    assert plan.next_step(20.0, 0.0, False, CHOSEN) == ReadAll(STARTUP_TIMEOUT_SECONDS)
--- a/egretsill/node/_store_reading.py
+++ b/egretsill/node/_store_reading.py
@@ -98,7 +98,10 @@
                 case WatchChanges(wait_seconds, timeout_seconds):
                     await self._watch(wait_seconds, timeout_seconds)
         except StoreUnavailable as error:
-            self._plan.note_failure(self._timer.now)
+            if error.failure is StoreFailure.TIMED_OUT:
+                self._plan.note_timeout(self._timer.now)
+            else:
+                self._plan.note_failure(self._timer.now)
             self._note_failure(error)
         except HistoryLost as error:
             self._plan.require_complete_read()
