--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -88,7 +88,7 @@
         self._timer = TrioTimerService()
         self._metrics = Metrics()
         self._state_log = StateLog(settings.name)
-        self._failures = FailureLog(self._metrics, self._state_log)
+        self._failures = FailureLog(self._metrics, self._state_log, lambda: self._timer.now)
         self._supervisor = make_supervisor(self._failures.record)
         self._timer.contain_failures(partial(self._supervisor.note_failure, Part.TIMERS))
         self._stopped = trio.Event()
