--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -33,6 +33,9 @@
 from ..observation import (
     JSON,
     AdminServer,
+    EndpointOpened,
+    EndpointStates,
+    EndpointUnavailable,
     Metrics,
     StateChange,
     StateKind,
@@ -44,7 +47,7 @@
 from ..steering import ConnectionIdCodec
 from ..supervision import Part, StartingTask, Supervisor, SupervisorFactory, leaves
 from ..timing import TrioTimerService
-from ..wire import StreamDecoder
+from ..wire import StreamDecoder, StreamServer
 from ._agent_role import AgentRole
 from ._balancer_role import BalancerRole
 from ._configuration_link import serve_requests
@@ -91,6 +94,7 @@
         self._failures = FailureLog(self._metrics, self._state_log, lambda: self._timer.now)
         self._supervisor = make_supervisor(self._failures.record)
         self._timer.contain_failures(partial(self._supervisor.note_failure, Part.TIMERS))
+        self._endpoints = EndpointStates(self._metrics, self._note_endpoint_change)
         self._stopped = trio.Event()
         self._backend_state = BackendState.HEALTHY
         self._role = self._make_role()
@@ -150,8 +154,10 @@
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Run until shut down or cancelled; report as started once every endpoint is bound.
 
+        The admin endpoint isn't waited for: it is opened as soon as its address is free.
+
         Raises:
-            AddressUnavailable: if an endpoint can't be bound.
+            AddressUnavailable: if another endpoint can't be bound.
         """
         try:
             await self._run(task_status)
@@ -196,9 +202,9 @@
             run = self._supervisor.run
             nursery.start_soon(run, Part.TIMERS, self._timer.run)
             nursery.start_soon(run, Part.GOSSIP, self._gossip.run)
-            settings, admin = self._settings, self._make_admin()
-            await self._start(nursery, Part.RELAY, "relay", settings.relay, self._streams.run)
-            await self._start(nursery, Part.ADMIN, "admin", settings.admin, admin.run)
+            relay = self._settings.relay
+            await self._start(nursery, Part.RELAY, "relay", relay, self._streams.run)
+            await nursery.start(self._supervisor.start, Part.ADMIN, self._make_admin().run)
             self._membership.start()
             nursery.start_soon(run, Part.CONFIGURATION, self._configuration.run)
             nursery.start_soon(run, Part.ROLE, self._role.run, is_address_unavailable)
@@ -275,8 +281,9 @@
         )
 
     def _make_admin(self) -> AdminServer:
+        listen = self._settings.admin
         return AdminServer(
-            self._settings.admin,
+            StreamServer(listen, self._endpoints.observer("admin", listen)),
             self._metrics,
             lambda: self._pages.status,
             lambda: self._pages.health,
@@ -357,6 +364,16 @@
         self._metrics.configuration_conflicts.increment()
         self._record(StateKind.CONFIGURATION_CONFLICT, conflict.revision)
 
+    def _note_endpoint_change(self, change: EndpointUnavailable | EndpointOpened) -> None:
+        match change:
+            case EndpointUnavailable(endpoint, address, error):
+                details = {"address": str(address), "error": error}
+                state = StateChange(StateKind.ENDPOINT, endpoint, "unavailable", details)
+            case EndpointOpened(endpoint, address):
+                details = {"address": str(address)}
+                state = StateChange(StateKind.ENDPOINT, endpoint, "open", details)
+        self._state_log.record(state)
+
     def _on_backend_request(self, answered: bool) -> None:
         self._health.note_request(answered)
 
--- a/egretsill/daemon/_exceptions.py
+++ b/egretsill/daemon/_exceptions.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import errno
 from pathlib import Path
 
 from ..configuration import Address
+from ..endpoints import error_name
 from ..supervision import leaves
 
 
@@ -27,7 +27,7 @@
     @classmethod
     def caused_by(cls, error: OSError, purpose: str, address: Address) -> AddressUnavailable:
         """Return the exception for an error of the operating system."""
-        return cls(purpose, address, errno.errorcode.get(error.errno or 0, "OSError"))
+        return cls(purpose, address, error_name(error))
 
 
 def is_address_unavailable(error: Exception) -> bool:
--- a/egretsill/node/_content_exchange.py
+++ b/egretsill/node/_content_exchange.py
@@ -16,18 +16,27 @@
     DirectoryMessage,
     MalformedContent,
     StoreRevision,
+    UnusableEntry,
     pack_changes,
     pack_revision,
     pack_table,
     pack_targets,
+    unpack_age,
     unpack_changes,
+    unpack_request,
     unpack_revision,
     unpack_table,
     unpack_targets,
 )
 from ..supervision import Part, Supervisor
 from ..timing import TimerService
-from ..wire import Address, Codec, MalformedMessage, StreamDecoder
+from ..wire import (
+    Address,
+    Codec,
+    MalformedMessage,
+    StreamDecoder,
+    StreamServer,
+)
 
 EXCHANGE_SECONDS = 0.6  # three round trips between failure domains, with a busy peer
 READ_BYTES = 65_536
@@ -43,7 +52,7 @@
 
     Attributes:
         host: the peer's address.
-        reason: one word for the cause.
+        reason: the cause in a few words.
     """
 
     def __init__(self, host: str, reason: str) -> None:
@@ -56,20 +65,20 @@
     """Serves directory content to peers and fetches theirs.
 
     Args:
-        listen: TCP endpoint; peers use the same port.
+        server: serves the TCP endpoint; peers use the same port.
         directory: the content that is served, and into which responses are merged.
         count_malformed: called with a description of each malformed message.
     """
 
     def __init__(
         self,
-        listen: Address,
+        server: StreamServer,
         directory: Directory,
         timer: TimerService,
         supervisor: Supervisor,
         count_malformed: Callable[[str], None],
     ) -> None:
-        self._listen = listen
+        self._server = server
         self._directory = directory
         self._timer = timer
         self._supervisor = supervisor
@@ -77,15 +86,9 @@
         self._codec: Codec[DirectoryMessage] = Codec("directory", DIRECTORY_TYPES)
         self._open_connections = 0
 
-    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
-        """Serve requests until cancelled; reports as started once the endpoint is bound.
-
-        Raises:
-            OSError: if the endpoint can't be bound.
-        """
-        listeners = await trio.open_tcp_listeners(self._listen.port, host=self._listen.host)
-        task_status.started()
-        await trio.serve_listeners(self._serve, listeners)
+    async def run(self, task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve requests until cancelled; `task_status` reports the endpoint after one attempt."""
+        await self._server.run(self._serve, task_status)
 
     async def fetch(self, host: str) -> bool:
         """Fetch and merge a peer's content; return whether anything in force changed.
@@ -95,9 +98,12 @@
         """
         try:
             with trio.fail_after(EXCHANGE_SECONDS):
-                stream = await trio.open_tcp_stream(host, self._listen.port)
+                stream = await trio.open_tcp_stream(host, self._server.address.port)
                 async with stream:
-                    await stream.send_all(self._codec.encode(self.make_request()))
+                    request = ContentRequest(
+                        self._directory.version, pack_revision(self._directory.content_revision)
+                    )
+                    await stream.send_all(self._codec.encode(request))
                     response = await self._next_message(stream)
             return self._apply_response(response)
         except trio.TooSlowError as error:
@@ -106,12 +112,7 @@
             raise PeerContentUnavailable(host, type(error).__name__) from error
         except (MalformedMessage, MalformedContent) as error:
             self._count_malformed(str(error))
-            raise PeerContentUnavailable(host, "malformed") from error
-
-    def make_request(self) -> ContentRequest:
-        """Return the request for what this process lacks."""
-        directory = self._directory
-        return ContentRequest(directory.version, pack_revision(directory.content_revision))
+            raise PeerContentUnavailable(host, str(error)) from error
 
     def respond(self, request: ContentRequest) -> ContentResponse | ContentUpdate:
         """Return the changes since the requester's revision, or else the complete content.
@@ -120,17 +121,18 @@
         this process had at that revision.
 
         Raises:
-            MalformedContent: if the requester's revision is not valid.
+            MalformedContent: if the requester's version or revision is not valid.
         """
         directory = self._directory
-        changes = directory.changes_since(unpack_revision(request.revision))
+        known_version, revision = unpack_request(request)
+        changes = directory.changes_since(revision)
         if changes is not None:
             routes = changes.routes
             bases = routes.base_versions if routes is not None else (directory.version,)
-            if request.version >= directory.version or request.version in bases:
+            if known_version >= directory.version or known_version in bases:
                 return pack_changes(changes, self._age_milliseconds)
         table = directory.table
-        is_wanted = table is not None and table.version > request.version
+        is_wanted = table is not None and table.version > known_version
         return ContentResponse(
             pack_revision(directory.content_revision),
             self._age_milliseconds,
@@ -170,7 +172,9 @@
 
     def _apply_changes(self, message: ContentUpdate) -> bool | None:
         return self._directory.apply_peer_changes(
-            unpack_changes(message), message.age_milliseconds / MILLISECONDS, self._timer.now
+            unpack_changes(message, self._note_unusable),
+            unpack_age(message.age_milliseconds),
+            self._timer.now,
         )
 
     def _apply_response(self, response: DirectoryMessage | None) -> bool:
@@ -184,11 +188,14 @@
         return self._directory.apply_peer_content(
             unpack_revision(response.revision),
             unpack_table(response.table) if response.table is not None else None,
-            unpack_targets(response.targets),
-            response.age_milliseconds / MILLISECONDS,
+            unpack_targets(response.targets, self._note_unusable),
+            unpack_age(response.age_milliseconds),
             self._timer.now,
         )
 
+    def _note_unusable(self, entry: UnusableEntry) -> None:
+        self._count_malformed(f"unusable {entry.part} of a target")
+
     async def _serve(self, stream: trio.abc.Stream) -> None:
         if self._open_connections >= MAXIMUM_CONNECTIONS:
             await trio.aclose_forcefully(stream)
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -30,6 +30,7 @@
 )
 from ..supervision import Part, Supervisor, SupervisorFactory, leaves
 from ..timing import TrioTimerService
+from ..wire import StreamServer
 from ._agent_node import AgentNode
 from ._balancer_node import BalancerNode
 from ._content_exchange import ContentExchange
@@ -41,6 +42,7 @@
 from ._reader_choice import ReaderChoice
 from ._shutdown import ShutdownPlan
 from ._store_reading import STORE_SOURCE, StoreReading
+from ._tcp_endpoints import TcpEndpoints
 
 SWEEP_SECONDS = 1.0
 CONTENT_SECONDS = 1.0  # longest wait for content at startup; callers stop sending SYNs after 1.4 s
@@ -83,6 +85,7 @@
         self._journal = Journal(
             settings.name, lambda: self._timer.now, lambda: self._timer.epoch_milliseconds / 1000
         )
+        self._endpoints = TcpEndpoints(settings, sockets, self._metrics, self._journal)
         self._failures = FailureLog(self._metrics, self._journal)
         self._supervisor = make_supervisor(self._failures.record)
         timer.contain_failures(lambda error: self._supervisor.note_failure(Part.TIMERS, error))
@@ -102,7 +105,7 @@
         self._agent_steering: AgentSteering | None = None
         self._role = self._make_role(codec)
         self._exchange = ContentExchange(
-            Address(settings.host, settings.tunnel_port),
+            self._endpoints.content,
             self._directory,
             self._timer,
             self._supervisor,
@@ -161,6 +164,7 @@
             "cell": self._hubs.cell,
             "is_hub": self._hubs.is_hub(now),
             "is_leaving": self._shutdown.is_leaving,
+            "endpoints": self._endpoints.states,
             "parts_stopped": sorted(each.value for each in self._supervisor.stopped),
             "failures_unreported": self._supervisor.unreported,
         }
@@ -221,9 +225,8 @@
             nursery.start_soon(run, Part.STORE_READING, self._reading.run)
             await nursery.start(start, Part.CONTENT_SERVING, self._exchange.run)
             nursery.start_soon(run, Part.HEARTBEATS, self._link.run)
-            for listen in (self._settings.health, self._settings.metrics):
-                if listen is not None:
-                    await nursery.start(start, Part.ADMIN, self._make_admin(listen).run)
+            for server in self._endpoints.pages:
+                await nursery.start(start, Part.ADMIN, self._make_admin(server).run)
             self._timer.subscribe(SWEEP_SECONDS, self._sweep)
             nursery.start_soon(run, Part.LOG, self._log_writer.run)
             await self._stopped.wait()
@@ -310,9 +313,9 @@
             self._note_content_change,
         )
 
-    def _make_admin(self, listen: Address) -> AdminServer:
+    def _make_admin(self, server: StreamServer) -> AdminServer:
         return AdminServer(
-            listen, self._metrics, lambda: self.status, lambda: self.health, self._supervisor
+            server, self._metrics, lambda: self.status, lambda: self.health, self._supervisor
         )
 
     def _load(self) -> TargetLoad:
--- a/egretsill/observation/_admin_server.py
+++ b/egretsill/observation/_admin_server.py
@@ -16,7 +16,7 @@
 import trio
 
 from ..supervision import Part, Supervisor
-from ..wire import Address
+from ..wire import Address, StreamServer
 from ._health import HealthState
 from ._metrics import Metrics
 
@@ -53,7 +53,7 @@
     """Serves `/metrics`, `/status` and `/health`.
 
     Args:
-        listen: TCP endpoint; port 0 selects any free port.
+        server: serves the TCP endpoint.
         status: returns the state of this process for `/status`.
         health: returns the health of this process for `/health`.
         supervisor: contains unexpected exceptions of connections and pages.
@@ -61,13 +61,13 @@
 
     def __init__(
         self,
-        listen: Address,
+        server: StreamServer,
         metrics: Metrics,
         status: Callable[[], Mapping[str, JSON]],
         health: Callable[[], HealthState],
         supervisor: Supervisor,
     ) -> None:
-        self._listen = listen
+        self._server = server
         self._metrics = metrics
         self._status = status
         self._health = health
@@ -75,15 +75,8 @@
         self._connections = 0
 
     async def run(self, task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED) -> None:
-        """Serve until cancelled; `task_status` reports the bound endpoint.
-
-        Raises:
-            OSError: if listening on the endpoint fails.
-        """
-        listeners = await trio.open_tcp_listeners(self._listen.port, host=self._listen.host)
-        bound = listeners[0].socket.getsockname()
-        task_status.started(Address(bound[0], bound[1]))
-        await trio.serve_listeners(self._serve, listeners)
+        """Serve until cancelled; `task_status` reports the endpoint after one attempt."""
+        await self._server.run(self._serve, task_status)
 
     async def _serve(self, stream: trio.abc.HalfCloseableStream) -> None:
         if self._connections >= MAXIMUM_CONNECTIONS:
--- a/egretsill/observation/tests/test_admin_garbage.py
+++ b/egretsill/observation/tests/test_admin_garbage.py
@@ -11,6 +11,7 @@
 
 from ...configuration import Address
 from ...supervision import PropagatingSupervisor
+from ...wire import StreamServer
 from .. import AdminServer, HealthState, Metrics
 from .._admin_server import MAXIMUM_REQUEST_BYTES, READ_BYTES
 
@@ -38,12 +39,10 @@
 
 async def _exchange(data: bytes, pieces: int) -> tuple[bytes, Metrics, AdminServer]:
     metrics = Metrics()
+    errors: list[OSError | None] = []
+    stream_server = StreamServer(Address("127.0.0.1", 0), errors.append)
     server = AdminServer(
-        Address("127.0.0.1", 0),
-        metrics,
-        lambda: {"revision": 1},
-        HealthState,
-        PropagatingSupervisor(),
+        stream_server, metrics, lambda: {"revision": 1}, HealthState, PropagatingSupervisor()
     )
     client, served = trio.testing.memory_stream_pair()
     response = b""
