--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -45,7 +45,7 @@
 from ..requests import RELAY_TYPES
 from ..settings import DaemonSettings, Role, SettingsRejected
 from ..steering import ConnectionIdCodec
-from ..supervision import Part, StartingTask, Supervisor, SupervisorFactory, leaves
+from ..supervision import Part, Supervisor, SupervisorFactory, leaves
 from ..timing import TrioTimerService
 from ..wire import StreamDecoder, StreamServer
 from ._agent_role import AgentRole
@@ -53,6 +53,7 @@
 from ._configuration_link import serve_requests
 from ._configuration_service import make_configuration_service, update_configuration_metrics
 from ._drain_control import DrainControl, HealthPoller
+from ._endpoint_log import endpoint_state_change
 from ._exceptions import (
     AddressUnavailable,
     AgentSettingsIncomplete,
@@ -202,8 +203,7 @@
             run = self._supervisor.run
             nursery.start_soon(run, Part.TIMERS, self._timer.run)
             nursery.start_soon(run, Part.GOSSIP, self._gossip.run)
-            relay = self._settings.relay
-            await self._start(nursery, Part.RELAY, "relay", relay, self._streams.run)
+            await self._start_relay(nursery)
             await nursery.start(self._supervisor.start, Part.ADMIN, self._make_admin().run)
             self._membership.start()
             nursery.start_soon(run, Part.CONFIGURATION, self._configuration.run)
@@ -319,18 +319,11 @@
     ) -> None:
         await serve_requests(self._configuration.answer, stream, first, decoder)
 
-    async def _start(
-        self,
-        nursery: trio.Nursery,
-        part: Part,
-        purpose: str,
-        address: Address,
-        run: StartingTask,
-    ) -> None:
+    async def _start_relay(self, nursery: trio.Nursery) -> None:
         try:
-            await nursery.start(self._supervisor.start, part, run, True)
+            await nursery.start(self._supervisor.start, Part.RELAY, self._streams.run, True)
         except OSError as error:
-            raise AddressUnavailable.caused_by(error, purpose, address) from error
+            raise AddressUnavailable.caused_by(error, "relay", self._settings.relay) from error
 
     def _on_bundle(self, bundle: Bundle) -> None:
         with self._supervisor.contain(Part.CONFIGURATION):
@@ -365,14 +358,7 @@
         self._record(StateKind.CONFIGURATION_CONFLICT, conflict.revision)
 
     def _note_endpoint_change(self, change: EndpointUnavailable | EndpointOpened) -> None:
-        match change:
-            case EndpointUnavailable(endpoint, address, error):
-                details = {"address": str(address), "error": error}
-                state = StateChange(StateKind.ENDPOINT, endpoint, "unavailable", details)
-            case EndpointOpened(endpoint, address):
-                details = {"address": str(address)}
-                state = StateChange(StateKind.ENDPOINT, endpoint, "open", details)
-        self._state_log.record(state)
+        self._state_log.record(endpoint_state_change(change))
 
     def _on_backend_request(self, answered: bool) -> None:
         self._health.note_request(answered)
