--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -147,9 +147,7 @@
         return self._pages.status
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
-        """Run until shut down or cancelled; report as started once every endpoint is bound.
-
-        The admin endpoint isn't waited for: it is opened as soon as its address is free.
+        """Run until shut down or cancelled; report as started once bound, but for admin.
 
         Raises:
             AddressUnavailable: if another endpoint can't be bound.
