--- a/egretsill/wire/_stream_server.py
+++ b/egretsill/wire/_stream_server.py
@@ -13,6 +13,7 @@
 from ..endpoints import Address
 
 RETRY_SECONDS = 0.25
+CALM_SECONDS = 5.0  # without an error after one for lack of capacity, since these come in bursts
 MAXIMUM_BACKLOG = 65_535  # connections; the operating system lowers it to its own limit
 
 StreamHandler: TypeAlias = Callable[[trio.SocketStream], Awaitable[object]]
@@ -41,7 +42,6 @@
         self._address = address
         self._observe = observe
         self._reserved = reserved
-        self._is_open = False
 
     @property
     def address(self) -> Address:
@@ -73,9 +73,9 @@
         try:
             listener = await self._listen()
         except OSError as error:
-            self._note(error)
+            self._observe(error)
             return None
-        self._note(None)
+        self._observe(None)
         return listener
 
     async def _listen(self) -> trio.SocketListener:
@@ -96,17 +96,29 @@
         self, listener: trio.SocketListener, handle: StreamHandler, connections: trio.Nursery
     ) -> None:
         """Accept connections until the listener fails, and close it."""
-        async with listener:
-            try:
-                while True:
-                    connections.start_soon(_run, handle, await self._accept(listener))
-            except OSError as error:
-                self._note(error)
-            except trio.ClosedResourceError:
-                self._note(OSError(errno.EBADF, "listener closed"))
+        patient = _PatientListener(listener, self._observe)
+        try:
+            await trio.serve_listeners(handle, [patient], handler_nursery=connections)
+        except* OSError as group:
+            self._observe(next(leaf for leaf in group.exceptions if isinstance(leaf, OSError)))
+        except* trio.ClosedResourceError:
+            self._observe(OSError(errno.EBADF, "listener closed"))
 
-    async def _accept(self, listener: trio.SocketListener) -> trio.SocketStream:
-        """Return the next connection; wait while the process has no capacity for one.
+
+class _PatientListener(trio.abc.Listener[trio.SocketStream]):
+    """Waits while the process has no capacity for another connection.
+
+    trio would write a traceback to standard error for each attempt, which blocks the process if
+    nobody reads that.
+    """
+
+    def __init__(self, listener: trio.SocketListener, observe: EndpointObserver) -> None:
+        self._listener = listener
+        self._observe = observe
+        self._calm_at = math.inf  # when a lack of capacity counts as over; never if there is none
+
+    async def accept(self) -> trio.SocketStream:
+        """Return the next connection.
 
         Raises:
             OSError: if the listener failed.
@@ -114,31 +126,26 @@
         while True:
             stream = None
             try:
-                # Waiting in vain shows that there is capacity again.
-                with trio.move_on_after(math.inf if self._is_open else RETRY_SECONDS):
-                    stream = await listener.accept()
+                with trio.move_on_at(self._calm_at):
+                    stream = await self._listener.accept()
             except OSError as error:
                 if error.errno not in _CAPACITY_ERRORS:
                     raise
-                self._note(error)
+                self._calm_at = trio.current_time() + CALM_SECONDS
+                self._observe(error)
                 await trio.sleep(RETRY_SECONDS)
                 continue
-            self._note(None)
+            if trio.current_time() >= self._calm_at:
+                self._calm_at = math.inf
+                self._observe(None)
             if stream is not None:
                 return stream
 
-    def _note(self, error: OSError | None) -> None:
-        self._is_open = error is None
-        self._observe(error)
+    async def aclose(self) -> None:
+        """Close the listener."""
+        await self._listener.aclose()
 
 
 def _bound_address(listener: trio.SocketListener) -> Address:
     name = listener.socket.getsockname()
     return Address(name[0], name[1])
-
-
-async def _run(handle: StreamHandler, stream: trio.SocketStream) -> None:
-    try:
-        await handle(stream)
-    finally:
-        await trio.aclose_forcefully(stream)
