--- a/egretsill/daemon/tests/test_containment.py
+++ b/egretsill/daemon/tests/test_containment.py
@@ -22,6 +22,7 @@
 from ...requests._requester_link import RequesterLink
 from ...steering import AgentSteering, Balancer
 from ...supervision import Supervisor
+from ...supervision.tests.faults import Fault, UnexpectedError
 from .._agent_core import AgentCore
 from .._stream_endpoint import StreamEndpoint
 
@@ -30,30 +31,6 @@
 STEP_SECONDS = 0.05  # between attempts of a test to bring about what it waits for
 
 
-class UnexpectedError(Exception):
-    """An exception that no part of the system expects."""
-
-
-class Fault:
-    """Replaces a method by one that fails while the fault is armed.
-
-    Attributes:
-        remaining: number of calls that are to fail.
-    """
-
-    def __init__(self, monkeypatch: pytest.MonkeyPatch, owner: type, method: str) -> None:
-        original = getattr(owner, method)
-        self.remaining = 0
-
-        def fail_or_call(*arguments: Any, **named: Any) -> Any:
-            if self.remaining:
-                self.remaining -= 1
-                raise UnexpectedError("from a test")
-            return original(*arguments, **named)
-
-        monkeypatch.setattr(owner, method, fail_or_call)
-
-
 def counted(site: Site) -> float:
     """Return how many failures all daemons contained."""
     return sum(each._metrics.failures_contained.total() for each in site.daemons.values())
--- /dev/null
+++ b/egretsill/supervision/tests/faults.py
@@ -0,0 +1,31 @@
+"""Failures that tests cause."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+
+class UnexpectedError(Exception):
+    """An exception that no part of the system expects."""
+
+
+class Fault:
+    """Replaces a method by one that fails while the fault is armed.
+
+    Attributes:
+        remaining: number of calls that are to fail.
+    """
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, owner: type, method: str) -> None:
+        original = getattr(owner, method)
+        self.remaining = 0
+
+        def fail_or_call(*arguments: Any, **named: Any) -> Any:
+            if self.remaining:
+                self.remaining -= 1
+                raise UnexpectedError("from a test, half \ud83d")
+            return original(*arguments, **named)
+
+        monkeypatch.setattr(owner, method, fail_or_call)
