--- a/egretsill/node/_agent_node.py
+++ b/egretsill/node/_agent_node.py
@@ -118,20 +118,20 @@
     def _notify_homes(self, now: float) -> None:
         self._apply(self._steering.due_home_notices(now))
 
-    def _receive_from_peer(self, data: bytes, now: float) -> None:
+    def _receive_from_peer(self, data: bytes, now: float) -> bool:
         try:
             message = decode_tunnel(data)
         except MalformedTunnelMessage as error:
             self._metrics.messages_malformed.increment("tunnel", error.reason)
-            return
+            return False
         match message:
             case TunneledPacket(envelope, datagram):
                 try:
                     packet = self._codec.decode_from_caller(datagram)
                 except MalformedFlowPacket:
                     self._log.dropped(Drop(NO_FLOW, DropReason.MALFORMED))
-                    return
-                self._apply(self._steering.take_from_peer(envelope, packet, now))
+                    return False
+                return self._apply(self._steering.take_from_peer(envelope, packet, now))
             case CapacityRequest():
                 self._apply(self._steering.take_capacity_request(message, now))
             case CapacityOffer():
@@ -140,29 +140,35 @@
                 self._steering.record_home_notice(message, now)
             case OwnerNotice():
                 self._log.dropped(Drop(message.flow, DropReason.UNEXPECTED))
+        return False
 
-    def _receive_from_target(self, datagram: bytes, now: float) -> None:
+    def _receive_from_target(self, datagram: bytes, now: float) -> bool:
         try:
             packet = self._codec.decode_from_target(datagram)
         except MalformedFlowPacket:
             self._log.dropped(Drop(NO_FLOW, DropReason.MALFORMED))
-            return
+            return False
         try:
             effects = self._steering.take_from_target(packet, now)
         except Exception as error:
             self._supervisor.note_failure(Part.PACKETS, error)
             # An answer goes to its caller whatever else depends on it.
             answer = SendToCaller(packet.flow.caller_host, packet.datagram)
-            effects = () if packet.is_bounced else (answer,)
-        self._apply(effects)
+            self._apply(() if packet.is_bounced else (answer,))
+            return False
+        return self._apply(effects)
 
-    def _apply(self, effects: Sequence[AgentEffect]) -> None:
+    def _apply(self, effects: Sequence[AgentEffect]) -> bool:
+        """Apply effects one by one; return whether none failed."""
+        failures = 0
         for effect in effects:
             try:
                 self._apply_effect(effect)
             except Exception as error:  # The other effects are for other packets as well.
                 self._supervisor.note_failure(Part.PACKETS, error)
+                failures += 1
         self._schedule_release()
+        return not failures
 
     def _apply_effect(self, effect: AgentEffect) -> None:
         match effect:
--- a/egretsill/node/_balancer_node.py
+++ b/egretsill/node/_balancer_node.py
@@ -81,13 +81,13 @@
         self._packets.close()
         self._tunnel.close()
 
-    def _receive_from_caller(self, datagram: bytes, now: float) -> None:
+    def _receive_from_caller(self, datagram: bytes, now: float) -> bool:
         self._last_packet_at = now
         try:
             packet = self._codec.decode_from_caller(datagram)
         except MalformedFlowPacket:
             self._log.dropped(Drop(NO_FLOW, DropReason.MALFORMED))
-            return
+            return False
         decision = self._steering.steer(packet, now)
         match decision:
             case Forward(host, envelope, _, flow, carried):
@@ -101,16 +101,19 @@
                 self._log.refused(decision)
             case Drop():
                 self._log.dropped(decision)
+        return True
 
-    def _receive_from_agent(self, data: bytes, now: float) -> None:
+    def _receive_from_agent(self, data: bytes, now: float) -> bool:
         try:
             message = decode_tunnel(data)
         except MalformedTunnelMessage as error:
             self._metrics.messages_malformed.increment("tunnel", error.reason)
-            return
+            return False
         match message:
             case OwnerNotice():
                 if not self._steering.record_owner(message, now):
                     self._log.dropped(Drop(message.flow, DropReason.UNEXPECTED))
+                return True
             case TunneledPacket() | HomeNotice() | CapacityRequest() | CapacityOffer():
                 self._log.dropped(Drop(NO_FLOW, DropReason.UNEXPECTED))
+                return False
--- a/egretsill/node/_fleet_link.py
+++ b/egretsill/node/_fleet_link.py
@@ -69,6 +69,7 @@
         hubs: decides where this process sends its heartbeats.
         candidates: provides the cells of the directory's targets.
         load: returns the load of the target.
+        is_serving: returns whether this process works; an agent that doesn't takes no new flows.
         on_change: called after content in force changed.
     """
 
@@ -88,6 +89,7 @@
         journal: Journal,
         supervisor: Supervisor,
         load: Callable[[], TargetLoad],
+        is_serving: Callable[[], bool],
         on_change: Callable[[str], None],
     ) -> None:
         self._host = parse_ipv4(host)
@@ -104,6 +106,7 @@
         self._journal = journal
         self._supervisor = supervisor
         self._load = load
+        self._is_serving = is_serving
         self._on_change = on_change
         self._socket = bound
         self._incarnation = timer.epoch_milliseconds
@@ -242,10 +245,11 @@
 
     def _own_report(self) -> PeerReport:
         load = self._load()
+        is_out = not self._is_balancer and not self._is_serving()
         return PeerReport(
             self._host,
             self._is_balancer,
-            self._is_leaving,
+            self._is_leaving or is_out,
             self._plan.can_read(self._timer.now),
             load.is_target_silent,
             load.pending,
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -47,7 +47,7 @@
 SWEEP_SECONDS = 1.0
 CONTENT_SECONDS = 1.0  # longest wait for content at startup; callers stop sending SYNs after 1.4 s
 
-# Without these the process can't serve; routers take it out of rotation while one isn't running.
+# Without these the process can't serve; it gets no new flows while one of them doesn't work.
 _ESSENTIAL_PARTS = frozenset({Part.PACKETS, Part.TUNNEL, Part.SERVING, Part.TIMERS})
 
 StoreFactory: TypeAlias = Callable[[Address], Store]
@@ -141,7 +141,7 @@
             problems.append(HealthProblem.NO_CONFIGURATION)
         if self._shutdown.is_leaving:
             problems.append(HealthProblem.DRAINING)
-        if _ESSENTIAL_PARTS.intersection(self._supervisor.stopped):
+        if not self._is_serving():
             problems.append(HealthProblem.PART_STOPPED)
         return HealthState(tuple(problems))
 
@@ -310,6 +310,7 @@
             self._journal,
             self._supervisor,
             self._load,
+            self._is_serving,
             self._note_content_change,
         )
 
@@ -318,6 +319,9 @@
             server, self._metrics, lambda: self.status, lambda: self.health, self._supervisor
         )
 
+    def _is_serving(self) -> bool:
+        return not _ESSENTIAL_PARTS.intersection(self._supervisor.stopped)
+
     def _load(self) -> TargetLoad:
         if self._agent_steering is None:
             return TargetLoad()
--- a/egretsill/node/_packet_socket.py
+++ b/egretsill/node/_packet_socket.py
@@ -26,7 +26,8 @@
     Args:
         part: the part that failures with a datagram are reported for.
         bound: its socket, which `close` closes.
-        on_datagram: called with each datagram and the local time at which its batch began.
+        on_datagram: called with each datagram and the local time at which its batch began; returns
+            whether the part worked, which only a packet of a flow shows.
     """
 
     def __init__(
@@ -36,7 +37,7 @@
         timer: TimerService,
         log: DecisionLog,
         supervisor: Supervisor,
-        on_datagram: Callable[[bytes, float], None],
+        on_datagram: Callable[[bytes, float], bool],
     ) -> None:
         self._part = part
         self._timer = timer
@@ -44,10 +45,11 @@
         self._supervisor = supervisor
         self._on_datagram = on_datagram
         self._socket = bound
+        self._work = supervisor.record_work(part, lambda: timer.now)
 
     async def run(self) -> None:
         """Receive datagrams until the socket is closed."""
-        await read_batches(self._socket, self._receive_batch, note_error=self._note_failure)
+        await read_batches(self._socket, self._receive_batch, note_error=self._note_error)
 
     def close(self) -> None:
         """Close the socket."""
@@ -63,17 +65,31 @@
             self._log.dropped(Drop(flow, DropReason.SEND_FAILED))
 
     def _receive_batch(self) -> bool:
-        now = self._timer.now
+        failures = self._supervisor.failure_count
+        is_full, has_worked = self._handle_batch(self._timer.now)
+        if has_worked:
+            self._work.note_success()
+        elif self._supervisor.failure_count > failures:
+            self._work.note_failure()
+        return is_full
+
+    def _handle_batch(self, now: float) -> tuple[bool, bool]:
+        """Return whether more datagrams may be waiting, and whether the part worked."""
+        has_worked = False
         for _ in range(BATCH_DATAGRAMS):
             try:
                 datagram = self._socket.recv(MAXIMUM_DATAGRAM_BYTES)
             except BlockingIOError:
-                return False
+                return False, has_worked
             try:
-                self._on_datagram(datagram, now)
+                has_worked |= self._on_datagram(datagram, now)
             except Exception as error:  # It costs this datagram only.
                 self._note_failure(error)
-        return True
+        return True, has_worked
+
+    def _note_error(self, error: OSError) -> None:
+        self._note_failure(error)
+        self._work.note_failure()
 
     def _note_failure(self, error: Exception) -> None:
         self._supervisor.note_failure(self._part, error)
--- a/egretsill/node/tests/test_peer_faults.py
+++ b/egretsill/node/tests/test_peer_faults.py
@@ -64,6 +64,7 @@
             self.journal,
             PropagatingSupervisor(),
             TargetLoad,
+            lambda: True,
             lambda _: None,
         )
 
--- a/egretsill/supervision/__init__.py
+++ b/egretsill/supervision/__init__.py
@@ -4,6 +4,7 @@
 from ._parts import Part
 from ._propagating import PropagatingSupervisor
 from ._supervisor import StartingTask, Supervisor, SupervisorFactory
+from ._work_record import WorkRecord
 
 __all__ = [
     "FailureDescription",
@@ -12,6 +13,7 @@
     "StartingTask",
     "Supervisor",
     "SupervisorFactory",
+    "WorkRecord",
     "describe_failure",
     "leaves",
 ]
--- a/egretsill/supervision/_supervisor.py
+++ b/egretsill/supervision/_supervisor.py
@@ -16,6 +16,7 @@
 
 from ._failure import leaves
 from ._parts import Part
+from ._work_record import WorkRecord
 
 FIRST_RESTART_SECONDS = 0.1  # pause before a failed task is started again
 LONGEST_RESTART_SECONDS = 5.0
@@ -40,20 +41,44 @@
     def __init__(self, report: FailureReport) -> None:
         self._report = report
         self._stopped: dict[Part, int] = {}
+        self._records: list[tuple[Part, WorkRecord]] = []
+        self._failure_count = 0
         self._unreported = 0
 
     @property
     def stopped(self) -> Collection[Part]:
-        """Return the parts with a task that has failed and isn't running again yet."""
-        return tuple(self._stopped)
+        """Return the parts that don't work.
+
+        These are the parts with a task that has failed and isn't running again yet, and those whose
+        work has only failed for a while.
+        """
+        failing = (part for part, record in self._records if record.is_failing)
+        return tuple(dict.fromkeys((*self._stopped, *failing)))
+
+    @property
+    def failure_count(self) -> int:
+        """Return the number of unexpected exceptions so far."""
+        return self._failure_count
 
     @property
     def unreported(self) -> int:
         """Return the number of failures for which the report itself failed."""
         return self._unreported
 
+    def record_work(self, part: Part, now: Callable[[], float]) -> WorkRecord:
+        """Return a new record of whether a part's work succeeds.
+
+        Args:
+            part: the part, which counts as stopped while the record says that it is failing.
+            now: returns the local time in seconds.
+        """
+        record = WorkRecord(now)
+        self._records.append((part, record))
+        return record
+
     def note_failure(self, part: Part, error: BaseException) -> None:
         """Report an unexpected exception that was caught by the caller."""
+        self._failure_count += 1
         for each in leaves(error):
             try:
                 self._report(part, each)
