--- a/egretsill/steering/_balancer.py
+++ b/egretsill/steering/_balancer.py
@@ -224,15 +224,15 @@
 
     def _start_reading(self, listener: _Listener) -> None:
         if self._nursery is not None:
+            read = partial(
+                read_batches,
+                listener.socket,
+                partial(self._forward_service_batch, listener),
+                note_error=partial(self._supervisor.note_failure, Part.PACKETS),
+            )
+            # It ends when the address leaves the configuration.
             self._nursery.start_soon(
-                self._supervisor.run,
-                Part.PACKETS,
-                partial(
-                    read_batches,
-                    listener.socket,
-                    partial(self._forward_service_batch, listener),
-                    note_error=partial(self._supervisor.note_failure, Part.PACKETS),
-                ),
+                partial(self._supervisor.run, may_end=True), Part.PACKETS, read
             )
 
     def _forward_service_batch(self, listener: _Listener) -> bool:
--- a/egretsill/supervision/__init__.py
+++ b/egretsill/supervision/__init__.py
@@ -3,7 +3,7 @@
 from ._failure import FailureDescription, describe_failure, leaves
 from ._parts import Part
 from ._propagating import PropagatingSupervisor
-from ._supervisor import StartingTask, Supervisor, SupervisorFactory
+from ._supervisor import StartingTask, Supervisor, SupervisorFactory, TaskEnded
 from ._work_record import WorkRecord
 
 __all__ = [
@@ -13,6 +13,7 @@
     "StartingTask",
     "Supervisor",
     "SupervisorFactory",
+    "TaskEnded",
     "WorkRecord",
     "describe_failure",
     "leaves",
--- a/egretsill/supervision/_supervisor.py
+++ b/egretsill/supervision/_supervisor.py
@@ -29,6 +29,10 @@
 StartingTask: TypeAlias = Callable[["trio.TaskStatus[object]"], Awaitable[None]]
 
 
+class TaskEnded(Exception):
+    """A task that has to run as long as the process has returned."""
+
+
 class Supervisor:
     """Contains unexpected exceptions and runs tasks again that failed.
 
@@ -96,21 +100,30 @@
             self._note_failures_of(part, group)
 
     async def run(
-        self, part: Part, task: Task, is_fatal: Callable[[Exception], bool] = lambda _: False
+        self,
+        part: Part,
+        task: Task,
+        is_fatal: Callable[[Exception], bool] = lambda _: False,
+        *,
+        may_end: bool = False,
     ) -> None:
-        """Run a task until it returns; run it again, after a pause, each time that it fails.
+        """Run a task; run it again, after a pause, each time that it fails.
 
         Args:
             part: the part that it belongs to.
             task: can be run again after it has failed.
             is_fatal: returns whether an exception is to be raised instead.
+            may_end: whether the task may return, which ends this call. Otherwise that is a failure,
+                reported as `TaskEnded`.
         """
         pause_seconds = FIRST_RESTART_SECONDS
         while True:
             started_at = trio.current_time()
             try:
                 await task()
-                return
+                if may_end:
+                    return
+                raise TaskEnded
             except Exception as error:
                 if is_fatal(error):
                     raise
--- a/egretsill/supervision/tests/test_supervisor.py
+++ b/egretsill/supervision/tests/test_supervisor.py
@@ -95,7 +95,7 @@
             raise ValueError
 
     async def main() -> None:
-        await supervisor.run(Part.SERVING, task)
+        await supervisor.run(Part.SERVING, task, may_end=True)
 
     run(main)
     pauses = [round(later - before, 6) for before, later in itertools.pairwise(starts)]
@@ -117,7 +117,7 @@
             raise ValueError
 
     async def main() -> None:
-        await supervisor.run(Part.SERVING, task)
+        await supervisor.run(Part.SERVING, task, may_end=True)
 
     run(main)
     assert starts[6] - starts[5] == pytest.approx(STABLE_SECONDS + 1 + FIRST_RESTART_SECONDS)
@@ -171,6 +171,27 @@
     run(main)
 
 
+# Guards against a part that ends without a trace.
+def test_task_that_returns_has_failed_and_runs_again() -> None:
+    supervisor = RecordingSupervisor()
+    starts: list[float] = []
+
+    async def task() -> None:
+        starts.append(trio.current_time())
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(supervisor.run, Part.PACKETS, task)
+            await trio.testing.wait_all_tasks_blocked()
+            assert set(supervisor.stopped) == {Part.PACKETS}
+            await trio.sleep(FIRST_RESTART_SECONDS * 2)
+            nursery.cancel_scope.cancel()
+
+    run(main)
+    assert starts[1] - starts[0] == pytest.approx(FIRST_RESTART_SECONDS)
+    assert supervisor.names == [("packets", "TaskEnded")] * len(starts)
+
+
 def test_fatal_failure_is_raised() -> None:
     supervisor = RecordingSupervisor()
 
