--- a/egretsill/address_steering/_decisions.py
+++ b/egretsill/address_steering/_decisions.py
@@ -56,6 +56,7 @@
     UNDECIDED = "undecided"
     SEND_BLOCKED = "send-blocked"
     SEND_FAILED = "send-failed"
+    PART_FAILED = "part-failed"
 
 
 class Forward(NamedTuple):
@@ -181,6 +182,16 @@
     delay_seconds: float
 
 
+class Failed(NamedTuple):
+    """Drop what waited of a flow, since an unexpected exception came of it.
+
+    It is an effect, so that those of the flows beside it are kept.
+    """
+
+    flow: FlowKey
+    error: Exception
+
+
 BalancerDecision: TypeAlias = Forward | Refuse | Drop
 AgentEffect: TypeAlias = (
     Forward
@@ -196,4 +207,5 @@
     | Undecided
     | Expire
     | Answered
+    | Failed
 )
--- a/egretsill/address_steering/_flow_opening.py
+++ b/egretsill/address_steering/_flow_opening.py
@@ -11,6 +11,7 @@
     Drop,
     DropReason,
     Expire,
+    Failed,
     ForwardReason,
     NotifyBalancer,
     RefuseReason,
@@ -110,21 +111,14 @@
         if self._admission.target.reason_to_pass(now) is not None or self._silence.is_silent(now):
             for held in self._admission.queue.held:
                 self._admission.queue.remove(held.flow)
-                effects.extend(self._take_held(held, now))
+                effects.extend(self._take_waiting(held, now))
         return [*effects, *self.use_capacity(now), *self._admission.request_capacity(now)]
 
     def use_capacity(self, now: float) -> Sequence[AgentEffect]:
         """Return the effects for what waits and can go to the target now, or has expired."""
         effects = self._expire(now)
         while (request := self._admission.pop_next(now)) is not None:
-            if request.syn is not None:
-                effects.extend(self._take_held(request, now))
-                continue
-            entry = self._flows.get(request.flow)
-            if entry is not None:
-                self._flows.begin_request(entry, now)
-                self._silence.note_delivered(now)
-                effects.extend(DeliverToTarget(each) for each in request.packets.values())
+            effects.extend(self._take_waiting(request, now))
         if not self._silence.is_silent(now):
             effects.extend(self._admission.offer_capacity(now))
         return effects
@@ -133,6 +127,24 @@
         expired = self._admission.queue.expire(now)
         return [Expire(each.flow, now - each.arrived_at) for each in expired]
 
+    def _take_waiting(self, request: WaitingRequest, now: float) -> Sequence[AgentEffect]:
+        """Return the effects for what has waited and was removed from the queue."""
+        try:
+            if request.syn is not None:
+                return self._take_held(request, now)
+            return self._deliver(request, now)
+        except Exception as error:  # It costs this flow only.
+            return (Failed(request.flow, error),)
+
+    def _deliver(self, request: WaitingRequest, now: float) -> Sequence[AgentEffect]:
+        """Deliver a request of an open flow that has waited."""
+        entry = self._flows.get(request.flow)
+        if entry is None:
+            return ()
+        self._flows.begin_request(entry, now)
+        self._silence.note_delivered(now)
+        return [DeliverToTarget(each) for each in request.packets.values()]
+
     def _take_held(self, request: WaitingRequest, now: float) -> Sequence[AgentEffect]:
         """Take a SYN packet that has waited; targets and routes may have changed meanwhile."""
         if request.syn is None:
--- a/egretsill/address_steering/tests/load_fleet.py
+++ b/egretsill/address_steering/tests/load_fleet.py
@@ -29,6 +29,7 @@
     CapacityRequest,
     DeliverToTarget,
     Envelope,
+    Failed,
     FlowKey,
     FlowPacket,
     Forward,
@@ -273,6 +274,8 @@
         target = self.targets[host]
         for effect in effects:
             match effect:
+                case Failed(_, error):
+                    raise error
                 case DeliverToTarget(datagram):
                     self._reach(target, self._packets[datagram])
                 case SendToCaller(_, datagram):
--- a/egretsill/address_steering/tests/moving_fleet.py
+++ b/egretsill/address_steering/tests/moving_fleet.py
@@ -23,6 +23,7 @@
     Candidates,
     DeliverToTarget,
     Drop,
+    Failed,
     FlowKey,
     FlowPacket,
     FlowPlacement,
@@ -357,6 +358,8 @@
                     path.is_reset, path.end = True, reason.value
                 case Drop(_, drop_reason):
                     path.end = drop_reason.value
+                case Failed(_, error):
+                    raise error
                 case Undecided(key):
                     path.end = "undecided"
                     self._undecided_paths[key] = path
--- a/egretsill/address_steering/tests/test_flow_admission.py
+++ b/egretsill/address_steering/tests/test_flow_admission.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 
 from ...directory import TargetPhase
@@ -11,6 +13,9 @@
     CapacityRequest,
     DeliverToTarget,
     Expire,
+    Failed,
+    FlowKey,
+    FlowPlacement,
     Forward,
     ForwardReason,
     NotifyBalancer,
@@ -177,6 +182,30 @@
     assert agent.take_capacity_request(CapacityRequest(OTHER, MARK, 2), 1.1) == []
 
 
+# Guards against waiting flows that are lost since the work for another one fails.
+@pytest.mark.parametrize("failing", [20, 22, 24])
+def test_failure_of_one_waiting_flow_costs_no_other(
+    failing: int, scene: Scene, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def fail_or_choose(placement: FlowPlacement, chosen: FlowKey, *rest: Any) -> int | None:
+        if chosen == flow(failing):
+            raise error
+        return choose(placement, chosen, *rest)
+
+    error = RuntimeError("one flow")
+    agent = make_full_agent(scene)
+    for number in range(20, 25):
+        agent.take_from_peer(envelope(), packet(SYN, flow(number)), 1.0)
+    scene.change_target(HERE, 1.01, phase=TargetPhase.DRAINING)
+    choose = FlowPlacement.choose
+    monkeypatch.setattr(FlowPlacement, "choose", fail_or_choose)
+    effects = agent.release(1.02)
+    moved = {each.flow for each in effects if isinstance(each, Forward)}
+    assert moved == {flow(number) for number in range(20, 25)} - {flow(failing)}
+    assert [each for each in effects if isinstance(each, Failed)] == [Failed(flow(failing), error)]
+    assert len(agent.queue) == 0
+
+
 def test_new_flow_with_ports_of_transferred_one_is_placed_anew(scene: Scene) -> None:
     """Guards against SYN packets that go to a target that was free a minute ago."""
     agent = make_full_agent(scene)
--- a/egretsill/node/_agent_node.py
+++ b/egretsill/node/_agent_node.py
@@ -17,6 +17,7 @@
     Drop,
     DropReason,
     Expire,
+    Failed,
     Forward,
     HomeNotice,
     MalformedFlowPacket,
@@ -201,6 +202,9 @@
                 self._log.waits(effect)
             case Expire():
                 self._log.expired(effect)
+            case Failed(flow, error):
+                self._supervisor.note_failure(Part.PACKETS, error)
+                self._log.dropped(Drop(flow, DropReason.PART_FAILED))
             case Undecided():
                 self._log.undecided(effect)
 
