--- a/egretsill/node/tests/test_store_reading.py
+++ b/egretsill/node/tests/test_store_reading.py
@@ -23,12 +23,13 @@
 from ...directory.tests.revisions import rev
 from ...observation import Journal, Metrics
 from ...supervision import PropagatingSupervisor
+from ...supervision.tests.faults import Fault
 from ...supervision.tests.supervisors import RecordingSupervisor
 from ...timing import VirtualTimerService
 from .._store_reading import FAILURE_PAUSE_SECONDS, StoreReading
 
 HOST = 0x0A020001
-TABLE = RouteTable(1, {}, 15.0)
+TABLE, NEWER_TABLE = RouteTable(1, {}, 15.0), RouteTable(2, {}, 15.0)
 
 
 class SlowStore:
@@ -213,3 +214,44 @@
     reading._supervisor = supervisor = RecordingSupervisor()
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
     assert set(supervisor.names) == {("store-reading", "KeyError")}
+
+
+class ChangingStore:
+    """A store whose route table is replaced after the first read; it counts the reads."""
+
+    def __init__(self) -> None:
+        self.reads = 0
+
+    async def read(self, timeout_seconds: float) -> Snapshot:
+        self.reads += 1
+        return Snapshot(rev(9 + self.reads), TABLE if self.reads == 1 else NEWER_TABLE, ())
+
+    async def watch(
+        self, after: StoreRevision, wait_seconds: float, timeout_seconds: float
+    ) -> Changes:
+        if after < rev(11):
+            return Changes(rev(11), NEWER_TABLE)
+        await trio.sleep(wait_seconds)
+        return Changes(after)
+
+    async def close(self) -> None:
+        """Nothing is open."""
+
+
+# Guards against a change of content that is lost for good since its merge failed once.
+def test_change_whose_merge_failed_is_read_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        with trio.move_on_after(3.0):
+            await reading.run()
+
+    timer = VirtualTimerService()
+    monkeypatch.setattr(timer, "_read_clock", trio.current_time)
+    fault = Fault(monkeypatch, Directory, "apply_changes")
+    fault.remaining = 1
+    store, directory, metrics = ChangingStore(), Directory(), Metrics()
+    reading = make_reading(store, ReadPlan(HOST, is_first_start=False), directory, timer, metrics)
+    reading._supervisor = supervisor = RecordingSupervisor()
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert supervisor.names == [("store-reading", "UnexpectedError")]
+    assert store.reads == 2
+    assert directory.content_revision == rev(11)
--- a/egretsill/observation/tests/test_journal.py
+++ b/egretsill/observation/tests/test_journal.py
@@ -30,6 +30,7 @@
 def lines() -> Iterator[list[dict[str, object]]]:
     found: list[dict[str, object]] = []
     eliot.add_destinations(found.append)
+    found.clear()  # of lines of earlier tests, which eliot keeps for its first destination
     yield found
     eliot.remove_destination(found.append)
 
@@ -216,3 +217,24 @@
     assert stream.dropped == 1
     os.close(reopened)
     os.close(reader)
+
+
+# Guards against lines that are lost, or a log that ends, since one line can't be written.
+def test_line_whose_writing_fails_costs_no_other(
+    lines: list[dict[str, object]], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def log_or_fail(**fields: Any) -> None:
+        if fields["message_type"] == "egretsill:second":
+            raise RuntimeError("not written")
+        log_message(**fields)
+
+    log_message = eliot.log_message
+    monkeypatch.setattr(eliot, "log_message", log_or_fail)
+    journal = make_journal()
+    for kind in ("first", "second", "third"):
+        journal.record(kind)
+    journal.flush()
+    journal.flush()
+    kinds = [str(line["message_type"]).rpartition(":")[2] for line in lines]
+    assert kinds == ["first", "third", "log-lost"]
+    assert lines[2]["lines"] == 1
