--- a/egretsill/directory/_store.py
+++ b/egretsill/directory/_store.py
@@ -17,6 +17,7 @@
     REFUSED = "refused"
     MALFORMED = "malformed"
     OUTDATED = "outdated"
+    UNEXPECTED = "unexpected"
 
 
 class StoreUnavailable(Exception):
--- a/egretsill/node/_store_reading.py
+++ b/egretsill/node/_store_reading.py
@@ -72,6 +72,10 @@
                 self._supervisor.note_failure(Part.STORE_READING, error)
                 # What was merged is unknown, so everything is read again.
                 self._plan.note_failure(self._timer.now)
+                with self._supervisor.contain(Part.STORE_READING):
+                    self._note_failure(
+                        StoreUnavailable(StoreFailure.UNEXPECTED, type(error).__name__)
+                    )
                 await trio.sleep(FAILURE_PAUSE_SECONDS)
 
     async def close(self) -> None:
--- a/egretsill/node/tests/test_store_reading.py
+++ b/egretsill/node/tests/test_store_reading.py
@@ -238,7 +238,8 @@
         """Nothing is open."""
 
 
-# Guards against a change of content that is lost for good since its merge failed once.
+# Guards against a change of content that is lost for good since its merge failed once, and against
+# a failed read that isn't counted or logged as one.
 def test_change_whose_merge_failed_is_read_again(monkeypatch: pytest.MonkeyPatch) -> None:
     async def main() -> None:
         with trio.move_on_after(3.0):
@@ -249,9 +250,15 @@
     fault = Fault(monkeypatch, Directory, "apply_changes")
     fault.remaining = 1
     store, directory, metrics = ChangingStore(), Directory(), Metrics()
-    reading = make_reading(store, ReadPlan(HOST, is_first_start=False), directory, timer, metrics)
+    journal = Journal("reader", lambda: timer.now, lambda: timer.now)
+    plan = ReadPlan(HOST, is_first_start=False)
+    reading = make_reading(store, plan, directory, timer, metrics, journal)
     reading._supervisor = supervisor = RecordingSupervisor()
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
     assert supervisor.names == [("store-reading", "UnexpectedError")]
+    assert metrics.platform_reads.value("failed") == 1
+    lost, regained = journal._waiting
+    assert (lost.kind, regained.kind) == ("store-lost", "store-regained")
+    assert (lost.fields["failure"], lost.fields["detail"]) == ("unexpected", "UnexpectedError")
     assert store.reads == 2
     assert directory.content_revision == rev(11)
