--- a/egretsill/supervision/_supervisor.py
+++ b/egretsill/supervision/_supervisor.py
@@ -83,7 +83,11 @@
     def note_failure(self, part: Part, error: BaseException) -> None:
         """Report an unexpected exception that was caught by the caller."""
         self._failure_count += 1
-        for each in leaves(error):
+        try:
+            members = tuple(leaves(error))
+        except Exception:  # The group is nested too deeply, or there is no memory.
+            members = (error,)
+        for each in members:
             try:
                 self._report(part, each)
             except Exception:  # There is no one left to tell, and the work has to go on.
--- a/egretsill/supervision/tests/test_supervisor.py
+++ b/egretsill/supervision/tests/test_supervisor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import sys
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -83,6 +84,16 @@
     assert supervisor.unreported == 2
 
 
+# Guards against a failure that leaves the containment since its group can't be taken apart.
+def test_group_that_is_nested_too_deeply_is_reported_as_one() -> None:
+    error: Exception = ValueError()
+    for _ in range(2 * sys.getrecursionlimit()):
+        error = ExceptionGroup("nested", [error])
+    supervisor = RecordingSupervisor()
+    supervisor.note_failure(Part.LOG, error)
+    assert supervisor.names == [("log", "ExceptionGroup")]
+
+
 def test_failed_task_runs_again_after_growing_pauses() -> None:
     supervisor = RecordingSupervisor()
     starts: list[float] = []
