--- a/egretsill/node/_main.py
+++ b/egretsill/node/_main.py
@@ -35,18 +35,16 @@
         make_store: opens the store at an address.
         signals: handles signals while the event loop doesn't run.
     """
-    timer = TrioTimerService()
-    random_source = SystemRandom()
-    node = Node(
-        started.settings,
-        started.sockets,
-        codec,
-        make_store,
-        timer,
-        log_to_standard_output,
-        random_source,
-    )
     try:
+        node = Node(
+            started.settings,
+            started.sockets,
+            codec,
+            make_store,
+            TrioTimerService(),
+            log_to_standard_output,
+            SystemRandom(),
+        )
         trio.run(_run, node, started, signals)
     except Exception:
         write_notice(traceback.format_exc())
