--- a/egretsill/node/_fleet_link.py
+++ b/egretsill/node/_fleet_link.py
@@ -358,7 +358,11 @@
         self._silent_peers &= self._peers.peers.keys()
 
     def _note_scheduling_pause(self, jump: ClockJump) -> None:
-        self._peers.note_scheduling_pause(jump.after)
-        self._hubs.note_scheduling_pause(jump.after)
-        self._journal.record("woke", seconds=round(jump.seconds, 3))
+        # Evidence from before the pause must not be used, whatever else fails.
+        with self._supervisor.contain(Part.HEARTBEATS):
+            self._peers.note_scheduling_pause(jump.after)
+        with self._supervisor.contain(Part.HEARTBEATS):
+            self._hubs.note_scheduling_pause(jump.after)
+        with self._supervisor.contain(Part.HEARTBEATS):
+            self._journal.record("woke", seconds=round(jump.seconds, 3))
         self._metrics.clock_jumps.increment()
--- a/egretsill/node/tests/test_peer_faults.py
+++ b/egretsill/node/tests/test_peer_faults.py
@@ -27,6 +27,8 @@
 )
 from ...observation import Journal, Metrics
 from ...supervision import PropagatingSupervisor
+from ...supervision.tests.faults import Fault
+from ...supervision.tests.supervisors import RecordingSupervisor
 from ...timing import VirtualTimerService
 from .._content_exchange import PeerContentUnavailable
 from .._fleet_link import FleetLink, TargetLoad
@@ -144,3 +146,21 @@
         assert process.directory.content_revision == rev(20)
 
     trio.run(main)
+
+
+# Guards against evidence from before a pause of the VM that is used since another step failed.
+def test_pause_is_noted_by_all_though_one_step_fails(monkeypatch: pytest.MonkeyPatch) -> None:
+    link = Link()
+    supervisor = link.link._supervisor = RecordingSupervisor()
+    noted: list[float] = []
+    fault = Fault(monkeypatch, PeerTable, "note_scheduling_pause")
+    fault.remaining = 1
+    monkeypatch.setattr(HubPlan, "note_scheduling_pause", lambda _, now: noted.append(now))
+    try:
+        link.timer.pause(60.0)
+        assert link.timer.now == 60.0
+    finally:
+        link.link.close()
+    assert noted == [60.0]
+    assert supervisor.names == [("heartbeats", "UnexpectedError")]
+    assert link.metrics.clock_jumps.total() == 1
