--- a/egretsill/node/_agent_node.py
+++ b/egretsill/node/_agent_node.py
@@ -212,5 +212,5 @@
         # No timer runs while nothing waits; wake-ups would take most of an idle agent's CPU time.
         is_waiting = self._steering.is_waiting or self._steering.undecided
         if is_waiting and not self._is_release_due:
-            self._is_release_due = True
             self._timer.call_later(RELEASE_SECONDS, self._release_waiting)
+            self._is_release_due = True
