--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from functools import partial
 from random import Random
-from typing import Any, TypeAlias, TypeVar
+from typing import Any, TypeAlias
 
 import trio
 
@@ -48,6 +48,7 @@
 from ..wire import StreamDecoder, StreamServer
 from ._agent_role import AgentRole
 from ._balancer_role import BalancerRole
+from ._binding import bind
 from ._configuration_link import serve_requests
 from ._configuration_service import make_configuration_service, update_configuration_metrics
 from ._drain_control import DrainControl, HealthPoller
@@ -58,15 +59,14 @@
     TlsUnusable,
     is_address_unavailable,
 )
-from ._failure_log import FailureLog
 from ._members import agents_of, balancers_of, own_member, peers_of
 from ._pages import Pages
+from ._state_failure_log import StateFailureLog
 from ._stream_endpoint import StreamEndpoint
 from ._tls import check_tls
 
 GAUGE_SECONDS = 1.0
 
-BoundT = TypeVar("BoundT")
 DaemonRole: TypeAlias = BalancerRole | AgentRole
 
 
@@ -91,7 +91,7 @@
         self._metrics = Metrics()
         self._state_log = StateLog(settings.name)
         self._endpoints = EndpointStates(self._metrics, EndpointLog(self._state_log).record)
-        self._failures = FailureLog(self._metrics, self._state_log)
+        self._failures = StateFailureLog(self._metrics, self._state_log)
         self._supervisor = make_supervisor(self._failures.record)
         self._timer.contain_failures(partial(self._supervisor.note_failure, Part.TIMERS))
         self._stopped = trio.Event()
@@ -220,7 +220,7 @@
         settings = self._settings
         match settings.role:
             case Role.BALANCER:
-                return _bind("tunnel", settings.tunnel, self._make_balancer)
+                return bind("tunnel", settings.tunnel, self._make_balancer)
             case Role.AGENT:
                 if settings.tls is None or settings.number is None:
                     raise AgentSettingsIncomplete(settings.name)
@@ -251,7 +251,7 @@
         types = {**MEMBERSHIP_TYPES, **LOAD_TYPES, **CONFIGURATION_TYPES, **DRAINING_TYPES}
         listen = self._settings.gossip
         fleet = self._settings.fleet
-        return _bind(
+        return bind(
             "gossip",
             listen,
             lambda: GossipSocket(listen, types, self._metrics, self._supervisor, fleet),
@@ -393,10 +393,3 @@
         self, kind: StateKind, state: str | int, details: Mapping[str, str] | None = None
     ) -> None:
         self._state_log.record(StateChange(kind, self._settings.name, state, details or {}))
-
-
-def _bind(purpose: str, address: Address, make: Callable[[], BoundT]) -> BoundT:
-    try:
-        return make()
-    except OSError as error:
-        raise AddressUnavailable.caused_by(error, purpose, address) from error
--- a/egretsill/daemon/_failure_log.py
+++ b/egretsill/daemon/_state_failure_log.py
@@ -8,7 +8,7 @@
 PROCESS = "process"  # subject of the failure that ends the process
 
 
-class FailureLog:
+class StateFailureLog:
     """Records the failures that a supervisor contained, and the one that ends the process."""
 
     def __init__(self, metrics: Metrics, state_log: StateLog) -> None:
--- a/egretsill/node/_failure_log.py
+++ b/egretsill/node/_journal_failure_log.py
@@ -6,7 +6,7 @@
 from ..supervision import Part, describe_failure
 
 
-class FailureLog:
+class JournalFailureLog:
     """Records the failures that a supervisor contained, and the one that ends the process."""
 
     def __init__(self, metrics: Metrics, journal: Journal) -> None:
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -36,8 +36,8 @@
 from ._content_exchange import ContentExchange
 from ._decision_log import DecisionLog
 from ._directory_log import DirectoryLog
-from ._failure_log import FailureLog
 from ._fleet_link import FleetLink, TargetLoad
+from ._journal_failure_log import JournalFailureLog
 from ._log_writer import LogWriter, OpenLog
 from ._reader_choice import ReaderChoice
 from ._shutdown import ShutdownPlan
@@ -86,7 +86,7 @@
             settings.name, lambda: self._timer.now, lambda: self._timer.epoch_milliseconds / 1000
         )
         self._endpoints = TcpEndpoints(settings, sockets, self._metrics, self._journal)
-        self._failures = FailureLog(self._metrics, self._journal)
+        self._failures = JournalFailureLog(self._metrics, self._journal)
         self._supervisor = make_supervisor(self._failures.record)
         timer.contain_failures(lambda error: self._supervisor.note_failure(Part.TIMERS, error))
         self._log_writer = LogWriter(self._journal, open_log, random, self._supervisor)
