--- a/egretsill/daemon/_failure_log.py
+++ b/egretsill/daemon/_state_failure_log.py
@@ -11,7 +11,7 @@
 PROCESS = "process"  # subject of the failure that ends the process
 
 
-class FailureLog:
+class StateFailureLog:
     """Records the failures that a supervisor contained, and the one that ends the process.
 
     Args:
