--- a/egretsill/address_steering/tests/moving_fleet.py
+++ b/egretsill/address_steering/tests/moving_fleet.py
@@ -37,12 +37,10 @@
 from .chase import MAXIMUM_SEARCH_SECONDS, FlowOutcome, OutcomeSummary, PacketPath
 from .scene import OTHER_SERVICE, RETENTION, SERVICE, envelope, flow, packet, table, target
 
-FIRST = 0x0A020001
-FIRST_BALANCER = 0x0A010001
+FIRST, FIRST_BALANCER = 0x0A020001, 0x0A010001
 COPY_SECONDS = (0.0, 0.2, 0.6, 1.4)  # when callers send copies of an unacknowledged packet
 HOME_NOTICE_INTERVAL_SECONDS = 0.5
-DATA_BYTES = 100
-NUMBERS = 2**32
+DATA_BYTES, NUMBERS = 100, 2**32
 
 
 class View:
