--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
+from functools import partial
 from random import Random
 from typing import Any, TypeAlias, TypeVar
 
@@ -15,10 +16,8 @@
     Bundle,
     ConfigurationMessage,
     ConfigurationService,
-    DistributionTimes,
     HeadRequest,
     IndexRequest,
-    PlatformClient,
     RevisionConflict,
     ServicesRequest,
     Vm,
@@ -34,9 +33,7 @@
 from ..observation import (
     JSON,
     AdminServer,
-    EndpointOpened,
     EndpointStates,
-    EndpointUnavailable,
     Metrics,
     StateChange,
     StateKind,
@@ -46,14 +43,22 @@
 from ..requests import RELAY_TYPES
 from ..settings import DaemonSettings, Role, SettingsRejected
 from ..steering import ConnectionIdCodec
-from ..supervision import Part, Supervisor, describe_failure
+from ..supervision import Part, StartingTask, Supervisor, SupervisorFactory, leaves
 from ..timing import TrioTimerService
 from ..wire import StreamDecoder, StreamServer
 from ._agent_role import AgentRole
 from ._balancer_role import BalancerRole
-from ._configuration_link import fetch_configuration, serve_requests
+from ._configuration_link import serve_requests
+from ._configuration_service import make_configuration_service, update_configuration_metrics
 from ._drain_control import DrainControl, HealthPoller
-from ._exceptions import AddressUnavailable, AgentSettingsIncomplete, TlsUnusable
+from ._endpoint_log import EndpointLog
+from ._exceptions import (
+    AddressUnavailable,
+    AgentSettingsIncomplete,
+    TlsUnusable,
+    is_address_unavailable,
+)
+from ._failure_log import FailureLog
 from ._members import agents_of, balancers_of, own_member, peers_of
 from ._pages import Pages
 from ._stream_endpoint import StreamEndpoint
@@ -74,14 +79,21 @@
         TlsUnusable: if an agent's certificate or private key can't be read.
     """
 
-    def __init__(self, settings: DaemonSettings, random: Random) -> None:
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        random: Random,
+        make_supervisor: SupervisorFactory = Supervisor,
+    ) -> None:
         self._settings = settings
         self._random = random
         self._timer = TrioTimerService()
         self._metrics = Metrics()
         self._state_log = StateLog(settings.name)
-        self._supervisor = Supervisor(self._record_failure)
-        self._endpoints = EndpointStates(self._metrics, self._note_endpoint_change)
+        self._endpoints = EndpointStates(self._metrics, EndpointLog(self._state_log).record)
+        self._failures = FailureLog(self._metrics, self._state_log)
+        self._supervisor = make_supervisor(self._failures.record)
+        self._timer.contain_failures(partial(self._supervisor.note_failure, Part.TIMERS))
         self._stopped = trio.Event()
         self._backend_state = BackendState.HEALTHY
         self._role = self._make_role()
@@ -91,7 +103,10 @@
             self._role.close()
             raise
         self._streams = StreamEndpoint(
-            settings.relay, {**RELAY_TYPES, **CONFIGURATION_TYPES}, self._metrics
+            settings.relay,
+            {**RELAY_TYPES, **CONFIGURATION_TYPES},
+            self._metrics,
+            self._supervisor,
         )
         self._membership = self._make_membership()
         self._configuration = self._make_configuration()
@@ -112,8 +127,14 @@
             self._configuration,
             self._drain,
             lambda: self._backend_state,
+            self._supervisor,
         )
 
+    @property
+    def supervisor(self) -> Supervisor:
+        """Return the supervisor of this process, for work beside the daemon's own."""
+        return self._supervisor
+
     @property
     def settings(self) -> DaemonSettings:
         """Return the settings in use."""
@@ -139,13 +160,21 @@
         """
         try:
             await self._run(task_status)
+        except Exception as error:
+            for each in leaves(error):
+                self._failures.record_end(each)
+            raise
         finally:
             self._role.close()
             self._gossip.close()
 
     def shut_down(self) -> None:
         """Shut down gracefully: refuse new work, and end once the work in progress is done."""
-        self._drain.terminate()
+        try:
+            self._drain.terminate()
+        except Exception as error:
+            self._supervisor.note_failure(Part.SHUTDOWN, error)
+            self._stopped.set()
 
     def replace_settings(self, settings: DaemonSettings) -> None:
         """Apply the settings that may change at run time: connection-ID keys and certificate.
@@ -169,14 +198,16 @@
     async def _run(self, task_status: trio.TaskStatus[None]) -> None:
         self._connect_parts()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._timer.run)
-            await nursery.start(self._gossip.run)
-            await self._start(nursery, "relay", self._settings.relay, self._streams.run)
-            await nursery.start(self._make_admin().run)
+            run = self._supervisor.run
+            nursery.start_soon(run, Part.TIMERS, self._timer.run)
+            nursery.start_soon(run, Part.GOSSIP, self._gossip.run)
+            relay, admin = self._settings.relay, self._make_admin()
+            await self._start(nursery, Part.RELAY, "relay", relay, self._streams.run)
+            await nursery.start(self._supervisor.start, Part.ADMIN, admin.run)
             self._membership.start()
-            nursery.start_soon(self._configuration.run)
-            nursery.start_soon(self._role.run)
-            nursery.start_soon(self._health.run)
+            nursery.start_soon(run, Part.CONFIGURATION, self._configuration.run)
+            nursery.start_soon(run, Part.ROLE, self._role.run, is_address_unavailable)
+            nursery.start_soon(run, Part.BACKEND_HEALTH, self._health.run)
             self._drain.start()
             self._record(StateKind.PROCESS, "ready")
             task_status.started()
@@ -204,18 +235,27 @@
                     lambda: self._membership.is_fresh,
                     self._on_backend_request,
                     self._random,
+                    self._supervisor,
                 )
 
     def _make_balancer(self) -> BalancerRole:
         return BalancerRole(
-            self._settings, self._timer, self._metrics, lambda: self._membership.is_fresh
+            self._settings,
+            self._timer,
+            self._metrics,
+            lambda: self._membership.is_fresh,
+            self._supervisor,
         )
 
     def _bind_gossip(self) -> GossipSocket:
         types = {**MEMBERSHIP_TYPES, **LOAD_TYPES, **CONFIGURATION_TYPES, **DRAINING_TYPES}
         listen = self._settings.gossip
         fleet = self._settings.fleet
-        return _bind("gossip", listen, lambda: GossipSocket(listen, types, self._metrics, fleet))
+        return _bind(
+            "gossip",
+            listen,
+            lambda: GossipSocket(listen, types, self._metrics, self._supervisor, fleet),
+        )
 
     def _make_membership(self) -> MembershipService:
         membership = Membership(
@@ -226,39 +266,19 @@
             self._settings.seeds,
         )
         return MembershipService(
-            membership, self._gossip, self._timer, self._metrics, self._state_log
+            membership, self._gossip, self._timer, self._metrics, self._state_log, self._supervisor
         )
 
     def _make_configuration(self) -> ConfigurationService:
-        settings = self._settings
-        exchange = settings.exchange
-        return ConfigurationService(
-            name=settings.name,
-            failure_domain=settings.failure_domain,
-            relay=settings.relay,
-            platform=self._make_platform_client(),
-            vm_platform=self._make_platform_client(),
-            timer=self._timer,
-            random=self._random,
-            peers=lambda: peers_of(self._membership.view),
-            send=self._gossip.send,
-            fetch=fetch_configuration,
-            seeds=settings.seeds,
-            times=DistributionTimes(
-                period=exchange.period_seconds,
-                fetch=exchange.fetch_seconds,
-                start=exchange.start_seconds,
-                start_spread=exchange.start_spread_seconds,
-                silence=exchange.silence_seconds,
-                watch=settings.platform.watch_seconds,
-                vm_list=settings.membership.vm_list_seconds,
-            ),
+        return make_configuration_service(
+            self._settings,
+            self._timer,
+            self._random,
+            lambda: peers_of(self._membership.view),
+            self._gossip.send,
+            self._supervisor,
         )
 
-    def _make_platform_client(self) -> PlatformClient:
-        platform = self._settings.platform
-        return PlatformClient(platform.addresses, platform.read_seconds)
-
     def _make_admin(self) -> AdminServer:
         listen = self._settings.admin
         return AdminServer(
@@ -269,21 +289,13 @@
             self._supervisor,
         )
 
-    def _record_failure(self, part: Part, error: BaseException) -> None:
-        described = describe_failure(error)
-        self._metrics.failures_contained.increment(part, described.error)
-        self._state_log.record(
-            StateChange(
-                StateKind.FAILURE,
-                part.value,
-                f"{described.error} at {described.location}",
-                {"detail": described.detail},
-            )
-        )
-
     def _make_health_poller(self) -> HealthPoller:
         return HealthPoller(
-            self._backend, self._settings.backend, self._timer, self._on_backend_state
+            self._backend,
+            self._settings.backend,
+            self._timer,
+            self._on_backend_state,
+            self._supervisor,
         )
 
     def _connect_parts(self) -> None:
@@ -309,18 +321,21 @@
     async def _start(
         self,
         nursery: trio.Nursery,
+        part: Part,
         purpose: str,
         address: Address,
-        run: Callable[..., Awaitable[object]],
+        run: StartingTask,
     ) -> None:
         try:
-            await nursery.start(run)
+            await nursery.start(self._supervisor.start, part, run, True)
         except OSError as error:
             raise AddressUnavailable.caused_by(error, purpose, address) from error
 
     def _on_bundle(self, bundle: Bundle) -> None:
-        self._role.apply_bundle(bundle)
-        self._membership.on_targets(agents_of(bundle))
+        with self._supervisor.contain(Part.CONFIGURATION):
+            self._role.apply_bundle(bundle)
+        with self._supervisor.contain(Part.CONFIGURATION):
+            self._membership.on_targets(agents_of(bundle))
         number = self._role.target_number
         if number is not None:
             self._drain.on_bundle(bundle, number)
@@ -340,23 +355,14 @@
             self._drain.on_leaving_notice()
 
     def _on_view(self, view: MembershipView) -> None:
-        self._role.update_view(view)
+        with self._supervisor.contain(Part.MEMBERSHIP):
+            self._role.update_view(view)
         self._configuration.set_unreachable(view.unreachable_names)
 
     def _on_conflict(self, conflict: RevisionConflict) -> None:
         self._metrics.configuration_conflicts.increment()
         self._record(StateKind.CONFIGURATION_CONFLICT, conflict.revision)
 
-    def _note_endpoint_change(self, change: EndpointUnavailable | EndpointOpened) -> None:
-        match change:
-            case EndpointUnavailable(endpoint, address, error):
-                details = {"address": str(address), "error": error}
-                state = StateChange(StateKind.ENDPOINT, endpoint, "unavailable", details)
-            case EndpointOpened(endpoint, address):
-                details = {"address": str(address)}
-                state = StateChange(StateKind.ENDPOINT, endpoint, "open", details)
-        self._state_log.record(state)
-
     def _on_backend_request(self, answered: bool) -> None:
         self._health.note_request(answered)
 
@@ -380,15 +386,8 @@
 
     def _update_gauges(self, now: float) -> None:
         self._role.update_gauges()
-        counters = self._configuration.counters
-        reads = self._metrics.platform_reads
-        reads.raise_to(counters.platform_reads - counters.platform_failures, "answered")
-        reads.raise_to(counters.platform_failures, "failed")
+        update_configuration_metrics(self._configuration, self._metrics)
         self._record(StateKind.PLATFORM, self._pages.platform_state)
-        ignored = self._metrics.configuration_ignored
-        ignored.raise_to(self._configuration.older_ignored, "older")
-        ignored.raise_to(counters.torn, "torn")
-        ignored.raise_to(counters.malformed, "invalid")
 
     def _record(
         self, kind: StateKind, state: str | int, details: Mapping[str, str] | None = None
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import socket
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping
 from random import Random
 from typing import TypeAlias
 
@@ -18,33 +17,32 @@
     PacketCodec,
 )
 from ..boot import AgentSettings, NodeSettings, NodeSockets
-from ..directory import Directory, ReadPlan, Store, StoreReturn
+from ..directory import Directory, ReadPlan, Store
 from ..endpoints import Address, parse_ipv4
 from ..fleet import HubPlan, PeerTable
 from ..observation import (
     JSON,
     AdminServer,
-    EndpointOpened,
-    EndpointStates,
-    EndpointUnavailable,
     HealthProblem,
     HealthState,
     Journal,
     Metrics,
 )
-from ..supervision import Part, Supervisor, leaves
+from ..supervision import Part, Supervisor, SupervisorFactory, leaves
 from ..timing import TrioTimerService
 from ..wire import StreamServer
 from ._agent_node import AgentNode
 from ._balancer_node import BalancerNode
 from ._content_exchange import ContentExchange
 from ._decision_log import DecisionLog
+from ._directory_log import DirectoryLog
 from ._failure_log import FailureLog
 from ._fleet_link import FleetLink, TargetLoad
 from ._log_writer import LogWriter, OpenLog
 from ._reader_choice import ReaderChoice
 from ._shutdown import ShutdownPlan
 from ._store_reading import STORE_SOURCE, StoreReading
+from ._tcp_endpoints import TcpEndpoints
 
 SWEEP_SECONDS = 1.0
 CONTENT_SECONDS = 1.0  # longest wait for content at startup; callers stop sending SYNs after 1.4 s
@@ -66,6 +64,7 @@
         timer: the only clock of the node, which runs it.
         open_log: called once before the first lines are written; see `LogWriter`.
         random: spreads actions that the whole fleet would otherwise do at the same time.
+        make_supervisor: takes what failures are reported to.
     """
 
     def __init__(
@@ -77,6 +76,7 @@
         timer: TrioTimerService,
         open_log: OpenLog,
         random: Random,
+        make_supervisor: SupervisorFactory = Supervisor,
     ) -> None:
         self._settings = settings
         self._sockets = sockets
@@ -85,9 +85,9 @@
         self._journal = Journal(
             settings.name, lambda: self._timer.now, lambda: self._timer.epoch_milliseconds / 1000
         )
-        self._endpoints = EndpointStates(self._metrics, self._note_endpoint_change)
+        self._endpoints = TcpEndpoints(settings, sockets, self._metrics, self._journal)
         self._failures = FailureLog(self._metrics, self._journal)
-        self._supervisor = Supervisor(self._failures.record)
+        self._supervisor = make_supervisor(self._failures.record)
         timer.contain_failures(lambda error: self._supervisor.note_failure(Part.TIMERS, error))
         self._log_writer = LogWriter(self._journal, open_log, random, self._supervisor)
         self._host = parse_ipv4(settings.host)
@@ -97,7 +97,7 @@
         self._hubs = HubPlan(self._host, settings.failure_domain, seeds, self._peers)
         self._candidates = Candidates(self._directory)
         self._placement = FlowPlacement(self._directory, self._peers, self._candidates)
-        self._store_return: StoreReturn | None = None
+        self._directory_log = DirectoryLog(self._directory, self._metrics, self._journal)
         self._plan = ReadPlan(self._host, settings.is_first_start)
         self._shutdown = ShutdownPlan(settings.grace_seconds)
         self._stopped = trio.Event()
@@ -105,9 +105,7 @@
         self._agent_steering: AgentSteering | None = None
         self._role = self._make_role(codec)
         self._exchange = ContentExchange(
-            self._make_server(
-                "content", Address(settings.host, settings.tunnel_port), sockets.content
-            ),
+            self._endpoints.content,
             self._directory,
             self._timer,
             self._supervisor,
@@ -166,8 +164,9 @@
             "cell": self._hubs.cell,
             "is_hub": self._hubs.is_hub(now),
             "is_leaving": self._shutdown.is_leaving,
+            "endpoints": self._endpoints.states,
             "parts_stopped": sorted(each.value for each in self._supervisor.stopped),
-            "endpoints": self._endpoints.page,
+            "failures_unreported": self._supervisor.unreported,
         }
 
     async def run(self) -> None:
@@ -226,8 +225,8 @@
             nursery.start_soon(run, Part.STORE_READING, self._reading.run)
             await nursery.start(start, Part.CONTENT_SERVING, self._exchange.run)
             nursery.start_soon(run, Part.HEARTBEATS, self._link.run)
-            for server in self._make_admin_servers():
-                await nursery.start(start, Part.ADMIN, server.run)
+            for server in self._endpoints.pages:
+                await nursery.start(start, Part.ADMIN, self._make_admin(server).run)
             self._timer.subscribe(SWEEP_SECONDS, self._sweep)
             nursery.start_soon(run, Part.LOG, self._log_writer.run)
             await self._stopped.wait()
@@ -314,27 +313,10 @@
             self._note_content_change,
         )
 
-    def _make_admin_servers(self) -> Sequence[AdminServer]:
-        settings, sockets = self._settings, self._sockets
-        return [
-            AdminServer(
-                self._make_server(endpoint, listen, reserved),
-                self._metrics,
-                lambda: self.status,
-                lambda: self.health,
-                self._supervisor,
-            )
-            for endpoint, listen, reserved in (
-                ("health", settings.health, sockets.health),
-                ("metrics", settings.metrics, sockets.metrics),
-            )
-            if listen is not None
-        ]
-
-    def _make_server(
-        self, endpoint: str, listen: Address, reserved: socket.socket | None
-    ) -> StreamServer:
-        return StreamServer(listen, self._endpoints.observer(endpoint, listen), reserved)
+    def _make_admin(self, server: StreamServer) -> AdminServer:
+        return AdminServer(
+            server, self._metrics, lambda: self.status, lambda: self.health, self._supervisor
+        )
 
     def _load(self) -> TargetLoad:
         if self._agent_steering is None:
@@ -356,67 +338,21 @@
         return None
 
     def _note_content_change(self, source: str) -> None:
-        directory = self._directory
-        if directory.is_known:
+        if self._directory.is_known:
             self._content_known.set()
         if not self._hubs.cell:
             with self._supervisor.contain(Part.HEARTBEATS):
                 self._link.send_heartbeats()
-        self._metrics.revision_in_force.set(directory.version)
-        self._metrics.store_era.set(directory.content_revision.era)
-        self._note_store_return(source)
-        self._journal.record(
-            "content-changed",
-            source=source,
-            version=directory.version,
-            revision=str(directory.content_revision),
-            targets=len(directory.targets),
-        )
+        self._directory_log.note_change(source)
         if source != STORE_SOURCE:
             self._link.announce_content(parse_ipv4(source))
 
-    def _note_endpoint_change(self, change: EndpointUnavailable | EndpointOpened) -> None:
-        match change:
-            case EndpointUnavailable(endpoint, address, error):
-                self._journal.record(
-                    "endpoint-unavailable", endpoint=endpoint, address=str(address), error=error
-                )
-            case EndpointOpened(endpoint, address):
-                self._journal.record("endpoint-opened", endpoint=endpoint, address=str(address))
-
-    def _note_store_return(self, source: str) -> None:
-        found = self._directory.last_return
-        if found is None or found is self._store_return:
-            return
-        self._store_return = found
-        self._metrics.store_returns.increment()
-        self._journal.record(
-            "store-returned",
-            source=source,
-            before=str(found.before),
-            revision=str(found.after),
-            version=self._directory.version,
-            version_read=found.version_read,
-            lacking=found.lacking,
-            outdated=found.outdated,
-        )
-
-    def _note_outdated_entries(self) -> None:
-        counter = self._metrics.entries_outdated
-        count = self._directory.outdated_entries - int(counter.value())
-        if not count:
-            return
-        counter.increment(amount=count)
-        self._journal.record(
-            "entries-outdated", count=count, revision=str(self._directory.content_revision)
-        )
-
     def _can_read_store(self) -> bool:
         return self._plan.can_read(self._timer.now) and not self._shutdown.is_leaving
 
     def _sweep(self, now: float) -> None:
         self._directory.tick(now)
-        self._note_outdated_entries()
+        self._directory_log.note_outdated_entries()
         load = self._load()
         self._metrics.flows_open.set(load.flows)
 
--- a/egretsill/supervision/__init__.py
+++ b/egretsill/supervision/__init__.py
@@ -2,6 +2,16 @@
 
 from ._failure import FailureDescription, describe_failure, leaves
 from ._parts import Part
-from ._supervisor import Supervisor
+from ._propagating import PropagatingSupervisor
+from ._supervisor import StartingTask, Supervisor, SupervisorFactory
 
-__all__ = ["FailureDescription", "Part", "Supervisor", "describe_failure", "leaves"]
+__all__ = [
+    "FailureDescription",
+    "Part",
+    "PropagatingSupervisor",
+    "StartingTask",
+    "Supervisor",
+    "SupervisorFactory",
+    "describe_failure",
+    "leaves",
+]
