--- a/egretsill/daemon/_daemon.py
+++ b/egretsill/daemon/_daemon.py
@@ -33,7 +33,9 @@
 from ..observation import (
     JSON,
     AdminServer,
+    EndpointOpened,
     EndpointStates,
+    EndpointUnavailable,
     Metrics,
     StateChange,
     StateKind,
@@ -43,7 +45,7 @@
 from ..requests import RELAY_TYPES
 from ..settings import DaemonSettings, Role, SettingsRejected
 from ..steering import ConnectionIdCodec
-from ..supervision import Part, StartingTask, Supervisor, SupervisorFactory, leaves
+from ..supervision import Part, Supervisor, SupervisorFactory, leaves
 from ..timing import TrioTimerService
 from ..wire import StreamDecoder, StreamServer
 from ._agent_role import AgentRole
@@ -51,7 +53,7 @@
 from ._configuration_link import serve_requests
 from ._configuration_service import make_configuration_service, update_configuration_metrics
 from ._drain_control import DrainControl, HealthPoller
-from ._endpoint_log import EndpointLog
+from ._endpoint_log import endpoint_state_change
 from ._exceptions import (
     AddressUnavailable,
     AgentSettingsIncomplete,
@@ -90,10 +92,10 @@
         self._timer = TrioTimerService()
         self._metrics = Metrics()
         self._state_log = StateLog(settings.name)
-        self._endpoints = EndpointStates(self._metrics, EndpointLog(self._state_log).record)
-        self._failures = FailureLog(self._metrics, self._state_log)
+        self._failures = FailureLog(self._metrics, self._state_log, lambda: self._timer.now)
         self._supervisor = make_supervisor(self._failures.record)
         self._timer.contain_failures(partial(self._supervisor.note_failure, Part.TIMERS))
+        self._endpoints = EndpointStates(self._metrics, self._note_endpoint_change)
         self._stopped = trio.Event()
         self._backend_state = BackendState.HEALTHY
         self._role = self._make_role()
@@ -151,9 +153,7 @@
         return self._pages.status
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
-        """Run until shut down or cancelled; report as started once every endpoint is bound.
-
-        The admin endpoint isn't waited for: it is opened as soon as its address is free.
+        """Run until shut down or cancelled; report as started once bound, but for admin.
 
         Raises:
             AddressUnavailable: if another endpoint can't be bound.
@@ -201,9 +201,8 @@
             run = self._supervisor.run
             nursery.start_soon(run, Part.TIMERS, self._timer.run)
             nursery.start_soon(run, Part.GOSSIP, self._gossip.run)
-            relay, admin = self._settings.relay, self._make_admin()
-            await self._start(nursery, Part.RELAY, "relay", relay, self._streams.run)
-            await nursery.start(self._supervisor.start, Part.ADMIN, admin.run)
+            await self._start_relay(nursery)
+            await nursery.start(self._supervisor.start, Part.ADMIN, self._make_admin().run)
             self._membership.start()
             nursery.start_soon(run, Part.CONFIGURATION, self._configuration.run)
             nursery.start_soon(run, Part.ROLE, self._role.run, is_address_unavailable)
@@ -318,18 +317,11 @@
     ) -> None:
         await serve_requests(self._configuration.answer, stream, first, decoder)
 
-    async def _start(
-        self,
-        nursery: trio.Nursery,
-        part: Part,
-        purpose: str,
-        address: Address,
-        run: StartingTask,
-    ) -> None:
+    async def _start_relay(self, nursery: trio.Nursery) -> None:
         try:
-            await nursery.start(self._supervisor.start, part, run, True)
+            await nursery.start(self._supervisor.start, Part.RELAY, self._streams.run, True)
         except OSError as error:
-            raise AddressUnavailable.caused_by(error, purpose, address) from error
+            raise AddressUnavailable.caused_by(error, "relay", self._settings.relay) from error
 
     def _on_bundle(self, bundle: Bundle) -> None:
         with self._supervisor.contain(Part.CONFIGURATION):
@@ -363,6 +355,9 @@
         self._metrics.configuration_conflicts.increment()
         self._record(StateKind.CONFIGURATION_CONFLICT, conflict.revision)
 
+    def _note_endpoint_change(self, change: EndpointUnavailable | EndpointOpened) -> None:
+        self._state_log.record(endpoint_state_change(change))
+
     def _on_backend_request(self, answered: bool) -> None:
         self._health.note_request(answered)
 
