--- a/egretsill/daemon/tests/test_failure_log.py
+++ b/egretsill/daemon/tests/test_state_failure_log.py
@@ -5,7 +5,7 @@
 from ...observation import Metrics, StateChange, StateLog
 from ...supervision import Part
 from ...timing import VirtualTimerService
-from .._failure_log import FailureLog
+from .._state_failure_log import StateFailureLog
 
 
 class RecordingStateLog(StateLog):
@@ -23,7 +23,7 @@
 # Guards against a log that is flooded by failures that alternate.
 def test_lines_of_a_part_are_limited_and_all_failures_counted() -> None:
     timer, metrics, log = VirtualTimerService(), Metrics(), RecordingStateLog()
-    failures = FailureLog(metrics, log, lambda: timer.now)
+    failures = StateFailureLog(metrics, log, lambda: timer.now)
     for _ in range(100):
         failures.record(Part.PACKETS, KeyError("a"))
         failures.record(Part.PACKETS, ValueError("b"))
