--- a/egretsill/supervision/_work_record.py
+++ b/egretsill/supervision/_work_record.py
@@ -5,9 +5,7 @@
 from collections.abc import Callable
 
 FAILING_SECONDS = 1.0  # a part with nothing but failures for this long doesn't work
-TRIAL_SECONDS = (
-    10.0  # without a failure for this long the part gets work again, to show if it works
-)
+TRIAL_SECONDS = 10.0  # after this long without a failure the part gets work again
 
 
 class WorkRecord:
