Supervision: one copy of how connections are counted, contained and closed

The admin server, the exchange of content and the stream endpoint of a daemon each had the same dozen lines: refuse one too many, count, contain a failure, close. Connections serves all three. Behaviour is the same: a refusal is counted before the connection is closed, as before.

--- a/egretsill/daemon/_stream_endpoint.py
+++ b/egretsill/daemon/_stream_endpoint.py
@@ -9,7 +9,7 @@
 
 from ..configuration import Address
 from ..observation import Metrics
-from ..supervision import Part, Supervisor
+from ..supervision import Connections, Part, Supervisor
 from ..wire import Codec, MalformedMessage, StreamDecoder
 from ._configuration_link import next_message
 
@@ -38,9 +38,8 @@
         self._listen = listen
         self._codec: Codec[Any] = Codec("relay", types)
         self._metrics = metrics
-        self._supervisor = supervisor
         self._handlers: dict[type, StreamHandler] = {}
-        self._open_streams = 0
+        self._connections = Connections(Part.RELAY, MAXIMUM_STREAMS, supervisor)
 
     def register(self, message_types: Iterable[type], handler: StreamHandler) -> None:
         """Dispatch streams whose first message has one of these types to `handler`."""
@@ -59,16 +58,7 @@
 
     async def serve(self, stream: trio.abc.Stream) -> None:
         """Serve one stream until it ends; close it at once if too many are open."""
-        if self._open_streams >= MAXIMUM_STREAMS:
-            await trio.aclose_forcefully(stream)
-            return
-        self._open_streams += 1
-        try:
-            with self._supervisor.contain(Part.RELAY):
-                await self._serve_open(stream)
-        finally:
-            self._open_streams -= 1
-            await trio.aclose_forcefully(stream)
+        await self._connections.serve(stream, lambda: self._serve_open(stream))
 
     async def _serve_open(self, stream: trio.abc.Stream) -> None:
         try:
--- a/egretsill/node/_content_exchange.py
+++ b/egretsill/node/_content_exchange.py
@@ -28,7 +28,7 @@
     unpack_table,
     unpack_targets,
 )
-from ..supervision import Part, Supervisor
+from ..supervision import Connections, Part, Supervisor
 from ..timing import TimerService
 from ..wire import (
     Address,
@@ -81,10 +81,9 @@
         self._server = server
         self._directory = directory
         self._timer = timer
-        self._supervisor = supervisor
         self._count_malformed = count_malformed
         self._codec: Codec[DirectoryMessage] = Codec("directory", DIRECTORY_TYPES)
-        self._open_connections = 0
+        self._connections = Connections(Part.CONTENT_SERVING, MAXIMUM_CONNECTIONS, supervisor)
 
     async def run(self, task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED) -> None:
         """Serve requests until cancelled; `task_status` reports the endpoint after one attempt."""
@@ -197,16 +196,7 @@
         self._count_malformed(f"unusable {entry.part} of a target")
 
     async def _serve(self, stream: trio.abc.Stream) -> None:
-        if self._open_connections >= MAXIMUM_CONNECTIONS:
-            await trio.aclose_forcefully(stream)
-            return
-        self._open_connections += 1
-        try:
-            with self._supervisor.contain(Part.CONTENT_SERVING):
-                await self._serve_request(stream)
-        finally:
-            self._open_connections -= 1
-            await trio.aclose_forcefully(stream)
+        await self._connections.serve(stream, lambda: self._serve_request(stream))
 
     async def _serve_request(self, stream: trio.abc.Stream) -> None:
         try:
--- a/egretsill/observation/_admin_server.py
+++ b/egretsill/observation/_admin_server.py
@@ -15,7 +15,7 @@
 import h11
 import trio
 
-from ..supervision import Part, Supervisor
+from ..supervision import Connections, Part, Supervisor
 from ..wire import Address, StreamServer
 from ._health import HealthState
 from ._metrics import Metrics
@@ -72,24 +72,19 @@
         self._status = status
         self._health = health
         self._supervisor = supervisor
-        self._connections = 0
+        self._connections = Connections(
+            Part.ADMIN,
+            MAXIMUM_CONNECTIONS,
+            supervisor,
+            lambda: self._count_refusal(AdminRefusal.TOO_MANY),
+        )
 
     async def run(self, task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled; `task_status` reports the endpoint after one attempt."""
         await self._server.run(self._serve, task_status)
 
     async def _serve(self, stream: trio.abc.HalfCloseableStream) -> None:
-        if self._connections >= MAXIMUM_CONNECTIONS:
-            self._count_refusal(AdminRefusal.TOO_MANY)
-            await trio.aclose_forcefully(stream)
-            return
-        self._connections += 1
-        try:
-            with self._supervisor.contain(Part.ADMIN):
-                await self._serve_connection(stream)
-        finally:
-            self._connections -= 1
-            await trio.aclose_forcefully(stream)
+        await self._connections.serve(stream, lambda: self._serve_connection(stream))
 
     async def _serve_connection(self, stream: trio.abc.HalfCloseableStream) -> None:
         try:
--- a/egretsill/observation/tests/test_admin_garbage.py
+++ b/egretsill/observation/tests/test_admin_garbage.py
@@ -76,7 +76,7 @@
     )
     counted = metrics.admin_requests.total() + metrics.admin_connections_refused.total()
     assert counted == 1
-    assert server._connections == 0
+    assert server._connections.open_count == 0
     assert len(response) <= MAXIMUM_RESPONSE_BYTES
     assert response == b"" or response.startswith(b"HTTP/1.1 ")
 
@@ -95,6 +95,6 @@
         for _ in range(300):
             _, metrics, server = await _exchange(source.randbytes(40) + b"\r\n\r\n", 1)
             assert metrics.admin_connections_refused.value("malformed") == 1
-            assert server._connections == 0
+            assert server._connections.open_count == 0
 
     trio.run(main)
