--- a/egretsill/directory/_messages.py
+++ b/egretsill/directory/_messages.py
@@ -72,7 +72,8 @@
 _PHASES = {each.value: each for each in TargetPhase}
 
 OnUnusable: TypeAlias = Callable[[UnusableEntry], None]
-DIRECTORY_TYPES: Mapping[int, type] = {43: ContentRequest, 44: ContentResponse, 45: ContentUpdate}
+# Releases that took incomplete entries from the store send content under the tags 44 and 45.
+DIRECTORY_TYPES: Mapping[int, type] = {43: ContentRequest, 46: ContentResponse, 47: ContentUpdate}
 DirectoryMessage: TypeAlias = ContentRequest | ContentResponse | ContentUpdate
 
 
--- a/egretsill/node/tests/test_odd_messages.py
+++ b/egretsill/node/tests/test_odd_messages.py
@@ -244,14 +244,14 @@
 MESSAGES = st.one_of(
     st.tuples(st.just(43), NUMBERS, REVISIONS),
     st.tuples(
-        st.just(44),
+        st.just(46),
         REVISIONS,
         st.just(7) | NUMBERS,
         st.none() | st.tuples(st.just(7) | NUMBERS, st.just(15.0), ROUTES) | ANYTHING,
         TARGETS | ANYTHING,
     ),
     st.tuples(
-        st.just(45),
+        st.just(47),
         REVISIONS,
         st.just(7) | NUMBERS,
         st.just((1, 10)),
