--- a/egretsill/address_steering/tests/scene.py
+++ b/egretsill/address_steering/tests/scene.py
@@ -56,6 +56,12 @@
     return RouteTable(version, {(SERVICE_HOST, port): route}, IDLE)
 
 
+def with_route(route_table: RouteTable, service: str, port: int = PORT + 1) -> RouteTable:
+    """Return a configuration with a further route, to another service."""
+    route = Route("further", SERVICE_HOST, port, (ServiceShare(service, 1),))
+    return replace(route_table, routes={**route_table.routes, (SERVICE_HOST, port): route})
+
+
 class Scene:
     """View of one process, and updates to it."""
 
--- a/egretsill/directory/_directory.py
+++ b/egretsill/directory/_directory.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from ._change_log import ChangeLog, ContentChanges, apply_route_changes, route_changes
@@ -140,19 +140,46 @@
         """Return whether a VM has a target, or had one until recently."""
         return bool(self._entries.index.on_host(host))
 
+    def targets_on(self, host: int) -> Sequence[TargetView]:
+        """Return the targets on a VM, including departed ones whose flows may still be open."""
+        return self._entries.index.on_host(host)
+
+    @property
+    def target_hosts(self) -> Collection[int]:
+        """Return the VMs that have targets, or had some until recently."""
+        return self._entries.index.hosts
+
+    def is_routed(self, service: str) -> bool:
+        """Return whether the configuration in force has routes to a service.
+
+        Targets of other services may have open flows of an earlier configuration, or be waiting
+        for a later one. Their entries may also be of another writer, so they say nothing about
+        other targets or about where processes of the system run. Without any route, every service
+        counts as routed.
+        """
+        return self._entries.is_routed(service)
+
+    def other_services(self, services: Collection[str]) -> Sequence[str]:
+        """Return the services that have targets, except the given ones; routed ones come first."""
+        others = [each for each in self._entries.index.services if each not in services]
+        return sorted(others, key=lambda each: not self.is_routed(each))
+
     def is_replaced(self, view: TargetView) -> bool:
-        """Return whether another target now has the address of this one."""
+        """Return whether another target, of a routed service, now has the address of this one."""
         return any(
             (each.missing_since is None or each.is_awaited)
             and each.target.port == view.target.port
             and each.target.name != view.target.name
+            and self.is_routed(each.target.service)
             for each in self._entries.index.on_host(view.target.host)
         )
 
     def domains(self) -> Mapping[int, str]:
-        """Return the failure domain of each VM that has a target in force."""
+        """Return the failure domain of each VM that has a target in force of a routed service."""
         return {
-            each.target.host: each.target.failure_domain for each in self._entries.current.values()
+            each.target.host: each.target.failure_domain
+            for each in self._entries.current.values()
+            if self.is_routed(each.target.service)
         }
 
     def lacks(self, revision: StoreRevision, version: int) -> bool:
@@ -327,6 +354,8 @@
         if not is_newer and not written and not removed:
             return False
         self._table = after
+        if is_newer and after is not None:
+            self._entries.set_routed_services(after.services or None, now)
         base = self._content_revision
         if base == NO_REVISION or changes.at <= base or (is_newer and before is None):
             self._log.clear()
--- a/egretsill/directory/_model.py
+++ b/egretsill/directory/_model.py
@@ -72,6 +72,11 @@
     routes: Mapping[tuple[int, int], Route]
     idle_seconds: float
 
+    @property
+    def services(self) -> frozenset[str]:
+        """Return the services that may take new flows of a route."""
+        return frozenset(name for route in self.routes.values() for name in route.services)
+
 
 @dataclass(frozen=True, slots=True)
 class Target:
--- a/egretsill/directory/_target_entries.py
+++ b/egretsill/directory/_target_entries.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping, Sequence, Set
 
 from ._model import Target, TargetPhase
 from ._target_index import COPY_SETTLING_SECONDS, NEVER, TargetIndex, TargetView
@@ -28,6 +28,7 @@
         self._current: dict[str, TargetView] = {}
         self._departed: OrderedDict[str, TargetView] = OrderedDict()
         self._index = TargetIndex()
+        self._routed_services: Set[str] | None = None
         self._generation = 0
         self._changed_at: float | None = None
         self._grace_until = NEVER
@@ -45,7 +46,9 @@
     def index(self) -> TargetIndex:
         """Return all targets by service and by VM."""
         if self._changed_at is not None:
-            self._index.rebuild(self._current, self._departed.values(), self._changed_at)
+            self._index.rebuild(
+                self._current, self._departed.values(), self._routed_services, self._changed_at
+            )
             self._changed_at = None
         return self._index
 
@@ -64,6 +67,16 @@
         """Return how often entries were passed over for a later write since the start."""
         return self._outdated_count
 
+    def is_routed(self, service: str) -> bool:
+        """Return whether a service counts as routed."""
+        return self._routed_services is None or service in self._routed_services
+
+    def set_routed_services(self, services: Set[str] | None, now: float) -> None:
+        """Set the services to which the configuration in force has routes; None for any."""
+        if services != self._routed_services:
+            self._routed_services = services
+            self._note_change(now)
+
     def is_settled(self, now: float) -> bool:
         """Return whether the store alone decides about entries."""
         return now >= self._settled_at
--- a/egretsill/directory/_target_index.py
+++ b/egretsill/directory/_target_index.py
@@ -57,44 +57,69 @@
         """Return the targets on a VM."""
         return self._by_host.get(host, ())
 
+    @property
+    def services(self) -> Collection[str]:
+        """Return the services that have targets."""
+        return self._by_service.keys()
+
+    @property
+    def hosts(self) -> Collection[int]:
+        """Return the VMs that have targets."""
+        return self._by_host.keys()
+
     def rebuild(
-        self, current: Mapping[str, TargetView], departed: Collection[TargetView], now: float
+        self,
+        current: Mapping[str, TargetView],
+        departed: Collection[TargetView],
+        routed_services: Collection[str] | None,
+        now: float,
     ) -> None:
         """Index all targets again.
 
         Args:
             current: the targets in force, by name.
             departed: the targets whose entries are gone.
+            routed_services: the services of the configuration in force, None for any.
             now: local time.
         """
         by_service: dict[str, list[TargetView]] = {}
         by_host: dict[int, list[TargetView]] = {}
-        for view in (*self._without_replaced(current, departed, now), *departed):
+        in_force = self._without_replaced(current, departed, routed_services, now)
+        for view in (*in_force, *departed):
             by_service.setdefault(view.target.service, []).append(view)
             by_host.setdefault(view.target.host, []).append(view)
         self._by_service, self._by_host = _as_tuples(by_service), _as_tuples(by_host)
 
     def _without_replaced(
-        self, current: Mapping[str, TargetView], departed: Iterable[TargetView], now: float
+        self,
+        current: Mapping[str, TargetView],
+        departed: Iterable[TargetView],
+        routed_services: Collection[str] | None,
+        now: float,
     ) -> Iterable[TargetView]:
         """Yield the targets; one whose address belongs to a newer target is yielded as departed.
 
         The entry of a crashed target stays in the store for a while, when the next target at its
         address may already have its own entry. A copy of the store may have only the former, which
         is replaced even if the next target's entry is missing for longer than it is awaited.
+
+        Only a target of a routed service replaces others. Any writer may register an address under
+        a service of its own, while the target there lives.
         """
         newest: dict[tuple[int, int], TargetView] = {}
         recent = (each for each in departed if _has_recently_departed(each, now))
         for view in (*current.values(), *recent):
+            if routed_services is not None and view.target.service not in routed_services:
+                continue
             place = (view.target.host, view.target.port)
             known = newest.get(place)
             if known is None or is_successor(view.target, known.target):
                 newest[place] = view
-        kept = {
-            name
-            for name, view in current.items()
-            if newest[view.target.host, view.target.port] is view
-        }
+        kept = set()
+        for name, view in current.items():
+            holder = newest.get((view.target.host, view.target.port), view)
+            if holder is view or not is_successor(holder.target, view.target):
+                kept.add(name)
         self._replaced_at = {
             name: self._replaced_at.get(name, now) for name in current if name not in kept
         }
--- a/egretsill/directory/tests/test_directory.py
+++ b/egretsill/directory/tests/test_directory.py
@@ -103,6 +103,9 @@
 
 def test_reused_address_ends_the_former_target() -> None:
     directory = make_directory()
+    intake = Route("other", 9, 80, (ServiceShare("intake", 1),))
+    routes = {**make_table(7).routes, (9, 80): intake}
+    directory.apply_changes(Changes(rev(20), RouteTable(8, routes, 15.0)), 0.5)
     other = Target("new", 2, 80, "intake", "a", TargetPhase.READY, 4, 0.0, 9, rev(21))
     directory.apply_changes(Changes(rev(21), None, (other,)), 1.0)
     assert directory.target_at(2, "intake") is not None
--- a/egretsill/node/_directory_log.py
+++ b/egretsill/node/_directory_log.py
@@ -18,6 +18,7 @@
     def note_change(self, source: str) -> None:
         """Record content that was read by this process or fetched from the peer `source`."""
         directory = self._directory
+        targets = directory.targets
         self._metrics.revision_in_force.set(directory.version)
         self._metrics.store_era.set(directory.content_revision.era)
         self._note_store_return(source)
@@ -26,7 +27,8 @@
             source=source,
             version=directory.version,
             revision=str(directory.content_revision),
-            targets=len(directory.targets),
+            targets=len(targets),
+            unrouted=sum(not directory.is_routed(each.service) for each in targets),
         )
 
     def note_outdated_entries(self) -> None:
--- a/egretsill/node/_reader_choice.py
+++ b/egretsill/node/_reader_choice.py
@@ -11,8 +11,9 @@
 class ReaderChoice:
     """Selects the first agents in the readers' ranking that reach the store.
 
-    All processes rank the VMs of the directory's targets, which they all know. Until targets are
-    known, the seeds are ranked.
+    All processes rank the VMs of the directory's targets, which they all know. Entries of services
+    without a route are left out, since their VMs may not have an agent. Until targets are known,
+    the seeds are ranked.
 
     Args:
         host: IPv4 address of this process, as a number.
@@ -45,7 +46,9 @@
         generation = self._directory.generation
         if self._generation != generation:
             hosts = {
-                each.host for each in self._directory.targets if each.phase is TargetPhase.READY
+                each.host
+                for each in self._directory.targets
+                if each.phase is TargetPhase.READY and self._directory.is_routed(each.service)
             }
             self._order = reader_order(hosts or self._seeds)
             self._generation = generation
--- a/egretsill/node/tests/test_reader_choice.py
+++ b/egretsill/node/tests/test_reader_choice.py
@@ -11,7 +11,9 @@
     READERS,
     Changes,
     Directory,
+    Route,
     RouteTable,
+    ServiceShare,
     Snapshot,
     Target,
     TargetPhase,
@@ -81,6 +83,19 @@
     assert choice.readers() == list(order[2:4])
 
 
+# Guards against content that nobody reads because the readers' VMs have no process of the system.
+def test_vms_of_services_without_a_route_are_not_readers() -> None:
+    entries = targets(15)
+    foreign = [replace(each, name=f"f{each.host}", host=each.host + 50) for each in entries]
+    foreign = [replace(each, service="inventory") for each in foreign]
+    directory = make_directory([])
+    route = Route("r", 9, 443, (ServiceShare("lookup", 1),))
+    table = RouteTable(2, {(9, 443): route}, 15.0)
+    directory.apply_changes(Changes(rev(21), table, (*entries, *foreign)), 1.0)
+    choice = ReaderChoice(99, SEEDS, directory, PeerTable(99), lambda: True)
+    assert choice.readers() == list(reader_order(range(1, 16))[:READERS])
+
+
 # Guards against readers of earlier content that stay chosen after a failure to rank the new ones.
 def test_failed_ranking_is_repeated(monkeypatch: pytest.MonkeyPatch) -> None:
     directory = make_directory(targets(5))
