--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -36,6 +36,7 @@
 from ._request_queue import RequestQueue
 from ._target_silence import TargetSilence
 from ._tunnel import (
+    ANY_SERVICE,
     CapacityOffer,
     CapacityRequest,
     Envelope,
@@ -76,7 +77,8 @@
         self._mark = service_hash(service)
         self._directory = directory
         self._placement = placement
-        self._search = FlowSearch(host, service, directory, Presence(directory, peers), placement)
+        presence = Presence(directory, peers)
+        self._search = FlowSearch(host, service, directory, presence, placement, started_at)
         self._flows = FlowTable(retention_seconds, started_at)
         self._notifier = HomeNotifier(host, service, self._flows, placement.candidates, peers)
         self._silence = TargetSilence()
@@ -254,13 +256,23 @@
     def _take_unknown(
         self, envelope: Envelope, packet: FlowPacket, now: float
     ) -> Sequence[AgentEffect]:
-        is_known = self._flows.is_complete(now) or not self._search.may_be_here(packet.flow)
+        is_known = self._flows.is_complete(now)
         if is_known or self._search.is_announced_elsewhere(packet.flow, envelope):
             return self._pass_on(envelope, packet, now)
+        if not self._is_expected_here(envelope, packet):
+            likelier = self._search.likelier_hop(packet.flow, envelope, now)
+            if likelier is not None:
+                reason = likelier.reason
+                return pass_packet(self._host, likelier.host, envelope, packet, reason)
         entry = FlowEntry.begin(FlowState.TRYING, envelope, now)
         self._flows.put(packet.flow, entry)
         return self._take_owned(entry, envelope, packet, now)
 
+    def _is_expected_here(self, envelope: Envelope, packet: FlowPacket) -> bool:
+        """Return whether the route, or the sender of a packet, allows that its flow is here."""
+        is_steered_here = envelope.service_hash in (self._mark, ANY_SERVICE)
+        return is_steered_here or self._search.may_be_here(packet.flow)
+
     def _take_bounced(self, packet: FlowPacket, now: float) -> Sequence[AgentEffect]:
         entry = self._flows.get(packet.flow)
         if entry is None:
@@ -288,13 +300,14 @@
         If no VM is left, the flow is refused only by a view confirmed after the packet arrived.
         """
         match self._search.next_step(packet.flow, envelope, now):
-            case SearchHop(host, ForwardReason.ANNOUNCED_BY_OWNER as reason):
+            case SearchHop(host, reason, is_of_route):
+                steered = envelope if is_of_route else envelope._replace(service_hash=ANY_SERVICE)
+                passed = pass_packet(self._host, host, steered, packet, reason)
+                if reason is not ForwardReason.ANNOUNCED_BY_OWNER:
+                    return passed
                 # This spares the balancer another search even if the owner doesn't answer now.
                 notice = OwnerNotice(packet.flow, host)
-                passed = pass_packet(self._host, host, envelope, packet, reason)
                 return (*passed, NotifyBalancer(envelope.balancer, notice))
-            case SearchHop(host, reason):
-                return pass_packet(self._host, host, envelope, packet, reason)
             case RefuseReason() if not is_confirmed and packet.kind is not PacketKind.RST:
                 if not self._undecided.keep(envelope, packet, now):
                     return (Drop(packet.flow, DropReason.UNDECIDED),)
--- a/egretsill/address_steering/_balancer_steering.py
+++ b/egretsill/address_steering/_balancer_steering.py
@@ -26,7 +26,7 @@
 from ._packet import FlowKey, FlowPacket, PacketKind
 from ._placement import FlowPlacement
 from ._presence import Presence
-from ._tunnel import Envelope, OwnerNotice, domain_hash, service_hash
+from ._tunnel import ANY_SERVICE, Envelope, OwnerNotice, domain_hash, service_hash
 
 MAXIMUM_OWNERS = 20_000  # about 6 MB; an evicted owner costs the flow's next packet a hop
 SYN_NOTICE_SECONDS = 0.5  # longer than between two copies of a SYN packet
@@ -35,8 +35,18 @@
 
 @dataclass(frozen=True, slots=True)
 class _Owner:
+    """Owner of a flow.
+
+    Attributes:
+        host: its VM.
+        service: the service of its target, None if it is none of the flow's route.
+        tried: VMs that got a SYN packet of the flow.
+        learned_at: when it was learned.
+        is_notified: whether its agent told that it has the flow.
+    """
+
     host: int
-    service: str
+    service: str | None
     tried: tuple[int, ...]
     learned_at: float
     is_notified: bool = False
@@ -93,21 +103,32 @@
         self._owners.pop(packet.flow, None)
         services = self._directory.flow_services(route)
         host = self._first_search_host(packet.flow, services, now)
+        if host is not None:
+            return self._forward(packet, host, services[0], ForwardReason.FIRST_CANDIDATE)
+        # The flow may have been opened at another service, before its route named this one.
+        others = self._directory.other_services(services)
+        host = self._first_search_host(packet.flow, others, now)
         if host is None:
             return Drop(packet.flow, DropReason.NO_TARGET)
-        return self._forward(packet, host, services[0], ForwardReason.FIRST_CANDIDATE)
+        return self._forward(packet, host, None, ForwardReason.FIRST_CANDIDATE)
 
     def record_owner(self, notice: OwnerNotice, now: float) -> bool:
-        """Cache a flow's owner if it is the VM of a known target; return whether it is."""
+        """Cache a flow's owner if it is the VM of a known target; return whether it is.
+
+        The target may be of a service that the route had before this process started.
+        """
         route = self._directory.route(notice.flow.service_host, notice.flow.service_port)
-        if route is None:
+        if route is None or not self._directory.targets_on(notice.owner):
             return False
-        for service in self._directory.flow_services(route):
-            if self._directory.target_at(notice.owner, service) is not None:
-                owner = _Owner(notice.owner, service, (notice.owner,), now, is_notified=True)
-                self._remember(notice.flow, owner)
-                return True
-        return False
+        found = (
+            each
+            for each in self._directory.flow_services(route)
+            if self._directory.target_at(notice.owner, each) is not None
+        )
+        service = next(found, None)
+        owner = _Owner(notice.owner, service, (notice.owner,), now, is_notified=True)
+        self._remember(notice.flow, owner)
+        return True
 
     def tick(self, now: float) -> None:
         """Remove owners that were cached too long ago, and outdated counts of new flows."""
@@ -182,17 +203,20 @@
         The flow may still be open elsewhere: the owner that this balancer chose may not have
         answered first, and the caller may have taken another target's SYN-ACK packet.
         """
-        return self._presence.has_left(owner.host, (owner.service,), now)
+        services = (owner.service,) if owner.service is not None else ()
+        return self._presence.has_left(owner.host, services, now)
 
     def _forward(
-        self, packet: FlowPacket, host: int, service: str, reason: ForwardReason
+        self, packet: FlowPacket, host: int, service: str | None, reason: ForwardReason
     ) -> Forward:
-        mark = self._marks.get(service)
-        if mark is None:
-            mark = self._marks.setdefault(service, service_hash(service))
+        mark = ANY_SERVICE if service is None else self._mark_of(service)
         envelope = Envelope(self._host, self._directory.version, mark, (), self._domain_mark)
         return Forward(host, envelope, reason, packet.flow, packet.datagram)
 
+    def _mark_of(self, service: str) -> int:
+        mark = self._marks.get(service)
+        return mark if mark is not None else self._marks.setdefault(service, service_hash(service))
+
     def _remember(self, flow: FlowKey, owner: _Owner) -> None:
         self._owners.pop(flow, None)
         self._owners[flow] = owner
--- a/egretsill/address_steering/_candidates.py
+++ b/egretsill/address_steering/_candidates.py
@@ -32,6 +32,8 @@
 # two choices; Mitzenmacher, 2001).
 CHOICES = 2
 HOME_COUNT = 2  # one remains if the other has failed and this isn't detected yet
+# VMs that a search begins with: the candidates in the near cell, the homes, and one home more.
+SEARCH_CANDIDATES = CHOICES + HOME_COUNT + 1
 
 
 class ServiceRank:
--- a/egretsill/address_steering/_flow_search.py
+++ b/egretsill/address_steering/_flow_search.py
@@ -2,16 +2,22 @@
 
 The packet goes to the owner that announced the flow to this agent as its home. Otherwise it goes to
 the flow's next candidate, as in Beamer's daisy chaining (Olteanu and others, 2018).
+
+Routes only tell where to look first. A flow stays at its target when its route moves to another
+service, and a process that started later doesn't know of the move. So a flow is open nowhere only
+if every agent of the fleet has denied it.
 """
 
 from __future__ import annotations
 
 from collections.abc import Collection, Iterator, Sequence
 from dataclasses import dataclass
+from itertools import islice
 from typing import TypeAlias
 
 from ..directory import Directory
 from ..fleet import SILENT_SECONDS
+from ._candidates import SEARCH_CANDIDATES
 from ._decisions import DropReason, ForwardReason, RefuseReason
 from ._homes import HomeTable
 from ._packet import FlowKey
@@ -19,13 +25,22 @@
 from ._presence import Presence
 from ._tunnel import Envelope
 
+MAXIMUM_OTHER_SERVICES = 16  # services without the flow's route whose homes are asked
+
 
 @dataclass(frozen=True, slots=True)
 class SearchHop:
-    """The next VM on which a flow may be, and the reason to look there."""
+    """The next VM on which a flow may be, and the reason to look there.
+
+    Attributes:
+        host: the VM.
+        reason: why the flow may be there.
+        is_of_route: whether a target of the route's services is expected there.
+    """
 
     host: int
     reason: ForwardReason
+    is_of_route: bool = True
 
 
 SearchStep: TypeAlias = SearchHop | RefuseReason | DropReason
@@ -40,6 +55,7 @@
         directory: routes and targets.
         presence: determines which VMs may still have flows.
         placement: ranks the candidates of flows.
+        started_at: local time since which the agent receives heartbeats.
     """
 
     def __init__(
@@ -49,12 +65,14 @@
         directory: Directory,
         presence: Presence,
         placement: FlowPlacement,
+        started_at: float,
     ) -> None:
         self._host = host
         self._service = service
         self._directory = directory
         self._presence = presence
         self._placement = placement
+        self._started_at = started_at
         self._homes = HomeTable()
 
     @property
@@ -79,12 +97,22 @@
         if owner is not None and owner not in visited:
             is_recent = self._homes.owner(flow, since=now - SILENT_SECONDS) is not None
             if is_recent or not self._presence.has_left(owner, services, now):
-                return SearchHop(owner, ForwardReason.ANNOUNCED_BY_OWNER)
+                return SearchHop(owner, ForwardReason.ANNOUNCED_BY_OWNER, is_of_route=False)
             return RefuseReason.OWNER_GONE
-        for host in self._unvisited_hosts(flow, services, envelope, visited, now):
-            return SearchHop(host, ForwardReason.NOT_HERE)
+        for hop in self._unvisited(flow, services, envelope, visited, now):
+            return hop
         return RefuseReason.NOWHERE_OPEN
 
+    def likelier_hop(self, flow: FlowKey, envelope: Envelope, now: float) -> SearchHop | None:
+        """Return the next reachable VM with a target of the flow's route, None if there is none."""
+        route = self._directory.route(flow.service_host, flow.service_port)
+        services = self._directory.flow_services(route) if route is not None else ()
+        visited = {*envelope.visited, self._host}
+        for host in self._search(flow, services, envelope):
+            if host not in visited and not self._presence.is_unreachable(host, now):
+                return SearchHop(host, ForwardReason.NOT_HERE)
+        return None
+
     def may_be_here(self, flow: FlowKey) -> bool:
         """Return whether the route of a flow allows that the agent's target has it."""
         route = self._directory.route(flow.service_host, flow.service_port)
@@ -103,28 +131,62 @@
         owner = self._homes.owner(flow, since)
         return owner not in (None, self._host) and owner not in envelope.visited
 
-    def _unvisited_hosts(
+    def _unvisited(
         self,
         flow: FlowKey,
         services: Sequence[str],
         envelope: Envelope,
         visited: Collection[int],
         now: float,
-    ) -> Iterator[int]:
+    ) -> Iterator[SearchHop]:
         """Yield the VMs on which a flow may be and that were not visited, the likeliest first.
 
-        A packet is lost at a VM that doesn't answer, so unreachable ones come last.
+        A packet is lost at a VM that doesn't answer, so unreachable ones come after those that the
+        route names. Agents of other services come after them, since packets that find their own
+        target only later are better lost than delivered to many others.
         """
-        domain = self._placement.candidates.domain_with_hash(envelope.domain_hash)
+        seen = set(visited)
         unreachable = []
-        for host in self._placement.search(flow, services, domain):
-            if host in visited or self._presence.has_left(host, services, now):
+        for hop in self._likely_hops(flow, services, envelope):
+            if hop.host in seen:
+                continue
+            seen.add(hop.host)
+            if self._presence.has_left(hop.host, services if hop.is_of_route else (), now):
                 continue
-            if self._presence.is_unreachable(host, now):
-                unreachable.append(host)
+            if self._presence.is_unreachable(hop.host, now):
+                unreachable.append(hop)
             else:
-                yield host
-        for host in self._presence.hosts_without_target(now):
-            if host not in visited:
-                yield host
+                yield hop
+        for host in self._presence.reachable_agents(now):
+            if host not in seen and not self._presence.has_routed_target(host):
+                yield _elsewhere(host)
         yield from unreachable
+        for host in (
+            *self._presence.reachable_agents(now),
+            *self._presence.unreachable_vms(self._started_at, now),
+        ):
+            if host not in seen:
+                yield _elsewhere(host)
+
+    def _likely_hops(
+        self, flow: FlowKey, services: Sequence[str], envelope: Envelope
+    ) -> Iterator[SearchHop]:
+        """Yield the flow's candidates, its homes in other services, and all VMs of its route."""
+        for service in services:
+            for host in islice(self._search(flow, (service,), envelope), SEARCH_CANDIDATES):
+                yield SearchHop(host, ForwardReason.NOT_HERE)
+        others = self._directory.other_services(services)
+        for service in others[:MAXIMUM_OTHER_SERVICES]:
+            for host in self._placement.candidates.of(service).homes(flow):
+                if self._presence.is_known_agent(host):
+                    yield _elsewhere(host)
+        for host in self._search(flow, services, envelope):
+            yield SearchHop(host, ForwardReason.NOT_HERE)
+
+    def _search(self, flow: FlowKey, services: Sequence[str], envelope: Envelope) -> Iterator[int]:
+        domain = self._placement.candidates.domain_with_hash(envelope.domain_hash)
+        return self._placement.search(flow, services, domain)
+
+
+def _elsewhere(host: int) -> SearchHop:
+    return SearchHop(host, ForwardReason.NOT_HERE, is_of_route=False)
--- a/egretsill/address_steering/_presence.py
+++ b/egretsill/address_steering/_presence.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 
 from ..directory import Directory, TargetView
 from ..fleet import PeerTable
@@ -34,9 +34,14 @@
         In addition, the agent must be unreachable or another target must have its address. An
         agent is unreachable if a hub reports it so, or if it was not reported for longer than
         replacing a hub takes. A VM that the directory doesn't know may be newer than the directory.
+
+        Args:
+            host: the VM.
+            services: the services; if none of them has a target there, all targets count.
+            now: local time.
         """
         found = (self._directory.target_at(host, service) for service in services)
-        views = [view for view in found if view is not None]
+        views = [view for view in found if view is not None] or self._directory.targets_on(host)
         if not views or not all(_has_departed(view, now) for view in views):
             return False
         if any(self._directory.is_replaced(view) for view in views):
@@ -51,13 +56,51 @@
         )
         return now - last_seen_at > UNREACHABLE_SECONDS
 
-    def hosts_without_target(self, now: float) -> Sequence[int]:
-        """Return the VMs whose agents are reachable but on which no target is known."""
-        return [
-            peer.report.host
-            for peer in self._peers.heard(now)
-            if not peer.report.is_balancer and not self._directory.has_target_on(peer.report.host)
-        ]
+    def is_known_agent(self, host: int) -> bool:
+        """Return whether an agent on a VM has been heard of lately, whether it answers or not."""
+        peer = self._peers.peers.get(host)
+        return peer is not None and not peer.report.is_balancer
+
+    def reachable_agents(self, now: float) -> Iterator[int]:
+        """Yield the VMs of the agents that are reachable, whatever is known of their targets."""
+        for host in self._peers.peers:
+            if self.is_known_agent(host) and self._peers.is_reachable(host, now):
+                yield host
+
+    def has_routed_target(self, host: int) -> bool:
+        """Return whether a target of a routed service is known on a VM, or was until recently."""
+        return bool(self._routed_services_on(host))
+
+    def unreachable_vms(self, listening_since: float, now: float) -> Iterator[int]:
+        """Yield the VMs that don't answer, but on which flows may be open.
+
+        An entry of a service without a route doesn't show that an agent runs beside its target. If
+        one does, hubs report it within `UNREACHABLE_SECONDS`.
+
+        Args:
+            listening_since: local time since which this process receives heartbeats.
+            now: local time.
+        """
+        for host, peer in self._peers.peers.items():
+            if not self.is_known_agent(host) or self._peers.is_reachable(host, now):
+                continue
+            if self._directory.targets_on(host):
+                has_left = self.has_left(host, self._routed_services_on(host), now)
+            else:
+                has_left = now - peer.last_seen_at > UNREACHABLE_SECONDS
+            if not has_left:
+                yield host
+        is_starting = now - listening_since <= UNREACHABLE_SECONDS
+        for host in self._directory.target_hosts:
+            if self.is_known_agent(host):
+                continue
+            services = self._routed_services_on(host)
+            if is_starting or (services and not self.has_left(host, services, now)):
+                yield host
+
+    def _routed_services_on(self, host: int) -> Sequence[str]:
+        services = (view.target.service for view in self._directory.targets_on(host))
+        return [each for each in services if self._directory.is_routed(each)]
 
 
 def _has_departed(view: TargetView, now: float) -> bool:
--- a/egretsill/address_steering/_tunnel.py
+++ b/egretsill/address_steering/_tunnel.py
@@ -17,6 +17,8 @@
 MAXIMUM_VISITED = 12  # hops of one packet; candidates and homes take five, a search the rest
 MAXIMUM_NOTICE_FLOWS = 90  # keeps the datagram within a packet of 1,200 bytes
 
+ANY_SERVICE = 0  # in place of a service's hash, if the receiver's target may have the flow anyway
+
 _LARGEST_SHORT = 0xFFFF
 
 _CARRY = 0xE1
@@ -37,7 +39,7 @@
     Attributes:
         balancer: address of the balancer that received it from the fabric.
         version: configuration version by which it was steered.
-        service_hash: hash of the name of the service that it was steered to.
+        service_hash: hash of the name of the service that it was steered to, or `ANY_SERVICE`.
         visited: addresses of the agents that have passed it on.
         domain_hash: hash of the name of the balancer's failure domain.
     """
--- /dev/null
+++ b/egretsill/address_steering/tests/test_foreign_entries.py
@@ -0,0 +1,96 @@
+"""Entries that another writer makes for VMs, under a service that no route names.
+
+They say nothing of the targets and agents on these VMs.
+"""
+
+from __future__ import annotations
+
+from ...directory import Target
+from ...directory.tests.revisions import rev
+from .. import (
+    BalancerSteering,
+    Forward,
+    HomeNotice,
+    PacketKind,
+    Undecided,
+)
+from .scene import (
+    AGENTS,
+    BALANCER,
+    DOMAIN,
+    RETENTION,
+    Scene,
+    envelope,
+    flow,
+    make_agent,
+    packet,
+    target,
+)
+
+UNHEARD = 0x0A090009
+
+
+def foreign(host: int, name: str = "foreign") -> Target:
+    """Return a later entry of another writer, for a service that no route names."""
+    return target(host, "inventory", name=name, failure_domain="elsewhere", revision=rev(90))
+
+
+# Guards against an open flow that is reset because another writer registers its target's address.
+def test_entry_of_another_writer_at_the_owners_address_resets_no_flow() -> None:
+    scene = Scene(AGENTS[0])
+    scene.receive_heartbeats(0.0)
+    agent = make_agent(scene)
+    agent.record_home_notice(HomeNotice(AGENTS[1], (flow(),)), 0.0)
+    scene.targets["foreign"] = foreign(AGENTS[1])
+    scene.publish(1.0)
+    scene.receive_heartbeats(5.0)
+    forward = agent.take_from_peer(envelope(), packet(), 5.0)[0]
+    assert isinstance(forward, Forward)
+    assert forward.host == AGENTS[1]
+
+
+# Guards against a target that gets no new flows, and a balancer that forgets the flows it has.
+def test_entry_of_another_writer_changes_nothing_for_balancers() -> None:
+    scene = Scene(BALANCER)
+    scene.receive_heartbeats(0.0)
+    balancer = BalancerSteering(
+        BALANCER, DOMAIN, scene.directory, scene.peers, scene.placement, RETENTION
+    )
+    placed = [balancer.steer(packet(PacketKind.SYN, flow(each)), 0.1) for each in range(50)]
+    owner = placed[0]
+    assert isinstance(owner, Forward)
+    scene.targets |= {str(host): foreign(host, str(host)) for host in AGENTS}
+    scene.publish(1.0)
+    scene.receive_heartbeats(5.0)
+    again = balancer.steer(packet(), 5.0)
+    assert isinstance(again, Forward)
+    assert again.host == owner.host
+    placed_later = {
+        each.host
+        for number in range(100, 200)
+        if isinstance(each := balancer.steer(packet(PacketKind.SYN, flow(number)), 5.0), Forward)
+    }
+    assert placed_later == set(AGENTS)
+
+
+# Guards against an agent whose own entry lapsed that isn't asked, as another writer's names its VM.
+def test_entry_of_another_writer_hides_no_agent() -> None:
+    scene = Scene(AGENTS[0], [target(host) for host in AGENTS[:4]])
+    scene.targets["foreign"] = foreign(AGENTS[4])
+    scene.publish(1.0)
+    scene.receive_heartbeats(10.0)
+    agent = make_agent(scene)
+    (forward,) = agent.take_from_peer(envelope(AGENTS[1:4]), packet(), 10.0)
+    assert isinstance(forward, Forward)
+    assert forward.host == AGENTS[4]
+
+
+# Guards against callers that wait because VMs without an agent would have to be asked.
+def test_vms_without_an_agent_are_not_asked() -> None:
+    scene = Scene(AGENTS[0])
+    scene.targets["foreign"] = foreign(UNHEARD)
+    scene.publish(1.0)
+    scene.receive_heartbeats(10.0)
+    agent = make_agent(scene)
+    (undecided,) = agent.take_from_peer(envelope(AGENTS[1:]), packet(), 10.0)
+    assert isinstance(undecided, Undecided)
--- /dev/null
+++ b/egretsill/address_steering/tests/test_moved_routes.py
@@ -0,0 +1,293 @@
+"""Open flows stay at targets of a service that their route no longer names.
+
+The processes in these tests started after the configuration changed, so they don't know which
+service the route had before.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import pytest
+
+from ...directory import Directory, Snapshot, Target
+from ...directory.tests.revisions import rev
+from ...fleet import PeerReport, PeerTable
+from .. import (
+    AgentSteering,
+    BalancerSteering,
+    Candidates,
+    DeliverToTarget,
+    Drop,
+    DropReason,
+    FlowPlacement,
+    Forward,
+    HomeNotice,
+    OwnerNotice,
+    Refuse,
+    RefuseReason,
+    Undecided,
+    service_hash,
+)
+from .._presence import UNREACHABLE_SECONDS
+from .._tunnel import ANY_SERVICE, MAXIMUM_VISITED
+from .scene import (
+    AGENTS,
+    BALANCER,
+    DOMAIN,
+    OTHER_AGENT,
+    OTHER_SERVICE,
+    RETENTION,
+    SERVICE,
+    Scene,
+    envelope,
+    flow,
+    make_agent,
+    packet,
+    table,
+    target,
+    with_route,
+)
+
+FORMER, NEW = AGENTS[:2], AGENTS[2:]
+UNHEARD = 0x0A090009
+SIZES = [
+    pytest.param(5, 5, id="10 targets"),
+    pytest.param(40, 12, id="52 targets"),
+    pytest.param(110, 30, id="140 targets"),
+    pytest.param(700, 300, id="1,000 targets"),
+]
+
+
+def moved_scene(host: int, extra: Sequence[Target] = ()) -> Scene:
+    """Return a view in which the route's former service has targets, but only another route."""
+    former = [target(each) for each in FORMER]
+    new = [target(each, OTHER_SERVICE) for each in NEW]
+    scene = Scene(host, [*former, *new, *extra])
+    scene.directory = Directory(RETENTION)
+    scene.publish(0.0, with_route(table(8, (OTHER_SERVICE,)), SERVICE))
+    scene.receive_heartbeats(0.0)
+    return scene
+
+
+class MovedFleet:
+    """Agents that all started after a route moved; targets bounce what they don't have.
+
+    Args:
+        new: number of targets of the route's service.
+        former: number of targets of the service that it had before.
+    """
+
+    def __init__(self, new: int, former: int) -> None:
+        hosts = [0x0A020001 + number for number in range(new + former)]
+        self.former = hosts[new:]
+        targets = [
+            target(
+                host,
+                SERVICE if host in self.former else OTHER_SERVICE,
+                failure_domain=f"d{number % 3}",
+            )
+            for number, host in enumerate(hosts)
+        ]
+        self.directory = Directory(RETENTION)
+        route_table = with_route(table(8, (OTHER_SERVICE,)), SERVICE)
+        self.directory.apply_snapshot(Snapshot(rev(100), route_table, targets), 0.0)
+        self.peers = PeerTable(0)
+        self.peers.receive_reports([PeerReport(host) for host in hosts], 0.0)
+        self.candidates = Candidates(self.directory)
+        placement = FlowPlacement(self.directory, self.peers, self.candidates)
+        self.agents = {
+            each.host: AgentSteering(
+                each.host, each.service, self.directory, self.peers, placement, RETENTION, 0.0
+            )
+            for each in targets
+        }
+        self.balancer = BalancerSteering(
+            BALANCER, "d0", self.directory, self.peers, placement, RETENTION
+        )
+
+    def homes(self, number: int) -> Sequence[int]:
+        return self.candidates.of(SERVICE).homes(flow(number))
+
+    def follow(self, number: int, owner: int, now: float) -> tuple[bool, int, object]:
+        """Follow a packet; return whether it reaches its target, the hops, and the last effect."""
+        sent = packet(key=flow(number), payload_bytes=9)
+        effect: object = self.balancer.steer(sent, now)
+        hops = 0
+        while isinstance(effect, Forward):
+            hops += 1
+            agent = self.agents[effect.host]
+            found = agent.take_from_peer(effect.envelope, sent, now)
+            if isinstance(found[0], DeliverToTarget):
+                if effect.host == owner:
+                    return True, hops, found[0]
+                found = agent.take_from_target(sent._replace(is_bounced=True), now)
+            effect = found[0]
+        return False, hops, effect
+
+
+# Guards against resets of flows at a service that a route left out before all processes restarted.
+@pytest.mark.parametrize(("new", "former"), SIZES[:1])
+def test_flows_at_a_former_service_are_found_after_a_restart_of_all(new: int, former: int) -> None:
+    fleet = MovedFleet(new, former)
+    for number in range(50):
+        owner = fleet.former[number % former]
+        found, hops, last = fleet.follow(number, owner, 1.0)
+        assert found, last
+        assert hops <= new + former
+
+
+# Guards against a search of the whole fleet, or resets, for flows that their homes know.
+@pytest.mark.parametrize(("new", "former"), SIZES)
+def test_announced_flows_at_a_former_service_are_found_through_their_homes(
+    new: int, former: int
+) -> None:
+    fleet = MovedFleet(new, former)
+    for number in range(30):
+        owner = fleet.former[number % former]
+        for home in fleet.homes(number):
+            fleet.agents[home].record_home_notice(HomeNotice(owner, (flow(number),)), 0.5)
+        found, hops, last = fleet.follow(number, owner, 1.0)
+        assert found, last
+        assert hops <= 8
+
+
+# Guards against resets where more agents may have a flow than one packet can visit.
+@pytest.mark.parametrize(("new", "former"), SIZES[1:])
+def test_flow_that_is_not_found_in_a_large_fleet_is_not_reset(new: int, former: int) -> None:
+    fleet = MovedFleet(new, former)
+    for number in range(10):
+        found, hops, last = fleet.follow(number, 0, 1.0)
+        assert not found
+        assert last == Drop(flow(number), DropReason.TOO_MANY_HOPS)
+        assert hops == MAXIMUM_VISITED + 1
+
+
+# Guards against resets by an agent that never saw the configuration under which a flow opened.
+def test_open_flow_of_a_route_that_moved_before_the_last_agent_started_is_not_reset() -> None:
+    scene = moved_scene(NEW[0])
+    agent = make_agent(scene, NEW[0], OTHER_SERVICE)
+    visited = list(NEW[1:])
+    for _ in FORMER:
+        incoming = envelope(visited, version=8, service=OTHER_SERVICE)
+        (forward,) = agent.take_from_peer(incoming, packet(), 2.0)
+        assert isinstance(forward, Forward)
+        assert forward.host in FORMER
+        assert forward.envelope.service_hash == ANY_SERVICE
+        visited.append(forward.host)
+    incoming = envelope(visited, version=8, service=OTHER_SERVICE)
+    (undecided,) = agent.take_from_peer(incoming, packet(), 2.0)
+    assert isinstance(undecided, Undecided), "every agent has denied it"
+    scene.directory.confirm(rev(scene.revision), 0.0, 3.0)
+    (refused,) = agent.decide(3.0)
+    assert isinstance(refused, Refuse)
+    assert refused.reason is RefuseReason.NOWHERE_OPEN
+
+
+# Guards against an agent that denies its target's flow because the flow's route has moved.
+def test_restarted_agent_of_the_former_service_asks_its_target() -> None:
+    scene = moved_scene(FORMER[0])
+    agent = make_agent(scene, FORMER[0], started_at=1.0)
+    sought = envelope(NEW, version=8)._replace(service_hash=ANY_SERVICE)
+    (delivered,) = agent.take_from_peer(sought, packet(), 2.0)
+    assert isinstance(delivered, DeliverToTarget)
+
+
+# Guards against a packet at a restarted agent that no other VM is left to be asked for.
+def test_restarted_agent_asks_its_target_when_no_target_of_the_route_is_left() -> None:
+    scene = moved_scene(FORMER[0])
+    agent = make_agent(scene, FORMER[0], started_at=1.0)
+    (delivered,) = agent.take_from_peer(envelope(NEW, version=8), packet(), 2.0)
+    assert isinstance(delivered, DeliverToTarget)
+
+
+# Guards against a flow at a former service whose every packet is searched for.
+def test_balancer_remembers_an_owner_of_a_former_service() -> None:
+    scene = moved_scene(BALANCER)
+    balancer = BalancerSteering(
+        BALANCER, DOMAIN, scene.directory, scene.peers, scene.placement, RETENTION
+    )
+    assert balancer.record_owner(OwnerNotice(flow(), FORMER[1]), 1.0)
+    forward = balancer.steer(packet(), 1.1)
+    assert isinstance(forward, Forward)
+    assert (forward.host, forward.envelope.service_hash) == (FORMER[1], ANY_SERVICE)
+    assert not balancer.record_owner(OwnerNotice(flow(1), UNHEARD), 1.0)
+
+
+# Guards against packets that are dropped because their route's present service has no targets.
+def test_balancer_searches_other_services_if_the_routes_has_no_targets() -> None:
+    scene = moved_scene(BALANCER)
+    scene.table = with_route(table(9, ("without targets",)), SERVICE)
+    # It started later, so it doesn't know the route's earlier services.
+    scene.directory = Directory(RETENTION)
+    scene.publish(2.0)
+    balancer = BalancerSteering(
+        BALANCER, DOMAIN, scene.directory, scene.peers, scene.placement, RETENTION
+    )
+    forward = balancer.steer(packet(), 2.1)
+    assert isinstance(forward, Forward)
+    assert forward.host in AGENTS
+    assert forward.envelope.service_hash == ANY_SERVICE
+
+
+# Guards against a flow's packets at many other targets while its own agent is away.
+def test_agents_of_other_services_are_asked_after_unreachable_ones_of_the_route() -> None:
+    scene = moved_scene(NEW[0], [target(OTHER_AGENT)])
+    scene.receive_heartbeats(1.0, [*AGENTS, OTHER_AGENT])
+    agent = make_agent(scene, NEW[0], OTHER_SERVICE)
+    homes = Candidates(scene.directory).of(SERVICE).homes(flow())
+    incoming = envelope([*NEW[2:], *homes], version=8, service=OTHER_SERVICE)
+    scene.peers.receive_reports([PeerReport(NEW[1], silence_milliseconds=1_000)], 2.0)
+    (forward,) = agent.take_from_peer(incoming, packet(), 2.0)
+    assert isinstance(forward, Forward)
+    assert forward.host == NEW[1]
+    scene.receive_heartbeats(2.1, [*AGENTS, OTHER_AGENT])
+    incoming = envelope([*NEW[1:], *homes], version=8, service=OTHER_SERVICE)
+    (forward,) = agent.take_from_peer(incoming, packet(), 2.1)
+    assert isinstance(forward, Forward)
+    assert forward.host in {*FORMER, OTHER_AGENT} - set(homes)
+
+
+# Guards against callers that wait for a flow whose owner, of a former service, is known to be gone.
+def test_flow_of_a_gone_owner_of_a_former_service_is_reset() -> None:
+    scene = moved_scene(NEW[0])
+    agent = make_agent(scene, NEW[0], OTHER_SERVICE)
+    agent.record_home_notice(HomeNotice(FORMER[0], (flow(),)), 0.0)
+    scene.remove_target(FORMER[0], 1.0)
+    scene.peers.receive_reports([PeerReport(FORMER[0], silence_milliseconds=2_000)], 2.4)
+    incoming = envelope(version=8, service=OTHER_SERVICE)
+    assert isinstance(agent.take_from_peer(incoming, packet(), 2.5)[0], Undecided)
+    scene.directory.confirm(rev(scene.revision), 0.0, 3.0)
+    (refused,) = agent.decide(3.0)
+    assert isinstance(refused, Refuse)
+    assert refused.reason is RefuseReason.OWNER_GONE
+
+
+# Guards against packets of a route's flows that start at a target which can't have most of them.
+def test_agent_of_another_service_passes_on_what_was_not_steered_to_it() -> None:
+    scene = moved_scene(FORMER[0])
+    agent = make_agent(scene, FORMER[0], started_at=1.0)
+    incoming = envelope(version=8, service=OTHER_SERVICE)
+    (forward,) = agent.take_from_peer(incoming, packet(), 2.0)
+    assert isinstance(forward, Forward)
+    assert forward.host in NEW
+    assert forward.envelope.visited == (FORMER[0],)
+
+
+# Guards against resets by an agent that has just started and hasn't been told of all others yet.
+def test_agent_that_has_just_started_takes_no_silence_for_absence() -> None:
+    scene = Scene(AGENTS[0], [target(AGENTS[0]), target(AGENTS[1], OTHER_SERVICE)])
+    scene.publish(9.0)
+    agent = make_agent(scene, started_at=9.0)
+    for seconds, is_asked in (
+        (UNREACHABLE_SECONDS - 0.1, True),
+        (UNREACHABLE_SECONDS + 0.1, False),
+    ):
+        (bounced,) = agent.take_from_peer(envelope(), packet(), 9.0 + seconds)
+        assert isinstance(bounced, DeliverToTarget)
+        (effect,) = agent.take_from_target(packet(is_bounced=True), 9.0 + seconds)
+        assert isinstance(effect, Forward) is is_asked, effect
+
+
+def test_service_hashes_differ_from_the_mark_for_any() -> None:
+    assert ANY_SERVICE not in {service_hash(each) for each in (SERVICE, OTHER_SERVICE)}
--- a/egretsill/address_steering/tests/test_search_evidence.py
+++ b/egretsill/address_steering/tests/test_search_evidence.py
@@ -244,19 +244,3 @@
     assert view is not None
     assert not view.has_departed(10.2)
     assert not any(isinstance(each, Refuse) for each in make_agent(scene).decide(10.2))
-
-
-def test_open_flow_of_a_route_that_moved_before_the_last_agent_started_is_not_reset() -> None:
-    """Guards against resets by an agent that never saw the configuration under which it opened."""
-    old = [target(host) for host in AGENTS[:2]]
-    new = [target(host, OTHER_SERVICE) for host in AGENTS[2:]]
-    scene = Scene(AGENTS[2], [*old, *new])
-    scene.directory = Directory(RETENTION)
-    scene.publish(1.0, table(8, (OTHER_SERVICE,)))
-    scene.receive_heartbeats(1.0)
-    agent = make_agent(scene, AGENTS[2], OTHER_SERVICE)
-    incoming = envelope(AGENTS[3:], version=8, service=OTHER_SERVICE)
-    (undecided,) = agent.take_from_peer(incoming, packet(), 2.0)
-    assert isinstance(undecided, Undecided)
-    scene.directory.confirm(rev(scene.revision), 0.0, 3.0)
-    assert not any(isinstance(each, Refuse) for each in agent.decide(3.0))
--- a/egretsill/directory/_directory.py
+++ b/egretsill/directory/_directory.py
@@ -136,10 +136,6 @@
             each for each in self._entries.index.on_host(host) if each.target.service == service
         )
 
-    def has_target_on(self, host: int) -> bool:
-        """Return whether a VM has a target, or had one until recently."""
-        return bool(self._entries.index.on_host(host))
-
     def targets_on(self, host: int) -> Sequence[TargetView]:
         """Return the targets on a VM, including departed ones whose flows may still be open."""
         return self._entries.index.on_host(host)
