--- a/egretsill/address_steering/_presence.py
+++ b/egretsill/address_steering/_presence.py
@@ -31,9 +31,10 @@
         """Return whether the targets of some services on a VM are known to have ended.
 
         A vanished entry alone is no proof, because entries also expire while their targets serve.
-        In addition, the agent must be unreachable or another target must have its address. An
-        agent is unreachable if a hub reports it so, or if it was not reported for longer than
-        replacing a hub takes. A VM that the directory doesn't know may be newer than the directory.
+        In addition, the agent must be unreachable or another target must have its address. A later
+        entry at the address of a target that still has its own is no proof either. An agent is
+        unreachable if a hub reports it so, or if it was not reported for longer than replacing a
+        hub takes. A VM that the directory doesn't know may be newer than the directory.
 
         Args:
             host: the VM.
@@ -44,7 +45,7 @@
         views = [view for view in found if view is not None] or self._directory.targets_on(host)
         if not views or not all(_has_departed(view, now) for view in views):
             return False
-        if any(self._directory.is_replaced(view) for view in views):
+        if any(self._has_successor(view) for view in views):
             return True
         if self._peers.is_silent(host):
             return True
@@ -98,6 +99,9 @@
             if is_starting or (services and not self.has_left(host, services, now)):
                 yield host
 
+    def _has_successor(self, view: TargetView) -> bool:
+        return self._directory.is_replaced(view) and not self._directory.has_entry(view.target.name)
+
     def _routed_services_on(self, host: int) -> Sequence[str]:
         services = (view.target.service for view in self._directory.targets_on(host))
         return [each for each in services if self._directory.is_routed(each)]
--- a/egretsill/address_steering/tests/test_foreign_entries.py
+++ b/egretsill/address_steering/tests/test_foreign_entries.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from ...directory import Target
 from ...directory.tests.revisions import rev
 from .. import (
@@ -24,7 +26,9 @@
     flow,
     make_agent,
     packet,
+    table,
     target,
+    with_route,
 )
 
 UNHEARD = 0x0A090009
@@ -35,14 +39,16 @@
     return target(host, "inventory", name=name, failure_domain="elsewhere", revision=rev(90))
 
 
-# Guards against an open flow that is reset because another writer registers its target's address.
-def test_entry_of_another_writer_at_the_owners_address_resets_no_flow() -> None:
+# Guards against an open flow that is reset because another writer registers its target's address,
+# also if a configuration names the writer's service then or later.
+@pytest.mark.parametrize("is_routed", [False, True], ids=["without a route", "with a route"])
+def test_entry_of_another_writer_at_the_owners_address_resets_no_flow(is_routed: bool) -> None:
     scene = Scene(AGENTS[0])
     scene.receive_heartbeats(0.0)
     agent = make_agent(scene)
     agent.record_home_notice(HomeNotice(AGENTS[1], (flow(),)), 0.0)
     scene.targets["foreign"] = foreign(AGENTS[1])
-    scene.publish(1.0)
+    scene.publish(1.0, with_route(table(8), "inventory") if is_routed else None)
     scene.receive_heartbeats(5.0)
     forward = agent.take_from_peer(envelope(), packet(), 5.0)[0]
     assert isinstance(forward, Forward)
--- a/egretsill/directory/_directory.py
+++ b/egretsill/directory/_directory.py
@@ -170,6 +170,11 @@
             for each in self._entries.index.on_host(view.target.host)
         )
 
+    def has_entry(self, name: str) -> bool:
+        """Return whether the store has an entry of this name, as far as this process knows."""
+        view = self._entries.current.get(name)
+        return view is not None and view.missing_since is None
+
     def domains(self) -> Mapping[int, str]:
         """Return the failure domain of each VM that has a target in force of a routed service."""
         return {
