--- a/egretsill/address_steering/_flow_search.py
+++ b/egretsill/address_steering/_flow_search.py
@@ -109,7 +109,9 @@
         services = self._directory.flow_services(route) if route is not None else ()
         visited = {*envelope.visited, self._host}
         for host in self._search(flow, services, envelope):
-            if host not in visited and not self._presence.is_unreachable(host, now):
+            if host in visited or self._presence.is_unreachable(host, now):
+                continue
+            if not self._presence.has_left(host, services, now):
                 return SearchHop(host, ForwardReason.NOT_HERE)
         return None
 
--- a/egretsill/address_steering/_presence.py
+++ b/egretsill/address_steering/_presence.py
@@ -38,11 +38,15 @@
 
         Args:
             host: the VM.
-            services: the services; if none of them has a target there, all targets count.
+            services: the services; if none of them has a target there, those of routed services
+                count, and without these all targets.
             now: local time.
         """
-        found = (self._directory.target_at(host, service) for service in services)
-        views = [view for view in found if view is not None] or self._directory.targets_on(host)
+        views = (
+            self._targets_of(host, services)
+            or self._targets_of(host, self._routed_services_on(host))
+            or self._directory.targets_on(host)
+        )
         if not views or not all(_has_departed(view, now) for view in views):
             return False
         if any(self._has_successor(view) for view in views):
@@ -86,7 +90,7 @@
             if not self.is_known_agent(host) or self._peers.is_reachable(host, now):
                 continue
             if self._directory.targets_on(host):
-                has_left = self.has_left(host, self._routed_services_on(host), now)
+                has_left = self.has_left(host, (), now)
             else:
                 has_left = now - peer.last_seen_at > UNREACHABLE_SECONDS
             if not has_left:
@@ -95,13 +99,17 @@
         for host in self._directory.target_hosts:
             if self.is_known_agent(host):
                 continue
-            services = self._routed_services_on(host)
-            if is_starting or (services and not self.has_left(host, services, now)):
+            if is_starting or (self.has_routed_target(host) and not self.has_left(host, (), now)):
                 yield host
 
     def _has_successor(self, view: TargetView) -> bool:
         return self._directory.is_replaced(view) and not self._directory.has_entry(view.target.name)
 
+    def _targets_of(self, host: int, services: Iterable[str]) -> Sequence[TargetView]:
+        """Return the newest target of each service on a VM."""
+        found = (self._directory.target_at(host, service) for service in services)
+        return [view for view in found if view is not None]
+
     def _routed_services_on(self, host: int) -> Sequence[str]:
         services = (view.target.service for view in self._directory.targets_on(host))
         return [each for each in services if self._directory.is_routed(each)]
--- a/egretsill/address_steering/tests/test_moved_routes.py
+++ b/egretsill/address_steering/tests/test_moved_routes.py
@@ -29,7 +29,7 @@
     Undecided,
     service_hash,
 )
-from .._presence import UNREACHABLE_SECONDS
+from .._presence import UNREACHABLE_SECONDS, Presence
 from .._tunnel import ANY_SERVICE, MAXIMUM_VISITED
 from .scene import (
     AGENTS,
@@ -214,6 +214,18 @@
     assert not balancer.record_owner(OwnerNotice(flow(1), UNHEARD), 1.0)
 
 
+# Guards against callers that wait because another writer's entry, at the VM of an owner that is gone,
+# is taken for a sign of it.
+def test_entry_of_another_writer_does_not_keep_a_gone_owner() -> None:
+    foreign = target(FORMER[0], "inventory", name="foreign", revision=rev(90))
+    scene = moved_scene(NEW[0], [foreign])
+    scene.targets = {name: each for name, each in scene.targets.items() if each.host != FORMER[0]}
+    scene.targets["foreign"] = foreign
+    scene.publish(1.0)
+    scene.peers.receive_reports([PeerReport(FORMER[0], silence_milliseconds=2_000)], 2.4)
+    assert Presence(scene.directory, scene.peers).has_left(FORMER[0], (OTHER_SERVICE,), 2.5)
+
+
 # Guards against packets that are dropped because their route's present service has no targets.
 def test_balancer_searches_other_services_if_the_routes_has_no_targets() -> None:
     scene = moved_scene(BALANCER)
