--- a/egretsill/address_steering/tests/test_moved_routes.py
+++ b/egretsill/address_steering/tests/test_moved_routes.py
@@ -214,8 +214,8 @@
     assert not balancer.record_owner(OwnerNotice(flow(1), UNHEARD), 1.0)
 
 
-# Guards against callers that wait because another writer's entry, at the VM of an owner that is gone,
-# is taken for a sign of it.
+# Guards against callers that wait because another writer's entry, at the VM of a gone owner, is
+# taken for a sign of it.
 def test_entry_of_another_writer_does_not_keep_a_gone_owner() -> None:
     foreign = target(FORMER[0], "inventory", name="foreign", revision=rev(90))
     scene = moved_scene(NEW[0], [foreign])
