--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -37,6 +37,8 @@
 from ._target_silence import TargetSilence
 from ._tunnel import (
     ANY_SERVICE,
+    MAXIMUM_HOPS,
+    MAXIMUM_VISITED,
     CapacityOffer,
     CapacityRequest,
     Envelope,
@@ -302,7 +304,8 @@
         match self._search.next_step(packet.flow, envelope, now):
             case SearchHop(host, reason, is_of_route):
                 steered = envelope if is_of_route else envelope._replace(service_hash=ANY_SERVICE)
-                passed = pass_packet(self._host, host, steered, packet, reason)
+                limit = MAXIMUM_VISITED if is_of_route else MAXIMUM_HOPS
+                passed = pass_packet(self._host, host, steered, packet, reason, limit)
                 if reason is not ForwardReason.ANNOUNCED_BY_OWNER:
                     return passed
                 # This spares the balancer another search even if the owner doesn't answer now.
--- a/egretsill/address_steering/_flow_search.py
+++ b/egretsill/address_steering/_flow_search.py
@@ -23,7 +23,7 @@
 from ._packet import FlowKey
 from ._placement import FlowPlacement
 from ._presence import Presence
-from ._tunnel import Envelope
+from ._tunnel import MAXIMUM_HOPS, Envelope
 
 MAXIMUM_OTHER_SERVICES = 16  # services without the flow's route whose homes are asked
 
@@ -99,9 +99,9 @@
             if is_recent or not self._presence.has_left(owner, services, now):
                 return SearchHop(owner, ForwardReason.ANNOUNCED_BY_OWNER, is_of_route=False)
             return RefuseReason.OWNER_GONE
-        for hop in self._unvisited(flow, services, envelope, visited, now):
-            return hop
-        return RefuseReason.NOWHERE_OPEN
+        return next(
+            self._unvisited(flow, services, envelope, visited, now), RefuseReason.NOWHERE_OPEN
+        )
 
     def likelier_hop(self, flow: FlowKey, envelope: Envelope, now: float) -> SearchHop | None:
         """Return the next reachable VM with a target of the flow's route, None if there is none."""
@@ -140,12 +140,13 @@
         envelope: Envelope,
         visited: Collection[int],
         now: float,
-    ) -> Iterator[SearchHop]:
+    ) -> Iterator[SearchHop | DropReason]:
         """Yield the VMs on which a flow may be and that were not visited, the likeliest first.
 
         A packet is lost at a VM that doesn't answer, so unreachable ones come after those that the
         route names. Agents of other services come after them, since packets that find their own
-        target only later are better lost than delivered to many others.
+        target only later are better lost than delivered to many others. If one packet can't visit
+        all of them, none is asked in vain.
         """
         seen = set(visited)
         unreachable = []
@@ -163,12 +164,15 @@
             if host not in seen and not self._presence.has_routed_target(host):
                 yield _elsewhere(host)
         yield from unreachable
-        for host in (
+        agents = (
             *self._presence.reachable_agents(now),
             *self._presence.unreachable_vms(self._started_at, now),
-        ):
-            if host not in seen:
-                yield _elsewhere(host)
+        )
+        rest = [host for host in dict.fromkeys(agents) if host not in seen]
+        if len(visited) + len(rest) > MAXIMUM_HOPS:
+            yield DropReason.TOO_MANY_HOPS
+        else:
+            yield from map(_elsewhere, rest)
 
     def _likely_hops(
         self, flow: FlowKey, services: Sequence[str], envelope: Envelope
--- a/egretsill/address_steering/_forwarding.py
+++ b/egretsill/address_steering/_forwarding.py
@@ -10,7 +10,12 @@
 
 
 def pass_packet(
-    host: int, to: int, envelope: Envelope, packet: FlowPacket, reason: ForwardReason
+    host: int,
+    to: int,
+    envelope: Envelope,
+    packet: FlowPacket,
+    reason: ForwardReason,
+    maximum_visited: int = MAXIMUM_VISITED,
 ) -> Sequence[AgentEffect]:
     """Return the effects of passing a packet on, which is dropped rather than sent in a loop.
 
@@ -20,8 +25,9 @@
         envelope: path of the packet to the first agent.
         packet: the packet.
         reason: why it is passed on.
+        maximum_visited: number of agents that may have had it before.
     """
-    if len(envelope.visited) >= MAXIMUM_VISITED or to in envelope.visited:
+    if len(envelope.visited) >= maximum_visited or to in envelope.visited:
         return (Drop(packet.flow, DropReason.TOO_MANY_HOPS),)
     return (Forward(to, envelope.passed_by(host), reason, packet.flow, packet.datagram),)
 
--- a/egretsill/address_steering/_tunnel.py
+++ b/egretsill/address_steering/_tunnel.py
@@ -14,7 +14,8 @@
 
 from ._packet import FlowKey
 
-MAXIMUM_VISITED = 12  # hops of one packet; candidates and homes take five, a search the rest
+MAXIMUM_VISITED = 12  # hops among a route's targets; candidates take five, a search the rest
+MAXIMUM_HOPS = 54  # hops of one packet; the datagram still fits in 1,472 bytes, unfragmented
 MAXIMUM_NOTICE_FLOWS = 90  # keeps the datagram within a packet of 1,200 bytes
 
 ANY_SERVICE = 0  # in place of a service's hash, if the receiver's target may have the flow anyway
@@ -200,7 +201,7 @@
             raise MalformedTunnelMessage("short head")
         _, count, balancer, version, service, domain = _CARRY_HEAD.unpack_from(data)
         start = _CARRY_HEAD.size + 4 * count
-        if count > MAXIMUM_VISITED or len(data) < start:
+        if count > MAXIMUM_HOPS or len(data) < start:
             raise MalformedTunnelMessage("visited agents")
         visited: tuple[int, ...] = ()
         if count:
