--- a/egretsill/address_steering/_flow_search.py
+++ b/egretsill/address_steering/_flow_search.py
@@ -23,7 +23,7 @@
 from ._packet import FlowKey
 from ._placement import FlowPlacement
 from ._presence import Presence
-from ._tunnel import MAXIMUM_HOPS, Envelope
+from ._tunnel import MAXIMUM_HOPS, MAXIMUM_VISITED, Envelope
 
 MAXIMUM_OTHER_SERVICES = 16  # services without the flow's route whose homes are asked
 
@@ -151,15 +151,14 @@
         seen = set(visited)
         unreachable = []
         for hop in self._likely_hops(flow, services, envelope):
-            if hop.host in seen:
+            if hop.host in seen or self._presence.has_left(hop.host, services, now):
                 continue
-            seen.add(hop.host)
-            if self._presence.has_left(hop.host, services if hop.is_of_route else (), now):
-                continue
-            if self._presence.is_unreachable(hop.host, now):
-                unreachable.append(hop)
-            else:
+            if not self._presence.is_unreachable(hop.host, now):
+                seen.add(hop.host)
                 yield hop
+            elif hop.is_of_route:
+                seen.add(hop.host)
+                unreachable.append(hop)
         for host in self._presence.reachable_agents(now):
             if host not in seen and not self._presence.has_routed_target(host):
                 yield _elsewhere(host)
@@ -177,17 +176,28 @@
     def _likely_hops(
         self, flow: FlowKey, services: Sequence[str], envelope: Envelope
     ) -> Iterator[SearchHop]:
-        """Yield the flow's candidates, its homes in other services, and all VMs of its route."""
-        for service in services:
-            for host in islice(self._search(flow, (service,), envelope), SEARCH_CANDIDATES):
-                yield SearchHop(host, ForwardReason.NOT_HERE)
+        """Yield the VMs of the flow's route, and its homes in other services.
+
+        The homes come after the flow's candidates if a packet can't visit all VMs of the route.
+        """
+        of_route = tuple(islice(self._search(flow, services, envelope), MAXIMUM_VISITED + 1))
+        if len(of_route) > MAXIMUM_VISITED:
+            for service in services:
+                for host in islice(self._search(flow, (service,), envelope), SEARCH_CANDIDATES):
+                    yield SearchHop(host, ForwardReason.NOT_HERE)
+            yield from self._homes_elsewhere(flow, services)
+        for host in self._search(flow, services, envelope):
+            yield SearchHop(host, ForwardReason.NOT_HERE)
+        if len(of_route) <= MAXIMUM_VISITED:
+            yield from self._homes_elsewhere(flow, services)
+
+    def _homes_elsewhere(self, flow: FlowKey, services: Sequence[str]) -> Iterator[SearchHop]:
+        """Yield the flow's homes in other services, which know flows that stayed there."""
         others = self._directory.other_services(services)
         for service in others[:MAXIMUM_OTHER_SERVICES]:
             for host in self._placement.candidates.of(service).homes(flow):
                 if self._presence.is_known_agent(host):
                     yield _elsewhere(host)
-        for host in self._search(flow, services, envelope):
-            yield SearchHop(host, ForwardReason.NOT_HERE)
 
     def _search(self, flow: FlowKey, services: Sequence[str], envelope: Envelope) -> Iterator[int]:
         domain = self._placement.candidates.domain_with_hash(envelope.domain_hash)
--- a/egretsill/address_steering/tests/test_moved_routes.py
+++ b/egretsill/address_steering/tests/test_moved_routes.py
@@ -281,6 +281,36 @@
     assert forward.envelope.service_hash == ANY_SERVICE
 
 
+# Guards against an agent that isn't asked because its VM had a target of the route before.
+def test_agent_at_an_address_that_was_used_again_is_asked() -> None:
+    scene = moved_scene(NEW[0])
+    scene.remove_target(NEW[1], 1.0)
+    scene.targets["next"] = target(NEW[1], SERVICE, name="next", revision=rev(500))
+    scene.publish(1.5)
+    scene.receive_heartbeats(4.0)
+    presence = Presence(scene.directory, scene.peers)
+    assert presence.has_left(NEW[1], (OTHER_SERVICE,), 4.0)
+    agent = make_agent(scene, NEW[0], OTHER_SERVICE)
+    incoming = envelope([*NEW[2:], *FORMER], version=8, service=OTHER_SERVICE)
+    (forward,) = agent.take_from_peer(incoming, packet(), 4.0)
+    assert isinstance(forward, Forward)
+    assert forward.host == NEW[1]
+
+
+# Guards against a flow that isn't found while a home of another service is away.
+def test_unreachable_home_of_another_service_is_asked_last() -> None:
+    scene = moved_scene(NEW[0], [target(OTHER_AGENT)])
+    scene.receive_heartbeats(1.0, [*AGENTS, OTHER_AGENT])
+    agent = make_agent(scene, NEW[0], OTHER_SERVICE)
+    homes = Candidates(scene.directory).of(SERVICE).homes(flow())
+    (owner,) = {*FORMER, OTHER_AGENT} - set(homes)
+    scene.peers.receive_reports([PeerReport(homes[0], silence_milliseconds=1_000)], 2.0)
+    incoming = envelope([*NEW[1:], homes[1]], version=8, service=OTHER_SERVICE)
+    (forward,) = agent.take_from_peer(incoming, packet(), 2.0)
+    assert isinstance(forward, Forward)
+    assert forward.host == owner
+
+
 # Guards against a flow's packets at many other targets while its own agent is away.
 def test_agents_of_other_services_are_asked_after_unreachable_ones_of_the_route() -> None:
     scene = moved_scene(NEW[0], [target(OTHER_AGENT)])
