--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -38,7 +38,7 @@
 from ._tunnel import (
     ANY_SERVICE,
     MAXIMUM_HOPS,
-    MAXIMUM_VISITED,
+    MAXIMUM_ROUTE_HOPS,
     CapacityOffer,
     CapacityRequest,
     Envelope,
@@ -304,7 +304,7 @@
         match self._search.next_step(packet.flow, envelope, now):
             case SearchHop(host, reason, is_of_route):
                 steered = envelope if is_of_route else envelope._replace(service_hash=ANY_SERVICE)
-                limit = MAXIMUM_VISITED if is_of_route else MAXIMUM_HOPS
+                limit = MAXIMUM_ROUTE_HOPS if is_of_route else MAXIMUM_HOPS
                 passed = pass_packet(self._host, host, steered, packet, reason, limit)
                 if reason is not ForwardReason.ANNOUNCED_BY_OWNER:
                     return passed
--- a/egretsill/address_steering/_flow_admission.py
+++ b/egretsill/address_steering/_flow_admission.py
@@ -27,7 +27,7 @@
 from ._request_queue import HeldSyn, RequestQueue, WaitingRequest
 from ._target_capacity import TargetCapacity
 from ._tunnel import (
-    MAXIMUM_VISITED,
+    MAXIMUM_ROUTE_HOPS,
     CapacityOffer,
     CapacityRequest,
     Envelope,
@@ -102,7 +102,7 @@
     ) -> Sequence[AgentEffect]:
         """Keep a SYN packet until a target has capacity; return no effects if that can't be."""
         alternatives: tuple[int, ...] = ()
-        if self._policy.transfers_syn_packets and len(envelope.visited) < MAXIMUM_VISITED - 1:
+        if self._policy.transfers_syn_packets and len(envelope.visited) < MAXIMUM_ROUTE_HOPS - 1:
             excluded = {*envelope.visited, self._host}
             domain = self._placement.candidates.domain_with_hash(envelope.domain_hash)
             alternatives = self._placement.alternatives(
--- a/egretsill/address_steering/_flow_opening.py
+++ b/egretsill/address_steering/_flow_opening.py
@@ -23,7 +23,7 @@
 from ._placement import FlowPlacement
 from ._request_queue import WaitingRequest
 from ._target_silence import TargetSilence
-from ._tunnel import MAXIMUM_VISITED, Envelope, OwnerNotice, service_hash
+from ._tunnel import MAXIMUM_ROUTE_HOPS, Envelope, OwnerNotice, service_hash
 
 
 class FlowOpening:
@@ -193,7 +193,7 @@
         self, envelope: Envelope, packet: FlowPacket, service: str, now: float
     ) -> int | None:
         """Return another VM for a SYN packet, or None if all were tried."""
-        if len(envelope.visited) >= MAXIMUM_VISITED:
+        if len(envelope.visited) >= MAXIMUM_ROUTE_HOPS:
             return None
         excluded = {*envelope.visited, self._host}
         domain = self._placement.candidates.domain_with_hash(envelope.domain_hash)
--- a/egretsill/address_steering/_flow_search.py
+++ b/egretsill/address_steering/_flow_search.py
@@ -23,7 +23,7 @@
 from ._packet import FlowKey
 from ._placement import FlowPlacement
 from ._presence import Presence
-from ._tunnel import MAXIMUM_HOPS, MAXIMUM_VISITED, Envelope
+from ._tunnel import MAXIMUM_HOPS, MAXIMUM_ROUTE_HOPS, Envelope
 
 MAXIMUM_OTHER_SERVICES = 16  # services without the flow's route whose homes are asked
 
@@ -180,15 +180,15 @@
 
         The homes come after the flow's candidates if a packet can't visit all VMs of the route.
         """
-        of_route = tuple(islice(self._search(flow, services, envelope), MAXIMUM_VISITED + 1))
-        if len(of_route) > MAXIMUM_VISITED:
+        of_route = tuple(islice(self._search(flow, services, envelope), MAXIMUM_ROUTE_HOPS + 1))
+        if len(of_route) > MAXIMUM_ROUTE_HOPS:
             for service in services:
                 for host in islice(self._search(flow, (service,), envelope), SEARCH_CANDIDATES):
                     yield SearchHop(host, ForwardReason.NOT_HERE)
             yield from self._homes_elsewhere(flow, services)
         for host in self._search(flow, services, envelope):
             yield SearchHop(host, ForwardReason.NOT_HERE)
-        if len(of_route) <= MAXIMUM_VISITED:
+        if len(of_route) <= MAXIMUM_ROUTE_HOPS:
             yield from self._homes_elsewhere(flow, services)
 
     def _homes_elsewhere(self, flow: FlowKey, services: Sequence[str]) -> Iterator[SearchHop]:
--- a/egretsill/address_steering/_forwarding.py
+++ b/egretsill/address_steering/_forwarding.py
@@ -6,7 +6,7 @@
 
 from ._decisions import AgentEffect, Drop, DropReason, Forward, ForwardReason, Refuse, RefuseReason
 from ._packet import FlowPacket, PacketKind
-from ._tunnel import MAXIMUM_VISITED, Envelope
+from ._tunnel import MAXIMUM_ROUTE_HOPS, Envelope
 
 
 def pass_packet(
@@ -15,7 +15,7 @@
     envelope: Envelope,
     packet: FlowPacket,
     reason: ForwardReason,
-    maximum_visited: int = MAXIMUM_VISITED,
+    maximum_visited: int = MAXIMUM_ROUTE_HOPS,
 ) -> Sequence[AgentEffect]:
     """Return the effects of passing a packet on, which is dropped rather than sent in a loop.
 
--- a/egretsill/address_steering/_tunnel.py
+++ b/egretsill/address_steering/_tunnel.py
@@ -14,7 +14,7 @@
 
 from ._packet import FlowKey
 
-MAXIMUM_VISITED = 12  # hops among a route's targets; candidates take five, a search the rest
+MAXIMUM_ROUTE_HOPS = 12  # hops among a route's targets; candidates take five, a search the rest
 MAXIMUM_HOPS = 54  # hops of one packet; the datagram still fits in 1,472 bytes, unfragmented
 MAXIMUM_NOTICE_FLOWS = 90  # keeps the datagram within a packet of 1,200 bytes
 
--- a/egretsill/address_steering/tests/test_agent_steering.py
+++ b/egretsill/address_steering/tests/test_agent_steering.py
@@ -28,7 +28,7 @@
 )
 from .._decisions import AgentEffect, Drop
 from .._flow_table import MAXIMUM_FLOWS
-from .._tunnel import MAXIMUM_VISITED
+from .._tunnel import MAXIMUM_ROUTE_HOPS
 from .scene import (
     AGENTS,
     BALANCER,
@@ -252,7 +252,7 @@
 def test_packet_with_too_many_hops_is_dropped() -> None:
     scene = Scene(HERE)
     agent = make_agent(scene)
-    far = Envelope(BALANCER, 7, envelope().service_hash, tuple(range(MAXIMUM_VISITED)))
+    far = Envelope(BALANCER, 7, envelope().service_hash, tuple(range(MAXIMUM_ROUTE_HOPS)))
     dropped = only(agent.take_from_peer(far, packet(), 0.0))
     assert isinstance(dropped, Drop)
     assert dropped.reason is DropReason.TOO_MANY_HOPS
--- a/egretsill/address_steering/tests/test_lagging_views.py
+++ b/egretsill/address_steering/tests/test_lagging_views.py
@@ -26,7 +26,7 @@
 )
 from .._decisions import AgentEffect
 from .._flow_table import MAXIMUM_FLOWS
-from .._tunnel import MAXIMUM_VISITED
+from .._tunnel import MAXIMUM_ROUTE_HOPS
 from .._undecided import CONFIRMATION_SLACK_SECONDS, MAXIMUM_UNDECIDED, UNDECIDED_SECONDS
 from .scene import (
     AGENTS,
@@ -53,7 +53,7 @@
 
 def ask_last_agent(agent: AgentSteering, other_hosts: list[int], now: float) -> AgentEffect:
     """Return an agent's decision on a packet that has visited as many other hosts as possible."""
-    incoming = envelope(other_hosts[:MAXIMUM_VISITED])
+    incoming = envelope(other_hosts[:MAXIMUM_ROUTE_HOPS])
     (effect,) = agent.take_from_peer(incoming, packet(), now)
     return effect
 
@@ -83,7 +83,7 @@
         scene.receive_heartbeats(now, (*other_hosts, last, owner))
         effect = ask_last_agent(make_agent(scene, last), other_hosts, now)
         assert not isinstance(effect, Refuse), f"entry vanished {age} s ago"
-        if len(other_hosts) < MAXIMUM_VISITED:
+        if len(other_hosts) < MAXIMUM_ROUTE_HOPS:
             assert isinstance(effect, Forward)
             assert effect.host == owner
 
@@ -215,7 +215,7 @@
     assert isinstance(second, Forward)
     assert second.host != first.host
     other_hosts = [host for host in hosts if host not in (FIRST, first.host)]
-    (last,) = agent.take_from_peer(envelope(other_hosts[: MAXIMUM_VISITED - 1]), packet(), 1.2)
+    (last,) = agent.take_from_peer(envelope(other_hosts[: MAXIMUM_ROUTE_HOPS - 1]), packet(), 1.2)
     assert isinstance(last, Forward), "the silent VM may have it, so nothing is reset"
 
 
--- a/egretsill/address_steering/tests/test_moved_routes.py
+++ b/egretsill/address_steering/tests/test_moved_routes.py
@@ -33,7 +33,7 @@
 from .._tunnel import (
     ANY_SERVICE,
     MAXIMUM_HOPS,
-    MAXIMUM_VISITED,
+    MAXIMUM_ROUTE_HOPS,
     TunneledPacket,
     decode_tunnel,
     encode_tunneled_packet,
@@ -175,7 +175,7 @@
         found, hops, last = fleet.follow(number, 0, 1.0)
         assert not found
         assert last == Drop(flow(number), DropReason.TOO_MANY_HOPS)
-        assert hops <= MAXIMUM_VISITED + 1
+        assert hops <= MAXIMUM_ROUTE_HOPS + 1
 
 
 # Guards against callers that wait for a flow that no target has, though all agents can be asked.
