--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -262,6 +262,7 @@
         if is_known or self._search.is_announced_elsewhere(packet.flow, envelope):
             return self._pass_on(envelope, packet, now)
         if not self._is_expected_here(envelope, packet):
+            # The target would be asked in vain for nearly all flows of other services' routes.
             likelier = self._search.likelier_hop(packet.flow, envelope, now)
             if likelier is not None:
                 reason = likelier.reason
--- a/egretsill/address_steering/_flow_search.py
+++ b/egretsill/address_steering/_flow_search.py
@@ -143,10 +143,9 @@
     ) -> Iterator[SearchHop | DropReason]:
         """Yield the VMs on which a flow may be and that were not visited, the likeliest first.
 
-        A packet is lost at a VM that doesn't answer, so unreachable ones come after those that the
-        route names. Agents of other services come after them, since packets that find their own
-        target only later are better lost than delivered to many others. If one packet can't visit
-        all of them, none is asked in vain.
+        A packet is lost at a VM that doesn't answer, so unreachable VMs of the route come late, but
+        before agents of other services: while a flow's own agent is away, its packets must not go
+        to many other targets instead. These agents are asked only if a packet can visit all.
         """
         seen = set(visited)
         unreachable = []
