--- a/egretsill/address_steering/_presence.py
+++ b/egretsill/address_steering/_presence.py
@@ -31,8 +31,8 @@
         """Return whether the targets of some services on a VM are known to have ended.
 
         A vanished entry alone is no proof, because entries also expire while their targets serve.
-        In addition, the agent must be unreachable or another target must have its address. A later
-        entry at the address of a target that still has its own is no proof either. An agent is
+        Another entry for its VM is none either, because any writer may make one. In addition, the
+        agent must be unreachable; one that answers knows which flows its target has. An agent is
         unreachable if a hub reports it so, or if it was not reported for longer than replacing a
         hub takes. A VM that the directory doesn't know may be newer than the directory.
 
@@ -49,8 +49,6 @@
         )
         if not views or not all(_has_departed(view, now) for view in views):
             return False
-        if any(self._has_successor(view) for view in views):
-            return True
         if self._peers.is_silent(host):
             return True
         peer = self._peers.peers.get(host)
@@ -102,9 +100,6 @@
             if is_starting or (self.has_routed_target(host) and not self.has_left(host, (), now)):
                 yield host
 
-    def _has_successor(self, view: TargetView) -> bool:
-        return self._directory.is_replaced(view) and not self._directory.has_entry(view.target.name)
-
     def _targets_of(self, host: int, services: Iterable[str]) -> Sequence[TargetView]:
         """Return the newest target of each service on a VM."""
         found = (self._directory.target_at(host, service) for service in services)
