--- a/egretsill/address_steering/tests/test_agent_steering.py
+++ b/egretsill/address_steering/tests/test_agent_steering.py
@@ -95,16 +95,14 @@
 
 
 @pytest.mark.parametrize(
-    ("change", "reason"),
+    "change",
     [
-        pytest.param({"phase": TargetPhase.DRAINING}, ForwardReason.TARGET_LEAVING, id="draining"),
-        pytest.param(None, ForwardReason.TARGET_LEAVING, id="gone"),
-        pytest.param({"service": OTHER_SERVICE}, None, id="address of another service now"),
+        pytest.param({"phase": TargetPhase.DRAINING}, id="draining"),
+        pytest.param(None, id="gone"),
+        pytest.param({"service": OTHER_SERVICE}, id="address of another service now"),
     ],
 )
-def test_syn_for_leaving_target_is_passed_on(
-    change: dict[str, object] | None, reason: ForwardReason | None
-) -> None:
+def test_syn_for_leaving_target_is_passed_on(change: dict[str, object] | None) -> None:
     scene = Scene(HERE)
     scene.receive_heartbeats(0.0)
     if change is None:
@@ -113,11 +111,8 @@
         scene.change_target(HERE, 0.1, **change)
     agent = make_agent(scene)
     effect = only(agent.take_from_peer(envelope(), packet(SYN), 0.2))
-    if reason is None:
-        assert isinstance(effect, DeliverToTarget)  # only the former target's agent is concerned
-    else:
-        assert isinstance(effect, Forward)
-        assert effect.reason is reason
+    assert isinstance(effect, Forward)
+    assert effect.reason is ForwardReason.TARGET_LEAVING
 
 
 def test_syn_steered_by_newer_configuration_is_not_refused() -> None:
--- a/egretsill/directory/_target_entries.py
+++ b/egretsill/directory/_target_entries.py
@@ -4,15 +4,26 @@
 
 from collections import OrderedDict
 from collections.abc import Mapping, Sequence, Set
+from typing import TypeAlias
 
 from ._model import Target, TargetPhase
 from ._target_index import COPY_SETTLING_SECONDS, NEVER, TargetIndex, TargetView
-from ._write_order import WriteOrder, compare_revisions, compare_writes
+from ._write_order import (
+    WriteOrder,
+    compare_revisions,
+    compare_writes,
+    denies_drain,
+    is_same_run,
+)
 
 LAPSE_GRACE_SECONDS = 2.5  # running targets renew within 2 s of the store's return, plus lag
 MAXIMUM_RETAINED = 10_000  # departed targets kept; two a second over the retention, and slack
 
 
+# Name and place. Another writer may have written over a target's entry and named another place.
+_DepartedKey: TypeAlias = tuple[str, int, int, str]
+
+
 class TargetEntries:
     """Targets by name.
 
@@ -26,7 +37,7 @@
     def __init__(self, retention_seconds: float) -> None:
         self._retention_seconds = retention_seconds
         self._current: dict[str, TargetView] = {}
-        self._departed: OrderedDict[str, TargetView] = OrderedDict()
+        self._departed: OrderedDict[_DepartedKey, TargetView] = OrderedDict()
         self._index = TargetIndex()
         self._routed_services: Set[str] | None = None
         self._generation = 0
@@ -122,15 +133,15 @@
         for name in expired:
             self._move_to_departed(name, now)
         while self._departed:
-            name, view = next(iter(self._departed.items()))
+            key, view = next(iter(self._departed.items()))
             missing_since = view.missing_since if view.missing_since is not None else now
             if (
                 now - missing_since < self._retention_seconds
                 and len(self._departed) < MAXIMUM_RETAINED
             ):
                 break
-            del self._departed[name]
-            expired.append(name)
+            del self._departed[key]
+            expired.append(view.target.name)
         if expired:
             self._note_change(now)
         return bool(expired)
@@ -139,13 +150,14 @@
         target = view.target
         known = self._current.get(target.name)
         self._outdated.discard(target.name)
-        if known is not None and known.target.started_milliseconds != target.started_milliseconds:
-            self._departed[target.name] = TargetView(known.target, known.warmup_ends_at, now)
+        if known is not None and not is_same_run(target, known.target):
+            self._keep_departed(known, now)
         self._current[target.name] = view
 
     def _is_taken(self, target: Target, known: TargetView | None, now: float) -> bool:
         """Return whether to take an entry; note one that a copy of the store has brought back."""
-        former = known or self._departed.get(target.name)
+        departed = self._departed.get(_departed_key(target))
+        former = known or departed
         if former is None:
             return True
         is_settled = self.is_settled(now)
@@ -153,7 +165,9 @@
         if is_settled and order is not WriteOrder.SAME:
             # What the copy lacked is written again, so the store's own order counts.
             order = compare_revisions(target, former.target)
-        if known is None:
+        if any(each and denies_drain(target, each.target) for each in (known, departed)):
+            is_taken = False
+        elif known is None:
             is_taken = is_settled or order is WriteOrder.LATER
         elif known.missing_since is not None:
             is_same_era = target.revision.era == known.target.revision.era
@@ -181,10 +195,18 @@
 
     def _move_to_departed(self, name: str, now: float) -> None:
         known = self._current.pop(name)
-        self._departed.pop(name, None)
-        self._departed[name] = TargetView(known.target, known.warmup_ends_at, now)
+        self._keep_departed(known, now)
+
+    def _keep_departed(self, view: TargetView, now: float) -> None:
+        key = _departed_key(view.target)
+        self._departed.pop(key, None)
+        self._departed[key] = TargetView(view.target, view.warmup_ends_at, now)
 
     def _note_change(self, now: float) -> None:
         """Mark the index as outdated; the next query rebuilds it, since changes come in bursts."""
         self._generation += 1
         self._changed_at = now
+
+
+def _departed_key(target: Target) -> _DepartedKey:
+    return target.name, target.host, target.port, target.service
--- a/egretsill/directory/_write_order.py
+++ b/egretsill/directory/_write_order.py
@@ -9,7 +9,7 @@
 import enum
 from dataclasses import replace
 
-from ._model import Target
+from ._model import Target, TargetPhase
 
 
 class WriteOrder(enum.Enum):
@@ -48,3 +48,26 @@
     if is_same_era or target.started_milliseconds == other.started_milliseconds:
         return target.revision > other.revision
     return target.started_milliseconds > other.started_milliseconds
+
+
+def is_same_run(entry: Target, known: Target) -> bool:
+    """Return whether two entries of the same name tell of the same run of a target."""
+    return entry.started_milliseconds == known.started_milliseconds and _is_same_place(entry, known)
+
+
+def denies_drain(entry: Target, known: Target) -> bool:
+    """Return whether an entry names a target ready that drains by its known entry of that name.
+
+    A target that drains ends, so only its next start is ready. Where the known entry tells no
+    start, the store's order counts.
+    """
+    if known.phase is not TargetPhase.DRAINING or entry.phase is TargetPhase.DRAINING:
+        return False
+    if not known.started_milliseconds or not _is_same_place(entry, known):
+        return False
+    return entry.started_milliseconds <= known.started_milliseconds
+
+
+def _is_same_place(entry: Target, known: Target) -> bool:
+    place = (entry.host, entry.port, entry.service)
+    return place == (known.host, known.port, known.service)
