--- a/egretsill/address_steering/_placement.py
+++ b/egretsill/address_steering/_placement.py
@@ -11,7 +11,7 @@
 from collections.abc import Collection, Iterable, Iterator, Sequence
 from itertools import islice
 
-from ..directory import Directory, Route, TargetPhase, TargetView
+from ..directory import Directory, Route, TargetView
 from ..fleet import PeerTable
 from ..ranking import bucket_of
 from ._candidates import CHOICES, Candidates, ServiceRank
@@ -140,7 +140,7 @@
                 host
                 for host in rank.ranked(cell, bucket)
                 if host not in excluded
-                and _accepts_new_flows(rank.views[host], now)
+                and rank.views[host].takes_new_flows(now)
                 and self._readiness(host, now) <= Readiness.UNCERTAIN
             )
             hosts.update(dict.fromkeys(islice(usable, count)))
@@ -194,7 +194,7 @@
         healthy: list[int] = []
         others: list[tuple[Readiness, int]] = []
         for host in ranked:
-            if host in excluded or not _accepts_new_flows(rank.views[host], now):
+            if host in excluded or not rank.views[host].takes_new_flows(now):
                 continue
             readiness = self._readiness(host, now)
             if readiness is not Readiness.HEALTHY:
@@ -241,10 +241,5 @@
         return max(float(middle), MINIMUM_DELAY_MILLISECONDS)
 
 
-def _accepts_new_flows(view: TargetView, now: float) -> bool:
-    """Return whether a target accepts new flows according to its entry."""
-    return view.target.phase is TargetPhase.READY and not view.has_departed(now)
-
-
 def _capacity(view: TargetView) -> int:
     return max(view.target.capacity or DEFAULT_CAPACITY, 1)
--- a/egretsill/address_steering/_presence.py
+++ b/egretsill/address_steering/_presence.py
@@ -112,6 +112,6 @@
 
 def _has_departed(view: TargetView, now: float) -> bool:
     """Return whether a target's entry vanished long enough ago for its last answers to be sent."""
-    if view.missing_since is None or not view.has_departed(now):
+    if view.missing_since is None or view.superseded_by or not view.has_departed(now):
         return False
     return now - view.missing_since > DEPARTURE_GRACE_SECONDS
--- a/egretsill/address_steering/_target_capacity.py
+++ b/egretsill/address_steering/_target_capacity.py
@@ -11,7 +11,7 @@
 import math
 from dataclasses import replace
 
-from ..directory import Directory, Route, TargetPhase, TargetView
+from ..directory import Directory, Route, TargetView
 from ._decisions import ForwardReason
 from ._flow_table import MAXIMUM_FLOWS, FlowEntry, FlowState, FlowTable
 from ._packet import OPEN_TIMEOUT_SECONDS, FlowKey, FlowPacket
@@ -89,9 +89,7 @@
         if view is None:
             # Balancers know a target only by its entry, so it exists if they send packets here.
             return None
-        if view.has_departed(now) or view.target.phase is TargetPhase.DRAINING:
-            return ForwardReason.TARGET_LEAVING
-        return None
+        return None if view.takes_new_flows(now) else ForwardReason.TARGET_LEAVING
 
     def begin_opening(self, flow: FlowKey, now: float) -> None:
         """Record that a SYN packet is delivered to the target."""
--- a/egretsill/directory/__init__.py
+++ b/egretsill/directory/__init__.py
@@ -24,7 +24,9 @@
 from ._reading import READERS, Pause, ReadAll, ReadPlan, ReadStep, WatchChanges, reader_order
 from ._revision import NO_REVISION, StoreRevision
 from ._store import HistoryLost, Store, StoreFailure, StoreUnavailable
-from ._target_index import TargetView
+from ._target_changes import TargetChange, TargetChangeKind
+from ._target_index import TargetPlace
+from ._target_view import TargetView
 from ._unusable_entries import UnusableEntry, describe_entries
 from ._validity import MAXIMUM_NAME_BYTES, NUMBER_LIMIT, is_endpoint, is_name, is_number
 
@@ -58,7 +60,10 @@
     "StoreRevision",
     "StoreUnavailable",
     "Target",
+    "TargetChange",
+    "TargetChangeKind",
     "TargetPhase",
+    "TargetPlace",
     "TargetView",
     "UnusableEntry",
     "WatchChanges",
--- a/egretsill/directory/_directory.py
+++ b/egretsill/directory/_directory.py
@@ -19,8 +19,10 @@
 from ._former_routes import FormerRoutes
 from ._model import Changes, Route, RouteTable, Snapshot, Target
 from ._revision import NO_REVISION, StoreRevision
+from ._target_changes import TargetChange
 from ._target_entries import TargetEntries
-from ._target_index import NEVER, TargetView, newest_view
+from ._target_index import TargetPlace
+from ._target_view import NEVER, TargetView, newest_view
 
 OUTAGE_SECONDS = 1.5  # without confirmation for longer, entries may have lapsed for want of renewal
 RETENTION_SECONDS = 60.0  # default age at which a flow may be forgotten
@@ -47,12 +49,22 @@
 
 
 class Directory:
-    """Routes and targets in force at one process."""
+    """Routes and targets in force at one process.
 
-    def __init__(self, retention_seconds: float = RETENTION_SECONDS) -> None:
+    Args:
+        retention_seconds: how long departed targets and former routes are kept.
+        own_place: place of the target that this process runs beside; None if there is none. Other
+            entries for its VM tell it nothing of that target.
+    """
+
+    def __init__(
+        self,
+        retention_seconds: float = RETENTION_SECONDS,
+        own_place: TargetPlace | None = None,
+    ) -> None:
         self._table: RouteTable | None = None
         self._former_routes = FormerRoutes(retention_seconds)
-        self._entries = TargetEntries(retention_seconds)
+        self._entries = TargetEntries(retention_seconds, own_place)
         self._content_revision = NO_REVISION
         self._confirmed_at = NEVER
         self._log = ChangeLog()
@@ -110,6 +122,10 @@
             each.target for each in self._entries.current.values() if each.missing_since is None
         ]
 
+    def take_target_changes(self) -> tuple[Sequence[TargetChange], int]:
+        """Remove and return what changed of targets, and how many changes were omitted."""
+        return self._entries.take_changes()
+
     def route(self, host: int, port: int) -> Route | None:
         """Return the route of a service address."""
         return self._table.routes.get((host, port)) if self._table else None
@@ -160,21 +176,6 @@
         others = [each for each in self._entries.index.services if each not in services]
         return sorted(others, key=lambda each: not self.is_routed(each))
 
-    def is_replaced(self, view: TargetView) -> bool:
-        """Return whether another target, of a routed service, now has the address of this one."""
-        return any(
-            (each.missing_since is None or each.is_awaited)
-            and each.target.port == view.target.port
-            and each.target.name != view.target.name
-            and self.is_routed(each.target.service)
-            for each in self._entries.index.on_host(view.target.host)
-        )
-
-    def has_entry(self, name: str) -> bool:
-        """Return whether the store has an entry of this name, as far as this process knows."""
-        view = self._entries.current.get(name)
-        return view is not None and view.missing_since is None
-
     def domains(self) -> Mapping[int, str]:
         """Return the failure domain of each VM that has a target in force of a routed service."""
         return {
--- a/egretsill/directory/_target_entries.py
+++ b/egretsill/directory/_target_entries.py
@@ -4,18 +4,16 @@
 
 from collections import OrderedDict
 from collections.abc import Mapping, Sequence, Set
+from dataclasses import replace
 from typing import TypeAlias
 
 from ._model import Target, TargetPhase
-from ._target_index import COPY_SETTLING_SECONDS, NEVER, TargetIndex, TargetView
-from ._write_order import (
-    WriteOrder,
-    compare_revisions,
-    compare_writes,
-    denies_drain,
-    is_same_run,
-)
+from ._target_changes import TargetChange, TargetChangeKind, TargetChanges
+from ._target_index import TargetIndex, TargetPlace
+from ._target_view import NEVER, TargetView
+from ._write_order import WriteOrder, compare_revisions, compare_writes, denies_drain, is_same_run
 
+COPY_SETTLING_SECONDS = 10.0  # by then entries that only a copy still had have expired
 LAPSE_GRACE_SECONDS = 2.5  # running targets renew within 2 s of the store's return, plus lag
 MAXIMUM_RETAINED = 10_000  # departed targets kept; two a second over the retention, and slack
 
@@ -32,13 +30,15 @@
 
     Args:
         retention_seconds: how long departed targets are kept.
+        own_place: place of the target that this process runs beside; None if there is none.
     """
 
-    def __init__(self, retention_seconds: float) -> None:
+    def __init__(self, retention_seconds: float, own_place: TargetPlace | None = None) -> None:
         self._retention_seconds = retention_seconds
         self._current: dict[str, TargetView] = {}
         self._departed: OrderedDict[_DepartedKey, TargetView] = OrderedDict()
-        self._index = TargetIndex()
+        self._changes = TargetChanges()
+        self._index = TargetIndex(self._changes, own_place)
         self._routed_services: Set[str] | None = None
         self._generation = 0
         self._changed_at: float | None = None
@@ -58,7 +58,11 @@
         """Return all targets by service and by VM."""
         if self._changed_at is not None:
             self._index.rebuild(
-                self._current, self._departed.values(), self._routed_services, self._changed_at
+                self._current,
+                self._departed.values(),
+                self._routed_services,
+                self.is_settled(self._changed_at),
+                self._changed_at,
             )
             self._changed_at = None
         return self._index
@@ -82,6 +86,11 @@
         """Return whether a service counts as routed."""
         return self._routed_services is None or service in self._routed_services
 
+    def take_changes(self) -> tuple[Sequence[TargetChange], int]:
+        """Remove and return what changed since the last call, and how many changes were omitted."""
+        _ = self.index  # entries are compared with others of their VMs when it is rebuilt
+        return self._changes.take()
+
     def set_routed_services(self, services: Set[str] | None, now: float) -> None:
         """Set the services to which the configuration in force has routes; None for any."""
         if services != self._routed_services:
@@ -118,9 +127,14 @@
         for target in changed:
             known = views.get(target.name) or self._current.get(target.name)
             if self._is_taken(target, known, now):
-                view = views[target.name] = TargetView(target, now + target.warmup_seconds)
+                known_since = self._known_since(target, known, now)
+                view = TargetView(target, now + target.warmup_seconds, known_since)
+                views[target.name] = view
                 taken.append(view)
+        is_first = not self._current and not self._departed
         for view in taken:
+            if not is_first:
+                self._note_taken(view, now)
             self._write(view, now)
         gone = [name for name in names if self._remove(name, now)]
         if taken or gone:
@@ -146,6 +160,16 @@
             self._note_change(now)
         return bool(expired)
 
+    def _note_taken(self, view: TargetView, now: float) -> None:
+        target, known = view.target, self._current.get(view.target.name)
+        before = known.target if known is not None else None
+        if before is None or not is_same_run(target, before):
+            self._changes.note(TargetChangeKind.KNOWN, target, now)
+        if before is None or before.phase is not target.phase:
+            is_ready = target.phase is TargetPhase.READY
+            kind = TargetChangeKind.READY if is_ready else TargetChangeKind.DRAINING
+            self._changes.note(kind, target, now)
+
     def _write(self, view: TargetView, now: float) -> None:
         target = view.target
         known = self._current.get(target.name)
@@ -154,6 +178,12 @@
             self._keep_departed(known, now)
         self._current[target.name] = view
 
+    def _known_since(self, target: Target, known: TargetView | None, now: float) -> float:
+        """Return the local time since which a run of a target is known."""
+        formers = (known, self._departed.get(_departed_key(target)))
+        same = [each for each in formers if each is not None and is_same_run(target, each.target)]
+        return same[0].known_since if same else now
+
     def _is_taken(self, target: Target, known: TargetView | None, now: float) -> bool:
         """Return whether to take an entry; note one that a copy of the store has brought back."""
         departed = self._departed.get(_departed_key(target))
@@ -175,6 +205,8 @@
         else:
             is_taken = order is WriteOrder.LATER
         is_held = known is not None and order is WriteOrder.SAME
+        if not is_taken and not is_held and order is WriteOrder.LATER:
+            self._changes.note(TargetChangeKind.PASSED_OVER, target, now)
         if not is_taken and not is_held and not is_settled:
             self._outdated.add(target.name)
             self._outdated_count += 1
@@ -188,19 +220,21 @@
         is_ready = known.target.phase is TargetPhase.READY
         grace_until = self._grace_until if is_ready else self._return_grace_until
         if now < grace_until:
-            self._current[name] = TargetView(known.target, known.warmup_ends_at, now, grace_until)
+            self._changes.note(TargetChangeKind.AWAITED, known.target, now)
+            self._current[name] = replace(known, missing_since=now, grace_until=grace_until)
         else:
             self._move_to_departed(name, now)
         return True
 
     def _move_to_departed(self, name: str, now: float) -> None:
         known = self._current.pop(name)
+        self._changes.note(TargetChangeKind.DEPARTED, known.target, now)
         self._keep_departed(known, now)
 
     def _keep_departed(self, view: TargetView, now: float) -> None:
         key = _departed_key(view.target)
         self._departed.pop(key, None)
-        self._departed[key] = TargetView(view.target, view.warmup_ends_at, now)
+        self._departed[key] = replace(view, missing_since=now, grace_until=NEVER)
 
     def _note_change(self, now: float) -> None:
         """Mark the index as outdated; the next query rebuilds it, since changes come in bursts."""
--- a/egretsill/directory/_target_index.py
+++ b/egretsill/directory/_target_index.py
@@ -2,52 +2,67 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from collections.abc import Collection, Mapping, Sequence
+from dataclasses import dataclass, replace
 from typing import TypeVar
 
 from ._model import Target
-from ._write_order import is_successor
-
-NEVER = float("-inf")
-COPY_SETTLING_SECONDS = 10.0  # by then entries that only a copy still had have expired
+from ._target_changes import TargetChangeKind, TargetChanges
+from ._target_view import NEVER, TargetView
+from ._vm_claims import settle_claims
 
 KeyT = TypeVar("KeyT")
 
 
 @dataclass(frozen=True, slots=True)
-class TargetView:
-    """A target's entry together with what this process knows about it.
+class TargetPlace:
+    """Where a process finds the target that it runs beside.
 
     Attributes:
-        target: the entry.
-        warmup_ends_at: local time at which its warm-up ends.
-        missing_since: local time at which its entry was found missing; None while it exists.
-        grace_until: end of the period in which a missing entry may return and still counts.
+        host: IPv4 address of the VM, as a number.
+        port: port on which the target receives packets.
+        service: the service that it belongs to.
     """
 
-    target: Target
-    warmup_ends_at: float
-    missing_since: float | None = None
-    grace_until: float = NEVER
+    host: int
+    port: int
+    service: str
 
-    @property
-    def is_awaited(self) -> bool:
-        """Return whether its entry is missing but was expected to return when it was found so."""
-        return self.missing_since is not None and self.grace_until > self.missing_since
+    def has(self, target: Target) -> bool:
+        """Return whether an entry is for this place."""
+        return (target.host, target.port, target.service) == (self.host, self.port, self.service)
 
-    def has_departed(self, now: float) -> bool:
-        """Return whether its entry is missing and not expected to return."""
-        return self.missing_since is not None and self.grace_until <= now
+
+@dataclass(frozen=True, slots=True)
+class _Outranked:
+    """By which other entries one doesn't count.
+
+    Attributes:
+        superseded_by: as in its view.
+        drained_by: as in its view.
+        since: local time since which the same entry supersedes it, or since which it drains.
+    """
+
+    superseded_by: str
+    drained_by: str
+    since: float
 
 
 class TargetIndex:
-    """Targets in force and departed ones, by service and by VM."""
+    """Targets in force and departed ones, by service and by VM.
 
-    def __init__(self) -> None:
+    Args:
+        changes: records which entries supersede or drain others.
+        own_place: place of the target that this process runs beside; None if there is none. Other
+            entries for its VM are left out as soon as one is for that place.
+    """
+
+    def __init__(self, changes: TargetChanges, own_place: TargetPlace | None = None) -> None:
+        self._changes = changes
+        self._own_place = own_place
         self._by_service: dict[str, tuple[TargetView, ...]] = {}
         self._by_host: dict[int, tuple[TargetView, ...]] = {}
-        self._replaced_at: dict[str, float] = {}
+        self._outranked: dict[str, _Outranked] = {}
 
     def of_service(self, service: str) -> Sequence[TargetView]:
         """Return a service's targets."""
@@ -72,6 +87,7 @@
         current: Mapping[str, TargetView],
         departed: Collection[TargetView],
         routed_services: Collection[str] | None,
+        is_settled: bool,
         now: float,
     ) -> None:
         """Index all targets again.
@@ -80,74 +96,54 @@
             current: the targets in force, by name.
             departed: the targets whose entries are gone.
             routed_services: the services of the configuration in force, None for any.
+            is_settled: whether the store has no entries that only a copy of it brought back.
             now: local time.
         """
         by_service: dict[str, list[TargetView]] = {}
         by_host: dict[int, list[TargetView]] = {}
-        in_force = self._without_replaced(current, departed, routed_services, now)
-        for view in (*in_force, *departed):
-            by_service.setdefault(view.target.service, []).append(view)
+        for view in (*current.values(), *departed):
             by_host.setdefault(view.target.host, []).append(view)
+        outranked: dict[str, _Outranked] = {}
+        for host, views in by_host.items():
+            if len(views) > 1:
+                views = self._at_own_place(views)
+                settled = settle_claims(views, routed_services, is_settled)
+                views = by_host[host] = [self._outrank(each, outranked, now) for each in settled]
+            for view in views:
+                by_service.setdefault(view.target.service, []).append(view)
+        for name in self._outranked.keys() - outranked.keys():
+            if name in current:
+                target = current[name].target
+                self._changes.note(TargetChangeKind.IN_USE_AGAIN, target, now)
+        self._outranked = outranked
         self._by_service, self._by_host = _as_tuples(by_service), _as_tuples(by_host)
 
-    def _without_replaced(
-        self,
-        current: Mapping[str, TargetView],
-        departed: Iterable[TargetView],
-        routed_services: Collection[str] | None,
-        now: float,
-    ) -> Iterable[TargetView]:
-        """Yield the targets; one whose address belongs to a newer target is yielded as departed.
-
-        The entry of a crashed target stays in the store for a while, when the next target at its
-        address may already have its own entry. A copy of the store may have only the former, which
-        is replaced even if the next target's entry is missing for longer than it is awaited.
-
-        Only a target of a routed service replaces others. Any writer may register an address under
-        a service of its own, while the target there lives.
-        """
-        newest: dict[tuple[int, int], TargetView] = {}
-        recent = (each for each in departed if _has_recently_departed(each, now))
-        for view in (*current.values(), *recent):
-            if routed_services is not None and view.target.service not in routed_services:
-                continue
-            place = (view.target.host, view.target.port)
-            known = newest.get(place)
-            if known is None or is_successor(view.target, known.target):
-                newest[place] = view
-        kept = set()
-        for name, view in current.items():
-            holder = newest.get((view.target.host, view.target.port), view)
-            if holder is view or not is_successor(holder.target, view.target):
-                kept.add(name)
-        self._replaced_at = {
-            name: self._replaced_at.get(name, now) for name in current if name not in kept
-        }
-        for name, view in current.items():
-            if name in kept:
-                yield view
-            else:
-                yield TargetView(view.target, view.warmup_ends_at, self._replaced_at[name])
-
-
-def newest_view(views: Iterable[TargetView]) -> TargetView | None:
-    """Return the newest of the targets on a VM; those with an entry go before those without."""
-    newest: TargetView | None = None
-    for view in views:
-        if newest is None or _is_newer(view, newest):
-            newest = view
-    return newest
-
-
-def _has_recently_departed(view: TargetView, now: float) -> bool:
-    return view.missing_since is not None and now - view.missing_since < COPY_SETTLING_SECONDS
-
-
-def _is_newer(view: TargetView, other: TargetView) -> bool:
-    has_entry = view.missing_since is None
-    if has_entry != (other.missing_since is None):
-        return has_entry
-    return is_successor(view.target, other.target)
+    def _at_own_place(self, views: list[TargetView]) -> list[TargetView]:
+        """Return those of a VM's entries that may be of its target."""
+        place = self._own_place
+        if place is None or views[0].target.host != place.host:
+            return views
+        matching = [each for each in views if place.has(each.target)]
+        return matching or views
+
+    def _outrank(
+        self, view: TargetView, outranked: dict[str, _Outranked], now: float
+    ) -> TargetView:
+        """Record by which entries another one doesn't count; a superseded one has departed."""
+        if not view.superseded_by and not view.drained_by:
+            return view
+        name = view.target.name
+        before = self._outranked.get(name)
+        is_known = before is not None and before.superseded_by == view.superseded_by
+        since = before.since if before is not None and is_known else now
+        outranked[name] = _Outranked(view.superseded_by, view.drained_by, since)
+        if before is None or outranked[name] != before:
+            kind = TargetChangeKind.SUPERSEDED if view.superseded_by else TargetChangeKind.DRAINED
+            by = view.superseded_by or view.drained_by
+            self._changes.note(kind, view.target, now, by)
+        if not view.superseded_by:
+            return view
+        return replace(view, missing_since=since, grace_until=NEVER)
 
 
 def _as_tuples(groups: Mapping[KeyT, list[TargetView]]) -> dict[KeyT, tuple[TargetView, ...]]:
--- a/egretsill/directory/_write_order.py
+++ b/egretsill/directory/_write_order.py
@@ -43,11 +43,13 @@
 
 
 def is_successor(target: Target, other: Target) -> bool:
-    """Return whether a target got an address after another target that had it."""
-    is_same_era = target.revision.era == other.revision.era
-    if is_same_era or target.started_milliseconds == other.started_milliseconds:
-        return target.revision > other.revision
-    return target.started_milliseconds > other.started_milliseconds
+    """Return whether a target of a VM may have started there after another target.
+
+    Each start has a start time of its own. Where no entry tells one, the store's order counts.
+    """
+    if target.started_milliseconds or other.started_milliseconds:
+        return target.started_milliseconds > other.started_milliseconds
+    return target.revision > other.revision
 
 
 def is_same_run(entry: Target, known: Target) -> bool:
--- a/egretsill/directory/tests/test_directory.py
+++ b/egretsill/directory/tests/test_directory.py
@@ -116,7 +116,7 @@
 
 def test_entry_of_a_crashed_target_does_not_hide_its_successor() -> None:
     directory = make_directory()
-    restarted = replace(TWO, name="two again", revision=rev(21))
+    restarted = replace(TWO, name="two again", started_milliseconds=9, revision=rev(21))
     directory.apply_changes(Changes(rev(21), None, (restarted,)), 1.0)
     directory.apply_snapshot(Snapshot(rev(22), make_table(7), (ONE, restarted, TWO)), 2.0)
     directory.apply_changes(Changes(rev(23), removed=("two",)), 3.0)
--- a/egretsill/directory/tests/test_store_return.py
+++ b/egretsill/directory/tests/test_store_return.py
@@ -7,8 +7,7 @@
 import pytest
 
 from .. import Changes, Directory, RouteTable, Snapshot, StoreReturn, Target, TargetPhase
-from .._target_entries import LAPSE_GRACE_SECONDS
-from .._target_index import COPY_SETTLING_SECONDS
+from .._target_entries import COPY_SETTLING_SECONDS, LAPSE_GRACE_SECONDS
 from .._write_order import WriteOrder, compare_writes, is_successor
 from .revisions import rev
 
@@ -120,7 +119,7 @@
     assert not current.has_departed(RETURNED_AT + 1.0)
     assert replaced is not None
     assert replaced.has_departed(RETURNED_AT + 1.0)
-    assert directory.is_replaced(replaced)
+    assert replaced.superseded_by == "new"
     no_longer_awaited_at = RETURNED_AT + LAPSE_GRACE_SECONDS
     directory.tick(no_longer_awaited_at)
     replaced = directory.target_at(1, "lookup")
--- a/egretsill/directory/tests/test_unrouted_services.py
+++ b/egretsill/directory/tests/test_unrouted_services.py
@@ -17,6 +17,7 @@
 HOST, PORT = 1, 80
 OWN = Target("own", HOST, PORT, "lookup", "a", TargetPhase.READY, 4, 0.0, 5, rev(11))
 FOREIGN = replace(OWN, name="foreign", service="inventory", failure_domain="b", revision=rev(12))
+NEXT = replace(FOREIGN, name="next", started_milliseconds=9)
 
 
 def make_table(version: int, *services: str) -> RouteTable:
@@ -47,7 +48,7 @@
     assert is_in_force(directory, "lookup")
     view = directory.target_at(HOST, "lookup")
     assert view is not None
-    assert not directory.is_replaced(view)
+    assert not view.superseded_by
 
 
 # Guards against a target taken for ended because its entry lapsed beside another writer's.
@@ -56,7 +57,7 @@
     directory.apply_changes(Changes(rev(21), removed=("own",)), 1.0)
     view = directory.target_at(HOST, "lookup")
     assert view is not None
-    assert not directory.is_replaced(view)
+    assert not view.superseded_by
 
 
 # Guards against a copy of the store in which an entry of another writer is the later one.
@@ -78,18 +79,18 @@
 
 # Guards against a new service whose target takes over an address before its configuration comes.
 def test_target_takes_over_an_address_once_its_service_has_a_route() -> None:
-    directory = make_directory((OWN, FOREIGN), make_table(7, "lookup"))
+    directory = make_directory((OWN, NEXT), make_table(7, "lookup"))
     directory.apply_changes(Changes(rev(21), make_table(8, "lookup", "inventory")), 1.0)
     assert not is_in_force(directory, "lookup", 1.0)
     assert is_in_force(directory, "inventory")
 
 
 def test_target_of_unrouted_service_is_replaced_by_a_routed_one() -> None:
-    directory = make_directory((OWN, FOREIGN), make_table(7, "lookup", "inventory"))
+    directory = make_directory((OWN, NEXT), make_table(7, "lookup", "inventory"))
     assert not is_in_force(directory, "lookup")
     directory.apply_changes(Changes(rev(21), make_table(8, "intake")), 1.0)
     assert is_in_force(directory, "lookup"), "neither of them has a route"
-    routed = replace(OWN, name="next", service="intake", revision=rev(22))
+    routed = replace(NEXT, name="routed", service="intake", revision=rev(22))
     directory.apply_changes(Changes(rev(22), changed=(routed,)), 2.0)
     assert not is_in_force(directory, "lookup", 2.0)
 
--- a/egretsill/node/_directory_log.py
+++ b/egretsill/node/_directory_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ..directory import Directory, StoreReturn
+from ..endpoints import Address, format_ipv4
 from ..observation import Journal, Metrics
 
 
@@ -30,6 +31,29 @@
             targets=len(targets),
             unrouted=sum(not directory.is_routed(each.service) for each in targets),
         )
+        self.note_target_changes()
+
+    def note_target_changes(self) -> None:
+        """Record what is believed of targets now and wasn't at the last call."""
+        directory = self._directory
+        changes, omitted = directory.take_target_changes()
+        for each in changes:
+            target = each.target
+            self._journal.record(
+                "target-changed",
+                change=each.kind.value,
+                target=target.name,
+                address=str(Address(format_ipv4(target.host), target.port)),
+                service=target.service,
+                phase=target.phase.value,
+                started=target.started_milliseconds,
+                sequence=target.sequence,
+                written_at=str(target.revision),
+                by=each.by,
+                revision=str(directory.content_revision),
+            )
+        if omitted:
+            self._journal.record("target-changes-omitted", count=omitted)
 
     def note_outdated_entries(self) -> None:
         """Record entries that were passed over since the last call."""
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -17,7 +17,7 @@
     PacketCodec,
 )
 from ..boot import AgentSettings, NodeSettings, NodeSockets
-from ..directory import Directory, ReadPlan, Store
+from ..directory import Directory, ReadPlan, Store, TargetPlace
 from ..endpoints import Address, parse_ipv4
 from ..fleet import HubPlan, PeerTable
 from ..observation import (
@@ -91,7 +91,7 @@
         timer.contain_failures(lambda error: self._supervisor.note_failure(Part.TIMERS, error))
         self._log_writer = LogWriter(self._journal, open_log, random, self._supervisor)
         self._host = parse_ipv4(settings.host)
-        self._directory = Directory(settings.flow_seconds)
+        self._directory = Directory(settings.flow_seconds, self._find_own_place())
         seeds = [parse_ipv4(each) for each in settings.seeds]
         self._peers = PeerTable(self._host)
         self._hubs = HubPlan(self._host, settings.failure_domain, seeds, self._peers)
@@ -266,6 +266,10 @@
             self._supervisor,
         )
 
+    def _find_own_place(self) -> TargetPlace | None:
+        agent = self._settings.agent
+        return TargetPlace(self._host, agent.target.port, agent.service) if agent else None
+
     def _make_agent(self, agent: AgentSettings, codec: PacketCodec, log: DecisionLog) -> AgentNode:
         settings = self._settings
         steering = AgentSteering(
@@ -357,6 +361,7 @@
     def _sweep(self, now: float) -> None:
         self._directory.tick(now)
         self._directory_log.note_outdated_entries()
+        self._directory_log.note_target_changes()
         load = self._load()
         self._metrics.flows_open.set(load.flows)
 
--- a/egretsill/node/tests/test_directory_log.py
+++ b/egretsill/node/tests/test_directory_log.py
@@ -4,7 +4,16 @@
 
 from dataclasses import replace
 
-from ...directory import Directory, Route, RouteTable, ServiceShare, Snapshot, Target, TargetPhase
+from ...directory import (
+    Changes,
+    Directory,
+    Route,
+    RouteTable,
+    ServiceShare,
+    Snapshot,
+    Target,
+    TargetPhase,
+)
 from ...directory.tests.revisions import rev
 from ...observation import Metrics
 from .._directory_log import DirectoryLog
@@ -24,3 +33,40 @@
     ((kind, fields),) = journal.lines
     assert kind == "content-changed"
     assert (fields["targets"], fields["unrouted"]) == (2, 1)
+
+
+def lines_of_changes(directory: Directory) -> list[tuple[object, ...]]:
+    journal = RecordingJournal()
+    DirectoryLog(directory, Metrics(), journal).note_target_changes()
+    return [(each["change"], each["target"], each["by"]) for _, each in journal.lines]
+
+
+# Guards against a target that gets new flows, or none, without a line that says by which entry.
+def test_decisions_about_entries_are_logged() -> None:
+    directory, other = Directory(), replace(OWN, name="other", revision=rev(21))
+    drained = replace(OWN, phase=TargetPhase.DRAINING, revision=rev(23))
+    directory.apply_snapshot(Snapshot(rev(20), None, (OWN,)), 0.0)
+    assert lines_of_changes(directory) == [], "first content has no line for each target"
+    directory.apply_changes(Changes(rev(21), changed=(other,)), 1.0)
+    assert lines_of_changes(directory) == [
+        ("known", "other", ""),
+        ("ready", "other", ""),
+        ("superseded", "other", "own"),
+    ]
+    directory.apply_changes(Changes(rev(22), changed=(replace(other, port=81),)), 2.0)
+    directory.apply_changes(Changes(rev(23), changed=(drained,)), 2.0)
+    assert ("draining", "own", "") in lines_of_changes(directory)
+    directory.apply_changes(Changes(rev(24), changed=(replace(OWN, revision=rev(24)),)), 3.0)
+    assert lines_of_changes(directory) == [("passed-over", "own", "")]
+    directory.apply_changes(Changes(rev(25), removed=("other",)), 4.0)
+    assert lines_of_changes(directory)[0] == ("departed", "other", "")
+
+
+# Guards against memory and log volume that grow with the changes between two log lines.
+def test_changes_that_wait_to_be_logged_are_bounded() -> None:
+    directory, journal = Directory(), RecordingJournal()
+    directory.apply_snapshot(Snapshot(rev(20), None, (OWN,)), 0.0)
+    written = [replace(OWN, name=f"t{each}", host=each, revision=rev(21)) for each in range(2, 200)]
+    directory.apply_changes(Changes(rev(21), changed=written), 1.0)
+    DirectoryLog(directory, Metrics(), journal).note_target_changes()
+    assert journal.lines[-1] == ("target-changes-omitted", {"count": 2 * len(written) - 64})
