--- a/egretsill/directory/_target_entries.py
+++ b/egretsill/directory/_target_entries.py
@@ -11,7 +11,14 @@
 from ._target_changes import TargetChange, TargetChangeKind, TargetChanges
 from ._target_index import TargetIndex, TargetPlace
 from ._target_view import NEVER, TargetView
-from ._write_order import WriteOrder, compare_revisions, compare_writes, denies_drain, is_same_run
+from ._write_order import (
+    WriteOrder,
+    compare_revisions,
+    compare_writes,
+    denies_drain,
+    is_same_run,
+    is_successor,
+)
 
 COPY_SETTLING_SECONDS = 10.0  # by then entries that only a copy still had have expired
 LAPSE_GRACE_SECONDS = 2.5  # running targets renew within 2 s of the store's return, plus lag
@@ -232,7 +239,11 @@
         self._keep_departed(known, now)
 
     def _keep_departed(self, view: TargetView, now: float) -> None:
+        """Keep a departed run, unless a later one of the same name and place is kept."""
         key = _departed_key(view.target)
+        kept = self._departed.get(key)
+        if kept is not None and is_successor(kept.target, view.target):
+            return
         self._departed.pop(key, None)
         self._departed[key] = replace(view, missing_since=now, grace_until=NEVER)
 
--- a/egretsill/directory/tests/test_final_drain.py
+++ b/egretsill/directory/tests/test_final_drain.py
@@ -65,6 +65,15 @@
     assert phase(directory) is None
 
 
+# Guards against a drain that is forgotten since an earlier run was named meanwhile.
+def test_drain_is_known_after_the_entry_named_an_earlier_run() -> None:
+    directory = make_directory(DRAINING)
+    write(directory, replace(DRAINING, started_milliseconds=400), 21)
+    write(directory, replace(READY, host=2), 22)
+    write(directory, READY, 23)
+    assert phase(directory) is None
+
+
 # Guards against a living target that is out of use since its entry named another VM meanwhile.
 def test_drain_of_another_vm_does_not_bind_the_target() -> None:
     directory = make_directory(READY)
