--- a/egretsill/directory/_target_entries.py
+++ b/egretsill/directory/_target_entries.py
@@ -44,6 +44,7 @@
         self._retention_seconds = retention_seconds
         self._current: dict[str, TargetView] = {}
         self._departed: OrderedDict[_DepartedKey, TargetView] = OrderedDict()
+        self._own_place = own_place
         self._changes = TargetChanges()
         self._index = TargetIndex(self._changes, own_place)
         self._routed_services: Set[str] | None = None
@@ -140,7 +141,8 @@
                 taken.append(view)
         is_first = not self._current and not self._departed
         for view in taken:
-            if not is_first:
+            # First content would have a line for each target of the fleet.
+            if not is_first or self._is_at_own_vm(view.target):
                 self._note_taken(view, now)
             self._write(view, now)
         gone = [name for name in names if self._remove(name, now)]
@@ -167,6 +169,9 @@
             self._note_change(now)
         return bool(expired)
 
+    def _is_at_own_vm(self, target: Target) -> bool:
+        return self._own_place is not None and target.host == self._own_place.host
+
     def _note_taken(self, view: TargetView, now: float) -> None:
         target, known = view.target, self._current.get(view.target.name)
         before = known.target if known is not None else None
--- a/egretsill/node/tests/test_directory_log.py
+++ b/egretsill/node/tests/test_directory_log.py
@@ -13,6 +13,7 @@
     Snapshot,
     Target,
     TargetPhase,
+    TargetPlace,
 )
 from ...directory.tests.revisions import rev
 from ...observation import Metrics
@@ -62,6 +63,14 @@
     assert lines_of_changes(directory)[0] == ("departed", "other", "")
 
 
+# Guards against a flow at an agent without a line that says why its target took new flows then.
+def test_first_entry_of_an_agents_own_target_is_logged() -> None:
+    directory = Directory(60.0, TargetPlace(OWN.host, OWN.port, OWN.service))
+    elsewhere = replace(OWN, name="elsewhere", host=2)
+    directory.apply_snapshot(Snapshot(rev(20), None, (OWN, elsewhere)), 0.0)
+    assert lines_of_changes(directory) == [("known", "own", ""), ("ready", "own", "")]
+
+
 # Guards against memory and log volume that grow with the changes between two log lines.
 def test_changes_that_wait_to_be_logged_are_bounded() -> None:
     directory, journal = Directory(), RecordingJournal()
