--- a/egretsill/directory/_directory.py
+++ b/egretsill/directory/_directory.py
@@ -177,12 +177,25 @@
         return sorted(others, key=lambda each: not self.is_routed(each))
 
     def domains(self) -> Mapping[int, str]:
-        """Return the failure domain of each VM that has a target in force of a routed service."""
-        return {
+        """Return the failure domain of each VM that has a target in force of a routed service.
+
+        All processes must agree on it, also where several entries may be of a VM's target.
+        """
+        index = self._entries.index
+        domains = {
             each.target.host: each.target.failure_domain
             for each in self._entries.current.values()
             if self.is_routed(each.target.service)
         }
+        for host in index.contested_hosts:
+            claims = [
+                each
+                for each in index.on_host(host)
+                if each.has_entry and self.is_routed(each.target.service)
+            ]
+            if claims:
+                domains[host] = min(claims, key=_domain_rank).target.failure_domain
+        return domains
 
     def lacks(self, revision: StoreRevision, version: int) -> bool:
         """Return whether a peer with this content and configuration has newer ones.
@@ -367,3 +380,8 @@
             )
         self._content_revision = max(changes.at, base)
         return True
+
+
+def _domain_rank(view: TargetView) -> tuple[bool, bool, int, str]:
+    started = view.target.started_milliseconds
+    return bool(view.superseded_by), not started, started, view.target.name
--- a/egretsill/directory/_target_index.py
+++ b/egretsill/directory/_target_index.py
@@ -63,6 +63,7 @@
         self._by_service: dict[str, tuple[TargetView, ...]] = {}
         self._by_host: dict[int, tuple[TargetView, ...]] = {}
         self._outranked: dict[str, _Outranked] = {}
+        self._contested_hosts: tuple[int, ...] = ()
 
     def of_service(self, service: str) -> Sequence[TargetView]:
         """Return a service's targets."""
@@ -82,6 +83,11 @@
         """Return the VMs that have targets."""
         return self._by_host.keys()
 
+    @property
+    def contested_hosts(self) -> Collection[int]:
+        """Return the VMs for which there are several entries, or were until recently."""
+        return self._contested_hosts
+
     def rebuild(
         self,
         current: Mapping[str, TargetView],
@@ -104,6 +110,7 @@
         for view in (*current.values(), *departed):
             by_host.setdefault(view.target.host, []).append(view)
         outranked: dict[str, _Outranked] = {}
+        self._contested_hosts = tuple(host for host, views in by_host.items() if len(views) > 1)
         for host, views in by_host.items():
             if len(views) > 1:
                 views = self._at_own_place(views)
--- a/egretsill/directory/tests/test_vm_claims.py
+++ b/egretsill/directory/tests/test_vm_claims.py
@@ -132,6 +132,24 @@
     assert takes_new_flows(directory, "lookup", 2.0)
 
 
+# Guards against a VM that other processes take for one of another failure domain than its agent.
+@pytest.mark.parametrize("other", [each for each in OTHERS if each.id != "later start"])
+@pytest.mark.parametrize("service", SERVICES)
+def test_other_entry_moves_no_vm_to_another_domain(other: _Other, service: str) -> None:
+    entry = replace(other.entry, service=service, failure_domain="elsewhere")
+    directory = make_directory(OWN)
+    write(directory, entry, 1.0)
+    write(directory, replace(OWN, capacity=5), 2.0)
+    assert directory.domains() == {HOST: "a"}
+
+
+# Guards against processes that disagree on cells because they learned of entries in another order.
+def test_domain_does_not_depend_on_the_order_of_entries() -> None:
+    other = replace(COPY, failure_domain="elsewhere")
+    one, two = make_directory(OWN, other), make_directory(other, OWN)
+    assert one.domains() == two.domains()
+
+
 # Guards against a fleet whose targets publish no start, in which no address is used again.
 def test_without_starts_the_later_entry_is_of_the_next_target() -> None:
     unknown = replace(OWN, started_milliseconds=0)
