--- a/egretsill/directory/_target_entries.py
+++ b/egretsill/directory/_target_entries.py
@@ -207,7 +207,8 @@
         if is_settled and order is not WriteOrder.SAME:
             # What the copy lacked is written again, so the store's own order counts.
             order = compare_revisions(target, former.target)
-        if any(each and denies_drain(target, each.target) for each in (known, departed)):
+        formers = [each.target for each in (known, departed) if each is not None]
+        if any(denies_drain(target, each) for each in formers):
             is_taken = False
         elif known is None:
             is_taken = is_settled or order is WriteOrder.LATER
--- a/egretsill/directory/_vm_claims.py
+++ b/egretsill/directory/_vm_claims.py
@@ -32,13 +32,15 @@
             copy may lack the entry of a later target, which may be missing for longer than it is
             awaited.
     """
-    named = {each.target.name for each in views if each.has_entry}
-    claims = [
-        each
-        for each in views
-        if routed_services is None or each.target.service in routed_services
-        if each.has_entry or each.target.name not in named
-    ]
+    present_names = {each.target.name for each in views if each.has_entry}
+
+    def may_supersede(view: TargetView) -> bool:
+        if routed_services is not None and view.target.service not in routed_services:
+            return False
+        # An earlier run under the name of an entry that exists is judged where entries are merged.
+        return view.has_entry or view.target.name not in present_names
+
+    claims = [each for each in views if may_supersede(each)]
     superseded = _find_superseded(views, claims, is_settled)
     drains = _drains_by_service(views)
     for view in views:
@@ -57,10 +59,12 @@
 ) -> Mapping[str, str]:
     """Return the names of the entries that aren't of the VM's target, each with that of a rival.
 
+    Of entries that became known at the same time, none came later.
+
     Args:
         views: all entries.
         claims: those that may supersede others.
-        is_settled: as above.
+        is_settled: whether departed entries no longer supersede those that a copy brought back.
     """
     superseded: dict[str, str] = {}
     latest: TargetView | None = None
