--- a/egretsill/directory/_model.py
+++ b/egretsill/directory/_model.py
@@ -138,7 +138,7 @@
     Attributes:
         at: the store's revision after the changes.
         table: the newest configuration, or None if it didn't change.
-        changed: entries that were written.
+        changed: entries that were written, in order; the last of a name is in force.
         removed: names of entries that no longer exist or are no longer usable.
         unusable: entries and configurations that were passed over.
     """
--- a/egretsill/directory/_target_entries.py
+++ b/egretsill/directory/_target_entries.py
@@ -131,13 +131,14 @@
         """
         names = dict.fromkeys(removed)
         taken: list[TargetView] = []
-        views: dict[str, TargetView] = {}
+        views: dict[str, list[TargetView]] = {}
         for target in changed:
-            known = views.get(target.name) or self._current.get(target.name)
-            if self._is_taken(target, known, now):
+            earlier = views.setdefault(target.name, [])
+            known = earlier[-1] if earlier else self._current.get(target.name)
+            if self._is_taken(target, known, earlier, now):
                 known_since = self._known_since(target, known, now)
                 view = TargetView(target, now + target.warmup_seconds, known_since)
-                views[target.name] = view
+                earlier.append(view)
                 taken.append(view)
         is_first = not self._current and not self._departed
         for view in taken:
@@ -196,8 +197,17 @@
         same = [each for each in formers if each is not None and is_same_run(target, each.target)]
         return same[0].known_since if same else now
 
-    def _is_taken(self, target: Target, known: TargetView | None, now: float) -> bool:
-        """Return whether to take an entry; note one that a copy of the store has brought back."""
+    def _is_taken(
+        self, target: Target, known: TargetView | None, earlier: Sequence[TargetView], now: float
+    ) -> bool:
+        """Return whether to take an entry; note one that a copy of the store has brought back.
+
+        Args:
+            target: the entry.
+            known: the entry of its name before it.
+            earlier: entries of its name that are about to be taken before it.
+            now: local time.
+        """
         departed = self._departed.get(_departed_key(target))
         former = known or departed
         if former is None:
@@ -207,8 +217,9 @@
         if is_settled and order is not WriteOrder.SAME:
             # What the copy lacked is written again, so the store's own order counts.
             order = compare_revisions(target, former.target)
-        formers = [each.target for each in (known, departed) if each is not None]
-        if any(denies_drain(target, each) for each in formers):
+        current = self._current.get(target.name)
+        formers = [each for each in (*earlier, current, departed) if each is not None]
+        if any(denies_drain(target, each.target) for each in formers):
             is_taken = False
         elif known is None:
             is_taken = is_settled or order is WriteOrder.LATER
--- a/egretsill/directory/tests/test_final_drain.py
+++ b/egretsill/directory/tests/test_final_drain.py
@@ -65,6 +65,16 @@
     assert phase(directory) is None
 
 
+# Guards against a drain that nobody learns of because the entry was written over at once.
+def test_drain_counts_if_the_entry_was_written_over_in_the_same_batch() -> None:
+    directory = make_directory(READY)
+    moved = replace(READY, host=2)
+    written = (DRAINING, moved, READY)
+    changed = [replace(each, revision=rev(21 + n)) for n, each in enumerate(written)]
+    directory.apply_changes(Changes(rev(23), changed=changed), 1.0)
+    assert phase(directory) is None
+
+
 # Guards against a drain that is forgotten since an earlier run was named meanwhile.
 def test_drain_is_known_after_the_entry_named_an_earlier_run() -> None:
     directory = make_directory(DRAINING)
