--- a/egretsill/node/tests/test_reader_choice.py
+++ b/egretsill/node/tests/test_reader_choice.py
@@ -114,3 +114,13 @@
             with pytest.raises(RuntimeError):
                 choice.readers()
     assert choice.readers() == [9]
+
+
+# Guards against content that nobody watches, since another writer's whole entries of a routed
+# service name VMs on which no process of the system runs.
+def test_vms_without_a_process_are_not_readers_while_others_are_heard() -> None:
+    own, others = targets(5), targets(85)[5:]
+    peers = PeerTable(99)
+    peers.receive_reports([PeerReport(each.host) for each in own], 30.0)
+    choice = ReaderChoice(99, SEEDS, make_directory([*own, *others]), peers, lambda: True)
+    assert set(choice.readers()) <= {each.host for each in own}
