--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -15,6 +15,7 @@
     DeliverToTarget,
     Drop,
     DropReason,
+    Forward,
     ForwardReason,
     NotifyBalancer,
     NotifyHome,
@@ -265,8 +266,12 @@
             # The target would be asked in vain for nearly all flows of other services' routes.
             likelier = self._search.likelier_hop(packet.flow, envelope, now)
             if likelier is not None:
-                reason = likelier.reason
-                return pass_packet(self._host, likelier.host, envelope, packet, reason)
+                # Visited agents count as having denied the flow, which this one has not. Only one
+                # agent passes a packet on so: the next ones ask their targets, or it might circle.
+                unasked = envelope._replace(service_hash=ANY_SERVICE)
+                return (
+                    Forward(likelier.host, unasked, likelier.reason, packet.flow, packet.datagram),
+                )
         entry = FlowEntry.begin(FlowState.TRYING, envelope, now)
         self._flows.put(packet.flow, entry)
         return self._take_owned(entry, envelope, packet, now)
