--- a/egretsill/fleet/_peers.py
+++ b/egretsill/fleet/_peers.py
@@ -51,6 +51,15 @@
         self._peers: dict[int, Peer] = {}
         self._runs: dict[int, tuple[int, int, float]] = {}
         self._resumed_at = float("-inf")
+        self._first_report_at: float | None = None
+        self._last_report_at = 0.0
+
+    @property
+    def listening_seconds(self) -> float:
+        """Return the time from the first to the last report received, 0 before the first."""
+        if self._first_report_at is None:
+            return 0.0
+        return self._last_report_at - self._first_report_at
 
     @property
     def peers(self) -> Mapping[int, Peer]:
@@ -71,6 +80,9 @@
     def receive_reports(self, reports: Iterable[PeerReport], now: float) -> None:
         """Merge the reports of a heartbeat, keeping the newest of each process."""
         peers = self._peers
+        self._last_report_at = now
+        if self._first_report_at is None:
+            self._first_report_at = now
         for report in reports:
             if report.host == self._host:
                 continue
--- a/egretsill/node/tests/test_reader_choice.py
+++ b/egretsill/node/tests/test_reader_choice.py
@@ -22,7 +22,7 @@
 from ...directory.tests.revisions import rev
 from ...fleet import PeerReport, PeerTable
 from .. import _reader_choice as reader_choice_module
-from .._reader_choice import ReaderChoice
+from .._reader_choice import HEARD_SECONDS, ReaderChoice
 
 SEEDS = (901, 902, 903)
 
@@ -121,6 +121,26 @@
 def test_vms_without_a_process_are_not_readers_while_others_are_heard() -> None:
     own, others = targets(5), targets(85)[5:]
     peers = PeerTable(99)
-    peers.receive_reports([PeerReport(each.host) for each in own], 30.0)
     choice = ReaderChoice(99, SEEDS, make_directory([*own, *others]), peers, lambda: True)
-    assert set(choice.readers()) <= {each.host for each in own}
+    for now in (30.0, 30.0 + HEARD_SECONDS):
+        peers.receive_reports([PeerReport(each.host) for each in own], now)
+    assert set(choice.readers()) == set(reader_order(each.host for each in own)[:READERS])
+
+
+# Guards against many readers at the start of the fleet, when each process has heard of a few others.
+def test_process_that_has_just_started_ranks_vms_that_it_has_not_heard_of() -> None:
+    peers = PeerTable(99)
+    peers.receive_reports([PeerReport(host) for host in reader_order(range(1, 16))[3:]], 30.0)
+    choice = ReaderChoice(99, SEEDS, make_directory(targets(15)), peers, lambda: True)
+    assert choice.readers() == list(reader_order(range(1, 16))[:READERS])
+
+
+# Guards against content without two readers while too few processes are heard.
+@pytest.mark.parametrize("heard", [0, 1])
+def test_vms_that_were_not_heard_of_are_readers_while_too_few_others_are(heard: int) -> None:
+    order = reader_order(range(1, 16))
+    peers = PeerTable(99)
+    for now in (30.0, 30.0 + HEARD_SECONDS):
+        peers.receive_reports([PeerReport(host) for host in order[4 : 4 + heard]], now)
+    choice = ReaderChoice(99, SEEDS, make_directory(targets(15)), peers, lambda: True)
+    assert choice.readers() == [*order[4 : 4 + heard], *order[: READERS - heard]]
