--- a/egretsill/node/tests/test_reader_choice.py
+++ b/egretsill/node/tests/test_reader_choice.py
@@ -127,7 +127,7 @@
     assert set(choice.readers()) == set(reader_order(each.host for each in own)[:READERS])
 
 
-# Guards against many readers at the start of the fleet, when each process has heard of a few others.
+# Guards against many readers at a fleet's start, when each process has heard of a few others.
 def test_process_that_has_just_started_ranks_vms_that_it_has_not_heard_of() -> None:
     peers = PeerTable(99)
     peers.receive_reports([PeerReport(host) for host in reader_order(range(1, 16))[3:]], 30.0)
