--- a/egretsill/directory/__init__.py
+++ b/egretsill/directory/__init__.py
@@ -1,29 +1,35 @@
 """Routes and targets by which a process steers, read from the store or received from peers."""
 
 from ._change_log import ContentChanges
-from ._directory import RETENTION_SECONDS, Directory, StoreReturn
+from ._directory import RETENTION_SECONDS, Directory
+from ._evacuations import Evacuation, EvacuationView
 from ._messages import (
     DIRECTORY_TYPES,
     ContentRequest,
     ContentResponse,
     ContentUpdate,
     DirectoryMessage,
-    MalformedContent,
     pack_changes,
-    pack_revision,
     pack_table,
     pack_targets,
-    unpack_age,
     unpack_changes,
     unpack_request,
-    unpack_revision,
     unpack_table,
     unpack_targets,
 )
 from ._model import Changes, Route, RouteTable, ServiceShare, Snapshot, Target, TargetPhase
+from ._packing import (
+    MalformedContent,
+    pack_evacuations,
+    pack_revision,
+    unpack_age,
+    unpack_evacuations,
+    unpack_revision,
+)
 from ._reading import READERS, Pause, ReadAll, ReadPlan, ReadStep, WatchChanges, reader_order
 from ._revision import NO_REVISION, StoreRevision
 from ._store import HistoryLost, Store, StoreFailure, StoreUnavailable
+from ._store_return import StoreReturn
 from ._target_changes import TargetChange, TargetChangeKind
 from ._target_index import TargetPlace
 from ._target_view import TargetView
@@ -39,6 +45,8 @@
     "DIRECTORY_TYPES",
     "Directory",
     "DirectoryMessage",
+    "Evacuation",
+    "EvacuationView",
     "HistoryLost",
     "MAXIMUM_NAME_BYTES",
     "MalformedContent",
@@ -72,12 +80,14 @@
     "is_name",
     "is_number",
     "pack_changes",
+    "pack_evacuations",
     "pack_revision",
     "pack_table",
     "pack_targets",
     "reader_order",
     "unpack_age",
     "unpack_changes",
+    "unpack_evacuations",
     "unpack_request",
     "unpack_revision",
     "unpack_table",
--- a/egretsill/directory/_change_log.py
+++ b/egretsill/directory/_change_log.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from ._evacuations import Evacuation
 from ._model import Route, RouteTable, Target
 from ._revision import StoreRevision
 
@@ -43,6 +44,8 @@
         routes: changes of the configuration, None if there are none.
         targets: entries that were written.
         removed: names of entries that no longer exist.
+        evacuations: failure domains that the operators have evacuated.
+        restored: failure domains that are no longer evacuated.
     """
 
     base: StoreRevision
@@ -50,6 +53,8 @@
     routes: RouteChanges | None
     targets: Sequence[Target]
     removed: Sequence[str]
+    evacuations: Sequence[Evacuation] = ()
+    restored: Sequence[str] = ()
 
 
 def route_changes(before: RouteTable, after: RouteTable) -> RouteChanges:
@@ -91,7 +96,15 @@
         steps = [each for each in self._steps if each.revision > revision]
         targets: dict[str, Target] = {}
         removed: dict[str, None] = {}
+        evacuations: dict[str, Evacuation] = {}
+        restored: dict[str, None] = {}
         for step in steps:
+            for domain in step.restored:
+                evacuations.pop(domain, None)
+                restored[domain] = None
+            for evacuation in step.evacuations:
+                evacuations[evacuation.failure_domain] = evacuation
+                restored.pop(evacuation.failure_domain, None)
             for name in step.removed:
                 targets.pop(name, None)
                 removed[name] = None
@@ -104,6 +117,8 @@
             _combine_route_changes([each.routes for each in steps if each.routes is not None]),
             tuple(targets.values()),
             tuple(removed),
+            tuple(evacuations.values()),
+            tuple(restored),
         )
 
 
--- a/egretsill/directory/_directory.py
+++ b/egretsill/directory/_directory.py
@@ -1,4 +1,4 @@
-"""A process's view of routes and targets, merged from the store and from peers.
+"""A process's view of routes, targets and evacuations, merged from the store and from peers.
 
 The view never goes back: the highest configuration version wins, and content of a lower revision
 is ignored. Content carries the store's revision at its last change and the time since any
@@ -13,12 +13,13 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable, Mapping, Sequence
-from dataclasses import dataclass
 
 from ._change_log import ChangeLog, ContentChanges, apply_route_changes, route_changes
+from ._evacuations import Evacuation, Evacuations, EvacuationView
 from ._former_routes import FormerRoutes
 from ._model import Changes, Route, RouteTable, Snapshot, Target
 from ._revision import NO_REVISION, StoreRevision
+from ._store_return import StoreReturn
 from ._target_changes import TargetChange
 from ._target_entries import TargetEntries
 from ._target_index import TargetPlace
@@ -29,25 +30,6 @@
 CONFIRMATION_STEP_SECONDS = 0.25  # a relayed read seems newer by the delay, some hundredths of 1 s
 
 
-@dataclass(frozen=True, slots=True)
-class StoreReturn:
-    """The store's return from a copy, as this process learned of it.
-
-    Attributes:
-        before: revision of the content in force until then.
-        after: revision of the first complete content of the new era.
-        version_read: configuration version of that content; 0 if it came without one.
-        lacking: number of known entries that it lacks.
-        outdated: number of its entries of which a later write is known.
-    """
-
-    before: StoreRevision
-    after: StoreRevision
-    version_read: int
-    lacking: int
-    outdated: int
-
-
 class Directory:
     """Routes and targets in force at one process.
 
@@ -65,6 +47,7 @@
         self._table: RouteTable | None = None
         self._former_routes = FormerRoutes(retention_seconds)
         self._entries = TargetEntries(retention_seconds, own_place)
+        self._evacuations = Evacuations()
         self._content_revision = NO_REVISION
         self._confirmed_at = NEVER
         self._log = ChangeLog()
@@ -72,8 +55,8 @@
 
     @property
     def generation(self) -> int:
-        """Return a number that increases with each change of targets in force or departed."""
-        return self._entries.generation
+        """Return a number that increases with each change of targets or evacuations."""
+        return self._entries.generation + self._evacuations.generation
 
     @property
     def table(self) -> RouteTable | None:
@@ -122,6 +105,20 @@
             each.target for each in self._entries.current.values() if each.missing_since is None
         ]
 
+    @property
+    def evacuations(self) -> Sequence[EvacuationView]:
+        """Return the evacuations in force, with those that the store has lost but not for long."""
+        return self._evacuations.views
+
+    @property
+    def evacuations_in_store(self) -> Sequence[Evacuation]:
+        """Return the evacuations in the store."""
+        return self._evacuations.in_store
+
+    def is_evacuated(self, failure_domain: str) -> bool:
+        """Return whether no new flow may go to the targets of a failure domain."""
+        return failure_domain in self._evacuations
+
     def take_target_changes(self) -> tuple[Sequence[TargetChange], int]:
         """Remove and return what changed of targets, and how many changes were omitted."""
         return self._entries.take_changes()
@@ -181,21 +178,7 @@
 
         All processes must agree on it, also where several entries may be of a VM's target.
         """
-        index = self._entries.index
-        domains = {
-            each.target.host: each.target.failure_domain
-            for each in self._entries.current.values()
-            if self.is_routed(each.target.service)
-        }
-        for host in index.contested_hosts:
-            claims = [
-                each
-                for each in index.on_host(host)
-                if each.has_entry and self.is_routed(each.target.service)
-            ]
-            if claims:
-                domains[host] = min(claims, key=_domain_rank).target.failure_domain
-        return domains
+        return self._entries.domains()
 
     def lacks(self, revision: StoreRevision, version: int) -> bool:
         """Return whether a peer with this content and configuration has newer ones.
@@ -230,7 +213,9 @@
         if snapshot.at < self._content_revision:
             return False
         self._start_grace_after_outage(now)
-        changed = self._merge_complete(snapshot.at, snapshot.table, snapshot.targets, now)
+        changed = self._merge_complete(
+            snapshot.at, snapshot.table, snapshot.targets, snapshot.evacuations, now
+        )
         self._note_confirmation(now if confirmed_at is None else confirmed_at)
         return changed
 
@@ -258,6 +243,7 @@
         targets: Iterable[Target],
         age_seconds: float,
         now: float,
+        evacuations: Collection[Evacuation] = (),
     ) -> bool:
         """Merge a peer's content; return whether anything changed.
 
@@ -269,7 +255,7 @@
         if revision < self._content_revision:
             return False
         self._start_grace_after_outage(now - age_seconds)
-        changed = self._merge_complete(revision, table, targets, now)
+        changed = self._merge_complete(revision, table, targets, evacuations, now)
         self._content_revision = revision
         self.confirm(revision, age_seconds, now)
         return changed
@@ -293,7 +279,15 @@
             table = apply_route_changes(self._table, changes.routes)
         self._start_grace_after_outage(now - age_seconds)
         changed = self._merge(
-            Changes(changes.revision, table, changes.targets, changes.removed), now
+            Changes(
+                changes.revision,
+                table,
+                changes.targets,
+                changes.removed,
+                evacuations=changes.evacuations,
+                restored=changes.restored,
+            ),
+            now,
         )
         self._content_revision = changes.revision
         self.confirm(changes.revision, age_seconds, now)
@@ -312,9 +306,10 @@
             self._note_confirmation(confirmed_at)
 
     def tick(self, now: float) -> bool:
-        """Drop expired targets and former routes; return whether any target was dropped."""
+        """Drop what has expired; return whether any target or evacuation was dropped."""
         self._former_routes.sweep(now)
-        return self._entries.tick(now)
+        is_dropped = self._entries.is_settled(now) and self._evacuations.drop_awaited()
+        return self._entries.tick(now) or is_dropped
 
     def _note_confirmation(self, confirmed_at: float) -> None:
         self._confirmed_at = max(self._confirmed_at, confirmed_at)
@@ -328,6 +323,7 @@
         revision: StoreRevision,
         table: RouteTable | None,
         targets: Iterable[Target],
+        evacuations: Collection[Evacuation],
         now: float,
     ) -> bool:
         """Merge complete content, which may be of a later era."""
@@ -338,8 +334,18 @@
         self._entries.forget_outdated()
         current = {each.name: each for each in targets}
         removed = [name for name in self._entries.current if name not in current]
+        is_settled = self._entries.is_settled(now)
+        restored = self._evacuations.end_missing(evacuations, revision, is_settled)
         changed = self._merge(
-            Changes(revision, table, tuple(current.values()), tuple(removed)), now
+            Changes(
+                revision,
+                table,
+                tuple(current.values()),
+                tuple(removed),
+                evacuations=tuple(evacuations),
+                restored=restored,
+            ),
+            now,
         )
         if is_first or is_return:
             self._content_revision = revision
@@ -366,7 +372,10 @@
             # Only asked about for addresses without a route, and repeated if the next step fails.
             self._former_routes.record_change(before, after, now)
         written, removed = self._entries.merge(changes.changed, changes.removed, now)
-        if not is_newer and not written and not removed:
+        evacuations, restored = self._evacuations.merge(
+            changes.evacuations, changes.restored, changes.at, now
+        )
+        if not any((is_newer, written, removed, evacuations, restored)):
             return False
         self._table = after
         if is_newer and after is not None:
@@ -376,12 +385,15 @@
             self._log.clear()
         else:
             self._log.append(
-                ContentChanges(base, changes.at, routes, tuple(written), tuple(removed))
+                ContentChanges(
+                    base,
+                    changes.at,
+                    routes,
+                    tuple(written),
+                    tuple(removed),
+                    tuple(evacuations),
+                    tuple(restored),
+                )
             )
         self._content_revision = max(changes.at, base)
         return True
-
-
-def _domain_rank(view: TargetView) -> tuple[bool, bool, int, str]:
-    started = view.target.started_milliseconds
-    return bool(view.superseded_by), not started, started, view.target.name
--- a/egretsill/directory/_messages.py
+++ b/egretsill/directory/_messages.py
@@ -8,6 +8,13 @@
 
 from ._change_log import ContentChanges, RouteChanges
 from ._model import Route, RouteTable, ServiceShare, Target, TargetPhase
+from ._packing import (
+    MalformedContent,
+    pack_evacuations,
+    pack_revision,
+    unpack_evacuations,
+    unpack_revision,
+)
 from ._revision import StoreRevision
 from ._unusable_entries import UnusableEntry
 from ._validity import is_duration, is_endpoint, is_name, is_number
@@ -36,12 +43,14 @@
         age_milliseconds: time since a read of the store last confirmed it.
         table: version, idle time in seconds and routes; None if the requester has it.
         targets: all entries in force.
+        evacuations: all evacuated failure domains, each with the revision of its order.
     """
 
     revision: tuple[int, int]
     age_milliseconds: int
     table: tuple[Any, ...] | None
     targets: tuple[Any, ...]
+    evacuations: tuple[Any, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +65,8 @@
             None if the configuration is the same.
         targets: entries that were written.
         removed: names of entries that no longer exist.
+        evacuations: failure domains that were evacuated, each with the revision of its order.
+        restored: failure domains that are no longer evacuated.
     """
 
     revision: tuple[int, int]
@@ -64,58 +75,20 @@
     routes: tuple[Any, ...] | None
     targets: tuple[Any, ...]
     removed: tuple[str, ...]
+    evacuations: tuple[Any, ...] = ()
+    restored: tuple[str, ...] = ()
 
 
-MILLISECONDS = 1000
-
 _TARGET_TYPES = (str, int, int, str, str, str, int, float, int, tuple, int)
 _PHASES = {each.value: each for each in TargetPhase}
 
 OnUnusable: TypeAlias = Callable[[UnusableEntry], None]
-# Releases that took incomplete entries from the store send content under the tags 44 and 45.
-DIRECTORY_TYPES: Mapping[int, type] = {43: ContentRequest, 46: ContentResponse, 47: ContentUpdate}
+# Releases that took incomplete entries from the store send content under the tags 44 and 45, those
+# that know no evacuations under 46 and 47. Their content would take every evacuation back.
+DIRECTORY_TYPES: Mapping[int, type] = {43: ContentRequest, 48: ContentResponse, 49: ContentUpdate}
 DirectoryMessage: TypeAlias = ContentRequest | ContentResponse | ContentUpdate
 
 
-class MalformedContent(Exception):
-    """A peer's content could not be decoded.
-
-    Attributes:
-        part: the part that could not be decoded.
-    """
-
-    def __init__(self, part: str) -> None:
-        super().__init__(f"malformed {part}")
-        self.part = part
-
-
-def pack_revision(revision: StoreRevision) -> tuple[int, int]:
-    """Pack a revision of the store into a plain tuple."""
-    return revision.era, revision.number
-
-
-def unpack_revision(packed: tuple[Any, ...]) -> StoreRevision:
-    """Unpack a revision of the store from a plain tuple.
-
-    Raises:
-        MalformedContent: if it is not a valid revision.
-    """
-    if type(packed) is not tuple or len(packed) != 2 or not all(map(is_number, packed)):
-        raise MalformedContent("revision")
-    return StoreRevision(*packed)
-
-
-def unpack_age(age_milliseconds: int) -> float:
-    """Unpack the time since content was confirmed, in seconds.
-
-    Raises:
-        MalformedContent: if it is not a valid time.
-    """
-    if not is_number(age_milliseconds):
-        raise MalformedContent("age")
-    return age_milliseconds / MILLISECONDS
-
-
 def unpack_request(request: ContentRequest) -> tuple[int, StoreRevision]:
     """Return the configuration version and the revision that a requester has.
 
@@ -174,6 +147,8 @@
         ),
         pack_targets(changes.targets),
         tuple(changes.removed),
+        pack_evacuations(changes.evacuations),
+        tuple(changes.restored),
     )
 
 
@@ -192,6 +167,8 @@
         raise MalformedContent("eras")
     if not all(isinstance(each, str) for each in message.removed):
         raise MalformedContent("removed targets")
+    if not all(map(is_name, message.restored)):
+        raise MalformedContent("restored failure domains")
     removed = [each for each in message.removed if is_name(each)]
 
     def note_unusable(entry: UnusableEntry) -> None:
@@ -201,7 +178,10 @@
 
     targets = unpack_targets(message.targets, note_unusable)
     routes = _unpack_route_changes(message.routes) if message.routes is not None else None
-    return ContentChanges(base, revision, routes, targets, tuple(removed))
+    evacuations = unpack_evacuations(message.evacuations)
+    return ContentChanges(
+        base, revision, routes, targets, tuple(removed), evacuations, message.restored
+    )
 
 
 def pack_targets(targets: Iterable[Target]) -> tuple[Any, ...]:
--- a/egretsill/directory/_model.py
+++ b/egretsill/directory/_model.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
+from ._evacuations import Evacuation
 from ._revision import StoreRevision
 from ._unusable_entries import UnusableEntry
 
@@ -123,12 +124,14 @@
         table: None if the operators have published nothing yet.
         targets: every entry that names a usable target.
         unusable: entries and configurations that were passed over.
+        evacuations: failure domains that the operators have evacuated.
     """
 
     at: StoreRevision
     table: RouteTable | None
     targets: Sequence[Target]
     unusable: Sequence[UnusableEntry] = ()
+    evacuations: Sequence[Evacuation] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,6 +144,8 @@
         changed: entries that were written, in order; the last of a name is in force.
         removed: names of entries that no longer exist or are no longer usable.
         unusable: entries and configurations that were passed over.
+        evacuations: failure domains that the operators have evacuated.
+        restored: failure domains that are no longer evacuated.
     """
 
     at: StoreRevision
@@ -148,8 +153,11 @@
     changed: Sequence[Target] = field(default_factory=tuple)
     removed: Sequence[str] = field(default_factory=tuple)
     unusable: Sequence[UnusableEntry] = ()
+    evacuations: Sequence[Evacuation] = ()
+    restored: Sequence[str] = ()
 
     @property
     def is_empty(self) -> bool:
         """Return whether nothing changed."""
-        return self.table is None and not self.changed and not self.removed
+        changed = (self.changed, self.removed, self.evacuations, self.restored)
+        return self.table is None and not any(changed)
--- a/egretsill/directory/_target_entries.py
+++ b/egretsill/directory/_target_entries.py
@@ -94,6 +94,24 @@
         """Return whether a service counts as routed."""
         return self._routed_services is None or service in self._routed_services
 
+    def domains(self) -> Mapping[int, str]:
+        """Return the failure domain of each VM that has a target in force of a routed service."""
+        index = self.index
+        domains = {
+            each.target.host: each.target.failure_domain
+            for each in self._current.values()
+            if self.is_routed(each.target.service)
+        }
+        for host in index.contested_hosts:
+            claims = [
+                each
+                for each in index.on_host(host)
+                if each.has_entry and self.is_routed(each.target.service)
+            ]
+            if claims:
+                domains[host] = min(claims, key=_domain_rank).target.failure_domain
+        return domains
+
     def take_changes(self) -> tuple[Sequence[TargetChange], int]:
         """Remove and return what changed since the last call, and how many changes were omitted."""
         _ = self.index  # entries are compared with others of their VMs when it is rebuilt
@@ -272,3 +290,8 @@
 
 def _departed_key(target: Target) -> _DepartedKey:
     return target.name, target.host, target.port, target.service
+
+
+def _domain_rank(view: TargetView) -> tuple[bool, bool, int, str]:
+    started = view.target.started_milliseconds
+    return bool(view.superseded_by), not started, started, view.target.name
--- a/egretsill/node/_content_exchange.py
+++ b/egretsill/node/_content_exchange.py
@@ -18,11 +18,13 @@
     StoreRevision,
     UnusableEntry,
     pack_changes,
+    pack_evacuations,
     pack_revision,
     pack_table,
     pack_targets,
     unpack_age,
     unpack_changes,
+    unpack_evacuations,
     unpack_request,
     unpack_revision,
     unpack_table,
@@ -41,7 +43,7 @@
 EXCHANGE_SECONDS = 0.6  # three round trips between failure domains, with a busy peer
 READ_BYTES = 65_536
 MAXIMUM_CONNECTIONS = 64  # requests served at once; further requesters use another peer
-MAXIMUM_PUSHED = 16  # entries or routes; more than fit in a datagram
+MAXIMUM_PUSHED = 16  # entries and evacuations, or routes; more than fit in a datagram
 MAXIMUM_PUSH_BYTES = 1_200  # the same limit as for a packet of a flow
 LONGEST_AGE_SECONDS = 1e6
 MILLISECONDS = 1000
@@ -137,12 +139,16 @@
             self._age_milliseconds,
             pack_table(table) if table is not None and is_wanted else None,
             pack_targets(directory.targets),
+            pack_evacuations(directory.evacuations_in_store),
         )
 
     def encode_push(self, revision: StoreRevision) -> bytes | None:
         """Encode the changes since a revision as one datagram, or return None if they don't fit."""
         changes = self._directory.changes_since(revision)
-        if changes is None or len(changes.targets) + len(changes.removed) > MAXIMUM_PUSHED:
+        if changes is None:
+            return None
+        parts = (changes.targets, changes.removed, changes.evacuations, changes.restored)
+        if sum(map(len, parts)) > MAXIMUM_PUSHED:
             return None
         if changes.routes is not None and len(changes.routes.changed) > MAXIMUM_PUSHED:
             return None
@@ -190,6 +196,7 @@
             unpack_targets(response.targets, self._note_unusable),
             unpack_age(response.age_milliseconds),
             self._timer.now,
+            unpack_evacuations(response.evacuations),
         )
 
     def _note_unusable(self, entry: UnusableEntry) -> None:
