--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -62,6 +62,7 @@
         retention_seconds: age at which a flow may be removed.
         started_at: local time since which the agent has seen every packet of its target.
         policy: what is switched on, and the limits.
+        failure_domain: failure domain of its VM; empty if it isn't known.
     """
 
     def __init__(
@@ -74,6 +75,7 @@
         retention_seconds: float,
         started_at: float,
         policy: SteeringPolicy = SteeringPolicy(),  # noqa: B008, it is immutable
+        failure_domain: str = "",
     ) -> None:
         self._host = host
         self._service = service
@@ -85,7 +87,9 @@
         self._flows = FlowTable(retention_seconds, started_at)
         self._notifier = HomeNotifier(host, service, self._flows, placement.candidates, peers)
         self._silence = TargetSilence()
-        self._admission = FlowAdmission(host, service, directory, self._flows, placement, policy)
+        self._admission = FlowAdmission(
+            host, service, directory, self._flows, placement, policy, failure_domain
+        )
         self._target = self._admission.target
         self._opening = FlowOpening(
             host, service, directory, placement, self._flows, self._silence, self._admission
--- a/egretsill/address_steering/_balancer_steering.py
+++ b/egretsill/address_steering/_balancer_steering.py
@@ -172,7 +172,9 @@
         if host is None:
             if now - self._directory.confirmed_at > MAXIMUM_CONTENT_AGE_SECONDS:
                 return Drop(flow, DropReason.NO_TARGET)
-            return Refuse(flow, packet.acknowledged, RefuseReason.NO_TARGET)
+            is_evacuated = self._placement.has_evacuated_targets(service, now)
+            reason = RefuseReason.EVACUATED if is_evacuated else RefuseReason.NO_TARGET
+            return Refuse(flow, packet.acknowledged, reason)
         self._placement.note_sent(host, now)
         self._remember(flow, _Owner(host, service, (*excluded, host), now))
         return self._forward(packet, host, service, ForwardReason.NEW_FLOW)
@@ -184,6 +186,8 @@
         """
         if not owner.is_notified or owner.service != service:
             return False
+        if self._placement.is_evacuated(owner.host, service):
+            return False
         is_recent = now - owner.learned_at < SYN_NOTICE_SECONDS
         return is_recent and not self._presence.is_unreachable(owner.host, now)
 
--- a/egretsill/address_steering/_decisions.py
+++ b/egretsill/address_steering/_decisions.py
@@ -20,6 +20,7 @@
     KNOWN_OWNER = "known-owner"
     FIRST_CANDIDATE = "first-candidate"
     TARGET_LEAVING = "target-leaving"
+    DOMAIN_EVACUATED = "domain-evacuated"
     TARGET_FULL = "target-full"
     TARGET_SILENT = "target-silent"
     OTHER_SERVICE = "other-service"
@@ -38,6 +39,7 @@
 
     NO_ROUTE = "no-route"
     NO_TARGET = "no-target"
+    EVACUATED = "evacuated"
     ALL_FULL = "all-full"
     NOWHERE_OPEN = "nowhere-open"
     OWNER_GONE = "owner-gone"
--- a/egretsill/address_steering/_flow_admission.py
+++ b/egretsill/address_steering/_flow_admission.py
@@ -48,6 +48,7 @@
         flows: the flows that the agent knows of.
         placement: finds the other candidates of flows.
         policy: what is switched on, and the limits.
+        failure_domain: failure domain of the VM, as the agent's settings state it.
     """
 
     def __init__(
@@ -58,6 +59,7 @@
         flows: FlowTable,
         placement: FlowPlacement,
         policy: SteeringPolicy,
+        failure_domain: str = "",
     ) -> None:
         self._host = host
         self._service = service
@@ -65,7 +67,7 @@
         self._flows = flows
         self._placement = placement
         self._policy = policy
-        self._target = TargetCapacity(host, service, directory, flows, policy)
+        self._target = TargetCapacity(host, service, directory, flows, policy, failure_domain)
         self._exchange = CapacityExchange(host, self._mark)
 
     @property
--- a/egretsill/address_steering/_flow_opening.py
+++ b/egretsill/address_steering/_flow_opening.py
@@ -25,6 +25,12 @@
 from ._target_silence import TargetSilence
 from ._tunnel import MAXIMUM_ROUTE_HOPS, Envelope, OwnerNotice, service_hash
 
+# Why a flow is refused that no other target can take either.
+_REFUSALS = {
+    ForwardReason.TARGET_FULL: RefuseReason.ALL_FULL,
+    ForwardReason.DOMAIN_EVACUATED: RefuseReason.EVACUATED,
+}
+
 
 class FlowOpening:
     """Decides where SYN packets go that come to an agent, at once or after they have waited.
@@ -95,8 +101,7 @@
         host = self._choose(envelope, packet, service, now)
         if host is None:
             self._flows.remove(packet.flow)
-            is_full = reason is ForwardReason.TARGET_FULL
-            refusal = RefuseReason.ALL_FULL if is_full else RefuseReason.NO_TARGET
+            refusal = _REFUSALS.get(reason, RefuseReason.NO_TARGET)
             return refuse_packet(self._host, envelope, packet, refusal)
         entry = FlowEntry.begin(FlowState.PASSED, envelope, now)
         entry.passed_to = host
--- a/egretsill/address_steering/_placement.py
+++ b/egretsill/address_steering/_placement.py
@@ -140,12 +140,25 @@
                 host
                 for host in rank.ranked(cell, bucket)
                 if host not in excluded
-                and rank.views[host].takes_new_flows(now)
+                and self._takes_new_flows(rank.views[host], now)
                 and self._readiness(host, now) <= Readiness.UNCERTAIN
             )
             hosts.update(dict.fromkeys(islice(usable, count)))
         return tuple(hosts)
 
+    def is_evacuated(self, host: int, service: str) -> bool:
+        """Return whether a service's target on a VM is in an evacuated failure domain."""
+        view = self._candidates.of(service).views.get(host)
+        return view is not None and self._directory.is_evacuated(view.target.failure_domain)
+
+    def has_evacuated_targets(self, service: str, now: float) -> bool:
+        """Return whether targets of a service would take new flows, were they not evacuated."""
+        views = self._candidates.of(service).views
+        return any(
+            self.is_evacuated(host, service) and view.takes_new_flows(now)
+            for host, view in views.items()
+        )
+
     def note_sent(self, host: int, now: float) -> None:
         """Count a flow that was placed since the target's last report."""
         peer = self._peers.peers.get(host)
@@ -194,7 +207,7 @@
         healthy: list[int] = []
         others: list[tuple[Readiness, int]] = []
         for host in ranked:
-            if host in excluded or not rank.views[host].takes_new_flows(now):
+            if host in excluded or not self._takes_new_flows(rank.views[host], now):
                 continue
             readiness = self._readiness(host, now)
             if readiness is not Readiness.HEALTHY:
@@ -208,6 +221,10 @@
         best = min(readiness for readiness, _ in others)
         return [host for readiness, host in others if readiness is best][:count]
 
+    def _takes_new_flows(self, view: TargetView, now: float) -> bool:
+        is_evacuated = self._directory.is_evacuated(view.target.failure_domain)
+        return not is_evacuated and view.takes_new_flows(now)
+
     def _has_healthy(self, hosts: Iterable[int], now: float) -> bool:
         return any(self._readiness(each, now) is Readiness.HEALTHY for each in hosts)
 
--- a/egretsill/address_steering/_target_capacity.py
+++ b/egretsill/address_steering/_target_capacity.py
@@ -31,6 +31,7 @@
         directory: routes and targets.
         flows: the flows that the agent knows of.
         policy: what is switched on, and the limits.
+        failure_domain: failure domain of the VM, as the agent's settings state it.
     """
 
     def __init__(
@@ -40,9 +41,11 @@
         directory: Directory,
         flows: FlowTable,
         policy: SteeringPolicy,
+        failure_domain: str = "",
     ) -> None:
         self._host = host
         self._service = service
+        self._failure_domain = failure_domain
         self._directory = directory
         self._flows = flows
         self._policy = policy
@@ -86,10 +89,10 @@
     def reason_to_pass(self, now: float) -> ForwardReason | None:
         """Return the reason to pass a new flow on, or None if the target may accept it."""
         view = self.own_view()
-        if view is None:
-            # Balancers know a target only by its entry, so it exists if they send packets here.
-            return None
-        return None if view.takes_new_flows(now) else ForwardReason.TARGET_LEAVING
+        # Balancers know a target only by its entry, so it exists if they send packets here.
+        if view is not None and not view.takes_new_flows(now):
+            return ForwardReason.TARGET_LEAVING
+        return ForwardReason.DOMAIN_EVACUATED if self._is_evacuated(view) else None
 
     def begin_opening(self, flow: FlowKey, now: float) -> None:
         """Record that a SYN packet is delivered to the target."""
@@ -166,5 +169,12 @@
         """Remove and return the SYN packet that goes to another agent first, or None."""
         return self._queue.pop_transferable(host, now, self._flows.service_seconds, self.limit())
 
+    def _is_evacuated(self, view: TargetView | None) -> bool:
+        # The entry may be missing, or another writer's that names another failure domain.
+        is_evacuated = self._directory.is_evacuated
+        return is_evacuated(self._failure_domain) or (
+            view is not None and is_evacuated(view.target.failure_domain)
+        )
+
     def _route_of(self, flow: FlowKey) -> Route | None:
         return self._directory.route(flow.service_host, flow.service_port)
--- a/egretsill/ctl/_status.py
+++ b/egretsill/ctl/_status.py
@@ -120,6 +120,7 @@
             continue
         rows.append((str(each.address), *(str(each.page.get(name, "-")) for name in columns)))
         notes += _refusals(each.address, each.page)
+        notes += _evacuations(each.address, each.page)
     widths = [max(len(row[column]) for row in rows) for column in range(len(rows[0]))]
     lines = [
         "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True))
@@ -134,3 +135,15 @@
         return []
     reasons = ", ".join(f"{reason} {count}" for reason, count in sorted(refusals.items()))
     return [f"{address}: refused: {reasons}"]
+
+
+def _evacuations(address: Address, page: Mapping[str, object]) -> list[str]:
+    evacuated = page.get("evacuated")
+    if not isinstance(evacuated, list):
+        return []
+    orders = [each for each in evacuated if isinstance(each, dict)]
+    return [
+        f"{address}: evacuated: {each.get('domain')} by revision {each.get('revision')}, "
+        f"known for {each.get('known_for')} s"
+        for each in orders
+    ]
--- a/egretsill/node/_directory_log.py
+++ b/egretsill/node/_directory_log.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
-from ..directory import Directory, StoreReturn
+from collections.abc import Sequence
+
+from ..directory import Directory, EvacuationView, StoreReturn
 from ..endpoints import Address, format_ipv4
-from ..observation import Journal, Metrics
+from ..observation import JSON, Journal, Metrics
+
+MAXIMUM_NAMED_SERVICES = 5  # in one line; a failure domain may have targets of many more
 
 
 class DirectoryLog:
@@ -15,6 +19,7 @@
         self._metrics = metrics
         self._journal = journal
         self._store_return: StoreReturn | None = None
+        self._evacuations: dict[str, EvacuationView] = {}
 
     def note_change(self, source: str) -> None:
         """Record content that was read by this process or fetched from the peer `source`."""
@@ -31,8 +36,54 @@
             targets=len(targets),
             unrouted=sum(not directory.is_routed(each.service) for each in targets),
         )
+        self.note_evacuations(source)
         self.note_target_changes()
 
+    def note_evacuations(self, source: str) -> None:
+        """Record the failure domains that were evacuated or restored since the last call.
+
+        Args:
+            source: as for a change; empty if this process dropped an order that was awaited.
+        """
+        directory = self._directory
+        before = self._evacuations
+        self._evacuations = {each.evacuation.failure_domain: each for each in directory.evacuations}
+        self._metrics.domains_evacuated.set(len(self._evacuations))
+        for domain, view in self._evacuations.items():
+            if before.get(domain) == view:
+                continue
+            here = [each for each in directory.targets if each.failure_domain == domain]
+            unserved = self._unserved_services({each.service for each in here})
+            self._journal.record(
+                "domain-evacuated",
+                domain=domain,
+                source=source,
+                ordered_at=str(view.evacuation.revision),
+                awaited=view.is_awaited,
+                targets=len(here),
+                unserved=",".join(unserved[:MAXIMUM_NAMED_SERVICES]),
+                unserved_count=len(unserved),
+                revision=str(directory.content_revision),
+            )
+        for domain in before.keys() - self._evacuations.keys():
+            self._journal.record(
+                "domain-restored",
+                domain=domain,
+                source=source,
+                ordered_at=str(before[domain].evacuation.revision),
+                revision=str(directory.content_revision),
+            )
+
+    def _unserved_services(self, services: set[str]) -> Sequence[str]:
+        """Return the routed services among some that have targets in evacuated domains only."""
+        directory = self._directory
+        served = {
+            each.service
+            for each in directory.targets
+            if not directory.is_evacuated(each.failure_domain)
+        }
+        return sorted(each for each in services - served if directory.is_routed(each))
+
     def note_target_changes(self) -> None:
         """Record what is believed of targets now and wasn't at the last call."""
         directory = self._directory
@@ -82,3 +133,16 @@
             lacking=found.lacking,
             outdated=found.outdated,
         )
+
+
+def evacuation_status(directory: Directory, now: float) -> Sequence[JSON]:
+    """Return the evacuated failure domains for the status page, each with its order's revision."""
+    return [
+        {
+            "domain": each.evacuation.failure_domain,
+            "revision": str(each.evacuation.revision),
+            "known_for": round(now - each.known_since, 3),
+            "awaited": each.is_awaited,
+        }
+        for each in directory.evacuations
+    ]
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -35,7 +35,7 @@
 from ._balancer_node import BalancerNode
 from ._content_exchange import ContentExchange
 from ._decision_log import DecisionLog
-from ._directory_log import DirectoryLog
+from ._directory_log import DirectoryLog, evacuation_status
 from ._fleet_link import FleetLink, TargetLoad
 from ._journal_failure_log import JournalFailureLog
 from ._log_writer import LogWriter, OpenLog
@@ -157,6 +157,7 @@
             "revision": str(self._directory.content_revision),
             "content_age": round(min(now - self._directory.confirmed_at, 1e6), 3),
             "targets": len(self._directory.targets),
+            "evacuated": evacuation_status(self._directory, now),
             "peers_heard": len(self._peers.heard(now)),
             "flows": load.flows,
             "pending": load.pending,
@@ -280,6 +281,7 @@
             self._placement,
             settings.flow_seconds,
             self._timer.now,
+            failure_domain=settings.failure_domain,
         )
         self._agent_steering = steering
         self._timer.subscribe(SWEEP_SECONDS, steering.sweep)
@@ -360,6 +362,7 @@
 
     def _sweep(self, now: float) -> None:
         self._directory.tick(now)
+        self._directory_log.note_evacuations("")
         self._directory_log.note_outdated_entries()
         self._directory_log.note_target_changes()
         load = self._load()
--- a/egretsill/node/tests/test_content_exchange.py
+++ b/egretsill/node/tests/test_content_exchange.py
@@ -112,7 +112,7 @@
 def test_malformed_era_is_counted_and_nothing_is_taken(revision: tuple[int, int]) -> None:
     process = Process()
     update = ContentUpdate(revision, 0, (1, 20), None, (), ("one",))
-    assert process.exchange.apply_push(msgpack.packb([47, *astuple(update)])) is False
+    assert process.exchange.apply_push(msgpack.packb([49, *astuple(update)])) is False
     assert len(process.problems) == 1
     with pytest.raises(MalformedContent):
         process.exchange._apply_response(ContentResponse(revision, 0, None, ()))
@@ -125,7 +125,7 @@
 def test_changes_across_eras_are_malformed() -> None:
     process = Process()
     update = ContentUpdate((2, 21), 0, (1, 20), None, (), ("one",))
-    assert process.exchange.apply_push(msgpack.packb([47, *astuple(update)])) is False
+    assert process.exchange.apply_push(msgpack.packb([49, *astuple(update)])) is False
     assert (len(process.problems), names(process)) == (1, {"one"})
 
 
--- a/egretsill/node/tests/test_odd_messages.py
+++ b/egretsill/node/tests/test_odd_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from contextlib import suppress
 from dataclasses import replace
 from typing import Any
@@ -18,6 +19,7 @@
     ContentResponse,
     ContentUpdate,
     DirectoryMessage,
+    Evacuation,
     MalformedContent,
     Route,
     RouteTable,
@@ -29,6 +31,7 @@
     pack_targets,
     unpack_age,
     unpack_changes,
+    unpack_evacuations,
     unpack_request,
     unpack_revision,
     unpack_table,
@@ -241,17 +244,19 @@
 TARGETS = st.lists(altered(PACKED_TARGET), max_size=2)
 ROUTES = st.lists(altered(PACKED_ROUTE), max_size=2)
 REVISIONS = st.just((1, 12)) | ANYTHING
+EVACUATIONS = st.lists(st.tuples(NAMES, REVISIONS), max_size=2)
 MESSAGES = st.one_of(
     st.tuples(st.just(43), NUMBERS, REVISIONS),
     st.tuples(
-        st.just(46),
+        st.just(48),
         REVISIONS,
         st.just(7) | NUMBERS,
         st.none() | st.tuples(st.just(7) | NUMBERS, st.just(15.0), ROUTES) | ANYTHING,
         TARGETS | ANYTHING,
+        EVACUATIONS | ANYTHING,
     ),
     st.tuples(
-        st.just(47),
+        st.just(49),
         REVISIONS,
         st.just(7) | NUMBERS,
         st.just((1, 10)),
@@ -260,6 +265,8 @@
         | ANYTHING,
         TARGETS | ANYTHING,
         st.lists(NAMES, max_size=2) | ANYTHING,
+        EVACUATIONS | ANYTHING,
+        st.lists(NAMES, max_size=2) | ANYTHING,
     ),
     st.lists(ANYTHING, max_size=8),
     ANYTHING,
@@ -305,11 +312,12 @@
     match message:
         case ContentRequest():
             unpack_request(message)
-        case ContentResponse(revision, age, packed_table, targets):
+        case ContentResponse(revision, age, packed_table, targets, evacuations):
             unpack_revision(revision)
             unpack_age(age)
             table = unpack_table(packed_table) if packed_table is not None else None
             use_content(table, unpack_targets(targets, ignore))
+            use_evacuations(unpack_evacuations(evacuations), ())
         case ContentUpdate():
             changes = unpack_changes(message, ignore)
             unpack_age(message.age_milliseconds)
@@ -319,3 +327,9 @@
                 entries = {(each.host, each.port): each for each in routes.changed}
                 table = RouteTable(routes.version, entries, routes.idle_seconds)
             use_content(table, changes.targets)
+            use_evacuations(changes.evacuations, changes.restored)
+
+
+def use_evacuations(evacuations: Sequence[Evacuation], restored: Sequence[str]) -> None:
+    for domain in (*(each.failure_domain for each in evacuations), *restored):
+        domain.encode()
--- a/egretsill/node/tests/test_peer_faults.py
+++ b/egretsill/node/tests/test_peer_faults.py
@@ -119,9 +119,12 @@
 @pytest.mark.parametrize(
     ("answer", "reason"),
     [
-        pytest.param([46, [1, 30], 0, [8, -1.0, []], []], "malformed route table", id="table"),
-        pytest.param([46, [1, 30], 0, None, [[7]]], "malformed target", id="target"),
-        pytest.param([46, [1, 30], -1, None, []], "malformed age", id="age"),
+        pytest.param([48, [1, 30], 0, [8, -1.0, []], [], []], "malformed route table", id="table"),
+        pytest.param([48, [1, 30], 0, None, [[7]], []], "malformed target", id="target"),
+        pytest.param([48, [1, 30], -1, None, [], []], "malformed age", id="age"),
+        pytest.param(
+            [48, [1, 30], 0, None, [], [["", [1, 3]]]], "malformed evacuation", id="evacuation"
+        ),
         pytest.param([43, 1, [1, 1]], "malformed answer", id="request"),
         pytest.param([99], "malformed directory message: unknown tag", id="other release"),
         pytest.param(
@@ -129,6 +132,11 @@
             "malformed directory message: unknown tag",
             id="release that took incomplete entries",
         ),
+        pytest.param(
+            [46, [1, 30], 0, None, []],
+            "malformed directory message: unknown tag",
+            id="release that knows no evacuations",
+        ),
     ],
 )
 def test_peer_with_malformed_content_is_named_with_the_part(
--- a/egretsill/observation/_definitions.py
+++ b/egretsill/observation/_definitions.py
@@ -237,6 +237,13 @@
     _gauge("slots_in_use", (), "Slots taken now.", "Add targets if it stays at `slots`."),
     _gauge("requests_queued", (), "Requests that wait for a slot."),
     _gauge("relay_links_open", (), "Relay links to other agents."),
+    _gauge(
+        "domains_evacuated",
+        (),
+        "Failure domains whose targets get no new flows by order of the operators.",
+        "It must become the same at all processes within seconds. Take a forgotten order "
+        "back: the other failure domains do its work meanwhile.",
+    ),
     _gauge(
         "revision_in_force",
         (),
--- a/egretsill/observation/_metrics.py
+++ b/egretsill/observation/_metrics.py
@@ -229,6 +229,7 @@
     slots_in_use: Gauge
     requests_queued: Gauge
     relay_links_open: Gauge
+    domains_evacuated: Gauge
     revision_in_force: Gauge
     store_era: Gauge
     draining: Gauge
