--- a/egretsill/address_steering/tests/scene.py
+++ b/egretsill/address_steering/tests/scene.py
@@ -8,6 +8,7 @@
 
 from ...directory import (
     Directory,
+    Evacuation,
     Route,
     RouteTable,
     ServiceShare,
@@ -71,15 +72,23 @@
         self.targets = {each.name: each for each in (targets or [target(host) for host in AGENTS])}
         self.revision = 100
         self.table = table()
+        self.evacuations: tuple[Evacuation, ...] = ()
         self.publish(0.0)
 
     def publish(self, now: float, route_table: RouteTable | None = None) -> None:
         """Apply the current content of the store to the process's directory."""
         self.revision += 1
         self.table = route_table or self.table
-        snapshot = Snapshot(rev(self.revision), self.table, tuple(self.targets.values()))
+        targets = tuple(self.targets.values())
+        snapshot = Snapshot(rev(self.revision), self.table, targets, evacuations=self.evacuations)
         self.directory.apply_snapshot(snapshot, now)
 
+    def evacuate(self, now: float, *failure_domains: str) -> None:
+        """Evacuate these failure domains and no others."""
+        at = rev(self.revision + 1)
+        self.evacuations = tuple(Evacuation(each, at) for each in failure_domains)
+        self.publish(now)
+
     def change_target(self, host: int, now: float, **fields: object) -> None:
         """Change a target's entry."""
         for name, each in self.targets.items():
