--- a/egretsill/emulator/_adapter.py
+++ b/egretsill/emulator/_adapter.py
@@ -81,6 +81,12 @@
     def remove_target(self, name: str) -> None:
         """Remove a target's entry."""
 
+    def evacuate(self, failure_domain: str) -> None:
+        """Write the operators' order to evacuate a failure domain."""
+
+    def restore(self, failure_domain: str) -> None:
+        """Remove the order to evacuate a failure domain if it exists."""
+
     def compact(self) -> None:
         """Discard the history of changes."""
 
--- a/egretsill/emulator/_day.py
+++ b/egretsill/emulator/_day.py
@@ -196,6 +196,14 @@
     gap: Seconds = 2.0
 
 
+class Evacuate(_Event):
+    """Evacuates a failure domain, and takes it back after some seconds."""
+
+    kind: Literal["evacuate"]
+    domain: Literal["a", "b", "c"] = "a"
+    seconds: Seconds = 8.0
+
+
 class ExpireEntries(_Event):
     """Removes entries of serving targets from the store and restores them later."""
 
@@ -255,6 +263,7 @@
     | Configure
     | MoveRoute
     | Drain
+    | Evacuate
     | ExpireEntries
     | CrashTarget
     | ReuseAddress
--- a/egretsill/emulator/_events.py
+++ b/egretsill/emulator/_events.py
@@ -17,6 +17,7 @@
     CrashTarget,
     Cut,
     Drain,
+    Evacuate,
     Event,
     ExpireEntries,
     Kill,
@@ -116,6 +117,9 @@
                 world.scheduler.call_later(
                     number * event.gap, lambda t=target: _drain(world, t)  # type: ignore[misc]
                 )
+        case Evacuate():
+            world.evacuate(event.domain)
+            _end_fault_later(world, event.seconds, lambda: world.restore(event.domain))
         case ExpireEntries():
             for number, target in enumerate(_targets(world, LISTINGS, event.count)):
                 world.scheduler.call_later(number * event.gap, _entry_expirer(world, target, event))
--- a/egretsill/emulator/_judge.py
+++ b/egretsill/emulator/_judge.py
@@ -12,6 +12,7 @@
 from ._request import Answer, Request, answer_body
 
 DRAIN_SECONDS = 3.0  # after which a draining target must get no new flow
+EVACUATION_SECONDS = 3.0  # after which no target of an evacuated failure domain gets a new flow
 APPLY_SECONDS = 3.0  # after which a configuration must be in effect
 MISROUTED_SECONDS = 2.0  # for which packets of an open flow may reach other targets
 MISROUTED_PACKETS = 3  # minimum misrouted packets in that time for a violation
@@ -29,6 +30,7 @@
     ROUTE = "route"
     CONFIGURATION = "configuration"
     DRAIN = "drain"
+    EVACUATION = "evacuation"
     FLOW = "flow"
     RECOVERY = "recovery"
 
@@ -95,6 +97,7 @@
         self._runs: Counter[int] = Counter()
         self._versions: list[_Version] = []
         self._draining_since: dict[str, float] = {}
+        self._evacuated_since: dict[str, float] = {}
         self._windows: dict[int, Counter[Outcome]] = {}
         self._served_by_request_time: list[tuple[float, bool]] = []
 
@@ -111,6 +114,14 @@
         """Record that the store confirmed that a target is draining."""
         self._draining_since.setdefault(target.name, now)
 
+    def note_evacuated(self, failure_domain: str, now: float) -> None:
+        """Record that the store confirmed the order to evacuate a failure domain."""
+        self._evacuated_since.setdefault(failure_domain, now)
+
+    def note_restored(self, failure_domain: str) -> None:
+        """Record that the order to evacuate a failure domain is being taken back."""
+        self._evacuated_since.pop(failure_domain, None)
+
     # Datagrams written and received by callers and targets.
 
     def note_written(self, data: bytes) -> None:
@@ -142,6 +153,7 @@
             self._record_violation(
                 Rule.DRAIN, now, f"{target.name} leaves since {draining_since:.3f}"
             )
+        self._check_evacuation(target, now)
         record = self._flows.get(flow)
         if record is None:
             self._record_violation(Rule.UNASKED, now, f"{flow} was never opened")
@@ -261,6 +273,13 @@
             for number, window in sorted(self._windows.items())
         ]
 
+    def _check_evacuation(self, target: Target, now: float) -> None:
+        domain = target.failure_domain
+        since = self._evacuated_since.get(domain, float("inf"))
+        if now > since + EVACUATION_SECONDS and self._is_undisturbed(target.host):
+            detail = f"{target.name} of {domain}, evacuated since {since:.3f}"
+            self._record_violation(Rule.EVACUATION, now, detail)
+
     def _is_protected(self, record: _FlowRecord, flow: FlowKey) -> bool:
         owner = record.owner
         return owner is not None and self._is_open(owner, flow) and self._is_undisturbed(owner.host)
--- a/egretsill/emulator/_world.py
+++ b/egretsill/emulator/_world.py
@@ -82,6 +82,7 @@
         self._names = itertools.count(1)
         self._version = 0
         self._table: RouteTable | None = None
+        self._evacuated: set[str] = set()
         self._confirmed_version = 0
         self._fabric = StreamSocketFactory(self.network)
         self._routers = {
@@ -163,6 +164,10 @@
         self.scheduler.call_later(
             self.random.uniform(0.0, WRITTEN_AGAIN_SECONDS), self._write_configuration
         )
+        for domain in DOMAINS:
+            self.scheduler.call_later(
+                WRITTEN_AGAIN_SECONDS, lambda d=domain: self._write_order(d)  # type: ignore[misc]
+            )
         for target in self.targets.values():
             if target.is_running:
                 self.scheduler.call_later(
@@ -170,12 +175,33 @@
                     lambda t=target: self.register(t),  # type: ignore[misc]
                 )
 
+    def evacuate(self, domain: str) -> None:
+        """Order to evacuate a failure domain, retrying while the store is down."""
+        self._evacuated.add(domain)
+        self._write_order(domain)
+
+    def restore(self, domain: str) -> None:
+        """Take back the order to evacuate a failure domain, retrying while the store is down."""
+        self.judge.note_restored(domain)
+        self._evacuated.discard(domain)
+        self._write_order(domain)
+
     def remove_stale_entries(self) -> None:
         """Remove the entries of stopped targets, which a copy may have brought back."""
         for name, target in self.targets.items():
             if not target.is_running:
                 self.remove_entry(name)
 
+    def _write_order(self, domain: str) -> None:
+        """Write or remove an order, as the operators want it by now."""
+        if self.store.faults.is_down:
+            self.scheduler.call_later(0.5, lambda: self._write_order(domain))
+        elif domain in self._evacuated:
+            self.store.evacuate(domain)
+            self.judge.note_evacuated(domain, self.scheduler.now + STORE_WRITE_SECONDS)
+        else:
+            self.store.restore(domain)
+
     def _write_configuration(self) -> None:
         if self.store.faults.is_down:
             self.scheduler.call_later(0.5, self._write_configuration)
--- a/egretsill/emulator/tests/test_judge.py
+++ b/egretsill/emulator/tests/test_judge.py
@@ -177,3 +177,25 @@
     ):
         judge.note_outcome(outcome, requested_at)
     assert judge.windows == [(0.0, 1, 1), (2.0, 2, 1)]
+
+
+@pytest.mark.parametrize(
+    ("at", "is_restored", "is_undisturbed", "expected"),
+    [
+        pytest.param(7.9, False, True, [], id="within the time to take effect"),
+        pytest.param(8.1, False, True, [Rule.EVACUATION], id="after it"),
+        pytest.param(8.1, True, True, [], id="taken back"),
+        pytest.param(8.1, False, False, [], id="through a disturbed VM"),
+    ],
+)
+def test_new_flow_in_an_evacuated_domain_is_violation(
+    at: float, is_restored: bool, is_undisturbed: bool, expected: list[Rule]
+) -> None:
+    judge = make_judge(is_undisturbed)
+    judge.note_evacuated("a", 5.0)
+    judge.note_evacuated("b", 1.0)
+    if is_restored:
+        judge.note_restored("a")
+    judge.note_syn_sent(FLOW, at)
+    judge.note_syn_accepted(FLOW, target(), at)
+    assert rules(judge) == expected
--- a/egretsill/measurements/_wrong_decisions.py
+++ b/egretsill/measurements/_wrong_decisions.py
@@ -15,6 +15,7 @@
 from ..address_steering._presence import Presence
 from ..address_steering._target_capacity import TargetCapacity
 from ..directory import Directory, Pause, ReadPlan, StoreRevision, TargetPhase
+from ..directory._evacuations import Evacuations
 from ..directory._target_entries import TargetEntries
 from ..node._fleet_link import FleetLink
 
@@ -165,6 +166,17 @@
     return make_head
 
 
+def _never_evacuated(_: Method) -> Method:
+    return lambda *_: False
+
+
+def _end_all_missing(original: Method) -> Method:
+    def end_missing(self: Any, evacuations: Any, at: Any, _: bool) -> Any:
+        return original(self, evacuations, at, is_settled=True)
+
+    return end_missing
+
+
 def _take_any_entry(_: Method) -> Method:
     return lambda *_: True
 
@@ -178,6 +190,16 @@
             Replacement(TargetCapacity, "reason_to_pass", _never_pass),
         ),
     ),
+    WrongDecision(
+        "agents open what balancers send that don't know of an evacuation",
+        "evacuation",
+        (Replacement(TargetCapacity, "_is_evacuated", _never_evacuated),),
+    ),
+    WrongDecision(
+        "an evacuation that a copy lacks is over at once",
+        "evacuation",
+        (Replacement(Evacuations, "end_missing", _end_all_missing),),
+    ),
     WrongDecision(
         "a newer configuration is ignored",
         "route-moves",
--- a/egretsill/node/tests/test_directory_log.py
+++ b/egretsill/node/tests/test_directory_log.py
@@ -7,6 +7,7 @@
 from ...directory import (
     Changes,
     Directory,
+    Evacuation,
     Route,
     RouteTable,
     ServiceShare,
@@ -17,7 +18,7 @@
 )
 from ...directory.tests.revisions import rev
 from ...observation import Metrics
-from .._directory_log import DirectoryLog
+from .._directory_log import DirectoryLog, evacuation_status
 from .test_decision_log import RecordingJournal
 
 OWN = Target("own", 1, 80, "lookup", "a", TargetPhase.READY, 4, 0.0, 5, rev(11))
@@ -79,3 +80,29 @@
     directory.apply_changes(Changes(rev(21), changed=written), 1.0)
     DirectoryLog(directory, Metrics(), journal).note_target_changes()
     assert journal.lines[-1] == ("target-changes-omitted", {"count": 2 * len(written) - 64})
+
+
+# Guards against an evacuation of which no line says what it leaves unserved, or when it ended.
+def test_evacuations_are_logged_at_order_and_at_taking_back() -> None:
+    directory, journal, metrics = Directory(), RecordingJournal(), Metrics()
+    elsewhere = replace(OWN, name="elsewhere", host=2, failure_domain="b")
+    route = Route("r", 9, 443, (ServiceShare("lookup", 1), ServiceShare("intake", 1)))
+    table = RouteTable(7, {(9, 443): route}, 15.0)
+    intake = replace(FOREIGN, service="intake")
+    directory.apply_snapshot(Snapshot(rev(20), table, (OWN, intake, elsewhere)), 0.0)
+    log = DirectoryLog(directory, metrics, journal)
+    directory.apply_changes(Changes(rev(21), evacuations=(Evacuation("a", rev(21)),)), 1.0)
+    for _ in range(2):
+        log.note_evacuations("store")
+    ((kind, fields),) = journal.lines
+    assert (kind, fields["domain"], fields["ordered_at"]) == ("domain-evacuated", "a", "1:21")
+    assert (fields["targets"], fields["unserved"]) == (2, "intake")
+    assert metrics.domains_evacuated.value() == 1
+    (status,) = evacuation_status(directory, 3.5)
+    assert status == {"domain": "a", "revision": "1:21", "known_for": 2.5, "awaited": False}
+    directory.apply_changes(Changes(rev(22), restored=("a",)), 4.0)
+    log.note_evacuations("10.0.0.1")
+    kind, fields = journal.lines[-1]
+    assert (kind, fields["domain"], fields["source"]) == ("domain-restored", "a", "10.0.0.1")
+    assert metrics.domains_evacuated.value() == 0
+    assert evacuation_status(directory, 4.0) == []
