--- a/egretsill/address_steering/tests/test_evacuations.py
+++ b/egretsill/address_steering/tests/test_evacuations.py
@@ -232,7 +232,7 @@
             fleet.at(when, lambda d=directory, s=snapshot: d.apply_snapshot(s, fleet.now))
 
     @pytest.mark.parametrize(
-        "per_second", [100.0, 190.0, 230.0], ids=["calm", "others nearly full", "others full"]
+        "per_second", [100.0, 190.0, 230.0], ids=["0.37 of the slots in use", "0.71", "0.86"]
     )
     def test_no_target_gets_many_times_its_share(self, per_second: float) -> None:
         for seed in (1, 2):
--- a/egretsill/directory/tests/test_evacuations.py
+++ b/egretsill/directory/tests/test_evacuations.py
@@ -144,6 +144,16 @@
     assert evacuated(behind) == set()
 
 
+# Guards against an order that lapses with the store's confirmations.
+def test_order_holds_while_the_store_is_down() -> None:
+    directory = make_directory(ORDER)
+    for now in (10.0, 100.0, 1000.0):
+        directory.tick(now)
+    assert evacuated(directory) == {"a"}
+    read_again(directory, at=30, now=1001.0)
+    assert evacuated(directory) == set()
+
+
 # Guards against a failure domain that is in use again because a copy of the store lacks the order.
 def test_order_that_a_copy_lacks_is_awaited_for_the_settling_time() -> None:
     directory = make_directory(ORDER)
