--- a/egretsill/address_steering/_presence.py
+++ b/egretsill/address_steering/_presence.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Iterator, Sequence
 
 from ..directory import Directory, TargetView
-from ..fleet import PeerTable
+from ..fleet import FORGET_SECONDS, PeerTable
 
 DEPARTURE_GRACE_SECONDS = 1.0  # a target may still answer this long after its entry vanished
 UNREACHABLE_SECONDS = 5.0  # a failed hub is bypassed for 3 s; other cells notice it after 2 s
@@ -78,7 +78,8 @@
         """Yield the VMs that don't answer, but on which flows may be open.
 
         An entry of a service without a route doesn't show that an agent runs beside its target. If
-        one does, hubs report it within `UNREACHABLE_SECONDS`.
+        one does, it is heard of within `FORGET_SECONDS`. It may be away just then, and hubs that
+        started later than it stopped don't know of it either.
 
         Args:
             listening_since: local time since which this process receives heartbeats.
@@ -93,7 +94,7 @@
                 has_left = now - peer.last_seen_at > UNREACHABLE_SECONDS
             if not has_left:
                 yield host
-        is_starting = now - listening_since <= UNREACHABLE_SECONDS
+        is_starting = now - listening_since <= FORGET_SECONDS
         for host in self._directory.target_hosts:
             if self.is_known_agent(host):
                 continue
--- a/egretsill/address_steering/tests/test_moved_routes.py
+++ b/egretsill/address_steering/tests/test_moved_routes.py
@@ -12,7 +12,7 @@
 
 from ...directory import Directory, Snapshot, Target
 from ...directory.tests.revisions import rev
-from ...fleet import PeerReport, PeerTable
+from ...fleet import FORGET_SECONDS, PeerReport, PeerTable
 from .. import (
     AgentSteering,
     BalancerSteering,
@@ -29,7 +29,7 @@
     Undecided,
     service_hash,
 )
-from .._presence import UNREACHABLE_SECONDS, Presence
+from .._presence import Presence
 from .._tunnel import (
     ANY_SERVICE,
     MAXIMUM_HOPS,
@@ -389,8 +389,8 @@
     scene.publish(9.0)
     agent = make_agent(scene, started_at=9.0)
     for seconds, is_asked in (
-        (UNREACHABLE_SECONDS - 0.1, True),
-        (UNREACHABLE_SECONDS + 0.1, False),
+        (FORGET_SECONDS - 0.1, True),
+        (FORGET_SECONDS + 0.1, False),
     ):
         (bounced,) = agent.take_from_peer(envelope(), packet(), 9.0 + seconds)
         assert isinstance(bounced, DeliverToTarget)
@@ -398,5 +398,20 @@
         assert isinstance(effect, Forward) is is_asked, effect
 
 
+# Guards against resets of open flows at an agent that was away when all others started anew.
+def test_agent_of_a_service_without_a_route_may_be_away_when_others_start() -> None:
+    targets = [target(NEW[0], OTHER_SERVICE), target(FORMER[0])]
+    scene = Scene(NEW[0], targets)
+    scene.directory = Directory(RETENTION)
+    scene.publish(0.0, table(8, (OTHER_SERVICE,)))
+    agent = make_agent(scene, NEW[0], OTHER_SERVICE, started_at=0.0)
+    now = FORGET_SECONDS / 2
+    (delivered,) = agent.take_from_peer(envelope(version=8, service=OTHER_SERVICE), packet(), now)
+    assert isinstance(delivered, DeliverToTarget)
+    (forward,) = agent.take_from_target(packet(is_bounced=True), now)
+    assert isinstance(forward, Forward), forward
+    assert forward.host == FORMER[0]
+
+
 def test_service_hashes_differ_from_the_mark_for_any() -> None:
     assert ANY_SERVICE not in {service_hash(each) for each in (SERVICE, OTHER_SERVICE)}
--- a/egretsill/address_steering/tests/test_search_is_whole.py
+++ b/egretsill/address_steering/tests/test_search_is_whole.py
@@ -10,10 +10,10 @@
 
 from ...directory import Changes, Directory, Snapshot
 from ...directory.tests.revisions import rev
-from ...fleet import PeerReport, PeerTable
+from ...fleet import FORGET_SECONDS, PeerReport, PeerTable
 from .. import Candidates, DropReason, FlowPlacement
 from .._flow_search import FlowSearch, SearchHop
-from .._presence import UNREACHABLE_SECONDS, Presence
+from .._presence import Presence
 from .scene import OTHER_SERVICE, RETENTION, SERVICE, envelope, flow, table, target, with_route
 
 FIRST = 0x0A020001
@@ -124,7 +124,7 @@
 ) -> None:
     directory, peers = make_directory(vms), make_peers(vms)
     placement = FlowPlacement(directory, peers, Candidates(directory))
-    started_at = NOW - UNREACHABLE_SECONDS * (0.5 if is_starting else 2.0)
+    started_at = NOW - FORGET_SECONDS * (0.5 if is_starting else 2.0)
     numbers = range(len(vms))
     owners = [number for number in numbers if is_known(vms[number], is_starting)]
     if not owners:
--- a/egretsill/fleet/__init__.py
+++ b/egretsill/fleet/__init__.py
@@ -12,11 +12,12 @@
     encode_heartbeat,
 )
 from ._hubs import HUBS, HubPlan
-from ._peers import HEARTBEAT_SECONDS, SILENT_SECONDS, Peer, PeerTable
+from ._peers import FORGET_SECONDS, HEARTBEAT_SECONDS, SILENT_SECONDS, Peer, PeerTable
 
 __all__ = [
     "CELL_TARGETS",
     "Cells",
+    "FORGET_SECONDS",
     "HEARTBEAT_SECONDS",
     "HUBS",
     "Heartbeat",
