--- a/egretsill/address_steering/tests/moving_fleet.py
+++ b/egretsill/address_steering/tests/moving_fleet.py
@@ -12,7 +12,7 @@
 
 from xxhash import xxh3_64_intdigest
 
-from ...directory import Directory, Snapshot, Target
+from ...directory import Directory, RouteTable, Snapshot, Target
 from ...directory.tests.revisions import rev
 from ...fleet import CELL_TARGETS, PeerReport, PeerTable
 from .. import (
@@ -46,17 +46,22 @@
 class View:
     """View that is shared by several processes."""
 
-    def __init__(self, targets: Iterable[Target]) -> None:
+    def __init__(
+        self, targets: Iterable[Target], routes: RouteTable | None = None, now: float = 0.0
+    ) -> None:
         self.directory = Directory(RETENTION)
         self.peers = PeerTable(0)
         self.candidates = Candidates(self.directory)
         self._revision = 100
-        self.publish(targets, 0.0)
+        self.publish(targets, now, routes)
 
-    def publish(self, targets: Iterable[Target], now: float) -> None:
-        """Replace the targets in the view."""
+    def publish(
+        self, targets: Iterable[Target], now: float, routes: RouteTable | None = None
+    ) -> None:
+        """Replace the targets in the view, and the configuration if one is given."""
         self._revision += 1
-        self.directory.apply_snapshot(Snapshot(rev(self._revision), table(), tuple(targets)), now)
+        snapshot = Snapshot(rev(self._revision), routes or table(), tuple(targets))
+        self.directory.apply_snapshot(snapshot, now)
 
     def confirm(self, now: float) -> None:
         """Confirm that the view matches the store."""
