--- a/egretsill/directory/_evacuations.py
+++ b/egretsill/directory/_evacuations.py
@@ -105,7 +105,7 @@
             now: local time.
         """
         taken = [each for each in evacuations if self._take(each, now)]
-        gone = [each for each in removed if self._is_removed_by(each, at)]
+        gone = [each for each in dict.fromkeys(removed) if self._is_removed_by(each, at)]
         for domain in gone:
             del self._views[domain]
         if taken or gone:
--- a/egretsill/directory/tests/test_evacuations.py
+++ b/egretsill/directory/tests/test_evacuations.py
@@ -91,6 +91,10 @@
             ),
             id="ordered anew in a read whose first page is older",
         ),
+        pytest.param(
+            _Case([lambda d: order(d, ORDER, OTHER), lambda d: take_back(d, "a", "a")], {"b"}),
+            id="taken back twice in one message",
+        ),
         pytest.param(
             _Case([lambda d: order(d, ORDER), lambda d: take_back(d, "c")], {"a"}),
             id="another domain is taken back",
