--- a/egretsill/directory/__init__.py
+++ b/egretsill/directory/__init__.py
@@ -17,7 +17,16 @@
     unpack_table,
     unpack_targets,
 )
-from ._model import Changes, Route, RouteTable, ServiceShare, Snapshot, Target, TargetPhase
+from ._model import (
+    Changes,
+    Route,
+    RouteTable,
+    ServiceShare,
+    Snapshot,
+    Target,
+    TargetPhase,
+    WarmUpTerms,
+)
 from ._packing import (
     MalformedContent,
     pack_evacuations,
@@ -34,7 +43,15 @@
 from ._target_index import TargetPlace
 from ._target_view import TargetView
 from ._unusable_entries import UnusableEntry, describe_entries
-from ._validity import MAXIMUM_NAME_BYTES, NUMBER_LIMIT, is_endpoint, is_name, is_number
+from ._validity import (
+    MAXIMUM_NAME_BYTES,
+    NUMBER_LIMIT,
+    is_duration,
+    is_endpoint,
+    is_name,
+    is_number,
+    is_rate,
+)
 
 __all__ = [
     "Changes",
@@ -74,11 +91,14 @@
     "TargetPlace",
     "TargetView",
     "UnusableEntry",
+    "WarmUpTerms",
     "WatchChanges",
     "describe_entries",
+    "is_duration",
     "is_endpoint",
     "is_name",
     "is_number",
+    "is_rate",
     "pack_changes",
     "pack_evacuations",
     "pack_revision",
--- a/egretsill/directory/_change_log.py
+++ b/egretsill/directory/_change_log.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Sequence
-from dataclasses import dataclass
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
 
 from ._evacuations import Evacuation
-from ._model import Route, RouteTable, Target
+from ._model import Route, RouteTable, Target, WarmUpTerms
 from ._revision import StoreRevision
 
 MAXIMUM_STEPS = 256  # changes kept; two rolling releases of a hundred targets make about 400
@@ -23,6 +23,7 @@
         idle_seconds: idle time after which a flow may be forgotten.
         changed: routes that are new or differ.
         removed: addresses and ports of routes that no longer exist.
+        warm_up: all terms by service of the later configuration; they are few.
     """
 
     base_versions: Sequence[int]
@@ -30,6 +31,7 @@
     idle_seconds: float
     changed: Sequence[Route]
     removed: Sequence[tuple[int, int]]
+    warm_up: Mapping[str, WarmUpTerms] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,7 +63,9 @@
     """Return how a configuration differs from an earlier one."""
     changed = [each for key, each in after.routes.items() if before.routes.get(key) != each]
     removed = [key for key in before.routes if key not in after.routes]
-    return RouteChanges((before.version,), after.version, after.idle_seconds, changed, removed)
+    return RouteChanges(
+        (before.version,), after.version, after.idle_seconds, changed, removed, after.warm_up
+    )
 
 
 def apply_route_changes(table: RouteTable, changes: RouteChanges) -> RouteTable:
@@ -70,7 +74,7 @@
     for key in changes.removed:
         routes.pop(key, None)
     routes.update({(each.host, each.port): each for each in changes.changed})
-    return RouteTable(changes.version, routes, changes.idle_seconds)
+    return RouteTable(changes.version, routes, changes.idle_seconds, changes.warm_up)
 
 
 class ChangeLog:
@@ -136,5 +140,10 @@
             removed.pop((route.host, route.port), None)
     bases, last = tuple(base for step in steps for base in step.base_versions), steps[-1]
     return RouteChanges(
-        bases, last.version, last.idle_seconds, tuple(changed.values()), tuple(removed)
+        bases,
+        last.version,
+        last.idle_seconds,
+        tuple(changed.values()),
+        tuple(removed),
+        last.warm_up,
     )
--- a/egretsill/directory/_directory.py
+++ b/egretsill/directory/_directory.py
@@ -17,7 +17,7 @@
 from ._change_log import ChangeLog, ContentChanges, apply_route_changes, route_changes
 from ._evacuations import Evacuation, Evacuations, EvacuationView
 from ._former_routes import FormerRoutes
-from ._model import Changes, Route, RouteTable, Snapshot, Target
+from ._model import Changes, Route, RouteTable, Snapshot, Target, WarmUpTerms
 from ._revision import NO_REVISION, StoreRevision
 from ._store_return import StoreReturn
 from ._target_changes import TargetChange
@@ -50,6 +50,7 @@
         self._evacuations = Evacuations()
         self._content_revision = NO_REVISION
         self._confirmed_at = NEVER
+        self._first_content_at = NEVER
         self._log = ChangeLog()
         self._last_return: StoreReturn | None = None
 
@@ -88,6 +89,11 @@
         """Return whether any content of the store was read."""
         return self._content_revision != NO_REVISION
 
+    @property
+    def first_content_at(self) -> float:
+        """Return the local time at which the first content came; -inf before."""
+        return self._first_content_at
+
     @property
     def outdated_entries(self) -> int:
         """Return how often entries were passed over for a later write since the start."""
@@ -127,6 +133,10 @@
         """Return the route of a service address."""
         return self._table.routes.get((host, port)) if self._table else None
 
+    def warm_up_terms(self, service: str) -> WarmUpTerms | None:
+        """Return what is asked for a service's targets in warm-up, None if no pace is."""
+        return self._table.warm_up.get(service) if self._table else None
+
     def is_withdrawn(self, host: int, port: int) -> bool:
         """Return whether a service address of an earlier configuration was withdrawn."""
         return self._former_routes.is_withdrawn((host, port))
@@ -347,6 +357,8 @@
             ),
             now,
         )
+        if is_first:
+            self._first_content_at = now
         if is_first or is_return:
             self._content_revision = revision
             self._log.clear()
--- a/egretsill/directory/_messages.py
+++ b/egretsill/directory/_messages.py
@@ -7,7 +7,7 @@
 from typing import Any, TypeAlias
 
 from ._change_log import ContentChanges, RouteChanges
-from ._model import Route, RouteTable, ServiceShare, Target, TargetPhase
+from ._model import Route, RouteTable, ServiceShare, Target, TargetPhase, WarmUpTerms
 from ._packing import (
     MalformedContent,
     pack_evacuations,
@@ -17,7 +17,7 @@
 )
 from ._revision import StoreRevision
 from ._unusable_entries import UnusableEntry
-from ._validity import is_duration, is_endpoint, is_name, is_number
+from ._validity import is_duration, is_endpoint, is_name, is_number, is_rate
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,7 +41,8 @@
     Attributes:
         revision: era and number of the store's revision at its last change.
         age_milliseconds: time since a read of the store last confirmed it.
-        table: version, idle time in seconds and routes; None if the requester has it.
+        table: version, idle time in seconds, routes and warm-up terms; None if the requester has
+            it.
         targets: all entries in force.
         evacuations: all evacuated failure domains, each with the revision of its order.
     """
@@ -61,8 +62,8 @@
         revision: era and number of the store's revision at the last change.
         age_milliseconds: time since a read of the store last confirmed it.
         base: era and number of the revision to which the changes apply; the era is the same.
-        routes: base versions, version, idle time in seconds, changed routes and removed addresses;
-            None if the configuration is the same.
+        routes: base versions, version, idle time in seconds, changed routes, removed addresses and
+            all warm-up terms; None if the configuration is the same.
         targets: entries that were written.
         removed: names of entries that no longer exist.
         evacuations: failure domains that were evacuated, each with the revision of its order.
@@ -102,7 +103,8 @@
 
 def pack_table(table: RouteTable) -> tuple[Any, ...]:
     """Pack a route table into plain tuples."""
-    return table.version, table.idle_seconds, _pack_routes(table.routes.values())
+    routes = _pack_routes(table.routes.values())
+    return table.version, table.idle_seconds, routes, _pack_warm_up(table.warm_up)
 
 
 def unpack_table(packed: tuple[Any, ...]) -> RouteTable:
@@ -112,12 +114,15 @@
         MalformedContent: if they are not a valid route table.
     """
     match packed:
-        case (version, idle_seconds, tuple(packed_routes)) if is_number(version) and is_duration(
-            idle_seconds
-        ):
+        case (version, idle_seconds, tuple(packed_routes), tuple(warm_up)) if is_number(
+            version
+        ) and is_duration(idle_seconds):
             routes = _unpack_routes(packed_routes)
             return RouteTable(
-                version, {(each.host, each.port): each for each in routes}, idle_seconds
+                version,
+                {(each.host, each.port): each for each in routes},
+                idle_seconds,
+                _unpack_warm_up(warm_up),
             )
     raise MalformedContent("route table")
 
@@ -141,6 +146,7 @@
                 routes.idle_seconds,
                 _pack_routes(routes.changed),
                 tuple(routes.removed),
+                _pack_warm_up(routes.warm_up),
             )
             if routes is not None
             else None
@@ -274,6 +280,25 @@
     raise MalformedContent("share")
 
 
+def _pack_warm_up(warm_up: Mapping[str, WarmUpTerms]) -> tuple[Any, ...]:
+    return tuple(
+        (service, each.seconds, each.requests_per_second) for service, each in warm_up.items()
+    )
+
+
+def _unpack_warm_up(packed: Iterable[Any]) -> Mapping[str, WarmUpTerms]:
+    terms = {}
+    for each in packed:
+        match each:
+            case (service, seconds, rate) if (
+                is_name(service) and is_duration(seconds) and is_rate(rate)
+            ):
+                terms[service] = WarmUpTerms(seconds, rate)
+            case _:
+                raise MalformedContent("warm-up terms")
+    return terms
+
+
 def _unpack_route_changes(packed: tuple[Any, ...]) -> RouteChanges:
     match packed:
         case (
@@ -282,15 +307,17 @@
             idle_seconds,
             tuple(changed),
             tuple(removed),
-        ) if all(
-            is_number(each) for each in (version, *base_versions)
-        ) and is_duration(idle_seconds):
+            tuple(warm_up),
+        ) if all(is_number(each) for each in (version, *base_versions)) and is_duration(
+            idle_seconds
+        ):
             return RouteChanges(
                 base_versions,
                 version,
                 idle_seconds,
                 _unpack_routes(changed),
                 [_unpack_service_address(each) for each in removed],
+                _unpack_warm_up(warm_up),
             )
     raise MalformedContent("route changes")
 
--- a/egretsill/directory/_model.py
+++ b/egretsill/directory/_model.py
@@ -59,6 +59,19 @@
         return tuple(each.service for each in self.shares)
 
 
+@dataclass(frozen=True, slots=True)
+class WarmUpTerms:
+    """What the operators ask for the targets of a service that have started lately.
+
+    Attributes:
+        seconds: how long a target is in warm-up after its start.
+        requests_per_second: requests that it bears meanwhile, above 0.
+    """
+
+    seconds: float
+    requests_per_second: float
+
+
 @dataclass(frozen=True, slots=True)
 class RouteTable:
     """One version of the operators' configuration.
@@ -67,11 +80,13 @@
         version: increases with each change.
         routes: by the address and port that callers send to.
         idle_seconds: idle time after which a flow may be forgotten.
+        warm_up: terms by service, of those for which a pace in warm-up is asked.
     """
 
     version: int
     routes: Mapping[tuple[int, int], Route]
     idle_seconds: float
+    warm_up: Mapping[str, WarmUpTerms] = field(default_factory=dict)
 
     @property
     def services(self) -> frozenset[str]:
--- a/egretsill/directory/_validity.py
+++ b/egretsill/directory/_validity.py
@@ -37,6 +37,11 @@
     return type(value) in (int, float) and 0 <= value < NUMBER_LIMIT  # type: ignore[operator]
 
 
+def is_rate(value: object) -> TypeGuard[float]:
+    """Return whether a value is a finite number of events a second above 0."""
+    return is_duration(value) and value > 0
+
+
 def is_endpoint(host: object, port: object) -> bool:
     """Return whether values are an IPv4 address, as a number, and a port to send packets to."""
     if type(host) is not int or type(port) is not int:
