--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -48,6 +48,7 @@
     service_hash,
 )
 from ._undecided import UndecidedPackets
+from ._warm_up_pace import WarmUpPace
 
 
 class AgentSteering:
@@ -87,8 +88,9 @@
         self._flows = FlowTable(retention_seconds, started_at)
         self._notifier = HomeNotifier(host, service, self._flows, placement.candidates, peers)
         self._silence = TargetSilence()
+        self._pace = WarmUpPace(host, service, directory, started_at, policy)
         self._admission = FlowAdmission(
-            host, service, directory, self._flows, placement, policy, failure_domain
+            host, service, directory, self._flows, placement, policy, self._pace, failure_domain
         )
         self._target = self._admission.target
         self._opening = FlowOpening(
@@ -172,6 +174,8 @@
 
     def take_from_target(self, packet: FlowPacket, now: float) -> Sequence[AgentEffect]:
         """Return what to do with a packet that the target sent or bounced."""
+        if self._silence.has_been_silent(now):
+            self._pace.doubt_run(now)
         self._silence.note_answer()
         if packet.is_bounced:
             return self._take_bounced(packet, now)
@@ -221,6 +225,7 @@
     def note_scheduling_pause(self, now: float) -> None:
         """Discard evidence about flows from before a scheduling pause of this process."""
         self._undecided.clear()
+        self._pace.note_scheduling_pause(now)
         self._flows.note_scheduling_pause(now)
 
     def sweep(self, now: float) -> None:
@@ -236,6 +241,11 @@
     ) -> Sequence[AgentEffect]:
         entry.note_arrival(envelope, now)
         effects: list[AgentEffect] = []
+        if packet.kind is PacketKind.SYN:
+            if self._pace.is_used_up(now):
+                # The flow stays here, and its caller sends another copy if the answer was lost.
+                return (Drop(packet.flow, DropReason.WARM_UP_PACE),)
+            self._pace.record_opening(now)
         if packet.payload_bytes and self._target.must_wait(entry, packet, now):
             waiting = self._queue.get(packet.flow)
             if waiting is not None:
@@ -301,6 +311,7 @@
         self._queue.remove(packet.flow)
         if entry.is_established and not entry.is_from_other_flow(packet.sequence):
             # The flow was open only here, so its target has lost it.
+            self._pace.doubt_run(now)
             return refuse_packet(self._host, envelope, packet, RefuseReason.LOST_BY_TARGET)
         return self._pass_on(envelope, packet, now)
 
--- a/egretsill/address_steering/_decisions.py
+++ b/egretsill/address_steering/_decisions.py
@@ -23,6 +23,7 @@
     DOMAIN_EVACUATED = "domain-evacuated"
     TARGET_FULL = "target-full"
     TARGET_SILENT = "target-silent"
+    WARM_UP_PACE = "warm-up-pace"
     OTHER_SERVICE = "other-service"
     PASSED_BEFORE = "passed-before"
     CAPACITY_OFFERED = "capacity-offered"
@@ -41,6 +42,7 @@
     NO_TARGET = "no-target"
     EVACUATED = "evacuated"
     ALL_FULL = "all-full"
+    ALL_WARMING_UP = "all-warming-up"
     NOWHERE_OPEN = "nowhere-open"
     OWNER_GONE = "owner-gone"
     LOST_BY_TARGET = "lost-by-target"
@@ -56,6 +58,7 @@
     TOO_MANY_HOPS = "too-many-hops"
     UNEXPECTED = "unexpected"
     UNDECIDED = "undecided"
+    WARM_UP_PACE = "warm-up-pace"
     SEND_BLOCKED = "send-blocked"
     SEND_FAILED = "send-failed"
     PART_FAILED = "part-failed"
@@ -145,6 +148,7 @@
 
     Attributes:
         is_open: whether its flow is open; otherwise its SYN packet waits.
+        is_paced: whether it waits because its target is in warm-up.
         waiting: number of queued requests.
         pending: number of requests in progress at the target.
     """
@@ -153,6 +157,7 @@
     waiting: int
     pending: int
     is_open: bool = True
+    is_paced: bool = False
 
 
 class Undecided(NamedTuple):
--- a/egretsill/address_steering/_flow_admission.py
+++ b/egretsill/address_steering/_flow_admission.py
@@ -34,6 +34,7 @@
     OwnerNotice,
     service_hash,
 )
+from ._warm_up_pace import WarmUpPace
 
 ASKING_FLOWS = 4  # waiting SYN packets whose alternatives are asked for capacity at a time
 
@@ -48,6 +49,7 @@
         flows: the flows that the agent knows of.
         placement: finds the other candidates of flows.
         policy: what is switched on, and the limits.
+        pace: how many flows may be opened at a target in warm-up.
         failure_domain: failure domain of the VM, as the agent's settings state it.
     """
 
@@ -59,6 +61,7 @@
         flows: FlowTable,
         placement: FlowPlacement,
         policy: SteeringPolicy,
+        pace: WarmUpPace,
         failure_domain: str = "",
     ) -> None:
         self._host = host
@@ -67,6 +70,7 @@
         self._flows = flows
         self._placement = placement
         self._policy = policy
+        self._pace = pace
         self._target = TargetCapacity(host, service, directory, flows, policy, failure_domain)
         self._exchange = CapacityExchange(host, self._mark)
 
@@ -75,6 +79,11 @@
         """Return the capacity of the target."""
         return self._target
 
+    @property
+    def pace(self) -> WarmUpPace:
+        """Return how many flows may be opened at the target."""
+        return self._pace
+
     @property
     def queue(self) -> RequestQueue:
         """Return the requests and SYN packets that wait."""
@@ -97,7 +106,7 @@
         known = self._flows.get(packet.flow)
         if known is not None and known.state is FlowState.TRYING:
             return False  # the target has another copy
-        return self._room(now) <= 0
+        return self._opening_room(now) <= 0
 
     def hold(
         self, envelope: Envelope, packet: FlowPacket, requested_at: float, now: float
@@ -115,7 +124,13 @@
         # The balancer then sends the copies here too, so that the flow waits at one agent only.
         notice = OwnerNotice(packet.flow, self._host)
         return (
-            Wait(packet.flow, len(self.queue), self._flows.pending, is_open=False),
+            Wait(
+                packet.flow,
+                len(self.queue),
+                self._flows.pending,
+                is_open=False,
+                is_paced=self._pace.is_used_up(now),
+            ),
             NotifyBalancer(envelope.balancer, notice),
             *self.request_capacity(now),
         )
@@ -125,7 +140,9 @@
         held_too_long = self._target.pop_held_too_long(now)
         if held_too_long is not None:
             return held_too_long
-        return self._target.pop_next(now) if self._room(now) > 0 else None
+        if self._room(now) <= 0:
+            return None
+        return self._target.pop_next(now, may_open=self._opening_room(now) > 0)
 
     def record_request(self, request: CapacityRequest, now: float) -> None:
         """Record another agent's request for capacity."""
@@ -148,7 +165,7 @@
         """Return offers to the agents that asked for capacity, if the target has any."""
         if not self._exchange.has_askers or self._target.reason_to_pass(now) is not None:
             return ()
-        return self._exchange.make_offers(self._room(now), now)
+        return self._exchange.make_offers(self._opening_room(now), now)
 
     def take_offer(self, offer: CapacityOffer, now: float) -> Sequence[AgentEffect]:
         """Return the effects of passing SYN packets to an agent that offers capacity."""
@@ -180,3 +197,10 @@
     def _room(self, now: float) -> int:
         """Return how many more requests the target may get, besides those that were offered."""
         return self._target.room(now) - self._exchange.reserved(now)
+
+    def _opening_room(self, now: float) -> int:
+        """Return how many more flows may be opened, besides those that were offered."""
+        left = self._pace.left(now)
+        if left is None:
+            return self._room(now)
+        return min(self._target.room(now), left) - self._exchange.reserved(now)
--- a/egretsill/address_steering/_flow_opening.py
+++ b/egretsill/address_steering/_flow_opening.py
@@ -29,6 +29,7 @@
 _REFUSALS = {
     ForwardReason.TARGET_FULL: RefuseReason.ALL_FULL,
     ForwardReason.DOMAIN_EVACUATED: RefuseReason.EVACUATED,
+    ForwardReason.WARM_UP_PACE: RefuseReason.ALL_WARMING_UP,
 }
 
 
@@ -75,6 +76,10 @@
         if passed:
             return passed
         requested_at = now - syn_copy_delay(packet.copy)
+        is_copy = known is not None and known.state is FlowState.TRYING
+        if is_copy and self._admission.pace.is_used_up(now):
+            # Another target would open the flow too.
+            return (Drop(packet.flow, DropReason.WARM_UP_PACE),)
         if self._admission.must_hold(packet, now):
             held = self._admission.hold(envelope, packet, requested_at, now)
             if held:
@@ -183,7 +188,11 @@
     def _open(
         self, envelope: Envelope, packet: FlowPacket, requested_at: float, now: float
     ) -> Sequence[AgentEffect]:
-        """Deliver a SYN packet to the target."""
+        """Deliver a SYN packet to the target, unless it has got too many for its warm-up."""
+        if self._admission.pace.is_used_up(now):
+            reason = ForwardReason.WARM_UP_PACE
+            return self.pass_on(envelope, packet, self._service, reason, now)
+        self._admission.pace.record_opening(now)
         entry = FlowEntry.begin(FlowState.TRYING, envelope, now)
         entry.opening_delay = now - requested_at
         self._flows.put(packet.flow, entry)
--- a/egretsill/address_steering/_placement.py
+++ b/egretsill/address_steering/_placement.py
@@ -16,6 +16,7 @@
 from ..ranking import bucket_of
 from ._candidates import CHOICES, Candidates, ServiceRank
 from ._packet import FlowKey
+from ._warm_up_pace import paced_load_factor
 
 # An idle target in another cell attracts all balancers at once, so a near one may have more to do.
 REMOTE_PENALTY_REQUESTS = 2.0
@@ -192,7 +193,7 @@
             if report.delay_milliseconds > MINIMUM_DELAY_MILLISECONDS:
                 load *= self._slowness(report.delay_milliseconds, view.target.service, now)
         if view.warmup_ends_at > now:
-            load *= WARM_UP_LOAD_FACTOR
+            load *= self._warm_up_factor(view, now)
         return load / _capacity(view)
 
     def _first_ready(
@@ -238,12 +239,23 @@
             return Readiness.NOT_ACCEPTING
         return Readiness.HEALTHY if self._peers.is_reachable(host, now) else Readiness.UNCERTAIN
 
+    def _warm_up_factor(self, view: TargetView, now: float) -> float:
+        terms = self._directory.warm_up_terms(view.target.service)
+        if terms is None:
+            return WARM_UP_LOAD_FACTOR
+        usual = self._usual_delay(view.target.service, now)
+        return paced_load_factor(terms, _capacity(view), usual, WARM_UP_LOAD_FACTOR)
+
     def _slowness(self, delay_milliseconds: int, service: str, now: float) -> float:
+        usual = self._usual_delay(service, now)
+        return min(max(delay_milliseconds / usual, 1.0), MAXIMUM_SLOWNESS)
+
+    def _usual_delay(self, service: str, now: float) -> float:
         usual, found_at = self._median_delays.get(service, (0.0, float("-inf")))
         if now - found_at > MEDIAN_DELAY_CACHE_SECONDS:
             usual = self._median_delay(service)
             self._median_delays[service] = (usual, now)
-        return min(max(delay_milliseconds / usual, 1.0), MAXIMUM_SLOWNESS)
+        return usual
 
     def _median_delay(self, service: str) -> float:
         """Return the lower median of the delays of a service's targets, in milliseconds."""
--- a/egretsill/address_steering/_policy.py
+++ b/egretsill/address_steering/_policy.py
@@ -16,8 +16,13 @@
             which another target may get it; 0 to keep none. The flow is opened after that, so that
             its request waits with those of the others and has its place in their order.
         transfers_syn_packets: whether it asks other agents for capacity for them.
+        warm_up_overshoot: by how many times a target in warm-up may get more flows in a second than
+            its service's stated pace.
+        warm_up_tolerance: flows that it may get in that second in addition.
     """
 
     overcommit_share: float = 0.5
     hold_seconds: float = 0.05
     transfers_syn_packets: bool = True
+    warm_up_overshoot: float = 1.0
+    warm_up_tolerance: float = 0.0
--- a/egretsill/address_steering/_request_queue.py
+++ b/egretsill/address_steering/_request_queue.py
@@ -143,9 +143,9 @@
         return expired
 
     def pop_next(
-        self, now: float, service_seconds: float, in_progress: int
+        self, now: float, service_seconds: float, in_progress: int, may_open: bool = True
     ) -> WaitingRequest | None:
-        """Remove and return the request to start now, or None if the queue is empty.
+        """Remove and return the request to start now, or None if none waits.
 
         The caller removes expired requests with `expire` first.
 
@@ -153,8 +153,10 @@
             now: local time.
             service_seconds: how long the target works on a request.
             in_progress: how many requests it works on concurrently, at least one.
+            may_open: whether it may be a SYN packet.
         """
-        return self._pop(tuple(self._waiting.values()), now, service_seconds, in_progress)
+        waiting = [each for each in self._waiting.values() if may_open or each.syn is None]
+        return self._pop(waiting, now, service_seconds, in_progress)
 
     def pop_transferable(
         self, host: int, now: float, service_seconds: float, in_progress: int
--- a/egretsill/address_steering/_target_capacity.py
+++ b/egretsill/address_steering/_target_capacity.py
@@ -157,9 +157,15 @@
         self._flows.begin_request(entry, now)
         return False
 
-    def pop_next(self, now: float) -> WaitingRequest | None:
-        """Remove and return what goes to the target next, None if nothing waits."""
-        return self._queue.pop_next(now, self._flows.service_seconds, self.limit())
+    def pop_next(self, now: float, may_open: bool = True) -> WaitingRequest | None:
+        """Remove and return what goes to the target next, None if nothing waits.
+
+        Args:
+            now: local time.
+            may_open: whether it may be a SYN packet.
+        """
+        seconds = self._flows.service_seconds
+        return self._queue.pop_next(now, seconds, self.limit(), may_open)
 
     def pop_held_too_long(self, now: float) -> WaitingRequest | None:
         """Remove and return a SYN packet that was kept for long enough, or None."""
--- a/egretsill/address_steering/_target_silence.py
+++ b/egretsill/address_steering/_target_silence.py
@@ -23,6 +23,11 @@
         """Record that the target sent a packet."""
         self._unanswered_since = None
 
+    def has_been_silent(self, now: float) -> bool:
+        """Return whether nothing came for longer than the limit, whatever was delivered lately."""
+        since = self._unanswered_since
+        return since is not None and now - since > SILENT_TARGET_SECONDS
+
     def is_silent(self, now: float) -> bool:
         """Return whether the target has left packets unanswered for longer than the limit."""
         if self._unanswered_since is None:
--- a/egretsill/boot/_settings.py
+++ b/egretsill/boot/_settings.py
@@ -17,6 +17,8 @@
 DEFAULT_FAILURE_DOMAIN = ""  # near to no target; an agent is in the domain of its target's entry
 DEFAULT_FLOW_SECONDS = 60.0
 DEFAULT_GRACE_SECONDS = 6.0
+DEFAULT_WARM_UP_OVERSHOOT = 1.0  # no more than the configuration states
+DEFAULT_WARM_UP_TOLERANCE = 0.0
 
 _BOOLEANS = {"true": True, "false": False}
 _NO_ADDRESS = Address("", 0)
@@ -37,11 +39,16 @@
         service: the service that its target belongs to.
         target: endpoint at which the target receives packets.
         outbound: endpoint to which the target sends its packets.
+        warm_up_overshoot: by how many times a target in warm-up may get more flows in a second than
+            the configuration's pace.
+        warm_up_tolerance: flows that it may get in that second in addition.
     """
 
     service: str
     target: Address
     outbound: Address
+    warm_up_overshoot: float = DEFAULT_WARM_UP_OVERSHOOT
+    warm_up_tolerance: float = DEFAULT_WARM_UP_TOLERANCE
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,7 +74,7 @@
             of a flow, and both departed targets and former routes.
         grace_seconds: time between the stop signal and the end of the process.
         agent: settings of an agent; None for a balancer.
-        defaulted: keys that have their default, as they are missing or empty.
+        defaulted: expected keys that have their default, as they are missing or empty.
     """
 
     role: NodeRole
@@ -128,6 +135,13 @@
         reader.required("node", "service", str, ""),
         reader.required("addresses", "target", _parse_address, _NO_ADDRESS),
         reader.required("addresses", "outbound", _parse_address, _NO_ADDRESS),
+        # Only deployments with a pace state these.
+        reader.optional(
+            "bounds", "warm_up_overshoot", _parse_amount, DEFAULT_WARM_UP_OVERSHOOT, False
+        ),
+        reader.optional(
+            "bounds", "warm_up_tolerance", _parse_amount, DEFAULT_WARM_UP_TOLERANCE, False
+        ),
     )
 
 
@@ -155,6 +169,16 @@
     return value
 
 
+def _parse_amount(text: str) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        value = -1.0
+    if not 0.0 <= value < float("inf"):
+        raise ValueError("a finite number from 0 on is expected")
+    return value
+
+
 def _parse_address(text: str) -> Address:
     host, _, port = text.rpartition(":")
     return Address(_parse_host(host), _parse_port(port))
--- a/egretsill/boot/_settings_reader.py
+++ b/egretsill/boot/_settings_reader.py
@@ -100,12 +100,26 @@
         return self._parse(section, key, parse, placeholder, text)
 
     def optional(
-        self, section: str, key: str, parse: Callable[[str], _Value], default: _Value
+        self,
+        section: str,
+        key: str,
+        parse: Callable[[str], _Value],
+        default: _Value,
+        is_expected: bool = True,
     ) -> _Value:
-        """Return a parsed value, or its default if it is missing or empty."""
+        """Return a parsed value, or its default if it is missing or empty.
+
+        Args:
+            section: its section.
+            key: its key.
+            parse: parses a value that isn't empty; a ValueError of it says what is expected.
+            default: returned without a value.
+            is_expected: whether a file without it may be incomplete.
+        """
         text = self._text(section, key)
         if not text:
-            self._defaulted.append(f"{section}.{key}")
+            if is_expected:
+                self._defaulted.append(f"{section}.{key}")
             return default
         return self._parse(section, key, parse, default, text)
 
--- a/egretsill/node/_decision_log.py
+++ b/egretsill/node/_decision_log.py
@@ -105,13 +105,14 @@
 
     def waits(self, decision: Wait) -> None:
         """Record that a request waits for the target's capacity."""
-        self._metrics.flow_requests.increment("waited")
+        self._metrics.flow_requests.increment("paced" if decision.is_paced else "waited")
         self._journal.record(
             "request-waits",
             flow=str(decision.flow),
             waiting=decision.waiting,
             pending=decision.pending,
             open=decision.is_open,
+            **({"paced": True} if decision.is_paced else {}),
         )
 
     def expired(self, decision: Expire) -> None:
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -15,6 +15,7 @@
     FlowKey,
     FlowPlacement,
     PacketCodec,
+    SteeringPolicy,
 )
 from ..boot import AgentSettings, NodeSettings, NodeSockets
 from ..directory import Directory, ReadPlan, Store, TargetPlace
@@ -281,7 +282,11 @@
             self._placement,
             settings.flow_seconds,
             self._timer.now,
-            failure_domain=settings.failure_domain,
+            SteeringPolicy(
+                warm_up_overshoot=agent.warm_up_overshoot,
+                warm_up_tolerance=agent.warm_up_tolerance,
+            ),
+            settings.failure_domain,
         )
         self._agent_steering = steering
         self._timer.subscribe(SWEEP_SECONDS, steering.sweep)
--- a/egretsill/observation/_definitions.py
+++ b/egretsill/observation/_definitions.py
@@ -88,8 +88,9 @@
         "flow_requests",
         ("event",),
         "Requests on flows steered by address that were answered, waited for the target's "
-        "capacity, or expired while they waited.",
-        "Expired requests never ran: the service has too few targets for its load, or lost some.",
+        "capacity or for its pace in warm-up (paced), or expired while they waited.",
+        "Expired requests never ran: the service has too few targets for its load, or lost some. "
+        "Paced ones that go on mean that targets start again and again.",
     ),
     _counter(
         "datagrams_dropped",
--- a/egretsill/tracing/_conclusion.py
+++ b/egretsill/tracing/_conclusion.py
@@ -14,6 +14,9 @@
     RefuseReason.NO_ROUTE.value: "the configuration in force there has no such service address",
     RefuseReason.NO_TARGET.value: "no target of the service accepted new flows",
     RefuseReason.ALL_FULL.value: "each target bounced the SYN packet",
+    RefuseReason.ALL_WARMING_UP.value: (
+        "the targets that it came to are in warm-up and had got as many flows as they may"
+    ),
     RefuseReason.NOWHERE_OPEN.value: (
         "no target has the flow any more: it ended, or its target restarted"
     ),
