--- a/egretsill/address_steering/tests/load_fleet.py
+++ b/egretsill/address_steering/tests/load_fleet.py
@@ -10,6 +10,7 @@
 import itertools
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
+from dataclasses import replace
 from functools import partial
 from random import Random
 
@@ -18,6 +19,8 @@
     RouteTable,
     ServiceShare,
     Snapshot,
+    Target,
+    WarmUpTerms,
 )
 from ...directory.tests.revisions import rev
 from ...fleet import HEARTBEAT_SECONDS, PeerReport
@@ -72,6 +75,7 @@
         start_at: returns when the agent and target of a number are up; 0 is before any caller.
         are_cold: whether targets that start are slow for a while.
         policy: of the agents.
+        pace: flows a second that a cold target may get; 0 for any number.
     """
 
     def __init__(
@@ -84,10 +88,12 @@
         start_at: Callable[[int], float] = lambda _: 0.0,
         are_cold: bool = False,
         policy: SteeringPolicy = SteeringPolicy(),  # noqa: B008, it is immutable
+        pace: float = 0.0,
     ) -> None:
         super().__init__()
         self.random = Random(seed)
         self.work_seconds = work_seconds
+        self._pace = pace
         self.now = 0.0
         self.hops: Counter[str] = Counter()
         self.handshakes = 0
@@ -101,11 +107,13 @@
             for n in range(targets)
         ]
         route = Route("r", SERVICE_HOST, PORT, (ServiceShare(SERVICE, 1),), OBJECTIVE, DEADLINE)
-        routes = RouteTable(7, {(SERVICE_HOST, PORT): route}, IDLE)
+        warm_up = {SERVICE: WarmUpTerms(WARM_UP_SECONDS, pace)} if pace else {}
+        routes = RouteTable(7, {(SERVICE_HOST, PORT): route}, IDLE, warm_up)
+        self._entries = {each.host: each for each in entries}
         snapshot = Snapshot(rev(100), routes, tuple(entries))
         for number, entry in enumerate(entries):
             up_at = start_at(number)
-            started_at = up_at if are_cold else -10.0
+            started_at = up_at if are_cold and up_at > 0.0 else -10.0
             view = View(entry.host, snapshot)
             agent = AgentSteering(
                 entry.host,
@@ -114,7 +122,7 @@
                 view.peers,
                 view.placement,
                 RETENTION,
-                up_at,
+                started_at if pace else up_at,
                 policy,
             )
             self.targets[entry.host] = ModelTarget(
@@ -168,6 +176,18 @@
         target = self.targets[host]
         target.is_up = True
         self._report(host)
+        if self._pace and target.started_at > 0.0:
+            # The entry of its new run reaches each process after its own delay.
+            entry = replace(
+                self._entries[host], warmup_seconds=WARM_UP_SECONDS, started_milliseconds=2
+            )
+            views = [view for _, view, _ in self.balancers.values()]
+            for view in views + [each.view for each in self.targets.values()]:
+                delay = self.random.uniform(0.0, MAXIMUM_HUB_SECONDS)
+                self.at(self.now + delay, self._write, view, entry)
+
+    def _write(self, view: View, entry: Target) -> None:
+        view.write(entry, self.now)
 
     def _report(self, host: int) -> None:
         """Report an agent's load to all processes, each after its own delay."""
@@ -335,6 +355,7 @@
         if packet.kind is PacketKind.SYN:
             target.half_open.add(key)
             self.handshakes += 1
+            target.syns.append(self.now)
             self._answer(target, self._packet(key, PacketKind.SYN_ACK))
         elif key not in target.open and not (
             key in target.half_open and self._attempts[key].owner == target.host
--- a/egretsill/address_steering/tests/load_parts.py
+++ b/egretsill/address_steering/tests/load_parts.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
-from ...directory import Directory, Snapshot
+from ...directory import Directory, Snapshot, Target
 from ...fleet import PeerTable
 from .. import AgentSteering, Candidates, FlowKey, FlowPlacement
 from .scene import RETENTION
@@ -42,8 +42,20 @@
         self.directory = Directory(RETENTION)
         self.directory.apply_snapshot(snapshot, 0.0)
         self.peers = PeerTable(host)
+        self.snapshot = snapshot
         self.placement = FlowPlacement(self.directory, self.peers, Candidates(self.directory))
 
+    def write(self, entry: Target, now: float) -> None:
+        """Apply content in which a target has another entry."""
+        before = self.snapshot
+        targets = tuple(entry if each.name == entry.name else each for each in before.targets)
+        revision = replace(before.at, number=before.at.number + 1)
+        written = tuple(
+            replace(each, revision=revision) if each is entry else each for each in targets
+        )
+        self.snapshot = replace(before, at=revision, targets=written)
+        self.directory.apply_snapshot(self.snapshot, now)
+
 
 @dataclass(slots=True, eq=False)
 class ModelTarget:
@@ -62,6 +74,7 @@
     working: int = 0
     queue: list[Attempt] = field(default_factory=list)
     served: list[float] = field(default_factory=list)
+    syns: list[float] = field(default_factory=list)
     release_due: bool = False
 
 
@@ -88,6 +101,14 @@
         in_time = self.in_time(start, end)
         return in_time + (1.0 - in_time - self.failed(start, end)) / 2
 
+    def most_syns_in_a_second(self, seconds: float) -> int:
+        """Return the most SYN packets that a target got in any second of its first ones."""
+        found = 0
+        for each in self.targets.values():
+            times = [at for at in each.syns if at < each.started_at + seconds]
+            found = max([found, *(sum(0 <= at - start <= 1 for at in times) for start in times)])
+        return found
+
     def imbalance(self, start: float, end: float) -> float:
         """Return the busiest target's multiple of its even share of requests begun in a span."""
         counts = [sum(start <= at < end for at in t.served) for t in self.targets.values()]
--- a/egretsill/address_steering/tests/test_load_patterns.py
+++ b/egretsill/address_steering/tests/test_load_patterns.py
@@ -10,12 +10,15 @@
 import pytest
 
 from .. import SteeringPolicy
-from .load_fleet import LoadFleet, spread_starts
+from .load_fleet import WARM_UP_SECONDS, LoadFleet, spread_starts
 
 SEEDS = (1, 2)
 NO_HOLD = SteeringPolicy(hold_seconds=0.0)
 EVEN_SHARE_LIMIT = 1.6  # of the busiest target, in any two seconds
 RETURN_AT = 1.6
+PACE = 8.0
+PACED = SteeringPolicy(warm_up_overshoot=1.5, warm_up_tolerance=5.0)
+PACE_LIMIT = 17  # 8 x 1.5 + 5
 
 Pattern = Callable[[LoadFleet], None]
 
@@ -107,6 +110,33 @@
     assert earned[0] > earned[1]
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_return_of_a_failure_domain_with_a_pace(seed: int) -> None:
+    """Guards against flows that wait for targets in warm-up while others have capacity."""
+    fleet = LoadFleet(
+        seed,
+        start_at=lambda number: 0.0 if number % 3 else RETURN_AT,
+        are_cold=True,
+        policy=PACED,
+        pace=PACE,
+    )
+    fleet.ask_at_rate(0.0, 5.0, 240.0)
+    fleet.play()
+    assert 0 < fleet.most_syns_in_a_second(WARM_UP_SECONDS) <= PACE_LIMIT
+    assert fleet.failed(RETURN_AT) <= 0.01
+    assert fleet.in_time(RETURN_AT) >= 0.98
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_return_of_all_with_a_pace(seed: int) -> None:
+    """Guards against callers that learn at their deadline what was known when they came."""
+    fleet = LoadFleet(seed, start_at=lambda _: RETURN_AT, are_cold=True, policy=PACED, pace=PACE)
+    fleet.ask_at_rate(0.0, 7.0, 175.0)
+    fleet.play()
+    assert 0 < fleet.most_syns_in_a_second(WARM_UP_SECONDS) <= PACE_LIMIT
+    assert fleet.in_time(RETURN_AT + WARM_UP_SECONDS + 0.5) >= 0.99
+
+
 def test_flow_is_opened_at_one_target_only() -> None:
     """Guards against copies of a waiting SYN packet that are opened at several targets."""
     fleet = LoadFleet(1)
