--- a/egretsill/boot/tests/test_settings.py
+++ b/egretsill/boot/tests/test_settings.py
@@ -142,6 +142,33 @@
     assert load_node_settings(write(tmp_path, AGENT)).defaulted == ()
 
 
+# Guards against a start that waits for keys that only deployments with a pace state.
+@pytest.mark.parametrize(
+    ("lines", "expected"),
+    [
+        pytest.param("", (1.0, 0.0), id="missing"),
+        pytest.param("warm_up_overshoot =\nwarm_up_tolerance =\n", (1.0, 0.0), id="empty"),
+        pytest.param("warm_up_overshoot = 1.5\nwarm_up_tolerance = 5\n", (1.5, 5.0), id="stated"),
+    ],
+)
+def test_bounds_of_the_warm_up(tmp_path: Path, lines: str, expected: tuple[float, float]) -> None:
+    settings = load_node_settings(
+        write(tmp_path, AGENT.replace("[bounds]\n", f"[bounds]\n{lines}"))
+    )
+    assert settings.agent is not None
+    found = settings.agent.warm_up_overshoot, settings.agent.warm_up_tolerance
+    assert found == expected
+    assert settings.defaulted == ()
+
+
+@pytest.mark.parametrize("value", ["-1", "nan", "inf", "much"])
+def test_odd_bound_of_the_warm_up_is_rejected(tmp_path: Path, value: str) -> None:
+    text = AGENT.replace("[bounds]\n", f"[bounds]\nwarm_up_tolerance = {value}\n")
+    with pytest.raises(NodeSettingsRejected) as caught:
+        load_node_settings(write(tmp_path, text))
+    assert caught.value.key == "warm_up_tolerance"
+
+
 def test_section_without_required_keys_may_be_missing(tmp_path: Path) -> None:
     text = AGENT.partition("[bounds]")[0]
     assert load_node_settings(write(tmp_path, text)).defaulted == (
--- a/egretsill/directory/tests/test_change_log.py
+++ b/egretsill/directory/tests/test_change_log.py
@@ -19,6 +19,7 @@
     Snapshot,
     Target,
     TargetPhase,
+    WarmUpTerms,
     pack_changes,
     pack_table,
     pack_targets,
@@ -31,9 +32,10 @@
 ONE = Target("one", 1, 80, "lookup", "a", TargetPhase.READY, 4, 0.0, 5, rev(11))
 
 
-def make_table(version: int, ports: range = range(443, 446)) -> RouteTable:
+def make_table(version: int, ports: range = range(443, 446), pace: int = 0) -> RouteTable:
     routes = [Route(f"r{port}", 9, port, (ServiceShare("lookup", 1),)) for port in ports]
-    return RouteTable(version, {(each.host, each.port): each for each in routes}, 15.0)
+    warm_up = {"lookup": WarmUpTerms(2.0, pace)} if pace else {}
+    return RouteTable(version, {(each.host, each.port): each for each in routes}, 15.0, warm_up)
 
 
 def make_directory(at: int = 20) -> Directory:
@@ -100,7 +102,8 @@
             elif source.random() < 0.3:
                 version += 1
                 first = source.randrange(440, 446)
-                changes = Changes(rev(revision), make_table(version, range(first, first + 3)))
+                ports, pace = range(first, first + 3), source.randrange(0, 3)
+                changes = Changes(rev(revision), make_table(version, ports, pace))
             else:
                 host = source.randrange(1, 5)
                 changes = Changes(
@@ -153,11 +156,11 @@
     [
         pytest.param(ContentUpdate((1, 21), 0, (1, 20), ((1,), 2), (), ()), id="routes cut"),
         pytest.param(
-            ContentUpdate((1, 21), 0, (1, 20), (("a",), 2, 1.0, (), ()), (), ()), id="version"
+            ContentUpdate((1, 21), 0, (1, 20), (("a",), 2, 1.0, (), (), ()), (), ()), id="version"
         ),
         pytest.param(
             ContentUpdate(
-                (1, 21), 0, (1, 20), ((1,), 2, 1.0, (("r", 1, 2, (), 0.0, 0.0, 0),), ()), (), ()
+                (1, 21), 0, (1, 20), ((1,), 2, 1.0, (("r", 1, 2, (), 0.0, 0.0, 0),), (), ()), (), ()
             ),
             id="no service",
         ),
--- a/egretsill/directory/tests/test_directory.py
+++ b/egretsill/directory/tests/test_directory.py
@@ -17,6 +17,7 @@
     Target,
     TargetPhase,
     UnusableEntry,
+    WarmUpTerms,
     pack_table,
     pack_targets,
     unpack_table,
@@ -139,7 +140,8 @@
 
 def test_packed_content_round_trip() -> None:
     unusable: list[UnusableEntry] = []
-    assert unpack_table(pack_table(make_table(7))) == make_table(7)
+    table = replace(make_table(7), warm_up={"lookup": WarmUpTerms(2.0, 8.0)})
+    assert unpack_table(pack_table(table)) == table
     assert unpack_targets(pack_targets([ONE, TWO]), unusable.append) == (ONE, TWO)
     assert unusable == []
 
@@ -148,9 +150,10 @@
     "packed",
     [
         pytest.param((), id="empty"),
-        pytest.param((7, 15.0, ((),)), id="route without fields"),
-        pytest.param((7, 15.0, (("r", 9, 443, (), 0.2, 1.5, 1),)), id="route without services"),
-        pytest.param(("7", 15.0, ()), id="version of another type"),
+        pytest.param((7, 15.0, ((),), ()), id="route without fields"),
+        pytest.param((7, 15.0, (("r", 9, 443, (), 0.2, 1.5, 1),), ()), id="route without services"),
+        pytest.param((7, 15.0, ()), id="no warm-up terms"),
+        pytest.param(("7", 15.0, (), ()), id="version of another type"),
     ],
 )
 def test_malformed_table_raises(packed: tuple[object, ...]) -> None:
--- a/egretsill/node/tests/test_decision_log.py
+++ b/egretsill/node/tests/test_decision_log.py
@@ -7,7 +7,15 @@
 
 import pytest
 
-from ...address_steering import Envelope, FlowKey, Forward, ForwardReason, Refuse, RefuseReason
+from ...address_steering import (
+    Envelope,
+    FlowKey,
+    Forward,
+    ForwardReason,
+    Refuse,
+    RefuseReason,
+    Wait,
+)
 from ...directory import Directory, RouteTable, Snapshot
 from ...directory.tests.revisions import rev
 from ...fleet import PeerReport, PeerTable
@@ -69,3 +77,12 @@
     ((kind, fields),) = journal.lines
     assert kind == "flow-not-here"
     assert fields["heard"] is heard
+
+
+# Guards against a wait for a target in warm-up that looks like one for want of capacity.
+@pytest.mark.parametrize("is_paced", [False, True], ids=["capacity", "pace"])
+def test_wait_names_the_pace(log: DecisionLog, journal: RecordingJournal, is_paced: bool) -> None:
+    log.waits(Wait(FLOW, 1, 0, is_open=False, is_paced=is_paced))
+    ((kind, fields),) = journal.lines
+    assert kind == "request-waits"
+    assert ("paced" in fields) is is_paced
--- a/egretsill/node/tests/test_odd_messages.py
+++ b/egretsill/node/tests/test_odd_messages.py
@@ -48,6 +48,7 @@
 )
 PACKED_TARGET = pack_targets([replace(GOOD, name="odd")])[0]
 PACKED_ROUTE = pack_table(TABLE)[2][0]
+PACKED_WARM_UP = ("lookup", 2.0, 8.0)
 TARGET_FIELDS = (
     "name",
     "host",
@@ -123,6 +124,16 @@
     *(pytest.param(odd_target(warmup_seconds=odd), id=f"warm-up {odd!r}") for odd in ODD_TIMES),
     *(pytest.param(odd_target(revision=odd), id=f"revision {odd!r}") for odd in ODD_REVISIONS),
 ]
+MALFORMED_WARM_UPS = [
+    *(pytest.param((odd, 2.0, 8.0), id=f"service {odd!r}") for odd in ODD_TYPES),
+    *(pytest.param(("lookup", odd, 8.0), id=f"seconds {odd!r}") for odd in ODD_TIMES),
+    *(pytest.param(("lookup", 2.0, odd), id=f"pace {odd!r}") for odd in [0, 0.0, *ODD_TIMES]),
+    pytest.param(("", 2.0, 8.0), id="empty service"),
+    pytest.param(("lookup", 2.0), id="field missing"),
+    pytest.param((*PACKED_WARM_UP, 1), id="further field"),
+    pytest.param("abc", id="text"),
+    pytest.param(7, id="number"),
+]
 MALFORMED_ROUTES = [
     pytest.param("abcdefg", id="text"),
     pytest.param(PACKED_ROUTE[:-1], id="field missing"),
@@ -178,8 +189,8 @@
 def test_malformed_route_is_a_typed_error(packed: Any) -> None:
     route = through_codec(packed)
     with pytest.raises(MalformedContent):
-        unpack_table((7, 15.0, (route,)))
-    changes = ((6,), 7, 15.0, (route,), ())
+        unpack_table((7, 15.0, (route,), ()))
+    changes = ((6,), 7, 15.0, (route,), (), ())
     with pytest.raises(MalformedContent):
         unpack_changes(ContentUpdate((1, 12), 0, (1, 10), changes, (), ()), ignore)
 
@@ -187,16 +198,19 @@
 @pytest.mark.parametrize(
     "routes",
     [
-        *(pytest.param(((6,), odd, 15.0, (), ()), id=f"version {odd!r}") for odd in ODD_NUMBERS),
-        *(pytest.param(((odd,), 7, 15.0, (), ()), id=f"base {odd!r}") for odd in ODD_NUMBERS),
-        *(pytest.param(((6,), 7, odd, (), ()), id=f"idle time {odd!r}") for odd in ODD_TIMES),
-        pytest.param((6, 7, 15.0, (), ()), id="bases of another type"),
-        pytest.param(((6,), 7, 15.0, 7, ()), id="routes of another type"),
-        pytest.param(((6,), 7, 15.0, (), 7), id="removed of another type"),
-        pytest.param(((6,), 7, 15.0, (), ("ab",)), id="text for an address"),
-        pytest.param(((6,), 7, 15.0, (), ((1, (2,)),)), id="nested port"),
-        pytest.param(((6,), 7, 15.0, (), (({}, 2),)), id="map for a host"),
-        pytest.param(((6,), 7, 15.0, ()), id="field missing"),
+        *(
+            pytest.param(((6,), odd, 15.0, (), (), ()), id=f"version {odd!r}")
+            for odd in ODD_NUMBERS
+        ),
+        *(pytest.param(((odd,), 7, 15.0, (), (), ()), id=f"base {odd!r}") for odd in ODD_NUMBERS),
+        *(pytest.param(((6,), 7, odd, (), (), ()), id=f"idle time {odd!r}") for odd in ODD_TIMES),
+        pytest.param((6, 7, 15.0, (), (), ()), id="bases of another type"),
+        pytest.param(((6,), 7, 15.0, 7, (), ()), id="routes of another type"),
+        pytest.param(((6,), 7, 15.0, (), 7, ()), id="removed of another type"),
+        pytest.param(((6,), 7, 15.0, (), ("ab",), ()), id="text for an address"),
+        pytest.param(((6,), 7, 15.0, (), ((1, (2,)),), ()), id="nested port"),
+        pytest.param(((6,), 7, 15.0, (), (({}, 2),), ()), id="map for a host"),
+        pytest.param(((6,), 7, 15.0, (), ()), id="field missing"),
     ],
 )
 def test_malformed_route_changes_are_a_typed_error(routes: Any) -> None:
@@ -205,6 +219,16 @@
         unpack_changes(update, ignore)
 
 
+@pytest.mark.parametrize("packed", MALFORMED_WARM_UPS)
+def test_malformed_warm_up_terms_are_a_typed_error(packed: Any) -> None:
+    warm_up = through_codec(packed)
+    with pytest.raises(MalformedContent):
+        unpack_table((7, 15.0, (), (warm_up,)))
+    changes = ((6,), 7, 15.0, (), (), (warm_up,))
+    with pytest.raises(MalformedContent):
+        unpack_changes(ContentUpdate((1, 12), 0, (1, 10), changes, (), ()), ignore)
+
+
 @pytest.mark.parametrize("odd", ODD_NUMBERS)
 def test_odd_age_version_or_revision_is_a_typed_error(odd: Any) -> None:
     with pytest.raises(MalformedContent):
@@ -214,7 +238,7 @@
     with pytest.raises(MalformedContent):
         unpack_request(ContentRequest(odd, (1, 1)))
     with pytest.raises(MalformedContent):
-        unpack_table((odd, 15.0, ()))
+        unpack_table((odd, 15.0, (), ()))
 
 
 NUMBERS = st.integers(-(2**63), 2**64 - 1) | st.sampled_from([0, 1, 80, 0x0A000001, 2**53])
@@ -243,6 +267,7 @@
 
 TARGETS = st.lists(altered(PACKED_TARGET), max_size=2)
 ROUTES = st.lists(altered(PACKED_ROUTE), max_size=2)
+WARM_UPS = st.lists(altered(PACKED_WARM_UP), max_size=2)
 REVISIONS = st.just((1, 12)) | ANYTHING
 EVACUATIONS = st.lists(st.tuples(NAMES, REVISIONS), max_size=2)
 MESSAGES = st.one_of(
@@ -251,7 +276,7 @@
         st.just(48),
         REVISIONS,
         st.just(7) | NUMBERS,
-        st.none() | st.tuples(st.just(7) | NUMBERS, st.just(15.0), ROUTES) | ANYTHING,
+        st.none() | st.tuples(st.just(7) | NUMBERS, st.just(15.0), ROUTES, WARM_UPS) | ANYTHING,
         TARGETS | ANYTHING,
         EVACUATIONS | ANYTHING,
     ),
@@ -261,7 +286,9 @@
         st.just(7) | NUMBERS,
         st.just((1, 10)),
         st.none()
-        | st.tuples(st.lists(NUMBERS, max_size=2), NUMBERS, st.floats(), ROUTES, st.just([]))
+        | st.tuples(
+            st.lists(NUMBERS, max_size=2), NUMBERS, st.floats(), ROUTES, st.just([]), WARM_UPS
+        )
         | ANYTHING,
         TARGETS | ANYTHING,
         st.lists(NAMES, max_size=2) | ANYTHING,
@@ -293,7 +320,7 @@
 @given(ROUTES)
 def test_any_routes_give_usable_content_or_a_typed_error(routes: object) -> None:
     with suppress(MalformedContent):
-        use_content(unpack_table((7, 15.0, through_codec(routes))), ())
+        use_content(unpack_table((7, 15.0, through_codec(routes), ())), ())
 
 
 @settings(derandomize=True, max_examples=300, deadline=None)
@@ -325,7 +352,7 @@
             table = None
             if routes is not None:
                 entries = {(each.host, each.port): each for each in routes.changed}
-                table = RouteTable(routes.version, entries, routes.idle_seconds)
+                table = RouteTable(routes.version, entries, routes.idle_seconds, routes.warm_up)
             use_content(table, changes.targets)
             use_evacuations(changes.evacuations, changes.restored)
 
