--- a/egretsill/emulator/_day.py
+++ b/egretsill/emulator/_day.py
@@ -285,6 +285,8 @@
         intake_targets: initial number of targets of the service for uploads.
         slots: number of requests that a target works on concurrently.
         hashing: hash method of the routers.
+        warm_up_pace: SYN packets that a target for listings may get in any second of its warm-up; 0
+            for any number.
         events: events in any order; `at` counts from the start of the traffic.
     """
 
@@ -296,6 +298,7 @@
     intake_targets: Annotated[int, pydantic.Field(ge=1, le=200)] = 3
     slots: Annotated[int, pydantic.Field(ge=1, le=64)] = 2
     hashing: Hashing = Hashing.MODULO
+    warm_up_pace: Annotated[int, pydantic.Field(ge=0, le=100)] = 0
     events: tuple[Event, ...] = ()
 
 
--- a/egretsill/emulator/_judge.py
+++ b/egretsill/emulator/_judge.py
@@ -32,6 +32,7 @@
     DRAIN = "drain"
     EVACUATION = "evacuation"
     FLOW = "flow"
+    WARM_UP = "warm-up"
     RECOVERY = "recovery"
 
 
@@ -78,12 +79,15 @@
     Args:
         is_undisturbed: returns whether a host hasn't been disturbed recently.
         is_open: returns whether a flow is open at a target now.
+        warm_up_pace: SYN packets that a target may get in any second of its warm-up; 0 for any
+            number.
     """
 
     def __init__(
         self,
         is_undisturbed: Callable[[int], bool],
         is_open: Callable[[Target, FlowKey], bool],
+        warm_up_pace: int = 0,
     ) -> None:
         self.violations: list[Violation] = []
         self.outcomes: Counter[Outcome] = Counter()
@@ -91,6 +95,8 @@
         self.flows_by_target: Counter[str] = Counter()
         self._is_undisturbed = is_undisturbed
         self._is_open = is_open
+        self._warm_up_pace = warm_up_pace
+        self._early_syns: dict[tuple[str, int], list[float]] = {}
         self._written: set[bytes] = set()
         self._flows: dict[FlowKey, _FlowRecord] = {}
         self._sent: dict[int, Request] = {}
@@ -174,6 +180,17 @@
         if target.service not in allowed:
             self._record_violation(Rule.CONFIGURATION, now, f"{flow} taken by {target.service}")
 
+    def note_early_syn(self, target: Target, now: float) -> None:
+        """Check a SYN packet, or a copy of one, that reached a target in warm-up."""
+        run = (target.name, target.started_milliseconds)
+        times = self._early_syns.setdefault(run, [])
+        times.append(now)
+        in_a_second = sum(now - at <= 1.0 for at in times)
+        if 0 < self._warm_up_pace < in_a_second:
+            self._record_violation(
+                Rule.WARM_UP, now, f"{target.name} got {in_a_second} SYN packets in a second"
+            )
+
     def note_established(self, flow: FlowKey, target: Target, now: float) -> None:
         """Record that a flow is open at a target."""
         record = self._flows.setdefault(flow, _FlowRecord(now))
--- a/egretsill/emulator/_target.py
+++ b/egretsill/emulator/_target.py
@@ -76,6 +76,10 @@
         """Return whether the target is draining."""
         return self.entry.phase is TargetPhase.DRAINING
 
+    @property
+    def _is_warming_up(self) -> bool:
+        return self._scheduler.now - self._started_at < WARM_UP_SECONDS
+
     def has_open(self, flow: FlowKey) -> bool:
         """Return whether a flow is open at this target."""
         known = self._flows.get(flow)
@@ -98,6 +102,8 @@
         except MalformedFlowPacket:
             return
         if segment.flags & SegmentFlag.SYN:
+            if self._is_warming_up:
+                self._judge.note_early_syn(self.entry, self._scheduler.now)
             self._accept_syn(segment, data)
             return
         flow = self._flows.get(segment.flow)
@@ -155,10 +161,8 @@
                 continue
             self._working += 1
             self._judge.note_run(work.request, self.entry, self._scheduler.now)
-            is_warming_up = self._scheduler.now - self._started_at < WARM_UP_SECONDS
-            seconds = (
-                work.request.work_seconds * self.slowdown * (WARM_UP_FACTOR if is_warming_up else 1)
-            )
+            factor = WARM_UP_FACTOR if self._is_warming_up else 1
+            seconds = work.request.work_seconds * self.slowdown * factor
             self._scheduler.call_later(seconds, self._completion_of(work))
 
     def _completion_of(self, work: _Work) -> Callable[[], None]:
--- a/egretsill/emulator/_world.py
+++ b/egretsill/emulator/_world.py
@@ -11,7 +11,15 @@
 
 from ..address_steering import FlowKey
 from ..boot import AgentSettings, NodeRole, NodeSettings
-from ..directory import NO_REVISION, Route, RouteTable, ServiceShare, Target, TargetPhase
+from ..directory import (
+    NO_REVISION,
+    Route,
+    RouteTable,
+    ServiceShare,
+    Target,
+    TargetPhase,
+    WarmUpTerms,
+)
 from ..endpoints import Address, format_ipv4, parse_ipv4
 from ._adapter import Adapter
 from ._caller import EmulatedCaller
@@ -70,7 +78,7 @@
         self.scheduler = Scheduler()
         self.network = Network(self.scheduler, random)
         self.store = adapter.make_store_stand_in()
-        self.judge = Judge(self._is_undisturbed, self._is_open)
+        self.judge = Judge(self._is_undisturbed, self._is_open, day.warm_up_pace)
         self.machines: dict[str, Machine] = {}
         self.targets: dict[str, EmulatedTarget] = {}
         self.last_fault_ended_at = 0.0
@@ -156,7 +164,9 @@
             port = UNUSED_SERVICE_PORT + number
             share = (ServiceShare(LISTINGS, 1),)
             routes[SERVICE_HOST, port] = Route(f"spare-{number}", SERVICE_HOST, port, share)
-        self._table = RouteTable(self._version, routes, IDLE_SECONDS)
+        pace = self.day.warm_up_pace
+        warm_up = {LISTINGS: WarmUpTerms(WARM_UP_SECONDS, pace)} if pace else {}
+        self._table = RouteTable(self._version, routes, IDLE_SECONDS, warm_up)
         self._write_configuration()
 
     def write_again(self) -> None:
--- a/egretsill/emulator/tests/test_judge.py
+++ b/egretsill/emulator/tests/test_judge.py
@@ -199,3 +199,21 @@
     judge.note_syn_sent(FLOW, at)
     judge.note_syn_accepted(FLOW, target(), at)
     assert rules(judge) == expected
+
+
+@pytest.mark.parametrize(
+    ("times", "pace", "expected"),
+    [
+        pytest.param([0.0, 0.5, 1.1], 2, [], id="no more than the pace"),
+        pytest.param([0.0, 0.5, 0.9], 2, [Rule.WARM_UP], id="one more in a second"),
+        pytest.param([0.6, 0.9, 1.5], 2, [Rule.WARM_UP], id="a second that begins anywhere"),
+        pytest.param([0.0, 0.1, 0.2], 0, [], id="no pace"),
+    ],
+)
+def test_pace_of_targets_in_warm_up_is_checked(
+    times: list[float], pace: int, expected: list[Rule]
+) -> None:
+    judge = Judge(lambda _: True, lambda *_: True, pace)
+    for at in times:
+        judge.note_early_syn(target(), at)
+    assert rules(judge) == expected
--- a/egretsill/measurements/_wrong_decisions.py
+++ b/egretsill/measurements/_wrong_decisions.py
@@ -14,6 +14,7 @@
 from ..address_steering._placement import FlowPlacement
 from ..address_steering._presence import Presence
 from ..address_steering._target_capacity import TargetCapacity
+from ..address_steering._warm_up_pace import WarmUpPace
 from ..directory import Directory, Pause, ReadPlan, StoreRevision, TargetPhase
 from ..directory._evacuations import Evacuations
 from ..directory._target_entries import TargetEntries
@@ -181,6 +182,17 @@
     return lambda *_: True
 
 
+def _count_half(original: Method) -> Method:
+    counted: dict[int, int] = {}
+
+    def record(self: Any, now: float) -> None:
+        counted[id(self)] = counted.get(id(self), 0) + 1
+        if counted[id(self)] % 2:
+            original(self, now)
+
+    return record
+
+
 WRONG_DECISIONS = (
     WrongDecision(
         "targets that leave get new flows",
@@ -258,4 +270,14 @@
         "store-returns-over-drains",
         (Replacement(TargetEntries, "_is_taken", _take_any_entry),),
     ),
+    WrongDecision(
+        "a target in warm-up gets any number of flows",
+        "targets-warm-up-at-a-pace",
+        (Replacement(WarmUpPace, "left", _never_pass),),
+    ),
+    WrongDecision(
+        "half of the SYN packets don't count for the pace",
+        "targets-warm-up-at-a-pace",
+        (Replacement(WarmUpPace, "record_opening", _count_half),),
+    ),
 )
