--- a/egretsill/address_steering/tests/test_warm_up_pace.py
+++ b/egretsill/address_steering/tests/test_warm_up_pace.py
@@ -365,6 +365,26 @@
     assert paced_load_factor(WarmUpTerms(2.0, 0.1), 2, 50.0, 1.6) == MAXIMUM_LOAD_FACTOR
 
 
+@pytest.mark.parametrize(
+    ("warm_up", "factor"),
+    [
+        pytest.param({}, 1.6, id="no pace"),
+        pytest.param({SERVICE: WarmUpTerms(2.0, 20.0)}, 4.0, id="a quarter of what it could do"),
+    ],
+)
+def test_balancers_count_a_paced_target_as_busier(
+    warm_up: dict[str, WarmUpTerms], factor: float
+) -> None:
+    scene = Scene()
+    scene.publish(0.0, replace(table(8), warm_up=warm_up))
+    scene.receive_heartbeats(1.0, delay_milliseconds=50)
+    scene.change_target(HERE, 1.0, warmup_seconds=2.0)
+    views = {each.target.host: each for each in scene.directory.targets_of(SERVICE)}
+    placement = scene.placement
+    ratio = placement.load(views[HERE], 1.0) / placement.load(views[OTHER], 1.0)
+    assert ratio == pytest.approx(factor)
+
+
 class Step:
     """One drawn event of a day of an agent."""
 
