--- a/egretsill/address_steering/tests/test_warm_up_pace.py
+++ b/egretsill/address_steering/tests/test_warm_up_pace.py
@@ -401,9 +401,10 @@
             + ["release"] * 4
             + ["agent", "target", "clock", "zero"]
         ),
-        st.sampled_from([0.0, 0.0, 0.001, 0.02, 0.1, 0.4, 1.0]),
+        st.sampled_from([0.0, 0.001, 0.005] * 5 + [0.02, 0.05, 0.1, 0.4, 1.0]),
     ),
-    max_size=120,
+    min_size=30,
+    max_size=150,
 )
 
 
