--- a/egretsill/address_steering/_warm_up_pace.py
+++ b/egretsill/address_steering/_warm_up_pace.py
@@ -4,8 +4,8 @@
 can bound those of any second, whatever the balancers know. The times of the last ones are kept (a
 sliding log), since a token bucket lets twice its burst pass in some spans.
 
-What isn't known counts as the worst: the second before the agent started as full, and a target as
-in warm-up while it may have started without its entry saying so.
+What isn't known counts as the worst: the second before the agent started as full if the target may
+have been in warm-up, and a target as in warm-up while its entry may not tell its start yet.
 """
 
 from __future__ import annotations
@@ -19,21 +19,19 @@
 
 BOUND_SECONDS = 1.0  # the bound holds for each span of this length, however it slides
 BUNCHING_SECONDS = 0.1  # packets may be closer together when the target reads them
+SPAN_SECONDS = BOUND_SECONDS + BUNCHING_SECONDS
+RECENT_CONTENT_SECONDS = 1.5  # longer without confirmation, entries of new runs may be missing
 MAXIMUM_OPENINGS = 4096  # times kept, 128 kB; a higher bound is cut to this
 MAXIMUM_LOAD_FACTOR = 8.0  # so that a target in warm-up still gets flows when others are full
 MILLISECONDS = 1000.0
 
 
 class OpeningWindow:
-    """The SYN packets that a target got within the last second.
+    """The SYN packets that a target got within the last second."""
 
-    Args:
-        full_at: local time until which an unknown number was delivered; it counts as full.
-    """
-
-    def __init__(self, full_at: float) -> None:
+    def __init__(self) -> None:
         self._times: deque[float] = deque(maxlen=MAXIMUM_OPENINGS)
-        self._unknown_until = full_at + BOUND_SECONDS + BUNCHING_SECONDS
+        self._unknown_until = float("-inf")
 
     def record(self, now: float) -> None:
         """Record that a SYN packet is delivered."""
@@ -42,7 +40,7 @@
 
     def fill(self, now: float) -> None:
         """Record that an unknown number of SYN packets may reach the target now."""
-        self._unknown_until = now + BOUND_SECONDS + BUNCHING_SECONDS
+        self._unknown_until = now + SPAN_SECONDS
 
     def left(self, limit: int, now: float) -> int:
         """Return how many more SYN packets the target may get now.
@@ -57,7 +55,7 @@
         return max(min(limit, MAXIMUM_OPENINGS) - len(self._times), 0)
 
     def _drop_earlier(self, now: float) -> None:
-        while self._times and now - self._times[0] > BOUND_SECONDS + BUNCHING_SECONDS:
+        while self._times and now - self._times[0] > SPAN_SECONDS:
             self._times.popleft()
 
 
@@ -84,8 +82,9 @@
         self._service = service
         self._directory = directory
         self._policy = policy
+        self._started_at = started_at
         self._doubted_at = started_at
-        self._window = OpeningWindow(started_at)
+        self._window = OpeningWindow()
 
     def left(self, now: float) -> int | None:
         """Return how many more SYN packets the target may get now, None if any number."""
@@ -94,19 +93,29 @@
             if self._directory.table is not None or policy.warm_up_tolerance < 1.0:
                 return None
             # Whatever pace the first configuration asks for allows this many.
-            return self._window.left(math.floor(policy.warm_up_tolerance), now)
+            limit = math.floor(policy.warm_up_tolerance)
+            return 0 if self._is_just_started(now) else self._window.left(limit, now)
         views = self._directory.targets_on(self._host)
         ends_at = warm_up_end(
             [each for each in views if each.target.service == self._service],
             terms,
             self._directory.first_content_at,
-            self._doubted_at,
         )
-        if now >= ends_at:
+        if now >= max(ends_at, self._doubted_at + terms.seconds):
             return None
+        if self._is_just_started(now) and (now < ends_at or not self._was_content_recent()):
+            return 0
         limit = opening_limit(terms, policy.warm_up_overshoot, policy.warm_up_tolerance)
         return self._window.left(limit, now)
 
+    def _is_just_started(self, now: float) -> bool:
+        """Return whether an earlier process may have delivered SYN packets in the last second."""
+        return now < self._started_at + SPAN_SECONDS
+
+    def _was_content_recent(self) -> bool:
+        """Return whether a run that began before this process is in the content for certain."""
+        return self._directory.confirmed_at > self._started_at - RECENT_CONTENT_SECONDS
+
     def is_used_up(self, now: float) -> bool:
         """Return whether the target may get no SYN packet now."""
         return self.left(now) == 0
@@ -135,10 +144,8 @@
     return math.floor(min(terms.requests_per_second * overshoot + tolerance, MAXIMUM_OPENINGS))
 
 
-def warm_up_end(
-    views: Iterable[TargetView], terms: WarmUpTerms, first_content_at: float, doubted_at: float
-) -> float:
-    """Return the local time at which the warm-up of an agent's target has ended for certain.
+def warm_up_end(views: Iterable[TargetView], terms: WarmUpTerms, first_content_at: float) -> float:
+    """Return the local time at which an agent's target has ended its warm-up by its entries.
 
     Any entry of its service at its VM counts, since another writer's may be the newest, and also
     denies a warm-up that the target's own told before.
@@ -148,10 +155,8 @@
         terms: what is asked for its service.
         first_content_at: local time of this process's first content; runs that are known from then
             on may have started long before.
-        doubted_at: local time of the last sign of a start that no entry told, as of the agent's
-            own, which may have come with that of its VM.
     """
-    ends_at, is_known = doubted_at + terms.seconds, False
+    ends_at, is_known = -math.inf, False
     for view in views:
         is_known = True
         ends_at = max(ends_at, view.warmup_ends_at)
