--- a/egretsill/address_steering/tests/load_fleet.py
+++ b/egretsill/address_steering/tests/load_fleet.py
@@ -211,12 +211,7 @@
             delay = self.random.uniform(0.0, MAXIMUM_HUB_SECONDS)
             delay += 0.0 if domain == target.domain else self.random.uniform(0, FAR_HUB_SECONDS)
             sent = report._replace(silence_milliseconds=int(delay * 1000))
-            self.at(
-                self.now + delay,
-                self._receive_report,
-                view,
-                sent,
-            )
+            self.at(self.now + delay, self._receive_report, view, sent)
         self.at(self.now + HEARTBEAT_SECONDS, self._report, host)
 
     def _attempt(self, request: Request) -> None:
@@ -300,31 +295,15 @@
                     self._reach(target, self._packets[datagram])
                 case SendToCaller(_, datagram):
                     packet = self._packets[datagram]
-                    self.at(
-                        self.now + CALLER_SECONDS,
-                        self._receive,
-                        host,
-                        packet,
-                    )
+                    self.at(self.now + CALLER_SECONDS, self._receive, host, packet)
                 case Forward(to, envelope, reason, _, datagram):
                     self.hops[reason.value] += 1
                     self._send(
-                        target.domain,
-                        to,
-                        self._arrive,
-                        to,
-                        envelope,
-                        self._packets[datagram],
+                        target.domain, to, self._arrive, to, envelope, self._packets[datagram]
                     )
                 case NotifyBalancer(balancer, notice):
                     steering = self.balancers[balancer][2]
-                    self._send(
-                        target.domain,
-                        balancer,
-                        self._notify,
-                        steering,
-                        notice,
-                    )
+                    self._send(target.domain, balancer, self._notify, steering, notice)
                 case RequestCapacity(other, request):
                     self.hops["capacity-request"] += 1
                     self._send(target.domain, other, self._ask_capacity, other, request)
--- a/egretsill/address_steering/tests/test_warm_up_pace.py
+++ b/egretsill/address_steering/tests/test_warm_up_pace.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ...directory import Directory, Snapshot, TargetPlace, WarmUpTerms
+from ...directory import Directory, WarmUpTerms
 from ...directory.tests.revisions import rev
 from .. import (
     AgentSteering,
@@ -18,14 +18,12 @@
     DeliverToTarget,
     Drop,
     DropReason,
-    Envelope,
     Forward,
     ForwardReason,
     OfferCapacity,
     PacketKind,
     Refuse,
     RefuseReason,
-    SteeringPolicy,
     Wait,
     service_hash,
 )
@@ -38,94 +36,11 @@
     opening_limit,
     paced_load_factor,
 )
+from .paced_agent import COLD_AT, HERE, LIMIT, POLICY, SPAN, SYN, TERMS, PacedAgent
 from .scene import AGENTS, RETENTION, SERVICE, Scene, envelope, flow, packet, table, target
 
-HERE, OTHER = AGENTS[0], AGENTS[1]
-TERMS = WarmUpTerms(2.0, 2.0)
-POLICY = SteeringPolicy(warm_up_overshoot=1.5, warm_up_tolerance=1.0)
-LIMIT = 4  # 2 x 1.5 + 1
-SPAN = BOUND_SECONDS + BUNCHING_SECONDS
+OTHER = AGENTS[1]
 HOLD_SECONDS = POLICY.hold_seconds
-SYN = PacketKind.SYN
-PACED_TABLE = replace(table(), warm_up={SERVICE: TERMS})
-COLD_AT = 100.0
-
-
-class PacedAgent:
-    """An agent whose target is in warm-up from `COLD_AT` on, and the SYN packets that it delivers.
-
-    Args:
-        started_at: when the agent started.
-        policy: its limits.
-    """
-
-    def __init__(self, started_at: float = -RETENTION, policy: SteeringPolicy = POLICY) -> None:
-        self.scene = Scene(HERE)
-        self.scene.publish(0.0, PACED_TABLE)
-        self.policy = policy
-        self.delivered: list[float] = []
-        self.start(started_at)
-
-    def start(self, now: float, age_seconds: float = 0.0) -> None:
-        """Start the agent, again with no memory of what it delivered or knew.
-
-        Args:
-            now: local time.
-            age_seconds: time since its first content was confirmed.
-        """
-        scene = self.scene
-        scene.directory = Directory(RETENTION, TargetPlace(HERE, 8080, SERVICE))
-        content = Snapshot(rev(scene.revision), PACED_TABLE, tuple(scene.targets.values()))
-        scene.directory.apply_snapshot(content, now, now - age_seconds)
-        self.agent = AgentSteering(
-            HERE,
-            SERVICE,
-            scene.directory,
-            scene.peers,
-            scene.placement,
-            RETENTION,
-            now,
-            self.policy,
-        )
-
-    def restart_target(self, now: float, warm_up_seconds: float = 2.0, started: int = 2) -> None:
-        """Let the target's entry tell of a new run."""
-        self.scene.receive_heartbeats(now)
-        self.scene.change_target(
-            HERE, now, warmup_seconds=warm_up_seconds, started_milliseconds=started
-        )
-
-    def apply(self, effects: Sequence[object], now: float) -> Sequence[object]:
-        """Count the SYN packets among some effects; other packets of these tests have data."""
-        self.delivered += [now for each in effects if isinstance(each, DeliverToTarget)]
-        return effects
-
-    def take(
-        self, number: int, now: float, copy: int = 0, path: Envelope | None = None
-    ) -> Sequence[object]:
-        """Let a SYN packet arrive."""
-        syn = packet(SYN, flow(number), copy)
-        return self.apply(self.agent.take_from_peer(path or envelope(), syn, now), now)
-
-    def answer(self, number: int, now: float) -> None:
-        """Let the target answer a SYN packet."""
-        self.agent.take_from_target(packet(PacketKind.SYN_ACK, flow(number)), now)
-
-    def release(self, now: float) -> Sequence[object]:
-        """Let the agent look at what waits."""
-        return self.apply(self.agent.release(now), now)
-
-    def fill(self, now: float) -> None:
-        """Use the pace up; the flows end at once, so that the target has capacity."""
-        for number in range(LIMIT):
-            self.take(1000 + number, now)
-            self.agent.take_from_target(packet(PacketKind.RST, flow(1000 + number)), now)
-
-    @property
-    def most_in_a_second(self) -> int:
-        """Return the most SYN packets that the target got in any second."""
-        times = self.delivered
-        return max((sum(0 <= at - start <= 1.0 for at in times) for start in times), default=0)
 
 
 @pytest.fixture
@@ -398,58 +313,6 @@
     assert ratio == pytest.approx(factor)
 
 
-class Step:
-    """One drawn event of a day of an agent."""
-
-    def __init__(self, kind: str, after: float) -> None:
-        self.kind, self.after = kind, after
-
-
-def days(*failures: str) -> st.SearchStrategy[list[Step]]:
-    """Return a strategy for days with some kinds of failures."""
-    kinds = ["syn"] * 8 + ["copy", "answer"] * 5 + ["release"] * 4 + ["target", "clock", *failures]
-    gaps = [0.0, 0.001, 0.005] * 5 + [0.02, 0.05, 0.1, 0.4, 1.0]
-    step = st.builds(Step, st.sampled_from(kinds), st.sampled_from(gaps))
-    return st.lists(step, min_size=30, max_size=150)
-
-
-@settings(derandomize=True, deadline=None, max_examples=150)
-@given(days("agent") | days("zero"))
-def test_drawn_days_never_pass_the_pace(steps: Sequence[Step]) -> None:
-    """Arrivals, copies and restarts as drawn; the target starts again before it is warm.
-
-    Other writers say 0 on days without restarts of the agent, which then couldn't know better.
-
-    Its clock, by which its entry tells its start, may be set back before.
-    """
-    paced = PacedAgent()
-    paced.restart_target(COLD_AT, started=1000)
-    now, born, started, newest = COLD_AT, 1000, COLD_AT, 0
-    for number, step in enumerate(steps):
-        now += step.after
-        if step.kind == "target" or now - started > 1.9:
-            born, started = born + 1000, now
-            paced.restart_target(now, started=born)
-        match step.kind:
-            case "syn":
-                newest = number
-                paced.take(number, now)
-            case "copy":
-                paced.take(newest, now, 1)
-            case "answer":
-                paced.answer(newest, now)
-            case "release":
-                paced.release(now)
-            case "agent":
-                paced.start(now)
-            case "clock":
-                born, started = 2 + number, now  # unlike any other start
-                paced.restart_target(now, started=born)
-            case "zero":
-                paced.restart_target(now, warm_up_seconds=0.0, started=born)
-    assert paced.most_in_a_second <= LIMIT
-
-
 @settings(derandomize=True, deadline=None)
 @given(st.lists(st.sampled_from([0.0, 0.01, 0.3, 0.99, 1.0, 1.0999, 1.1]), max_size=60))
 def test_window_holds_if_packets_bunch_up(gaps: Sequence[float]) -> None:
