--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -85,7 +85,7 @@
         self._placement = placement
         presence = Presence(directory, peers)
         self._search = FlowSearch(host, service, directory, presence, placement, started_at)
-        self._flows = FlowTable(retention_seconds, started_at)
+        self._flows = FlowTable(retention_seconds, started_at, self._own_capacity)
         self._notifier = HomeNotifier(host, service, self._flows, placement.candidates, peers)
         self._silence = TargetSilence()
         self._pace = WarmUpPace(host, service, directory, started_at, policy)
@@ -128,6 +128,10 @@
         """Return the number of requests at the target, on their way to it, or waiting for it."""
         return self._target.load(now)
 
+    def backlog_seconds(self, now: float) -> float:
+        """Return the expected time until the target could start one more request."""
+        return self._target.backlog_seconds(now)
+
     def record_home_notice(self, notice: HomeNotice, now: float) -> None:
         """Record which agent has some flows, as the home of those flows."""
         self._search.homes.record(notice, now)
@@ -190,7 +194,7 @@
         delay = self._flows.answer_request(entry, now) if packet.payload_bytes else None
         if packet.kind is PacketKind.FIN:
             entry.target_closed = True
-            self._flows.end_request(entry)
+            self._flows.end_request(entry, now)
         self._flows.update_count(entry)
         if packet.kind is PacketKind.RST:
             self._flows.remove(packet.flow)
@@ -236,6 +240,10 @@
         self._admission.sweep(now)
         self._placement.tick(now)
 
+    def _own_capacity(self) -> int:
+        view = self._directory.target_at(self._host, self._service)
+        return view.target.capacity if view is not None else 0
+
     def _take_owned(
         self, entry: FlowEntry, envelope: Envelope, packet: FlowPacket, now: float
     ) -> Sequence[AgentEffect]:
@@ -261,7 +269,7 @@
             self._queue.note_closed(packet.flow)
         elif packet.kind is PacketKind.RST:
             entry.caller_closed = entry.target_closed = True
-            self._flows.end_request(entry)
+            self._flows.end_request(entry, now)
             self._queue.remove(packet.flow)
             self._target.end_opening(packet.flow)
         self._flows.update_count(entry)
--- a/egretsill/address_steering/_flow_table.py
+++ b/egretsill/address_steering/_flow_table.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 
 from ._packet import FlowKey
+from ._slot_times import SlotTimes
 from ._tunnel import Envelope
+from ._work_estimates import RouteAddress, WorkEstimates
 
 MAXIMUM_FLOWS = 20_000  # ten times what a target of 2,000 connections holds, about 8 MB
 HANDSHAKE_SECONDS = 3.0  # a caller gives up opening a flow after 1.4 s
@@ -50,6 +52,7 @@
         caller_closed: whether the caller has closed its direction.
         target_closed: whether the target has closed its direction.
         is_counted: whether it is included in the number of flows at the target.
+        route: service address of its requests.
     """
 
     state: FlowState
@@ -69,6 +72,7 @@
     caller_closed: bool = False
     target_closed: bool = False
     is_counted: bool = False
+    route: RouteAddress | None = None
 
     @classmethod
     def begin(cls, state: FlowState, envelope: Envelope, now: float) -> FlowEntry:
@@ -118,9 +122,18 @@
     Args:
         retention_seconds: age at which any flow may be removed.
         started_at: local time since which the agent has seen every packet of the target.
+        capacity: returns how many requests the target works on at once; 0 if unknown.
     """
 
-    def __init__(self, retention_seconds: float, started_at: float = float("-inf")) -> None:
+    def __init__(
+        self,
+        retention_seconds: float,
+        started_at: float = float("-inf"),
+        capacity: Callable[[], int] = lambda: 0,
+    ) -> None:
+        self._capacity = capacity
+        self._slots: SlotTimes[FlowEntry] = SlotTimes()
+        self._work = WorkEstimates()
         self._complete_at = started_at + retention_seconds
         self._resumed_at = float("-inf")
         self._retention_seconds = retention_seconds
@@ -153,6 +166,18 @@
         """Return the recent mean time to the first byte of an answer, 0 if unknown."""
         return self._delay_seconds
 
+    @property
+    def work(self) -> WorkEstimates:
+        """Return what the target's requests cost, learned from its answers."""
+        return self._work
+
+    def remaining_seconds(self, now: float) -> float:
+        """Return the work that the target has left to do for the requests in progress."""
+        work = self._work
+        return sum(
+            work.remaining_seconds(entry.route, now - since) for entry, since in self._slots.started
+        ) + sum(work.seconds(entry.route) for entry in self._slots.waiting)
+
     def is_complete(self, now: float) -> bool:
         """Return whether the table has every flow of the target."""
         return now >= self._complete_at
@@ -188,15 +213,16 @@
                 self._complete_at = entry.first_packet_at + self._retention_seconds
             self.remove(oldest)
         self._flows[flow] = entry
+        entry.route = (flow.service_host, flow.service_port)
 
-    def remove(self, flow: FlowKey) -> None:
+    def remove(self, flow: FlowKey, now: float | None = None) -> None:
         """Remove a flow."""
         entry = self._flows.pop(flow, None)
         if entry is None:
             return
         self._owned -= entry.is_counted
         entry.is_counted = False
-        self.end_request(entry)
+        self.end_request(entry, entry.last_packet_at if now is None else now)
 
     def note_data(self, entry: FlowEntry, sequence: int, payload_bytes: int) -> bool:
         """Record a caller's data; return whether it is new and not a retransmission."""
@@ -212,6 +238,7 @@
         if entry.pending_since is None:
             entry.pending_since = now
             self._pending += 1
+            self._slots.begin(entry, self._capacity(), now)
 
     def answer_request(self, entry: FlowEntry, now: float) -> float | None:
         """Record that a target's data arrived; return the time since the request arrived."""
@@ -221,14 +248,18 @@
         self._delay_seconds += DELAY_SMOOTHING * (delay - self._delay_seconds)
         share = DELAY_SMOOTHING if self._service_seconds else 1.0
         self._service_seconds += share * (delay - self._service_seconds)
-        self.end_request(entry)
+        slot_seconds = self.end_request(entry, now)
+        if slot_seconds is not None and entry.route is not None:
+            self._work.record_answer(entry.route, slot_seconds)
         return delay
 
-    def end_request(self, entry: FlowEntry) -> None:
-        """Record that a flow has no request in progress."""
-        if entry.pending_since is not None:
-            entry.pending_since = None
-            self._pending -= 1
+    def end_request(self, entry: FlowEntry, now: float) -> float | None:
+        """Record that a flow has no request in progress; return how long it had a slot, if known."""
+        if entry.pending_since is None:
+            return None
+        entry.pending_since = None
+        self._pending -= 1
+        return self._slots.end(entry, self._capacity(), now)
 
     def note_scheduling_pause(self, now: float) -> None:
         """Record that this process resumed; its pause doesn't count as idle time of flows."""
@@ -240,9 +271,9 @@
             return
         for flow, entry in tuple(self._flows.items()):
             if now - entry.last_packet_at > self._idle_limit(entry, idle_seconds):
-                self.remove(flow)
+                self.remove(flow, now)
             elif entry.pending_since is not None and now - entry.pending_since > STUCK_SECONDS:
-                self.end_request(entry)
+                self.end_request(entry, now)
 
     def _idle_limit(self, entry: FlowEntry, idle_seconds: float) -> float:
         if entry.has_ended:
--- a/egretsill/address_steering/_placement.py
+++ b/egretsill/address_steering/_placement.py
@@ -15,6 +15,7 @@
 from ..fleet import PeerTable
 from ..ranking import bucket_of
 from ._candidates import CHOICES, Candidates, ServiceRank
+from ._expected_finish import FAR_DISTANCE_SECONDS, TargetOutlook
 from ._packet import FlowKey
 from ._warm_up_pace import paced_load_factor
 
@@ -26,6 +27,7 @@
 MINIMUM_DELAY_MILLISECONDS = 10.0  # shorter delays are compared as this one
 DEFAULT_CAPACITY = 4  # for a target that doesn't report how many requests it works on
 MEDIAN_DELAY_CACHE_SECONDS = 0.5  # how long a service's median delay is cached between heartbeats
+MILLISECONDS = 1000
 SENT_COUNT_LIFETIME_SECONDS = 5.0  # by then, heartbeats have reported the counted flows
 
 
@@ -47,6 +49,7 @@
         self._candidates = candidates
         self._sent_counts: dict[int, tuple[int, int, float]] = {}
         self._median_delays: dict[str, tuple[float, float]] = {}
+        self._usual_work: dict[str, tuple[float, float]] = {}
 
     @property
     def candidates(self) -> Candidates:
@@ -101,6 +104,9 @@
         cell = rank.near_cell(domain, bucket)
         near = self._first_ready(rank, rank.ranked(cell, bucket), excluded, CHOICES, now)
         costs = {host: self.load(rank.views[host], now) for host in near}
+        usual = self.usual_work_seconds(service, now)
+        if usual and near and self._readiness(near[0], now) is Readiness.HEALTHY:
+            return self._choose_first_to_finish(rank, bucket, cell, near, excluded, usual, now)
         extra = 0.0
         if near and self._readiness(near[0], now) is Readiness.HEALTHY:
             best = min(costs, key=costs.__getitem__)
@@ -160,6 +166,61 @@
             for host, view in views.items()
         )
 
+    def usual_work_seconds(self, service: str, now: float) -> float:
+        """Return the time that a usual target takes for a usual request; 0 if unknown."""
+        usual, found_at = self._usual_work.get(service, (0.0, float("-inf")))
+        if now - found_at > MEDIAN_DELAY_CACHE_SECONDS:
+            peers = self._peers.peers
+            known = sorted(
+                peers[host].report.work_milliseconds
+                for host in self._candidates.of(service).views
+                if host in peers and peers[host].report.work_milliseconds
+            )
+            usual = known[len(known) // 2] / MILLISECONDS if known else 0.0
+            self._usual_work[service] = (usual, now)
+        return usual
+
+    def outlook(self, view: TargetView, usual: float, now: float) -> TargetOutlook:
+        """Return what is known of a target."""
+        host = view.target.host
+        peer = self._peers.peers.get(host)
+        if peer is None:
+            return TargetOutlook(0.0, 0.0, usual, _capacity(view))
+        report = peer.report
+        count, counted_at, _ = self._sent_counts.get(host, (0, 0, 0.0))
+        work = report.work_milliseconds / MILLISECONDS or usual
+        if view.warmup_ends_at > now:
+            work *= WARM_UP_LOAD_FACTOR
+        return TargetOutlook(
+            report.backlog_milliseconds / MILLISECONDS,
+            now - peer.last_seen_at,
+            work,
+            _capacity(view),
+            count if counted_at == peer.newer_reports else 0,
+        )
+
+    def _choose_first_to_finish(
+        self,
+        rank: ServiceRank,
+        bucket: int,
+        cell: str,
+        near: list[int],
+        excluded: Collection[int],
+        usual: float,
+        now: float,
+    ) -> int:
+        distance = FAR_DISTANCE_SECONDS
+        hosts = dict.fromkeys(near, 0.0)
+        others = (each for each in rank.cells(bucket) if each != cell)
+        for other in islice(others, CHOICES):
+            far = self._first_ready(rank, rank.ranked(other, bucket), excluded, 1, now)
+            hosts.update(dict.fromkeys(far, distance))
+        finish = {
+            host: self.outlook(rank.views[host], usual, now).finish_seconds(1.0, seconds)
+            for host, seconds in hosts.items()
+        }
+        return min(finish, key=finish.__getitem__)
+
     def note_sent(self, host: int, now: float) -> None:
         """Count a flow that was placed since the target's last report."""
         peer = self._peers.peers.get(host)
--- a/egretsill/address_steering/_request_queue.py
+++ b/egretsill/address_steering/_request_queue.py
@@ -92,6 +92,11 @@
         """Return whether the queue accepts no more requests."""
         return len(self._waiting) >= MAXIMUM_WAITING
 
+    @property
+    def flows(self) -> Iterable[FlowKey]:
+        """Return the flows whose requests or SYN packets wait, in the order of arrival."""
+        return self._waiting.keys()
+
     @property
     def held(self) -> Sequence[WaitingRequest]:
         """Return the requests of flows that are not open yet, in the order of arrival."""
--- a/egretsill/address_steering/_target_capacity.py
+++ b/egretsill/address_steering/_target_capacity.py
@@ -74,6 +74,21 @@
         """Return the number of requests at the target, on their way to it, or waiting for it."""
         return self._flows.pending + self.opening(now) + len(self._queue)
 
+    def backlog_seconds(self, now: float) -> float:
+        """Return the expected time until the target could start one more request.
+
+        It is the work of the requests in progress, on their way and waiting, over its slots.
+        """
+        view = self.own_view()
+        slots = max(view.target.capacity, 1) if view is not None else 1
+        work = self._flows.work
+        seconds = self._flows.remaining_seconds(now) + self.opening(now) * work.usual_seconds
+        for flow in self._queue.flows:
+            seconds += work.seconds((flow.service_host, flow.service_port))
+        if self.load(now) < slots:
+            return 0.0
+        return seconds / slots
+
     def limit(self) -> int:
         """Return the maximum number of requests in progress at the target."""
         view = self.own_view()
--- a/egretsill/fleet/_heartbeat.py
+++ b/egretsill/fleet/_heartbeat.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import struct
+from bisect import bisect_right
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -16,10 +17,27 @@
 SILENCE_UNIT_MILLISECONDS = 10
 LONGEST_SILENCE_MILLISECONDS = 0xFF * SILENCE_UNIT_MILLISECONDS
 
-_PLAIN_MARK, _SUBSCRIBING_MARK = 0xB5, 0xB6
+_PLAIN_MARK, _SUBSCRIBING_MARK = 0xB7, 0xB8
+_FORMER_PLAIN_MARK, _FORMER_SUBSCRIBING_MARK = 0xB5, 0xB6  # without backlog and work
+_MARKS = frozenset((_PLAIN_MARK, _SUBSCRIBING_MARK, _FORMER_PLAIN_MARK, _FORMER_SUBSCRIBING_MARK))
 _HEAD = struct.Struct(">BIQIQQQIB")  # mark, host, run, sequence, version, era, number, age, cell
-_REPORT = struct.Struct(">IHHHBB")  # host, pending, flows, delay, silence, flags
+# host, flows, pending, delay, backlog, work, silence, flags; four of them are levels
+_REPORT = struct.Struct(">IHBBBBBB")
+_FORMER_REPORT = struct.Struct(">IHHHBB")  # host, pending, flows, delay, silence, flags
 _IS_BALANCER, _IS_LEAVING, _CAN_READ, _IS_TARGET_SILENT, _IS_NEW = 1, 2, 4, 8, 16
+_TENTHS = 10  # backlog and work are sent in tenths of milliseconds
+
+# One byte holds a number as one of these levels: exactly up to 64, then in steps of 4.4%. A number
+# is rounded down to a level, so a hub that passes it on doesn't change it.
+_EXACT_LEVELS, _LEVELS_PER_DOUBLING = 64, 16
+_LEVELS = tuple(
+    (
+        level
+        if level < _EXACT_LEVELS
+        else round(_EXACT_LEVELS * 2 ** ((level - _EXACT_LEVELS) / _LEVELS_PER_DOUBLING))
+    )
+    for level in range(256)
+)
 _LARGEST_SHORT = 0xFFFF
 _LARGEST_LONG = 0xFFFFFFFF
 
@@ -40,6 +58,9 @@
         delay_milliseconds: recent time to first byte of its target's answers; 0 if unknown.
         silence_milliseconds: how long before the report the sender last received a heartbeat of it.
         is_new: whether it has just started, and so doesn't know the flows of others yet.
+        backlog_milliseconds: expected time until its target could start one more request, that is
+            the work of what it has, what is on its way and what waits for it, over its slots.
+        work_milliseconds: time that its target takes for a usual request; 0 if unknown.
     """
 
     host: int
@@ -52,6 +73,8 @@
     delay_milliseconds: int = 0
     silence_milliseconds: int = 0
     is_new: bool = False
+    backlog_milliseconds: float = 0.0
+    work_milliseconds: float = 0.0
 
 
 class HeartbeatHead(NamedTuple):
@@ -127,7 +150,7 @@
     Raises:
         MalformedHeartbeat: if the datagram is not a valid heartbeat.
     """
-    if len(data) < _HEAD.size or data[0] not in (_PLAIN_MARK, _SUBSCRIBING_MARK):
+    if len(data) < _HEAD.size or data[0] not in _MARKS:
         raise MalformedHeartbeat("head")
     mark, host, incarnation, sequence, version, era, number, age, size = _HEAD.unpack_from(data)
     if not is_unicast_ipv4(host):
@@ -151,30 +174,67 @@
         StoreRevision(era, number),
         age,
         cell,
-        mark == _SUBSCRIBING_MARK,
+        mark in (_SUBSCRIBING_MARK, _FORMER_SUBSCRIBING_MARK),
     )
 
 
 def decode_reports(data: bytes) -> Sequence[PeerReport]:
     """Decode the reports of a heartbeat whose head was decoded before."""
-    reports_at = _HEAD.size + data[_HEAD.size - 1]
+    reports = data[_HEAD.size + data[_HEAD.size - 1] :]
+    if data[0] in (_FORMER_PLAIN_MARK, _FORMER_SUBSCRIBING_MARK):
+        return [
+            _make_report(host, pending, flows, delay, 0.0, 0.0, silence, flags)
+            for host, pending, flows, delay, silence, flags in _FORMER_REPORT.iter_unpack(reports)
+        ]
+    levels = _LEVELS
     return [
-        PeerReport(
+        _make_report(
             host,
-            bool(flags & _IS_BALANCER),
-            bool(flags & _IS_LEAVING),
-            bool(flags & _CAN_READ),
-            bool(flags & _IS_TARGET_SILENT),
-            pending,
+            levels[pending],
             flows,
-            delay,
-            silence * SILENCE_UNIT_MILLISECONDS,
-            bool(flags & _IS_NEW),
+            levels[delay],
+            levels[backlog] / _TENTHS,
+            levels[work] / _TENTHS,
+            silence,
+            flags,
+        )
+        for host, flows, pending, delay, backlog, work, silence, flags in _REPORT.iter_unpack(
+            reports
         )
-        for host, pending, flows, delay, silence, flags in _REPORT.iter_unpack(data[reports_at:])
     ]
 
 
+def _make_report(
+    host: int,
+    pending: int,
+    flows: int,
+    delay: int,
+    backlog: float,
+    work: float,
+    silence: int,
+    flags: int,
+) -> PeerReport:
+    return PeerReport(
+        host,
+        bool(flags & _IS_BALANCER),
+        bool(flags & _IS_LEAVING),
+        bool(flags & _CAN_READ),
+        bool(flags & _IS_TARGET_SILENT),
+        pending,
+        flows,
+        delay,
+        silence * SILENCE_UNIT_MILLISECONDS,
+        bool(flags & _IS_NEW),
+        backlog,
+        work,
+    )
+
+
+def _level_of(value: float) -> int:
+    """Return the highest level that a number isn't below."""
+    return max(bisect_right(_LEVELS, round(value)) - 1, 0)
+
+
 def _encode_report(report: PeerReport) -> bytes:
     flags = (
         (_IS_BALANCER if report.is_balancer else 0)
@@ -185,9 +245,11 @@
     )
     return _REPORT.pack(
         report.host,
-        min(report.pending, _LARGEST_SHORT),
         min(report.flows, _LARGEST_SHORT),
-        min(report.delay_milliseconds, _LARGEST_SHORT),
+        _level_of(report.pending),
+        _level_of(report.delay_milliseconds),
+        _level_of(report.backlog_milliseconds * _TENTHS),
+        _level_of(report.work_milliseconds * _TENTHS),
         min(report.silence_milliseconds, LONGEST_SILENCE_MILLISECONDS) // SILENCE_UNIT_MILLISECONDS,
         flags,
     )
--- a/egretsill/node/_fleet_link.py
+++ b/egretsill/node/_fleet_link.py
@@ -52,12 +52,16 @@
         flows: open flows.
         delay_seconds: recent mean time to first byte.
         is_target_silent: whether the target has not answered anything for a while.
+        backlog_seconds: expected time until the target could start one more request.
+        work_seconds: time that it takes for a usual request; 0 if unknown.
     """
 
     pending: int = 0
     flows: int = 0
     delay_seconds: float = 0.0
     is_target_silent: bool = False
+    backlog_seconds: float = 0.0
+    work_seconds: float = 0.0
 
 
 class FleetLink:
@@ -256,6 +260,8 @@
             load.flows,
             int(load.delay_seconds * MILLISECONDS),
             is_new=self._timer.now - self._started_at < STARTUP_SECONDS,
+            backlog_milliseconds=load.backlog_seconds * MILLISECONDS,
+            work_milliseconds=load.work_seconds * MILLISECONDS,
         )
 
     async def _receive_all(self) -> None:
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -336,12 +336,15 @@
     def _load(self) -> TargetLoad:
         if self._agent_steering is None:
             return TargetLoad()
-        flows = self._agent_steering.flows
+        now = self._timer.now
+        steering, flows = self._agent_steering, self._agent_steering.flows
         return TargetLoad(
-            self._agent_steering.load(self._timer.now),
+            steering.load(now),
             flows.owned,
             flows.delay_seconds,
-            self._agent_steering.is_target_silent(self._timer.now),
+            steering.is_target_silent(now),
+            steering.backlog_seconds(now),
+            flows.work.usual_seconds if flows.work.is_known else 0.0,
         )
 
     def _find_load(self, host: int, flow: FlowKey) -> float | None:
