--- a/egretsill/address_steering/_work_estimates.py
+++ b/egretsill/address_steering/_work_estimates.py
@@ -17,7 +17,7 @@
 
 RouteAddress = tuple[int, int]
 
-RECENT_ANSWERS = 16  # answers after which an old one has lost most of its weight
+RECENT_ANSWERS = 32  # answers after which an old one has lost most of its weight
 PRIOR_ANSWERS = 3.0  # weight of the estimate of other targets, in answers
 KNOWN_ANSWERS = 4  # answers from which on an estimate is reported
 MEAN_FACTOR = 1.3  # mean over typical work before it is learned
