--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -239,6 +239,7 @@
         self._search.homes.sweep(now)
         self._admission.sweep(now)
         self._placement.tick(now)
+        self._flows.work.note_prior(self._placement.work_of(self._service, now).usual_seconds)
 
     def _own_capacity(self) -> int:
         view = self._directory.target_at(self._host, self._service)
--- a/egretsill/address_steering/_expected_finish.py
+++ b/egretsill/address_steering/_expected_finish.py
@@ -9,12 +9,38 @@
 
 from __future__ import annotations
 
+import enum
+from collections.abc import Iterable
 from dataclasses import dataclass
 
+from ..fleet import PeerTable
+
 # A target in use gets new requests while it works, so its backlog shrinks by less than the time.
 DRAIN_SHARE = 0.5
-# Two round trips between failure domains, and the price of the traffic between them.
-FAR_DISTANCE_SECONDS = 0.02
+# Two round trips to another failure domain, and a margin, as the traffic between them is expensive.
+FAR_DISTANCE_SECONDS = 0.015
+WORK_CACHE_SECONDS = 0.5  # how long a service's work is cached between heartbeats
+MILLISECONDS = 1000
+
+
+class PlacementChoice(enum.Enum):
+    """By what the target of a new flow is chosen among its candidates."""
+
+    EXPECTED_FINISH = "expected-finish"
+    LEAST_LOADED = "least-loaded"
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceWork:
+    """What a service's targets take for a usual request.
+
+    Attributes:
+        usual_seconds: the median of the targets; 0 if none is known.
+        fastest_seconds: the lowest of them.
+    """
+
+    usual_seconds: float = 0.0
+    fastest_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,11 +66,77 @@
         reported = max(self.backlog_seconds - DRAIN_SHARE * self.age_seconds, 0.0)
         return reported + self.sent * self.work_seconds / self.slots
 
-    def finish_seconds(self, work_ratio: float, distance_seconds: float) -> float:
+    def finish_seconds(self, distance_seconds: float = 0.0, work_ratio: float = 1.0) -> float:
         """Return the expected time until it would finish one more request.
 
         Args:
-            work_ratio: likely work of the request relative to a usual one.
             distance_seconds: time that its packets spend on the way, beyond that of a near target.
+            work_ratio: likely work of the request relative to a usual one.
         """
         return self.wait_seconds() + self.work_seconds * work_ratio + distance_seconds
+
+
+class WorkTable:
+    """What the services' targets take for a usual request, from the heartbeats of their agents.
+
+    Args:
+        peers: heartbeats of the other processes.
+    """
+
+    def __init__(self, peers: PeerTable) -> None:
+        self._peers = peers
+        self._services: dict[str, tuple[ServiceWork, float]] = {}
+
+    def of(self, service: str, hosts: Iterable[int], now: float) -> ServiceWork:
+        """Return the work of a service.
+
+        Args:
+            service: its name.
+            hosts: the VMs of its targets.
+            now: local time.
+        """
+        known = self._services.get(service)
+        if known is None or now - known[1] > WORK_CACHE_SECONDS:
+            known = self._services[service] = (self._find(hosts), now)
+        return known[0]
+
+    def outlook(
+        self, host: int, slots: int, work: ServiceWork, sent: int, now: float
+    ) -> TargetOutlook:
+        """Return what is known of a target; what isn't is taken as usual for its service.
+
+        Args:
+            host: its VM.
+            slots: number of requests that it works on at once.
+            work: of its service.
+            sent: requests that this process has sent to it since its last report.
+            now: local time.
+        """
+        peer = self._peers.peers.get(host)
+        if peer is None:
+            return TargetOutlook(0.0, 0.0, work.usual_seconds, slots, sent)
+        report = peer.report
+        return TargetOutlook(
+            report.backlog_milliseconds / MILLISECONDS,
+            now - peer.last_seen_at,
+            report.work_milliseconds / MILLISECONDS or work.usual_seconds,
+            slots,
+            sent,
+        )
+
+    def sweep(self, now: float) -> None:
+        """Remove what is outdated."""
+        for service, (_, found_at) in tuple(self._services.items()):
+            if now - found_at > WORK_CACHE_SECONDS:
+                del self._services[service]
+
+    def _find(self, hosts: Iterable[int]) -> ServiceWork:
+        peers = self._peers.peers
+        known = sorted(
+            peers[host].report.work_milliseconds
+            for host in hosts
+            if host in peers and peers[host].report.work_milliseconds
+        )
+        if not known:
+            return ServiceWork()
+        return ServiceWork(known[len(known) // 2] / MILLISECONDS, known[0] / MILLISECONDS)
--- a/egretsill/address_steering/_placement.py
+++ b/egretsill/address_steering/_placement.py
@@ -1,8 +1,10 @@
 """Choice of the target for a new flow.
 
-The least loaded of the flow's candidates is chosen. These are the first two targets in its rank
-that accept it near the balancer, and the first target of each of two other cells if those have less
-to do. This balances the load, and any process can find the owner from the flow alone.
+The one of the flow's candidates is chosen that is expected to finish its request first, or the
+least loaded one while nothing is known about the work of requests. The candidates are the first two
+targets in its rank that accept it near the balancer, and the first target of each of two other
+cells if those may be better. This balances the load, and any process can find the owner from the
+flow alone.
 """
 
 from __future__ import annotations
@@ -15,7 +17,13 @@
 from ..fleet import PeerTable
 from ..ranking import bucket_of
 from ._candidates import CHOICES, Candidates, ServiceRank
-from ._expected_finish import FAR_DISTANCE_SECONDS, TargetOutlook
+from ._expected_finish import (
+    FAR_DISTANCE_SECONDS,
+    PlacementChoice,
+    ServiceWork,
+    TargetOutlook,
+    WorkTable,
+)
 from ._packet import FlowKey
 from ._warm_up_pace import paced_load_factor
 
@@ -27,7 +35,6 @@
 MINIMUM_DELAY_MILLISECONDS = 10.0  # shorter delays are compared as this one
 DEFAULT_CAPACITY = 4  # for a target that doesn't report how many requests it works on
 MEDIAN_DELAY_CACHE_SECONDS = 0.5  # how long a service's median delay is cached between heartbeats
-MILLISECONDS = 1000
 SENT_COUNT_LIFETIME_SECONDS = 5.0  # by then, heartbeats have reported the counted flows
 
 
@@ -41,15 +48,29 @@
 
 
 class FlowPlacement:
-    """Ranks and chooses targets for flows, based on the directory and the peers' heartbeats."""
+    """Ranks and chooses targets for flows, based on the directory and the peers' heartbeats.
 
-    def __init__(self, directory: Directory, peers: PeerTable, candidates: Candidates) -> None:
+    Args:
+        directory: routes and targets.
+        peers: heartbeats of the other processes.
+        candidates: ranks of the targets.
+        choice: by what targets are chosen, if what they take for requests is known.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        peers: PeerTable,
+        candidates: Candidates,
+        choice: PlacementChoice = PlacementChoice.EXPECTED_FINISH,
+    ) -> None:
+        self._choice = choice
         self._directory = directory
         self._peers = peers
         self._candidates = candidates
         self._sent_counts: dict[int, tuple[int, int, float]] = {}
         self._median_delays: dict[str, tuple[float, float]] = {}
-        self._usual_work: dict[str, tuple[float, float]] = {}
+        self._work = WorkTable(peers)
 
     @property
     def candidates(self) -> Candidates:
@@ -103,10 +124,11 @@
         bucket = bucket_of(flow.hash_key)
         cell = rank.near_cell(domain, bucket)
         near = self._first_ready(rank, rank.ranked(cell, bucket), excluded, CHOICES, now)
+        if self._choice is PlacementChoice.EXPECTED_FINISH:
+            work = self.work_of(service, now)
+            if work.usual_seconds and near and self._readiness(near[0], now) is Readiness.HEALTHY:
+                return self._first_to_finish(rank, bucket, cell, near, excluded, work, now)
         costs = {host: self.load(rank.views[host], now) for host in near}
-        usual = self.usual_work_seconds(service, now)
-        if usual and near and self._readiness(near[0], now) is Readiness.HEALTHY:
-            return self._choose_first_to_finish(rank, bucket, cell, near, excluded, usual, now)
         extra = 0.0
         if near and self._readiness(near[0], now) is Readiness.HEALTHY:
             best = min(costs, key=costs.__getitem__)
@@ -166,61 +188,61 @@
             for host, view in views.items()
         )
 
-    def usual_work_seconds(self, service: str, now: float) -> float:
-        """Return the time that a usual target takes for a usual request; 0 if unknown."""
-        usual, found_at = self._usual_work.get(service, (0.0, float("-inf")))
-        if now - found_at > MEDIAN_DELAY_CACHE_SECONDS:
-            peers = self._peers.peers
-            known = sorted(
-                peers[host].report.work_milliseconds
-                for host in self._candidates.of(service).views
-                if host in peers and peers[host].report.work_milliseconds
-            )
-            usual = known[len(known) // 2] / MILLISECONDS if known else 0.0
-            self._usual_work[service] = (usual, now)
-        return usual
+    def work_of(self, service: str, now: float) -> ServiceWork:
+        """Return what a service's targets take for a usual request."""
+        return self._work.of(service, self._candidates.of(service).views, now)
 
-    def outlook(self, view: TargetView, usual: float, now: float) -> TargetOutlook:
-        """Return what is known of a target."""
-        host = view.target.host
-        peer = self._peers.peers.get(host)
-        if peer is None:
-            return TargetOutlook(0.0, 0.0, usual, _capacity(view))
-        report = peer.report
-        count, counted_at, _ = self._sent_counts.get(host, (0, 0, 0.0))
-        work = report.work_milliseconds / MILLISECONDS or usual
-        if view.warmup_ends_at > now:
-            work *= WARM_UP_LOAD_FACTOR
-        return TargetOutlook(
-            report.backlog_milliseconds / MILLISECONDS,
-            now - peer.last_seen_at,
-            work,
-            _capacity(view),
-            count if counted_at == peer.newer_reports else 0,
-        )
+    def expected_finish(self, view: TargetView, now: float) -> float | None:
+        """Return the seconds until a target would finish a usual request; None if unknown.
+
+        The distance to it isn't included.
+        """
+        work = self.work_of(view.target.service, now)
+        return self._outlook(view, work, now).finish_seconds() if work.usual_seconds else None
 
-    def _choose_first_to_finish(
+    def _first_to_finish(
         self,
         rank: ServiceRank,
         bucket: int,
         cell: str,
-        near: list[int],
+        near: Sequence[int],
         excluded: Collection[int],
-        usual: float,
+        work: ServiceWork,
         now: float,
     ) -> int:
-        distance = FAR_DISTANCE_SECONDS
-        hosts = dict.fromkeys(near, 0.0)
-        others = (each for each in rank.cells(bucket) if each != cell)
-        for other in islice(others, CHOICES):
-            far = self._first_ready(rank, rank.ranked(other, bucket), excluded, 1, now)
-            hosts.update(dict.fromkeys(far, distance))
+        """Return the candidate that would finish a request first.
+
+        Args:
+            rank: rank of the service's targets.
+            bucket: hash bucket of the flow.
+            cell: the near cell.
+            near: the candidates there, at least one.
+            excluded: VMs that were tried already.
+            work: of the service.
+            now: local time.
+        """
         finish = {
-            host: self.outlook(rank.views[host], usual, now).finish_seconds(1.0, seconds)
-            for host, seconds in hosts.items()
+            host: self._outlook(rank.views[host], work, now).finish_seconds() for host in near
         }
+        best = min(finish, key=finish.__getitem__)
+        # Not even an idle target in another cell would be earlier.
+        if finish[best] <= work.fastest_seconds + FAR_DISTANCE_SECONDS:
+            return best
+        others = (each for each in rank.cells(bucket) if each != cell)
+        for other in islice(others, CHOICES):
+            for host in self._first_ready(rank, rank.ranked(other, bucket), excluded, 1, now):
+                outlook = self._outlook(rank.views[host], work, now)
+                if self._readiness(host, now) is Readiness.HEALTHY:
+                    finish[host] = outlook.finish_seconds(FAR_DISTANCE_SECONDS)
         return min(finish, key=finish.__getitem__)
 
+    def _outlook(self, view: TargetView, work: ServiceWork, now: float) -> TargetOutlook:
+        host = view.target.host
+        peer = self._peers.peers.get(host)
+        count, counted_at, _ = self._sent_counts.get(host, (0, 0, 0.0))
+        sent = count if peer is not None and counted_at == peer.newer_reports else 0
+        return self._work.outlook(host, _capacity(view), work, sent, now)
+
     def note_sent(self, host: int, now: float) -> None:
         """Count a flow that was placed since the target's last report."""
         peer = self._peers.peers.get(host)
@@ -240,6 +262,7 @@
         for service, (_, found_at) in tuple(self._median_delays.items()):
             if now - found_at > SENT_COUNT_LIFETIME_SECONDS:
                 del self._median_delays[service]
+        self._work.sweep(now)
 
     def load(self, view: TargetView, now: float) -> float:
         """Return the load of a target, relative to its capacity in concurrent requests."""
