Slot times: a request that holds no slot doesn't stop the estimates; tests of the estimates

A caller that had sent only a part of its request counted as the one at work, so those behind it gave no estimate. It is found out when one of them is answered.

--- a/egretsill/address_steering/_flow_table.py
+++ b/egretsill/address_steering/_flow_table.py
@@ -175,7 +175,8 @@
         """Return the work that the target has left to do for the requests in progress."""
         work = self._work
         return sum(
-            work.remaining_seconds(entry.route, now - since) for entry, since in self._slots.started
+            work.remaining_seconds(entry.route, now - since)
+            for entry, since in self._slots.started.items()
         ) + sum(work.seconds(entry.route) for entry in self._slots.waiting)
 
     def is_complete(self, now: float) -> bool:
--- a/egretsill/address_steering/_slot_times.py
+++ b/egretsill/address_steering/_slot_times.py
@@ -3,11 +3,13 @@
 A target works on as many requests at once as it has slots, in the order in which they reach it. A
 request's work therefore begins when it arrives, or with the answer before it that frees a slot.
 What a request takes after that is its work at this target; what came before is the queue.
+
+A request may hold no slot though it came first, since its caller has sent only a part of it. It is
+found out when a request is answered that seemed to wait behind it.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 from itertools import islice
 from typing import Generic, TypeVar
 
@@ -19,17 +21,18 @@
 
     def __init__(self) -> None:
         self._started: dict[Request, float] = {}
-        self._waiting: dict[Request, None] = {}
+        self._waiting: dict[Request, float] = {}
+        self._freed_at = float("-inf")
 
     @property
-    def waiting(self) -> Iterator[Request]:
-        """Return the requests at the target that wait for a slot."""
-        return iter(self._waiting)
+    def started(self) -> dict[Request, float]:
+        """Return the requests that have a slot, the earliest first, and since when."""
+        return self._started
 
     @property
-    def started(self) -> Iterator[tuple[Request, float]]:
-        """Return the requests that have a slot, and since when."""
-        return iter(self._started.items())
+    def waiting(self) -> dict[Request, float]:
+        """Return the requests at the target that wait for a slot, and since when."""
+        return self._waiting
 
     def begin(self, request: Request, slots: int, now: float) -> None:
         """Record that a request was delivered.
@@ -42,21 +45,28 @@
         if not slots or len(self._started) < slots:
             self._started[request] = now
         else:
-            self._waiting[request] = None
+            self._waiting[request] = now
 
     def end(self, request: Request, slots: int, now: float) -> float | None:
-        """Record that a request was answered or has ended.
+        """Record that a request was answered or has ended; return for how long it had a slot.
+
+        None if that isn't known, as it was overtaken.
 
-        Returns:
-            Seconds for which it had a slot; None if it seemed to wait still, since the target's
-            order then was another.
+        Args:
+            request: the request.
+            slots: number of requests that the target works on at once; 0 if unknown.
+            now: local time.
         """
         started_at = self._started.pop(request, None)
         if started_at is None:
-            self._waiting.pop(request, None)
-            return None
-        free = max(slots - len(self._started), 0) if slots else len(self._waiting)
-        for each in tuple(islice(self._waiting, free)):
+            arrived_at = self._waiting.pop(request, None)
+            if arrived_at is None:
+                return None
+            started_at = max(arrived_at, self._freed_at)
+            self._started.pop(next(iter(self._started)), None)
+        self._freed_at = now
+        free = slots - len(self._started) if slots else len(self._waiting)
+        for each in tuple(islice(self._waiting, max(free, 0))):
             del self._waiting[each]
             self._started[each] = now
         return now - started_at
