--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -191,7 +191,10 @@
         entry.last_packet_at = now
         if packet.kind is not PacketKind.SYN_ACK:
             entry.is_established = True
-        delay = self._flows.answer_request(entry, now) if packet.payload_bytes else None
+        # The FIN packet may overtake the data of the answer after which the target closes.
+        is_closing = packet.kind is PacketKind.FIN and not entry.caller_closed
+        is_answer = packet.payload_bytes > 0 or is_closing
+        delay = self._flows.answer_request(entry, now) if is_answer else None
         if packet.kind is PacketKind.FIN:
             entry.target_closed = True
             self._flows.end_request(entry, now)
--- a/egretsill/address_steering/tests/test_agent_steering.py
+++ b/egretsill/address_steering/tests/test_agent_steering.py
@@ -378,3 +378,20 @@
     agent.take_from_peer(envelope(), packet(SYN), 0.0)
     assert agent.is_target_silent(1.0)
     assert not agent.is_target_silent(2.1)
+
+
+@pytest.mark.parametrize("caller_closed", [False, True], ids=["answered", "given up"])
+def test_answer_whose_fin_packet_overtakes_its_data_is_measured(caller_closed: bool) -> None:
+    """Guards against requests of fresh flows whose answers show nothing of the target's speed."""
+    agent = make_agent(Scene(HERE))
+    open_flow(agent)
+    send_request(agent, 0, 1.0)
+    if caller_closed:
+        fin = packet(PacketKind.FIN, flow(0), sequence=101)
+        agent.take_from_peer(envelope(), fin, 1.01)
+    closing = agent.take_from_target(packet(PacketKind.FIN, flow(0)), 1.05)
+    data = agent.take_from_target(packet(key=flow(0), payload_bytes=900), 1.0501)
+    delays = [each.delay_seconds for each in (*closing, *data) if isinstance(each, Answered)]
+    assert delays == ([] if caller_closed else [pytest.approx(0.05)])
+    assert agent.flows.pending == 0
+    assert (agent.flows.work.usual_seconds > 0.0) is not caller_closed
