--- a/egretsill/address_steering/_expected_finish.py
+++ b/egretsill/address_steering/_expected_finish.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import enum
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -23,13 +22,6 @@
 MILLISECONDS = 1000
 
 
-class PlacementChoice(enum.Enum):
-    """By what the target of a new flow is chosen among its candidates."""
-
-    EXPECTED_FINISH = "expected-finish"
-    LEAST_LOADED = "least-loaded"
-
-
 @dataclass(frozen=True, slots=True)
 class ServiceWork:
     """What a service's targets take for a usual request.
@@ -101,25 +93,25 @@
         return known[0]
 
     def outlook(
-        self, host: int, slots: int, work: ServiceWork, sent: int, now: float
+        self, host: int, slots: int, usual_seconds: float, sent: int, now: float
     ) -> TargetOutlook:
-        """Return what is known of a target; what isn't is taken as usual for its service.
+        """Return what is known of a target.
 
         Args:
             host: its VM.
             slots: number of requests that it works on at once.
-            work: of its service.
+            usual_seconds: its work for a usual request if its agent doesn't know it yet.
             sent: requests that this process has sent to it since its last report.
             now: local time.
         """
         peer = self._peers.peers.get(host)
         if peer is None:
-            return TargetOutlook(0.0, 0.0, work.usual_seconds, slots, sent)
+            return TargetOutlook(0.0, 0.0, usual_seconds, slots, sent)
         report = peer.report
         return TargetOutlook(
             report.backlog_milliseconds / MILLISECONDS,
             now - peer.last_seen_at,
-            report.work_milliseconds / MILLISECONDS or work.usual_seconds,
+            report.work_milliseconds / MILLISECONDS or usual_seconds,
             slots,
             sent,
         )
--- a/egretsill/address_steering/_flow_table.py
+++ b/egretsill/address_steering/_flow_table.py
@@ -255,7 +255,7 @@
         return delay
 
     def end_request(self, entry: FlowEntry, now: float) -> float | None:
-        """Record that a flow has no request in progress; return how long it had a slot, if known."""
+        """End a flow's request in progress, if any; return how long it had a slot, if known."""
         if entry.pending_since is None:
             return None
         entry.pending_since = None
--- a/egretsill/address_steering/_placement.py
+++ b/egretsill/address_steering/_placement.py
@@ -19,7 +19,6 @@
 from ._candidates import CHOICES, Candidates, ServiceRank
 from ._expected_finish import (
     FAR_DISTANCE_SECONDS,
-    PlacementChoice,
     ServiceWork,
     TargetOutlook,
     WorkTable,
@@ -54,7 +53,8 @@
         directory: routes and targets.
         peers: heartbeats of the other processes.
         candidates: ranks of the targets.
-        choice: by what targets are chosen, if what they take for requests is known.
+        uses_expected_finish: whether targets are chosen by when they are expected to finish the
+            request, if that is known; otherwise by their loads.
     """
 
     def __init__(
@@ -62,9 +62,9 @@
         directory: Directory,
         peers: PeerTable,
         candidates: Candidates,
-        choice: PlacementChoice = PlacementChoice.EXPECTED_FINISH,
+        uses_expected_finish: bool = True,
     ) -> None:
-        self._choice = choice
+        self._uses_expected_finish = uses_expected_finish
         self._directory = directory
         self._peers = peers
         self._candidates = candidates
@@ -124,7 +124,7 @@
         bucket = bucket_of(flow.hash_key)
         cell = rank.near_cell(domain, bucket)
         near = self._first_ready(rank, rank.ranked(cell, bucket), excluded, CHOICES, now)
-        if self._choice is PlacementChoice.EXPECTED_FINISH:
+        if self._uses_expected_finish:
             work = self.work_of(service, now)
             if work.usual_seconds and near and self._readiness(near[0], now) is Readiness.HEALTHY:
                 return self._first_to_finish(rank, bucket, cell, near, excluded, work, now)
@@ -241,7 +241,8 @@
         peer = self._peers.peers.get(host)
         count, counted_at, _ = self._sent_counts.get(host, (0, 0, 0.0))
         sent = count if peer is not None and counted_at == peer.newer_reports else 0
-        return self._work.outlook(host, _capacity(view), work, sent, now)
+        slowdown = WARM_UP_LOAD_FACTOR if view.warmup_ends_at > now else 1.0
+        return self._work.outlook(host, _capacity(view), work.usual_seconds * slowdown, sent, now)
 
     def note_sent(self, host: int, now: float) -> None:
         """Count a flow that was placed since the target's last report."""
--- a/egretsill/address_steering/tests/load_fleet.py
+++ b/egretsill/address_steering/tests/load_fleet.py
@@ -77,6 +77,7 @@
         policy: of the agents.
         pace: flows a second that a cold target may get; 0 for any number.
         speeds: of the targets in turn; a target takes the work divided by its speed.
+        uses_expected_finish: whether targets are chosen by when they are expected to finish.
     """
 
     def __init__(
@@ -91,6 +92,7 @@
         policy: SteeringPolicy = SteeringPolicy(),  # noqa: B008, it is immutable
         pace: float = 0.0,
         speeds: Sequence[float] = (1.0,),
+        uses_expected_finish: bool = True,
     ) -> None:
         super().__init__()
         self.random = Random(seed)
@@ -116,7 +118,7 @@
         for number, entry in enumerate(entries):
             up_at = start_at(number)
             started_at = up_at if are_cold and up_at > 0.0 else -10.0
-            view = View(entry.host, snapshot)
+            view = View(entry.host, snapshot, uses_expected_finish)
             agent = AgentSteering(
                 entry.host,
                 SERVICE,
@@ -141,7 +143,7 @@
         self.balancers: dict[int, tuple[str, View, BalancerSteering]] = {}
         for number in range(balancers):
             host, domain = 5000 + number, DOMAINS[number % 3]
-            view = View(host, snapshot)
+            view = View(host, snapshot, uses_expected_finish)
             steering = BalancerSteering(
                 host, domain, view.directory, view.peers, view.placement, RETENTION
             )
@@ -201,6 +203,7 @@
     def _report(self, host: int) -> None:
         """Report an agent's load to all processes, each after its own delay."""
         target = self.targets[host]
+        target.agent.sweep(self.now)
         flows = target.agent.flows
         pending = target.agent.load(self.now)
         is_silent = target.agent.is_target_silent(self.now)
--- a/egretsill/address_steering/tests/load_parts.py
+++ b/egretsill/address_steering/tests/load_parts.py
@@ -38,12 +38,14 @@
 class View:
     """The directory and peers of one process."""
 
-    def __init__(self, host: int, snapshot: Snapshot) -> None:
+    def __init__(self, host: int, snapshot: Snapshot, uses_expected_finish: bool = True) -> None:
         self.directory = Directory(RETENTION)
         self.directory.apply_snapshot(snapshot, 0.0)
         self.peers = PeerTable(host)
         self.snapshot = snapshot
-        self.placement = FlowPlacement(self.directory, self.peers, Candidates(self.directory))
+        self.placement = FlowPlacement(
+            self.directory, self.peers, Candidates(self.directory), uses_expected_finish
+        )
 
     def write(self, entry: Target, now: float) -> None:
         """Apply content in which a target has another entry."""
--- a/egretsill/address_steering/tests/test_work_estimates.py
+++ b/egretsill/address_steering/tests/test_work_estimates.py
@@ -1,4 +1,4 @@
-"""Estimates of work from answers, apart from the queue, the mix of routes and single long requests."""
+"""Estimates of work from answers, apart from the queue, the routes and single long requests."""
 
 from __future__ import annotations
 
--- a/egretsill/boot/_settings.py
+++ b/egretsill/boot/_settings.py
@@ -20,6 +20,7 @@
 DEFAULT_WARM_UP_OVERSHOOT = 1.0  # no more than the configuration states
 DEFAULT_WARM_UP_TOLERANCE = 0.0
 
+_EXPECTED_FINISH_CHOICES = {"expected-finish": True, "least-loaded": False}
 _BOOLEANS = {"true": True, "false": False}
 _NO_ADDRESS = Address("", 0)
 
@@ -74,6 +75,8 @@
             of a flow, and both departed targets and former routes.
         grace_seconds: time between the stop signal and the end of the process.
         agent: settings of an agent; None for a balancer.
+        uses_expected_finish: whether the target of a new flow is chosen by when it is expected to
+            finish the request; otherwise by its load.
         defaulted: expected keys that have their default, as they are missing or empty.
     """
 
@@ -92,6 +95,7 @@
     flow_seconds: float
     grace_seconds: float
     agent: AgentSettings | None = None
+    uses_expected_finish: bool = True
     defaulted: Sequence[str] = ()
 
 
@@ -124,6 +128,7 @@
             "bounds", "grace_seconds", _parse_seconds, DEFAULT_GRACE_SECONDS
         ),
         agent=agent,
+        uses_expected_finish=reader.switch("placement", "choice", _parse_choice, True),
         defaulted=reader.defaulted,
     )
     reader.raise_if_faulty()
@@ -153,6 +158,12 @@
         raise ValueError(f"{expected} is expected") from error
 
 
+def _parse_choice(text: str) -> bool:
+    if text not in _EXPECTED_FINISH_CHOICES:
+        raise ValueError(" or ".join(_EXPECTED_FINISH_CHOICES) + " is expected")
+    return _EXPECTED_FINISH_CHOICES[text]
+
+
 def _parse_flag(text: str) -> bool:
     if text.lower() not in _BOOLEANS:
         raise ValueError("true or false is expected")
--- a/egretsill/boot/_settings_reader.py
+++ b/egretsill/boot/_settings_reader.py
@@ -99,6 +99,13 @@
             return placeholder
         return self._parse(section, key, parse, placeholder, text)
 
+    def switch(
+        self, section: str, key: str, parse: Callable[[str], _Value], default: _Value
+    ) -> _Value:
+        """Return a parsed value that few files have, or its default if it is missing or empty."""
+        text = self._text(section, key)
+        return self._parse(section, key, parse, default, text) if text else default
+
     def optional(
         self,
         section: str,
--- a/egretsill/boot/tests/test_settings.py
+++ b/egretsill/boot/tests/test_settings.py
@@ -76,6 +76,7 @@
         pytest.param("first_start = true", "first_start = 1", "first_start", id="invalid boolean"),
         pytest.param("flow_seconds = 60", "flow_seconds = inf", "flow_seconds", id="infinite"),
         pytest.param("grace_seconds = 6", "grace_seconds = -1", "grace_seconds", id="negative"),
+        pytest.param("[bounds]", "[placement]\nchoice = best\n[bounds]", "choice", id="no choice"),
         pytest.param("10.2.0.40:8166", "seed:1", "seeds", id="seed without address"),
         # Guards against numbers that Python parses but that no other program means as ports.
         pytest.param("= 7720", "= \uff17\uff17\uff12\uff10", "tunnel_port", id="other digits"),
@@ -138,6 +139,16 @@
     assert settings.defaulted == (f"{section}.{key}",)
 
 
+@pytest.mark.parametrize(
+    ("line", "is_used"),
+    [("", True), ("choice = expected-finish", True), ("choice = least-loaded", False)],
+)
+def test_choice_of_targets(tmp_path: Path, line: str, is_used: bool) -> None:
+    settings = load_node_settings(write(tmp_path, f"{AGENT}\n[placement]\n{line}\n"))
+    assert settings.uses_expected_finish is is_used
+    assert settings.defaulted == (), "few files have it, so its lack is no default to be noted"
+
+
 def test_complete_file_uses_no_default(tmp_path: Path) -> None:
     assert load_node_settings(write(tmp_path, AGENT)).defaulted == ()
 
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -97,7 +97,9 @@
         self._peers = PeerTable(self._host)
         self._hubs = HubPlan(self._host, settings.failure_domain, seeds, self._peers)
         self._candidates = Candidates(self._directory)
-        self._placement = FlowPlacement(self._directory, self._peers, self._candidates)
+        self._placement = FlowPlacement(
+            self._directory, self._peers, self._candidates, settings.uses_expected_finish
+        )
         self._directory_log = DirectoryLog(self._directory, self._metrics, self._journal)
         self._plan = ReadPlan(self._host, settings.is_first_start)
         self._shutdown = ShutdownPlan(settings.grace_seconds)
