--- a/egretsill/address_steering/tests/test_uneven_targets.py
+++ b/egretsill/address_steering/tests/test_uneven_targets.py
@@ -1,4 +1,4 @@
-"""Targets of one slot whose speeds differ by 2.4 times, which no entry tells, under swinging demand.
+"""Targets of one slot and of speeds that differ by 2.4 times, which no entry tells, at a crest.
 
 45 targets, a third of them fast, and 24 balancers. Demand swings by 0.55 within 17 s, so the crest
 is at 0.67 of what all targets can do, and at 0.98 of what the slow ones can if all get as many
