--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -206,7 +206,8 @@
         answer = SendToCaller(packet.flow.caller_host, packet.datagram)
         if delay is None:
             return (answer, *self._opening.use_capacity(now)) if self.is_waiting else (answer,)
-        return (answer, Answered(packet.flow, delay), *self._opening.use_capacity(now))
+        answered = Answered(packet.flow, delay, entry.expected_seconds)
+        return (answer, answered, *self._opening.use_capacity(now))
 
     def take_capacity_request(self, request: CapacityRequest, now: float) -> Sequence[AgentEffect]:
         """Return the answer to another agent that asks for capacity, if there is any."""
--- a/egretsill/address_steering/_decisions.py
+++ b/egretsill/address_steering/_decisions.py
@@ -183,10 +183,12 @@
 
     Attributes:
         delay_seconds: time since the request's data came.
+        expected_seconds: how long it was expected to take then; 0 if that wasn't known.
     """
 
     flow: FlowKey
     delay_seconds: float
+    expected_seconds: float = 0.0
 
 
 class Failed(NamedTuple):
--- a/egretsill/address_steering/_flow_table.py
+++ b/egretsill/address_steering/_flow_table.py
@@ -53,6 +53,8 @@
         target_closed: whether the target has closed its direction.
         is_counted: whether it is included in the number of flows at the target.
         route: service address of its requests.
+        expected_seconds: how long the request in progress was expected to take when it was
+            delivered; 0 if that wasn't known.
     """
 
     state: FlowState
@@ -73,6 +75,7 @@
     target_closed: bool = False
     is_counted: bool = False
     route: RouteAddress | None = None
+    expected_seconds: float = 0.0
 
     @classmethod
     def begin(cls, state: FlowState, envelope: Envelope, now: float) -> FlowEntry:
@@ -239,7 +242,11 @@
         if entry.pending_since is None:
             entry.pending_since = now
             self._pending += 1
-            self._slots.begin(entry, self._capacity(), now)
+            slots = self._capacity()
+            entry.expected_seconds = self._work.seconds(entry.route)
+            if slots and self._slots.is_full(slots):
+                entry.expected_seconds += self.remaining_seconds(now) / slots
+            self._slots.begin(entry, slots, now)
 
     def answer_request(self, entry: FlowEntry, now: float) -> float | None:
         """Record that a target's data arrived; return the time since the request arrived."""
--- a/egretsill/address_steering/_slot_times.py
+++ b/egretsill/address_steering/_slot_times.py
@@ -34,6 +34,10 @@
         """Return the requests at the target that wait for a slot, and since when."""
         return self._waiting
 
+    def is_full(self, slots: int) -> bool:
+        """Return whether a further request would wait for one of some slots."""
+        return len(self._started) >= slots
+
     def begin(self, request: Request, slots: int, now: float) -> None:
         """Record that a request was delivered.
 
@@ -42,7 +46,7 @@
             slots: number of requests that the target works on at once; 0 if unknown.
             now: local time.
         """
-        if not slots or len(self._started) < slots:
+        if not slots or not self.is_full(slots):
             self._started[request] = now
         else:
             self._waiting[request] = now
--- a/egretsill/node/_decision_log.py
+++ b/egretsill/node/_decision_log.py
@@ -21,6 +21,7 @@
 from ..observation import Journal, Metrics
 from ..timing import TimerService
 
+_CHOICES = frozenset({ForwardReason.NEW_FLOW})
 _UNLOGGED_REASONS = frozenset({ForwardReason.KNOWN_OWNER, ForwardReason.PASSED_BEFORE})
 
 
@@ -31,6 +32,9 @@
         role: name of the role, for counters.
         peers: state of the other processes.
         find_load: returns a target's load as seen by placement, or None if it is unknown.
+        find_finish: returns the seconds until a target is expected to finish a usual request, or
+            None if it is unknown.
+        find_spill: returns the failure domain of a target in another one, otherwise nothing.
     """
 
     def __init__(
@@ -42,6 +46,8 @@
         metrics: Metrics,
         journal: Journal,
         find_load: Callable[[int, FlowKey], float | None],
+        find_finish: Callable[[int, FlowKey], float | None] = lambda *_: None,
+        find_spill: Callable[[int, FlowKey], str] = lambda *_: "",
     ) -> None:
         self._role = role
         self._directory = directory
@@ -50,20 +56,28 @@
         self._metrics = metrics
         self._journal = journal
         self._find_load = find_load
+        self._find_finish = find_finish
+        self._find_spill = find_spill
 
     def forwarded(self, decision: Forward) -> None:
         """Record that a packet is forwarded to an agent."""
         reason = decision.reason
         self._metrics.flow_packets.increment(self._role, reason)
+        spill = self._find_spill(decision.host, decision.flow) if reason in _CHOICES else ""
+        if spill:
+            self._metrics.flows_spilled.increment(spill)
         if reason in _UNLOGGED_REASONS or not self._journal.consume_budget(f"flow-{reason.value}"):
             return
         load = self._find_load(decision.host, decision.flow)
+        finish = self._find_finish(decision.host, decision.flow)
         self._journal.write(
             f"flow-{reason.value}",
             {
                 "flow": str(decision.flow),
                 "agent": format_ipv4(decision.host),
                 "load": None if load is None else round(load, 3),
+                "finish": None if finish is None else round(finish, 4),
+                "spill": spill,
                 "heard": self._peers.is_reachable(decision.host, self._timer.now),
                 "visited": _join_addresses(decision.envelope.visited),
                 **self._view_fields(),
@@ -130,6 +144,9 @@
         route = self._directory.route(decision.flow.service_host, decision.flow.service_port)
         service, name = (route.shares[0].service, route.name) if route else ("", "")
         self._metrics.time_to_first_byte_seconds.observe(decision.delay_seconds, service, name)
+        if decision.expected_seconds:
+            expected = decision.expected_seconds
+            self._metrics.expected_first_byte_seconds.observe(expected, service, name)
 
     def _view_fields(self) -> dict[str, int | float | str]:
         directory = self._directory
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -18,7 +18,7 @@
     SteeringPolicy,
 )
 from ..boot import AgentSettings, NodeSettings, NodeSockets
-from ..directory import Directory, ReadPlan, Store, TargetPlace
+from ..directory import Directory, ReadPlan, Store, TargetPlace, TargetView
 from ..endpoints import Address, parse_ipv4
 from ..fleet import HubPlan, PeerTable
 from ..observation import (
@@ -246,6 +246,8 @@
             self._metrics,
             self._journal,
             self._find_load,
+            self._find_finish,
+            self._find_spill,
         )
         if settings.agent is not None:
             return self._make_agent(settings.agent, codec, log)
@@ -350,12 +352,26 @@
         )
 
     def _find_load(self, host: int, flow: FlowKey) -> float | None:
+        view = self._find_target(host, flow)
+        return None if view is None else self._placement.load(view, self._timer.now)
+
+    def _find_finish(self, host: int, flow: FlowKey) -> float | None:
+        view = self._find_target(host, flow)
+        return None if view is None else self._placement.expected_finish(view, self._timer.now)
+
+    def _find_spill(self, host: int, flow: FlowKey) -> str:
+        view = self._find_target(host, flow)
+        own = self._settings.failure_domain
+        is_spill = view is not None and own and view.target.failure_domain != own
+        return view.target.failure_domain if view is not None and is_spill else ""
+
+    def _find_target(self, host: int, flow: FlowKey) -> TargetView | None:
         route = self._directory.route(flow.service_host, flow.service_port)
-        for service in route.services if route else ():
-            view = self._directory.target_at(host, service)
-            if view is not None:
-                return self._placement.load(view, self._timer.now)
-        return None
+        found = (
+            self._directory.target_at(host, service)
+            for service in (route.services if route else ())
+        )
+        return next((view for view in found if view is not None), None)
 
     def _note_content_change(self, source: str) -> None:
         if self._directory.is_known:
--- a/egretsill/node/tests/test_decision_log.py
+++ b/egretsill/node/tests/test_decision_log.py
@@ -8,6 +8,7 @@
 import pytest
 
 from ...address_steering import (
+    Answered,
     Envelope,
     FlowKey,
     Forward,
@@ -44,14 +45,29 @@
 
 
 @pytest.fixture
-def log(journal: RecordingJournal) -> DecisionLog:
+def metrics() -> Metrics:
+    return Metrics()
+
+
+@pytest.fixture
+def log(journal: RecordingJournal, metrics: Metrics) -> DecisionLog:
     timer = VirtualTimerService()
     directory = Directory()
     directory.apply_snapshot(Snapshot(rev(20), RouteTable(3, {}, 15.0), ()), timer.now - 0.4)
     peers = PeerTable(SELF)
     reports = [PeerReport(REACHABLE), PeerReport(SILENT, silence_milliseconds=2_000)]
     peers.receive_reports(reports, timer.now)
-    return DecisionLog("agent", directory, peers, timer, Metrics(), journal, lambda *_: None)
+    return DecisionLog(
+        "agent",
+        directory,
+        peers,
+        timer,
+        metrics,
+        journal,
+        lambda *_: None,
+        lambda *_: 0.0425,
+        lambda host, _: "fi-south-b" if host == REACHABLE else "",
+    )
 
 
 def test_reset_logs_the_visited_agents(log: DecisionLog, journal: RecordingJournal) -> None:
@@ -86,3 +102,34 @@
     ((kind, fields),) = journal.lines
     assert kind == "request-waits"
     assert ("paced" in fields) is is_paced
+
+
+@pytest.mark.parametrize(
+    ("host", "reason", "spill"),
+    [
+        pytest.param(REACHABLE, ForwardReason.NEW_FLOW, "fi-south-b", id="other failure domain"),
+        pytest.param(SILENT, ForwardReason.NEW_FLOW, "", id="own failure domain"),
+        pytest.param(REACHABLE, ForwardReason.FIRST_CANDIDATE, "", id="no choice of a target"),
+    ],
+)
+def test_choice_is_logged_with_what_was_expected(
+    log: DecisionLog,
+    journal: RecordingJournal,
+    metrics: Metrics,
+    host: int,
+    reason: ForwardReason,
+    spill: str,
+) -> None:
+    log.forwarded(Forward(host, Envelope(SELF, 3, 1, (), 1), reason, FLOW, b""))
+    ((_, fields),) = journal.lines
+    assert (fields["finish"], fields["spill"]) == (0.0425, spill)
+    assert metrics.flows_spilled.value("fi-south-b") == (1 if spill else 0)
+
+
+def test_expected_and_real_time_of_an_answer_are_counted(
+    log: DecisionLog, metrics: Metrics
+) -> None:
+    log.answered(Answered(FLOW, 0.05, 0.03))
+    log.answered(Answered(FLOW, 0.07))
+    assert metrics.time_to_first_byte_seconds.count("", "") == 2
+    assert metrics.expected_first_byte_seconds.count("", "") == 1
--- a/egretsill/observation/_definitions.py
+++ b/egretsill/observation/_definitions.py
@@ -84,6 +84,12 @@
         "Packets of flows steered by address that were sent on or refused, by why.",
         "Look up rising reasons other than known-owner in the journal's lines of the same name.",
     ),
+    _counter(
+        "flows_spilled",
+        ("failure_domain",),
+        "New flows that a balancer sent to a target of another failure domain, by that domain.",
+        "Many of them while own targets are idle: compare finish in flow-new-flow lines.",
+    ),
     _counter(
         "flow_requests",
         ("event",),
@@ -276,6 +282,11 @@
         "Seconds from a request's arrival to the first byte of its answer.",
         "Compare with queue_wait_seconds: if that is small, the backend server is slow.",
     ),
+    _histogram(
+        "expected_first_byte_seconds",
+        "Seconds from a request's delivery to the first byte of its answer, as expected then.",
+        "Compare its sum with that of time_to_first_byte_seconds; they differ if work is unsteady.",
+    ),
     _histogram(
         "answer_seconds",
         "Seconds from a request's arrival to the end of its whole answer.",
--- a/egretsill/observation/_metrics.py
+++ b/egretsill/observation/_metrics.py
@@ -197,6 +197,7 @@
 
     datagrams_forwarded: Counter
     flow_packets: Counter
+    flows_spilled: Counter
     flow_requests: Counter
     datagrams_dropped: Counter
     messages_malformed: Counter
@@ -236,6 +237,7 @@
     endpoint_open: Gauge
     members: Gauge
     time_to_first_byte_seconds: Histogram
+    expected_first_byte_seconds: Histogram
     answer_seconds: Histogram
     queue_wait_seconds: Histogram
     tries: Histogram
