--- a/egretsill/fleet/_heartbeat.py
+++ b/egretsill/fleet/_heartbeat.py
@@ -25,6 +25,7 @@
 _REPORT = struct.Struct(">IHBBBBBB")
 _FORMER_REPORT = struct.Struct(">IHHHBB")  # host, pending, flows, delay, silence, flags
 _IS_BALANCER, _IS_LEAVING, _CAN_READ, _IS_TARGET_SILENT, _IS_NEW = 1, 2, 4, 8, 16
+_READS_LEVELS = 64
 _TENTHS = 10  # backlog and work are sent in tenths of milliseconds
 
 # One byte holds a number as one of these levels: exactly up to 64, then in steps of 4.4%. A number
@@ -61,6 +62,7 @@
         backlog_milliseconds: expected time until its target could start one more request, that is
             the work of what it has, what is on its way and what waits for it, over its slots.
         work_milliseconds: time that its target takes for a usual request; 0 if unknown.
+        reads_levels: whether it decodes the current layout of heartbeats.
     """
 
     host: int
@@ -75,6 +77,7 @@
     is_new: bool = False
     backlog_milliseconds: float = 0.0
     work_milliseconds: float = 0.0
+    reads_levels: bool = False
 
 
 class HeartbeatHead(NamedTuple):
@@ -122,13 +125,24 @@
         self.reason = reason
 
 
-def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
-    """Encode a heartbeat; reports beyond `MAXIMUM_REPORTS` are left out."""
+def encode_heartbeat(heartbeat: Heartbeat, is_former: bool = False) -> bytes:
+    """Encode a heartbeat; reports beyond `MAXIMUM_REPORTS` are left out.
+
+    Args:
+        heartbeat: the heartbeat.
+        is_former: whether to use the layout of earlier releases, which lacks backlog and work.
+    """
     head = heartbeat.head
+    plain, subscribing = (
+        (_FORMER_PLAIN_MARK, _FORMER_SUBSCRIBING_MARK)
+        if is_former
+        else (_PLAIN_MARK, _SUBSCRIBING_MARK)
+    )
+    encode_report = _encode_former_report if is_former else _encode_report
     cell = head.cell.encode()
     parts = [
         _HEAD.pack(
-            _SUBSCRIBING_MARK if head.is_subscribing else _PLAIN_MARK,
+            subscribing if head.is_subscribing else plain,
             head.host,
             head.incarnation,
             head.sequence & _LARGEST_LONG,
@@ -140,7 +154,7 @@
         ),
         cell,
     ]
-    parts.extend(_encode_report(each) for each in heartbeat.reports[:MAXIMUM_REPORTS])
+    parts.extend(encode_report(each) for each in heartbeat.reports[:MAXIMUM_REPORTS])
     return b"".join(parts)
 
 
@@ -227,6 +241,7 @@
         bool(flags & _IS_NEW),
         backlog,
         work,
+        bool(flags & _READS_LEVELS),
     )
 
 
@@ -235,14 +250,23 @@
     return max(bisect_right(_LEVELS, round(value)) - 1, 0)
 
 
-def _encode_report(report: PeerReport) -> bytes:
-    flags = (
+def _flags_of(report: PeerReport) -> int:
+    return (
         (_IS_BALANCER if report.is_balancer else 0)
         | (_IS_LEAVING if report.is_leaving else 0)
         | (_CAN_READ if report.can_read else 0)
         | (_IS_TARGET_SILENT if report.is_target_silent else 0)
         | (_IS_NEW if report.is_new else 0)
+        | (_READS_LEVELS if report.reads_levels else 0)
     )
+
+
+def _silence_of(report: PeerReport) -> int:
+    silence = min(report.silence_milliseconds, LONGEST_SILENCE_MILLISECONDS)
+    return silence // SILENCE_UNIT_MILLISECONDS
+
+
+def _encode_report(report: PeerReport) -> bytes:
     return _REPORT.pack(
         report.host,
         min(report.flows, _LARGEST_SHORT),
@@ -250,6 +274,17 @@
         _level_of(report.delay_milliseconds),
         _level_of(report.backlog_milliseconds * _TENTHS),
         _level_of(report.work_milliseconds * _TENTHS),
-        min(report.silence_milliseconds, LONGEST_SILENCE_MILLISECONDS) // SILENCE_UNIT_MILLISECONDS,
-        flags,
+        _silence_of(report),
+        _flags_of(report),
+    )
+
+
+def _encode_former_report(report: PeerReport) -> bytes:
+    return _FORMER_REPORT.pack(
+        report.host,
+        min(report.pending, _LARGEST_SHORT),
+        min(report.flows, _LARGEST_SHORT),
+        min(report.delay_milliseconds, _LARGEST_SHORT),
+        _silence_of(report),
+        _flags_of(report),
     )
--- a/egretsill/fleet/_peers.py
+++ b/egretsill/fleet/_peers.py
@@ -109,6 +109,14 @@
         """Return the VMs of agents that report that they have just started."""
         return frozenset(host for host, each in self._peers.items() if each.report.is_new)
 
+    def reads_levels(self, now: float) -> bool:
+        """Return whether peers were heard, and all of them decode the current heartbeats.
+
+        A hub of an earlier release doesn't pass on that others do, so it counts for them as well.
+        """
+        heard = self.heard(now)
+        return bool(heard) and all(each.report.reads_levels for each in heard)
+
     def is_silent(self, host: int) -> bool:
         """Return whether a hub that receives a peer's heartbeats reports it as silent."""
         peer = self._peers.get(host)
--- a/egretsill/fleet/tests/test_heartbeat.py
+++ b/egretsill/fleet/tests/test_heartbeat.py
@@ -21,7 +21,7 @@
 )
 
 HEAD = HeartbeatHead(0x0A010001, 1_790_000_000_000, 77, 12, rev(3_456, era=9), 250, "fi-south-a/0")
-REPORT = PeerReport(0x0A020001, False, True, True, True, 3, 12, 45, 250, False, 6.3, 2.8)
+REPORT = PeerReport(0x0A020001, False, True, True, True, 3, 12, 45, 250, False, 6.3, 2.8, True)
 
 
 def test_heartbeat_round_trip() -> None:
@@ -67,6 +67,19 @@
     assert decode_reports(encode_heartbeat(Heartbeat(HEAD, [once]))) == [once]
 
 
+def test_former_layout_lacks_backlog_and_work_only() -> None:
+    data = encode_heartbeat(Heartbeat(HEAD, [REPORT]), is_former=True)
+    assert len(data) == len(encode_heartbeat(Heartbeat(HEAD, [REPORT])))
+    expected = REPORT._replace(backlog_milliseconds=0.0, work_milliseconds=0.0)
+    assert (decode_head(data), decode_reports(data)) == (HEAD, [expected])
+
+
+def test_former_layout_clamps_values_beyond_the_field_width() -> None:
+    report = REPORT._replace(pending=10**6, flows=10**6, silence_milliseconds=10**6)
+    (decoded,) = decode_reports(encode_heartbeat(Heartbeat(HEAD, [report]), is_former=True))
+    assert (decoded.pending, decoded.flows, decoded.silence_milliseconds) == (65535, 65535, 2550)
+
+
 def test_heartbeat_of_the_former_layout_is_decoded() -> None:
     """Guards against processes that count as silent while a fleet is upgraded one by one."""
     data = bytes.fromhex(
--- a/egretsill/fleet/tests/test_peers.py
+++ b/egretsill/fleet/tests/test_peers.py
@@ -116,3 +116,27 @@
     table.tick(FORGET_SECONDS + 1)
     assert not table.peers
     assert table.receive_head(HEAD, FORGET_SECONDS + 1)
+
+
+@pytest.mark.parametrize(
+    ("reports", "expected"),
+    [
+        pytest.param([], False, id="nobody heard yet"),
+        pytest.param([(2, True, 0), (3, True, 0)], True, id="all"),
+        pytest.param([(2, True, 0), (3, False, 0)], False, id="one of an earlier release"),
+        pytest.param([(2, True, 0), (3, False, 2_000)], True, id="that one is silent"),
+    ],
+)
+def test_current_heartbeats_are_sent_if_all_that_are_heard_decode_them(
+    reports: list[tuple[int, bool, int]], expected: bool
+) -> None:
+    """Guards against processes that count as silent while a fleet is upgraded one by one."""
+    table = PeerTable(1)
+    table.receive_reports(
+        [
+            PeerReport(host, reads_levels=reads, silence_milliseconds=silence)
+            for host, reads, silence in reports
+        ],
+        1.0,
+    )
+    assert table.reads_levels(1.0) is expected
--- a/egretsill/node/_fleet_link.py
+++ b/egretsill/node/_fleet_link.py
@@ -34,6 +34,7 @@
 MAXIMUM_DATAGRAM_BYTES = 1_500
 MAXIMUM_AGE_MILLISECONDS = 1_000_000
 FAR_HEARTBEAT_PERIODS = 2  # less often, since traffic between failure domains is expensive
+LAYOUT_CHECK_PERIODS = 4  # each looks at all peers
 READ_PAUSE_SECONDS = 0.05  # between reads of the socket, so that one wake-up reads many heartbeats
 CONFIRMATION_INTERVAL_SECONDS = 0.6  # a confirmation newer by this is announced between heartbeats
 STARTUP_SECONDS = 3.0  # lifetime of a subscription to a hub, so that all processes learn of a start
@@ -118,6 +119,7 @@
         self._sequence = 0
         self._period_count = 0
         self._is_leaving = False
+        self._uses_former_layout = True  # until all that are heard decode the current one
         self._silent_peers: set[int] = set()
         self._pushed_revision = NO_REVISION
         self._announced_confirmed_at = float("-inf")
@@ -219,7 +221,7 @@
             self._sequence += 1
             part = reports[start : start + MAXIMUM_REPORTS]
             head = self._make_head(now, is_subscribing)
-            self._send(encode_heartbeat(Heartbeat(head, part)), hosts)
+            self._send(encode_heartbeat(Heartbeat(head, part), self._uses_former_layout), hosts)
 
     def _send(self, data: bytes, hosts: Iterable[int]) -> None:
         for host in hosts:
@@ -262,6 +264,7 @@
             is_new=self._timer.now - self._started_at < STARTUP_SECONDS,
             backlog_milliseconds=load.backlog_seconds * MILLISECONDS,
             work_milliseconds=load.work_seconds * MILLISECONDS,
+            reads_levels=True,
         )
 
     async def _receive_all(self) -> None:
@@ -341,6 +344,8 @@
         with self._supervisor.contain(Part.HEARTBEATS):
             self.send_heartbeats()
         self._period_count += 1
+        if self._uses_former_layout or self._period_count % LAYOUT_CHECK_PERIODS == 0:
+            self._choose_layout(now)
         if self._period_count % FAR_HEARTBEAT_PERIODS == 0:
             with self._supervisor.contain(Part.HEARTBEATS):
                 self._contact_far_hubs(now)
@@ -349,6 +354,12 @@
             self._journal.record("hub-silent", peer=format_ipv4(host), cell=self._hubs.cell)
         self._log_silence_changes(now)
 
+    def _choose_layout(self, now: float) -> None:
+        uses_former = not self._peers.reads_levels(now)
+        if uses_former != self._uses_former_layout:
+            self._uses_former_layout = uses_former
+            self._journal.record("heartbeat-layout", former=uses_former)
+
     def _log_silence_changes(self, now: float) -> None:
         for host, peer in self._peers.peers.items():
             is_silent = peer.is_silent
