--- a/egretsill/fleet/_heartbeat.py
+++ b/egretsill/fleet/_heartbeat.py
@@ -247,7 +247,8 @@
 
 def _level_of(value: float) -> int:
     """Return the highest level that a number isn't below."""
-    return max(bisect_right(_LEVELS, round(value)) - 1, 0)
+    number = int(value + 0.5)
+    return number if number < _EXACT_LEVELS else bisect_right(_LEVELS, number) - 1
 
 
 def _flags_of(report: PeerReport) -> int:
