--- a/egretsill/address_steering/tests/test_uneven_targets.py
+++ b/egretsill/address_steering/tests/test_uneven_targets.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from functools import cache
 from statistics import mean
 
@@ -25,7 +26,10 @@
 
 
 def swinging_load(
-    seed: int, speeds: tuple[float, ...] = SPEEDS, uses_expected_finish: bool = True
+    seed: int,
+    speeds: tuple[float, ...] = SPEEDS,
+    uses_expected_finish: bool = True,
+    start_at: Callable[[int], float] = lambda _: 0.0,
 ) -> LoadFleet:
     fleet = LoadFleet(
         seed,
@@ -34,6 +38,7 @@
         slots=1,
         work_seconds=WORK_SECONDS,
         speeds=speeds,
+        start_at=start_at,
         uses_expected_finish=uses_expected_finish,
     )
     usual = WORK_SECONDS * (1.0 + TAIL_SHARE * (TAIL_FACTOR - 1.0))
@@ -106,3 +111,18 @@
     assert own[0] <= even[0] / 2
     assert own[1] >= even[1] / 2
     assert fleet.in_time(*CREST) >= 0.97
+
+
+def test_restarted_agents_get_their_share_though_their_estimates_are_gone() -> None:
+    """Guards against targets that get all new flows, or none, while their agents know no work."""
+    restarted_at = 2.0
+    fleet = swinging_load(1, start_at=lambda number: restarted_at if number % 5 == 0 else 0.0)
+    fleet.play()
+    hosts = list(fleet.targets)
+    for start in (2.5, 3.5):
+        counts = [
+            sum(start <= at < start + 1.0 for at in each.served) for each in fleet.targets.values()
+        ]
+        share = sum(counts[::5]) / sum(counts)
+        assert 0.5 <= share * len(hosts) / len(hosts[::5]) <= 2.0
+    assert fleet.in_time(*CREST) >= 0.95
--- a/egretsill/address_steering/tests/test_work_estimates.py
+++ b/egretsill/address_steering/tests/test_work_estimates.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from .. import FlowEntry, FlowKey, FlowState, FlowTable
 from .._slot_times import SlotTimes
 from .._work_estimates import KNOWN_ANSWERS, MAXIMUM_ROUTES, WorkEstimates
 
@@ -117,3 +118,23 @@
     for port in range(10 * MAXIMUM_ROUTES):
         work.record_answer((1, port), 0.01)
     assert len(work._routes) == MAXIMUM_ROUTES
+
+
+def test_backlog_is_the_work_of_what_a_target_has_by_route() -> None:
+    """Guards against a target with one long request that looks as free as one with a short one."""
+    table = FlowTable(60.0, capacity=lambda: 1)
+    flows = [FlowKey(9, 1024 + number, *(LONG if number % 2 else SHORT)) for number in range(60)]
+    for number, flow in enumerate(flows):
+        entry = FlowEntry(FlowState.OWNED, 0, 0, (), float(number), float(number))
+        table.put(flow, entry)
+        table.begin_request(entry, float(number))
+        table.answer_request(entry, number + (0.2 if number % 2 else 0.02))
+    backlogs = []
+    for number in (0, 1):
+        entry = FlowEntry(FlowState.OWNED, 0, 0, (), 99.0, 99.0)
+        table.put(flows[number], entry)
+        table.begin_request(entry, 99.0)
+        backlogs.append(table.remaining_seconds(99.0))
+    assert backlogs[0] == pytest.approx(0.02, rel=0.3)
+    assert backlogs[1] - backlogs[0] == pytest.approx(0.2, rel=0.3)
+    assert table.remaining_seconds(99.015) == pytest.approx(backlogs[1] - 0.01, rel=0.1)
