--- a/egretsill/address_steering/_expected_finish.py
+++ b/egretsill/address_steering/_expected_finish.py
@@ -107,11 +107,15 @@
         peer = self._peers.peers.get(host)
         if peer is None:
             return TargetOutlook(0.0, 0.0, usual_seconds, slots, sent)
-        report = peer.report
+        report, age = peer.report, now - peer.last_seen_at
+        if not report.work_milliseconds:
+            # An agent that doesn't know the work of requests can't tell its target's backlog.
+            backlog = report.pending * usual_seconds / slots if report.pending >= slots else 0.0
+            return TargetOutlook(backlog, age, usual_seconds, slots, sent)
         return TargetOutlook(
             report.backlog_milliseconds / MILLISECONDS,
-            now - peer.last_seen_at,
-            report.work_milliseconds / MILLISECONDS or usual_seconds,
+            age,
+            report.work_milliseconds / MILLISECONDS,
             slots,
             sent,
         )
