--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -35,6 +35,7 @@
 from ._policy import SteeringPolicy
 from ._presence import Presence
 from ._request_queue import RequestQueue
+from ._target_failures import TargetFailures, is_failure
 from ._target_silence import TargetSilence
 from ._tunnel import (
     ANY_SERVICE,
@@ -88,13 +89,21 @@
         self._flows = FlowTable(retention_seconds, started_at, self._own_capacity)
         self._notifier = HomeNotifier(host, service, self._flows, placement.candidates, peers)
         self._silence = TargetSilence()
+        self._failures = TargetFailures()
         self._pace = WarmUpPace(host, service, directory, started_at, policy)
         self._admission = FlowAdmission(
             host, service, directory, self._flows, placement, policy, self._pace, failure_domain
         )
         self._target = self._admission.target
         self._opening = FlowOpening(
-            host, service, directory, placement, self._flows, self._silence, self._admission
+            host,
+            service,
+            directory,
+            placement,
+            self._flows,
+            self._silence,
+            self._failures,
+            self._admission,
         )
         self._queue = self._admission.queue
         self._undecided = UndecidedPackets()
@@ -144,6 +153,10 @@
         """Return whether the target has left packets unanswered for longer than the limit."""
         return self._silence.is_silent(now)
 
+    def is_target_failing(self, now: float) -> bool:
+        """Return whether the target has failed too many of its latest requests."""
+        return self._failures.is_failing(now)
+
     def take_from_peer(
         self, envelope: Envelope, packet: FlowPacket, now: float
     ) -> Sequence[AgentEffect]:
@@ -194,7 +207,10 @@
         # The FIN packet may overtake the data of the answer after which the target closes.
         is_closing = packet.kind is PacketKind.FIN and not entry.caller_closed
         is_answer = packet.payload_bytes > 0 or is_closing
-        delay = self._flows.answer_request(entry, now) if is_answer else None
+        has_failed = is_failure(packet.status) or _breaks_off(entry, packet)
+        delay = self._flows.answer_request(entry, now, has_failed) if is_answer else None
+        if delay is not None or has_failed:
+            self._failures.record(has_failed, now)
         if packet.kind is PacketKind.FIN:
             entry.target_closed = True
             self._flows.end_request(entry, now)
@@ -206,7 +222,7 @@
         answer = SendToCaller(packet.flow.caller_host, packet.datagram)
         if delay is None:
             return (answer, *self._opening.use_capacity(now)) if self.is_waiting else (answer,)
-        answered = Answered(packet.flow, delay, entry.expected_seconds)
+        answered = Answered(packet.flow, delay, entry.expected_seconds, has_failed)
         return (answer, answered, *self._opening.use_capacity(now))
 
     def take_capacity_request(self, request: CapacityRequest, now: float) -> Sequence[AgentEffect]:
@@ -239,7 +255,9 @@
     def sweep(self, now: float) -> None:
         """Remove flows, home records and counts that have ended or are too old."""
         table = self._directory.table
-        self._flows.sweep(now, table.idle_seconds if table else 0.0)
+        for _ in range(self._flows.sweep(now, table.idle_seconds if table else 0.0)):
+            self._failures.record(True, now)
+        self._failures.tick(now)
         self._search.homes.sweep(now)
         self._admission.sweep(now)
         self._placement.tick(now)
@@ -353,3 +371,9 @@
                 return refuse_packet(self._host, envelope, packet, refusal)
             case DropReason() as drop:
                 return (Drop(packet.flow, drop),)
+
+
+def _breaks_off(entry: FlowEntry, packet: FlowPacket) -> bool:
+    """Return whether the target ends a flow without an answer that its caller still waits for."""
+    is_end = packet.kind in (PacketKind.FIN, PacketKind.RST)
+    return is_end and entry.pending_since is not None and not entry.caller_closed
--- a/egretsill/address_steering/_decisions.py
+++ b/egretsill/address_steering/_decisions.py
@@ -24,6 +24,7 @@
     TARGET_FULL = "target-full"
     TARGET_SILENT = "target-silent"
     WARM_UP_PACE = "warm-up-pace"
+    TARGET_FAILING = "target-failing"
     OTHER_SERVICE = "other-service"
     PASSED_BEFORE = "passed-before"
     CAPACITY_OFFERED = "capacity-offered"
@@ -184,11 +185,13 @@
     Attributes:
         delay_seconds: time since the request's data came.
         expected_seconds: how long it was expected to take then; 0 if that wasn't known.
+        has_failed: whether the answer says that the target couldn't serve it.
     """
 
     flow: FlowKey
     delay_seconds: float
     expected_seconds: float = 0.0
+    has_failed: bool = False
 
 
 class Failed(NamedTuple):
--- a/egretsill/address_steering/_flow_opening.py
+++ b/egretsill/address_steering/_flow_opening.py
@@ -22,6 +22,7 @@
 from ._packet import OPEN_TIMEOUT_SECONDS, FlowPacket, syn_copy_delay
 from ._placement import FlowPlacement
 from ._request_queue import WaitingRequest
+from ._target_failures import TargetFailures
 from ._target_silence import TargetSilence
 from ._tunnel import MAXIMUM_ROUTE_HOPS, Envelope, OwnerNotice, service_hash
 
@@ -43,6 +44,7 @@
         placement: chooses other targets for new flows that this one doesn't accept.
         flows: the flows that the agent knows of.
         silence: whether the target answers.
+        failures: whether it fails its requests.
         admission: keeps what the target has no capacity for.
     """
 
@@ -54,6 +56,7 @@
         placement: FlowPlacement,
         flows: FlowTable,
         silence: TargetSilence,
+        failures: TargetFailures,
         admission: FlowAdmission,
     ) -> None:
         self._host = host
@@ -63,6 +66,7 @@
         self._placement = placement
         self._flows = flows
         self._silence = silence
+        self._failures = failures
         self._admission = admission
 
     def take_syn(self, envelope: Envelope, packet: FlowPacket, now: float) -> Sequence[AgentEffect]:
@@ -183,6 +187,11 @@
         is_silent = self._silence.is_silent(now)
         if is_silent and self._choose(envelope, packet, service, now) is not None:
             return self.pass_on(envelope, packet, service, ForwardReason.TARGET_SILENT, now)
+        if self._failures.is_failing(now) and not envelope.visited:
+            # One hop only, since the next target may be failing too.
+            host = self._choose(envelope, packet, service, now)
+            if host is not None and self._placement.is_preferable(host, now):
+                return self.pass_on(envelope, packet, service, ForwardReason.TARGET_FAILING, now)
         return ()
 
     def _open(
--- a/egretsill/address_steering/_flow_table.py
+++ b/egretsill/address_steering/_flow_table.py
@@ -248,8 +248,16 @@
                 entry.expected_seconds += self.remaining_seconds(now) / slots
             self._slots.begin(entry, slots, now)
 
-    def answer_request(self, entry: FlowEntry, now: float) -> float | None:
-        """Record that a target's data arrived; return the time since the request arrived."""
+    def answer_request(
+        self, entry: FlowEntry, now: float, has_failed: bool = False
+    ) -> float | None:
+        """Record that a target's data arrived; return the time since the request arrived.
+
+        Args:
+            entry: the flow.
+            now: local time.
+            has_failed: whether the target failed; a fast failure must not look like a fast target.
+        """
         if entry.pending_since is None:
             return None
         delay = now - entry.pending_since
@@ -258,7 +266,7 @@
         self._service_seconds += share * (delay - self._service_seconds)
         slot_seconds = self.end_request(entry, now)
         if slot_seconds is not None and entry.route is not None:
-            self._work.record_answer(entry.route, slot_seconds)
+            self._work.record_answer(entry.route, slot_seconds, has_failed)
         return delay
 
     def end_request(self, entry: FlowEntry, now: float) -> float | None:
@@ -273,15 +281,22 @@
         """Record that this process resumed; its pause doesn't count as idle time of flows."""
         self._resumed_at = now
 
-    def sweep(self, now: float, idle_seconds: float) -> None:
-        """Remove flows that have ended or were idle for too long."""
+    def sweep(self, now: float, idle_seconds: float) -> int:
+        """Remove flows that have ended or were idle for too long.
+
+        Returns:
+            The number of requests that the target has not answered for `STUCK_SECONDS`, each once.
+        """
+        stuck = 0
         if now - self._resumed_at < RESUME_GRACE_SECONDS:
-            return
+            return stuck
         for flow, entry in tuple(self._flows.items()):
             if now - entry.last_packet_at > self._idle_limit(entry, idle_seconds):
                 self.remove(flow, now)
             elif entry.pending_since is not None and now - entry.pending_since > STUCK_SECONDS:
                 self.end_request(entry, now)
+                stuck += 1
+        return stuck
 
     def _idle_limit(self, entry: FlowEntry, idle_seconds: float) -> float:
         if entry.has_ended:
--- a/egretsill/address_steering/_packet.py
+++ b/egretsill/address_steering/_packet.py
@@ -62,6 +62,7 @@
         acknowledged: the sender's last acknowledgement number.
         payload_bytes: length of the data that it carries.
         datagram: the complete packet, as it is sent to a target or a caller.
+        status: HTTP status if it begins an answer, else 0.
     """
 
     flow: FlowKey
@@ -72,6 +73,7 @@
     acknowledged: int
     payload_bytes: int
     datagram: bytes
+    status: int = 0
 
 
 class MalformedFlowPacket(Exception):
--- a/egretsill/address_steering/_placement.py
+++ b/egretsill/address_steering/_placement.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import enum
+from collections import Counter
 from collections.abc import Collection, Iterable, Iterator, Sequence
 from itertools import islice
 
@@ -33,6 +34,9 @@
 MAXIMUM_SLOWNESS = 8.0  # limits the load factor of slow targets, so that they can show recovery
 MINIMUM_DELAY_MILLISECONDS = 10.0  # shorter delays are compared as this one
 DEFAULT_CAPACITY = 4  # for a target that doesn't report how many requests it works on
+# With more failing targets the others would be overloaded, so the reports are ignored (the panic
+# threshold of Envoy's load balancing).
+MAXIMUM_FAILING_SHARE = 0.4
 MEDIAN_DELAY_CACHE_SECONDS = 0.5  # how long a service's median delay is cached between heartbeats
 SENT_COUNT_LIFETIME_SECONDS = 5.0  # by then, heartbeats have reported the counted flows
 
@@ -42,8 +46,9 @@
 
     HEALTHY = 0
     UNCERTAIN = 1
-    NOT_ACCEPTING = 2
-    UNREACHABLE = 3
+    FAILING = 2
+    NOT_ACCEPTING = 3
+    UNREACHABLE = 4
 
 
 class FlowPlacement:
@@ -71,6 +76,8 @@
         self._sent_counts: dict[int, tuple[int, int, float]] = {}
         self._median_delays: dict[str, tuple[float, float]] = {}
         self._work = WorkTable(peers)
+        self._failing_services: frozenset[str] = frozenset()
+        self._failing_found_at = float("-inf")
 
     @property
     def candidates(self) -> Candidates:
@@ -322,6 +329,8 @@
             return Readiness.UNREACHABLE
         if peer.report.is_leaving or peer.report.is_target_silent:
             return Readiness.NOT_ACCEPTING
+        if peer.report.is_target_failing and not self._are_many_failing(host, now):
+            return Readiness.FAILING
         return Readiness.HEALTHY if self._peers.is_reachable(host, now) else Readiness.UNCERTAIN
 
     def _warm_up_factor(self, view: TargetView, now: float) -> float:
@@ -331,6 +340,34 @@
         usual = self._usual_delay(view.target.service, now)
         return paced_load_factor(terms, _capacity(view), usual, WARM_UP_LOAD_FACTOR)
 
+    def is_preferable(self, host: int, now: float) -> bool:
+        """Return whether a target is not known to be worse than one that fails its requests."""
+        return self._readiness(host, now) < Readiness.FAILING
+
+    def _are_many_failing(self, host: int, now: float) -> bool:
+        """Return whether too many targets of a service are failing for others to take their flows.
+
+        Args:
+            host: a VM of the service.
+            now: local time.
+        """
+        if now - self._failing_found_at > MEDIAN_DELAY_CACHE_SECONDS:
+            self._failing_found_at = now
+            self._failing_services = self._find_failing_services()
+        views = self._directory.targets_on(host)
+        return any(each.target.service in self._failing_services for each in views)
+
+    def _find_failing_services(self) -> frozenset[str]:
+        failing: Counter[str] = Counter()
+        for host, peer in self._peers.peers.items():
+            if peer.report.is_target_failing:
+                failing.update({each.target.service for each in self._directory.targets_on(host)})
+        return frozenset(
+            service
+            for service, count in failing.items()
+            if count > MAXIMUM_FAILING_SHARE * len(self._candidates.of(service).views)
+        )
+
     def _slowness(self, delay_milliseconds: int, service: str, now: float) -> float:
         usual = self._usual_delay(service, now)
         return min(max(delay_milliseconds / usual, 1.0), MAXIMUM_SLOWNESS)
--- a/egretsill/address_steering/tests/load_fleet.py
+++ b/egretsill/address_steering/tests/load_fleet.py
@@ -218,6 +218,7 @@
             int(flows.delay_seconds * 1e3),
             backlog_milliseconds=target.agent.backlog_seconds(self.now) * 1e3,
             work_milliseconds=flows.work.usual_seconds * 1e3 if flows.work.is_known else 0.0,
+            is_target_failing=target.agent.is_target_failing(self.now),
         )
         views = [(domain, view) for domain, view, _ in self.balancers.values()]
         views += [(e.domain, e.view) for e in self.targets.values() if e.is_up and e.host != host]
@@ -383,7 +384,9 @@
 
     def _finish(self, target: ModelTarget, attempt: Attempt) -> None:
         target.working -= 1
-        self._answer(target, self._packet(attempt.key, PacketKind.PLAIN, size=2000))
+        answer = self._packet(attempt.key, PacketKind.PLAIN, size=2000)
+        has_failed = self.random.random() < target.failing_share
+        self._answer(target, answer._replace(status=500 if has_failed else 200))
         self._work(target)
 
     def _answer(self, target: ModelTarget, packet: FlowPacket) -> None:
@@ -399,7 +402,8 @@
             attempt.owner = host
             self._to_balancer(self._packet(packet.flow, PacketKind.PLAIN, size=100))
         elif packet.kind is PacketKind.PLAIN and request.answered_at is None:
-            request.answered_at = self.now
+            # Requests that may not be repeated: a failure is their answer.
+            request.answered_at = self.now if packet.status < 500 else None
             self._close(attempt)
 
     def _reset(self, flow: FlowKey) -> None:
--- a/egretsill/address_steering/tests/load_parts.py
+++ b/egretsill/address_steering/tests/load_parts.py
@@ -70,6 +70,7 @@
     view: View
     agent: AgentSteering
     slowness: float = 1.0
+    failing_share: float = 0.0
     is_up: bool = True
     half_open: set[FlowKey] = field(default_factory=set)
     open: set[FlowKey] = field(default_factory=set)
--- a/egretsill/fleet/_heartbeat.py
+++ b/egretsill/fleet/_heartbeat.py
@@ -25,7 +25,7 @@
 _REPORT = struct.Struct(">IHBBBBBB")
 _FORMER_REPORT = struct.Struct(">IHHHBB")  # host, pending, flows, delay, silence, flags
 _IS_BALANCER, _IS_LEAVING, _CAN_READ, _IS_TARGET_SILENT, _IS_NEW = 1, 2, 4, 8, 16
-_READS_LEVELS = 64
+_IS_TARGET_FAILING, _READS_LEVELS = 32, 64
 _TENTHS = 10  # backlog and work are sent in tenths of milliseconds
 
 # One byte holds a number as one of these levels: exactly up to 64, then in steps of 4.4%. A number
@@ -63,6 +63,7 @@
             the work of what it has, what is on its way and what waits for it, over its slots.
         work_milliseconds: time that its target takes for a usual request; 0 if unknown.
         reads_levels: whether it decodes the current layout of heartbeats.
+        is_target_failing: whether its target has failed too many of its latest requests.
     """
 
     host: int
@@ -78,6 +79,7 @@
     backlog_milliseconds: float = 0.0
     work_milliseconds: float = 0.0
     reads_levels: bool = False
+    is_target_failing: bool = False
 
 
 class HeartbeatHead(NamedTuple):
@@ -242,6 +244,7 @@
         backlog,
         work,
         bool(flags & _READS_LEVELS),
+        bool(flags & _IS_TARGET_FAILING),
     )
 
 
@@ -259,6 +262,7 @@
         | (_IS_TARGET_SILENT if report.is_target_silent else 0)
         | (_IS_NEW if report.is_new else 0)
         | (_READS_LEVELS if report.reads_levels else 0)
+        | (_IS_TARGET_FAILING if report.is_target_failing else 0)
     )
 
 
--- a/egretsill/node/_decision_log.py
+++ b/egretsill/node/_decision_log.py
@@ -140,7 +140,7 @@
 
     def answered(self, decision: Answered) -> None:
         """Record a target's time to first byte."""
-        self._metrics.flow_requests.increment("answered")
+        self._metrics.flow_requests.increment("failed" if decision.has_failed else "answered")
         route = self._directory.route(decision.flow.service_host, decision.flow.service_port)
         service, name = (route.shares[0].service, route.name) if route else ("", "")
         self._metrics.time_to_first_byte_seconds.observe(decision.delay_seconds, service, name)
--- a/egretsill/node/_fleet_link.py
+++ b/egretsill/node/_fleet_link.py
@@ -55,6 +55,7 @@
         is_target_silent: whether the target has not answered anything for a while.
         backlog_seconds: expected time until the target could start one more request.
         work_seconds: time that it takes for a usual request; 0 if unknown.
+        is_target_failing: whether it has failed too many of its latest requests.
     """
 
     pending: int = 0
@@ -63,6 +64,7 @@
     is_target_silent: bool = False
     backlog_seconds: float = 0.0
     work_seconds: float = 0.0
+    is_target_failing: bool = False
 
 
 class FleetLink:
@@ -265,6 +267,7 @@
             backlog_milliseconds=load.backlog_seconds * MILLISECONDS,
             work_milliseconds=load.work_seconds * MILLISECONDS,
             reads_levels=True,
+            is_target_failing=load.is_target_failing,
         )
 
     async def _receive_all(self) -> None:
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -106,6 +106,7 @@
         self._stopped = trio.Event()
         self._content_known = trio.Event()
         self._agent_steering: AgentSteering | None = None
+        self._is_target_failing = False
         self._role = self._make_role(codec)
         self._exchange = ContentExchange(
             self._endpoints.content,
@@ -349,6 +350,7 @@
             steering.is_target_silent(now),
             steering.backlog_seconds(now),
             flows.work.usual_seconds if flows.work.is_known else 0.0,
+            steering.is_target_failing(now),
         )
 
     def _find_load(self, host: int, flow: FlowKey) -> float | None:
@@ -393,6 +395,10 @@
         self._directory_log.note_target_changes()
         load = self._load()
         self._metrics.flows_open.set(load.flows)
+        if load.is_target_failing is not self._is_target_failing:
+            self._is_target_failing = load.is_target_failing
+            kind = "target-failing" if load.is_target_failing else "target-on-trial"
+            self._journal.record(kind, flows=load.flows, pending=load.pending)
 
     def _check_shutdown(self, now: float) -> None:
         is_idle = False
--- a/egretsill/observation/_definitions.py
+++ b/egretsill/observation/_definitions.py
@@ -93,8 +93,9 @@
     _counter(
         "flow_requests",
         ("event",),
-        "Requests on flows steered by address that were answered, waited for the target's "
-        "capacity or for its pace in warm-up (paced), or expired while they waited.",
+        "Requests on flows steered by address that were answered, were answered with a failure "
+        "of the target, waited for its capacity or for its pace in warm-up (paced), or expired "
+        "while they waited.",
         "Expired requests never ran: the service has too few targets for its load, or lost some. "
         "Paced ones that go on mean that targets start again and again.",
     ),
