--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -27,7 +27,7 @@
 from ._flow_admission import FlowAdmission
 from ._flow_opening import FlowOpening
 from ._flow_search import FlowSearch, SearchHop
-from ._flow_table import FlowEntry, FlowState, FlowTable
+from ._flow_table import STUCK_SECONDS, FlowEntry, FlowState, FlowTable
 from ._forwarding import pass_packet, refuse_packet
 from ._homes import HomeNotifier
 from ._packet import FlowPacket, PacketKind
@@ -157,6 +157,11 @@
         """Return whether the target has failed too many of its latest requests."""
         return self._failures.is_failing(now)
 
+    @property
+    def failures(self) -> TargetFailures:
+        """Return what is known of requests that the target failed."""
+        return self._failures
+
     def take_from_peer(
         self, envelope: Envelope, packet: FlowPacket, now: float
     ) -> Sequence[AgentEffect]:
@@ -207,8 +212,10 @@
         # The FIN packet may overtake the data of the answer after which the target closes.
         is_closing = packet.kind is PacketKind.FIN and not entry.caller_closed
         is_answer = packet.payload_bytes > 0 or is_closing
-        has_failed = is_failure(packet.status) or _breaks_off(entry, packet)
+        has_failed = is_failure(packet.status)
         delay = self._flows.answer_request(entry, now, has_failed) if is_answer else None
+        if delay is None:
+            has_failed = _breaks_off(entry, packet)
         if delay is not None or has_failed:
             self._failures.record(has_failed, now)
         if packet.kind is PacketKind.FIN:
@@ -255,8 +262,10 @@
     def sweep(self, now: float) -> None:
         """Remove flows, home records and counts that have ended or are too old."""
         table = self._directory.table
-        for _ in range(self._flows.sweep(now, table.idle_seconds if table else 0.0)):
-            self._failures.record(True, now)
+        for flow in self._flows.sweep(now, table.idle_seconds if table else 0.0):
+            route = self._directory.route(flow.service_host, flow.service_port)
+            if route is not None and 0 < route.deadline_seconds <= STUCK_SECONDS:
+                self._failures.record(True, now)  # later ones may still be answered in time
         self._failures.tick(now)
         self._search.homes.sweep(now)
         self._admission.sweep(now)
@@ -374,6 +383,6 @@
 
 
 def _breaks_off(entry: FlowEntry, packet: FlowPacket) -> bool:
-    """Return whether the target ends a flow without an answer that its caller still waits for."""
-    is_end = packet.kind in (PacketKind.FIN, PacketKind.RST)
-    return is_end and entry.pending_since is not None and not entry.caller_closed
+    """Return whether the target resets a flow whose caller still waits for an answer."""
+    is_open = not (entry.caller_closed or entry.target_closed)
+    return packet.kind is PacketKind.RST and is_open and entry.pending_since is not None
--- a/egretsill/address_steering/_flow_opening.py
+++ b/egretsill/address_steering/_flow_opening.py
@@ -114,6 +114,8 @@
             return refuse_packet(self._host, envelope, packet, refusal)
         entry = FlowEntry.begin(FlowState.PASSED, envelope, now)
         entry.passed_to = host
+        # All copies go to one target, also if another one is chosen or the trial begins meanwhile.
+        entry.is_transferred = reason is ForwardReason.TARGET_FAILING
         self._flows.put(packet.flow, entry)
         mark = self._mark if service == self._service else service_hash(service)
         steered = envelope._replace(version=self._directory.version, service_hash=mark)
@@ -133,7 +135,7 @@
         effects = self._expire(now)
         while (request := self._admission.pop_next(now)) is not None:
             effects.extend(self._take_waiting(request, now))
-        if not self._silence.is_silent(now):
+        if not (self._silence.is_silent(now) or self._failures.is_failing(now)):
             effects.extend(self._admission.offer_capacity(now))
         return effects
 
@@ -184,10 +186,16 @@
         reason = self._admission.target.reason_to_pass(now)
         if reason is not None:
             return self.pass_on(envelope, packet, service, reason, now)
+        known = self._flows.get(packet.flow)
         is_silent = self._silence.is_silent(now)
         if is_silent and self._choose(envelope, packet, service, now) is not None:
             return self.pass_on(envelope, packet, service, ForwardReason.TARGET_SILENT, now)
-        if self._failures.is_failing(now) and not envelope.visited:
+        if (
+            self._failures.is_failing(now)
+            and not envelope.visited
+            and (known is None or known.state is not FlowState.TRYING)
+            and not self._placement.are_many_failing(self._host, now)
+        ):
             # One hop only, since the next target may be failing too.
             host = self._choose(envelope, packet, service, now)
             if host is not None and self._placement.is_preferable(host, now):
--- a/egretsill/address_steering/_flow_table.py
+++ b/egretsill/address_steering/_flow_table.py
@@ -261,9 +261,10 @@
         if entry.pending_since is None:
             return None
         delay = now - entry.pending_since
-        self._delay_seconds += DELAY_SMOOTHING * (delay - self._delay_seconds)
-        share = DELAY_SMOOTHING if self._service_seconds else 1.0
-        self._service_seconds += share * (delay - self._service_seconds)
+        if not has_failed:
+            self._delay_seconds += DELAY_SMOOTHING * (delay - self._delay_seconds)
+            share = DELAY_SMOOTHING if self._service_seconds else 1.0
+            self._service_seconds += share * (delay - self._service_seconds)
         slot_seconds = self.end_request(entry, now)
         if slot_seconds is not None and entry.route is not None:
             self._work.record_answer(entry.route, slot_seconds, has_failed)
@@ -281,13 +282,13 @@
         """Record that this process resumed; its pause doesn't count as idle time of flows."""
         self._resumed_at = now
 
-    def sweep(self, now: float, idle_seconds: float) -> int:
+    def sweep(self, now: float, idle_seconds: float) -> Sequence[FlowKey]:
         """Remove flows that have ended or were idle for too long.
 
         Returns:
-            The number of requests that the target has not answered for `STUCK_SECONDS`, each once.
+            The flows on which neither end said anything for `STUCK_SECONDS` after a request.
         """
-        stuck = 0
+        stuck: list[FlowKey] = []
         if now - self._resumed_at < RESUME_GRACE_SECONDS:
             return stuck
         for flow, entry in tuple(self._flows.items()):
@@ -295,7 +296,8 @@
                 self.remove(flow, now)
             elif entry.pending_since is not None and now - entry.pending_since > STUCK_SECONDS:
                 self.end_request(entry, now)
-                stuck += 1
+                if not entry.caller_closed and now - entry.last_packet_at > STUCK_SECONDS:
+                    stuck.append(flow)
         return stuck
 
     def _idle_limit(self, entry: FlowEntry, idle_seconds: float) -> float:
--- a/egretsill/address_steering/_placement.py
+++ b/egretsill/address_steering/_placement.py
@@ -329,7 +329,7 @@
             return Readiness.UNREACHABLE
         if peer.report.is_leaving or peer.report.is_target_silent:
             return Readiness.NOT_ACCEPTING
-        if peer.report.is_target_failing and not self._are_many_failing(host, now):
+        if peer.report.is_target_failing and not self.are_many_failing(host, now):
             return Readiness.FAILING
         return Readiness.HEALTHY if self._peers.is_reachable(host, now) else Readiness.UNCERTAIN
 
@@ -341,10 +341,10 @@
         return paced_load_factor(terms, _capacity(view), usual, WARM_UP_LOAD_FACTOR)
 
     def is_preferable(self, host: int, now: float) -> bool:
-        """Return whether a target is not known to be worse than one that fails its requests."""
-        return self._readiness(host, now) < Readiness.FAILING
+        """Return whether a target is known to be better than one that fails its requests."""
+        return self._readiness(host, now) is Readiness.HEALTHY
 
-    def _are_many_failing(self, host: int, now: float) -> bool:
+    def are_many_failing(self, host: int, now: float) -> bool:
         """Return whether too many targets of a service are failing for others to take their flows.
 
         Args:
@@ -353,21 +353,35 @@
         """
         if now - self._failing_found_at > MEDIAN_DELAY_CACHE_SECONDS:
             self._failing_found_at = now
-            self._failing_services = self._find_failing_services()
+            self._failing_services = self._find_failing_services(now)
         views = self._directory.targets_on(host)
         return any(each.target.service in self._failing_services for each in views)
 
-    def _find_failing_services(self) -> frozenset[str]:
+    def _find_failing_services(self, now: float) -> frozenset[str]:
         failing: Counter[str] = Counter()
         for host, peer in self._peers.peers.items():
-            if peer.report.is_target_failing:
+            if peer.report.is_target_failing and self._accepts(host):
                 failing.update({each.target.service for each in self._directory.targets_on(host)})
         return frozenset(
             service
             for service, count in failing.items()
-            if count > MAXIMUM_FAILING_SHARE * len(self._candidates.of(service).views)
+            if count > MAXIMUM_FAILING_SHARE * self._count_accepting(service, now)
         )
 
+    def _count_accepting(self, service: str, now: float) -> int:
+        """Return the number of targets of a service that take new flows, as far as is known."""
+        return sum(
+            view.takes_new_flows(now) and self._accepts(host)
+            for host, view in self._candidates.of(service).views.items()
+        )
+
+    def _accepts(self, host: int) -> bool:
+        peer = self._peers.peers.get(host)
+        if peer is None:
+            return True
+        is_closed = peer.report.is_leaving or peer.report.is_target_silent
+        return not (is_closed or self._peers.is_silent(host))
+
     def _slowness(self, delay_milliseconds: int, service: str, now: float) -> float:
         usual = self._usual_delay(service, now)
         return min(max(delay_milliseconds / usual, 1.0), MAXIMUM_SLOWNESS)
--- a/egretsill/address_steering/_target_failures.py
+++ b/egretsill/address_steering/_target_failures.py
@@ -14,7 +14,7 @@
 
 from collections import deque
 
-JUDGED_ANSWERS = 16  # latest answers by which a target is judged
+JUDGED_ANSWERS = 64  # latest answers by which a target is judged
 MINIMUM_FAILURES = 4  # of them; fewer may be the fault of single requests
 FAILING_SHARE = 0.25  # of the judged answers
 MINIMUM_TRIAL_FAILURES = 2  # after it was avoided, fewer failures show that it has not recovered
@@ -44,6 +44,17 @@
         self._avoided_until = float("-inf")
         self._avoided_seconds = 0.0
         self._is_on_trial = False
+        self._total = 0
+
+    @property
+    def avoided_seconds(self) -> float:
+        """Return for how long the target was avoided last, 0 if it counts as new."""
+        return self._avoided_seconds
+
+    @property
+    def total(self) -> int:
+        """Return the number of failures since the start."""
+        return self._total
 
     def record(self, has_failed: bool, now: float) -> None:
         """Record that a request was answered, or that it failed.
@@ -52,6 +63,7 @@
             has_failed: whether the target failed or rejected it, reset its flow, or never answered.
             now: local time.
         """
+        self._total += has_failed
         if self.is_failing(now):
             return  # requests from before, which say nothing of the time after
         self._outcomes.append((now, has_failed))
--- a/egretsill/address_steering/tests/test_target_failures.py
+++ b/egretsill/address_steering/tests/test_target_failures.py
@@ -6,6 +6,7 @@
 
 from ...fleet import PeerReport
 from .. import AgentSteering, DeliverToTarget, Forward, ForwardReason, PacketKind
+from .._flow_table import STUCK_SECONDS
 from .._target_failures import (
     AVOIDED_SECONDS,
     LONGEST_AVOIDED_SECONDS,
@@ -141,3 +142,19 @@
     fleet.play()
     assert fleet.failed(3.0, 8.0) <= 0.02
     assert fleet.in_time(3.0, 8.0) >= 0.97
+
+
+# Guards against a target that leaves some requests without an answer, and answers others.
+def test_requests_without_an_answer_count_once_their_callers_have_given_up() -> None:
+    scene = Scene(AGENTS[0])
+    scene.receive_heartbeats(1.0)
+    agent = make_agent(scene)
+    for number in range(MINIMUM_FAILURES):
+        key = flow(number)
+        agent.take_from_peer(envelope(), packet(PacketKind.SYN, key), 1.0)
+        agent.take_from_target(packet(PacketKind.SYN_ACK, key), 1.0)
+        agent.take_from_peer(envelope(), packet(key=key, payload_bytes=9), 1.0)
+    agent.sweep(1.0 + STUCK_SECONDS - 0.1)
+    assert not agent.is_target_failing(1.0 + STUCK_SECONDS)
+    agent.sweep(1.0 + STUCK_SECONDS + 0.1)
+    assert agent.is_target_failing(1.0 + STUCK_SECONDS + 0.2)
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -398,7 +398,14 @@
         if load.is_target_failing is not self._is_target_failing:
             self._is_target_failing = load.is_target_failing
             kind = "target-failing" if load.is_target_failing else "target-on-trial"
-            self._journal.record(kind, flows=load.flows, pending=load.pending)
+            failures = self._agent_steering.failures if self._agent_steering else None
+            self._journal.record(
+                kind,
+                flows=load.flows,
+                pending=load.pending,
+                failures=failures.total if failures else 0,
+                seconds=failures.avoided_seconds if failures else 0.0,
+            )
 
     def _check_shutdown(self, now: float) -> None:
         is_idle = False
