--- a/egretsill/directory/_directory.py
+++ b/egretsill/directory/_directory.py
@@ -265,7 +265,7 @@
         if revision < self._content_revision:
             return False
         self._start_grace_after_outage(now - age_seconds)
-        changed = self._merge_complete(revision, table, targets, evacuations, now)
+        changed = self._merge_complete(revision, table, tuple(targets), evacuations, now)
         self._content_revision = revision
         self.confirm(revision, age_seconds, now)
         return changed
@@ -332,7 +332,7 @@
         self,
         revision: StoreRevision,
         table: RouteTable | None,
-        targets: Iterable[Target],
+        targets: Sequence[Target],
         evacuations: Collection[Evacuation],
         now: float,
     ) -> bool:
@@ -342,15 +342,15 @@
         if is_return:
             self._entries.start_settling(now)
         self._entries.forget_outdated()
-        current = {each.name: each for each in targets}
-        removed = [name for name in self._entries.current if name not in current]
+        names = {each.name for each in targets}
+        removed = [name for name in self._entries.current if name not in names]
         is_settled = self._entries.is_settled(now)
         restored = self._evacuations.end_missing(evacuations, revision, is_settled)
         changed = self._merge(
             Changes(
                 revision,
                 table,
-                tuple(current.values()),
+                targets,
                 tuple(removed),
                 evacuations=tuple(evacuations),
                 restored=restored,
--- a/egretsill/directory/_model.py
+++ b/egretsill/directory/_model.py
@@ -137,7 +137,7 @@
     Attributes:
         at: the store's revision.
         table: None if the operators have published nothing yet.
-        targets: every entry that names a usable target.
+        targets: every entry that names a usable target, and known earlier writes of it before it.
         unusable: entries and configurations that were passed over.
         evacuations: failure domains that the operators have evacuated.
     """
