A balancer resets open flows of a withdrawn address only by content newer than their packet

Cause: a packet that isn't a SYN was refused by any view that had been confirmed in the last 2 s, though only content that was confirmed after the packet came proves that its flow can't be open (the rule that agents follow in _undecided.py, from the read index of linearizable reads).

Change: the balancer keeps the first such packet of each flow (500 at most, 3 s at most, as agents do), drops it and its copies as `undecided`, and resets the flow once content that is newer than the packet by the usual 0.3 s still has no such address. It does so by a timer that runs only while flows wait, so the caller need not send again, which it would do through any balancer. If the address is there by then, the next copy is forwarded. After a pause of the process what it kept is discarded, as confirmations seem newer then. SYN packets at a withdrawn address are refused at once as before, as are packets at addresses that were never known dropped. Packets with a route cost nothing more.

Callers of addresses that are really gone are told after the next confirmation, which comes about every second, instead of at once; above 500 flows at once, those left are told at their next packets.

--- a/egretsill/address_steering/_balancer_steering.py
+++ b/egretsill/address_steering/_balancer_steering.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from itertools import islice
 
-from ..directory import Directory
+from ..directory import Directory, Route
 from ..fleet import PeerTable
 from ._candidates import CHOICES
 from ._decisions import (
@@ -27,6 +27,7 @@
 from ._placement import FlowPlacement
 from ._presence import Presence
 from ._tunnel import ANY_SERVICE, Envelope, OwnerNotice, domain_hash, service_hash
+from ._undecided import UndecidedPackets
 
 MAXIMUM_OWNERS = 20_000  # about 6 MB; an evicted owner costs the flow's next packet a hop
 SYN_NOTICE_SECONDS = 0.5  # longer than between two copies of a SYN packet
@@ -82,12 +83,18 @@
         self._domain_mark = domain_hash(failure_domain)
         self._owners: OrderedDict[FlowKey, _Owner] = OrderedDict()
         self._marks: dict[str, int] = {}
+        self._undecided = UndecidedPackets()
 
     @property
     def owners_known(self) -> int:
         """Return the number of flows whose owner is cached."""
         return len(self._owners)
 
+    @property
+    def undecided(self) -> int:
+        """Return the number of flows that are reset unless newer content has their address."""
+        return len(self._undecided)
+
     def steer(self, packet: FlowPacket, now: float) -> BalancerDecision:
         """Return what to do with a caller's packet."""
         if packet.kind is PacketKind.SYN_ACK:
@@ -130,6 +137,23 @@
         self._remember(notice.flow, owner)
         return True
 
+    def decide(self, now: float) -> Sequence[Refuse]:
+        """Return the resets of flows that content newer than their first packet has no address for.
+
+        Flows whose address was restored meanwhile go on with their callers' next copies.
+        """
+        confirmed = self._undecided.pop_confirmed(self._directory.confirmed_at)
+        self._undecided.pop_expired(now)
+        return [
+            Refuse(packet.flow, packet.acknowledged, RefuseReason.NO_ROUTE)
+            for packet in (each.packet for each in confirmed)
+            if self._route_of(packet.flow) is None
+        ]
+
+    def note_scheduling_pause(self) -> None:
+        """Discard what arrived before a scheduling pause, after which confirmations seem newer."""
+        self._undecided.clear()
+
     def tick(self, now: float) -> None:
         """Remove owners that were cached too long ago, and outdated counts of new flows."""
         self._placement.tick(now)
@@ -148,17 +172,22 @@
             first = host if first is None else first
         return first
 
+    def _route_of(self, flow: FlowKey) -> Route | None:
+        return self._directory.route(flow.service_host, flow.service_port)
+
     def _steer_without_route(self, packet: FlowPacket, now: float) -> BalancerDecision:
         if now - self._directory.confirmed_at > MAXIMUM_CONTENT_AGE_SECONDS:
             return Drop(packet.flow, DropReason.STALE_CONTENT)
         if packet.kind is PacketKind.RST:
             return Drop(packet.flow, DropReason.UNEXPECTED)
-        if packet.kind is not PacketKind.SYN and not self._directory.is_withdrawn(
-            packet.flow.service_host, packet.flow.service_port
-        ):
-            # The flow may have been opened through a route that is newer than this view.
+        if packet.kind is PacketKind.SYN:
+            return Refuse(packet.flow, packet.acknowledged, RefuseReason.NO_ROUTE)
+        # The flow may have been opened through a route that is newer than this view.
+        if not self._directory.is_withdrawn(packet.flow.service_host, packet.flow.service_port):
             return Drop(packet.flow, DropReason.NO_ROUTE)
-        return Refuse(packet.flow, packet.acknowledged, RefuseReason.NO_ROUTE)
+        envelope = Envelope(self._host, self._directory.version, ANY_SERVICE, (), self._domain_mark)
+        self._undecided.keep(envelope, packet, now)
+        return Drop(packet.flow, DropReason.UNDECIDED)
 
     def _place(self, packet: FlowPacket, service: str, now: float) -> BalancerDecision:
         flow = packet.flow
--- a/egretsill/address_steering/_undecided.py
+++ b/egretsill/address_steering/_undecided.py
@@ -24,7 +24,7 @@
     """A packet whose flow was found on no VM.
 
     Attributes:
-        envelope: path of the packet to this agent.
+        envelope: path of the packet to this process.
         packet: the packet.
         arrived_at: when it arrived.
     """
--- a/egretsill/node/_balancer_node.py
+++ b/egretsill/node/_balancer_node.py
@@ -28,6 +28,8 @@
 from ._decision_log import DecisionLog
 from ._packet_socket import NO_FLOW, PacketSocket
 
+DECISION_SECONDS = 0.1  # between checks for newer content, while flows wait for it
+
 
 class BalancerNode:
     """Receives callers' packets from the fabric and sends them to agents.
@@ -64,6 +66,8 @@
             Part.TUNNEL, sockets.tunnel, timer, log, supervisor, self._receive_from_agent
         )
         self._last_packet_at = float("-inf")
+        self._timer = timer
+        self._is_decision_due = False
 
     @property
     def last_packet_at(self) -> float:
@@ -95,14 +99,32 @@
                     encode_tunneled_packet(envelope, carried), host, self._tunnel_port, flow
                 )
                 self._log.forwarded(decision)
-            case Refuse(flow, acknowledged):
-                reset = self._codec.encode_reset(flow, acknowledged)
-                self._packets.send(reset, flow.caller_host, self._caller_port, flow)
-                self._log.refused(decision)
+            case Refuse():
+                self._refuse(decision)
             case Drop():
                 self._log.dropped(decision)
+                self._schedule_decision()
         return True
 
+    def _refuse(self, decision: Refuse) -> None:
+        flow = decision.flow
+        reset = self._codec.encode_reset(flow, decision.acknowledged)
+        self._packets.send(reset, flow.caller_host, self._caller_port, flow)
+        self._log.refused(decision)
+
+    def _schedule_decision(self) -> None:
+        if self._steering.undecided and not self._is_decision_due:
+            self._timer.call_later(DECISION_SECONDS, self._decide)
+            self._is_decision_due = True
+
+    def _decide(self, now: float) -> None:
+        self._is_decision_due = False
+        with self._supervisor.contain(Part.PACKETS):
+            for each in self._steering.decide(now):
+                with self._supervisor.contain(Part.PACKETS):
+                    self._refuse(each)
+        self._schedule_decision()
+
     def _receive_from_agent(self, data: bytes, now: float) -> bool:
         try:
             message = decode_tunnel(data)
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -261,6 +261,7 @@
             settings.flow_seconds,
         )
         self._timer.subscribe(SWEEP_SECONDS, steering.tick)
+        self._timer.subscribe_jumps(lambda _: steering.note_scheduling_pause())
         return BalancerNode(
             self._sockets,
             settings.packets.port,
