--- a/egretsill/configuration/__init__.py
+++ b/egretsill/configuration/__init__.py
@@ -60,6 +60,7 @@
 )
 from ._platform_client import PlatformClient, Unchanged, Value
 from ._problems import Problem
+from ._review import Finding, review
 from ._value_files import read_value_files
 from ._vms import Vm, VmState, decode_vms, encode_vms
 
@@ -77,6 +78,7 @@
     "DeclarationRejected",
     "DistributionCounters",
     "DistributionTimes",
+    "Finding",
     "HEAD_KEY",
     "Head",
     "HeadResponse",
@@ -121,4 +123,5 @@
     "encode_vms",
     "load_declaration",
     "read_value_files",
+    "review",
 ]
--- a/egretsill/ctl/_diff.py
+++ b/egretsill/ctl/_diff.py
@@ -14,7 +14,7 @@
 from absl.flags import FlagValues
 
 from ..commands import EXIT_FAILED, EXIT_OK, EXIT_USAGE, Command, new_flags
-from ..configuration import Bundle, ConfigurationError, Service
+from ..configuration import Bundle, ConfigurationError, Limits, Service
 from ._bundle_files import read_publication_files
 
 
@@ -65,10 +65,15 @@
 
     def to_json(self) -> str:
         """Return the result as JSON."""
-        differences = [{**asdict(each), "kind": each.kind.value} for each in self.differences]
+        differences = [difference_fields(each) for each in self.differences]
         return json.dumps({"before": self.before, "after": self.after, "differences": differences})
 
 
+def difference_fields(difference: Difference) -> Mapping[str, str]:
+    """Return a difference as fields for JSON."""
+    return {**asdict(difference), "kind": difference.kind.value}
+
+
 def make_command() -> Command:
     """Return the `diff` command."""
     return Command(
@@ -78,10 +83,18 @@
 
 def diff(before: Bundle, after: Bundle) -> DiffResult:
     """Return the differences between two bundles."""
+    differences = compare_services(before.services, after.services)
+    return DiffResult(before.revision, after.revision, differences)
+
+
+def compare_services(
+    before: Mapping[str, Service], after: Mapping[str, Service]
+) -> tuple[Difference, ...]:
+    """Return the differences between two sets of services, by name."""
     differences: list[Difference] = []
-    for name, old, new in _pair_by_name(before.services, after.services):
+    for name, old, new in _pair_by_name(before, after):
         differences.extend(_compare_services(name, old, new))
-    return DiffResult(before.revision, after.revision, tuple(differences))
+    return tuple(differences)
 
 
 def _compare_services(name: str, old: Service | None, new: Service | None) -> Iterator[Difference]:
@@ -101,11 +114,20 @@
     if old is None or new is None:
         yield Difference(DifferenceKind.ADDED if old is None else DifferenceKind.REMOVED, part)
         return
+    for name, before, after in _changed_fields(old, new):
+        if name not in skipped:
+            texts = (_format_value(before), _format_value(after))
+            yield Difference(DifferenceKind.CHANGED, part, name, *texts)
+
+
+def _changed_fields(old: Any, new: Any) -> Iterator[tuple[str, Any, Any]]:
+    """Yield the name and both values of each field that differs, those of limits one by one."""
     for field in dataclasses.fields(old):
         before, after = getattr(old, field.name), getattr(new, field.name)
-        if field.name not in skipped and before != after:
-            texts = (_format_value(before), _format_value(after))
-            yield Difference(DifferenceKind.CHANGED, part, field.name, *texts)
+        if isinstance(before, Limits) and isinstance(after, Limits):
+            yield from _changed_fields(before, after)
+        elif before != after:
+            yield field.name, before, after
 
 
 def _index_by_name(parts: Sequence[Any]) -> Mapping[str, Any]:
--- a/egretsill/ctl/tests/test_declarations.py
+++ b/egretsill/ctl/tests/test_declarations.py
@@ -124,3 +124,76 @@
 )
 def test_invalid_arguments_set_exit_code(command: Command, arguments: list[str], code: int) -> None:
     assert run(command, *arguments) == code
+
+
+def overlay_of(tmp_path: Path, text: str) -> Path:
+    path = tmp_path / "overlay.ini"
+    path.write_text(text)
+    return path
+
+
+@pytest.mark.parametrize("name", ["sibiu", "kallioniemi"])
+def test_examples_have_no_warnings(name: str) -> None:
+    assert check(EXAMPLES / f"{name}.ini", EXAMPLES / f"{name}-site.ini").findings == ()
+
+
+# Guards against mistakes in a declaration that otherwise show only under load.
+@pytest.mark.parametrize(
+    ("overlay", "findings"),
+    [
+        pytest.param(
+            "[class catalog/orders]\npath = /orders#new\n",
+            ["ClassNeverMatches"],
+            id="fragment in a path",
+        ),
+        pytest.param(
+            "[service catalog]\nqueue_time = 30 s\n[class catalog/orders]\ndeadline = 30 s\n",
+            ["QueueOutlastsDeadline"],
+            id="queue as long as the deadline",
+        ),
+        pytest.param(
+            "[service catalog]\nqueue_length = 0\nqueue_time = 1 s\n",
+            ["QueueTimeWithoutQueue"],
+            id="queue time without a queue",
+        ),
+        pytest.param(
+            "[service upload]\ntries = 5\n", ["TriesExceedTargets"], id="more tries than targets"
+        ),
+        pytest.param(
+            "[service upload]\nretry_share = 0\n", ["TriesWithoutRetries"], id="no retries"
+        ),
+        pytest.param(
+            "".join(f"[target upload-{number}]\nstate = draining\n" for number in (1, 2, 3)),
+            ["NoActiveTarget"],
+            id="all targets draining",
+        ),
+        pytest.param(
+            "[class catalog/orders]\nshape = subscription\n"
+            + "".join(f"[target catalog-{number}]\nconnections = 0\n" for number in range(1, 8)),
+            ["NoConnections"],
+            id="subscriptions without connections",
+        ),
+    ],
+)
+def test_contradictions_are_warnings(tmp_path: Path, overlay: str, findings: list[str]) -> None:
+    result = check(BASE, overlay_of(tmp_path, overlay))
+    assert result.accepted
+    assert sorted({type(each).__name__ for each in result.findings}) == findings
+
+
+def test_check_compares_with_the_publication_in_force(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    compile_declaration(BASE, None, 4, tmp_path / "in-force")
+    overlay = overlay_of(tmp_path, "[service upload]\ntries = 5\n")
+    arguments = [f"--against={tmp_path / 'in-force'}", str(BASE), str(overlay)]
+    assert run(_check.make_command(), *arguments) == EXIT_OK
+    text = capsys.readouterr().out
+    assert "warning: [service upload] allows 5 tries, but has 3 active targets" in text
+    assert "revision 4: 1 differences" in text
+    assert run(_check.make_command(), "--strict", "--output=json", *arguments) == EXIT_FAILED
+    result = json.loads(capsys.readouterr().out)
+    assert (result["accepted"], result["compared_revision"]) == (True, 4)
+    changed = [(e["part"], e["field"], e["before"], e["after"]) for e in result["differences"]]
+    assert changed == [("service upload", "tries", "4", "5")]
+    assert run(_check.make_command(), f"--against={tmp_path}", str(BASE)) == EXIT_FAILED
