--- a/egretsill/configuration/_review.py
+++ b/egretsill/configuration/_review.py
@@ -72,7 +72,7 @@
 
 @dataclass(frozen=True, slots=True)
 class QueueOutlastsDeadline(Finding):
-    """A class whose requests may wait in a queue until their deadline."""
+    """A queue time that the deadline of a class ends earlier."""
 
     queue_seconds: float
     deadline_seconds: float
@@ -80,8 +80,8 @@
     @property
     def reason(self) -> str:
         return (
-            f"may wait {self.queue_seconds:g} s in a queue, "
-            f"but has a deadline of {self.deadline_seconds:g} s"
+            f"the service's queue time of {self.queue_seconds:g} s has no effect beyond its "
+            f"deadline of {self.deadline_seconds:g} s"
         )
 
 
@@ -105,7 +105,7 @@
 
     @property
     def reason(self) -> str:
-        return f"allows {self.tries} tries, but has {self.targets} active targets"
+        return f"allows {self.tries} tries, but has {self.targets} targets"
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,8 +130,8 @@
     if not active:
         yield NoActiveTarget(service.name, "", len(service.targets))
     # The default is meant for services of any size.
-    if active and len(active) < limits.tries != Limits().tries:
-        yield TriesExceedTargets(service.name, "", limits.tries, len(active))
+    if len(service.targets) < limits.tries != Limits().tries:
+        yield TriesExceedTargets(service.name, "", limits.tries, len(service.targets))
     if limits.tries > 1 and limits.retry_share == 0:
         yield TriesWithoutRetries(service.name, "", limits.tries)
     if not limits.queue_length and limits.queue_seconds != Limits().queue_seconds:
@@ -152,5 +152,6 @@
             yield NoConnections(service.name, name)
         return  # it holds no slot, so it never waits in a queue
     deadline, waits = request_class.deadline_seconds, service.limits.queue_seconds
-    if service.limits.queue_length and deadline is not None and waits >= deadline:
+    is_stated = waits != Limits().queue_seconds
+    if is_stated and service.limits.queue_length and deadline is not None and waits >= deadline:
         yield QueueOutlastsDeadline(service.name, name, waits, deadline)
