--- a/egretsill/address_steering/_flow_opening.py
+++ b/egretsill/address_steering/_flow_opening.py
@@ -194,7 +194,7 @@
             self._failures.is_failing(now)
             and not envelope.visited
             and (known is None or known.state is not FlowState.TRYING)
-            and not self._placement.are_many_failing(self._host, now)
+            and not self._placement.failing.are_too_many(self._host, now)
         ):
             # One hop only, since the next target may be failing too.
             host = self._choose(envelope, packet, service, now)
--- a/egretsill/address_steering/_placement.py
+++ b/egretsill/address_steering/_placement.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import enum
-from collections import Counter
 from collections.abc import Collection, Iterable, Iterator, Sequence
 from itertools import islice
 
@@ -24,6 +23,7 @@
     TargetOutlook,
     WorkTable,
 )
+from ._failing_targets import FailingTargets
 from ._packet import FlowKey
 from ._warm_up_pace import paced_load_factor
 
@@ -34,9 +34,6 @@
 MAXIMUM_SLOWNESS = 8.0  # limits the load factor of slow targets, so that they can show recovery
 MINIMUM_DELAY_MILLISECONDS = 10.0  # shorter delays are compared as this one
 DEFAULT_CAPACITY = 4  # for a target that doesn't report how many requests it works on
-# With more failing targets the others would be overloaded, so the reports are ignored (the panic
-# threshold of Envoy's load balancing).
-MAXIMUM_FAILING_SHARE = 0.4
 MEDIAN_DELAY_CACHE_SECONDS = 0.5  # how long a service's median delay is cached between heartbeats
 SENT_COUNT_LIFETIME_SECONDS = 5.0  # by then, heartbeats have reported the counted flows
 
@@ -76,8 +73,12 @@
         self._sent_counts: dict[int, tuple[int, int, float]] = {}
         self._median_delays: dict[str, tuple[float, float]] = {}
         self._work = WorkTable(peers)
-        self._failing_services: frozenset[str] = frozenset()
-        self._failing_found_at = float("-inf")
+        self._failing = FailingTargets(directory, peers, candidates)
+
+    @property
+    def failing(self) -> FailingTargets:
+        """Return which services have too many failing targets to avoid them."""
+        return self._failing
 
     @property
     def candidates(self) -> Candidates:
@@ -248,7 +249,7 @@
         peer = self._peers.peers.get(host)
         count, counted_at, _ = self._sent_counts.get(host, (0, 0, 0.0))
         sent = count if peer is not None and counted_at == peer.newer_reports else 0
-        slowdown = WARM_UP_LOAD_FACTOR if view.warmup_ends_at > now else 1.0
+        slowdown = self._warm_up_factor(view, now) if view.warmup_ends_at > now else 1.0
         return self._work.outlook(host, _capacity(view), work.usual_seconds * slowdown, sent, now)
 
     def note_sent(self, host: int, now: float) -> None:
@@ -329,7 +330,7 @@
             return Readiness.UNREACHABLE
         if peer.report.is_leaving or peer.report.is_target_silent:
             return Readiness.NOT_ACCEPTING
-        if peer.report.is_target_failing and not self.are_many_failing(host, now):
+        if peer.report.is_target_failing and not self._failing.are_too_many(host, now):
             return Readiness.FAILING
         return Readiness.HEALTHY if self._peers.is_reachable(host, now) else Readiness.UNCERTAIN
 
@@ -344,44 +345,6 @@
         """Return whether a target is known to be better than one that fails its requests."""
         return self._readiness(host, now) is Readiness.HEALTHY
 
-    def are_many_failing(self, host: int, now: float) -> bool:
-        """Return whether too many targets of a service are failing for others to take their flows.
-
-        Args:
-            host: a VM of the service.
-            now: local time.
-        """
-        if now - self._failing_found_at > MEDIAN_DELAY_CACHE_SECONDS:
-            self._failing_found_at = now
-            self._failing_services = self._find_failing_services(now)
-        views = self._directory.targets_on(host)
-        return any(each.target.service in self._failing_services for each in views)
-
-    def _find_failing_services(self, now: float) -> frozenset[str]:
-        failing: Counter[str] = Counter()
-        for host, peer in self._peers.peers.items():
-            if peer.report.is_target_failing and self._accepts(host):
-                failing.update({each.target.service for each in self._directory.targets_on(host)})
-        return frozenset(
-            service
-            for service, count in failing.items()
-            if count > MAXIMUM_FAILING_SHARE * self._count_accepting(service, now)
-        )
-
-    def _count_accepting(self, service: str, now: float) -> int:
-        """Return the number of targets of a service that take new flows, as far as is known."""
-        return sum(
-            view.takes_new_flows(now) and self._accepts(host)
-            for host, view in self._candidates.of(service).views.items()
-        )
-
-    def _accepts(self, host: int) -> bool:
-        peer = self._peers.peers.get(host)
-        if peer is None:
-            return True
-        is_closed = peer.report.is_leaving or peer.report.is_target_silent
-        return not (is_closed or self._peers.is_silent(host))
-
     def _slowness(self, delay_milliseconds: int, service: str, now: float) -> float:
         usual = self._usual_delay(service, now)
         return min(max(delay_milliseconds / usual, 1.0), MAXIMUM_SLOWNESS)
