--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -12,13 +12,12 @@
     AgentSteering,
     BalancerSteering,
     Candidates,
-    FlowKey,
     FlowPlacement,
     PacketCodec,
     SteeringPolicy,
 )
 from ..boot import AgentSettings, NodeSettings, NodeSockets
-from ..directory import Directory, ReadPlan, Store, TargetPlace, TargetView
+from ..directory import Directory, ReadPlan, Store, TargetPlace
 from ..endpoints import Address, parse_ipv4
 from ..fleet import HubPlan, PeerTable
 from ..observation import (
@@ -34,6 +33,7 @@
 from ..wire import StreamServer
 from ._agent_node import AgentNode
 from ._balancer_node import BalancerNode
+from ._choice_inputs import ChoiceInputs
 from ._content_exchange import ContentExchange
 from ._decision_log import DecisionLog
 from ._directory_log import DirectoryLog, evacuation_status
@@ -239,6 +239,9 @@
 
     def _make_role(self, codec: PacketCodec) -> BalancerNode | AgentNode:
         settings = self._settings
+        inputs = ChoiceInputs(
+            settings.failure_domain, self._directory, self._placement, self._timer
+        )
         log = DecisionLog(
             settings.role.value,
             self._directory,
@@ -246,9 +249,9 @@
             self._timer,
             self._metrics,
             self._journal,
-            self._find_load,
-            self._find_finish,
-            self._find_spill,
+            inputs.load,
+            inputs.finish,
+            inputs.spill,
         )
         if settings.agent is not None:
             return self._make_agent(settings.agent, codec, log)
@@ -354,28 +357,6 @@
             steering.is_target_failing(now),
         )
 
-    def _find_load(self, host: int, flow: FlowKey) -> float | None:
-        view = self._find_target(host, flow)
-        return None if view is None else self._placement.load(view, self._timer.now)
-
-    def _find_finish(self, host: int, flow: FlowKey) -> float | None:
-        view = self._find_target(host, flow)
-        return None if view is None else self._placement.expected_finish(view, self._timer.now)
-
-    def _find_spill(self, host: int, flow: FlowKey) -> str:
-        view = self._find_target(host, flow)
-        own = self._settings.failure_domain
-        is_spill = view is not None and own and view.target.failure_domain != own
-        return view.target.failure_domain if view is not None and is_spill else ""
-
-    def _find_target(self, host: int, flow: FlowKey) -> TargetView | None:
-        route = self._directory.route(flow.service_host, flow.service_port)
-        found = (
-            self._directory.target_at(host, service)
-            for service in (route.services if route else ())
-        )
-        return next((view for view in found if view is not None), None)
-
     def _note_content_change(self, source: str) -> None:
         if self._directory.is_known:
             self._content_known.set()
