--- a/egretsill/address_steering/_expected_finish.py
+++ b/egretsill/address_steering/_expected_finish.py
@@ -9,15 +9,13 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 from ..fleet import PeerTable
 
-# A reported backlog counts less with its age, by a factor of e in this time. Among targets that all
-# have much to do, old reports would otherwise send the flows of all processes to the same few.
-BACKLOG_LIFETIME_SECONDS = 0.1
+# A target in use gets new requests while it works, so its backlog shrinks by less than the time.
+DRAIN_SHARE = 0.5
 # Two round trips to another failure domain, and a margin, as the traffic between them is expensive.
 FAR_DISTANCE_SECONDS = 0.015
 WORK_CACHE_SECONDS = 0.5  # how long a service's work is cached between heartbeats
@@ -57,7 +55,7 @@
 
     def wait_seconds(self) -> float:
         """Return the expected time until it could start one more request."""
-        reported = self.backlog_seconds * math.exp(-self.age_seconds / BACKLOG_LIFETIME_SECONDS)
+        reported = max(self.backlog_seconds - DRAIN_SHARE * self.age_seconds, 0.0)
         return reported + self.sent * self.work_seconds / self.slots
 
     def finish_seconds(self, distance_seconds: float = 0.0, work_ratio: float = 1.0) -> float:
