--- a/egretsill/tracing/_conclusion.py
+++ b/egretsill/tracing/_conclusion.py
@@ -13,6 +13,9 @@
 _REFUSAL_EXPLANATIONS: Mapping[str, str] = {
     RefuseReason.NO_ROUTE.value: "the configuration in force there has no such service address",
     RefuseReason.NO_TARGET.value: "no target of the service accepted new flows",
+    RefuseReason.EVACUATED.value: (
+        "the targets that would have accepted it are in evacuated failure domains"
+    ),
     RefuseReason.ALL_FULL.value: "each target bounced the SYN packet",
     RefuseReason.ALL_WARMING_UP.value: (
         "the targets that it came to are in warm-up and had got as many flows as they may"
