--- a/egretsill/address_steering/tests/load_fleet.py
+++ b/egretsill/address_steering/tests/load_fleet.py
@@ -43,8 +43,8 @@
     SteeringPolicy,
     syn_copy_delay,
 )
-from .load_parts import OBJECTIVE, Attempt, LoadRecord, ModelTarget, Request, View
-from .scene import DEADLINE, IDLE, PORT, RETENTION, SERVICE, SERVICE_HOST, target
+from .load_parts import Attempt, LoadRecord, ModelTarget, Request, RequestKind, View
+from .scene import IDLE, RETENTION, SERVICE, SERVICE_HOST, target
 
 SYN_COPIES = 3
 OPEN_TIMEOUT = 1.4
@@ -72,6 +72,7 @@
         start_at: returns when the agent and target of a number are up; 0 is before any caller.
         are_cold: whether targets that start are slow for a while.
         policy: of the agents.
+        kinds: the kinds of requests that callers may send; one by default.
     """
 
     def __init__(
@@ -84,10 +85,12 @@
         start_at: Callable[[int], float] = lambda _: 0.0,
         are_cold: bool = False,
         policy: SteeringPolicy = SteeringPolicy(),  # noqa: B008, it is immutable
+        kinds: Sequence[RequestKind] = (),
     ) -> None:
         super().__init__()
+        kinds = kinds or (RequestKind(work_seconds=work_seconds),)
+        self._usual_kind = kinds[0]
         self.random = Random(seed)
-        self.work_seconds = work_seconds
         self.now = 0.0
         self.hops: Counter[str] = Counter()
         self.handshakes = 0
@@ -100,8 +103,8 @@
             target(1000 + n, SERVICE, failure_domain=DOMAINS[n % 3], capacity=slots)
             for n in range(targets)
         ]
-        route = Route("r", SERVICE_HOST, PORT, (ServiceShare(SERVICE, 1),), OBJECTIVE, DEADLINE)
-        routes = RouteTable(7, {(SERVICE_HOST, PORT): route}, IDLE)
+        table = {(SERVICE_HOST, kind.port): _route(kind) for kind in kinds}
+        routes = RouteTable(7, table, IDLE)
         snapshot = Snapshot(rev(100), routes, tuple(entries))
         for number, entry in enumerate(entries):
             up_at = start_at(number)
@@ -139,22 +142,42 @@
         )
         heapq.heappush(self._events, entry)
 
-    def ask(self, asked_at: float, domains: Sequence[str] = DOMAINS) -> None:
-        """Schedule a request of a caller in one of some failure domains."""
-        work = self.work_seconds * min(self.random.lognormvariate(-0.125, 0.5), 5.0)
+    def ask(
+        self,
+        asked_at: float,
+        domains: Sequence[str] = DOMAINS,
+        kind: RequestKind | None = None,
+        caller: int | None = None,
+    ) -> None:
+        """Schedule a request of a caller in one of some failure domains.
+
+        Args:
+            asked_at: when it is sent.
+            domains: the failure domains in which its caller may be.
+            kind: its kind; the first one by default.
+            caller: number of its caller; drawn from the first 30 by default.
+        """
+        kind = kind or self._usual_kind
+        work = kind.work_seconds * min(self.random.lognormvariate(-0.125, 0.5), 5.0)
         domain = self.random.choice(domains)
-        request = Request(len(self.requests), asked_at, work, domain)
+        request = Request(len(self.requests), asked_at, work, domain, kind, caller)
         self.requests.append(request)
         self.at(asked_at, self._attempt, request)
-        self.at(asked_at + DEADLINE, self._give_up, request)
+        self.at(asked_at + kind.deadline_seconds, self._give_up, request)
 
     def ask_at_rate(
-        self, start: float, end: float, per_second: float, domains: Sequence[str] = DOMAINS
+        self,
+        start: float,
+        end: float,
+        per_second: float,
+        domains: Sequence[str] = DOMAINS,
+        kind: RequestKind | None = None,
+        caller: int | None = None,
     ) -> None:
-        """Schedule requests that arrive at random, as a Poisson process."""
+        """Schedule requests that arrive at random, as a Poisson process; see `ask`."""
         when = start
         while (when := when + self.random.expovariate(per_second)) < end:
-            self.ask(when, domains)
+            self.ask(when, domains, kind, caller)
 
     def play(self, until: float = float("inf")) -> None:
         """Play until a time, or until nothing happens anymore."""
@@ -204,8 +227,9 @@
             return
         request.attempts += 1
         self._port += 1
-        caller = 0x64400001 + DOMAINS.index(request.domain) + 3 * (request.number % 30)
-        attempt = Attempt(FlowKey(caller, self._port, SERVICE_HOST, PORT), request)
+        number = request.number % 30 if request.caller is None else request.caller
+        caller = 0x64400001 + DOMAINS.index(request.domain) + 3 * number
+        attempt = Attempt(FlowKey(caller, self._port, SERVICE_HOST, request.kind.port), request)
         self._attempts[attempt.key] = attempt
         for copy in range(SYN_COPIES):
             self.at(self.now + syn_copy_delay(copy), self._syn, attempt, copy)
@@ -395,6 +419,14 @@
             self._attempt(attempt.request)
 
 
+def _route(kind: RequestKind) -> Route:
+    shares = (ServiceShare(SERVICE, 1),)
+    objective, deadline = kind.objective_seconds, kind.deadline_seconds
+    return Route(
+        kind.name, SERVICE_HOST, kind.port, shares, objective, deadline, priority=kind.priority
+    )
+
+
 def spread_starts(seconds: float, first: float = 0.0) -> Callable[[int], float]:
     """Return start times that are spread evenly over a span."""
     return lambda number: first + seconds * (number % 7) / 6
--- a/egretsill/address_steering/tests/load_parts.py
+++ b/egretsill/address_steering/tests/load_parts.py
@@ -2,16 +2,38 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from ...directory import Directory, Snapshot
 from ...fleet import PeerTable
 from .. import AgentSteering, Candidates, FlowKey, FlowPlacement
-from .scene import RETENTION
+from .scene import DEADLINE, PORT, RETENTION
 
 OBJECTIVE = 0.3
 
 
+@dataclass(frozen=True, slots=True)
+class RequestKind:
+    """A kind of requests, which has a route of its own.
+
+    Attributes:
+        name: name of the route.
+        port: port of the route.
+        priority: priority of the route, 0 is the highest.
+        work_seconds: mean work at a target.
+        objective_seconds: time in which its callers want the answer.
+        deadline_seconds: when its callers give up.
+    """
+
+    name: str = "r"
+    port: int = PORT
+    priority: int = 0
+    work_seconds: float = 0.06
+    objective_seconds: float = OBJECTIVE
+    deadline_seconds: float = DEADLINE
+
+
 @dataclass(slots=True, eq=False)
 class Request:
     """One request over all its attempts."""
@@ -20,10 +42,19 @@
     asked_at: float
     work_seconds: float
     domain: str
+    kind: RequestKind = field(default_factory=RequestKind)
+    caller: int | None = None
     attempts: int = 0
     answered_at: float | None = None
     is_given_up: bool = False
 
+    @property
+    def is_in_time(self) -> bool:
+        """Return whether it was answered within the objective."""
+        if self.answered_at is None:
+            return False
+        return self.answered_at - self.asked_at <= self.kind.objective_seconds
+
 
 @dataclass(slots=True, eq=False)
 class Attempt:
@@ -72,11 +103,29 @@
         self.requests: list[Request] = []
         self.targets: dict[int, ModelTarget] = {}
 
-    def in_time(self, start: float = 0.0, end: float = float("inf")) -> float:
-        """Return the share of the requests of a span that were answered within the objective."""
-        asked = [each for each in self.requests if start <= each.asked_at < end]
-        answered = [each for each in asked if each.answered_at is not None]
-        return sum((e.answered_at or 0) - e.asked_at <= OBJECTIVE for e in answered) / len(asked)
+    def in_time(
+        self,
+        start: float = 0.0,
+        end: float = float("inf"),
+        kind: RequestKind | None = None,
+        callers: Collection[int | None] = (),
+    ) -> float:
+        """Return the share of the requests of a span that were answered within the objective.
+
+        Args:
+            start: beginning of the span.
+            end: end of the span.
+            kind: the kind of requests that count, all if it is None.
+            callers: the callers whose requests count, all if there are none.
+        """
+        asked = [
+            each
+            for each in self.requests
+            if start <= each.asked_at < end
+            and kind in (None, each.kind)
+            and (not callers or each.caller in callers)
+        ]
+        return sum(each.is_in_time for each in asked) / len(asked)
 
     def failed(self, start: float = 0.0, end: float = float("inf")) -> float:
         """Return the share of the requests of a span that got no answer."""
