--- a/egretsill/address_steering/_flow_admission.py
+++ b/egretsill/address_steering/_flow_admission.py
@@ -25,6 +25,7 @@
 from ._placement import FlowPlacement
 from ._policy import SteeringPolicy
 from ._request_queue import HeldSyn, RequestQueue, WaitingRequest
+from ._service_order import Standing
 from ._target_capacity import TargetCapacity
 from ._tunnel import (
     MAXIMUM_ROUTE_HOPS,
@@ -118,12 +119,13 @@
             *self.request_capacity(now),
         )
 
-    def pop_next(self, now: float) -> WaitingRequest | None:
-        """Remove and return what may go to the target now, None if nothing may."""
-        held_too_long = self._target.pop_held_too_long(now)
-        if held_too_long is not None:
-            return held_too_long
-        return self._target.pop_next(now) if self._room(now) > 0 else None
+    def pop_held_too_long(self, now: float) -> WaitingRequest | None:
+        """Remove and return a SYN packet that was kept for long enough, or None."""
+        return self._target.pop_held_too_long(now)
+
+    def pop_next(self, now: float, last: Standing) -> WaitingRequest | None:
+        """Remove and return what may go to the target now, None if nothing of a standing may."""
+        return self._target.pop_next(now, last) if self._room(now, last) > 0 else None
 
     def record_request(self, request: CapacityRequest, now: float) -> None:
         """Record another agent's request for capacity."""
@@ -131,22 +133,26 @@
 
     def request_capacity(self, now: float) -> Sequence[RequestCapacity]:
         """Return the requests for capacity that are due while SYN packets wait."""
-        held = self.queue.held
+        held = self._target.held(Standing.IN_TIME, now)
+        is_late = not held
+        if is_late:
+            held = self.queue.held
         asked = dict.fromkeys(
             host for each in held[-ASKING_FLOWS:] if each.syn for host in each.syn.alternatives
         )
         requests = []
         for host in self._exchange.due_requests(asked, now):
             waiting = sum(each.may_go_to(host) for each in held)
-            request = CapacityRequest(self._host, self._mark, waiting)
+            request = CapacityRequest(self._host, self._mark, waiting, is_late)
             requests.append(RequestCapacity(host, request))
         return requests
 
-    def offer_capacity(self, now: float) -> Sequence[OfferCapacity]:
-        """Return offers to the agents that asked for capacity, if the target has any."""
+    def offer_capacity(self, now: float, standing: Standing) -> Sequence[OfferCapacity]:
+        """Return offers to the agents that asked for capacity for requests of a standing."""
         if not self._exchange.has_askers or self._target.reason_to_pass(now) is not None:
             return ()
-        return self._exchange.make_offers(self._room(now), now)
+        is_late = standing is not Standing.IN_TIME
+        return self._exchange.make_offers(self._room(now, standing), now, is_late)
 
     def take_offer(self, offer: CapacityOffer, now: float) -> Sequence[AgentEffect]:
         """Return the effects of passing SYN packets to an agent that offers capacity."""
@@ -175,6 +181,14 @@
         """Remove records that are too old."""
         self._exchange.sweep(now)
 
-    def _room(self, now: float) -> int:
-        """Return how many more requests the target may get, besides those that were offered."""
-        return self._target.room(now) - self._exchange.reserved(now)
+    def _room(self, now: float, standing: Standing = Standing.IN_TIME) -> int:
+        """Return how many more requests of a standing the target may get.
+
+        Capacity that was offered to others is set apart. An offer is made to several agents for
+        each SYN packet, so most are not used: late requests, which get idle slots only, may take
+        these, and a SYN packet that comes nevertheless finds a place beyond the slots.
+        """
+        room = self._target.room(now) - self._exchange.reserved(now)
+        if standing is Standing.IN_TIME:
+            return room
+        return max(self._target.late_room(now), 0) if self._target.has_overcommit else room
--- a/egretsill/address_steering/_flow_opening.py
+++ b/egretsill/address_steering/_flow_opening.py
@@ -22,6 +22,7 @@
 from ._packet import OPEN_TIMEOUT_SECONDS, FlowPacket, syn_copy_delay
 from ._placement import FlowPlacement
 from ._request_queue import WaitingRequest
+from ._service_order import Standing
 from ._target_silence import TargetSilence
 from ._tunnel import MAXIMUM_ROUTE_HOPS, Envelope, OwnerNotice, service_hash
 
@@ -117,10 +118,14 @@
     def use_capacity(self, now: float) -> Sequence[AgentEffect]:
         """Return the effects for what waits and can go to the target now, or has expired."""
         effects = self._expire(now)
-        while (request := self._admission.pop_next(now)) is not None:
+        while (request := self._admission.pop_held_too_long(now)) is not None:
             effects.extend(self._take_waiting(request, now))
-        if not self._silence.is_silent(now):
-            effects.extend(self._admission.offer_capacity(now))
+        # Those who can be in time go first, also if they wait at other agents.
+        for last in (Standing.IN_TIME, Standing.TOO_LATE):
+            while (request := self._admission.pop_next(now, last)) is not None:
+                effects.extend(self._take_waiting(request, now))
+            if not self._silence.is_silent(now):
+                effects.extend(self._admission.offer_capacity(now, last))
         return effects
 
     def _expire(self, now: float) -> list[AgentEffect]:
--- a/egretsill/address_steering/_policy.py
+++ b/egretsill/address_steering/_policy.py
@@ -15,9 +15,11 @@
         hold_seconds: how long an agent keeps a SYN packet while its target has no capacity, in
             which another target may get it; 0 to keep none. The flow is opened after that, so that
             its request waits with those of the others and has its place in their order.
+        late_hold_seconds: the same for a SYN packet whose request can't meet its objective.
         transfers_syn_packets: whether it asks other agents for capacity for them.
     """
 
     overcommit_share: float = 0.5
     hold_seconds: float = 0.05
+    late_hold_seconds: float = 0.05
     transfers_syn_packets: bool = True
--- a/egretsill/address_steering/_request_queue.py
+++ b/egretsill/address_steering/_request_queue.py
@@ -1,24 +1,17 @@
 """Queue of requests that wait at an agent while all of its target's capacity is in use.
 
 A target serves in the order of arrival, so after an outage all requests would wait behind the
-backlog and nearly all answers would be late. The queue starts requests that can still meet their
-latency objective first, then late ones whose callers still wait. A request that can't be answered
-before its deadline, when its caller gives up, is not started. Within both groups, routes of higher
-priority go first.
-
-While all requests can meet their objective, the earliest objective goes first, as in
-earliest-deadline-first scheduling (Liu and Layland, 1973). Under overload that would answer every
-request just at its objective as seen by the agent, which is too late for callers whose packets
-were delayed in the network. The newest request then goes first (adaptive LIFO; Maurer, "Fail at
-Scale", ACM Queue, 2015). Late requests go by earliest deadline.
+backlog and nearly all answers would be late. The queue holds the requests back, and starts them in
+the order of `_service_order`. A request whose caller has given up is not started.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from ._packet import FlowKey, FlowPacket
+from ._service_order import CallerShares, Standing, choose_next
 from ._tunnel import Envelope
 
 MAXIMUM_WAITING = 512  # requests; more than callers send before they give up
@@ -82,6 +75,7 @@
 
     def __init__(self) -> None:
         self._waiting: dict[FlowKey, WaitingRequest] = {}
+        self._shares = CallerShares()
         self._expired = 0
 
     def __len__(self) -> int:
@@ -114,14 +108,6 @@
         """Remove and return a flow's request."""
         return self._waiting.pop(flow, None)
 
-    def pop_held_before(self, latest: float) -> WaitingRequest | None:
-        """Remove and return a SYN packet that has waited since a time or longer, or None."""
-        for request in self._waiting.values():
-            if request.syn is not None and request.syn.held_at <= latest:
-                del self._waiting[request.flow]
-                return request
-        return None
-
     def note_closed(self, flow: FlowKey) -> None:
         """Record that the caller of a flow has closed its direction."""
         waiting = self._waiting.get(flow)
@@ -143,65 +129,56 @@
         return expired
 
     def pop_next(
-        self, now: float, service_seconds: float, in_progress: int
+        self,
+        now: float,
+        expected_seconds: Callable[[WaitingRequest], float],
+        in_progress: int,
+        last: Standing = Standing.TOO_LATE,
     ) -> WaitingRequest | None:
-        """Remove and return the request to start now, or None if the queue is empty.
+        """Remove and return the request to start now, or None if none may start.
 
         The caller removes expired requests with `expire` first.
 
         Args:
             now: local time.
-            service_seconds: how long the target works on a request.
+            expected_seconds: returns how long the target is likely to work on a request.
             in_progress: how many requests it works on concurrently, at least one.
+            last: requests of a later standing may not start.
         """
-        return self._pop(tuple(self._waiting.values()), now, service_seconds, in_progress)
+        return self._pop(tuple(self._waiting.values()), now, expected_seconds, in_progress, last)
 
     def pop_transferable(
-        self, host: int, now: float, service_seconds: float, in_progress: int
+        self,
+        host: int,
+        now: float,
+        expected_seconds: Callable[[WaitingRequest], float],
+        in_progress: int,
+        last: Standing = Standing.TOO_LATE,
     ) -> WaitingRequest | None:
         """Remove and return the SYN packet that goes to another agent first, None if none may.
 
         Args:
             host: address of the other agent's VM.
             now: local time.
-            service_seconds: how long a target works on a request.
+            expected_seconds: returns how long a target is likely to work on a request.
             in_progress: how many requests it works on concurrently, at least one.
+            last: SYN packets of a later standing may not go.
         """
         transferable = [each for each in self._waiting.values() if each.may_go_to(host)]
-        return self._pop(transferable, now, service_seconds, in_progress)
+        return self._pop(transferable, now, expected_seconds, in_progress, last)
 
     def _pop(
         self,
         waiting: Sequence[WaitingRequest],
         now: float,
-        service_seconds: float,
+        expected_seconds: Callable[[WaitingRequest], float],
         in_progress: int,
+        last: Standing,
     ) -> WaitingRequest | None:
-        if not waiting:
-            return None
         # Callers that have closed may still read an answer, so they are served when nobody else is.
         waiting = [each for each in waiting if not each.caller_closed] or waiting
-        answered_at = now + service_seconds
-        timely = [each for each in waiting if answered_at <= each.objective_at]
-        if not timely:
-            chosen = min(waiting, key=lambda each: _late_sort_key(each, answered_at))
-        elif _is_overloaded(timely, now, service_seconds / in_progress):
-            chosen = min(timely, key=lambda each: (each.priority, -each.arrived_at))
-        else:
-            chosen = min(timely, key=lambda each: (each.priority, each.objective_at))
+        chosen = choose_next(waiting, now, expected_seconds, in_progress, self._shares, last)
+        if chosen is None:
+            return None
+        self._shares.note_started(chosen.flow.caller_host, now)
         return self._waiting.pop(chosen.flow)
-
-
-def _is_overloaded(timely: Iterable[WaitingRequest], now: float, seconds_each: float) -> bool:
-    """Return whether some miss their objective even if the earliest objective goes first."""
-    ordered = sorted(timely, key=lambda each: each.objective_at)
-    return any(
-        now + seconds_each * number > each.objective_at
-        for number, each in enumerate(ordered, start=1)
-    )
-
-
-def _late_sort_key(request: WaitingRequest, answered_at: float) -> tuple[bool, int, float]:
-    if answered_at <= request.deadline_at:
-        return False, request.priority, request.deadline_at
-    return True, request.priority, -request.deadline_at
--- a/egretsill/address_steering/_target_capacity.py
+++ b/egretsill/address_steering/_target_capacity.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Sequence
 from dataclasses import replace
 
 from ..directory import Directory, Route, TargetView
@@ -17,6 +18,7 @@
 from ._packet import OPEN_TIMEOUT_SECONDS, FlowKey, FlowPacket
 from ._policy import SteeringPolicy
 from ._request_queue import HeldSyn, RequestQueue, WaitingRequest
+from ._service_order import Standing, standing_of
 
 # A caller's request follows its SYN packet within two round trips unless a packet was lost.
 OPENING_SECONDS = 0.04
@@ -58,6 +60,18 @@
         """Return how many more requests the target may get now, negative if it got too many."""
         return self.limit() - self._flows.pending - self.opening(now)
 
+    def late_room(self, now: float) -> int:
+        """Return how many more requests may start that miss their objective anyway.
+
+        They get idle slots only, so that those who can be in time find a place at the target.
+        """
+        return min(self._capacity(), self.limit()) - self._flows.pending - self.opening(now)
+
+    @property
+    def has_overcommit(self) -> bool:
+        """Return whether the target gets more requests than it works on concurrently."""
+        return self.limit() > self._capacity()
+
     def opening(self, now: float) -> int:
         """Return the number of flows that are being opened at the target."""
         while self._openings:
@@ -73,11 +87,7 @@
 
     def limit(self) -> int:
         """Return the maximum number of requests in progress at the target."""
-        view = self.own_view()
-        capacity = view.target.capacity if view is not None else 0
-        if not capacity:
-            return MAXIMUM_FLOWS
-        return math.ceil(capacity * (1 + self._policy.overcommit_share))
+        return math.ceil(self._capacity() * (1 + self._policy.overcommit_share))
 
     def own_view(self) -> TargetView | None:
         """Return the target's entry."""
@@ -154,17 +164,43 @@
         self._flows.begin_request(entry, now)
         return False
 
-    def pop_next(self, now: float) -> WaitingRequest | None:
-        """Remove and return what goes to the target next, None if nothing waits."""
-        return self._queue.pop_next(now, self._flows.service_seconds, self.limit())
+    def expected_seconds(self, request: WaitingRequest) -> float:
+        """Return how long the target is likely to work on a request."""
+        return self._flows.service_seconds
+
+    def is_in_time(self, request: WaitingRequest, now: float) -> bool:
+        """Return whether a request meets its objective if it starts now."""
+        answered_at = now + self.expected_seconds(request)
+        return standing_of(request, answered_at) is Standing.IN_TIME
+
+    def pop_next(self, now: float, last: Standing) -> WaitingRequest | None:
+        """Remove and return what goes to the target next, None if nothing of a standing waits."""
+        return self._queue.pop_next(now, self.expected_seconds, self.limit(), last)
+
+    def held(self, standing: Standing, now: float) -> Sequence[WaitingRequest]:
+        """Return the SYN packets of a standing, in the order of arrival."""
+        return [
+            each
+            for each in self._queue.held
+            if (standing is Standing.IN_TIME) is self.is_in_time(each, now)
+        ]
 
     def pop_held_too_long(self, now: float) -> WaitingRequest | None:
         """Remove and return a SYN packet that was kept for long enough, or None."""
-        return self._queue.pop_held_before(now - self._policy.hold_seconds)
+        for each in self._queue.held:
+            is_in_time = self.is_in_time(each, now)
+            limit = self._policy.hold_seconds if is_in_time else self._policy.late_hold_seconds
+            if each.syn is not None and now - each.syn.held_at >= limit:
+                return self._queue.remove(each.flow)
+        return None
 
     def pop_transferable(self, host: int, now: float) -> WaitingRequest | None:
         """Remove and return the SYN packet that goes to another agent first, or None."""
-        return self._queue.pop_transferable(host, now, self._flows.service_seconds, self.limit())
+        return self._queue.pop_transferable(host, now, self.expected_seconds, self.limit())
+
+    def _capacity(self) -> int:
+        view = self.own_view()
+        return (view.target.capacity if view is not None else 0) or MAXIMUM_FLOWS
 
     def _route_of(self, flow: FlowKey) -> Route | None:
         return self._directory.route(flow.service_host, flow.service_port)
--- a/egretsill/address_steering/_tunnel.py
+++ b/egretsill/address_steering/_tunnel.py
@@ -20,6 +20,7 @@
 
 ANY_SERVICE = 0  # in place of a service's hash, if the receiver's target may have the flow anyway
 
+_LATE_MARK = 0x8000  # in the count of a request; earlier versions read it as many that wait
 _LARGEST_SHORT = 0xFFFF
 
 _CARRY = 0xE1
@@ -98,11 +99,13 @@
         asker: address of the agent.
         service_hash: hash of the name of its target's service.
         waiting: number of SYN packets that may be transferred to the receiver.
+        is_late: whether all of them miss their objective, so that others go first.
     """
 
     asker: int
     service_hash: int
     waiting: int
+    is_late: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -177,7 +180,7 @@
 
 def encode_capacity_request(request: CapacityRequest) -> bytes:
     """Encode a request for capacity."""
-    waiting = min(request.waiting, _LARGEST_SHORT)
+    waiting = min(request.waiting, _LATE_MARK - 1) | (_LATE_MARK if request.is_late else 0)
     return _CAPACITY.pack(_CAPACITY_REQUEST, request.asker, request.service_hash, waiting)
 
 
@@ -223,6 +226,7 @@
         if len(data) != _CAPACITY.size:
             raise MalformedTunnelMessage("capacity message length")
         _, host, service, count = _CAPACITY.unpack(data)
-        kind = CapacityOffer if mark == _CAPACITY_OFFER else CapacityRequest
-        return kind(host, service, count)
+        if mark == _CAPACITY_OFFER:
+            return CapacityOffer(host, service, count)
+        return CapacityRequest(host, service, count & ~_LATE_MARK, bool(count & _LATE_MARK))
     raise MalformedTunnelMessage("unknown mark")
