--- a/egretsill/address_steering/_policy.py
+++ b/egretsill/address_steering/_policy.py
@@ -20,6 +20,6 @@
     """
 
     overcommit_share: float = 0.5
-    hold_seconds: float = 0.05
-    late_hold_seconds: float = 0.05
+    hold_seconds: float = 0.15
+    late_hold_seconds: float = 0.3
     transfers_syn_packets: bool = True
