--- a/egretsill/address_steering/_capacity_exchange.py
+++ b/egretsill/address_steering/_capacity_exchange.py
@@ -72,21 +72,22 @@
             ends.pop()
 
     def make_offers(
-        self, room: int, now: float, is_for_late: bool = True
+        self, room: int, now: float, is_for_late: bool = False
     ) -> Sequence[OfferCapacity]:
         """Return offers to those who asked, the earliest first, and reserve what they offer.
 
         Args:
             room: number of requests that the target can accept now.
             now: local time.
-            is_for_late: whether those get offers whose requests miss their objective, too.
+            is_for_late: whether those get offers whose requests miss their objective anyway,
+                instead of the others.
         """
         offers = []
         for asker, (request, asked_at) in tuple(self._askers.items()):
             if now - asked_at > REQUEST_LIFETIME_SECONDS:
                 del self._askers[asker]
                 continue
-            if room <= 0 or (request.is_late and not is_for_late):
+            if room <= 0 or request.is_late is not is_for_late:
                 continue
             count = min(room, request.waiting)
             room -= count
--- a/egretsill/address_steering/_policy.py
+++ b/egretsill/address_steering/_policy.py
@@ -13,7 +13,8 @@
         overcommit_share: share of the capacity that a target gets beyond it, so that no slot idles
             between two requests.
         hold_seconds: how long an agent keeps a SYN packet while its target has no capacity, in
-            which another target may get it; 0 to keep none. The flow is opened after that, so that
+            which another target may get it, unless its objective is short; 0 to keep none. The flow
+            is opened after that, so that
             its request waits with those of the others and has its place in their order.
         late_hold_seconds: the same for a SYN packet whose request can't meet its objective.
         transfers_syn_packets: whether it asks other agents for capacity for them.
--- a/egretsill/address_steering/_target_capacity.py
+++ b/egretsill/address_steering/_target_capacity.py
@@ -22,6 +22,8 @@
 
 # A caller's request follows its SYN packet within two round trips unless a packet was lost.
 OPENING_SECONDS = 0.04
+# Share of a latency objective that a SYN packet is kept at most; the rest is for waiting and work.
+MAXIMUM_HOLD_SHARE = 1 / 3
 
 
 class TargetCapacity:
@@ -152,10 +154,11 @@
             if route is not None and route.deadline_seconds and not self._queue.is_full:
                 # The caller's timer started with its first SYN packet.
                 requested_at = now - entry.opening_delay if is_first else now
+                objective = route.latency_objective_seconds or route.deadline_seconds
                 request = WaitingRequest(
                     packet.flow,
                     requested_at,
-                    requested_at + route.latency_objective_seconds,
+                    requested_at + objective,
                     requested_at + route.deadline_seconds,
                     route.priority,
                 )
@@ -188,9 +191,7 @@
     def pop_held_too_long(self, now: float) -> WaitingRequest | None:
         """Remove and return a SYN packet that was kept for long enough, or None."""
         for each in self._queue.held:
-            is_in_time = self.is_in_time(each, now)
-            limit = self._policy.hold_seconds if is_in_time else self._policy.late_hold_seconds
-            if each.syn is not None and now - each.syn.held_at >= limit:
+            if each.syn is not None and now - each.syn.held_at >= self._hold_seconds(each, now):
                 return self._queue.remove(each.flow)
         return None
 
@@ -198,6 +199,12 @@
         """Remove and return the SYN packet that goes to another agent first, or None."""
         return self._queue.pop_transferable(host, now, self.expected_seconds, self.limit())
 
+    def _hold_seconds(self, request: WaitingRequest, now: float) -> float:
+        if not self.is_in_time(request, now):
+            return self._policy.late_hold_seconds
+        objective = request.objective_at - request.arrived_at
+        return min(self._policy.hold_seconds, MAXIMUM_HOLD_SHARE * objective)
+
     def _capacity(self) -> int:
         view = self.own_view()
         return (view.target.capacity if view is not None else 0) or MAXIMUM_FLOWS
