--- a/egretsill/address_steering/_capacity_exchange.py
+++ b/egretsill/address_steering/_capacity_exchange.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable, Sequence
 
 from ._decisions import OfferCapacity
+from ._service_order import Urgency
 from ._tunnel import CapacityOffer, CapacityRequest
 
 REQUEST_INTERVAL_SECONDS = 0.05  # between requests to the same agent
@@ -71,23 +72,26 @@
         if ends:
             ends.pop()
 
-    def make_offers(
-        self, room: int, now: float, is_for_late: bool = False
-    ) -> Sequence[OfferCapacity]:
+    def most_urgent(self, now: float) -> Urgency | None:
+        """Return the urgency of the most urgent requests elsewhere, None if nobody asks."""
+        for asker, (_, asked_at) in tuple(self._askers.items()):
+            if now - asked_at > REQUEST_LIFETIME_SECONDS:
+                del self._askers[asker]
+        return min((request.urgency for request, _ in self._askers.values()), default=None)
+
+    def make_offers(self, room: int, urgency: Urgency, now: float) -> Sequence[OfferCapacity]:
         """Return offers to those who asked, the earliest first, and reserve what they offer.
 
         Args:
             room: number of requests that the target can accept now.
+            urgency: only those who asked for requests of this urgency get offers.
             now: local time.
-            is_for_late: whether those get offers whose requests miss their objective anyway,
-                instead of the others.
         """
         offers = []
-        for asker, (request, asked_at) in tuple(self._askers.items()):
-            if now - asked_at > REQUEST_LIFETIME_SECONDS:
-                del self._askers[asker]
-                continue
-            if room <= 0 or request.is_late is not is_for_late:
+        for asker, (request, _) in tuple(self._askers.items()):
+            if room <= 0:
+                break
+            if request.urgency != urgency:
                 continue
             count = min(room, request.waiting)
             room -= count
--- a/egretsill/address_steering/_flow_admission.py
+++ b/egretsill/address_steering/_flow_admission.py
@@ -123,45 +123,60 @@
         """Remove and return a SYN packet that was kept for long enough, or None."""
         return self._target.pop_held_too_long(now)
 
-    def pop_next(self, now: float, last: Standing) -> WaitingRequest | None:
-        """Remove and return what may go to the target now, None if nothing of a standing may."""
-        return self._target.pop_next(now, last) if self._room(now, last) > 0 else None
+    def next_step(
+        self, now: float, may_offer: bool
+    ) -> WaitingRequest | Sequence[OfferCapacity] | None:
+        """Return what the target's capacity is used for next, None for nothing.
+
+        It is a request that was removed from the queue, or offers to other agents for which more
+        urgent ones wait.
+
+        Args:
+            now: local time.
+            may_offer: whether other agents may get capacity.
+        """
+        own = self._target.next(now) if len(self.queue) else None
+        if own is not None and self._room(now, own[1].standing) <= 0:
+            own = None
+        if may_offer and self._exchange.has_askers and self._target.reason_to_pass(now) is None:
+            asked = self._exchange.most_urgent(now)
+            if asked is not None and (own is None or asked < own[1]):
+                offers = self._exchange.make_offers(self._room(now, asked.standing), asked, now)
+                if offers:
+                    return offers
+        return self.queue.remove(own[0].flow) if own is not None else None
 
     def record_request(self, request: CapacityRequest, now: float) -> None:
         """Record another agent's request for capacity."""
         self._exchange.record_request(request, now)
 
     def request_capacity(self, now: float) -> Sequence[RequestCapacity]:
-        """Return the requests for capacity that are due while SYN packets wait."""
-        held = self._target.held(Standing.IN_TIME, now)
-        is_late = not held
-        if is_late:
-            held = self.queue.held
+        """Return the requests for capacity that are due for the most urgent SYN packets here."""
+        first = self._target.next_held(now)
+        if first is None:
+            return ()
+        urgency = first[1]
+        held = [each for each in self.queue.held if self._target.urgency(each, now) == urgency]
         asked = dict.fromkeys(
             host for each in held[-ASKING_FLOWS:] if each.syn for host in each.syn.alternatives
         )
         requests = []
         for host in self._exchange.due_requests(asked, now):
             waiting = sum(each.may_go_to(host) for each in held)
-            request = CapacityRequest(self._host, self._mark, waiting, is_late)
+            request = CapacityRequest(self._host, self._mark, waiting, urgency)
             requests.append(RequestCapacity(host, request))
         return requests
 
-    def offer_capacity(self, now: float, standing: Standing) -> Sequence[OfferCapacity]:
-        """Return offers to the agents that asked for capacity for requests of a standing."""
-        if not self._exchange.has_askers or self._target.reason_to_pass(now) is not None:
-            return ()
-        is_late = standing is not Standing.IN_TIME
-        return self._exchange.make_offers(self._room(now, standing), now, is_late)
-
     def take_offer(self, offer: CapacityOffer, now: float) -> Sequence[AgentEffect]:
         """Return the effects of passing SYN packets to an agent that offers capacity."""
         effects: list[AgentEffect] = []
         for _ in range(offer.flows):
-            request = self._target.pop_transferable(offer.owner, now)
-            if request is None or request.syn is None:
+            first = self._target.next_held(now, offer.owner)
+            if first is None or first[0].syn is None:
                 break
-            envelope, packet = request.syn.envelope, request.syn.packet
+            request, syn = first[0], first[0].syn
+            self.queue.remove(request.flow)
+            envelope, packet = syn.envelope, syn.packet
             entry = FlowEntry.begin(FlowState.PASSED, envelope, now)
             entry.passed_to = offer.owner
             entry.is_transferred = True
--- a/egretsill/address_steering/_flow_opening.py
+++ b/egretsill/address_steering/_flow_opening.py
@@ -22,7 +22,6 @@
 from ._packet import OPEN_TIMEOUT_SECONDS, FlowPacket, syn_copy_delay
 from ._placement import FlowPlacement
 from ._request_queue import WaitingRequest
-from ._service_order import Standing
 from ._target_silence import TargetSilence
 from ._tunnel import MAXIMUM_ROUTE_HOPS, Envelope, OwnerNotice, service_hash
 
@@ -120,13 +119,15 @@
         effects = self._expire(now)
         while (request := self._admission.pop_held_too_long(now)) is not None:
             effects.extend(self._take_waiting(request, now))
-        # Those who can be in time go first, also if they wait at other agents.
-        for last in (Standing.IN_TIME, Standing.TOO_LATE):
-            while (request := self._admission.pop_next(now, last)) is not None:
-                effects.extend(self._take_waiting(request, now))
-            if not self._silence.is_silent(now):
-                effects.extend(self._admission.offer_capacity(now, last))
-        return effects
+        may_offer = not self._silence.is_silent(now)
+        while True:
+            match self._admission.next_step(now, may_offer):
+                case WaitingRequest() as request:
+                    effects.extend(self._take_waiting(request, now))
+                case None:
+                    return effects
+                case offers:
+                    effects.extend(offers)
 
     def _expire(self, now: float) -> list[AgentEffect]:
         expired = self._admission.queue.expire(now)
@@ -146,7 +147,7 @@
         entry = self._flows.get(request.flow)
         if entry is None:
             return ()
-        self._flows.begin_request(entry, now)
+        self._admission.target.begin_request(request.flow, entry, now)
         self._silence.note_delivered(now)
         return [DeliverToTarget(each) for each in request.packets.values()]
 
--- a/egretsill/address_steering/_request_queue.py
+++ b/egretsill/address_steering/_request_queue.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 
 from ._packet import FlowKey, FlowPacket
-from ._service_order import CallerShares, Standing, choose_next
+from ._service_order import CallerShares, Urgency, choose_next, urgency_of
 from ._tunnel import Envelope
 
 MAXIMUM_WAITING = 512  # requests; more than callers send before they give up
@@ -128,14 +128,10 @@
         self._expired += len(expired)
         return expired
 
-    def pop_next(
-        self,
-        now: float,
-        expected_seconds: Callable[[WaitingRequest], float],
-        in_progress: int,
-        last: Standing = Standing.TOO_LATE,
-    ) -> WaitingRequest | None:
-        """Remove and return the request to start now, or None if none may start.
+    def next(
+        self, now: float, expected_seconds: Callable[[WaitingRequest], float], in_progress: int
+    ) -> tuple[WaitingRequest, Urgency] | None:
+        """Return the request to start now and its urgency, or None if nothing waits.
 
         The caller removes expired requests with `expire` first.
 
@@ -143,42 +139,42 @@
             now: local time.
             expected_seconds: returns how long the target is likely to work on a request.
             in_progress: how many requests it works on concurrently, at least one.
-            last: requests of a later standing may not start.
         """
-        return self._pop(tuple(self._waiting.values()), now, expected_seconds, in_progress, last)
+        return self._choose(tuple(self._waiting.values()), now, expected_seconds, in_progress)
 
-    def pop_transferable(
+    def next_held(
         self,
-        host: int,
         now: float,
         expected_seconds: Callable[[WaitingRequest], float],
         in_progress: int,
-        last: Standing = Standing.TOO_LATE,
-    ) -> WaitingRequest | None:
-        """Remove and return the SYN packet that goes to another agent first, None if none may.
+        host: int | None = None,
+    ) -> tuple[WaitingRequest, Urgency] | None:
+        """Return the SYN packet that goes to another agent first, and its urgency.
 
         Args:
-            host: address of the other agent's VM.
             now: local time.
             expected_seconds: returns how long a target is likely to work on a request.
             in_progress: how many requests it works on concurrently, at least one.
-            last: SYN packets of a later standing may not go.
+            host: address of the other agent's VM; None for any.
         """
-        transferable = [each for each in self._waiting.values() if each.may_go_to(host)]
-        return self._pop(transferable, now, expected_seconds, in_progress, last)
+        held = [each for each in self.held if host is None or each.may_go_to(host)]
+        return self._choose(held, now, expected_seconds, in_progress)
+
+    def urgency(self, request: WaitingRequest, now: float, expected_seconds: float) -> Urgency:
+        """Return the urgency of a request if it starts now."""
+        return urgency_of(request, now + expected_seconds, self._shares, now)
+
+    def note_started(self, flow: FlowKey, now: float) -> None:
+        """Record that a request of a flow goes to the target, which counts for its caller."""
+        self._shares.note_started(flow.caller_host, now)
 
-    def _pop(
+    def _choose(
         self,
         waiting: Sequence[WaitingRequest],
         now: float,
         expected_seconds: Callable[[WaitingRequest], float],
         in_progress: int,
-        last: Standing,
-    ) -> WaitingRequest | None:
+    ) -> tuple[WaitingRequest, Urgency] | None:
         # Callers that have closed may still read an answer, so they are served when nobody else is.
         waiting = [each for each in waiting if not each.caller_closed] or waiting
-        chosen = choose_next(waiting, now, expected_seconds, in_progress, self._shares, last)
-        if chosen is None:
-            return None
-        self._shares.note_started(chosen.flow.caller_host, now)
-        return self._waiting.pop(chosen.flow)
+        return choose_next(waiting, now, expected_seconds, in_progress, self._shares)
--- a/egretsill/address_steering/_service_order.py
+++ b/egretsill/address_steering/_service_order.py
@@ -6,12 +6,14 @@
 Requests that can still meet their latency objective go first, at whichever agent they wait. Late
 ones whose callers still wait come next, as long as a slot is idle. Those that can't be answered
 before their deadline come last. Among requests of the same standing, routes of higher priority go
-first, then callers who had little lately (fair queueing by caller; Demers and others, "Analysis
-and simulation of a fair queueing algorithm", SIGCOMM 1989), then the earliest objective (Liu and
-Layland, 1973). Under overload that would answer every request just at its objective as seen by
-the agent, which is too late for callers whose packets were delayed in the network. The newest
-request then goes first (adaptive LIFO; Maurer, "Fail at Scale", ACM Queue, 2015). Late requests go
-by earliest deadline.
+first, then callers who had few requests lately (fair queueing by caller; Demers and others,
+"Analysis and simulation of a fair queueing algorithm", SIGCOMM 1989). Agents compare what waits by
+these three, its urgency.
+
+Among requests of the same urgency, the earliest objective goes first (Liu and Layland, 1973). Under
+overload that would answer every request just at its objective as seen by the agent, which is too
+late for callers whose packets were delayed in the network. The newest request then goes first
+(adaptive LIFO; Maurer, "Fail at Scale", ACM Queue, 2015). Late requests go by earliest deadline.
 """
 
 from __future__ import annotations
@@ -19,13 +21,13 @@
 import enum
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
-from typing import Protocol, TypeVar
+from typing import NamedTuple, Protocol, TypeVar
 
 from ._packet import FlowKey
 
 SHARE_WINDOW_SECONDS = 1.0  # for which the requests of a caller are counted
-# Requests of one caller in two windows that don't defer it; callers may share an address.
-UNDEFERRED_REQUESTS = 4
+UNDEFERRED_REQUESTS = 4  # of one caller in two windows, however many the others had
+UNDEFERRED_SHARES = 2.0  # likewise, in even shares; callers differ, and some share an address
 
 
 class Standing(enum.IntEnum):
@@ -36,6 +38,20 @@
     TOO_LATE = 2
 
 
+class Urgency(NamedTuple):
+    """What agents compare of requests that wait; lower goes first.
+
+    Attributes:
+        standing: what an answer is still worth.
+        priority: priority of the route, 0 is the highest.
+        is_deferred: whether the caller had more requests lately than others.
+    """
+
+    standing: Standing
+    priority: int = 0
+    is_deferred: bool = False
+
+
 class Claim(Protocol):
     """What is known of a request that waits.
 
@@ -48,19 +64,19 @@
     """
 
     @property
-    def flow(self) -> FlowKey: ...  # noqa: D102
+    def flow(self) -> FlowKey: ...
 
     @property
-    def arrived_at(self) -> float: ...  # noqa: D102
+    def arrived_at(self) -> float: ...
 
     @property
-    def objective_at(self) -> float: ...  # noqa: D102
+    def objective_at(self) -> float: ...
 
     @property
-    def deadline_at(self) -> float: ...  # noqa: D102
+    def deadline_at(self) -> float: ...
 
     @property
-    def priority(self) -> int: ...  # noqa: D102
+    def priority(self) -> int: ...
 
 
 ClaimT = TypeVar("ClaimT", bound=Claim)
@@ -74,18 +90,22 @@
         self._current: Counter[int] = Counter()
         self._previous: Counter[int] = Counter()
         self._window = 0
+        self._total = 0
 
     def note_started(self, caller: int, now: float) -> None:
         """Count a request of a caller, given by its address."""
         self._advance(now)
         self._current[caller] += 1
+        self._total += 1
 
-    def excess(self, caller: int, now: float) -> int:
-        """Return how many requests of a caller were started beyond those that don't defer it."""
+    def is_deferred(self, caller: int, now: float) -> bool:
+        """Return whether a caller had far more than an even share of the requests lately."""
         self._advance(now)
-        started = self._current[caller] if caller in self._current else 0
-        started += self._previous[caller] if caller in self._previous else 0
-        return max(started - UNDEFERRED_REQUESTS, 0)
+        started = self._current.get(caller, 0) + self._previous.get(caller, 0)
+        if started <= UNDEFERRED_REQUESTS:
+            return False
+        callers = max(len(self._current), len(self._previous))
+        return started * callers > UNDEFERRED_SHARES * self._total
 
     def _advance(self, now: float) -> None:
         window = int(now / SHARE_WINDOW_SECONDS)
@@ -93,6 +113,7 @@
             return
         self._previous = self._current if window == self._window + 1 else Counter()
         self._current = Counter()
+        self._total = self._previous.total()
         self._window = window
 
 
@@ -103,15 +124,27 @@
     return Standing.LATE if answered_at <= claim.deadline_at else Standing.TOO_LATE
 
 
+def urgency_of(claim: Claim, answered_at: float, shares: CallerShares, now: float) -> Urgency:
+    """Return the urgency of a request that would be answered at a time.
+
+    Args:
+        claim: the request.
+        answered_at: when it would be answered if it started now.
+        shares: what callers got lately.
+        now: local time.
+    """
+    is_deferred = shares.is_deferred(claim.flow.caller_host, now)
+    return Urgency(standing_of(claim, answered_at), claim.priority, is_deferred)
+
+
 def choose_next(
-    waiting: Sequence[ClaimT],
+    waiting: Iterable[ClaimT],
     now: float,
     expected_seconds: ExpectedSeconds[ClaimT],
     in_progress: int,
     shares: CallerShares,
-    last: Standing = Standing.TOO_LATE,
-) -> ClaimT | None:
-    """Return the request to start next, or None if none may start.
+) -> tuple[ClaimT, Urgency] | None:
+    """Return the request to start next and its urgency, or None if nothing waits.
 
     Args:
         waiting: the requests that wait.
@@ -119,39 +152,29 @@
         expected_seconds: returns how long the target is likely to work on a request.
         in_progress: how many requests it works on concurrently, at least one.
         shares: what callers got lately.
-        last: requests of a later standing may not start.
     """
-    by_standing: dict[Standing, list[ClaimT]] = {}
+    by_urgency: dict[Urgency, list[ClaimT]] = {}
     for each in waiting:
-        standing = standing_of(each, now + expected_seconds(each))
-        by_standing.setdefault(standing, []).append(each)
-    if not by_standing or (best := min(by_standing)) > last:
+        urgency = urgency_of(each, now + expected_seconds(each), shares, now)
+        by_urgency.setdefault(urgency, []).append(each)
+    if not by_urgency:
         return None
-    candidates = by_standing[best]
-    highest = min(each.priority for each in candidates)
-    candidates = [each for each in candidates if each.priority == highest]
-    is_overloaded = best is Standing.IN_TIME and _is_overloaded(
-        candidates, now, expected_seconds, in_progress
-    )
-    if len(candidates) > 1:
-        excesses = [shares.excess(each.flow.caller_host, now) for each in candidates]
-        least = min(excesses)
-        candidates = [
-            each for each, excess in zip(candidates, excesses, strict=True) if excess == least
-        ]
-    match best:
-        case Standing.IN_TIME if is_overloaded:
-            return max(candidates, key=lambda each: each.arrived_at)
+    best = min(by_urgency)
+    candidates = by_urgency[best]
+    match best.standing:
+        case Standing.IN_TIME if _is_overloaded(candidates, now, expected_seconds, in_progress):
+            chosen = max(candidates, key=lambda each: each.arrived_at)
         case Standing.IN_TIME:
-            return min(candidates, key=lambda each: each.objective_at)
+            chosen = min(candidates, key=lambda each: each.objective_at)
         case Standing.LATE:
-            return min(candidates, key=lambda each: each.deadline_at)
+            chosen = min(candidates, key=lambda each: each.deadline_at)
         case Standing.TOO_LATE:
-            return max(candidates, key=lambda each: each.deadline_at)
+            chosen = max(candidates, key=lambda each: each.deadline_at)
+    return chosen, best
 
 
 def _is_overloaded(
-    claims: Iterable[ClaimT],
+    claims: Sequence[ClaimT],
     now: float,
     expected_seconds: ExpectedSeconds[ClaimT],
     in_progress: int,
--- a/egretsill/address_steering/_target_capacity.py
+++ b/egretsill/address_steering/_target_capacity.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Sequence
 from dataclasses import replace
 
 from ..directory import Directory, Route, TargetView
@@ -18,7 +17,7 @@
 from ._packet import OPEN_TIMEOUT_SECONDS, FlowKey, FlowPacket
 from ._policy import SteeringPolicy
 from ._request_queue import HeldSyn, RequestQueue, WaitingRequest
-from ._service_order import Standing, standing_of
+from ._service_order import Standing, Urgency
 
 # A caller's request follows its SYN packet within two round trips unless a packet was lost.
 OPENING_SECONDS = 0.04
@@ -164,29 +163,37 @@
                 )
                 self._queue.push(request)
                 return True
-        self._flows.begin_request(entry, now)
+        self.begin_request(packet.flow, entry, now)
         return False
 
+    def begin_request(self, flow: FlowKey, entry: FlowEntry, now: float) -> None:
+        """Record that a request goes to the target."""
+        if entry.pending_since is None:
+            self._queue.note_started(flow, now)
+        self._flows.begin_request(entry, now)
+
     def expected_seconds(self, request: WaitingRequest) -> float:
         """Return how long the target is likely to work on a request."""
         return self._flows.service_seconds
 
-    def is_in_time(self, request: WaitingRequest, now: float) -> bool:
-        """Return whether a request meets its objective if it starts now."""
-        answered_at = now + self.expected_seconds(request)
-        return standing_of(request, answered_at) is Standing.IN_TIME
+    def next(self, now: float) -> tuple[WaitingRequest, Urgency] | None:
+        """Return what goes to the target next and its urgency, None if nothing waits."""
+        return self._queue.next(now, self.expected_seconds, self.limit())
 
-    def pop_next(self, now: float, last: Standing) -> WaitingRequest | None:
-        """Remove and return what goes to the target next, None if nothing of a standing waits."""
-        return self._queue.pop_next(now, self.expected_seconds, self.limit(), last)
+    def next_held(
+        self, now: float, host: int | None = None
+    ) -> tuple[WaitingRequest, Urgency] | None:
+        """Return the SYN packet that goes to another agent first and its urgency, or None.
 
-    def held(self, standing: Standing, now: float) -> Sequence[WaitingRequest]:
-        """Return the SYN packets of a standing, in the order of arrival."""
-        return [
-            each
-            for each in self._queue.held
-            if (standing is Standing.IN_TIME) is self.is_in_time(each, now)
-        ]
+        Args:
+            now: local time.
+            host: address of the other agent's VM; None for any.
+        """
+        return self._queue.next_held(now, self.expected_seconds, self.limit(), host)
+
+    def urgency(self, request: WaitingRequest, now: float) -> Urgency:
+        """Return the urgency of a request if it starts now."""
+        return self._queue.urgency(request, now, self.expected_seconds(request))
 
     def pop_held_too_long(self, now: float) -> WaitingRequest | None:
         """Remove and return a SYN packet that was kept for long enough, or None."""
@@ -195,12 +202,8 @@
                 return self._queue.remove(each.flow)
         return None
 
-    def pop_transferable(self, host: int, now: float) -> WaitingRequest | None:
-        """Remove and return the SYN packet that goes to another agent first, or None."""
-        return self._queue.pop_transferable(host, now, self.expected_seconds, self.limit())
-
     def _hold_seconds(self, request: WaitingRequest, now: float) -> float:
-        if not self.is_in_time(request, now):
+        if self.urgency(request, now).standing is not Standing.IN_TIME:
             return self._policy.late_hold_seconds
         objective = request.objective_at - request.arrived_at
         return min(self._policy.hold_seconds, MAXIMUM_HOLD_SHARE * objective)
--- a/egretsill/address_steering/_tunnel.py
+++ b/egretsill/address_steering/_tunnel.py
@@ -13,6 +13,7 @@
 from xxhash import xxh32_intdigest
 
 from ._packet import FlowKey
+from ._service_order import Standing, Urgency
 
 MAXIMUM_ROUTE_HOPS = 12  # hops among a route's targets; candidates take five, a search the rest
 MAXIMUM_HOPS = 54  # hops of one packet; the datagram still fits in 1,472 bytes, unfragmented
@@ -20,7 +21,13 @@
 
 ANY_SERVICE = 0  # in place of a service's hash, if the receiver's target may have the flow anyway
 
-_LATE_MARK = 0x8000  # in the count of a request; earlier versions read it as many that wait
+UNSTATED_URGENCY = Urgency(Standing.IN_TIME)  # of requests of earlier versions
+
+# A request's count has its urgency in the upper bits: whether late, whether deferred, and the
+# priority. Earlier versions read a larger count, of which they offer what room there is.
+_COUNT_BITS, _PRIORITY_BITS = 9, 5
+_LARGEST_COUNT, _LOWEST_PRIORITY = 2**_COUNT_BITS - 1, 2**_PRIORITY_BITS - 1
+_DEFERRED_MARK, _LATE_MARK = 0x4000, 0x8000
 _LARGEST_SHORT = 0xFFFF
 
 _CARRY = 0xE1
@@ -99,13 +106,13 @@
         asker: address of the agent.
         service_hash: hash of the name of its target's service.
         waiting: number of SYN packets that may be transferred to the receiver.
-        is_late: whether all of them miss their objective, so that others go first.
+        urgency: of these packets.
     """
 
     asker: int
     service_hash: int
     waiting: int
-    is_late: bool = False
+    urgency: Urgency = UNSTATED_URGENCY
 
 
 @dataclass(frozen=True, slots=True)
@@ -180,7 +187,11 @@
 
 def encode_capacity_request(request: CapacityRequest) -> bytes:
     """Encode a request for capacity."""
-    waiting = min(request.waiting, _LATE_MARK - 1) | (_LATE_MARK if request.is_late else 0)
+    standing, priority, is_deferred = request.urgency
+    waiting = min(request.waiting, _LARGEST_COUNT)
+    waiting |= min(priority, _LOWEST_PRIORITY) << _COUNT_BITS
+    waiting |= _DEFERRED_MARK if is_deferred else 0
+    waiting |= 0 if standing is Standing.IN_TIME else _LATE_MARK
     return _CAPACITY.pack(_CAPACITY_REQUEST, request.asker, request.service_hash, waiting)
 
 
@@ -228,5 +239,8 @@
         _, host, service, count = _CAPACITY.unpack(data)
         if mark == _CAPACITY_OFFER:
             return CapacityOffer(host, service, count)
-        return CapacityRequest(host, service, count & ~_LATE_MARK, bool(count & _LATE_MARK))
+        standing = Standing.LATE if count & _LATE_MARK else Standing.IN_TIME
+        priority = count >> _COUNT_BITS & _LOWEST_PRIORITY
+        urgency = Urgency(standing, priority, bool(count & _DEFERRED_MARK))
+        return CapacityRequest(host, service, count & _LARGEST_COUNT, urgency)
     raise MalformedTunnelMessage("unknown mark")
