--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -232,12 +232,15 @@
     ) -> Sequence[AgentEffect]:
         entry.note_arrival(envelope, now)
         effects: list[AgentEffect] = []
-        if packet.payload_bytes and self._target.must_wait(entry, packet, now):
+        is_contended = self.is_waiting
+        if packet.payload_bytes and self._target.must_wait(entry, packet, now, is_contended):
             waiting = self._queue.get(packet.flow)
             if waiting is not None:
-                if not waiting.packets:
-                    effects.append(Wait(packet.flow, len(self._queue), self._flows.pending))
+                is_new = not waiting.packets
                 waiting.add(packet.sequence, packet.datagram)
+                if is_new:
+                    effects.append(Wait(packet.flow, len(self._queue), self._flows.pending))
+                    effects.extend(self._opening.use_capacity(now))
         else:
             effects.append(DeliverToTarget(packet.datagram))
             if packet.payload_bytes:
--- a/egretsill/address_steering/_flow_opening.py
+++ b/egretsill/address_steering/_flow_opening.py
@@ -118,7 +118,7 @@
         """Return the effects for what waits and can go to the target now, or has expired."""
         effects = self._expire(now)
         while (request := self._admission.pop_held_too_long(now)) is not None:
-            effects.extend(self._take_waiting(request, now))
+            effects.extend(self._take_waiting(request, now, has_place=False))
         may_offer = not self._silence.is_silent(now)
         while True:
             match self._admission.next_step(now, may_offer):
@@ -133,11 +133,13 @@
         expired = self._admission.queue.expire(now)
         return [Expire(each.flow, now - each.arrived_at) for each in expired]
 
-    def _take_waiting(self, request: WaitingRequest, now: float) -> Sequence[AgentEffect]:
+    def _take_waiting(
+        self, request: WaitingRequest, now: float, has_place: bool = True
+    ) -> Sequence[AgentEffect]:
         """Return the effects for what has waited and was removed from the queue."""
         try:
             if request.syn is not None:
-                return self._take_held(request, now)
+                return self._take_held(request, now, has_place)
             return self._deliver(request, now)
         except Exception as error:  # It costs this flow only.
             return (Failed(request.flow, error),)
@@ -151,13 +153,15 @@
         self._silence.note_delivered(now)
         return [DeliverToTarget(each) for each in request.packets.values()]
 
-    def _take_held(self, request: WaitingRequest, now: float) -> Sequence[AgentEffect]:
+    def _take_held(
+        self, request: WaitingRequest, now: float, has_place: bool
+    ) -> Sequence[AgentEffect]:
         """Take a SYN packet that has waited; targets and routes may have changed meanwhile."""
         if request.syn is None:
             return ()
         envelope, packet = request.syn.envelope, request.syn.packet
         passed = self._pass_if_unsuitable(envelope, packet, now)
-        return passed or self._open(envelope, packet, request.arrived_at, now)
+        return passed or self._open(envelope, packet, request.arrived_at, now, has_place)
 
     def _pass_if_unsuitable(
         self, envelope: Envelope, packet: FlowPacket, now: float
@@ -182,13 +186,27 @@
         return ()
 
     def _open(
-        self, envelope: Envelope, packet: FlowPacket, requested_at: float, now: float
+        self,
+        envelope: Envelope,
+        packet: FlowPacket,
+        requested_at: float,
+        now: float,
+        has_place: bool = True,
     ) -> Sequence[AgentEffect]:
-        """Deliver a SYN packet to the target."""
+        """Deliver a SYN packet to the target.
+
+        Args:
+            envelope: path of the packet to this agent.
+            packet: the packet.
+            requested_at: when its caller sent the first copy.
+            now: local time.
+            has_place: whether capacity is set apart for its request.
+        """
         entry = FlowEntry.begin(FlowState.TRYING, envelope, now)
         entry.opening_delay = now - requested_at
         self._flows.put(packet.flow, entry)
-        self._admission.target.begin_opening(packet.flow, now)
+        if has_place:
+            self._admission.target.begin_opening(packet.flow, now)
         self._silence.note_delivered(now)
         if not envelope.visited:
             return (DeliverToTarget(packet.datagram),)
--- a/egretsill/address_steering/_request_queue.py
+++ b/egretsill/address_steering/_request_queue.py
@@ -11,7 +11,14 @@
 from dataclasses import dataclass, field
 
 from ._packet import FlowKey, FlowPacket
-from ._service_order import CallerShares, Urgency, choose_next, urgency_of
+from ._service_order import (
+    CallerShares,
+    Standing,
+    Urgency,
+    choose_next,
+    standing_of,
+    urgency_of,
+)
 from ._tunnel import Envelope
 
 MAXIMUM_WAITING = 512  # requests; more than callers send before they give up
@@ -164,6 +171,15 @@
         """Return the urgency of a request if it starts now."""
         return urgency_of(request, now + expected_seconds, self._shares, now)
 
+    def count(
+        self, standing: Standing, now: float, expected_seconds: Callable[[WaitingRequest], float]
+    ) -> int:
+        """Return how many requests have a standing if they start now."""
+        return sum(
+            standing_of(each, now + expected_seconds(each)) is standing
+            for each in self._waiting.values()
+        )
+
     def note_started(self, flow: FlowKey, now: float) -> None:
         """Record that a request of a flow goes to the target, which counts for its caller."""
         self._shares.note_started(flow.caller_host, now)
--- a/egretsill/address_steering/_target_capacity.py
+++ b/egretsill/address_steering/_target_capacity.py
@@ -83,8 +83,13 @@
         return len(self._openings)
 
     def load(self, now: float) -> int:
-        """Return the number of requests at the target, on their way to it, or waiting for it."""
-        return self._flows.pending + self.opening(now) + len(self._queue)
+        """Return the number of requests that a new one has to share the target with.
+
+        These are at the target, on their way to it, or waiting for it. Late ones that wait don't
+        count, because a new one goes before them.
+        """
+        in_time = self._queue.count(Standing.IN_TIME, now, self.expected_seconds)
+        return self._flows.pending + self.opening(now) + in_time
 
     def limit(self) -> int:
         """Return the maximum number of requests in progress at the target."""
@@ -136,8 +141,18 @@
         )
         return True
 
-    def must_wait(self, entry: FlowEntry, packet: FlowPacket, now: float) -> bool:
-        """Return whether a caller's data must wait, and record the request that it belongs to."""
+    def must_wait(
+        self, entry: FlowEntry, packet: FlowPacket, now: float, is_contended: bool = False
+    ) -> bool:
+        """Return whether a caller's data must wait, and record the request that it belongs to.
+
+        Args:
+            entry: its flow.
+            packet: the packet with the data.
+            now: local time.
+            is_contended: whether others wait, so that a request whose flow was opened without
+                capacity, because its SYN packet had waited for long, has to take its place.
+        """
         if entry.state is not FlowState.OWNED:
             # The target bounces the packet immediately if it doesn't have the flow.
             return False
@@ -147,8 +162,9 @@
             return True
         if not is_new:
             return False
+        has_place = not is_contended or self._has_place(packet.flow, now)
         self.end_opening(packet.flow)
-        if entry.pending_since is None and self.room(now) <= 0:
+        if entry.pending_since is None and (self.room(now) <= 0 or not has_place):
             route = self._route_of(packet.flow)
             if route is not None and route.deadline_seconds and not self._queue.is_full:
                 # The caller's timer started with its first SYN packet.
@@ -202,6 +218,11 @@
                 return self._queue.remove(each.flow)
         return None
 
+    def _has_place(self, flow: FlowKey, now: float) -> bool:
+        """Return whether a flow was opened lately, for which capacity was set apart."""
+        self.opening(now)
+        return flow in self._openings
+
     def _hold_seconds(self, request: WaitingRequest, now: float) -> float:
         if self.urgency(request, now).standing is not Standing.IN_TIME:
             return self._policy.late_hold_seconds
