Tests: burst of the higher priority, cold failure domain, flooding caller, return with a backlog

The return of all compared two policies by the worth of two seeds; the one without holding has the new order as well, so the difference fell within the noise of two seeds. It now compares four seeds, and beside the worth the share in time of each seed. Requests of the table tests that were late by their clock are now answered in time, or wait for an idle slot as a late one does.

--- a/egretsill/address_steering/tests/test_agent_steering.py
+++ b/egretsill/address_steering/tests/test_agent_steering.py
@@ -28,6 +28,7 @@
 )
 from .._decisions import AgentEffect, Drop
 from .._flow_table import MAXIMUM_FLOWS
+from .._target_capacity import OPENING_SECONDS
 from .._tunnel import MAXIMUM_ROUTE_HOPS
 from .scene import (
     AGENTS,
@@ -262,7 +263,7 @@
     scene = Scene(HERE)
     agent = make_agent(scene)
     for number in range(8):
-        open_flow(agent, number)
+        open_flow(agent, number, number * OPENING_SECONDS)
     handed = [send_request(agent, number, 1.0) for number in range(8)]
     assert handed == [[DeliverToTarget]] * 6 + [[Wait]] * 2
     assert (agent.flows.pending, len(agent.queue)) == (6, 2)
@@ -276,7 +277,7 @@
     """Guards against late requests that hold the places of those that could be in time."""
     agent = make_agent(Scene(HERE))
     for number in range(8):
-        open_flow(agent, number)
+        open_flow(agent, number, number * OPENING_SECONDS)
     for number in range(8):
         send_request(agent, number, 1.0)
     answers = [
--- a/egretsill/address_steering/tests/test_load_patterns.py
+++ b/egretsill/address_steering/tests/test_load_patterns.py
@@ -13,6 +13,7 @@
 from .load_fleet import LoadFleet, spread_starts
 
 SEEDS = (1, 2)
+RETURN_SEEDS = (1, 2, 3, 4)  # how a backlog is met varies more
 NO_HOLD = SteeringPolicy(hold_seconds=0.0)
 EVEN_SHARE_LIMIT = 1.6  # of the busiest target, in any two seconds
 RETURN_AT = 1.6
@@ -86,7 +87,7 @@
 @pytest.mark.parametrize("seconds", [0.1, 0.5], ids=["all at once", "spread over half a second"])
 def test_return_of_all_to_cold_targets(seconds: float) -> None:
     """Guards against a flood that waits at the first agents while others come up idle."""
-    earned = []
+    earned, in_time = [], []
     for policy in (SteeringPolicy(), NO_HOLD):
         fleets = [
             LoadFleet(
@@ -96,7 +97,7 @@
                 are_cold=True,
                 policy=policy,
             )
-            for seed in SEEDS
+            for seed in RETURN_SEEDS
         ]
         for fleet in fleets:
             fleet.ask_at_rate(0.0, 6.0, 175.0)
@@ -104,7 +105,9 @@
             assert fleet.failed(RETURN_AT + 1.0) <= 0.01
             assert fleet.in_time(RETURN_AT + 2.4) >= 0.99
         earned.append(sum(each.earned() for each in fleets))
+        in_time.append([each.in_time(RETURN_AT) for each in fleets])
     assert earned[0] > earned[1]
+    assert all(held > not_held for held, not_held in zip(*in_time, strict=True))
 
 
 def test_flow_is_opened_at_one_target_only() -> None:
--- a/egretsill/address_steering/tests/test_scarce_room.py
+++ b/egretsill/address_steering/tests/test_scarce_room.py
@@ -84,12 +84,3 @@
     assert fleet.in_time(up_at + 0.5, up_at + 1.5, reserve) >= 0.95
     assert fleet.in_time(up_at + 0.5, up_at + 1.5, check) >= 0.85
     assert fleet.in_time(up_at + 1.5, up_at + 3.5) >= 0.99
-    print(
-        [
-            fleet.in_time(up_at + a, up_at + b, k)
-            for a, b in ((0.5, 1.5), (1.5, 2.5))
-            for k in (reserve, check)
-        ],
-        fleet.failed(0, 1.2),
-        fleet.failed(1.2, 5),
-    )
