Settings, counters and log of who goes first

An agent's settings [load] hold_seconds and urgent_first switch the parts off. Requests that waited are counted as started or started-late, how long they waited is a histogram by route, and resets are counted by reason and route.

--- a/egretsill/address_steering/__init__.py
+++ b/egretsill/address_steering/__init__.py
@@ -21,6 +21,7 @@
     RefuseReason,
     RequestCapacity,
     SendToCaller,
+    Start,
     Undecided,
     Wait,
 )
@@ -92,6 +93,7 @@
     "Refuse",
     "RefuseReason",
     "SendToCaller",
+    "Start",
     "HOME_NOTICE_INTERVAL_SECONDS",
     "NotifyHome",
     "NotifyBalancer",
--- a/egretsill/address_steering/_decisions.py
+++ b/egretsill/address_steering/_decisions.py
@@ -164,6 +164,19 @@
     asked: tuple[int, ...]
 
 
+class Start(NamedTuple):
+    """Deliver a request that has waited for the target's capacity.
+
+    Attributes:
+        waited_seconds: time since its caller sent it.
+        is_late: whether it can't be answered within its latency objective anymore.
+    """
+
+    flow: FlowKey
+    waited_seconds: float
+    is_late: bool
+
+
 class Expire(NamedTuple):
     """Remove a request that waited until its caller gave up; it never ran."""
 
@@ -205,6 +218,7 @@
     | Drop
     | Wait
     | Undecided
+    | Start
     | Expire
     | Answered
     | Failed
--- a/egretsill/address_steering/_flow_admission.py
+++ b/egretsill/address_steering/_flow_admission.py
@@ -25,7 +25,7 @@
 from ._placement import FlowPlacement
 from ._policy import SteeringPolicy
 from ._request_queue import HeldSyn, RequestQueue, WaitingRequest
-from ._service_order import Standing
+from ._service_order import Standing, Urgency
 from ._target_capacity import TargetCapacity
 from ._tunnel import (
     MAXIMUM_ROUTE_HOPS,
@@ -140,7 +140,7 @@
             own = None
         if may_offer and self._exchange.has_askers and self._target.reason_to_pass(now) is None:
             asked = self._exchange.most_urgent(now)
-            if asked is not None and (own is None or asked < own[1]):
+            if asked is not None and (own is None or self._goes_before(asked, own[1])):
                 offers = self._exchange.make_offers(self._room(now, asked.standing), asked, now)
                 if offers:
                     return offers
@@ -196,6 +196,9 @@
         """Remove records that are too old."""
         self._exchange.sweep(now)
 
+    def _goes_before(self, asked: Urgency, own: Urgency) -> bool:
+        return self._policy.has_urgent_first and asked < own
+
     def _room(self, now: float, standing: Standing = Standing.IN_TIME) -> int:
         """Return how many more requests of a standing the target may get.
 
@@ -204,6 +207,6 @@
         these, and a SYN packet that comes nevertheless finds a place beyond the slots.
         """
         room = self._target.room(now) - self._exchange.reserved(now)
-        if standing is Standing.IN_TIME:
+        if standing is Standing.IN_TIME or not self._policy.has_urgent_first:
             return room
         return max(self._target.late_room(now), 0) if self._target.has_overcommit else room
--- a/egretsill/address_steering/_flow_opening.py
+++ b/egretsill/address_steering/_flow_opening.py
@@ -15,6 +15,7 @@
     ForwardReason,
     NotifyBalancer,
     RefuseReason,
+    Start,
 )
 from ._flow_admission import FlowAdmission
 from ._flow_table import FlowEntry, FlowState, FlowTable
@@ -22,6 +23,7 @@
 from ._packet import OPEN_TIMEOUT_SECONDS, FlowPacket, syn_copy_delay
 from ._placement import FlowPlacement
 from ._request_queue import WaitingRequest
+from ._service_order import Standing
 from ._target_silence import TargetSilence
 from ._tunnel import MAXIMUM_ROUTE_HOPS, Envelope, OwnerNotice, service_hash
 
@@ -149,9 +151,12 @@
         entry = self._flows.get(request.flow)
         if entry is None:
             return ()
-        self._admission.target.begin_request(request.flow, entry, now)
+        target = self._admission.target
+        is_late = target.urgency(request, now).standing is not Standing.IN_TIME
+        target.begin_request(request.flow, entry, now)
         self._silence.note_delivered(now)
-        return [DeliverToTarget(each) for each in request.packets.values()]
+        started = Start(request.flow, now - request.arrived_at, is_late)
+        return [started, *(DeliverToTarget(each) for each in request.packets.values())]
 
     def _take_held(
         self, request: WaitingRequest, now: float, has_place: bool
--- a/egretsill/address_steering/tests/scene.py
+++ b/egretsill/address_steering/tests/scene.py
@@ -25,6 +25,7 @@
     FlowPacket,
     FlowPlacement,
     PacketKind,
+    SteeringPolicy,
     service_hash,
 )
 from .._tunnel import domain_hash
@@ -113,11 +114,15 @@
 
 
 def make_agent(
-    scene: Scene, host: int = AGENTS[0], service: str = SERVICE, started_at: float = -RETENTION
+    scene: Scene,
+    host: int = AGENTS[0],
+    service: str = SERVICE,
+    started_at: float = -RETENTION,
+    policy: SteeringPolicy = SteeringPolicy(),  # noqa: B008, it is immutable
 ) -> AgentSteering:
     """Return the agent on a VM; by default it has seen every packet of its target."""
     return AgentSteering(
-        host, service, scene.directory, scene.peers, scene.placement, RETENTION, started_at
+        host, service, scene.directory, scene.peers, scene.placement, RETENTION, started_at, policy
     )
 
 
--- a/egretsill/address_steering/tests/test_flow_admission.py
+++ b/egretsill/address_steering/tests/test_flow_admission.py
@@ -57,9 +57,12 @@
 LATE_HOLD_SECONDS = SteeringPolicy().late_hold_seconds
 
 
-def make_full_agent(scene: Scene) -> AgentSteering:
+def make_full_agent(
+    scene: Scene,
+    policy: SteeringPolicy = SteeringPolicy(),  # noqa: B008, it is immutable
+) -> AgentSteering:
     """Return an agent whose target has all the requests that it may get, since 1.0."""
-    agent = make_agent(scene)
+    agent = make_agent(scene, policy=policy)
     for number in range(LIMIT):
         agent.take_from_peer(envelope(), packet(SYN, flow(number)), 0.9)
         agent.take_from_target(packet(PacketKind.SYN_ACK, flow(number)), 0.9)
@@ -343,6 +346,16 @@
     assert len(agent.queue) == 0, "it is served when no other waits"
 
 
+def test_own_late_request_goes_first_if_switched_off(scene: Scene) -> None:
+    policy = SteeringPolicy(has_urgent_first=False)
+    agent = make_full_agent(scene, policy)
+    agent.take_from_peer(envelope(), packet(SYN, flow(9), copy=2), 1.0)
+    agent.take_capacity_request(CapacityRequest(OTHER, MARK, 1), 1.0)
+    effects = agent.take_from_target(packet(key=flow(0), payload_bytes=9), 1.01)
+    assert DeliverToTarget(b"packet") in effects
+    assert not any(isinstance(each, OfferCapacity) for each in effects)
+
+
 def test_nothing_is_held_if_switched_off(scene: Scene) -> None:
     agent = AgentSteering(
         HERE,
--- a/egretsill/boot/_settings.py
+++ b/egretsill/boot/_settings.py
@@ -17,6 +17,8 @@
 DEFAULT_FAILURE_DOMAIN = ""  # near to no target; an agent is in the domain of its target's entry
 DEFAULT_FLOW_SECONDS = 60.0
 DEFAULT_GRACE_SECONDS = 6.0
+DEFAULT_HOLD_SECONDS = 0.15
+DEFAULT_URGENT_FIRST = True
 
 _BOOLEANS = {"true": True, "false": False}
 _NO_ADDRESS = Address("", 0)
@@ -37,11 +39,16 @@
         service: the service that its target belongs to.
         target: endpoint at which the target receives packets.
         outbound: endpoint to which the target sends its packets.
+        hold_seconds: how long a SYN packet is kept for another target while this one has no
+            capacity; 0 to keep none.
+        has_urgent_first: whether urgent requests at other agents go before less urgent ones here.
     """
 
     service: str
     target: Address
     outbound: Address
+    hold_seconds: float = DEFAULT_HOLD_SECONDS
+    has_urgent_first: bool = DEFAULT_URGENT_FIRST
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,6 +135,8 @@
         reader.required("node", "service", str, ""),
         reader.required("addresses", "target", _parse_address, _NO_ADDRESS),
         reader.required("addresses", "outbound", _parse_address, _NO_ADDRESS),
+        reader.adjustable("load", "hold_seconds", _parse_hold, DEFAULT_HOLD_SECONDS),
+        reader.adjustable("load", "urgent_first", _parse_flag, DEFAULT_URGENT_FIRST),
     )
 
 
@@ -155,6 +164,10 @@
     return value
 
 
+def _parse_hold(text: str) -> float:
+    return 0.0 if text in ("0", "0.0") else _parse_seconds(text)
+
+
 def _parse_address(text: str) -> Address:
     host, _, port = text.rpartition(":")
     return Address(_parse_host(host), _parse_port(port))
--- a/egretsill/boot/_settings_reader.py
+++ b/egretsill/boot/_settings_reader.py
@@ -109,6 +109,13 @@
             return default
         return self._parse(section, key, parse, default, text)
 
+    def adjustable(
+        self, section: str, key: str, parse: Callable[[str], _Value], default: _Value
+    ) -> _Value:
+        """Return a parsed value, or its default, which is what most deployments want."""
+        text = self._text(section, key)
+        return self._parse(section, key, parse, default, text) if text else default
+
     def listed(self, section: str, key: str, parse: Callable[[str], _Value]) -> Sequence[_Value]:
         """Return the parsed values of a list separated by commas, which may be empty."""
         values = []
--- a/egretsill/boot/tests/test_settings.py
+++ b/egretsill/boot/tests/test_settings.py
@@ -138,6 +138,28 @@
     assert settings.defaulted == (f"{section}.{key}",)
 
 
+@pytest.mark.parametrize(
+    ("load", "expected"),
+    [
+        pytest.param("", (0.15, True), id="missing"),
+        pytest.param("\n[load]\nhold_seconds =", (0.15, True), id="empty"),
+        pytest.param("\n[load]\nhold_seconds = 0\nurgent_first = false", (0.0, False), id="off"),
+        pytest.param("\n[load]\nhold_seconds = 0.05", (0.05, True), id="changed"),
+    ],
+)
+def test_load_settings_of_an_agent(tmp_path: Path, load: str, expected: tuple[float, bool]) -> None:
+    settings = load_node_settings(write(tmp_path, AGENT + load))
+    assert settings.agent is not None
+    assert (settings.agent.hold_seconds, settings.agent.has_urgent_first) == expected
+    assert settings.defaulted == ()
+
+
+@pytest.mark.parametrize("line", ["hold_seconds = -1", "hold_seconds = inf", "urgent_first = 2"])
+def test_invalid_load_settings_are_rejected(tmp_path: Path, line: str) -> None:
+    with pytest.raises(NodeSettingsRejected):
+        load_node_settings(write(tmp_path, f"{AGENT}\n[load]\n{line}\n"))
+
+
 def test_complete_file_uses_no_default(tmp_path: Path) -> None:
     assert load_node_settings(write(tmp_path, AGENT)).defaulted == ()
 
--- a/egretsill/node/_agent_node.py
+++ b/egretsill/node/_agent_node.py
@@ -30,6 +30,7 @@
     Refuse,
     RequestCapacity,
     SendToCaller,
+    Start,
     TunneledPacket,
     Undecided,
     Wait,
@@ -200,6 +201,8 @@
                 self._log.answered(effect)
             case Wait():
                 self._log.waits(effect)
+            case Start():
+                self._log.started(effect)
             case Expire():
                 self._log.expired(effect)
             case Failed(flow, error):
--- a/egretsill/node/_decision_log.py
+++ b/egretsill/node/_decision_log.py
@@ -12,6 +12,7 @@
     Forward,
     ForwardReason,
     Refuse,
+    Start,
     Undecided,
     Wait,
 )
@@ -73,6 +74,8 @@
     def refused(self, decision: Refuse) -> None:
         """Record that a flow was reset, and which agents were asked and are reachable."""
         self._metrics.flow_packets.increment(self._role, decision.reason)
+        route = self._directory.route(decision.flow.service_host, decision.flow.service_port)
+        self._metrics.flows_refused.increment(decision.reason, route.name if route else "")
         now = self._timer.now
         reachable = [each for each in decision.asked[:-1] if self._peers.is_reachable(each, now)]
         self._journal.record(
@@ -114,6 +117,13 @@
             open=decision.is_open,
         )
 
+    def started(self, decision: Start) -> None:
+        """Record how long a request of an open flow has waited before it went to the target."""
+        self._metrics.flow_requests.increment("started-late" if decision.is_late else "started")
+        route = self._directory.route(decision.flow.service_host, decision.flow.service_port)
+        service, name = (route.shares[0].service, route.name) if route else ("", "")
+        self._metrics.request_wait_seconds.observe(decision.waited_seconds, service, name)
+
     def expired(self, decision: Expire) -> None:
         """Record that a waiting request was discarded because its caller had given up."""
         self._metrics.flow_requests.increment("expired")
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -15,6 +15,7 @@
     FlowKey,
     FlowPlacement,
     PacketCodec,
+    SteeringPolicy,
 )
 from ..boot import AgentSettings, NodeSettings, NodeSockets
 from ..directory import Directory, ReadPlan, Store, TargetPlace
@@ -280,6 +281,9 @@
             self._placement,
             settings.flow_seconds,
             self._timer.now,
+            SteeringPolicy(
+                hold_seconds=agent.hold_seconds, has_urgent_first=agent.has_urgent_first
+            ),
         )
         self._agent_steering = steering
         self._timer.subscribe(SWEEP_SECONDS, steering.sweep)
--- a/egretsill/observation/_definitions.py
+++ b/egretsill/observation/_definitions.py
@@ -84,11 +84,17 @@
         "Packets of flows steered by address that were sent on or refused, by why.",
         "Look up rising reasons other than known-owner in the journal's lines of the same name.",
     ),
+    _counter(
+        "flows_refused",
+        ("reason", "route"),
+        "Flows steered by address that were reset, by why and by route.",
+        "Look up the reason in the journal's lines flow-refused.",
+    ),
     _counter(
         "flow_requests",
         ("event",),
         "Requests on flows steered by address that were answered, waited for the target's "
-        "capacity, or expired while they waited.",
+        "capacity, started after that in time or late, or expired while they waited.",
         "Expired requests never ran: the service has too few targets for its load, or lost some.",
     ),
     _counter(
@@ -263,6 +269,11 @@
         "Other processes in this process's view.",
         "Many dead processes in one failure domain: the domain is isolated or down.",
     ),
+    _histogram(
+        "request_wait_seconds",
+        "Seconds from a request on a flow steered by address to its start, if it had to wait.",
+        "Add targets before it nears the latency objective of the route.",
+    ),
     _histogram(
         "time_to_first_byte_seconds",
         "Seconds from a request's arrival to the first byte of its answer.",
--- a/egretsill/observation/_metrics.py
+++ b/egretsill/observation/_metrics.py
@@ -198,6 +198,7 @@
     datagrams_forwarded: Counter
     flow_packets: Counter
     flow_requests: Counter
+    flows_refused: Counter
     datagrams_dropped: Counter
     messages_malformed: Counter
     first_packets_rerouted: Counter
@@ -234,6 +235,7 @@
     draining: Gauge
     endpoint_open: Gauge
     members: Gauge
+    request_wait_seconds: Histogram
     time_to_first_byte_seconds: Histogram
     answer_seconds: Histogram
     queue_wait_seconds: Histogram
