A process without content is told at once which peer has it

A peer with content answered a process that had just started with its next heartbeat, up to 0.25 s later. It now answers the subscription itself. The test failed before for a process that has just started.

--- a/egretsill/address_steering/tests/test_agent_steering.py
+++ b/egretsill/address_steering/tests/test_agent_steering.py
@@ -271,7 +271,9 @@
     assert send_request(agent, 7, 1.2) == [], "a retransmission joins the queued request"
     effects = agent.take_from_target(packet(key=flow(0), payload_bytes=9), 1.05)
     assert [type(each) for each in effects] == [SendToCaller, Answered, Start, DeliverToTarget]
-    assert effects[2] == Start(flow(6), pytest.approx(0.05), is_late=False)
+    (started,) = [each for each in effects if isinstance(each, Start)]
+    assert (started.flow, started.is_late) == (flow(6), False)
+    assert started.waited_seconds == pytest.approx(0.05)
     assert (agent.flows.pending, len(agent.queue)) == (6, 1)
 
 
--- a/egretsill/node/_fleet_link.py
+++ b/egretsill/node/_fleet_link.py
@@ -311,6 +311,10 @@
         reports = decode_reports(heartbeat)
         self._peers.receive_reports(reports, now)
         self._hubs.receive(head, now)
+        if head.is_subscribing and head.revision == NO_REVISION and self._directory.has_content:
+            # It has just started, and can't serve before it has content. Over a slow link the
+            # store's takes several times as long as a peer's.
+            self._send_reports((head.host,), (self._own_report(),), now)
         self._send(
             bytes((_FORWARDED,)) + heartbeat, self._hubs.forward_recipients(head, len(reports), now)
         )
--- a/egretsill/node/tests/test_peer_faults.py
+++ b/egretsill/node/tests/test_peer_faults.py
@@ -14,15 +14,16 @@
 from hypothesis import strategies as st
 
 from ...address_steering import Candidates
-from ...directory import ReadPlan
+from ...directory import NO_REVISION, Directory, ReadPlan, StoreRevision
 from ...directory.tests.revisions import rev
-from ...endpoints import open_datagram_socket
+from ...endpoints import format_ipv4, open_datagram_socket
 from ...fleet import (
     Heartbeat,
     HeartbeatHead,
     HubPlan,
     PeerReport,
     PeerTable,
+    decode_head,
     encode_heartbeat,
 )
 from ...observation import Journal, Metrics
@@ -103,6 +104,38 @@
         assert link.metrics.messages_malformed.value("fleet", "version") == 1
 
 
+# Guards against a process that reads the store over a slow link while a peer has the content.
+@pytest.mark.parametrize(
+    ("revision", "is_subscribing", "has_content", "is_answered"),
+    [
+        pytest.param(NO_REVISION, True, True, True, id="has just started"),
+        pytest.param(NO_REVISION, True, False, False, id="both have just started"),
+        pytest.param(rev(20), True, True, False, id="has content"),
+        pytest.param(NO_REVISION, False, True, False, id="answers itself"),
+    ],
+)
+def test_process_without_content_is_answered_at_once(
+    revision: StoreRevision,
+    is_subscribing: bool,
+    has_content: bool,
+    is_answered: bool,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    sent: list[tuple[str, HeartbeatHead]] = []
+    with open_link() as link:
+        monkeypatch.setattr(Directory, "has_content", has_content)
+        monkeypatch.setattr(
+            link.link,
+            "_send",
+            lambda data, hosts: sent.extend(
+                (format_ipv4(host), decode_head(data)) for host in hosts
+            ),
+        )
+        head = HEAD._replace(version=0, revision=revision, is_subscribing=is_subscribing)
+        link.receive(encode_heartbeat(Heartbeat(head, [PeerReport(PEER_HOST)])))
+    assert [(host, each.revision) for host, each in sent] == ([(PEER, rev(20))] * is_answered)
+
+
 # Guards against a datagram of a peer that raises what nobody expects.
 def test_any_datagram_of_a_peer_is_taken_or_recorded() -> None:
     @settings(derandomize=True, max_examples=400, deadline=None)
