--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -357,6 +357,7 @@
                 self._link.send_heartbeats()
         self._directory_log.note_change(source)
         if source != STORE_SOURCE:
+            self._reading.abandon_first_read()
             self._link.announce_content(parse_ipv4(source))
 
     def _can_read_store(self) -> bool:
--- a/egretsill/node/_store_reading.py
+++ b/egretsill/node/_store_reading.py
@@ -62,6 +62,15 @@
         self._on_response = on_response
         self._watched_revision = NO_REVISION
         self._is_reachable = True
+        self._first_read: trio.CancelScope | None = None
+
+    def abandon_first_read(self) -> None:
+        """End a read that began before there was content, as a peer's content came first.
+
+        Its response would use the link and the processor while callers wait for their first packet.
+        """
+        if self._first_read is not None:
+            self._first_read.cancel()
 
     async def run(self) -> None:
         """Read until cancelled."""
@@ -98,7 +107,8 @@
         try:
             match step:
                 case ReadAll(timeout_seconds):
-                    await self._read(timeout_seconds)
+                    if not await self._read(timeout_seconds):
+                        return
                 case WatchChanges(wait_seconds, timeout_seconds):
                     await self._watch(wait_seconds, timeout_seconds)
         except StoreUnavailable as error:
@@ -115,9 +125,18 @@
             with self._supervisor.contain(Part.STORE_READING):
                 self._on_response()
 
-    async def _read(self, timeout_seconds: float) -> None:
+    async def _read(self, timeout_seconds: float) -> bool:
+        """Read everything; return whether the read was not abandoned."""
         requested_at = self._timer.now
-        snapshot = await self._store.read(timeout_seconds)
+        with trio.CancelScope() as scope:
+            self._first_read = None if self._directory.has_content else scope
+            try:
+                snapshot = await self._store.read(timeout_seconds)
+            finally:
+                self._first_read = None
+        if scope.cancelled_caught:
+            await self._store.close()  # the rest of the response is still on its way
+            return False
         known = self._directory.content_revision
         if snapshot.at.era < known.era:
             raise StoreUnavailable(StoreFailure.OUTDATED, f"{snapshot.at} before {known}")
@@ -127,6 +146,7 @@
         # The first page may be as old as the request.
         if self._directory.apply_snapshot(snapshot, self._timer.now, requested_at):
             self._note_change()
+        return True
 
     async def _watch(self, wait_seconds: float, timeout_seconds: float) -> None:
         requested_at = self._timer.now
--- a/egretsill/node/tests/test_store_reading.py
+++ b/egretsill/node/tests/test_store_reading.py
@@ -101,6 +101,42 @@
         assert directory.confirmed_at == pytest.approx(store.lookup_at)
 
 
+class StoreOverSlowLink(SlowStore):
+    """A store whose response takes longer than anybody waits."""
+
+    is_closed = False
+
+    async def read(self, timeout_seconds: float) -> Snapshot:
+        await trio.sleep_forever()
+        raise AssertionError
+
+    async def close(self) -> None:
+        self.is_closed = True
+
+
+@pytest.mark.parametrize("has_content", [False, True], ids=["first read", "later read"])
+def test_first_read_ends_when_a_peer_has_the_content(has_content: bool) -> None:
+    """Guards against a response that takes the link and processor when callers come back."""
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(reading._do_next_step)
+            await trio.testing.wait_all_tasks_blocked()
+            directory.apply_snapshot(Snapshot(rev(11), TABLE, ()), timer.now)
+            reading.abandon_first_read()
+            await trio.testing.wait_all_tasks_blocked()
+            assert store.is_closed is not has_content
+            nursery.cancel_scope.cancel()
+
+    timer = VirtualTimerService()
+    directory = Directory()
+    if has_content:
+        directory.apply_snapshot(Snapshot(rev(10), TABLE, ()), timer.now)
+    store = StoreOverSlowLink(timer, 0.0)
+    reading = make_reading(store, ReadPlan(HOST, False), directory, timer, Metrics())
+    trio.run(main)
+
+
 class ScriptedStore:
     """A store that gives one prepared snapshot after the other; watches change nothing."""
 
