--- a/egretsill/node/_store_reading.py
+++ b/egretsill/node/_store_reading.py
@@ -70,8 +70,8 @@
     def yield_to_first_fetch(self) -> None:
         """End a read that began without content, and wait for that of a peer for a while, once.
 
-        A peer's content is a quarter of the store's. Both together would share the link, and use the
-        processor while callers wait for their first packet.
+        A peer's content is a quarter of the store's. Both together would share the link, and use
+        the processor while callers wait for their first packet.
         """
         if self._yields_until is None:
             self._yields_until = self._timer.now + FIRST_FETCH_SECONDS
