--- a/egretsill/address_steering/_flow_admission.py
+++ b/egretsill/address_steering/_flow_admission.py
@@ -25,6 +25,7 @@
 from ._placement import FlowPlacement
 from ._policy import SteeringPolicy
 from ._request_queue import HeldSyn, RequestQueue, WaitingRequest
+from ._service_order import Standing, Urgency
 from ._target_capacity import TargetCapacity
 from ._tunnel import (
     MAXIMUM_ROUTE_HOPS,
@@ -94,19 +95,32 @@
         """Return whether something waits for the target's capacity, here or at another agent."""
         return len(self.queue) > 0 or self._exchange.has_askers
 
-    def note_arrival(self, envelope: Envelope) -> None:
-        """Release the capacity that was offered for a SYN packet which has arrived."""
-        if envelope.visited:
-            self._exchange.use_reservation(envelope.visited[-1])
-
-    def must_hold(self, packet: FlowPacket, now: float) -> bool:
-        """Return whether a SYN packet must wait because the target has no capacity."""
+    def use_reservation(self, envelope: Envelope, now: float) -> bool:
+        """Release the capacity that was offered for a SYN packet; return whether there was any."""
+        if not envelope.visited:
+            return False
+        return self._exchange.use_reservation(envelope.visited[-1], now)
+
+    def must_hold(
+        self, packet: FlowPacket, requested_at: float, now: float, has_place: bool = False
+    ) -> bool:
+        """Return whether a SYN packet must wait because the target has no capacity for it.
+
+        Args:
+            packet: the packet.
+            requested_at: when its caller sent the first copy.
+            now: local time.
+            has_place: whether capacity was reserved for it.
+        """
         if not self._policy.hold_seconds:
             return False
         known = self._flows.get(packet.flow)
         if known is not None and known.state is FlowState.TRYING:
             return False  # the target has another copy
-        return self._opening_room(now) <= 0
+        if self._policy.has_urgent_first and self.is_waiting and not has_place:
+            return True  # it takes its place among those that wait, maybe the first
+        standing = self._target.standing_of_syn(packet.flow, requested_at, now)
+        return self._opening_room(now, standing) <= 0
 
     def hold(
         self, envelope: Envelope, packet: FlowPacket, requested_at: float, now: float
@@ -132,49 +146,69 @@
                 is_paced=self._pace.is_used_up(now),
             ),
             NotifyBalancer(envelope.balancer, notice),
-            *self.request_capacity(now),
         )
 
-    def pop_next(self, now: float) -> WaitingRequest | None:
-        """Remove and return what may go to the target now, None if nothing may."""
-        held_too_long = self._target.pop_held_too_long(now)
-        if held_too_long is not None:
-            return held_too_long
-        if self._room(now) <= 0:
-            return None
-        return self._target.pop_next(now, may_open=self._opening_room(now) > 0)
+    def pop_held_too_long(self, now: float) -> WaitingRequest | None:
+        """Remove and return a SYN packet that was kept for long enough, or None."""
+        return self._target.pop_held_too_long(now)
+
+    def next_step(
+        self, now: float, may_offer: bool
+    ) -> WaitingRequest | Sequence[OfferCapacity] | None:
+        """Return what the target's capacity is used for next, None for nothing.
+
+        It is a request that was removed from the queue, or offers to other agents for which more
+        urgent ones wait.
+
+        Args:
+            now: local time.
+            may_offer: whether other agents may get capacity.
+        """
+        may_open = not self._pace.is_used_up(now)
+        own = self._target.next(now, may_open) if len(self.queue) else None
+        if own is not None:
+            find_room = self._room if own[0].syn is None else self._opening_room
+            own = own if find_room(now, own[1].standing) > 0 else None
+        if may_offer and self._exchange.has_askers and self._target.reason_to_pass(now) is None:
+            asked = self._exchange.most_urgent(now)
+            if asked is not None and (own is None or self._goes_before(asked, own[1])):
+                room = self._opening_room(now, asked.standing)
+                offers = self._exchange.make_offers(room, asked, now)
+                if offers:
+                    return offers
+        return self.queue.remove(own[0].flow) if own is not None else None
 
     def record_request(self, request: CapacityRequest, now: float) -> None:
         """Record another agent's request for capacity."""
         self._exchange.record_request(request, now)
 
     def request_capacity(self, now: float) -> Sequence[RequestCapacity]:
-        """Return the requests for capacity that are due while SYN packets wait."""
-        held = self.queue.held
+        """Return the requests for capacity that are due for the most urgent SYN packets here."""
+        first = self._target.next_held(now)
+        if first is None:
+            return ()
+        urgency = first[1]
+        held = [each for each in self.queue.held if self._target.urgency(each, now) == urgency]
         asked = dict.fromkeys(
             host for each in held[-ASKING_FLOWS:] if each.syn for host in each.syn.alternatives
         )
         requests = []
         for host in self._exchange.due_requests(asked, now):
             waiting = sum(each.may_go_to(host) for each in held)
-            request = CapacityRequest(self._host, self._mark, waiting)
+            request = CapacityRequest(self._host, self._mark, waiting, urgency)
             requests.append(RequestCapacity(host, request))
         return requests
 
-    def offer_capacity(self, now: float) -> Sequence[OfferCapacity]:
-        """Return offers to the agents that asked for capacity, if the target has any."""
-        if not self._exchange.has_askers or self._target.reason_to_pass(now) is not None:
-            return ()
-        return self._exchange.make_offers(self._opening_room(now), now)
-
     def take_offer(self, offer: CapacityOffer, now: float) -> Sequence[AgentEffect]:
         """Return the effects of passing SYN packets to an agent that offers capacity."""
         effects: list[AgentEffect] = []
         for _ in range(offer.flows):
-            request = self._target.pop_transferable(offer.owner, now)
-            if request is None or request.syn is None:
+            first = self._target.next_held(now, offer.owner)
+            if first is None or first[0].syn is None:
                 break
-            envelope, packet = request.syn.envelope, request.syn.packet
+            request, syn = first[0], first[0].syn
+            self.queue.remove(request.flow)
+            envelope, packet = syn.envelope, syn.packet
             entry = FlowEntry.begin(FlowState.PASSED, envelope, now)
             entry.passed_to = offer.owner
             entry.is_transferred = True
@@ -194,13 +228,22 @@
         """Remove records that are too old."""
         self._exchange.sweep(now)
 
-    def _room(self, now: float) -> int:
-        """Return how many more requests the target may get, besides those that were offered."""
-        return self._target.room(now) - self._exchange.reserved(now)
-
-    def _opening_room(self, now: float) -> int:
-        """Return how many more flows may be opened, besides those that were offered."""
-        left = self._pace.left(now)
-        if left is None:
-            return self._room(now)
-        return min(self._target.room(now), left) - self._exchange.reserved(now)
+    def _goes_before(self, asked: Urgency, own: Urgency) -> bool:
+        return self._policy.has_urgent_first and asked < own
+
+    def _room(self, now: float, standing: Standing = Standing.IN_TIME) -> int:
+        """Return how many more requests of a standing the target may get.
+
+        Capacity that was offered to others is set apart. An offer is made to several agents for
+        each SYN packet, so most are not used: late requests, which get idle slots only, may take
+        these, and a SYN packet that comes nevertheless finds a place beyond the slots.
+        """
+        room = self._target.room(now) - self._exchange.reserved(now)
+        if standing is Standing.IN_TIME or not self._policy.has_urgent_first:
+            return room
+        return max(self._target.late_room(now), 0) if self._target.has_overcommit else room
+
+    def _opening_room(self, now: float, standing: Standing = Standing.IN_TIME) -> int:
+        """Return how many more flows may be opened for requests of a standing."""
+        room, left = self._room(now, standing), self._pace.left(now)
+        return room if left is None else min(room, left - self._exchange.reserved(now))
--- a/egretsill/address_steering/_flow_opening.py
+++ b/egretsill/address_steering/_flow_opening.py
@@ -15,6 +15,7 @@
     ForwardReason,
     NotifyBalancer,
     RefuseReason,
+    Start,
 )
 from ._flow_admission import FlowAdmission
 from ._flow_table import FlowEntry, FlowState, FlowTable
@@ -22,6 +23,7 @@
 from ._packet import OPEN_TIMEOUT_SECONDS, FlowPacket, syn_copy_delay
 from ._placement import FlowPlacement
 from ._request_queue import WaitingRequest
+from ._service_order import Standing
 from ._target_failures import TargetFailures
 from ._target_silence import TargetSilence
 from ._tunnel import MAXIMUM_ROUTE_HOPS, Envelope, OwnerNotice, service_hash
@@ -71,7 +73,7 @@
 
     def take_syn(self, envelope: Envelope, packet: FlowPacket, now: float) -> Sequence[AgentEffect]:
         """Return what to do with a SYN packet that has arrived."""
-        self._admission.note_arrival(envelope)
+        has_place = self._admission.use_reservation(envelope, now)
         known = self._flows.get(packet.flow)
         if known is not None and known.was_transferred_since(now - OPEN_TIMEOUT_SECONDS):
             reason = ForwardReason.PASSED_BEFORE
@@ -84,10 +86,10 @@
         if is_copy and self._admission.pace.is_used_up(now):
             # Another target would open the flow too.
             return (Drop(packet.flow, DropReason.WARM_UP_PACE),)
-        if self._admission.must_hold(packet, now):
+        if self._admission.must_hold(packet, requested_at, now, has_place):
             held = self._admission.hold(envelope, packet, requested_at, now)
             if held:
-                return held
+                return [*held, *self.use_capacity(now), *self._admission.request_capacity(now)]
         return self._open(envelope, packet, requested_at, now)
 
     def pass_on(
@@ -133,21 +135,29 @@
     def use_capacity(self, now: float) -> Sequence[AgentEffect]:
         """Return the effects for what waits and can go to the target now, or has expired."""
         effects = self._expire(now)
-        while (request := self._admission.pop_next(now)) is not None:
-            effects.extend(self._take_waiting(request, now))
-        if not (self._silence.is_silent(now) or self._failures.is_failing(now)):
-            effects.extend(self._admission.offer_capacity(now))
-        return effects
+        while (request := self._admission.pop_held_too_long(now)) is not None:
+            effects.extend(self._take_waiting(request, now, has_place=False))
+        may_offer = not (self._silence.is_silent(now) or self._failures.is_failing(now))
+        while True:
+            match self._admission.next_step(now, may_offer):
+                case WaitingRequest() as request:
+                    effects.extend(self._take_waiting(request, now))
+                case None:
+                    return effects
+                case offers:
+                    effects.extend(offers)
 
     def _expire(self, now: float) -> list[AgentEffect]:
         expired = self._admission.queue.expire(now)
         return [Expire(each.flow, now - each.arrived_at) for each in expired]
 
-    def _take_waiting(self, request: WaitingRequest, now: float) -> Sequence[AgentEffect]:
+    def _take_waiting(
+        self, request: WaitingRequest, now: float, has_place: bool = True
+    ) -> Sequence[AgentEffect]:
         """Return the effects for what has waited and was removed from the queue."""
         try:
             if request.syn is not None:
-                return self._take_held(request, now)
+                return self._take_held(request, now, has_place)
             return self._deliver(request, now)
         except Exception as error:  # It costs this flow only.
             return (Failed(request.flow, error),)
@@ -157,17 +167,22 @@
         entry = self._flows.get(request.flow)
         if entry is None:
             return ()
-        self._flows.begin_request(entry, now)
+        target = self._admission.target
+        is_late = target.urgency(request, now).standing is not Standing.IN_TIME
+        target.begin_request(request.flow, entry, now)
         self._silence.note_delivered(now)
-        return [DeliverToTarget(each) for each in request.packets.values()]
+        started = Start(request.flow, now - request.arrived_at, is_late)
+        return [started, *(DeliverToTarget(each) for each in request.packets.values())]
 
-    def _take_held(self, request: WaitingRequest, now: float) -> Sequence[AgentEffect]:
+    def _take_held(
+        self, request: WaitingRequest, now: float, has_place: bool
+    ) -> Sequence[AgentEffect]:
         """Take a SYN packet that has waited; targets and routes may have changed meanwhile."""
         if request.syn is None:
             return ()
         envelope, packet = request.syn.envelope, request.syn.packet
         passed = self._pass_if_unsuitable(envelope, packet, now)
-        return passed or self._open(envelope, packet, request.arrived_at, now)
+        return passed or self._open(envelope, packet, request.arrived_at, now, has_place)
 
     def _pass_if_unsuitable(
         self, envelope: Envelope, packet: FlowPacket, now: float
@@ -203,9 +218,22 @@
         return ()
 
     def _open(
-        self, envelope: Envelope, packet: FlowPacket, requested_at: float, now: float
+        self,
+        envelope: Envelope,
+        packet: FlowPacket,
+        requested_at: float,
+        now: float,
+        has_place: bool = True,
     ) -> Sequence[AgentEffect]:
-        """Deliver a SYN packet to the target, unless it has got too many for its warm-up."""
+        """Deliver a SYN packet to the target, unless it has got too many for its warm-up.
+
+        Args:
+            envelope: path of the packet to this agent.
+            packet: the packet.
+            requested_at: when its caller sent the first copy.
+            now: local time.
+            has_place: whether capacity is set apart for its request.
+        """
         if self._admission.pace.is_used_up(now):
             reason = ForwardReason.WARM_UP_PACE
             return self.pass_on(envelope, packet, self._service, reason, now)
@@ -213,7 +241,8 @@
         entry = FlowEntry.begin(FlowState.TRYING, envelope, now)
         entry.opening_delay = now - requested_at
         self._flows.put(packet.flow, entry)
-        self._admission.target.begin_opening(packet.flow, now)
+        if has_place:
+            self._admission.target.begin_opening(packet.flow, now)
         self._silence.note_delivered(now)
         if not envelope.visited:
             return (DeliverToTarget(packet.datagram),)
--- a/egretsill/boot/_settings.py
+++ b/egretsill/boot/_settings.py
@@ -19,6 +19,8 @@
 DEFAULT_GRACE_SECONDS = 6.0
 DEFAULT_WARM_UP_OVERSHOOT = 1.0  # no more than the configuration states
 DEFAULT_WARM_UP_TOLERANCE = 0.0
+DEFAULT_HOLD_SECONDS = 0.15
+DEFAULT_URGENT_FIRST = True
 
 _EXPECTED_FINISH_CHOICES = {"expected-finish": True, "least-loaded": False}
 _BOOLEANS = {"true": True, "false": False}
@@ -43,6 +45,9 @@
         warm_up_overshoot: by how many times a target in warm-up may get more flows in a second than
             the configuration's pace.
         warm_up_tolerance: flows that it may get in that second in addition.
+        hold_seconds: how long a SYN packet is kept for another target while this one has no
+            capacity; 0 to keep none.
+        has_urgent_first: whether urgent requests at other agents go before less urgent ones here.
     """
 
     service: str
@@ -50,6 +55,8 @@
     outbound: Address
     warm_up_overshoot: float = DEFAULT_WARM_UP_OVERSHOOT
     warm_up_tolerance: float = DEFAULT_WARM_UP_TOLERANCE
+    hold_seconds: float = DEFAULT_HOLD_SECONDS
+    has_urgent_first: bool = DEFAULT_URGENT_FIRST
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,6 +154,8 @@
         reader.optional(
             "bounds", "warm_up_tolerance", _parse_amount, DEFAULT_WARM_UP_TOLERANCE, False
         ),
+        reader.adjustable("load", "hold_seconds", _parse_hold, DEFAULT_HOLD_SECONDS),
+        reader.adjustable("load", "urgent_first", _parse_flag, DEFAULT_URGENT_FIRST),
     )
 
 
@@ -180,6 +189,10 @@
     return value
 
 
+def _parse_hold(text: str) -> float:
+    return 0.0 if text in ("0", "0.0") else _parse_seconds(text)
+
+
 def _parse_amount(text: str) -> float:
     try:
         value = float(text)
--- a/egretsill/node/_fleet_link.py
+++ b/egretsill/node/_fleet_link.py
@@ -98,6 +98,7 @@
         load: Callable[[], TargetLoad],
         is_serving: Callable[[], bool],
         on_change: Callable[[str], None],
+        on_first_fetch: Callable[[], None] = lambda: None,
     ) -> None:
         self._host = parse_ipv4(host)
         self._port: int = bound.getsockname()[1]
@@ -126,7 +127,9 @@
         self._pushed_revision = NO_REVISION
         self._announced_confirmed_at = float("-inf")
         self._confirmed_by: int | None = None
-        self._fetching = ContentFetching(directory, exchange, journal, supervisor, on_change)
+        self._fetching = ContentFetching(
+            directory, exchange, journal, supervisor, on_change, on_first_fetch
+        )
         timer.subscribe_jumps(self._note_scheduling_pause)
 
     async def run(self) -> None:
@@ -323,6 +326,10 @@
         reports = decode_reports(heartbeat)
         self._peers.receive_reports(reports, now)
         self._hubs.receive(head, now)
+        if head.is_subscribing and head.revision == NO_REVISION and self._directory.has_content:
+            # It has just started, and can't serve before it has content. Over a slow link the
+            # store's takes several times as long as a peer's.
+            self._send_reports((head.host,), (self._own_report(),), now)
         self._send(
             bytes((_FORWARDED,)) + heartbeat, self._hubs.forward_recipients(head, len(reports), now)
         )
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -294,6 +294,8 @@
             SteeringPolicy(
                 warm_up_overshoot=agent.warm_up_overshoot,
                 warm_up_tolerance=agent.warm_up_tolerance,
+                hold_seconds=agent.hold_seconds,
+                has_urgent_first=agent.has_urgent_first,
             ),
             settings.failure_domain,
         )
@@ -332,6 +334,7 @@
             self._load,
             self._is_serving,
             self._note_content_change,
+            lambda: self._reading.yield_to_first_fetch(),
         )
 
     def _make_admin(self, server: StreamServer) -> AdminServer:
--- a/egretsill/node/_store_reading.py
+++ b/egretsill/node/_store_reading.py
@@ -25,6 +25,8 @@
 from ..timing import TimerService
 
 FAILURE_PAUSE_SECONDS = 0.2  # after a step that failed unexpectedly
+FIRST_FETCH_SECONDS = 0.4  # a peer's content over a slow link, with a thousand routes
+YIELD_POLL_SECONDS = 0.02  # how soon it is noticed that the content has come
 STORE_SOURCE = "store"  # source of a change that this process read from the store itself
 
 
@@ -62,6 +64,19 @@
         self._on_response = on_response
         self._watched_revision = NO_REVISION
         self._is_reachable = True
+        self._first_read: trio.CancelScope | None = None
+        self._yields_until: float | None = None
+
+    def yield_to_first_fetch(self) -> None:
+        """End a read that began without content, and wait for that of a peer for a while, once.
+
+        A peer's content is a quarter of the store's. Both together would share the link, and use
+        the processor while callers wait for their first packet.
+        """
+        if self._yields_until is None:
+            self._yields_until = self._timer.now + FIRST_FETCH_SECONDS
+            if self._first_read is not None:
+                self._first_read.cancel()
 
     async def run(self) -> None:
         """Read until cancelled."""
@@ -88,6 +103,9 @@
         directory = self._directory
         if directory.needs_complete_read(now):
             self._plan.require_complete_read()
+        if not directory.has_content and now < (self._yields_until or 0.0):
+            await trio.sleep(YIELD_POLL_SECONDS)
+            return
         step = self._plan.next_step(
             now, directory.confirmed_at, directory.has_content, self._readers()
         )
@@ -98,7 +116,8 @@
         try:
             match step:
                 case ReadAll(timeout_seconds):
-                    await self._read(timeout_seconds)
+                    if not await self._read(timeout_seconds):
+                        return
                 case WatchChanges(wait_seconds, timeout_seconds):
                     await self._watch(wait_seconds, timeout_seconds)
         except StoreUnavailable as error:
@@ -115,9 +134,18 @@
             with self._supervisor.contain(Part.STORE_READING):
                 self._on_response()
 
-    async def _read(self, timeout_seconds: float) -> None:
+    async def _read(self, timeout_seconds: float) -> bool:
+        """Read everything; return whether the read was not abandoned."""
         requested_at = self._timer.now
-        snapshot = await self._store.read(timeout_seconds)
+        with trio.CancelScope() as scope:
+            self._first_read = None if self._directory.has_content else scope
+            try:
+                snapshot = await self._store.read(timeout_seconds)
+            finally:
+                self._first_read = None
+        if scope.cancelled_caught:
+            await self._store.close()  # the rest of the response is still on its way
+            return False
         known = self._directory.content_revision
         if snapshot.at.era < known.era:
             raise StoreUnavailable(StoreFailure.OUTDATED, f"{snapshot.at} before {known}")
@@ -127,6 +155,7 @@
         # The first page may be as old as the request.
         if self._directory.apply_snapshot(snapshot, self._timer.now, requested_at):
             self._note_change()
+        return True
 
     async def _watch(self, wait_seconds: float, timeout_seconds: float) -> None:
         requested_at = self._timer.now
--- a/egretsill/node/tests/test_store_reading.py
+++ b/egretsill/node/tests/test_store_reading.py
@@ -26,7 +26,7 @@
 from ...supervision.tests.faults import Fault
 from ...supervision.tests.supervisors import RecordingSupervisor
 from ...timing import VirtualTimerService
-from .._store_reading import FAILURE_PAUSE_SECONDS, StoreReading
+from .._store_reading import FAILURE_PAUSE_SECONDS, FIRST_FETCH_SECONDS, StoreReading
 
 HOST = 0x0A020001
 TABLE, NEWER_TABLE = RouteTable(1, {}, 15.0), RouteTable(2, {}, 15.0)
@@ -101,6 +101,52 @@
         assert directory.confirmed_at == pytest.approx(store.lookup_at)
 
 
+class StoreOverSlowLink(SlowStore):
+    """A store whose response takes longer than anybody waits."""
+
+    is_closed = False
+    reads = 0
+
+    async def read(self, timeout_seconds: float) -> Snapshot:
+        self.reads += 1
+        await trio.sleep_forever()
+        raise AssertionError
+
+    async def close(self) -> None:
+        self.is_closed = True
+
+
+@pytest.mark.parametrize("has_content", [False, True], ids=["first read", "later read"])
+def test_first_read_yields_to_the_content_of_a_peer(has_content: bool) -> None:
+    """Guards against a response that takes the link and processor when callers come back."""
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(reading._do_next_step)
+            await trio.testing.wait_all_tasks_blocked()
+            reading.yield_to_first_fetch()
+            await trio.testing.wait_all_tasks_blocked()
+            assert store.is_closed is not has_content
+            nursery.cancel_scope.cancel()
+        assert store.reads == 1
+        if not has_content:
+            await reading._do_next_step()
+            assert store.reads == 1, "the peer's content is awaited"
+            timer.advance(1.01 * FIRST_FETCH_SECONDS)
+            reading.yield_to_first_fetch()
+            with trio.move_on_after(0.01):
+                await reading._do_next_step()
+            assert store.reads == 2, "it is awaited once"
+
+    timer = VirtualTimerService()
+    directory = Directory()
+    if has_content:
+        directory.apply_snapshot(Snapshot(rev(10), TABLE, ()), timer.now)
+    store = StoreOverSlowLink(timer, 0.0)
+    reading = make_reading(store, ReadPlan(HOST, False), directory, timer, Metrics())
+    trio.run(main)
+
+
 class ScriptedStore:
     """A store that gives one prepared snapshot after the other; watches change nothing."""
 
--- a/egretsill/observation/_definitions.py
+++ b/egretsill/observation/_definitions.py
@@ -90,12 +90,18 @@
         "New flows that a balancer sent to a target of another failure domain, by that domain.",
         "Many of them while own targets are idle: compare finish in flow-new-flow lines.",
     ),
+    _counter(
+        "flows_refused",
+        ("reason", "route"),
+        "Flows steered by address that were reset, by why and by route.",
+        "Look up the reason in the journal's lines flow-refused.",
+    ),
     _counter(
         "flow_requests",
         ("event",),
         "Requests on flows steered by address that were answered, were answered with a failure "
-        "of the target, waited for its capacity or for its pace in warm-up (paced), or expired "
-        "while they waited.",
+        "of the target, waited for its capacity or for its pace in warm-up (paced), started "
+        "after that in time or late, or expired while they waited.",
         "Expired requests never ran: the service has too few targets for its load, or lost some. "
         "Paced ones that go on mean that targets start again and again.",
     ),
@@ -278,6 +284,11 @@
         "Other processes in this process's view.",
         "Many dead processes in one failure domain: the domain is isolated or down.",
     ),
+    _histogram(
+        "request_wait_seconds",
+        "Seconds from a request on a flow steered by address to its start, if it had to wait.",
+        "Add targets before it nears the latency objective of the route.",
+    ),
     _histogram(
         "time_to_first_byte_seconds",
         "Seconds from a request's arrival to the first byte of its answer.",
--- a/egretsill/observation/_metrics.py
+++ b/egretsill/observation/_metrics.py
@@ -199,6 +199,7 @@
     flow_packets: Counter
     flows_spilled: Counter
     flow_requests: Counter
+    flows_refused: Counter
     datagrams_dropped: Counter
     messages_malformed: Counter
     first_packets_rerouted: Counter
@@ -236,6 +237,7 @@
     draining: Gauge
     endpoint_open: Gauge
     members: Gauge
+    request_wait_seconds: Histogram
     time_to_first_byte_seconds: Histogram
     expected_first_byte_seconds: Histogram
     answer_seconds: Histogram
