Settings: one reader for values that most files lack

Three parts each had brought their own: switch, adjustable, and a flag of optional. They did the same: a missing value takes its default and isn't noted as one. adjustable serves all four settings now, and optional is again what it was.

--- a/egretsill/boot/_settings.py
+++ b/egretsill/boot/_settings.py
@@ -135,7 +135,7 @@
             "bounds", "grace_seconds", _parse_seconds, DEFAULT_GRACE_SECONDS
         ),
         agent=agent,
-        uses_expected_finish=reader.switch("placement", "choice", _parse_choice, True),
+        uses_expected_finish=reader.adjustable("placement", "choice", _parse_choice, True),
         defaulted=reader.defaulted,
     )
     reader.raise_if_faulty()
@@ -147,13 +147,8 @@
         reader.required("node", "service", str, ""),
         reader.required("addresses", "target", _parse_address, _NO_ADDRESS),
         reader.required("addresses", "outbound", _parse_address, _NO_ADDRESS),
-        # Only deployments with a pace state these.
-        reader.optional(
-            "bounds", "warm_up_overshoot", _parse_amount, DEFAULT_WARM_UP_OVERSHOOT, False
-        ),
-        reader.optional(
-            "bounds", "warm_up_tolerance", _parse_amount, DEFAULT_WARM_UP_TOLERANCE, False
-        ),
+        reader.adjustable("bounds", "warm_up_overshoot", _parse_amount, DEFAULT_WARM_UP_OVERSHOOT),
+        reader.adjustable("bounds", "warm_up_tolerance", _parse_amount, DEFAULT_WARM_UP_TOLERANCE),
         reader.adjustable("load", "hold_seconds", _parse_hold, DEFAULT_HOLD_SECONDS),
         reader.adjustable("load", "urgent_first", _parse_flag, DEFAULT_URGENT_FIRST),
     )
--- a/egretsill/boot/_settings_reader.py
+++ b/egretsill/boot/_settings_reader.py
@@ -99,41 +99,23 @@
             return placeholder
         return self._parse(section, key, parse, placeholder, text)
 
-    def switch(
-        self, section: str, key: str, parse: Callable[[str], _Value], default: _Value
-    ) -> _Value:
-        """Return a parsed value that few files have, or its default if it is missing or empty."""
-        text = self._text(section, key)
-        return self._parse(section, key, parse, default, text) if text else default
-
     def optional(
-        self,
-        section: str,
-        key: str,
-        parse: Callable[[str], _Value],
-        default: _Value,
-        is_expected: bool = True,
+        self, section: str, key: str, parse: Callable[[str], _Value], default: _Value
     ) -> _Value:
-        """Return a parsed value, or its default if it is missing or empty.
-
-        Args:
-            section: its section.
-            key: its key.
-            parse: parses a value that isn't empty; a ValueError of it says what is expected.
-            default: returned without a value.
-            is_expected: whether a file without it may be incomplete.
-        """
+        """Return a parsed value, or its default if it is missing or empty."""
         text = self._text(section, key)
         if not text:
-            if is_expected:
-                self._defaulted.append(f"{section}.{key}")
+            self._defaulted.append(f"{section}.{key}")
             return default
         return self._parse(section, key, parse, default, text)
 
     def adjustable(
         self, section: str, key: str, parse: Callable[[str], _Value], default: _Value
     ) -> _Value:
-        """Return a parsed value, or its default, which is what most deployments want."""
+        """Return a parsed value, or its default, which is what most deployments want.
+
+        Its lack is no sign of an incomplete file, so it isn't noted.
+        """
         text = self._text(section, key)
         return self._parse(section, key, parse, default, text) if text else default
 
