Node: a flow's labels are looked up in one place, and failing targets are logged in a method of their own

The lookup of a route's service and name stood twice in the log of decisions, a third time in part. A set of one reason stood for a comparison, and the note of a failing target asked three times whether there is an agent.

--- a/egretsill/node/_decision_log.py
+++ b/egretsill/node/_decision_log.py
@@ -22,7 +22,6 @@
 from ..observation import Journal, Metrics
 from ..timing import TimerService
 
-_CHOICES = frozenset({ForwardReason.NEW_FLOW})
 _UNLOGGED_REASONS = frozenset({ForwardReason.KNOWN_OWNER, ForwardReason.PASSED_BEFORE})
 
 
@@ -64,7 +63,8 @@
         """Record that a packet is forwarded to an agent."""
         reason = decision.reason
         self._metrics.flow_packets.increment(self._role, reason)
-        spill = self._find_spill(decision.host, decision.flow) if reason in _CHOICES else ""
+        is_choice = reason is ForwardReason.NEW_FLOW
+        spill = self._find_spill(decision.host, decision.flow) if is_choice else ""
         if spill:
             self._metrics.flows_spilled.increment(spill)
         if reason in _UNLOGGED_REASONS or not self._journal.consume_budget(f"flow-{reason.value}"):
@@ -88,8 +88,8 @@
     def refused(self, decision: Refuse) -> None:
         """Record that a flow was reset, and which agents were asked and are reachable."""
         self._metrics.flow_packets.increment(self._role, decision.reason)
-        route = self._directory.route(decision.flow.service_host, decision.flow.service_port)
-        self._metrics.flows_refused.increment(decision.reason, route.name if route else "")
+        _, route_name = self._labels_of(decision.flow)
+        self._metrics.flows_refused.increment(decision.reason, route_name)
         now = self._timer.now
         reachable = [each for each in decision.asked[:-1] if self._peers.is_reachable(each, now)]
         self._journal.record(
@@ -135,9 +135,8 @@
     def started(self, decision: Start) -> None:
         """Record how long a request of an open flow has waited before it went to the target."""
         self._metrics.flow_requests.increment("started-late" if decision.is_late else "started")
-        route = self._directory.route(decision.flow.service_host, decision.flow.service_port)
-        service, name = (route.shares[0].service, route.name) if route else ("", "")
-        self._metrics.request_wait_seconds.observe(decision.waited_seconds, service, name)
+        labels = self._labels_of(decision.flow)
+        self._metrics.request_wait_seconds.observe(decision.waited_seconds, *labels)
 
     def expired(self, decision: Expire) -> None:
         """Record that a waiting request was discarded because its caller had given up."""
@@ -151,12 +150,16 @@
     def answered(self, decision: Answered) -> None:
         """Record a target's time to first byte."""
         self._metrics.flow_requests.increment("failed" if decision.has_failed else "answered")
-        route = self._directory.route(decision.flow.service_host, decision.flow.service_port)
-        service, name = (route.shares[0].service, route.name) if route else ("", "")
-        self._metrics.time_to_first_byte_seconds.observe(decision.delay_seconds, service, name)
+        labels = self._labels_of(decision.flow)
+        self._metrics.time_to_first_byte_seconds.observe(decision.delay_seconds, *labels)
         if decision.expected_seconds:
             expected = decision.expected_seconds
-            self._metrics.expected_first_byte_seconds.observe(expected, service, name)
+            self._metrics.expected_first_byte_seconds.observe(expected, *labels)
+
+    def _labels_of(self, flow: FlowKey) -> tuple[str, str]:
+        """Return the service and the name of a flow's route, empty without one."""
+        route = self._directory.route(flow.service_host, flow.service_port)
+        return (route.shares[0].service, route.name) if route else ("", "")
 
     def _view_fields(self) -> dict[str, int | float | str]:
         directory = self._directory
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -380,17 +380,20 @@
         self._directory_log.note_target_changes()
         load = self._load()
         self._metrics.flows_open.set(load.flows)
-        if load.is_target_failing is not self._is_target_failing:
-            self._is_target_failing = load.is_target_failing
-            kind = "target-failing" if load.is_target_failing else "target-on-trial"
-            failures = self._agent_steering.failures if self._agent_steering else None
-            self._journal.record(
-                kind,
-                flows=load.flows,
-                pending=load.pending,
-                failures=failures.total if failures else 0,
-                seconds=failures.avoided_seconds if failures else 0.0,
-            )
+        if self._agent_steering is not None:
+            self._note_target_failures(self._agent_steering, load)
+
+    def _note_target_failures(self, steering: AgentSteering, load: TargetLoad) -> None:
+        if load.is_target_failing is self._is_target_failing:
+            return
+        self._is_target_failing = load.is_target_failing
+        self._journal.record(
+            "target-failing" if load.is_target_failing else "target-on-trial",
+            flows=load.flows,
+            pending=load.pending,
+            failures=steering.failures.total,
+            seconds=steering.failures.avoided_seconds,
+        )
 
     def _check_shutdown(self, now: float) -> None:
         is_idle = False
