Flow opening: a target that was chosen for a SYN packet isn't chosen a second time

A silent target's agent already ranked and chose another target to see whether there is one, and then passed the packet on by choosing again; the part on failing targets wrote the same once more. Choosing and passing are apart now, and what was chosen is used. The conditions for a failing target are a method with a name. One choice less for each SYN packet that is passed on; the choice depends on nothing that changes in between, so behaviour is the same.

--- a/egretsill/address_steering/_flow_opening.py
+++ b/egretsill/address_steering/_flow_opening.py
@@ -114,6 +114,18 @@
             self._flows.remove(packet.flow)
             refusal = _REFUSALS.get(reason, RefuseReason.NO_TARGET)
             return refuse_packet(self._host, envelope, packet, refusal)
+        return self._pass_to(host, envelope, packet, service, reason, now)
+
+    def _pass_to(
+        self,
+        host: int,
+        envelope: Envelope,
+        packet: FlowPacket,
+        service: str,
+        reason: ForwardReason,
+        now: float,
+    ) -> Sequence[AgentEffect]:
+        """Return the effects of passing a SYN packet to a target that was chosen."""
         entry = FlowEntry.begin(FlowState.PASSED, envelope, now)
         entry.passed_to = host
         # All copies go to one target, also if another one is chosen or the trial begins meanwhile.
@@ -201,22 +213,27 @@
         reason = self._admission.target.reason_to_pass(now)
         if reason is not None:
             return self.pass_on(envelope, packet, service, reason, now)
-        known = self._flows.get(packet.flow)
-        is_silent = self._silence.is_silent(now)
-        if is_silent and self._choose(envelope, packet, service, now) is not None:
-            return self.pass_on(envelope, packet, service, ForwardReason.TARGET_SILENT, now)
-        if (
-            self._failures.is_failing(now)
-            and not envelope.visited
-            and (known is None or known.state is not FlowState.TRYING)
-            and not self._placement.failing.are_too_many(self._host, now)
-        ):
-            # One hop only, since the next target may be failing too.
+        if self._silence.is_silent(now):
+            host = self._choose(envelope, packet, service, now)
+            if host is not None:
+                reason = ForwardReason.TARGET_SILENT
+                return self._pass_to(host, envelope, packet, service, reason, now)
+        if self._avoids_failing_target(envelope, packet, now):
             host = self._choose(envelope, packet, service, now)
             if host is not None and self._placement.is_preferable(host, now):
-                return self.pass_on(envelope, packet, service, ForwardReason.TARGET_FAILING, now)
+                reason = ForwardReason.TARGET_FAILING
+                return self._pass_to(host, envelope, packet, service, reason, now)
         return ()
 
+    def _avoids_failing_target(self, envelope: Envelope, packet: FlowPacket, now: float) -> bool:
+        """Return whether a SYN packet had better go elsewhere, as the target fails its requests."""
+        # One hop only, since the next target may be failing too.
+        if not self._failures.is_failing(now) or envelope.visited:
+            return False
+        known = self._flows.get(packet.flow)
+        has_copy = known is not None and known.state is FlowState.TRYING
+        return not has_copy and not self._placement.failing.are_too_many(self._host, now)
+
     def _open(
         self,
         envelope: Envelope,
