Placement: what this process sent since a report is counted in one place

The load and the expected finish each compared the count with the number of reports. Behaviour is the same; the tests of address_steering without test_moving_fleet pass unchanged.

--- a/egretsill/address_steering/_placement.py
+++ b/egretsill/address_steering/_placement.py
@@ -14,7 +14,7 @@
 from itertools import islice
 
 from ..directory import Directory, Route, TargetView
-from ..fleet import PeerTable
+from ..fleet import Peer, PeerTable
 from ..ranking import bucket_of
 from ._candidates import CHOICES, Candidates, ServiceRank
 from ._expected_finish import (
@@ -247,8 +247,7 @@
     def _outlook(self, view: TargetView, work: ServiceWork, now: float) -> TargetOutlook:
         host = view.target.host
         peer = self._peers.peers.get(host)
-        count, counted_at, _ = self._sent_counts.get(host, (0, 0, 0.0))
-        sent = count if peer is not None and counted_at == peer.newer_reports else 0
+        sent = self._sent_since_report(host, peer) if peer is not None else 0
         slowdown = self._warm_up_factor(view, now) if view.warmup_ends_at > now else 1.0
         return self._work.outlook(host, _capacity(view), work.usual_seconds * slowdown, sent, now)
 
@@ -280,15 +279,19 @@
         load = 1.0
         if peer is not None:
             report = peer.report
-            count, counted_at, _ = self._sent_counts.get(host, (0, 0, 0.0))
             load += report.pending + FLOW_LOAD * report.flows
-            load += count if counted_at == peer.newer_reports else 0
+            load += self._sent_since_report(host, peer)
             if report.delay_milliseconds > MINIMUM_DELAY_MILLISECONDS:
                 load *= self._slowness(report.delay_milliseconds, view.target.service, now)
         if view.warmup_ends_at > now:
             load *= self._warm_up_factor(view, now)
         return load / _capacity(view)
 
+    def _sent_since_report(self, host: int, peer: Peer) -> int:
+        """Return the number of flows that were placed at a target since its last report."""
+        count, counted_at, _ = self._sent_counts.get(host, (0, 0, 0.0))
+        return count if counted_at == peer.newer_reports else 0
+
     def _first_ready(
         self,
         rank: ServiceRank,
