--- a/egretsill/address_steering/_expected_finish.py
+++ b/egretsill/address_steering/_expected_finish.py
@@ -58,14 +58,13 @@
         reported = max(self.backlog_seconds - DRAIN_SHARE * self.age_seconds, 0.0)
         return reported + self.sent * self.work_seconds / self.slots
 
-    def finish_seconds(self, distance_seconds: float = 0.0, work_ratio: float = 1.0) -> float:
-        """Return the expected time until it would finish one more request.
+    def finish_seconds(self, distance_seconds: float = 0.0) -> float:
+        """Return the expected time until it would finish one more usual request.
 
         Args:
             distance_seconds: time that its packets spend on the way, beyond that of a near target.
-            work_ratio: likely work of the request relative to a usual one.
         """
-        return self.wait_seconds() + self.work_seconds * work_ratio + distance_seconds
+        return self.wait_seconds() + self.work_seconds + distance_seconds
 
 
 class WorkTable:
