Target: an idle one's backlog isn't summed up, silence is defined once, a type has its name

backlog_seconds, asked with each heartbeat, added up the work of all requests before it found that a slot is free. is_silent repeated what has_been_silent says. The queue spelled out the type of expected seconds four times that _service_order names.

--- a/egretsill/address_steering/_request_queue.py
+++ b/egretsill/address_steering/_request_queue.py
@@ -7,12 +7,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
 from ._packet import FlowKey, FlowPacket
 from ._service_order import (
     CallerShares,
+    ExpectedSeconds,
     Standing,
     Urgency,
     choose_next,
@@ -143,7 +144,7 @@
     def next(
         self,
         now: float,
-        expected_seconds: Callable[[WaitingRequest], float],
+        expected_seconds: ExpectedSeconds[WaitingRequest],
         in_progress: int,
         may_open: bool = True,
     ) -> tuple[WaitingRequest, Urgency] | None:
@@ -163,7 +164,7 @@
     def next_held(
         self,
         now: float,
-        expected_seconds: Callable[[WaitingRequest], float],
+        expected_seconds: ExpectedSeconds[WaitingRequest],
         in_progress: int,
         host: int | None = None,
     ) -> tuple[WaitingRequest, Urgency] | None:
@@ -183,7 +184,7 @@
         return urgency_of(request, now + expected_seconds, self._shares, now)
 
     def count(
-        self, standing: Standing, now: float, expected_seconds: Callable[[WaitingRequest], float]
+        self, standing: Standing, now: float, expected_seconds: ExpectedSeconds[WaitingRequest]
     ) -> int:
         """Return how many requests have a standing if they start now."""
         return sum(
@@ -199,7 +200,7 @@
         self,
         waiting: Sequence[WaitingRequest],
         now: float,
-        expected_seconds: Callable[[WaitingRequest], float],
+        expected_seconds: ExpectedSeconds[WaitingRequest],
         in_progress: int,
     ) -> tuple[WaitingRequest, Urgency] | None:
         # Callers that have closed may still read an answer, so they are served when nobody else is.
--- a/egretsill/address_steering/_target_capacity.py
+++ b/egretsill/address_steering/_target_capacity.py
@@ -101,12 +101,12 @@
         """
         view = self.own_view()
         slots = max(view.target.capacity, 1) if view is not None else 1
+        if self.load(now) < slots:
+            return 0.0
         work = self._flows.work
         seconds = self._flows.remaining_seconds(now) + self.opening(now) * work.usual_seconds
         for flow in self._queue.flows:
             seconds += work.seconds((flow.service_host, flow.service_port))
-        if self.load(now) < slots:
-            return 0.0
         return seconds / slots
 
     def limit(self) -> int:
--- a/egretsill/address_steering/_target_silence.py
+++ b/egretsill/address_steering/_target_silence.py
@@ -30,9 +30,7 @@
 
     def is_silent(self, now: float) -> bool:
         """Return whether the target has left packets unanswered for longer than the limit."""
-        if self._unanswered_since is None:
-            return False
         # Only packets can show that the target has recovered, so after a while without any it
         # gets new flows again.
         is_current = now - self._delivered_at < SILENCE_VALID_SECONDS
-        return is_current and now - self._unanswered_since > SILENT_TARGET_SECONDS
+        return is_current and self.has_been_silent(now)
