Content changes: net changes are found in one place, and are read as the store's

Routes, targets and evacuations each had a loop of their own for what was written last and removed for good. The directory took a peer's changes apart to build them anew.

--- a/egretsill/directory/_change_log.py
+++ b/egretsill/directory/_change_log.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 from ._evacuations import Evacuation
-from ._model import Route, RouteTable, Target, WarmUpTerms
+from ._model import Changes, Route, RouteTable, Target, WarmUpTerms
 from ._revision import StoreRevision
 
+_Item = TypeVar("_Item")
+_Key = TypeVar("_Key")
+
 MAXIMUM_STEPS = 256  # changes kept; two rolling releases of a hundred targets make about 400
 
 
@@ -58,6 +62,21 @@
     evacuations: Sequence[Evacuation] = ()
     restored: Sequence[str] = ()
 
+    def as_changes(self, table: RouteTable | None) -> Changes:
+        """Return them as if they had been read from the store.
+
+        Args:
+            table: the configuration that the route changes give, None without any.
+        """
+        return Changes(
+            self.revision,
+            table,
+            self.targets,
+            self.removed,
+            evacuations=self.evacuations,
+            restored=self.restored,
+        )
+
 
 def route_changes(before: RouteTable, after: RouteTable) -> RouteChanges:
     """Return how a configuration differs from an earlier one."""
@@ -98,52 +117,57 @@
         if not self._steps or not self._steps[0].base <= revision < self._steps[-1].revision:
             return None
         steps = [each for each in self._steps if each.revision > revision]
-        targets: dict[str, Target] = {}
-        removed: dict[str, None] = {}
-        evacuations: dict[str, Evacuation] = {}
-        restored: dict[str, None] = {}
-        for step in steps:
-            for domain in step.restored:
-                evacuations.pop(domain, None)
-                restored[domain] = None
-            for evacuation in step.evacuations:
-                evacuations[evacuation.failure_domain] = evacuation
-                restored.pop(evacuation.failure_domain, None)
-            for name in step.removed:
-                targets.pop(name, None)
-                removed[name] = None
-            for target in step.targets:
-                targets[target.name] = target
-                removed.pop(target.name, None)
+        targets, removed = _net_changes(
+            ((each.targets, each.removed) for each in steps), lambda each: each.name
+        )
+        evacuations, restored = _net_changes(
+            ((each.evacuations, each.restored) for each in steps),
+            lambda each: each.failure_domain,
+        )
         return ContentChanges(
             steps[0].base,
             steps[-1].revision,
             _combine_route_changes([each.routes for each in steps if each.routes is not None]),
-            tuple(targets.values()),
-            tuple(removed),
-            tuple(evacuations.values()),
-            tuple(restored),
+            targets,
+            removed,
+            evacuations,
+            restored,
         )
 
 
 def _combine_route_changes(steps: Sequence[RouteChanges]) -> RouteChanges | None:
     if not steps:
         return None
-    changed: dict[tuple[int, int], Route] = {}
-    removed: dict[tuple[int, int], None] = {}
-    for step in steps:
-        for key in step.removed:
-            changed.pop(key, None)
-            removed[key] = None
-        for route in step.changed:
-            changed[(route.host, route.port)] = route
-            removed.pop((route.host, route.port), None)
+    changed, removed = _net_changes(
+        ((each.changed, each.removed) for each in steps), lambda each: (each.host, each.port)
+    )
     bases, last = tuple(base for step in steps for base in step.base_versions), steps[-1]
     return RouteChanges(
         bases,
         last.version,
         last.idle_seconds,
-        tuple(changed.values()),
-        tuple(removed),
+        changed,
+        removed,
         last.warm_up,
     )
+
+
+def _net_changes(
+    steps: Iterable[tuple[Iterable[_Item], Iterable[_Key]]], key_of: Callable[[_Item], _Key]
+) -> tuple[tuple[_Item, ...], tuple[_Key, ...]]:
+    """Return what was written last and what was removed for good.
+
+    Args:
+        steps: what each step wrote, and the keys of what it removed before.
+        key_of: returns the key of what was written.
+    """
+    written: dict[_Key, _Item] = {}
+    removed: dict[_Key, None] = {}
+    for step_written, step_removed in steps:
+        for key in step_removed:
+            written.pop(key, None)
+            removed[key] = None
+        for item in step_written:
+            written[key_of(item)] = item
+            removed.pop(key_of(item), None)
+    return tuple(written.values()), tuple(removed)
--- a/egretsill/directory/_directory.py
+++ b/egretsill/directory/_directory.py
@@ -288,17 +288,7 @@
                 return None
             table = apply_route_changes(self._table, changes.routes)
         self._start_grace_after_outage(now - age_seconds)
-        changed = self._merge(
-            Changes(
-                changes.revision,
-                table,
-                changes.targets,
-                changes.removed,
-                evacuations=changes.evacuations,
-                restored=changes.restored,
-            ),
-            now,
-        )
+        changed = self._merge(changes.as_changes(table), now)
         self._content_revision = changes.revision
         self.confirm(changes.revision, age_seconds, now)
         return changed
@@ -397,15 +387,7 @@
             self._log.clear()
         else:
             self._log.append(
-                ContentChanges(
-                    base,
-                    changes.at,
-                    routes,
-                    tuple(written),
-                    tuple(removed),
-                    tuple(evacuations),
-                    tuple(restored),
-                )
+                ContentChanges(base, changes.at, routes, written, removed, evacuations, restored)
             )
         self._content_revision = max(changes.at, base)
         return True
--- a/egretsill/directory/_evacuations.py
+++ b/egretsill/directory/_evacuations.py
@@ -130,7 +130,6 @@
         return True
 
     def _is_removed_by(self, failure_domain: str, at: StoreRevision) -> bool:
-        # Pages of complete content are read one after the other and state the revision of the
-        # first, so an order may be later than the content that lacks it.
+        # An order that is later than the content that lacks it wasn't taken back by it.
         view = self._views.get(failure_domain)
         return view is not None and view.evacuation.revision <= at
