--- a/egretsill/address_steering/__init__.py
+++ b/egretsill/address_steering/__init__.py
@@ -37,6 +37,7 @@
 )
 from ._placement import FlowPlacement
 from ._policy import SteeringPolicy
+from ._target_failures import TargetFailures
 from ._tunnel import (
     CapacityOffer,
     CapacityRequest,
@@ -94,6 +95,7 @@
     "RefuseReason",
     "SendToCaller",
     "Start",
+    "TargetFailures",
     "HOME_NOTICE_INTERVAL_SECONDS",
     "NotifyHome",
     "NotifyBalancer",
--- a/egretsill/node/_directory_log.py
+++ b/egretsill/node/_directory_log.py
@@ -39,6 +39,12 @@
         self.note_evacuations(source)
         self.note_target_changes()
 
+    def note_tick(self) -> None:
+        """Record what the passing of time has changed of the content."""
+        self.note_evacuations("")
+        self.note_outdated_entries()
+        self.note_target_changes()
+
     def note_evacuations(self, source: str) -> None:
         """Record the failure domains that were evacuated or restored since the last call.
 
--- a/egretsill/node/_node.py
+++ b/egretsill/node/_node.py
@@ -43,6 +43,7 @@
 from ._reader_choice import ReaderChoice
 from ._shutdown import ShutdownPlan
 from ._store_reading import STORE_SOURCE, StoreReading
+from ._target_failure_log import TargetFailureLog
 from ._tcp_endpoints import TcpEndpoints
 
 SWEEP_SECONDS = 1.0
@@ -106,7 +107,7 @@
         self._stopped = trio.Event()
         self._content_known = trio.Event()
         self._agent_steering: AgentSteering | None = None
-        self._is_target_failing = False
+        self._target_failures = TargetFailureLog(self._journal)
         self._role = self._make_role(codec)
         self._exchange = ContentExchange(
             self._endpoints.content,
@@ -375,25 +376,11 @@
 
     def _sweep(self, now: float) -> None:
         self._directory.tick(now)
-        self._directory_log.note_evacuations("")
-        self._directory_log.note_outdated_entries()
-        self._directory_log.note_target_changes()
+        self._directory_log.note_tick()
         load = self._load()
         self._metrics.flows_open.set(load.flows)
         if self._agent_steering is not None:
-            self._note_target_failures(self._agent_steering, load)
-
-    def _note_target_failures(self, steering: AgentSteering, load: TargetLoad) -> None:
-        if load.is_target_failing is self._is_target_failing:
-            return
-        self._is_target_failing = load.is_target_failing
-        self._journal.record(
-            "target-failing" if load.is_target_failing else "target-on-trial",
-            flows=load.flows,
-            pending=load.pending,
-            failures=steering.failures.total,
-            seconds=steering.failures.avoided_seconds,
-        )
+            self._target_failures.note_load(load, self._agent_steering.failures)
 
     def _check_shutdown(self, now: float) -> None:
         is_idle = False
