--- a/egretsill/directory/_directory.py
+++ b/egretsill/directory/_directory.py
@@ -306,13 +306,14 @@
             self._note_confirmation(confirmed_at)
 
     def tick(self, now: float) -> bool:
-        """Drop what has expired; return whether any target or evacuation was dropped."""
+        """Drop what has expired; return whether targets or evacuations may have changed."""
         self._former_routes.sweep(now)
         is_dropped = self._entries.is_settled(now) and self._evacuations.drop_awaited()
         return self._entries.tick(now) or is_dropped
 
     def _note_confirmation(self, confirmed_at: float) -> None:
         self._confirmed_at = max(self._confirmed_at, confirmed_at)
+        self._entries.note_confirmation(self._confirmed_at)
 
     def _start_grace_after_outage(self, now: float) -> None:
         if self._confirmed_at != NEVER and now - self._confirmed_at > OUTAGE_SECONDS:
--- a/egretsill/directory/_target_changes.py
+++ b/egretsill/directory/_target_changes.py
@@ -20,7 +20,6 @@
     DRAINING = "draining"
     AWAITED = "awaited"
     DEPARTED = "departed"
-    PASSED_OVER = "passed-over"
     SUPERSEDED = "superseded"
     DRAINED = "drained"
     IN_USE_AGAIN = "in-use-again"
--- a/egretsill/directory/_target_entries.py
+++ b/egretsill/directory/_target_entries.py
@@ -11,6 +11,7 @@
 from ._target_changes import TargetChange, TargetChangeKind, TargetChanges
 from ._target_index import TargetIndex, TargetPlace
 from ._target_view import NEVER, TargetView
+from ._vm_claims import LAPSE_GRACE_SECONDS, ClaimTerms
 from ._write_order import (
     WriteOrder,
     compare_revisions,
@@ -21,7 +22,6 @@
 )
 
 COPY_SETTLING_SECONDS = 10.0  # by then entries that only a copy still had have expired
-LAPSE_GRACE_SECONDS = 2.5  # running targets renew within 2 s of the store's return, plus lag
 MAXIMUM_RETAINED = 10_000  # departed targets kept; two a second over the retention, and slack
 
 
@@ -53,6 +53,7 @@
         self._grace_until = NEVER
         self._return_grace_until = NEVER
         self._settled_at = NEVER
+        self._confirmed_at = NEVER
         self._outdated: set[str] = set()
         self._outdated_count = 0
 
@@ -68,8 +69,9 @@
             self._index.rebuild(
                 self._current,
                 self._departed.values(),
-                self._routed_services,
-                self.is_settled(self._changed_at),
+                ClaimTerms(
+                    self._routed_services, self.is_settled(self._changed_at), self._confirmed_at
+                ),
                 self._changed_at,
             )
             self._changed_at = None
@@ -127,6 +129,10 @@
         """Return whether the store alone decides about entries."""
         return now >= self._settled_at
 
+    def note_confirmation(self, confirmed_at: float) -> None:
+        """Record when the content was last confirmed to match the store's."""
+        self._confirmed_at = confirmed_at
+
     def start_grace(self, now: float) -> None:
         """Await missing entries of ready targets, which may have lapsed for want of renewal."""
         self._grace_until = now + LAPSE_GRACE_SECONDS
@@ -149,14 +155,13 @@
         """
         names = dict.fromkeys(removed)
         taken: list[TargetView] = []
-        views: dict[str, list[TargetView]] = {}
+        latest: dict[str, TargetView] = {}
         for target in changed:
-            earlier = views.setdefault(target.name, [])
-            known = earlier[-1] if earlier else self._current.get(target.name)
-            if self._is_taken(target, known, earlier, now):
+            known = latest.get(target.name) or self._current.get(target.name)
+            if self._is_taken(target, known, now):
                 known_since = self._known_since(target, known, now)
                 view = TargetView(target, now + target.warmup_seconds, known_since)
-                earlier.append(view)
+                latest[target.name] = view
                 taken.append(view)
         is_first = not self._current and not self._departed
         for view in taken:
@@ -170,7 +175,7 @@
         return [each.target for each in taken], gone
 
     def tick(self, now: float) -> bool:
-        """Drop expired targets; return whether any was dropped."""
+        """Drop expired targets; return whether any targets in use may have changed."""
         expired = [name for name, each in self._current.items() if each.has_departed(now)]
         for name in expired:
             self._move_to_departed(name, now)
@@ -184,9 +189,10 @@
                 break
             del self._departed[key]
             expired.append(view.target.name)
-        if expired:
+        is_changed = bool(expired) or self._confirmed_at >= self.index.next_settlement
+        if is_changed:
             self._note_change(now)
-        return bool(expired)
+        return is_changed
 
     def _is_at_own_vm(self, target: Target) -> bool:
         return self._own_place is not None and target.host == self._own_place.host
@@ -205,8 +211,10 @@
         target = view.target
         known = self._current.get(target.name)
         self._outdated.discard(target.name)
-        if known is not None and not is_same_run(target, known.target):
-            self._keep_departed(known, now)
+        if known is not None:
+            is_other_run = not is_same_run(target, known.target)
+            if is_other_run or denies_drain(target, known.target):
+                self._keep_departed(known, now)
         self._current[target.name] = view
 
     def _known_since(self, target: Target, known: TargetView | None, now: float) -> float:
@@ -215,15 +223,12 @@
         same = [each for each in formers if each is not None and is_same_run(target, each.target)]
         return same[0].known_since if same else now
 
-    def _is_taken(
-        self, target: Target, known: TargetView | None, earlier: Sequence[TargetView], now: float
-    ) -> bool:
+    def _is_taken(self, target: Target, known: TargetView | None, now: float) -> bool:
         """Return whether to take an entry; note one that a copy of the store has brought back.
 
         Args:
             target: the entry.
             known: the entry of its name before it.
-            earlier: entries of its name that are about to be taken before it.
             now: local time.
         """
         departed = self._departed.get(_departed_key(target))
@@ -235,11 +240,7 @@
         if is_settled and order is not WriteOrder.SAME:
             # What the copy lacked is written again, so the store's own order counts.
             order = compare_revisions(target, former.target)
-        current = self._current.get(target.name)
-        formers = [each for each in (*earlier, current, departed) if each is not None]
-        if any(denies_drain(target, each.target) for each in formers):
-            is_taken = False
-        elif known is None:
+        if known is None:
             is_taken = is_settled or order is WriteOrder.LATER
         elif known.missing_since is not None:
             is_same_era = target.revision.era == known.target.revision.era
@@ -247,8 +248,6 @@
         else:
             is_taken = order is WriteOrder.LATER
         is_held = known is not None and order is WriteOrder.SAME
-        if not is_taken and not is_held and order is WriteOrder.LATER:
-            self._changes.note(TargetChangeKind.PASSED_OVER, target, now)
         if not is_taken and not is_held and not is_settled:
             self._outdated.add(target.name)
             self._outdated_count += 1
--- a/egretsill/directory/_target_index.py
+++ b/egretsill/directory/_target_index.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass, replace
 from typing import TypeVar
@@ -9,7 +10,7 @@
 from ._model import Target
 from ._target_changes import TargetChangeKind, TargetChanges
 from ._target_view import NEVER, TargetView
-from ._vm_claims import settle_claims
+from ._vm_claims import ClaimTerms, next_settlement, settle_claims
 
 KeyT = TypeVar("KeyT")
 
@@ -64,6 +65,7 @@
         self._by_host: dict[int, tuple[TargetView, ...]] = {}
         self._outranked: dict[str, _Outranked] = {}
         self._contested_hosts: tuple[int, ...] = ()
+        self._next_settlement = math.inf
 
     def of_service(self, service: str) -> Sequence[TargetView]:
         """Return a service's targets."""
@@ -88,12 +90,16 @@
         """Return the VMs for which there are several entries, or were until recently."""
         return self._contested_hosts
 
+    @property
+    def next_settlement(self) -> float:
+        """Return the confirmation time from which other entries may count at contested VMs."""
+        return self._next_settlement
+
     def rebuild(
         self,
         current: Mapping[str, TargetView],
         departed: Collection[TargetView],
-        routed_services: Collection[str] | None,
-        is_settled: bool,
+        terms: ClaimTerms,
         now: float,
     ) -> None:
         """Index all targets again.
@@ -101,8 +107,7 @@
         Args:
             current: the targets in force, by name.
             departed: the targets whose entries are gone.
-            routed_services: the services of the configuration in force, None for any.
-            is_settled: whether the store has no entries that only a copy of it brought back.
+            terms: what decides about several entries for one VM.
             now: local time.
         """
         by_service: dict[str, list[TargetView]] = {}
@@ -111,10 +116,12 @@
             by_host.setdefault(view.target.host, []).append(view)
         outranked: dict[str, _Outranked] = {}
         self._contested_hosts = tuple(host for host, views in by_host.items() if len(views) > 1)
+        contesting = (each for host in self._contested_hosts for each in by_host[host])
+        self._next_settlement = next_settlement(contesting, terms.confirmed_at)
         for host, views in by_host.items():
             if len(views) > 1:
                 views = self._at_own_place(views)
-                settled = settle_claims(views, routed_services, is_settled)
+                settled = settle_claims(views, terms)
                 views = by_host[host] = [self._outrank(each, outranked, now) for each in settled]
             for view in views:
                 by_service.setdefault(view.target.service, []).append(view)
--- a/egretsill/directory/tests/test_directory.py
+++ b/egretsill/directory/tests/test_directory.py
@@ -24,7 +24,7 @@
     unpack_targets,
 )
 from .._directory import OUTAGE_SECONDS
-from .._target_entries import LAPSE_GRACE_SECONDS
+from .._vm_claims import LAPSE_GRACE_SECONDS
 from .revisions import rev
 from .unusable import reject
 
--- a/egretsill/directory/tests/test_store_return.py
+++ b/egretsill/directory/tests/test_store_return.py
@@ -7,7 +7,8 @@
 import pytest
 
 from .. import Changes, Directory, RouteTable, Snapshot, StoreReturn, Target, TargetPhase
-from .._target_entries import COPY_SETTLING_SECONDS, LAPSE_GRACE_SECONDS
+from .._target_entries import COPY_SETTLING_SECONDS
+from .._vm_claims import LAPSE_GRACE_SECONDS
 from .._write_order import WriteOrder, compare_writes, is_successor
 from .revisions import rev
 
--- a/egretsill/measurements/_wrong_decisions.py
+++ b/egretsill/measurements/_wrong_decisions.py
@@ -182,6 +182,10 @@
     return lambda *_: True
 
 
+def _forget(_: Method) -> Method:
+    return lambda *_: None
+
+
 def _count_half(original: Method) -> Method:
     counted: dict[int, int] = {}
 
@@ -268,7 +272,11 @@
     WrongDecision(
         "a copy's entry wins over a later write",
         "store-returns-over-drains",
-        (Replacement(TargetEntries, "_is_taken", _take_any_entry),),
+        (
+            Replacement(TargetEntries, "_is_taken", _take_any_entry),
+            # The run that drains by the later write would hold the copy's entry back otherwise.
+            Replacement(TargetEntries, "_keep_departed", _forget),
+        ),
     ),
     WrongDecision(
         "a target in warm-up gets any number of flows",
