--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -30,7 +30,7 @@
 from ._flow_table import STUCK_SECONDS, FlowEntry, FlowState, FlowTable
 from ._forwarding import pass_packet, refuse_packet
 from ._homes import HomeNotifier
-from ._packet import FlowPacket, PacketKind
+from ._packet import FlowKey, FlowPacket, PacketKind
 from ._placement import FlowPlacement
 from ._policy import SteeringPolicy
 from ._presence import Presence
@@ -170,11 +170,13 @@
         if packet.kind is not PacketKind.SYN:
             self._queue.discard_syn(packet.flow)
         if entry is not None and entry.state is FlowState.OWNED:
-            is_from_other_flow = entry.is_established and entry.is_from_other_flow(packet.sequence)
-            if packet.kind is PacketKind.SYN and (entry.has_ended or is_from_other_flow):
-                self._flows.remove(packet.flow)
-                return self._opening.take_syn(envelope, packet, now)
-            if is_from_other_flow and packet.kind is not PacketKind.RST:
+            is_from_other_flow = entry.is_from_other_flow(packet)
+            if packet.kind is PacketKind.SYN:
+                is_new = entry.has_ended or (entry.is_established and is_from_other_flow)
+                if is_new:
+                    self._flows.remove(packet.flow)
+                    return self._opening.take_syn(envelope, packet, now)
+            elif is_from_other_flow and packet.kind is not PacketKind.RST:
                 # The target would answer data of an ended flow with an RST packet.
                 return self._pass_on(envelope, packet, now)
             return self._take_owned(entry, envelope, packet, now)
@@ -182,16 +184,20 @@
             return self._opening.take_syn(envelope, packet, now)
         if entry is None:
             return self._take_unknown(envelope, packet, now)
+        if entry.state is FlowState.ABSENT:
+            return self._pass_on(envelope, packet, now)
         if entry.state is FlowState.PASSED:
             entry.last_packet_at = now
             # The caller may have accepted the SYN-ACK packet for another copy of its SYN packet.
             is_announced = self._search.is_announced_elsewhere(
-                packet.flow, envelope, entry.first_packet_at
+                packet, envelope, entry.first_packet_at
             )
             if is_announced or entry.passed_to in envelope.visited:
                 return self._pass_on(envelope, packet, now)
             reason = ForwardReason.PASSED_BEFORE
             return pass_packet(self._host, entry.passed_to, envelope, packet, reason)
+        if entry.asked:
+            entry.note_asked(packet)
         return self._take_owned(entry, envelope, packet, now)
 
     def take_from_target(self, packet: FlowPacket, now: float) -> Sequence[AgentEffect]:
@@ -202,11 +208,19 @@
         if packet.is_bounced:
             return self._take_bounced(packet, now)
         entry = self._flows.get(packet.flow)
-        if entry is None:
+        if entry is None and packet.kind is not PacketKind.RST:
             entry = FlowEntry(FlowState.OWNED, 0, 0, (), now, now)
             self._flows.put(packet.flow, entry)
+        if entry is None or entry.state is FlowState.ABSENT:
+            # An earlier flow with the same key may have ended here.
+            return (Drop(packet.flow, DropReason.UNEXPECTED),)
+        if entry.asked:
+            if not entry.is_proof(packet):
+                return self._pass_asked_on(entry, packet.flow, now)
+            entry.asked = ()
         entry.state = FlowState.OWNED
         entry.last_packet_at = now
+        entry.note_answer(packet)
         if packet.kind is not PacketKind.SYN_ACK:
             entry.is_established = True
         # The FIN packet may overtake the data of the answer after which the target closes.
@@ -317,7 +331,7 @@
         self, envelope: Envelope, packet: FlowPacket, now: float
     ) -> Sequence[AgentEffect]:
         is_known = self._flows.is_complete(now)
-        if is_known or self._search.is_announced_elsewhere(packet.flow, envelope):
+        if is_known or self._search.is_announced_elsewhere(packet, envelope):
             return self._pass_on(envelope, packet, now)
         if not self._is_expected_here(envelope, packet):
             # The target would be asked in vain for nearly all flows of other services' routes.
@@ -330,9 +344,23 @@
                     Forward(likelier.host, unasked, likelier.reason, packet.flow, packet.datagram),
                 )
         entry = FlowEntry.begin(FlowState.TRYING, envelope, now)
+        entry.note_asked(packet)
         self._flows.put(packet.flow, entry)
         return self._take_owned(entry, envelope, packet, now)
 
+    def _pass_asked_on(self, entry: FlowEntry, flow: FlowKey, now: float) -> Sequence[AgentEffect]:
+        """Return the effects of an answer by which the target doesn't have the flow.
+
+        Its further answers to packets that it has got already aren't for the caller either.
+        """
+        asked, entry.asked = entry.asked, ()
+        entry.state = FlowState.ABSENT
+        entry.last_packet_at = now
+        self._flows.end_request(entry, now)
+        self._queue.remove(flow)
+        envelope = entry.envelope(self._directory.version, self._mark)
+        return [effect for packet in asked for effect in self._pass_on(envelope, packet, now)]
+
     def _is_expected_here(self, envelope: Envelope, packet: FlowPacket) -> bool:
         """Return whether the route, or the sender of a packet, allows that its flow is here."""
         is_steered_here = envelope.service_hash in (self._mark, ANY_SERVICE)
@@ -350,9 +378,11 @@
             return self._opening.pass_on(
                 envelope, packet, self._service, ForwardReason.TARGET_FULL, now
             )
+        if entry.state is FlowState.ABSENT:
+            return self._pass_on(envelope, packet, now)
         self._flows.remove(packet.flow)
         self._queue.remove(packet.flow)
-        if entry.is_established and not entry.is_from_other_flow(packet.sequence):
+        if entry.is_established and not entry.is_from_other_flow(packet):
             # The flow was open only here, so its target has lost it.
             self._pace.doubt_run(now)
             return refuse_packet(self._host, envelope, packet, RefuseReason.LOST_BY_TARGET)
@@ -365,7 +395,7 @@
 
         If no VM is left, the flow is refused only by a view confirmed after the packet arrived.
         """
-        match self._search.next_step(packet.flow, envelope, now):
+        match self._search.next_step(packet, envelope, now):
             case SearchHop(host, reason, is_of_route):
                 steered = envelope if is_of_route else envelope._replace(service_hash=ANY_SERVICE)
                 limit = MAXIMUM_ROUTE_HOPS if is_of_route else MAXIMUM_HOPS
--- a/egretsill/address_steering/_flow_search.py
+++ b/egretsill/address_steering/_flow_search.py
@@ -20,7 +20,7 @@
 from ._candidates import SEARCH_CANDIDATES
 from ._decisions import DropReason, ForwardReason, RefuseReason
 from ._homes import HomeTable
-from ._packet import FlowKey
+from ._packet import FlowKey, FlowPacket
 from ._placement import FlowPlacement
 from ._presence import Presence
 from ._tunnel import MAXIMUM_HOPS, MAXIMUM_ROUTE_HOPS, Envelope
@@ -80,22 +80,23 @@
         """Return the flows that owners announced to this agent as their home."""
         return self._homes
 
-    def next_step(self, flow: FlowKey, envelope: Envelope, now: float) -> SearchStep:
+    def next_step(self, packet: FlowPacket, envelope: Envelope, now: float) -> SearchStep:
         """Return where a packet goes next, or why it is refused or dropped.
 
         Args:
-            flow: its flow.
-            envelope: path of the packet to this agent.
+            packet: the packet.
+            envelope: its path to this agent.
             now: local time.
         """
+        flow = packet.flow
         route = self._directory.route(flow.service_host, flow.service_port)
         if route is None:
             return DropReason.NO_ROUTE
         services = self._directory.flow_services(route)
         visited = {*envelope.visited, self._host}
-        owner = self._homes.owner(flow)
-        if owner is not None and owner not in visited:
-            is_recent = self._homes.owner(flow, since=now - SILENT_SECONDS) is not None
+        owner = self._homes.owner(packet, visited)
+        if owner is not None:
+            is_recent = self._homes.owner(packet, visited, since=now - SILENT_SECONDS) is not None
             if is_recent or not self._presence.has_left(owner, services, now):
                 return SearchHop(owner, ForwardReason.ANNOUNCED_BY_OWNER, is_of_route=False)
             return RefuseReason.OWNER_GONE
@@ -121,17 +122,16 @@
         return route is None or self._service in self._directory.flow_services(route)
 
     def is_announced_elsewhere(
-        self, flow: FlowKey, envelope: Envelope, since: float = float("-inf")
+        self, packet: FlowPacket, envelope: Envelope, since: float = float("-inf")
     ) -> bool:
-        """Return whether an owner that a packet has not visited yet announced the flow here.
+        """Return whether an owner that a packet has not visited yet announced its flow here.
 
         Args:
-            flow: the flow.
-            envelope: path of a packet of the flow to this agent.
+            packet: the packet.
+            envelope: its path to this agent.
             since: announcements received before this time are ignored.
         """
-        owner = self._homes.owner(flow, since)
-        return owner not in (None, self._host) and owner not in envelope.visited
+        return self._homes.owner(packet, {*envelope.visited, self._host}, since) is not None
 
     def _unvisited(
         self,
--- a/egretsill/address_steering/_flow_table.py
+++ b/egretsill/address_steering/_flow_table.py
@@ -6,28 +6,35 @@
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 
-from ._packet import FlowKey
+from ._packet import FlowKey, FlowPacket, PacketKind
+from ._sequence_numbers import SEQUENCE_NUMBERS, are_of_one_flow
 from ._slot_times import SlotTimes
 from ._tunnel import Envelope
 from ._work_estimates import RouteAddress, WorkEstimates
 
+MAXIMUM_ASKED_PACKETS = 4  # of a flow; its caller sends others again after 0.2 s
 MAXIMUM_FLOWS = 20_000  # ten times what a target of 2,000 connections holds, about 8 MB
 HANDSHAKE_SECONDS = 3.0  # a caller gives up opening a flow after 1.4 s
-ENDED_SECONDS = 10.0  # the target answers late packets of an ended flow for longer than that
+# The target answers late packets of an ended flow for longer than that. Until the table is
+# complete, ended flows are kept longer, as the target would be asked for later ones of their ports.
+ENDED_SECONDS = 10.0
 IDLE_SLACK_SECONDS = 0.9  # a packet sent in time may be lost twice; its copy comes 0.6 s later
 RESUME_GRACE_SECONDS = 1.0  # packets queued in sockets during a scheduling pause are read by then
 STUCK_SECONDS = 2.0  # a request at the target for longer no longer counts against its capacity
-SEQUENCE_NUMBERS = 2**32  # they wrap
-MAXIMUM_SEQUENCE_DISTANCE = 2**20  # bytes; far more than the 16 packets that a caller has in flight
 DELAY_SMOOTHING = 0.2  # weight of a new measurement in the mean delay
 
 
 class FlowState(enum.Enum):
-    """State of a flow at an agent: offered to its target, owned by the target, or passed on."""
+    """State of a flow at an agent.
+
+    It was offered to the target, or the target was asked for it; it is owned by the target; it was
+    passed on; or the target doesn't have it, though it had an earlier flow of the same key.
+    """
 
     TRYING = "trying"
     OWNED = "owned"
     PASSED = "passed"
+    ABSENT = "absent"
 
 
 @dataclass(slots=True, eq=False)
@@ -35,7 +42,7 @@
     """State of one flow, updated with each packet.
 
     Attributes:
-        state: whether the flow was offered to the target, is owned by it, or was passed on.
+        state: where the flow is.
         balancer: the balancer that sent its last packet here.
         domain_hash: hash of that balancer's failure domain.
         visited: agents that passed its last packet on before this one.
@@ -44,6 +51,9 @@
         passed_to: VM to which it was passed on, if it was.
         pending_since: when its request in progress began to arrive, None if there is none.
         next_sequence: number of the byte after the last one that the caller sent.
+        next_answer_sequence: number of the byte after the last one that the target sent.
+        asked: packets of a flow that wasn't known here, which were delivered to learn whether the
+            target has the flow; removed with the target's answer.
         opening_delay: seconds between the caller's first SYN packet and the one that was delivered.
         is_transferred: whether its SYN packet was passed on because of an offer of capacity.
         is_established: whether the target has sent more than a SYN-ACK packet.
@@ -66,6 +76,8 @@
     passed_to: int = 0
     pending_since: float | None = None
     next_sequence: int | None = None
+    next_answer_sequence: int | None = None
+    asked: tuple[FlowPacket, ...] = ()
     opening_delay: float = 0.0
     is_transferred: bool = False
     is_established: bool = False
@@ -107,16 +119,39 @@
         """Return whether both ends have closed the flow."""
         return self.caller_closed and self.target_closed
 
-    def is_from_other_flow(self, sequence: int) -> bool:
+    def is_from_other_flow(self, packet: FlowPacket) -> bool:
         """Return whether a caller's packet certainly belongs to another flow with the same key.
 
-        Args:
-            sequence: number of the packet's first byte.
+        Each flow begins with numbers of its own in both directions. The caller of a copy of the
+        SYN packet that another target answered first acknowledges that target's number.
+        """
+        if self.next_sequence is not None and not are_of_one_flow(
+            packet.sequence, self.next_sequence
+        ):
+            return True
+        if packet.kind is PacketKind.SYN or self.next_answer_sequence is None:
+            return False
+        return not are_of_one_flow(packet.acknowledged, self.next_answer_sequence)
+
+    def note_answer(self, packet: FlowPacket) -> None:
+        """Record a packet that the target sent."""
+        length = packet.payload_bytes or packet.kind in (PacketKind.SYN_ACK, PacketKind.FIN)
+        self.next_answer_sequence = (packet.sequence + length) % SEQUENCE_NUMBERS
+
+    def note_asked(self, packet: FlowPacket) -> None:
+        """Keep a packet that is delivered before it is known whether the target has the flow."""
+        if packet.kind is not PacketKind.RST and len(self.asked) < MAXIMUM_ASKED_PACKETS:
+            self.asked = (*self.asked, packet)
+
+    def is_proof(self, answer: FlowPacket) -> bool:
+        """Return whether a target's answer shows that it has the flow that it was asked for.
+
+        A target also answers packets of a flow that has ended there, which may have had the same
+        key: data with an RST packet, and a FIN packet with the numbers of the ended flow.
         """
-        if self.next_sequence is None:
+        if answer.kind is PacketKind.RST:
             return False
-        ahead = (sequence - self.next_sequence) % SEQUENCE_NUMBERS
-        return min(ahead, SEQUENCE_NUMBERS - ahead) > MAXIMUM_SEQUENCE_DISTANCE
+        return are_of_one_flow(answer.sequence, self.asked[-1].acknowledged)
 
 
 class FlowTable:
@@ -292,7 +327,7 @@
         if now - self._resumed_at < RESUME_GRACE_SECONDS:
             return stuck
         for flow, entry in tuple(self._flows.items()):
-            if now - entry.last_packet_at > self._idle_limit(entry, idle_seconds):
+            if now - entry.last_packet_at > self._idle_limit(entry, idle_seconds, now):
                 self.remove(flow, now)
             elif entry.pending_since is not None and now - entry.pending_since > STUCK_SECONDS:
                 self.end_request(entry, now)
@@ -300,11 +335,11 @@
                     stuck.append(flow)
         return stuck
 
-    def _idle_limit(self, entry: FlowEntry, idle_seconds: float) -> float:
+    def _idle_limit(self, entry: FlowEntry, idle_seconds: float, now: float) -> float:
         if entry.has_ended:
-            return ENDED_SECONDS
+            return ENDED_SECONDS if self.is_complete(now) else self._retention_seconds
         match entry.state:
-            case FlowState.TRYING:
+            case FlowState.TRYING | FlowState.ABSENT:
                 return HANDSHAKE_SECONDS
             case FlowState.PASSED:
                 return self._retention_seconds
--- a/egretsill/address_steering/_tunnel.py
+++ b/egretsill/address_steering/_tunnel.py
@@ -17,7 +17,7 @@
 
 MAXIMUM_ROUTE_HOPS = 12  # hops among a route's targets; candidates take five, a search the rest
 MAXIMUM_HOPS = 54  # hops of one packet; the datagram still fits in 1,472 bytes, unfragmented
-MAXIMUM_NOTICE_FLOWS = 90  # keeps the datagram within a packet of 1,200 bytes
+MAXIMUM_NOTICE_FLOWS = 73  # keeps the datagram within a packet of 1,200 bytes
 
 ANY_SERVICE = 0  # in place of a service's hash, if the receiver's target may have the flow anyway
 
@@ -40,6 +40,7 @@
 _HOME_HEAD = struct.Struct(">BI")  # type, owner
 _CAPACITY = struct.Struct(">BIIH")  # type, sender, service, number of flows
 _FLOW = struct.Struct(">IHIH")
+_SEPARATOR = bytes(_FLOW.size)  # between flows and their sequence numbers
 
 
 class Envelope(NamedTuple):
@@ -91,11 +92,19 @@
 
     Attributes:
         owner: address of the agent.
-        flows: at most 90 flows that it has.
+        flows: at most `MAXIMUM_NOTICE_FLOWS` flows that it has.
+        sequences: for each flow the number of the caller's next byte, 0 if unknown; empty in a
+            notice of an earlier release.
     """
 
     owner: int
     flows: tuple[FlowKey, ...]
+    sequences: tuple[int, ...] = ()
+
+    @property
+    def known_sequences(self) -> tuple[int, ...]:
+        """Return the number of each flow, 0 where it is unknown."""
+        return self.sequences or (0,) * len(self.flows)
 
 
 @dataclass(frozen=True, slots=True)
@@ -179,10 +188,17 @@
 
 
 def encode_home_notice(notice: HomeNotice) -> bytes:
-    """Encode a notice to a home."""
-    return _HOME_HEAD.pack(_HOME, notice.owner) + b"".join(
-        _FLOW.pack(*flow) for flow in notice.flows
-    )
+    """Encode a notice to a home.
+
+    The sequence numbers follow the flows after a separator, which is no flow. Earlier releases read
+    all of it as flows; what isn't one is never asked for and expires.
+    """
+    flows = b"".join(_FLOW.pack(*flow) for flow in notice.flows)
+    data = _HOME_HEAD.pack(_HOME, notice.owner) + flows
+    if not notice.sequences:
+        return data
+    numbers = struct.pack(f">{len(notice.sequences)}I", *notice.sequences)
+    return data + _SEPARATOR + numbers + bytes(-len(numbers) % _FLOW.size)
 
 
 def encode_capacity_request(request: CapacityRequest) -> bytes:
@@ -230,9 +246,7 @@
         flows_bytes = len(data) - _HOME_HEAD.size
         if flows_bytes <= 0 or flows_bytes % _FLOW.size:
             raise MalformedTunnelMessage("home notice length")
-        owner = _HOME_HEAD.unpack_from(data)[1]
-        flows = tuple(FlowKey(*parts) for parts in _FLOW.iter_unpack(data[_HOME_HEAD.size :]))
-        return HomeNotice(owner, flows)
+        return _decode_home_notice(data)
     if mark in (_CAPACITY_REQUEST, _CAPACITY_OFFER):
         if len(data) != _CAPACITY.size:
             raise MalformedTunnelMessage("capacity message length")
@@ -244,3 +258,16 @@
         urgency = Urgency(standing, priority, bool(count & _DEFERRED_MARK))
         return CapacityRequest(host, service, count & _LARGEST_COUNT, urgency)
     raise MalformedTunnelMessage("unknown mark")
+
+
+def _decode_home_notice(data: bytes) -> HomeNotice:
+    owner = _HOME_HEAD.unpack_from(data)[1]
+    flows = [FlowKey(*parts) for parts in _FLOW.iter_unpack(data[_HOME_HEAD.size :])]
+    separator = FlowKey(*_FLOW.unpack(_SEPARATOR))
+    if separator not in flows:
+        return HomeNotice(owner, tuple(flows))
+    count = flows.index(separator)
+    start = _HOME_HEAD.size + (count + 1) * _FLOW.size
+    if not count or len(data) - start < 4 * count:
+        raise MalformedTunnelMessage("home notice sequence numbers")
+    return HomeNotice(owner, tuple(flows[:count]), struct.unpack_from(f">{count}I", data, start))
