--- a/egretsill/directory/_reading.py
+++ b/egretsill/directory/_reading.py
@@ -120,7 +120,13 @@
         due_at = confirmed_at + STALE_SECONDS + TURN_SECONDS * turn
         if now < due_at:
             return _pause_until(due_at, now)
-        return self._read_unless_pausing(now, RETRY_PAUSE_SECONDS * (1 + RANK_SLOWDOWN * turn))
+        # A pause after a successful read would add to the age of the content.
+        slowdown = RANK_SLOWDOWN * turn if self._is_retrying else 0.0
+        return self._read_unless_pausing(now, RETRY_PAUSE_SECONDS * (1 + slowdown))
+
+    @property
+    def _is_retrying(self) -> bool:
+        return self._failed_at >= self._tried_at
 
     def note_attempt(self, now: float) -> None:
         """Record that a call to the store begins."""
