Agent steering: the flow table records what a target sent

The record is made in one method of the table; decisions stay. test_agent_steering, test_earlier_flows, test_blameless_targets and test_target_failures pass (74).

--- a/egretsill/address_steering/_agent_steering.py
+++ b/egretsill/address_steering/_agent_steering.py
@@ -35,7 +35,7 @@
 from ._policy import SteeringPolicy
 from ._presence import Presence
 from ._request_queue import RequestQueue
-from ._target_failures import TargetFailures, is_failure
+from ._target_failures import TargetFailures
 from ._target_silence import TargetSilence
 from ._tunnel import (
     ANY_SERVICE,
@@ -218,24 +218,9 @@
             if not entry.is_proof(packet):
                 return self._pass_asked_on(entry, packet.flow, now)
             entry.asked = ()
-        entry.state = FlowState.OWNED
-        entry.last_packet_at = now
-        entry.note_answer(packet)
-        if packet.kind is not PacketKind.SYN_ACK:
-            entry.is_established = True
-        # The FIN packet may overtake the data of the answer after which the target closes.
-        is_closing = packet.kind is PacketKind.FIN and not entry.caller_closed
-        is_answer = packet.payload_bytes > 0 or is_closing
-        has_failed = is_failure(packet.status)
-        delay = self._flows.answer_request(entry, now, has_failed) if is_answer else None
-        if delay is None:
-            has_failed = _breaks_off(entry, packet)
+        delay, has_failed = self._flows.take_answer(entry, packet, now)
         if delay is not None or has_failed:
             self._failures.record(has_failed, now)
-        if packet.kind is PacketKind.FIN:
-            entry.target_closed = True
-            self._flows.end_request(entry, now)
-        self._flows.update_count(entry)
         if packet.kind is PacketKind.RST:
             self._flows.remove(packet.flow)
             self._queue.remove(packet.flow)
@@ -413,9 +398,3 @@
                 return refuse_packet(self._host, envelope, packet, refusal)
             case DropReason() as drop:
                 return (Drop(packet.flow, drop),)
-
-
-def _breaks_off(entry: FlowEntry, packet: FlowPacket) -> bool:
-    """Return whether the target resets a flow whose caller still waits for an answer."""
-    is_open = not (entry.caller_closed or entry.target_closed)
-    return packet.kind is PacketKind.RST and is_open and entry.pending_since is not None
--- a/egretsill/address_steering/_flow_table.py
+++ b/egretsill/address_steering/_flow_table.py
@@ -9,6 +9,7 @@
 from ._packet import FlowKey, FlowPacket, PacketKind
 from ._sequence_numbers import SEQUENCE_NUMBERS, are_of_one_flow
 from ._slot_times import SlotTimes
+from ._target_failures import is_failure
 from ._tunnel import Envelope
 from ._work_estimates import RouteAddress, WorkEstimates
 
@@ -138,6 +139,11 @@
         length = packet.payload_bytes or packet.kind in (PacketKind.SYN_ACK, PacketKind.FIN)
         self.next_answer_sequence = (packet.sequence + length) % SEQUENCE_NUMBERS
 
+    def is_broken_off_by(self, packet: FlowPacket) -> bool:
+        """Return whether the target resets the flow while its caller still waits for an answer."""
+        is_open = not (self.caller_closed or self.target_closed)
+        return packet.kind is PacketKind.RST and is_open and self.pending_since is not None
+
     def note_asked(self, packet: FlowPacket) -> None:
         """Keep a packet that is delivered before it is known whether the target has the flow."""
         if packet.kind is not PacketKind.RST and len(self.asked) < MAXIMUM_ASKED_PACKETS:
@@ -283,6 +289,33 @@
                 entry.expected_seconds += self.remaining_seconds(now) / slots
             self._slots.begin(entry, slots, now)
 
+    def take_answer(
+        self, entry: FlowEntry, packet: FlowPacket, now: float
+    ) -> tuple[float | None, bool]:
+        """Record a packet that the target sent on a flow that it has.
+
+        Returns:
+            The time since the request arrived, None if it isn't answered by the packet, and whether
+            the target failed.
+        """
+        entry.state = FlowState.OWNED
+        entry.last_packet_at = now
+        entry.note_answer(packet)
+        if packet.kind is not PacketKind.SYN_ACK:
+            entry.is_established = True
+        # The FIN packet may overtake the data of the answer after which the target closes.
+        is_closing = packet.kind is PacketKind.FIN and not entry.caller_closed
+        is_answer = packet.payload_bytes > 0 or is_closing
+        has_failed = is_failure(packet.status)
+        delay = self.answer_request(entry, now, has_failed) if is_answer else None
+        if delay is None:
+            has_failed = entry.is_broken_off_by(packet)
+        if packet.kind is PacketKind.FIN:
+            entry.target_closed = True
+            self.end_request(entry, now)
+        self.update_count(entry)
+        return delay, has_failed
+
     def answer_request(
         self, entry: FlowEntry, now: float, has_failed: bool = False
     ) -> float | None:
