--- a/egretsill/node/tests/test_content_age.py
+++ b/egretsill/node/tests/test_content_age.py
@@ -19,6 +19,7 @@
     READERS,
     Changes,
     Directory,
+    Evacuation,
     ReadPlan,
     RouteTable,
     Snapshot,
@@ -56,6 +57,8 @@
 class ChangingStore:
     """A store whose configuration changes at an interval, and whose target drains once.
 
+    The target's failure domain is evacuated in the same moment.
+
     Args:
         timer: the time.
         draw: source of the time that a read takes.
@@ -69,18 +72,21 @@
         self._drained_at = drained_at
         self.reads = 0
 
-    def content(self) -> tuple[StoreRevision, RouteTable, Target]:
+    def content(self) -> tuple[StoreRevision, RouteTable, Target, Sequence[Evacuation]]:
         seconds = self._timer.now - self._started_at
         number = 1 + int(seconds / CHANGE_SECONDS)
         phase = TargetPhase.READY if seconds < self._drained_at else TargetPhase.DRAINING
         at = rev(2 * number + (phase is TargetPhase.DRAINING))
-        return at, RouteTable(number, {}, 15.0), replace(TARGET, phase=phase, revision=at)
+        is_drained = phase is TargetPhase.DRAINING
+        evacuations = (Evacuation(TARGET.failure_domain, at),) if is_drained else ()
+        target = replace(TARGET, phase=phase, revision=at)
+        return at, RouteTable(number, {}, 15.0), target, evacuations
 
     async def read(self, timeout_seconds: float) -> Snapshot:
         self.reads += 1
-        at, table, target = self.content()
+        at, table, target, evacuations = self.content()
         await trio.sleep(self._draw.choice([0.004, 0.004, 0.2]))
-        return Snapshot(at, table, (target,))
+        return Snapshot(at, table, (target,), evacuations=evacuations)
 
     async def watch(
         self, after: StoreRevision, wait_seconds: float, timeout_seconds: float
@@ -88,8 +94,8 @@
         with trio.move_on_after(wait_seconds):
             while self.content()[0] <= after:
                 await trio.sleep(CHECK_SECONDS)
-        at, table, target = self.content()
-        return Changes(max(at, after), table, (target,))
+        at, table, target, evacuations = self.content()
+        return Changes(max(at, after), table, (target,), evacuations=evacuations)
 
     async def close(self) -> None:
         """Nothing is open."""
@@ -138,18 +144,18 @@
     async def _hear(self) -> None:
         """Receive the content of processes that read the store a moment ago, and its age."""
         while trio.current_time() < self._lost_at:
-            at, table, target = self.store.content()
+            at, table, target, evacuations = self.store.content()
             age = self._draw.uniform(0.0, 1.0)
             await trio.sleep(age)
             directory, now = self.directory, self._timer.now
             if directory.lacks(at, table.version):
-                directory.apply_peer_content(at, table, (target,), age, now)
+                directory.apply_peer_content(at, table, (target,), age, now, evacuations)
             directory.confirm(at, age, now)
             await trio.sleep(self._draw.uniform(0.0, HEARD_SECONDS))
 
     def _check(self) -> None:
         now = trio.current_time()
-        _, table, target = self.store.content()
+        _, table, target, _ = self.store.content()
         self._history.append((now, table.version, target.phase))
         while len(self._history) > 1 and self._history[1][0] <= now - APPLY_SECONDS:
             self._history.popleft()
@@ -160,6 +166,8 @@
         if phase is TargetPhase.DRAINING:
             views = self.directory.targets_of("lookup")
             assert not any(each.takes_new_flows(now) for each in views), f"{now}: a drain is late"
+            is_evacuated = self.directory.is_evacuated(TARGET.failure_domain)
+            assert is_evacuated, f"{now}: an evacuation is late"
 
 
 def play(seed: int) -> Process:
