Peers learn of a drain whose entry was written over

Net changes and complete content have the last write of each entry only, so the peers of the process that read both never heard of the drain. The target-changed lines told it: draining, ready and drained at the two readers, nothing at the others.

Complete content has it for as long as it is held, so peers don't pass it on to each other for good.

--- a/egretsill/directory/_change_log.py
+++ b/egretsill/directory/_change_log.py
@@ -8,8 +8,9 @@
 from typing import TypeVar
 
 from ._evacuations import Evacuation
-from ._model import Changes, Route, RouteTable, Target, WarmUpTerms
+from ._model import Changes, Route, RouteTable, Target, TargetPhase, WarmUpTerms
 from ._revision import StoreRevision
+from ._write_order import denies_drain
 
 _Item = TypeVar("_Item")
 _Key = TypeVar("_Key")
@@ -48,7 +49,8 @@
         base: the revision to which the changes apply, of the same era as `revision`.
         revision: the store's revision at the last of the changes.
         routes: changes of the configuration, None if there are none.
-        targets: entries that were written.
+        targets: entries that were written, and before each one an earlier write of it by which its
+            target drains, if it denies that.
         removed: names of entries that no longer exist.
         evacuations: failure domains that the operators have evacuated.
         restored: failure domains that are no longer evacuated.
@@ -120,6 +122,7 @@
         targets, removed = _net_changes(
             ((each.targets, each.removed) for each in steps), lambda each: each.name
         )
+        written = [target for each in steps for target in each.targets]
         evacuations, restored = _net_changes(
             ((each.evacuations, each.restored) for each in steps),
             lambda each: each.failure_domain,
@@ -128,13 +131,29 @@
             steps[0].base,
             steps[-1].revision,
             _combine_route_changes([each.routes for each in steps if each.routes is not None]),
-            targets,
+            _with_denied_drains(targets, written),
             removed,
             evacuations,
             restored,
         )
 
 
+def _with_denied_drains(targets: Iterable[Target], written: Iterable[Target]) -> tuple[Target, ...]:
+    """Return entries, each after the last of its earlier writes whose drain it denies, if any.
+
+    Without it, peers wouldn't learn that the target drains.
+    """
+    drains: dict[str, list[Target]] = {}
+    for each in written:
+        if each.phase is TargetPhase.DRAINING:
+            drains.setdefault(each.name, []).append(each)
+    found = []
+    for target in targets:
+        denied = [each for each in drains.get(target.name, ()) if denies_drain(target, each)]
+        found += [*denied[-1:], target]
+    return tuple(found)
+
+
 def _combine_route_changes(steps: Sequence[RouteChanges]) -> RouteChanges | None:
     if not steps:
         return None
--- a/egretsill/directory/_directory.py
+++ b/egretsill/directory/_directory.py
@@ -111,6 +111,11 @@
             each.target for each in self._entries.current.values() if each.missing_since is None
         ]
 
+    @property
+    def targets_for_peers(self) -> Sequence[Target]:
+        """Return the entries in the store, after earlier writes by which their targets drain."""
+        return [*self._entries.denied_drains(), *self.targets]
+
     @property
     def evacuations(self) -> Sequence[EvacuationView]:
         """Return the evacuations in force, with those that the store has lost but not for long."""
--- a/egretsill/directory/_target_entries.py
+++ b/egretsill/directory/_target_entries.py
@@ -11,7 +11,7 @@
 from ._target_changes import TargetChange, TargetChangeKind, TargetChanges
 from ._target_index import TargetIndex, TargetPlace
 from ._target_view import NEVER, TargetView
-from ._vm_claims import LAPSE_GRACE_SECONDS, ClaimTerms
+from ._vm_claims import CLAIM_SECONDS, LAPSE_GRACE_SECONDS, ClaimTerms
 from ._write_order import (
     WriteOrder,
     compare_revisions,
@@ -96,6 +96,18 @@
         """Return whether a service counts as routed."""
         return self._routed_services is None or service in self._routed_services
 
+    def denied_drains(self) -> Sequence[Target]:
+        """Return earlier writes of present entries by which targets drain that these call ready."""
+        found = []
+        for view in self._departed.values():
+            present = self._current.get(view.target.name)
+            if present is None or view.missing_since is None:
+                continue
+            is_held = self._confirmed_at < view.missing_since + CLAIM_SECONDS
+            if is_held and denies_drain(present.target, view.target):
+                found.append(view.target)
+        return found
+
     def domains(self) -> Mapping[int, str]:
         """Return the failure domain of each VM that has a target in force of a routed service."""
         index = self.index
--- a/egretsill/directory/tests/test_final_drain.py
+++ b/egretsill/directory/tests/test_final_drain.py
@@ -7,6 +7,7 @@
 import pytest
 
 from .. import Changes, Directory, RouteTable, Snapshot, Target, TargetPhase
+from .._vm_claims import CLAIM_SECONDS
 from .revisions import rev
 
 TABLE = RouteTable(7, {}, 15.0)
@@ -98,3 +99,39 @@
     directory = make_directory(replace(DRAINING, started_milliseconds=0))
     write(directory, replace(READY, started_milliseconds=0), 21)
     assert takes_new_flows(directory)
+
+
+def make_reader(*, is_one_batch: bool) -> Directory:
+    """Return what a process knows that read a drain and then a write over it."""
+    reader = make_directory(READY)
+    drained, written = replace(DRAINING, revision=rev(21)), replace(READY, revision=rev(22))
+    for each in ((drained, written),) if is_one_batch else ((drained,), (written,)):
+        reader.apply_changes(Changes(each[-1].revision, changed=each), 1.0)
+    return reader
+
+
+# Guards against peers of the process that read a drain, which don't learn of it as the entry was
+# written over before they were told.
+@pytest.mark.parametrize("is_one_batch", [True, False], ids=["one batch", "two batches"])
+@pytest.mark.parametrize("is_complete", [True, False], ids=["complete content", "changes"])
+def test_peers_learn_of_a_drain_that_was_written_over(
+    is_one_batch: bool, is_complete: bool
+) -> None:
+    reader, peer = make_reader(is_one_batch=is_one_batch), make_directory(READY)
+    if is_complete:
+        told = reader.targets_for_peers
+        peer.apply_peer_content(reader.content_revision, reader.table, told, 0.0, 1.0)
+    else:
+        changes = reader.changes_since(peer.content_revision)
+        assert changes is not None
+        assert peer.apply_peer_changes(changes, 0.0, 1.0)
+    assert not takes_new_flows(peer)
+    assert peer.targets == reader.targets
+
+
+# Guards against a drain that peers pass on to each other for good.
+def test_peers_are_told_of_a_denied_drain_for_a_while_only() -> None:
+    reader = make_reader(is_one_batch=True)
+    assert len(reader.targets_for_peers) == 2
+    reader.confirm(reader.content_revision, 0.0, 1.0 + CLAIM_SECONDS)
+    assert reader.targets_for_peers == reader.targets
--- a/egretsill/node/_content_exchange.py
+++ b/egretsill/node/_content_exchange.py
@@ -138,7 +138,7 @@
             pack_revision(directory.content_revision),
             self._age_milliseconds,
             pack_table(table) if table is not None and is_wanted else None,
-            pack_targets(directory.targets),
+            pack_targets(directory.targets_for_peers),
             pack_evacuations(directory.evacuations_in_store),
         )
 
