Paced agent of the tests: only a target that got a SYN packet resets its flow

The fixture let the target send an RST for SYN packets that the agent still held, and relied on it to empty the queue. An agent drops an RST for a flow that it doesn't know since, as an earlier flow of that key may have ended there; the held SYN packet's caller still waits.

--- a/egretsill/address_steering/tests/paced_agent.py
+++ b/egretsill/address_steering/tests/paced_agent.py
@@ -88,8 +88,13 @@
     def fill(self, now: float) -> None:
         """Use the pace up; the flows end at once, so that the target has capacity."""
         for number in range(LIMIT):
-            self.take(1000 + number, now)
-            self.agent.take_from_target(packet(PacketKind.RST, flow(1000 + number)), now)
+            effects = self.take(1000 + number, now)
+            reset = packet(PacketKind.RST, flow(1000 + number))
+            if any(isinstance(each, DeliverToTarget) for each in effects):
+                self.agent.take_from_target(reset, now)
+            else:
+                # The target knows nothing of a SYN packet that waits, but its caller may give up.
+                self.agent.take_from_peer(envelope(), reset, now)
 
     @property
     def most_in_a_second(self) -> int:
