--- a/review/12/stand_ins.py
+++ b/review/12/stand_ins.py
@@ -254,10 +254,15 @@
             return
         flow = self.flows.get(key)
         if packet.flags & SYN:
-            if flow is None or flow["peer"] != packet.seq + 1:
-                flow = {"seq": random.getrandbits(32), "peer": packet.seq + 1, "answer": b""}
+            if flow is None or flow["isn"] != (packet.seq + 1) % 2**32:
+                flow = {"seq": random.getrandbits(32), "peer": (packet.seq + 1) % 2**32, "ended": False}
+                flow["isn"] = flow["peer"]
+                flow["next"] = (flow["seq"] + 1) % 2**32
                 self.flows[key] = flow
-            self.send(packet, SYN | ACK, flow["seq"], flow["peer"])
+            self.send(packet, SYN | ACK, flow["seq"], flow["isn"])
+            return
+        if flow is not None and flow["ended"] and packet.data:
+            self.send(packet, RST, flow["next"], 0)
             return
         if flow is None or (packet.ack - flow["seq"]) % 2**32 > 100_000:
             bounced = bytearray(datagram)
@@ -268,86 +273,137 @@
             del self.flows[key]
             return
         if packet.data:
-            if not flow["answer"]:
+            if packet.seq == flow["peer"] % 2**32:
                 request = re.search(rb"Attempt-Id: (\S+)", packet.data)[1].decode()
                 self.fleet.note_run(request, self)
+                flow["peer"] = (packet.seq + len(packet.data)) % 2**32
                 body = f"{self.service} {self.name}".encode()
-                flow["answer"] = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
-            end = packet.seq + len(packet.data)
-            self.send(packet, ACK, flow["seq"] + 1, end, flow["answer"])
+                head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+                flow["answer"] = (flow["next"], head + body)
+                flow["next"] = (flow["next"] + len(head + body)) % 2**32
+            number, answer = flow["answer"]
+            self.send(packet, ACK, number, flow["peer"], answer)
         elif packet.flags & FIN:
-            end = flow["seq"] + 1 + len(flow["answer"])
-            self.send(packet, ACK | FIN, end, packet.seq + 1)
+            # A flow that has ended: its FIN packet is answered again, data with RST.
+            flow["ended"] = True
+            self.send(packet, ACK | FIN, flow["next"], (packet.seq + 1) % 2**32)
+
+
+class Router:
+    """The platform's routers: hash by `mod` over the daemons in rotation, probed twice a second."""
+
+    def __init__(self, fleet, names: list[str]) -> None:
+        self.fleet = fleet
+        self.names = names
+        self.rotation = list(names)
+        self._misses = dict.fromkeys(names, 0)
+
+    def balancer_of(self, src: int, sport: int, dst: int, dport: int) -> str:
+        names = self.rotation or self.names
+        key = struct.pack(">IHIH", src, sport, dst, dport)
+        return self.fleet.machines[names[zlib.crc32(key) % len(names)]][1]
+
+    async def run(self) -> None:
+        while True:
+            answers = await asyncio.gather(*(self.fleet.is_ready(name) for name in self.names))
+            for name, is_ready in zip(self.names, answers):
+                self._misses[name] = 0 if is_ready else self._misses[name] + 1
+            rotation = [name for name in self.names if self._misses[name] < 2]
+            if rotation != self.rotation:
+                self.rotation = rotation
+                self.fleet.record.write(f"in rotation: {rotation}")
+            await asyncio.sleep(0.5)
+
+
+class Flow:
+    """A flow that its client keeps open for several requests."""
+
+    def __init__(self, client, port: int, route: tuple[str, int]) -> None:
+        self.client, self.port, self.route = client, port, route
+        self.src, self.dst = number_of(client.host), number_of(route[0])
+        self.queue: asyncio.Queue = asyncio.Queue()
+        # RFC 6528: a clock of 4 microseconds, and a hash of both addresses and ports.
+        mark = zlib.crc32(struct.pack(">IHIH", self.src, port, self.dst, route[1]) + KEY)
+        self.seq = (int(time.time() * 250_000) + mark) % 2**32
+        self.theirs = 0
+        self.is_open = False
+        self.target = ""
+
+    def send(self, flags: int, seq: int, ack: int, data: bytes = b"") -> None:
+        host = self.client.router.balancer_of(self.src, self.port, self.dst, self.route[1])
+        datagram = make_packet(
+            self.src, self.port, self.dst, self.route[1], flags, seq % 2**32, ack % 2**32, data
+        )
+        self.client.transport.sendto(datagram, (host, self.client.fleet.ports["packets"]))
+
+    async def next(self, wait: float) -> Packet | None:
+        try:
+            return await asyncio.wait_for(self.queue.get(), wait)
+        except TimeoutError:
+            return None
+
+    async def open(self) -> bool:
+        for copy, wait in enumerate((0.2, 0.4, 0.8)):
+            self.send(SYN, self.seq, copy)
+            packet = await self.next(wait)
+            if packet is not None and packet.flags & SYN:
+                self.seq += 1
+                self.theirs = packet.seq + 1
+                return True
+            if packet is not None and packet.flags & RST:
+                return False
+        return False
+
+    async def ask(self, request: str) -> str:
+        """Return `answered`, `reset` or `no answer`."""
+        data = f"GET / HTTP/1.1\r\nAttempt-Id: {request}\r\n\r\n".encode()
+        for wait in (0.2, 0.4, 0.8, 1.6, 1.0):
+            self.send(ACK, self.seq, self.theirs, data)
+            end = time.monotonic() + wait
+            while (left := end - time.monotonic()) > 0:
+                packet = await self.next(left)
+                if packet is None:
+                    break
+                if packet.flags & RST:
+                    near = (packet.seq - self.theirs) % 2**32
+                    if min(near, 2**32 - near) <= 76_800:
+                        return "reset"
+                elif packet.data and packet.seq == self.theirs % 2**32:
+                    self.seq += len(data)
+                    self.theirs += len(packet.data)
+                    self.target = packet.data.split(b" ")[-1].decode()
+                    self.is_open = True
+                    return "answered"
+        return "no answer"
+
+    async def close(self) -> None:
+        for wait in (0.2, 0.4):
+            self.send(ACK | FIN, self.seq, self.theirs)
+            packet = await self.next(wait)
+            if packet is not None and packet.flags & FIN:
+                return
 
 
 class Client(asyncio.DatagramProtocol):
-    """A client with one address; each request is sent on a flow of its own from a new port."""
+    """A client with one address, which opens flows from ports that it chooses."""
 
     def __init__(self, fleet, host: str) -> None:
         self.fleet, self.host = fleet, host
-        self._next_port = 20_000
-        self._waiting: dict[int, asyncio.Queue] = {}
+        self.router: Router | None = None
+        self._flows: dict[int, Flow] = {}
 
     def connection_made(self, transport) -> None:
         self.transport = transport
 
     def datagram_received(self, datagram: bytes, address) -> None:
         packet = Packet(datagram)
-        queue = self._waiting.get(packet.dport)
-        if queue is not None:
-            queue.put_nowait(packet)
-
-    async def request(self, balancer: str, route: tuple[str, int], request: str) -> str:
-        """Return the body of the answer, or how the attempt ended without one."""
-        self._next_port += 1
-        port = self._next_port
-        queue = self._waiting[port] = asyncio.Queue()
-        src, dst = number_of(self.host), number_of(route[0])
-        to = (balancer, self.fleet.ports["packets"])
-        seq = random.getrandbits(31)
-
-        def send(flags: int, number: int, ack: int, data: bytes = b"") -> None:
-            self.transport.sendto(
-                make_packet(src, port, dst, route[1], flags, number, ack, data), to
-            )
+        flow = self._flows.get(packet.dport)
+        if flow is not None:
+            flow.queue.put_nowait(packet)
 
-        try:
-            opened = None
-            for copy, wait in enumerate((0.2, 0.4, 0.8)):
-                send(SYN, seq, copy)
-                opened = await self._next(queue, wait)
-                if opened is not None:
-                    break
-            if opened is None:
-                return "not opened"
-            if opened.flags & RST:
-                return "reset"
-            theirs = opened.seq + 1
-            data = f"GET / HTTP/1.1\r\nAttempt-Id: {request}\r\n\r\n".encode()
-            answer = None
-            for wait in (0.2, 0.4, 0.8, 1.6):
-                send(ACK, seq + 1, theirs, data)
-                while (answer := await self._next(queue, wait)) is not None:
-                    if answer.flags & RST or (answer.data and answer.seq == theirs):
-                        break
-                if answer is not None:
-                    break
-            if answer is None:
-                return "no answer"
-            if answer.flags & RST:
-                return "reset while open"
-            theirs += len(answer.data)
-            send(ACK | FIN, seq + 1 + len(data), theirs)
-            return answer.data.split(b"\r\n\r\n", 1)[1].decode()
-        finally:
-            self._waiting.pop(port, None)
-
-    @staticmethod
-    async def _next(queue: asyncio.Queue, wait: float) -> Packet | None:
-        try:
-            return await asyncio.wait_for(queue.get(), wait)
-        except TimeoutError:
-            return None
+    def flow(self, port: int, route: tuple[str, int]) -> Flow:
+        self._flows[port] = Flow(self, port, route)
+        return self._flows[port]
 
 
 class Fleet:
@@ -487,6 +543,38 @@
     def send_signal(self, name: str, number: signal.Signals) -> None:
         self._processes[name].send_signal(number)
 
+    async def roll(self, name: str) -> None:
+        """Stop a process as the platform does, and start it again."""
+        self.record.write(f"SIGTERM to {name}")
+        self.send_signal(name, signal.SIGTERM)
+        await self._wait_for_end(name)
+        await asyncio.sleep(0.5)
+        self._run(name, is_first_start=False)
+
+    async def _wait_for_end(self, name: str) -> None:
+        end = time.monotonic() + BOUNDS["grace_period_s"]
+        while self._processes[name].poll() is None and time.monotonic() < end:
+            await asyncio.sleep(0.05)
+        if self._processes[name].poll() is None:
+            self._processes[name].kill()
+            self._processes[name].wait()
+        self.record.write(f"{name} has ended")
+
+    async def remove(self, name: str, target: Target) -> None:
+        """Take a target away: it drains, leaves, and its machine goes after it."""
+        target.phase = "draining"
+        target.report()
+        self.record.write(f"store confirms that {target.name} drains")
+        await asyncio.sleep(BOUNDS["drain_timeout_ms"] / 1000 + 0.5)
+        target.transport.close()
+        self.store.delete(f"servers/{target.name}")
+        self.targets.remove(target)
+        self.record.write(f"{target.name} has left")
+        self.send_signal(name, signal.SIGTERM)
+        await self._wait_for_end(name)
+        del self._processes[name]
+        del self.machines[name]
+
     def ended(self) -> list[str]:
         return [name for name, each in self._processes.items() if each.poll() is not None]
 
